Thin path: entry, claims, engine and table stand-ins

Change: an entry that routes by rules, claims each request at the owner of its claim shard by group commit, streams from an engine stand-in, settles and bills before the last chunk is released; control process, peers over grpclib. Found on the way: with the claim in parallel to the dispatch, three sends of one key ran the engine three times although one answer was recorded.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+
+.PHONY: run test lint format proto bench
+
+$(VENV)/.ready: requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements.txt
+	$(BIN)/pip install -q --no-deps --no-build-isolation -e . \
+	  || $(BIN)/pip install -q --no-deps -e .
+	touch $@
+
+run: $(VENV)/.ready
+	$(BIN)/rattanpier demo
+
+test: $(VENV)/.ready lint
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/.ready
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(VENV)/.ready
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+# Needs grpcio-tools; the generated code is committed.
+proto: $(VENV)/.ready
+	PATH="$(abspath $(BIN)):$$PATH" $(BIN)/python -m grpc_tools.protoc -Iproto \
+	  --python_out=src/rattanpier/_internal/peers/proto \
+	  --grpclib_python_out=src/rattanpier/_internal/peers/proto \
+	  proto/peer.proto
+	sed -i 's/^import peer_pb2/from . import peer_pb2/' \
+	  src/rattanpier/_internal/peers/proto/peer_grpc.py
--- /dev/null
+++ b/src/rattanpier/__init__.py
@@ -0,0 +1,3 @@
+"""Rattanpier: a model-aware router for versions and cascades."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/rattanpier/_internal/cli/common.py
@@ -0,0 +1,45 @@
+"""What the programs' command lines share."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from collections.abc import Callable
+
+import fire
+
+from rattanpier._internal.configuration.parse import load_settings
+from rattanpier._internal.exceptions import RattanpierError
+from rattanpier._internal.programs.common import Build, run_until_signal
+from rattanpier._internal.utils.logs import configure_logs
+
+EXIT_BAD_INPUT = 2
+
+
+def run_fire(component: object, name: str) -> None:
+    """Runs fire and turns coded errors into exit codes."""
+    os.environ.setdefault("PAGER", "cat")  # Help pages stay on the terminal.
+    try:
+        fire.Fire(component, name=name)
+    except RattanpierError as error:
+        print(f"{name}: {error.code}: {error.message}", file=sys.stderr)
+        if error.hint:
+            print(f"{name}: hint: {error.hint}", file=sys.stderr)
+        sys.exit(EXIT_BAD_INPUT)
+
+
+def server_command(build: Build) -> Callable[[str], None]:
+    """Returns the command that runs a program with a settings file."""
+
+    def serve(settings: str) -> None:
+        """Runs until SIGTERM.
+
+        Args:
+          settings: Path of the settings file.
+        """
+        loaded = load_settings(settings)
+        configure_logs(loaded.logs.json, loaded.logs.level)
+        asyncio.run(run_until_signal(build, loaded))
+
+    return serve
--- /dev/null
+++ b/src/rattanpier/_internal/cli/standin.py
@@ -0,0 +1,92 @@
+"""The program `rattanpier-standin`: small stand-ins for the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+from aiohttp import web
+
+from rattanpier._internal.cli.common import run_fire
+from rattanpier._internal.edge.server import HttpServer
+from rattanpier._internal.models.settings import ListenSettings
+from rattanpier._internal.standin.engine import EngineServer, EngineSpeed
+from rattanpier._internal.standin.plain import PlainServer
+from rattanpier._internal.standin.table import TableServer
+
+DEFAULT_SKILL = 0.9
+
+
+async def serve_app(app: web.Application, host: str, port: int) -> None:
+    """Serves an application until SIGTERM; prints its address first."""
+    server = HttpServer(app, ListenSettings(host, port))
+    await server.start()
+    print(server.url, flush=True)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
+    await server.stop()
+
+
+def parse_versions(text: str) -> dict[str, float]:
+    """Returns skills by version.
+
+    >>> parse_versions("small@1=0.7,large@1")
+    {'small@1': 0.7, 'large@1': 0.9}
+    """
+    versions = {}
+    for item in text.split(","):
+        name, _, skill = item.partition("=")
+        versions[name] = float(skill or DEFAULT_SKILL)
+    return versions
+
+
+class Standins:
+    """The stand-ins, one a command."""
+
+    def table(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Runs a table service."""
+        asyncio.run(serve_app(TableServer().app(), host, port))
+
+    def engine(
+        self,
+        versions: str,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        decode_s: float = 0.005,
+        prefill: float = 20_000.0,
+        slots: int = 16,
+    ) -> None:
+        """Runs a model engine.
+
+        Args:
+          versions: Versions and skills, like "small@1=0.7,large@1=0.95".
+          host: IP number.
+          port: Port; 0 takes a free one.
+          decode_s: Seconds between tokens.
+          prefill: Prompt tokens read a second.
+          slots: Requests run at once.
+        """
+        # fire turns a list with commas into a tuple.
+        text = versions if isinstance(versions, str) else ",".join(versions)
+        server = EngineServer(
+            parse_versions(text), EngineSpeed(prefill, decode_s, slots)
+        )
+        asyncio.run(serve_app(server.app(), host, port))
+
+    def plain(
+        self, name: str = "plain", host: str = "127.0.0.1", port: int = 0
+    ) -> None:
+        """Runs a plain service."""
+        asyncio.run(serve_app(PlainServer(name).app(), host, port))
+
+
+def main() -> None:
+    """Runs the program."""
+    run_fire(Standins, "rattanpier-standin")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/rattanpier/_internal/edge/app.py
@@ -0,0 +1,138 @@
+"""The caller interface: routes of an entry."""
+
+from __future__ import annotations
+
+import uuid
+
+import attrs
+from aiohttp import web
+
+from rattanpier._internal.configuration.follow import Follower
+from rattanpier._internal.edge.auth import find_workspace
+from rattanpier._internal.edge.chat import ChatHandler
+from rattanpier._internal.edge.errors import error_response
+from rattanpier._internal.membership.members import Members
+from rattanpier._internal.models.member import MemberState
+from rattanpier._internal.models.refusal import Refusal, RefusalCode
+from rattanpier._internal.models.settings import EdgeSettings
+
+LOOKUP_TIMEOUT_S = 3.0
+
+
+@attrs.define
+class Edge:
+    """Serves everything but the answers themselves."""
+
+    chat: ChatHandler
+    follower: Follower
+    members: Members
+    settings: EdgeSettings
+
+    def workspace(self, request: web.Request) -> str | None:
+        """Returns the workspace that asks, or None."""
+        return find_workspace(
+            self.follower.configuration,
+            request.headers.get("Authorization", ""),
+        )
+
+    async def models(self, request: web.Request) -> web.Response:
+        """`GET /v1/models`: only what the workspace allows."""
+        name = self.workspace(request)
+        if name is None:
+            return refuse_key()
+        allowed = self.follower.configuration.workspaces[name].versions
+        data = [
+            {
+                "id": version,
+                "object": "model",
+                "created": 0,
+                "owned_by": "rattanpier",
+            }
+            for version in allowed
+        ]
+        return web.json_response({"object": "list", "data": data})
+
+    async def entries(self, _request: web.Request) -> web.Response:
+        """`GET /v1/entries`: addresses, and how long they may be cached."""
+        fleet = self.follower.configuration.fleet
+        return web.json_response(
+            {
+                "entries": [
+                    {
+                        "name": member.name,
+                        "url": member.caller_url,
+                        "domain": member.domain,
+                        "region": member.region,
+                    }
+                    for member in self.members.entries()
+                ],
+                "ttl_s": fleet.entries_ttl_s,
+            },
+            headers={"Cache-Control": f"max-age={int(fleet.entries_ttl_s)}"},
+        )
+
+    async def request_state(self, request: web.Request) -> web.Response:
+        """`GET /v1/requests/KEY`: what became of a request."""
+        name = self.workspace(request)
+        if name is None:
+            return refuse_key()
+        key = request.match_info["key"]
+        reply = await self.chat.runner.claims.lookup(
+            name, key, LOOKUP_TIMEOUT_S
+        )
+        if reply is None:
+            refusal = Refusal(
+                RefusalCode.CLAIM_UNAVAILABLE,
+                "The request's claim can't be read now.",
+                False,
+                2.0,
+            )
+            return error_response(refusal, uuid.uuid4().hex)
+        if reply.state == "none":
+            refusal = Refusal(
+                RefusalCode.UNKNOWN_REQUEST,
+                "No request with this key is known.",
+                False,
+            )
+            return error_response(refusal, uuid.uuid4().hex)
+        return web.json_response(
+            {"key": key, "state": reply.state, "attempt": reply.attempt}
+        )
+
+    async def health(self, _request: web.Request) -> web.Response:
+        """`GET /healthz`: the process runs."""
+        return web.json_response({"status": "ok"})
+
+    async def ready(self, _request: web.Request) -> web.Response:
+        """`GET /readyz`: the entry takes new callers."""
+        ready = (
+            self.follower.configuration.revision > 0
+            and self.members.me.state is MemberState.LIVE
+        )
+        return web.json_response(
+            {
+                "ready": ready,
+                "revision": self.follower.configuration.revision,
+                "state": self.members.me.state.value,
+            },
+            status=200 if ready else 503,
+        )
+
+    def app(self) -> web.Application:
+        """Returns the aiohttp application."""
+        app = web.Application(client_max_size=self.settings.max_body_bytes)
+        app.router.add_post("/v1/chat/completions", self.chat.handle)
+        app.router.add_get("/v1/models", self.models)
+        app.router.add_get("/v1/entries", self.entries)
+        app.router.add_get("/v1/requests/{key}", self.request_state)
+        app.router.add_get("/healthz", self.health)
+        app.router.add_get("/readyz", self.ready)
+        return app
+
+
+def refuse_key() -> web.Response:
+    """Returns the refusal of an unknown key."""
+    return error_response(
+        Refusal(RefusalCode.BAD_KEY, "The key is not known.", True),
+        uuid.uuid4().hex,
+    )
--- /dev/null
+++ b/src/rattanpier/_internal/edge/auth.py
@@ -0,0 +1,37 @@
+"""Keys of workspaces and operators: stored hashed, compared safely."""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Iterable
+
+from rattanpier._internal.models.configuration import Configuration
+from rattanpier._internal.utils.hashing import sha256_hex
+
+BEARER = "Bearer "
+
+
+def bearer_key(header: str) -> str:
+    """Returns the key in an Authorization header, or an empty string.
+
+    >>> bearer_key("Bearer abc")
+    'abc'
+    """
+    return header[len(BEARER) :].strip() if header.startswith(BEARER) else ""
+
+
+def matches(key: str, digests: Iterable[str]) -> bool:
+    """Says whether a key has one of the digests, in constant time."""
+    digest = sha256_hex(key)
+    found = [hmac.compare_digest(digest, known) for known in digests]
+    return any(found)
+
+
+def find_workspace(configuration: Configuration, header: str) -> str | None:
+    """Returns the workspace whose key a request carries, or None."""
+    key = bearer_key(header)
+    found = None
+    for name, workspace in configuration.workspaces.items():
+        if matches(key, workspace.key_sha256):
+            found = name
+    return found if key else None
--- /dev/null
+++ b/src/rattanpier/_internal/edge/chat.py
@@ -0,0 +1,212 @@
+"""`POST /v1/chat/completions`: parts of an answer to HTTP."""
+
+from __future__ import annotations
+
+import json
+import uuid
+from collections.abc import AsyncIterator
+from contextlib import aclosing
+
+import attrs
+from aiohttp import web
+
+from rattanpier._internal.claims.records import Answer
+from rattanpier._internal.dispatch.engine import Chunk
+from rattanpier._internal.dispatch.parts import (
+    Ended,
+    Part,
+    Piece,
+    Recorded,
+    Refused,
+    Started,
+)
+from rattanpier._internal.dispatch.runner import Runner, completion
+from rattanpier._internal.edge.auth import find_workspace
+from rattanpier._internal.edge.errors import error_event, error_response
+from rattanpier._internal.edge.intake import (
+    IntakeError,
+    read_body,
+    route_request,
+)
+from rattanpier._internal.edge.sessions import SessionTokens
+from rattanpier._internal.models.refusal import Refusal, RefusalCode
+from rattanpier._internal.models.request import RouteRequest
+from rattanpier._internal.models.settings import EdgeSettings
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.metrics import Metrics
+
+DONE_EVENT = b"data: [DONE]\n\n"
+
+
+@attrs.define
+class ChatHandler:
+    """Serves chat completions.
+
+    Attributes:
+      runner: Answers the requests.
+      tokens: Signs and reads session tokens.
+    """
+
+    runner: Runner
+    tokens: SessionTokens
+    settings: EdgeSettings
+    clock: Clock
+    metrics: Metrics
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Answers one request."""
+        request_id = uuid.uuid4().hex
+        try:
+            route = await self.take_in(request)
+        except IntakeError as error:
+            return self.refuse(error.refusal, request_id)
+        parts = self.runner.answer(route, request_id)
+        async with aclosing(parts):
+            if route.stream:
+                return await self.stream(request, route, request_id, parts)
+            return await self.whole(route, request_id, parts)
+
+    async def take_in(self, request: web.Request) -> RouteRequest:
+        """Checks who asks, and what.
+
+        Raises:
+          IntakeError: The request is refused.
+        """
+        configuration = self.runner.configuration()
+        workspace = find_workspace(
+            configuration, request.headers.get("Authorization", "")
+        )
+        if workspace is None:
+            raise IntakeError(
+                Refusal(RefusalCode.BAD_KEY, "The key is not known.", True)
+            )
+        data = await read_body(request, self.settings.max_body_bytes)
+        pinned = self.tokens.pinned(
+            workspace, request.headers.get("X-Session-Token", "")
+        )
+        return route_request(
+            request, workspace, data, self.settings, self.clock, pinned
+        )
+
+    def refuse(self, refusal: Refusal, request_id: str) -> web.Response:
+        """Returns a refusal and counts its reason."""
+        self.metrics.count(f"refusal.{refusal.code.value}")
+        return error_response(refusal, request_id)
+
+    def headers(
+        self, route: RouteRequest, request_id: str, started: Started
+    ) -> dict[str, str]:
+        """Returns the headers of an answer."""
+        headers = {
+            "X-Request-Id": request_id,
+            "X-Model-Version": started.version,
+            "X-Session-Token": self.tokens.sign(
+                route.workspace, started.version
+            ),
+        }
+        if started.pin_lost:
+            headers["X-Session-Version-Lost"] = started.pin_lost
+        return headers
+
+    async def whole(
+        self,
+        route: RouteRequest,
+        request_id: str,
+        parts: AsyncIterator[Part],
+    ) -> web.Response:
+        """Answers with one JSON body."""
+        headers: dict[str, str] = {}
+        chunks: list[Chunk] = []
+        async for part in parts:
+            match part:
+                case Started():
+                    headers = self.headers(route, request_id, part)
+                case Piece(chunk):
+                    chunks.append(chunk)
+                case Recorded(answer):
+                    return recorded_response(answer, request_id)
+                case Refused(refusal):
+                    return self.refuse(refusal, request_id)
+                case Ended():
+                    return web.json_response(
+                        completion(chunks), headers=headers
+                    )
+        raise AssertionError("an answer ended without a last part")
+
+    async def stream(
+        self,
+        request: web.Request,
+        route: RouteRequest,
+        request_id: str,
+        parts: AsyncIterator[Part],
+    ) -> web.StreamResponse:
+        """Answers with server-sent events."""
+        response: web.StreamResponse | None = None
+        async for part in parts:
+            match part:
+                case Started():
+                    response = event_stream(
+                        self.headers(route, request_id, part)
+                    )
+                    await response.prepare(request)
+                case Piece(chunk):
+                    assert response is not None
+                    await response.write(b"data: " + chunk.data + b"\n\n")
+                case Recorded(answer):
+                    return await replay(request, answer, request_id)
+                case Refused(refusal):
+                    if response is None:
+                        return self.refuse(refusal, request_id)
+                    self.metrics.count(f"refusal.{refusal.code.value}")
+                    await response.write(error_event(refusal, request_id))
+                case Ended():
+                    assert response is not None
+                    await response.write(DONE_EVENT)
+        assert response is not None
+        return response
+
+
+def event_stream(headers: dict[str, str]) -> web.StreamResponse:
+    """Returns a response for server-sent events."""
+    response = web.StreamResponse(headers=headers)
+    response.content_type = "text/event-stream"
+    return response
+
+
+def recorded_response(answer: Answer, request_id: str) -> web.Response:
+    """Returns a recorded answer."""
+    return web.Response(
+        status=answer.status,
+        text=answer.body,
+        content_type=answer.content_type,
+        headers={
+            "X-Request-Id": request_id,
+            "X-Model-Version": answer.version,
+        },
+    )
+
+
+async def replay(
+    request: web.Request, answer: Answer, request_id: str
+) -> web.StreamResponse:
+    """Streams a recorded answer as one chunk."""
+    body = json.loads(answer.body)
+    choice = body["choices"][0]
+    event = {
+        **body,
+        "object": "chat.completion.chunk",
+        "choices": [
+            {
+                "index": 0,
+                "delta": choice["message"],
+                "finish_reason": choice["finish_reason"],
+            }
+        ],
+    }
+    response = event_stream(
+        {"X-Request-Id": request_id, "X-Model-Version": answer.version}
+    )
+    await response.prepare(request)
+    await response.write(f"data: {json.dumps(event)}\n\n".encode())
+    await response.write(DONE_EVENT)
+    return response
--- /dev/null
+++ b/src/rattanpier/_internal/edge/errors.py
@@ -0,0 +1,43 @@
+"""Refusals as callers see them, in the shape that OpenAI clients parse."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import Any
+
+from aiohttp import web
+
+from rattanpier._internal.models.refusal import Refusal
+
+
+def error_body(refusal: Refusal, request_id: str) -> dict[str, Any]:
+    """Returns the JSON body of a refusal."""
+    return {
+        "error": {
+            "message": refusal.message,
+            "type": "rattanpier_error",
+            "param": None,
+            "code": refusal.code.value,
+            "not_run": refusal.not_run,
+            "retry_after_s": refusal.retry_after_s,
+            "request_id": request_id,
+        }
+    }
+
+
+def error_response(refusal: Refusal, request_id: str) -> web.Response:
+    """Returns the HTTP answer for a refusal."""
+    headers = {"X-Request-Id": request_id}
+    if refusal.retry_after_s is not None:
+        headers["Retry-After"] = str(math.ceil(refusal.retry_after_s))
+    return web.json_response(
+        error_body(refusal, request_id),
+        status=refusal.status,
+        headers=headers,
+    )
+
+
+def error_event(refusal: Refusal, request_id: str) -> bytes:
+    """Returns the event that ends a stream without its end mark."""
+    return f"data: {json.dumps(error_body(refusal, request_id))}\n\n".encode()
--- /dev/null
+++ b/src/rattanpier/_internal/edge/intake.py
@@ -0,0 +1,151 @@
+"""From an HTTP request to a checked `RouteRequest`."""
+
+from __future__ import annotations
+
+import json
+import uuid
+from typing import Any
+
+from aiohttp import web
+
+from rattanpier._internal.models.refusal import Refusal, RefusalCode
+from rattanpier._internal.models.request import RouteRequest, estimate_tokens
+from rattanpier._internal.models.settings import EdgeSettings
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.hashing import sha256_hex
+
+DEFAULT_MAX_TOKENS = 256
+MAX_KEY_LENGTH = 255
+
+
+class IntakeError(Exception):
+    """A request can't be taken in; carries its refusal."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+def bad_request(message: str) -> IntakeError:
+    """Returns the error for a request that is not well formed."""
+    return IntakeError(Refusal(RefusalCode.BAD_REQUEST, message, True))
+
+
+async def read_body(request: web.Request, limit: int) -> bytes:
+    """Returns the body.
+
+    Raises:
+      IntakeError: The body is over the limit.
+    """
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge as error:
+        raise IntakeError(
+            Refusal(
+                RefusalCode.BODY_TOO_LARGE,
+                f"The body is larger than {limit} bytes.",
+                True,
+            )
+        ) from error
+
+
+def parse_body(data: bytes) -> dict[str, Any]:
+    """Returns a chat-completions body.
+
+    Raises:
+      IntakeError: The body is not JSON or lacks what every request has.
+    """
+    try:
+        body = json.loads(data)
+    except ValueError as error:
+        raise bad_request(f"The body is not JSON: {error}.") from error
+    if not isinstance(body, dict):
+        raise bad_request("The body is not a JSON object.")
+    if not isinstance(body.get("model"), str):
+        raise bad_request("The body has no 'model' string.")
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise bad_request("The body has no 'messages' list.")
+    if not all(isinstance(message, dict) for message in messages):
+        raise bad_request("Each of 'messages' has to be an object.")
+    return body
+
+
+def timeout_s(request: web.Request, settings: EdgeSettings) -> float:
+    """Returns the seconds that the caller gives a request.
+
+    Raises:
+      IntakeError: The header is not a positive number.
+    """
+    text = request.headers.get("X-Timeout-Ms")
+    if text is None:
+        return settings.default_timeout_s
+    try:
+        seconds = float(text) / 1000
+    except ValueError:
+        seconds = 0.0
+    if not 0 < seconds < float("inf"):
+        raise bad_request("X-Timeout-Ms is not a positive number.")
+    return min(seconds, settings.max_timeout_s)
+
+
+def idempotency_key(request: web.Request) -> str:
+    """Returns the caller's key, or a fresh one.
+
+    Raises:
+      IntakeError: The key is too long.
+    """
+    key = request.headers.get("Idempotency-Key")
+    if key is None:
+        return f"auto-{uuid.uuid4().hex}"
+    if not 0 < len(key) <= MAX_KEY_LENGTH:
+        raise bad_request(
+            f"Idempotency-Key has to have 1 to {MAX_KEY_LENGTH} characters."
+        )
+    return key
+
+
+def is_marked(request: web.Request) -> bool:
+    """Says whether the caller marked a request as non-idempotent."""
+    return request.headers.get("X-Non-Idempotent", "").lower() == "true"
+
+
+def route_request(
+    request: web.Request,
+    workspace: str,
+    data: bytes,
+    settings: EdgeSettings,
+    clock: Clock,
+    pinned: str,
+) -> RouteRequest:
+    """Returns a chat request as the decisions see it.
+
+    Raises:
+      IntakeError: The request is not well formed.
+    """
+    body = parse_body(data)
+    characters = sum(
+        len(str(message.get("content", ""))) for message in body["messages"]
+    )
+    metadata = body.get("metadata") or {}
+    if not isinstance(metadata, dict):
+        raise bad_request("'metadata' has to be an object.")
+    max_tokens = body.get("max_tokens") or DEFAULT_MAX_TOKENS
+    if not isinstance(max_tokens, int) or max_tokens < 1:
+        raise bad_request("'max_tokens' has to be a positive integer.")
+    return RouteRequest(
+        workspace=workspace,
+        key=idempotency_key(request),
+        keyed="Idempotency-Key" in request.headers,
+        model=body["model"],
+        session=request.headers.get("X-Session-Id", ""),
+        pinned=pinned,
+        idempotent=not is_marked(request),
+        stream=body.get("stream") is True,
+        prompt_tokens=estimate_tokens(characters),
+        max_tokens=max_tokens,
+        labels={str(name): str(metadata[name]) for name in metadata},
+        deadline=clock.monotonic() + timeout_s(request, settings),
+        body=body,
+        digest=sha256_hex(data),
+    )
--- /dev/null
+++ b/src/rattanpier/_internal/edge/server.py
@@ -0,0 +1,59 @@
+"""Listens for callers, in the clear or by TLS."""
+
+from __future__ import annotations
+
+import ssl
+
+from aiohttp import web
+
+from rattanpier._internal.models.settings import ListenSettings
+
+SHUTDOWN_S = 5.0  # aiohttp's own patience; the drain comes before it.
+
+
+class HttpServer:
+    """One listening address for an aiohttp application.
+
+    Attributes:
+      port: The port taken.
+    """
+
+    def __init__(self, app: web.Application, listen: ListenSettings) -> None:
+        self.runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True
+        )
+        self.listen = listen
+        self.port = listen.port
+
+    async def start(self) -> None:
+        """Starts to listen."""
+        await self.runner.setup()
+        site = web.TCPSite(
+            self.runner,
+            self.listen.host,
+            self.listen.port,
+            ssl_context=server_tls(self.listen),
+            shutdown_timeout=SHUTDOWN_S,
+        )
+        await site.start()
+        self.port = self.runner.addresses[0][1]
+
+    async def stop(self) -> None:
+        """Stops listening and ends the connections."""
+        await self.runner.cleanup()
+
+    @property
+    def url(self) -> str:
+        """The address told to callers."""
+        scheme = "https" if self.listen.certificate else "http"
+        host = self.listen.advertise or self.listen.host
+        return f"{scheme}://{host}:{self.port}"
+
+
+def server_tls(listen: ListenSettings) -> ssl.SSLContext | None:
+    """Returns the TLS context of a listener, or None for plain text."""
+    if not listen.certificate:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(listen.certificate, listen.key)
+    return context
--- /dev/null
+++ b/src/rattanpier/_internal/models/member.py
@@ -0,0 +1,58 @@
+"""Processes of the system as they see each other."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class Role(enum.StrEnum):
+    """What a process does."""
+
+    ENTRY = "entry"
+    CONTROL = "control"
+
+
+class MemberState(enum.StrEnum):
+    """Where a process is in its life."""
+
+    LIVE = "live"
+    LEAVING = "leaving"  # Not advertised any more; still serves.
+
+
+@attrs.frozen
+class Member:
+    """One process.
+
+    Attributes:
+      name: Unique name from its settings.
+      incarnation: Unique to this start of the process.
+      role: Entry or control.
+      domain: Failure domain.
+      region: Region.
+      caller_url: Where callers connect; empty for a control process.
+      peer_host: IP number for peers.
+      peer_port: Port for peers.
+      state: Live or leaving.
+      revision: Configuration revision in force when it last refreshed.
+    """
+
+    name: str
+    incarnation: str
+    role: Role
+    domain: str
+    region: str
+    caller_url: str
+    peer_host: str
+    peer_port: int
+    state: MemberState = MemberState.LIVE
+    revision: int = 0
+
+
+MEMBER_PREFIX = "member/"
+
+
+def member_key(name: str) -> str:
+    """Returns the key of a member's row."""
+    return f"{MEMBER_PREFIX}{name}"
--- /dev/null
+++ b/src/rattanpier/_internal/peers/links.py
@@ -0,0 +1,37 @@
+"""The links of one process, one for each peer it talks to."""
+
+from __future__ import annotations
+
+import ssl
+
+import attrs
+
+from rattanpier._internal.models.member import Member
+from rattanpier._internal.peers.link import Link
+
+
+@attrs.define
+class Links:
+    """Opens links when they are first used.
+
+    Attributes:
+      member: Own member name.
+      tls: Context for mutual TLS, or None.
+      links: Links by peer address.
+    """
+
+    member: str
+    tls: ssl.SSLContext | None = None
+    links: dict[tuple[str, int], Link] = attrs.Factory(dict)
+
+    def to(self, member: Member) -> Link:
+        """Returns the link to a member."""
+        address = (member.peer_host, member.peer_port)
+        if address not in self.links:
+            self.links[address] = Link(*address, self.member, self.tls)
+        return self.links[address]
+
+    async def close(self) -> None:
+        """Ends all links."""
+        for link in self.links.values():
+            await link.close()
--- /dev/null
+++ b/src/rattanpier/_internal/programs/common.py
@@ -0,0 +1,89 @@
+"""What the programs of the system share."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import uuid
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import structlog
+
+from rattanpier._internal.configuration.follow import Follower
+from rattanpier._internal.kernel import Kernel
+from rattanpier._internal.membership.members import Members
+from rattanpier._internal.models.member import Member, Role
+from rattanpier._internal.models.settings import Settings
+from rattanpier._internal.peers.links import Links
+from rattanpier._internal.peers.server import PeerServer
+from rattanpier._internal.platform.table import HttpTable
+from rattanpier._internal.utils.clock import SystemClock
+from rattanpier._internal.utils.metrics import Metrics
+
+log = structlog.get_logger(part="main")
+
+Build = Callable[[Settings], Awaitable[Kernel]]
+
+
+async def add_base(kernel: Kernel, settings: Settings) -> None:
+    """Adds the services that every process has."""
+    clock = kernel.add("clock", SystemClock())
+    kernel.add("settings", settings)
+    kernel.add("metrics", Metrics(settings.metrics.host, settings.metrics.port))
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+    )
+    kernel.add("http", session, stop=session.close)
+    table = kernel.add(
+        "table",
+        HttpTable(
+            session,
+            settings.platform.table_url,
+            settings.platform.timeout_s,
+        ),
+    )
+    server = kernel.add("peer_server", PeerServer())
+    kernel.services["peer_server"].stop = server.stop
+    links = kernel.add("links", Links(settings.node.name))
+    kernel.services["links"].stop = links.close
+    follower = kernel.add("follower", Follower(table, clock))
+    await follower.poll()
+
+
+async def add_membership(
+    kernel: Kernel, settings: Settings, role: Role, caller_url: str
+) -> Members:
+    """Listens for peers and joins the others."""
+    server = kernel.find("peer_server")
+    await server.start(settings.peers.host, settings.peers.port)
+    me = Member(
+        name=settings.node.name,
+        incarnation=uuid.uuid4().hex[:12],
+        role=role,
+        domain=settings.node.domain,
+        region=settings.node.region,
+        caller_url=caller_url,
+        peer_host=settings.peers.advertise or settings.peers.host,
+        peer_port=server.port,
+    )
+    members = Members(me, kernel.find("table"), kernel.find("clock"))
+    kernel.add("members", members)
+    await members.step()
+    return members
+
+
+async def run_until_signal(build: Build, settings: Settings) -> None:
+    """Runs a program until SIGTERM or SIGINT, then drains and stops it."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    kernel = await build(settings)
+    log.info("Started.", name=settings.node.name)
+    await stop.wait()
+    log.info("Stopping.", name=settings.node.name)
+    if "drain" in kernel.services:
+        await kernel.find("drain")()
+    await kernel.stop()
+    log.info("Stopped.", name=settings.node.name)
--- /dev/null
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -0,0 +1,87 @@
+"""Puts an entry together."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from rattanpier._internal.claims.service import Claims
+from rattanpier._internal.dispatch.runner import Runner
+from rattanpier._internal.dispatch.tries import Tries
+from rattanpier._internal.edge.app import Edge
+from rattanpier._internal.edge.chat import ChatHandler
+from rattanpier._internal.edge.server import HttpServer
+from rattanpier._internal.edge.sessions import SessionTokens
+from rattanpier._internal.kernel import Kernel
+from rattanpier._internal.models.member import Role
+from rattanpier._internal.models.settings import Settings
+from rattanpier._internal.programs.common import add_base, add_membership
+
+CLAIM_CALLS = ("claim", "settle", "lookup")
+
+
+async def build_entry(settings: Settings) -> Kernel:
+    """Starts an entry and returns its kernel."""
+    kernel = Kernel()
+    await add_base(kernel, settings)
+    members = await add_membership(kernel, settings, Role.ENTRY, "")
+    claims = add_claims(kernel)
+    handler = make_handler(kernel, settings, claims)
+    edge = Edge(handler, kernel.find("follower"), members, settings.edge)
+    server = HttpServer(edge.app(), settings.callers)
+    kernel.add("edge", server, stop=server.stop)
+    await server.start()
+    members.me = attrs.evolve(members.me, caller_url=server.url)
+    await members.step()
+    kernel.spawn(kernel.find("follower").run(kernel))
+    kernel.spawn(members.run(kernel))
+    kernel.spawn(claims.run())
+    return kernel
+
+
+def add_claims(kernel: Kernel) -> Claims:
+    """Adds the claims service and its handlers for peers."""
+    members = kernel.find("members")
+    claims = Claims(
+        me=members.me,
+        fleet=kernel.find("follower").configuration.fleet,
+        table=kernel.find("table"),
+        clock=kernel.find("clock"),
+        metrics=kernel.find("metrics"),
+        members=members,
+        links=kernel.find("links"),
+        kernel=kernel,
+    )
+    server = kernel.find("peer_server")
+    for kind in CLAIM_CALLS:
+        server.on_call(kind, claims.serve_call)
+    return kernel.add("claims", claims)
+
+
+def make_handler(
+    kernel: Kernel, settings: Settings, claims: Claims
+) -> ChatHandler:
+    """Returns the handler of chat completions."""
+    follower = kernel.find("follower")
+    clock = kernel.find("clock")
+    metrics = kernel.find("metrics")
+    tries = Tries(
+        session=kernel.find("http"),
+        configuration=lambda: follower.configuration,
+        clock=clock,
+        metrics=metrics,
+        domain=settings.node.domain,
+        rng=random.Random(settings.node.name),
+    )
+    runner = Runner(
+        configuration=lambda: follower.configuration,
+        claims=claims,
+        tries=tries,
+        clock=clock,
+        metrics=metrics,
+        holder=f"{claims.me.name}/{claims.me.incarnation}",
+        spawn=kernel.spawn,
+    )
+    tokens = SessionTokens(settings.secrets.session_key)
+    return ChatHandler(runner, tokens, settings.edge, clock, metrics)
--- /dev/null
+++ b/src/rattanpier/_internal/standin/engine.py
@@ -0,0 +1,275 @@
+"""A stand-in for a model engine: chat completions at a set pace.
+
+The text depends only on version and prompt, so that a test can tell a whole,
+right answer from any other. Runs are counted here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import itertools
+import json
+import random
+from collections.abc import AsyncIterator
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+from rattanpier._internal.models.request import estimate_tokens
+from rattanpier._internal.utils.codec import decode, encode
+from rattanpier._internal.utils.hashing import stable_hash
+
+DEFAULT_MAX_TOKENS = 32
+
+
+class EngineFault(enum.StrEnum):
+    """What is wrong with an engine."""
+
+    NONE = "none"
+    REFUSE = "refuse"  # 503, says that it did not run the request.
+    FAIL = "fail"  # 500, says nothing.
+    CUT = "cut"  # Ends the stream half way.
+    CUT_BEFORE_ANSWER = "cut_before_answer"  # Runs, then closes.
+    STALL = "stall"  # Takes the request and says nothing.
+
+
+@attrs.define
+class EngineFaults:
+    """The fault switch.
+
+    Attributes:
+      fault: What is wrong now.
+      count: How many more requests it hits; -1 for all.
+      slowdown: Factor on every duration.
+      bad_versions: Versions whose answers are poor.
+    """
+
+    fault: EngineFault = EngineFault.NONE
+    count: int = -1
+    slowdown: float = 1.0
+    bad_versions: list[str] = attrs.Factory(list)
+
+
+@attrs.define
+class Run:
+    """One request as the engine ran it."""
+
+    request: str
+    version: str
+    chunks: int = 0
+    finished: bool = False
+    cancelled: bool = False
+
+
+@attrs.frozen
+class EngineSpeed:
+    """How fast an engine is.
+
+    Attributes:
+      prefill_tokens_per_s: Prompt tokens read a second.
+      decode_s: Seconds between tokens of one answer.
+      slots: Requests run at once; more of them wait.
+    """
+
+    prefill_tokens_per_s: float = 20_000.0
+    decode_s: float = 0.005
+    slots: int = 16
+
+
+@attrs.define
+class EngineServer:
+    """One engine.
+
+    Attributes:
+      versions: Versions it serves, with the skill (0 to 1) of each.
+      runs: Everything it ran, in order.
+    """
+
+    versions: dict[str, float]
+    speed: EngineSpeed = attrs.Factory(EngineSpeed)
+    faults: EngineFaults = attrs.Factory(EngineFaults)
+    runs: list[Run] = attrs.Factory(list)
+    ids: itertools.count = attrs.Factory(itertools.count)
+    free: asyncio.Semaphore = attrs.field(
+        default=attrs.Factory(
+            lambda self: asyncio.Semaphore(self.speed.slots), takes_self=True
+        )
+    )
+
+    async def chat(self, request: web.Request) -> web.StreamResponse:
+        """Answers a chat-completions request with a stream."""
+        body = await request.json()
+        fault = self.take_fault()
+        if fault is EngineFault.REFUSE:
+            return refuse("the engine is full", not_run=True)
+        if body["model"] not in self.versions:
+            return refuse("the version is not loaded", not_run=True)
+        run = Run(request.headers.get("X-Request-Id", ""), body["model"])
+        self.runs.append(run)
+        if fault is EngineFault.FAIL:
+            return web.json_response({"error": "failed"}, status=500)
+        if fault is EngineFault.STALL:
+            await asyncio.Event().wait()
+        async with self.free:
+            await self.pause(self.prefill_s(body))
+            if fault is EngineFault.CUT_BEFORE_ANSWER:
+                abort(request)
+            return await self.stream(request, body, run, fault)
+
+    def take_fault(self) -> EngineFault:
+        """Returns the fault that hits this request."""
+        if self.faults.count == 0:
+            return EngineFault.NONE
+        if self.faults.fault is not EngineFault.NONE and self.faults.count > 0:
+            self.faults.count -= 1
+        return self.faults.fault
+
+    async def pause(self, seconds: float) -> None:
+        """Takes its time."""
+        await asyncio.sleep(seconds * self.faults.slowdown)
+
+    def prefill_s(self, body: dict[str, Any]) -> float:
+        """Returns how long the prompt takes."""
+        tokens = estimate_tokens(len(prompt_text(body)))
+        return tokens / self.speed.prefill_tokens_per_s
+
+    async def stream(
+        self,
+        request: web.Request,
+        body: dict[str, Any],
+        run: Run,
+        fault: EngineFault,
+    ) -> web.StreamResponse:
+        """Sends the answer token by token."""
+        response = web.StreamResponse()
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        words = self.words(body)
+        start = int(request.headers.get("Last-Event-ID", "-1")) + 1
+        try:
+            async for number, event in self.events(body, words, start):
+                if fault is EngineFault.CUT and number >= len(words) // 2:
+                    abort(request)
+                    return response
+                line = f"id: {number}\ndata: {json.dumps(event)}\n\n"
+                await response.write(line.encode())
+                run.chunks += 1
+            await response.write(b"data: [DONE]\n\n")
+        except (ConnectionResetError, asyncio.CancelledError):
+            run.cancelled = True
+            raise
+        run.finished = True
+        return response
+
+    async def events(
+        self, body: dict[str, Any], words: list[str], start: int
+    ) -> AsyncIterator[tuple[int, dict[str, Any]]]:
+        """Yields numbered chat-completion chunks at the decoding pace."""
+        identity = f"chatcmpl-{next(self.ids)}"
+        for number, word in enumerate(words):
+            if number < start:
+                continue
+            await self.pause(self.speed.decode_s)
+            yield number, make_event(identity, body["model"], word, None)
+        if start <= len(words):
+            final = make_event(identity, body["model"], "", "stop")
+            final["usage"] = {
+                "prompt_tokens": estimate_tokens(len(prompt_text(body))),
+                "completion_tokens": len(words),
+                "total_tokens": estimate_tokens(len(prompt_text(body)))
+                + len(words),
+            }
+            final["confidence"] = self.confidence(body)
+            yield len(words), final
+
+    def words(self, body: dict[str, Any]) -> list[str]:
+        """Returns the words of the answer."""
+        good = self.is_good(body)
+        count = min(body.get("max_tokens") or DEFAULT_MAX_TOKENS, 512)
+        return answer_words(body["model"], prompt_text(body), count, good)
+
+    def is_good(self, body: dict[str, Any]) -> bool:
+        """Says whether the version is skilled enough for the prompt."""
+        if body["model"] in self.faults.bad_versions:
+            return False
+        return difficulty(prompt_text(body)) < self.versions[body["model"]]
+
+    def confidence(self, body: dict[str, Any]) -> float:
+        """Returns a measure of the answer that tells a little of it."""
+        noise = random.Random(stable_hash(prompt_text(body))).gauss(0, 0.15)
+        base = 0.8 if self.is_good(body) else 0.4
+        return min(1.0, max(0.0, base + noise))
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Sets the fault switch."""
+        self.faults = decode(EngineFaults, await request.read())
+        return web.Response(text=encode(self.faults))
+
+    async def get_runs(self, _request: web.Request) -> web.Response:
+        """Answers with everything that ran."""
+        return web.Response(text=encode(self.runs))
+
+    def app(self) -> web.Application:
+        """Returns the aiohttp application."""
+        app = web.Application(client_max_size=64 * 2**20)
+        app.router.add_post("/v1/chat/completions", self.chat)
+        app.router.add_post("/standin/faults", self.set_faults)
+        app.router.add_get("/standin/runs", self.get_runs)
+        return app
+
+
+def abort(request: web.Request) -> None:
+    """Closes the connection at once."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
+def refuse(message: str, not_run: bool) -> web.Response:
+    """Returns a refusal."""
+    return web.json_response(
+        {"error": message, "not_run": not_run},
+        status=503,
+        headers={"Retry-After": "1"},
+    )
+
+
+def make_event(
+    identity: str, model: str, text: str, finish: str | None
+) -> dict[str, Any]:
+    """Returns a chat-completion chunk."""
+    return {
+        "id": identity,
+        "object": "chat.completion.chunk",
+        "created": 0,
+        "model": model,
+        "choices": [
+            {
+                "index": 0,
+                "delta": {"role": "assistant", "content": text},
+                "finish_reason": finish,
+            }
+        ],
+    }
+
+
+def prompt_text(body: dict[str, Any]) -> str:
+    """Returns the text of all messages."""
+    return "\n".join(
+        str(message.get("content", "")) for message in body["messages"]
+    )
+
+
+def difficulty(prompt: str) -> float:
+    """Returns how hard a prompt is, 0 to 1, the same every time."""
+    return stable_hash(f"difficulty\x1f{prompt}") % 10_000 / 10_000
+
+
+def answer_words(
+    version: str, prompt: str, count: int, good: bool
+) -> list[str]:
+    """Returns the words of an answer; the first says whether it is good."""
+    rng = random.Random(stable_hash(f"{version}\x1f{prompt}"))
+    words = [f" w{rng.randrange(10_000)}" for _ in range(max(0, count - 1))]
+    return ["good" if good else "poor", *words]
--- /dev/null
+++ b/src/rattanpier/_internal/standin/plain.py
@@ -0,0 +1,84 @@
+"""A stand-in for a plain service; it counts what it ran."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+from aiohttp import web
+
+from rattanpier._internal.standin.engine import (
+    EngineFault,
+    EngineFaults,
+    abort,
+    refuse,
+)
+from rattanpier._internal.utils.codec import decode, encode
+
+
+@attrs.define
+class PlainCall:
+    """One call as the service ran it."""
+
+    method: str
+    path: str
+    request: str
+
+
+@attrs.define
+class PlainServer:
+    """Echoes calls under any path."""
+
+    name: str
+    faults: EngineFaults = attrs.Factory(EngineFaults)
+    calls: list[PlainCall] = attrs.Factory(list)
+
+    async def serve(self, request: web.Request) -> web.Response:
+        """Runs one call."""
+        fault = self.faults.fault
+        if self.faults.count == 0:
+            fault = EngineFault.NONE
+        elif fault is not EngineFault.NONE and self.faults.count > 0:
+            self.faults.count -= 1
+        if fault is EngineFault.REFUSE:
+            return refuse("the service is full", not_run=True)
+        body = await request.text()
+        self.calls.append(
+            PlainCall(
+                request.method,
+                request.path,
+                request.headers.get("X-Request-Id", ""),
+            )
+        )
+        if fault is EngineFault.FAIL:
+            return web.json_response({"error": "failed"}, status=500)
+        if fault is EngineFault.STALL:
+            await asyncio.Event().wait()
+        if fault in (EngineFault.CUT, EngineFault.CUT_BEFORE_ANSWER):
+            abort(request)
+        return web.json_response(
+            {
+                "service": self.name,
+                "method": request.method,
+                "path": request.path,
+                "body": body,
+                "call": len(self.calls),
+            }
+        )
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Sets the fault switch."""
+        self.faults = decode(EngineFaults, await request.read())
+        return web.Response(text=encode(self.faults))
+
+    async def get_calls(self, _request: web.Request) -> web.Response:
+        """Answers with everything that ran."""
+        return web.Response(text=encode(self.calls))
+
+    def app(self) -> web.Application:
+        """Returns the aiohttp application."""
+        app = web.Application(client_max_size=64 * 2**20)
+        app.router.add_post("/standin/faults", self.set_faults)
+        app.router.add_get("/standin/runs", self.get_calls)
+        app.router.add_route("*", "/{path:.*}", self.serve)
+        return app
--- /dev/null
+++ b/src/rattanpier/_internal/utils/hashing.py
@@ -0,0 +1,32 @@
+"""Stable hashes."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+import xxhash
+
+
+def stable_hash(text: str) -> int:
+    """Returns a 64-bit hash that is the same on every machine."""
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
+def rendezvous(key: str, names: Iterable[str]) -> list[str]:
+    """Orders names by preference for a key (highest random weight).
+
+    Removing a name leaves the order of the others as it was.
+
+    >>> rendezvous("k", ["a", "b", "c"]) == rendezvous("k", ["c", "b", "a"])
+    True
+    """
+    return sorted(
+        names, key=lambda name: stable_hash(f"{key}\x1f{name}"), reverse=True
+    )
+
+
+def sha256_hex(text: str | bytes) -> str:
+    """Returns the SHA-256 digest in hexadecimal."""
+    data = text.encode() if isinstance(text, str) else text
+    return hashlib.sha256(data).hexdigest()
--- /dev/null
+++ b/tests/lib/cluster.py
@@ -0,0 +1,157 @@
+"""Starts the system's programs and stand-ins as separate processes."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+
+import aiohttp
+
+import rattanpier
+from rattanpier._internal.configuration.store import Revision, propose
+from rattanpier._internal.platform.table import HttpTable
+
+SOURCE = str(pathlib.Path(rattanpier.__file__).parents[1])
+CLI = "rattanpier._internal.cli"
+START_TIMEOUT_S = 20.0
+
+
+class Process:
+    """One process that a test started."""
+
+    def __init__(self, process, log_path):
+        self.process = process
+        self.log_path = log_path
+
+    def send(self, number):
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def kill(self):
+        self.send(signal.SIGKILL)
+        await self.process.wait()
+
+    async def stop(self):
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self.process.wait(), 10)
+        except TimeoutError:
+            await self.kill()
+
+    def log(self):
+        return pathlib.Path(self.log_path).read_text()
+
+
+class Cluster:
+    """Stand-ins, entries and control processes on loopback."""
+
+    def __init__(self, folder):
+        self.folder = pathlib.Path(folder)
+        self.processes = {}
+        self.urls = {}
+        self.session = None
+        self.table = None
+
+    async def __aenter__(self):
+        self.session = aiohttp.ClientSession()
+        return self
+
+    async def __aexit__(self, *_):
+        await asyncio.gather(*(p.stop() for p in self.processes.values()))
+        await self.session.close()
+
+    async def launch(self, name, module, *arguments):
+        log_path = self.folder / f"{name}.log"
+        with open(log_path, "ab") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                f"{CLI}.{module}",
+                *arguments,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log,
+                env={**os.environ, "PYTHONPATH": SOURCE},
+            )
+        self.processes[name] = Process(process, log_path)
+        return process
+
+    async def start_standin(self, name, *arguments):
+        process = await self.launch(name, "standin", *arguments)
+        line = await asyncio.wait_for(
+            process.stdout.readline(), START_TIMEOUT_S
+        )
+        self.urls[name] = line.decode().strip()
+        return self.urls[name]
+
+    async def start_table(self):
+        url = await self.start_standin("table", "table")
+        self.table = HttpTable(self.session, url)
+        return url
+
+    async def apply(self, text, revision=1):
+        outcome = await propose(
+            self.table, Revision(revision, text, "test", f"t{revision}", 0.0)
+        )
+        return outcome
+
+    def settings_text(self, name, extra=""):
+        return f"""
+[node]
+name = "{name}"
+domain = "a"
+[platform]
+table_url = "{self.urls["table"]}"
+[secrets]
+session_key = "test-session-key"
+{extra}
+"""
+
+    async def start_node(self, name, module="entry", extra=""):
+        path = self.folder / f"{name}.toml"
+        path.write_text(self.settings_text(name, extra))
+        await self.launch(name, module, "--settings", str(path))
+
+    async def start_entry(self, name, extra=""):
+        await self.start_node(name, "entry", extra)
+        self.urls[name] = await self.wait_ready(name)
+        return self.urls[name]
+
+    async def wait_ready(self, name):
+        """Waits until an entry is listed and ready."""
+
+        async def ready():
+            row = await self.table.get(f"member/{name}")
+            if row is None:
+                return None
+            url = row.value.split('"caller_url":"')[1].split('"')[0]
+            if not url:
+                return None
+            try:
+                async with self.session.get(f"{url}/readyz") as response:
+                    return url if response.status == 200 else None
+            except aiohttp.ClientError:
+                return None
+
+        return await wait_for(ready)
+
+    async def set_faults(self, name, **faults):
+        url = f"{self.urls[name]}/standin/faults"
+        async with self.session.post(url, json=faults) as response:
+            assert response.status == 200
+
+    async def runs(self, name):
+        url = f"{self.urls[name]}/standin/runs"
+        async with self.session.get(url) as response:
+            return await response.json(content_type=None)
+
+
+async def wait_for(probe, timeout_s=START_TIMEOUT_S):
+    """Waits until an async probe returns something true."""
+    async with asyncio.timeout(timeout_s):
+        while True:
+            found = await probe()
+            if found:
+                return found
+            await asyncio.sleep(0.05)
