--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -91,10 +91,9 @@
         return url
 
     async def apply(self, text, revision=1):
-        outcome = await propose(
+        return await propose(
             self.table, Revision(revision, text, "test", f"t{revision}", 0.0)
         )
-        return outcome
 
     def settings_text(self, name, extra=""):
         return f"""
