Add admission: bounded, fair queues before each pool

Cause: an entry took any number of requests and kept their order; one workspace could fill it, and a request that could not be served in time learnt so only at its deadline. Change: a virtual token counter per workspace (dispatch/fairness.py) and a gate per upstream (dispatch/admission.py) with bounded queues, refusals at once with the time that the queue takes to drain, and shedding when a pool becomes slow. Not wired in yet.

--- /dev/null
+++ b/tests/unit/test_admission.py
@@ -0,0 +1,137 @@
+"""Admission: bounds, fairness, immediate refusals."""
+
+import asyncio
+
+import attrs
+
+from rattanpier._internal.dispatch.admission import (
+    DRAIN_SAMPLE_S,
+    Admission,
+    Demand,
+    Ticket,
+)
+from rattanpier._internal.dispatch.fairness import Entry, TokenCounterQueue
+from rattanpier._internal.models.refusal import Refusal, RefusalCode
+from rattanpier._internal.utils.metrics import Metrics
+from tests.lib.clock import ManualClock
+
+DEMAND = Demand("desk", 1.0, 4, 100.0, 1000.0)
+
+
+def build(limit=1):
+    return Admission(lambda _name: limit, ManualClock(), Metrics())
+
+
+async def fill(admission, demand=DEMAND, rate=100.0):
+    """Takes the only place and makes the drain known."""
+    ticket = await admission.enter("pool", demand)
+    admission.pools["pool"].drain.rate = rate
+    return ticket
+
+
+async def enter_soon(admission, demand):
+    task = asyncio.get_running_loop().create_task(
+        admission.enter("pool", demand)
+    )
+    await asyncio.sleep(0)
+    return task
+
+
+async def test_place_is_given_on():
+    admission = build()
+    first = await fill(admission)
+    second = await enter_soon(admission, DEMAND)
+    assert not second.done()
+    admission.leave(first, 100.0)
+    assert isinstance(await second, Ticket)
+
+
+async def test_full_queue_is_refused_at_once_with_the_drain_time():
+    admission = build()
+    await fill(admission)
+    waiting = [await enter_soon(admission, DEMAND) for _ in range(4)]
+    refusal = await admission.enter("pool", DEMAND)
+    assert refusal.code is RefusalCode.QUEUE_FULL
+    assert refusal.not_run
+    # Five requests of 100 at 100 a second.
+    assert refusal.retry_after_s == 5.0
+    for task in waiting:
+        task.cancel()
+
+
+async def test_hopeless_request_is_refused_before_it_waits():
+    admission = build()
+    await fill(admission)
+    task = await enter_soon(admission, DEMAND)
+    refusal = await admission.enter("pool", attrs.evolve(DEMAND, deadline=1.5))
+    assert refusal.code is RefusalCode.DEADLINE
+    task.cancel()
+
+
+async def test_request_is_shed_when_the_pool_becomes_slow():
+    admission = build()
+    await fill(admission)
+    task = await enter_soon(admission, attrs.evolve(DEMAND, deadline=20.0))
+    for _ in range(40):
+        admission.clock.now += DRAIN_SAMPLE_S
+        admission.shed(admission.pools["pool"])
+    refusal = await task
+    assert isinstance(refusal, Refusal)
+    assert admission.clock.now < 20.0
+    assert admission.pools["pool"].queue.size == 0
+
+
+async def test_cancelled_waiter_leaves_no_trace():
+    admission = build()
+    ticket = await fill(admission)
+    task = await enter_soon(admission, DEMAND)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    admission.leave(ticket, 100.0)
+    assert admission.pools["pool"].running == 0
+    assert isinstance(await admission.enter("pool", DEMAND), Ticket)
+
+
+async def test_waiter_cancelled_as_it_is_admitted_gives_its_place_back():
+    admission = build()
+    ticket = await fill(admission)
+    task = await enter_soon(admission, DEMAND)
+    admission.leave(ticket, 100.0)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert admission.pools["pool"].running == 0
+
+
+def test_flood_of_one_workspace_does_not_delay_another():
+    queue = TokenCounterQueue()
+    for number in range(100):
+        queue.push(Entry(number, "flood", 100.0, 1.0))
+    for _ in range(10):
+        queue.pop()
+    queue.push(Entry("small", "desk", 100.0, 1.0))
+    served = [queue.pop().item for _ in range(2)]
+    assert "small" in served
+
+
+def test_shares_are_kept_in_units_of_cost():
+    queue = TokenCounterQueue()
+    for _ in range(400):
+        queue.push(Entry(None, "long", 300.0, 3.0))
+        queue.push(Entry(None, "short", 100.0, 1.0))
+    cost = {"long": 0.0, "short": 0.0}
+    for _ in range(200):
+        entry = queue.pop()
+        cost[entry.workspace] += entry.cost
+    assert 2.9 < cost["long"] / cost["short"] < 3.1
+
+
+def test_absence_earns_no_credit():
+    queue = TokenCounterQueue()
+    for _ in range(50):
+        queue.push(Entry(None, "busy", 100.0, 1.0))
+        queue.pop()
+    for _ in range(20):
+        queue.push(Entry(None, "busy", 100.0, 1.0))
+        queue.push(Entry(None, "back", 100.0, 1.0))
+    names = [queue.pop().workspace for _ in range(20)]
+    assert 9 <= names.count("back") <= 11
