--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 BIN := $(VENV)/bin
+WORKERS ?= 4
+PYTEST_ARGS ?=
 
 .PHONY: run test lint format proto bench
 
@@ -15,7 +17,7 @@
 	$(BIN)/rattanpier demo
 
 test: $(VENV)/.ready lint
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS) $(PYTEST_ARGS)
 
 lint: $(VENV)/.ready
 	$(BIN)/ruff format --check .
