Emit the result of each attempt

Cause: nothing tells a judge of versions how attempts ended. Ruled out: counting in the caller edge, where retries are not seen. Change: dispatch/attempts.py wraps an attempt's chunks and emits workspace, version, outcome, time to the first token; one line in the runner. Attempts that did not run, or whose caller left, are not emitted: they say nothing of the version.

--- a/src/rattanpier/_internal/dispatch/runner.py
+++ b/src/rattanpier/_internal/dispatch/runner.py
@@ -17,6 +17,7 @@
     SettleOp,
 )
 from rattanpier._internal.claims.service import ClaimReply, Claims
+from rattanpier._internal.dispatch.attempts import Attempts, observe
 from rattanpier._internal.dispatch.engine import Chunk, EngineError, Usage
 from rattanpier._internal.dispatch.parts import (
     Ended,
@@ -55,6 +56,7 @@
       configuration: Returns the configuration in force.
       braked: Versions that peers stopped using.
       holder: Prefix of this process's claims, "name/incarnation".
+      attempts: Emits the result of each attempt.
     """
 
     configuration: Callable[[], Configuration]
@@ -65,6 +67,7 @@
     holder: str
     spawn: Callable[..., asyncio.Task]
     braked: Collection[str] = ()
+    attempts: Attempts = attrs.Factory(Attempts)
 
     async def answer(
         self, request: RouteRequest, request_id: str
@@ -159,7 +162,13 @@
                 self.braked,
             )
 
-        return self.tries.stream(request, version, request_id, allowed)
+        return observe(
+            self.tries.stream(request, version, request_id, allowed),
+            self.attempts,
+            self.clock,
+            request.workspace,
+            version,
+        )
 
     async def give_up(
         self,
--- /dev/null
+++ b/tests/unit/test_rollout_attempts.py
@@ -0,0 +1,70 @@
+"""Results of attempts, as judges of versions get them."""
+
+import pytest
+
+from rattanpier._internal.dispatch.attempts import (
+    AttemptOutcome,
+    Attempts,
+    observe,
+)
+from rattanpier._internal.dispatch.engine import Chunk, EngineError
+from rattanpier._internal.utils.clock import SystemClock
+
+
+def make_chunk(finish=None):
+    return Chunk(0, b"{}", "word", finish)
+
+
+async def gather(chunks, error=None):
+    """Runs one attempt and returns what was emitted."""
+
+    async def source():
+        for chunk in chunks:
+            yield chunk
+        if error is not None:
+            raise error
+
+    attempts, results = Attempts(), []
+    attempts.subscribe(results.append)
+    observed = observe(source(), attempts, SystemClock(), "desk", "small@1")
+    try:
+        async for _ in observed:
+            pass
+    except EngineError as raised:
+        assert raised is error
+    return results
+
+
+@pytest.mark.parametrize(
+    ("chunks", "error", "outcome"),
+    [
+        ([None, "stop"], None, AttemptOutcome.WHOLE),
+        ([None], None, AttemptOutcome.TRUNCATED),
+        ([None], EngineError("cut", False), AttemptOutcome.TRUNCATED),
+        ([], EngineError("500", False), AttemptOutcome.FAILED),
+        ([], None, AttemptOutcome.FAILED),
+    ],
+)
+async def test_each_end_is_emitted_once(chunks, error, outcome):
+    results = await gather([make_chunk(finish) for finish in chunks], error)
+    assert [result.outcome for result in results] == [outcome]
+    assert results[0].chunks == len(chunks)
+    assert (results[0].first_token_s is None) == (not chunks)
+
+
+async def test_an_attempt_that_did_not_run_says_nothing():
+    assert await gather([], EngineError("full", True)) == []
+
+
+async def test_a_caller_that_left_says_nothing():
+    attempts, results = Attempts(), []
+    attempts.subscribe(results.append)
+
+    async def source():
+        while True:
+            yield make_chunk()
+
+    observed = observe(source(), attempts, SystemClock(), "desk", "small@1")
+    await anext(observed)
+    await observed.aclose()
+    assert results == []
