Drain entries: announce, outlive cached addresses, close, finish, go

Cause: SIGTERM stopped an entry at once; callers with its address in their cache met a closed port, and streams were ended after 5 s. Ruled out: aiohttp's own shutdown with a long timeout; it knows nothing of advertised addresses and closes its port first. Change: a drain in phases to which services add steps, a gate before the caller edge that counts requests in flight and refuses late ones as DRAINING with Connection: close, and a Leaving notice to peers. Conclusion: services with duties of their own add steps to 'drain'.

--- /dev/null
+++ b/src/rattanpier/_internal/edge/gate.py
@@ -0,0 +1,111 @@
+"""Counts requests in flight, and closes the edge to new ones."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from collections.abc import Awaitable, Callable
+
+import attrs
+from aiohttp import web
+
+from rattanpier._internal.edge.errors import error_response
+from rattanpier._internal.models.refusal import Refusal, RefusalCode
+from rattanpier._internal.utils.metrics import Metrics
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+# Answered to the end: they run nothing, and help callers to go elsewhere.
+ALWAYS_OPEN = frozenset({"/healthz", "/readyz", "/v1/entries"})
+RETRY_AFTER_S = 1.0
+
+
+@attrs.define
+class Gate:
+    """Whether an entry takes requests.
+
+    Attributes:
+      leaving: Connections are not kept for another request.
+      closed: New requests are refused.
+      running: Requests in flight.
+      idle: Set while there are none.
+    """
+
+    metrics: Metrics
+    leaving: bool = False
+    closed: bool = False
+    running: int = 0
+    idle: asyncio.Event = attrs.Factory(asyncio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        """An edge starts without requests."""
+        self.idle.set()
+
+    def leave(self) -> None:
+        """Lets callers go after their present request."""
+        self.leaving = True
+
+    def close(self) -> None:
+        """Refuses new requests."""
+        self.leaving = True
+        self.closed = True
+
+    async def pass_through(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Serves or refuses one request, as aiohttp middleware."""
+        if request.path in ALWAYS_OPEN:
+            return self.let_go(await handler(request))
+        if self.closed:
+            self.metrics.count(f"refusal.{RefusalCode.DRAINING.value}")
+            return self.let_go(refuse_draining())
+        self.enter()
+        try:
+            response = self.let_go(await handler(request))
+            if self.leaving:
+                # Written here, so that the request counts until its last byte.
+                await response.prepare(request)
+                await response.write_eof()
+            return response
+        finally:
+            self.exit()
+
+    def let_go(self, response: web.StreamResponse) -> web.StreamResponse:
+        """Ends the connection behind a response once the entry leaves."""
+        if self.leaving and not response.prepared:
+            response.force_close()
+        return response
+
+    def enter(self) -> None:
+        """Counts a request in."""
+        self.running += 1
+        self.idle.clear()
+
+    def exit(self) -> None:
+        """Counts a request out."""
+        self.running -= 1
+        if self.running == 0:
+            self.idle.set()
+
+
+def gate_middleware(gate: Gate) -> Callable[..., Awaitable[web.StreamResponse]]:
+    """Returns the gate as middleware of an aiohttp application."""
+
+    @web.middleware
+    async def middleware(
+        request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        return await gate.pass_through(request, handler)
+
+    return middleware
+
+
+def refuse_draining() -> web.Response:
+    """Returns the refusal of a request that comes too late."""
+    refusal = Refusal(
+        RefusalCode.DRAINING,
+        "This entry is leaving; ask another for GET /v1/entries.",
+        True,
+        RETRY_AFTER_S,
+    )
+    return error_response(refusal, uuid.uuid4().hex)
--- a/src/rattanpier/_internal/edge/server.py
+++ b/src/rattanpier/_internal/edge/server.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from rattanpier._internal.edge.gate import Gate, gate_middleware
 from rattanpier._internal.models.settings import ListenSettings
 
 SHUTDOWN_S = 5.0  # aiohttp's own patience; the drain comes before it.
@@ -18,7 +19,14 @@
       port: The port taken.
     """
 
-    def __init__(self, app: web.Application, listen: ListenSettings) -> None:
+    def __init__(
+        self,
+        app: web.Application,
+        listen: ListenSettings,
+        gate: Gate | None = None,
+    ) -> None:
+        if gate is not None:
+            app.middlewares.append(gate_middleware(gate))
         self.runner = web.AppRunner(
             app, access_log=None, handler_cancellation=True
         )
--- a/src/rattanpier/_internal/membership/members.py
+++ b/src/rattanpier/_internal/membership/members.py
@@ -19,6 +19,8 @@
     Role,
     member_key,
 )
+from rattanpier._internal.peers.links import Links
+from rattanpier._internal.peers.proto import peer_pb2
 from rattanpier._internal.platform.table import (
     Put,
     Row,
@@ -57,6 +59,7 @@
     me: Member
     table: Table
     clock: Clock
+    links: Links | None = None
     seen: dict[str, Sighting] = attrs.Factory(dict)
     live: BehaviorSubject[dict[str, Member]] = attrs.field(
         factory=lambda: BehaviorSubject({})
@@ -128,7 +131,32 @@
     async def leave(self) -> None:
         """Tells the others that this process is leaving."""
         self.me = attrs.evolve(self.me, state=MemberState.LEAVING)
+        self.publish()
+        notice = peer_pb2.Notice(
+            leaving=peer_pb2.Leaving(
+                member=self.me.name, incarnation=self.me.incarnation
+            )
+        )
+        for member in self.others():
+            assert self.links is not None
+            self.links.to(member).notify(notice)
         await self.refresh()
+
+    def others(self) -> list[Member]:
+        """Returns the other live members."""
+        live = self.live.value.values()
+        return [member for member in live if member.name != self.me.name]
+
+    def take_leaving(self, notice: peer_pb2.Notice) -> None:
+        """Takes in that a peer leaves, before its row says so."""
+        sighting = self.seen.get(notice.leaving.member)
+        if sighting is None:
+            return
+        if sighting.member.incarnation != notice.leaving.incarnation:
+            return
+        sighting.member = attrs.evolve(
+            sighting.member, state=MemberState.LEAVING
+        )
         self.publish()
 
     async def remove(self) -> None:
--- a/src/rattanpier/_internal/programs/common.py
+++ b/src/rattanpier/_internal/programs/common.py
@@ -12,6 +12,7 @@
 
 from rattanpier._internal.configuration.follow import Follower
 from rattanpier._internal.kernel import Kernel
+from rattanpier._internal.membership.draining import Drain, add_leaving
 from rattanpier._internal.membership.members import Members
 from rattanpier._internal.models.member import Member, Role
 from rattanpier._internal.models.settings import Settings
@@ -67,12 +68,32 @@
         peer_host=settings.peers.advertise or settings.peers.host,
         peer_port=server.port,
     )
-    members = Members(me, kernel.find("table"), kernel.find("clock"))
+    members = Members(
+        me, kernel.find("table"), kernel.find("clock"), kernel.find("links")
+    )
     kernel.add("members", members)
+    server.on_notice("leaving", members.take_leaving)
+    add_drain(kernel, settings, members)
     await members.step()
     return members
 
 
+def add_drain(kernel: Kernel, settings: Settings, members: Members) -> None:
+    """Adds the planned stop."""
+    clock = kernel.find("clock")
+    follower = kernel.find("follower")
+    drain = kernel.add("drain", Drain(clock, settings.edge.drain_limit_s))
+
+    def outlive_s() -> float:
+        if members.me.role is not Role.ENTRY:
+            return 0.0
+        # Callers got this address until the last peer learned of the leave.
+        cached = follower.configuration.fleet.entries_ttl_s
+        return cached + settings.edge.drain_s
+
+    add_leaving(drain, clock, members.leave, outlive_s, members.remove)
+
+
 async def run_until_signal(build: Build, settings: Settings) -> None:
     """Runs a program until SIGTERM or SIGINT, then drains and stops it."""
     stop = asyncio.Event()
@@ -84,6 +105,6 @@
     await stop.wait()
     log.info("Stopping.", name=settings.node.name)
     if "drain" in kernel.services:
-        await kernel.find("drain")()
+        await kernel.find("drain").run()
     await kernel.stop()
     log.info("Stopped.", name=settings.node.name)
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -11,9 +11,11 @@
 from rattanpier._internal.dispatch.tries import Tries
 from rattanpier._internal.edge.app import Edge
 from rattanpier._internal.edge.chat import ChatHandler
+from rattanpier._internal.edge.gate import Gate
 from rattanpier._internal.edge.server import HttpServer
 from rattanpier._internal.edge.sessions import SessionTokens
 from rattanpier._internal.kernel import Kernel
+from rattanpier._internal.membership.draining import DrainPhase
 from rattanpier._internal.models.member import Role
 from rattanpier._internal.models.settings import Settings
 from rattanpier._internal.programs.common import add_base, add_membership
@@ -29,7 +31,8 @@
     claims = add_claims(kernel)
     handler = make_handler(kernel, settings, claims)
     edge = Edge(handler, kernel.find("follower"), members, settings.edge)
-    server = HttpServer(edge.app(), settings.callers)
+    gate = add_gate(kernel)
+    server = HttpServer(edge.app(), settings.callers, gate)
     kernel.add("edge", server, stop=server.stop)
     await server.start()
     members.me = attrs.evolve(members.me, caller_url=server.url)
@@ -40,6 +43,26 @@
     return kernel
 
 
+def add_gate(kernel: Kernel) -> Gate:
+    """Adds the gate of the caller edge and its steps of a drain."""
+    gate = kernel.add("gate", Gate(kernel.find("metrics")))
+    drain = kernel.find("drain")
+
+    async def leave() -> None:
+        gate.leave()
+
+    async def close() -> None:
+        gate.close()
+
+    async def finish() -> None:
+        await gate.idle.wait()
+
+    drain.add(DrainPhase.ANNOUNCE, "let callers go", leave)
+    drain.add(DrainPhase.CLOSE, "close", close)
+    drain.add(DrainPhase.FINISH, "requests in flight", finish)
+    return gate
+
+
 def add_claims(kernel: Kernel) -> Claims:
     """Adds the claims service and its handlers for peers."""
     members = kernel.find("members")
