Add brakes, and leave a stopped candidate's share with stable

Cause: a version that turns bad could be stopped only through the store, and a session whose side of the split was a withdrawn or braked candidate was refused with NO_VERSION although the stable version serves.

Ruled out: a brake that ends with any newer revision (an unrelated change that races with it would lift it), and one that ends after a time (widens by clock). A brake carries a digest of what its revision decided on the version; it ends when a newer revision decides otherwise.

Change: Brakes takes notices, passes new ones on to 3 peers at once and repeats what stands to 3 peers a second. make_plan falls back to stable.

--- a/src/rattanpier/_internal/programs/common.py
+++ b/src/rattanpier/_internal/programs/common.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 import uuid
 from collections.abc import Awaitable, Callable
@@ -19,6 +20,7 @@
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.server import PeerServer
 from rattanpier._internal.platform.table import HttpTable
+from rattanpier._internal.routing.brakes import Brakes
 from rattanpier._internal.utils.clock import SystemClock
 from rattanpier._internal.utils.metrics import Metrics
 
@@ -75,6 +77,7 @@
     server.on_notice("leaving", members.take_leaving)
     add_drain(kernel, settings, members)
     await members.step()
+    add_brakes(kernel, members)
     return members
 
 
@@ -94,6 +97,22 @@
     add_leaving(drain, clock, members.leave, outlive_s, members.remove)
 
 
+def add_brakes(kernel: Kernel, members: Members) -> Brakes:
+    """Adds the brakes and takes the peers' notices."""
+    brakes = Brakes(
+        configuration=kernel.find("follower").current,
+        me=members.me.name,
+        peers=lambda: members.live.value,
+        links=kernel.find("links"),
+        clock=kernel.find("clock"),
+        metrics=kernel.find("metrics"),
+        rng=random.Random(members.me.name),
+    )
+    kernel.find("peer_server").on_notice("brake", brakes.receive)
+    kernel.spawn(brakes.run(kernel))
+    return kernel.add("brakes", brakes)
+
+
 async def run_until_signal(build: Build, settings: Settings) -> None:
     """Runs a program until SIGTERM or SIGINT, then drains and stops it."""
     stop = asyncio.Event()
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -105,6 +105,7 @@
         metrics=metrics,
         holder=f"{claims.me.name}/{claims.me.incarnation}",
         spawn=kernel.spawn,
+        braked=kernel.find("brakes"),
     )
     tokens = SessionTokens(settings.secrets.session_key)
     return ChatHandler(runner, tokens, settings.edge, clock, metrics)
--- /dev/null
+++ b/src/rattanpier/_internal/routing/brakes.py
@@ -0,0 +1,211 @@
+"""Brakes: versions that this node stopped using ahead of the configuration.
+
+A brake narrows what runs, so it acts at once and spreads from peer to peer
+without the store. It stands until a newer configuration revision decides on
+the version. Nothing here widens: a brake is lifted by a revision alone.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Collection, Iterator
+from typing import Any
+
+import attrs
+import structlog
+from reactivex.subject import BehaviorSubject
+
+from rattanpier._internal.kernel import Kernel
+from rattanpier._internal.models.configuration import Configuration
+from rattanpier._internal.models.member import Member
+from rattanpier._internal.peers.links import Links
+from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.codec import encode
+from rattanpier._internal.utils.hashing import stable_hash
+from rattanpier._internal.utils.metrics import Metrics
+
+log = structlog.get_logger(part="brakes")
+
+FAN_OUT = 3  # Peers that a notice is passed on to.
+REPEAT_S = 1.0  # Pause between repeats, for peers that missed a notice.
+
+
+@attrs.frozen
+class BrakeRecord:
+    """One version that gets no new work.
+
+    Attributes:
+      version: The version.
+      reason: One sentence.
+      origin: Who braked: a process or an operator.
+      rollout: The roll-out it belongs to, or empty.
+      sequence: Configuration revision in force at the origin.
+      decision: Digest of what that revision decides on the version.
+    """
+
+    version: str
+    reason: str
+    origin: str
+    rollout: str
+    sequence: int
+    decision: int
+
+
+def decision_digest(configuration: Configuration, version: str) -> int:
+    """Returns a digest of what a configuration decides on a version.
+
+    It changes when the version's state or one of its roll-outs changes, and
+    not when an operator changes something else.
+    """
+    return stable_hash("\x1f".join(decisions(configuration, version)))
+
+
+def decisions(configuration: Configuration, version: str) -> Iterator[str]:
+    """Yields what a configuration says of a version."""
+    known = configuration.versions.get(version)
+    yield known.state.value if known else "unknown"
+    for name, rollout in sorted(configuration.rollouts.items()):
+        if version in (rollout.stable, rollout.candidate):
+            yield f"{name}={encode(rollout)}"
+
+
+@attrs.define
+class Brakes(Collection[str]):
+    """The brakes that this node knows; a collection of versions.
+
+    Attributes:
+      configuration: Emits each configuration that comes into force.
+      me: Own member name.
+      peers: Returns the live members by name.
+      active: Brakes by version.
+      changed: Emits the braked versions whenever they change.
+    """
+
+    configuration: BehaviorSubject[Configuration]
+    me: str
+    peers: Callable[[], dict[str, Member]]
+    links: Links
+    clock: Clock
+    metrics: Metrics
+    rng: random.Random
+    active: dict[str, BrakeRecord] = attrs.Factory(dict)
+    changed: BehaviorSubject[frozenset[str]] = attrs.field(
+        factory=lambda: BehaviorSubject(frozenset())
+    )
+
+    def __attrs_post_init__(self) -> None:
+        """Follows the configuration."""
+        self.configuration.subscribe(lambda _: self.drop_decided())
+
+    def __contains__(self, version: object) -> bool:
+        """Says whether a version is braked."""
+        return version in self.active
+
+    def __iter__(self) -> Iterator[str]:
+        """Iterates over the braked versions."""
+        return iter(self.active)
+
+    def __len__(self) -> int:
+        """Returns how many versions are braked."""
+        return len(self.active)
+
+    def apply(
+        self, version: str, reason: str, origin: str, rollout: str = ""
+    ) -> BrakeRecord:
+        """Brakes a version here and tells peers.
+
+        Args:
+          version: The version to stop.
+          reason: One sentence, for logs and operators.
+          origin: Who brakes.
+          rollout: The roll-out that it belongs to, or empty.
+        """
+        present = self.configuration.value
+        record = BrakeRecord(
+            version=version,
+            reason=reason,
+            origin=origin,
+            rollout=rollout,
+            sequence=present.revision,
+            decision=decision_digest(present, version),
+        )
+        self.take(record)
+        return self.active.get(version, record)
+
+    def take(self, record: BrakeRecord) -> None:
+        """Takes in a brake; passes it on if it is new."""
+        if self.is_decided(record):
+            return
+        known = self.active.get(record.version)
+        if known is not None and known.sequence >= record.sequence:
+            return
+        self.active[record.version] = record
+        if known is None:
+            self.metrics.count("brakes.applied")
+            log.warning(
+                "Version braked.",
+                version=record.version,
+                reason=record.reason,
+                origin=record.origin,
+            )
+        self.publish()
+        self.tell([record])
+
+    def is_decided(self, record: BrakeRecord) -> bool:
+        """Says whether a newer revision has decided on the version."""
+        present = self.configuration.value
+        if present.revision <= record.sequence:
+            return False
+        return decision_digest(present, record.version) != record.decision
+
+    def drop_decided(self) -> None:
+        """Drops the brakes that the configuration in force has decided."""
+        decided = [
+            record for record in self.active.values() if self.is_decided(record)
+        ]
+        for record in decided:
+            del self.active[record.version]
+            log.info("Brake ends with a revision.", version=record.version)
+        if decided:
+            self.publish()
+
+    def publish(self) -> None:
+        """Emits the braked versions."""
+        self.changed.on_next(frozenset(self.active))
+
+    def tell(self, records: Collection[BrakeRecord]) -> None:
+        """Sends brakes to a few peers."""
+        others = [
+            member
+            for name, member in sorted(self.peers().items())
+            if name != self.me
+        ]
+        chosen = self.rng.sample(others, min(FAN_OUT, len(others)))
+        for member in chosen:
+            for record in records:
+                brake = peer_pb2.Brake(**attrs.asdict(record))
+                self.links.to(member).notify(peer_pb2.Notice(brake=brake))
+                self.metrics.count("brakes.sent")
+
+    def receive(self, notice: peer_pb2.Notice) -> None:
+        """Takes in a peer's notice."""
+        self.take(record_of(notice.brake))
+
+    async def run(self, kernel: Kernel) -> None:
+        """Repeats what stands, for peers that missed it or are new."""
+        while not kernel.stopping.is_set():
+            self.tell(list(self.active.values()))
+            await self.clock.sleep(REPEAT_S)
+
+
+def record_of(brake: Any) -> BrakeRecord:
+    """Returns a brake from its message."""
+    return BrakeRecord(
+        version=brake.version,
+        reason=brake.reason,
+        origin=brake.origin,
+        rollout=brake.rollout,
+        sequence=brake.sequence,
+        decision=brake.decision,
+    )
--- a/src/rattanpier/_internal/routing/plan.py
+++ b/src/rattanpier/_internal/routing/plan.py
@@ -72,7 +72,9 @@
     """Plans the use of versions."""
     workspace = configuration.workspaces[request.workspace]
     steps = list(wanted_steps(configuration, then))
-    steps = [split(configuration, request, step) for step in steps]
+    steps = [
+        split(configuration, request, step, workspace, braked) for step in steps
+    ]
     steps = [step for step in steps if step in workspace.versions]
     if not steps:
         return Refusal(
@@ -107,20 +109,28 @@
 
 
 def split(
-    configuration: Configuration, request: RouteRequest, version: str
+    configuration: Configuration,
+    request: RouteRequest,
+    version: str,
+    workspace: Workspace,
+    braked: Collection[str],
 ) -> str:
     """Returns the version that a roll-out puts in a version's place.
 
     The same session falls on the same side while the share stands, and a
-    wider share only moves sessions from stable to candidate.
+    wider share only moves sessions from stable to candidate. A candidate
+    that can't take the request leaves it with the stable version.
     """
     for name, rollout in configuration.rollouts.items():
         if rollout.stable != version or not is_open(rollout):
             continue
         unit = request.session or f"{request.workspace}/{request.key}"
         point = stable_hash(f"{name}\x1f{unit}") % SPLIT_STEPS
-        if point < rollout.share * SPLIT_STEPS:
-            return rollout.candidate
+        candidate = rollout.candidate
+        if point < rollout.share * SPLIT_STEPS and may_serve(
+            configuration, workspace, candidate, False, braked
+        ):
+            return candidate
     return version
 
 
