--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: seeded, each with its baselines in the same run."""
--- /dev/null
+++ b/benchmarks/fairness.py
@@ -0,0 +1,195 @@
+"""Share and waiting time of small workspaces under a flood by one.
+
+One pool with a few slots, one workspace that asks three times what the pool
+can do, and nine that ask little. Time is counted, not waited for. Run:
+
+    python -m benchmarks.fairness
+"""
+
+from __future__ import annotations
+
+import collections
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterator
+
+import attrs
+import numpy
+from rich.console import Console
+from rich.table import Table
+
+from benchmarks.queues import DeficitQueue, FifoQueue
+from rattanpier._internal.dispatch.fairness import (
+    Entry,
+    TokenCounterQueue,
+    request_cost,
+)
+
+SLOTS = 32
+PREFILL_S = 1 / 20_000  # A prompt token.
+DECODE_S = 0.02  # A generated token.
+DURATION_S = 600.0
+SMALL = 9
+TUNING_SEEDS = (1, 2, 3)
+HELD_BACK_SEEDS = (101, 102, 103, 104, 105)
+FLOOD = "flood"
+MAX_QUEUED = 64  # Requests of a workspace that may wait.
+
+
+@attrs.frozen(eq=False)
+class Job:
+    """One request with the lengths that only its end reveals."""
+
+    arrival: float
+    workspace: str
+    prompt: int
+    output: int
+    guess: int
+
+    @property
+    def service_s(self) -> float:
+        """Seconds it holds a slot."""
+        return self.prompt * PREFILL_S + self.output * DECODE_S
+
+    @property
+    def cost(self) -> float:
+        """Its real cost."""
+        return request_cost(self.prompt, self.output)
+
+
+@attrs.define
+class Result:
+    """What a policy gave."""
+
+    waits: dict[str, list[float]] = attrs.Factory(
+        lambda: collections.defaultdict(list)
+    )
+    cost: collections.Counter = attrs.Factory(collections.Counter)
+    refused: collections.Counter = attrs.Factory(collections.Counter)
+
+
+def arrivals(seed: int) -> list[Job]:
+    """Returns the jobs of one run in order of arrival."""
+    rng = random.Random(seed)
+    capacity = SLOTS / (150 * DECODE_S)
+    rates = {FLOOD: 3.0 * capacity}
+    for number in range(SMALL):
+        rates[f"small-{number}"] = 0.4 * capacity / SMALL
+    jobs: list[Job] = []
+    for name, rate in rates.items():
+        jobs.extend(stream(rng, name, rate))
+    return sorted(jobs, key=lambda job: job.arrival)
+
+
+def stream(rng: random.Random, name: str, rate: float) -> Iterator[Job]:
+    """Yields the jobs of one workspace; the flood's are longer."""
+    mean = 200 if name == FLOOD else 100
+    now = rng.expovariate(rate)
+    while now < DURATION_S:
+        output = max(1, int(rng.expovariate(1 / mean)))
+        guess = max(1, int(mean * rng.uniform(0.5, 1.5)))
+        yield Job(now, name, rng.randrange(20, 2000), output, guess)
+        now += rng.expovariate(rate)
+
+
+def simulate(make_queue: Callable[[], object], seed: int) -> Result:
+    """Runs the jobs through a queue before the pool's slots."""
+    queue = make_queue()
+    result = Result()
+    ends: list[tuple[float, int, Job]] = []
+    ids = itertools.count()
+    queued: collections.Counter[str] = collections.Counter()
+
+    def start(now: float) -> None:
+        while len(ends) < SLOTS:
+            entry = queue.pop()
+            if entry is None:
+                return
+            job = entry.item
+            queued[job.workspace] -= 1
+            result.waits[job.workspace].append(now - job.arrival)
+            heapq.heappush(ends, (now + job.service_s, next(ids), job))
+
+    def finish(until: float) -> None:
+        while ends and ends[0][0] <= until:
+            now, _, job = heapq.heappop(ends)
+            guessed = request_cost(job.prompt, job.guess)
+            queue.charge(job.workspace, job.cost - guessed, 1.0)
+            result.cost[job.workspace] += job.cost
+            start(now)
+
+    for job in arrivals(seed):
+        finish(job.arrival)
+        if queued[job.workspace] >= MAX_QUEUED:
+            result.refused[job.workspace] += 1
+            continue
+        queued[job.workspace] += 1
+        cost = request_cost(job.prompt, job.guess)
+        queue.push(Entry(job, job.workspace, cost, 1.0))
+        start(job.arrival)
+    return result
+
+
+POLICIES: dict[str, Callable[[], object]] = {
+    "FIFO": FifoQueue,
+    "deficit round-robin, jobs": lambda: DeficitQueue(by_cost=False),
+    "deficit round-robin, cost": lambda: DeficitQueue(by_cost=True),
+    "virtual token counter": TokenCounterQueue,
+}
+
+
+def small_waits(results: list[Result]) -> list[float]:
+    """Returns the waiting times of all small workspaces."""
+    return [
+        wait
+        for result in results
+        for name, waits in result.waits.items()
+        if name != FLOOD
+        for wait in waits
+    ]
+
+
+def report(title: str, seeds: tuple[int, ...]) -> Table:
+    """Returns a table of all policies over some seeds."""
+    table = Table(title=title)
+    for column in (
+        "policy",
+        "small p50 s",
+        "small p95 s",
+        "small p99 s",
+        "small refused",
+        "flood's cost share",
+        "total cost",
+    ):
+        table.add_column(column)
+    for name, make_queue in POLICIES.items():
+        results = [simulate(make_queue, seed) for seed in seeds]
+        waits = small_waits(results)
+        total = sum(sum(result.cost.values()) for result in results)
+        flood = sum(result.cost[FLOOD] for result in results)
+        refused = sum(
+            count
+            for result in results
+            for key, count in result.refused.items()
+            if key != FLOOD
+        )
+        table.add_row(
+            name,
+            *(f"{numpy.percentile(waits, q):.3f}" for q in (50, 95, 99)),
+            str(refused),
+            f"{flood / total:.3f}",
+            f"{total:.0f}",
+        )
+    return table
+
+
+def main() -> None:
+    """Prints the tables."""
+    console = Console(width=120)
+    console.print(report("seeds used for tuning", TUNING_SEEDS))
+    console.print(report("seeds held back", HELD_BACK_SEEDS))
+
+
+if __name__ == "__main__":
+    main()
