Carry each configuration change to an outcome that stays true

Cause: a write with a lost answer ended as Undecided; reading it back by change id says "not accepted" while the delayed write may still land. A proposal could also skip a revision number.

Edits of single fields (edit.py) are checked against the wanted tables.

Refusals after a lost answer are no longer taken as final.

--- /dev/null
+++ b/src/rattanpier/_internal/configuration/edit.py
@@ -0,0 +1,112 @@
+"""Changes of single fields in the TOML text of a configuration.
+
+The text is the operators' own, with comments and order, so it is edited line
+by line; the result is compared with the wanted tables before it is used.
+"""
+
+from __future__ import annotations
+
+import copy
+import json
+import re
+import tomllib
+from typing import Any
+
+from rattanpier._internal.configuration.parse import split_key
+from rattanpier._internal.exceptions import ConfigurationError
+
+Value = str | float | bool
+
+HEADER = re.compile(r"\s*\[([^\[\]]+)\]\s*(#.*)?$")
+ANY_HEADER = re.compile(r"\s*\[")
+BARE_KEY = re.compile(r"^[A-Za-z0-9_-]+$")
+HINT = "write the table as [table.name] with one key on a line"
+
+
+def set_fields(text: str, table: list[str], fields: dict[str, Value]) -> str:
+    r"""Returns the text with fields of one table set; adds what is missing.
+
+    >>> set_fields('[versions."a@1"]\nmodel = "a"\n',
+    ...     ["versions", "a@1"], {"state": "withdrawn"})
+    '[versions."a@1"]\nstate = "withdrawn"\nmodel = "a"\n'
+
+    Raises:
+      ConfigurationError: The text is written in a way that can't be edited.
+    """
+    lines = text.splitlines()
+    start = find_table(lines, table)
+    if start is None:
+        lines.extend(["", header(table)])
+        start = len(lines) - 1
+    for name, value in reversed(list(fields.items())):
+        set_line(lines, start, name, value)
+    edited = "\n".join(lines) + "\n"
+    check_edit(text, edited, table, fields)
+    return edited
+
+
+def find_table(lines: list[str], table: list[str]) -> int | None:
+    """Returns the number of the line that opens a table, from 0."""
+    for number, line in enumerate(lines):
+        match = HEADER.match(line)
+        if match and split_key(match.group(1)) == table:
+            return number
+    return None
+
+
+def set_line(lines: list[str], start: int, name: str, value: Value) -> None:
+    """Sets one key of the table that opens at a line."""
+    wanted = f"{name} = {literal(value)}"
+    for number in range(start + 1, len(lines)):
+        if ANY_HEADER.match(lines[number]):
+            break
+        if re.match(rf"\s*{re.escape(name)}\s*=", lines[number]):
+            lines[number] = wanted
+            return
+    lines.insert(start + 1, wanted)
+
+
+def header(table: list[str]) -> str:
+    """Returns the line that opens a table.
+
+    >>> header(["rollouts", "small 2"])
+    '[rollouts."small 2"]'
+    """
+    steps = [
+        step if BARE_KEY.match(step) else json.dumps(step) for step in table
+    ]
+    return f"[{'.'.join(steps)}]"
+
+
+def literal(value: Value) -> str:
+    """Returns a value as TOML.
+
+    >>> [literal(value) for value in (True, 0.25, "a")]
+    ['true', '0.25', '"a"']
+    """
+    return json.dumps(value)
+
+
+def check_edit(
+    before: str, after: str, table: list[str], fields: dict[str, Value]
+) -> None:
+    """Checks that an edit did what it was to do, and nothing else.
+
+    Raises:
+      ConfigurationError: It did not.
+    """
+    try:
+        wanted = copy.deepcopy(tomllib.loads(before))
+        edited = tomllib.loads(after)
+    except tomllib.TOMLDecodeError as error:
+        raise ConfigurationError(
+            f"the text can't be edited: {error}", HINT
+        ) from error
+    place: dict[str, Any] = wanted
+    for step in table:
+        place = place.setdefault(step, {})
+    place.update(fields)
+    if wanted != edited:
+        raise ConfigurationError(
+            f"{header(table)} can't be edited in this text", HINT
+        )
--- a/src/rattanpier/_internal/configuration/store.py
+++ b/src/rattanpier/_internal/configuration/store.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from rattanpier._internal.exceptions import StoreUnavailableError
 from rattanpier._internal.models.outcomes import (
     Committed,
     Conflict,
@@ -64,11 +65,16 @@
 
 @attrs.frozen
 class NotAccepted:
-    """The change is certainly not in the store."""
+    """The write was refused; a copy sent before it is another matter."""
 
     reason: str
 
 
+@attrs.frozen
+class Fenced:
+    """The head row was written since; no copy of the change can land."""
+
+
 @attrs.frozen
 class Undecided:
     """The store must be asked again whether the change was accepted."""
@@ -76,7 +82,7 @@
     change: str
 
 
-ChangeOutcome = Accepted | Raced | NotAccepted | Undecided
+ChangeOutcome = Accepted | Raced | NotAccepted | Fenced | Undecided
 
 
 def revision_key(revision: int) -> str:
@@ -104,24 +110,58 @@
     return decode(Revision, row.value) if row else None
 
 
+@attrs.frozen
+class Attempt:
+    """A change and the version of the head row that it replaces.
+
+    Every repeat checks the same row version. So whatever becomes of a write
+    with a lost answer, at most one of its copies takes effect, and none does
+    once the head row was written by somebody else.
+
+    Attributes:
+      revision: The change.
+      head_version: Version of the head row; `ABSENT` if there is none.
+    """
+
+    revision: Revision
+    head_version: int
+
+
 async def propose(table: Table, revision: Revision) -> ChangeOutcome:
-    """Makes a change follow the revision before it.
+    """Makes a change follow the revision before it, by one write.
 
     Raises:
       StoreUnavailableError: The store did not answer a read before the
         write; nothing was written.
     """
+    prepared = await prepare(table, revision)
+    if not isinstance(prepared, Attempt):
+        return prepared
+    return await submit(table, prepared)
+
+
+async def prepare(table: Table, revision: Revision) -> Attempt | ChangeOutcome:
+    """Reads the head row that a change is to replace.
+
+    Raises:
+      StoreUnavailableError: The store did not answer; nothing was written.
+    """
     row = await table.get(HEAD_KEY)
     present = decode(Head, row.value).revision if row else 0
     if present >= revision.revision:
         return await compare(table, revision)
+    if present < revision.revision - 1:
+        return NotAccepted(f"the store is at revision {present}")
+    return Attempt(revision, row.version if row else ABSENT)
+
+
+async def submit(table: Table, attempt: Attempt) -> ChangeOutcome:
+    """Writes a change; may be repeated with the same attempt."""
+    revision = attempt.revision
     key = revision_key(revision.revision)
     outcome = await table.transact(
         Transaction(
-            [
-                Check(HEAD_KEY, row.version if row else ABSENT),
-                Check(key, ABSENT),
-            ],
+            [Check(HEAD_KEY, attempt.head_version), Check(key, ABSENT)],
             [
                 Put(HEAD_KEY, encode(Head(revision.revision))),
                 Put(key, encode(revision)),
@@ -134,16 +174,60 @@
         case NotRun(reason):
             return NotAccepted(reason)
         case Conflict():
-            return await compare(table, revision)
+            return await compare_written(table, revision)
         case Uncertain():
             return Undecided(revision.change)
 
 
+async def compare_written(table: Table, revision: Revision) -> ChangeOutcome:
+    """Tells why a write conflicted; the cause may be its own lost copy."""
+    try:
+        return await compare(table, revision)
+    except StoreUnavailableError:
+        return Undecided(revision.change)
+
+
+async def fence(table: Table, revision: int, change: str) -> ChangeOutcome:
+    """Finds out for certain whether a change was accepted.
+
+    If the revision is not there yet, the head row is written again with its
+    value, so that its version rises and a write still under way fails.
+
+    Args:
+      table: The store.
+      revision: Number that the change was to have.
+      change: Its id.
+
+    Returns:
+      Accepted, Raced or Fenced, which are final; or Undecided.
+
+    Raises:
+      StoreUnavailableError: The store did not answer a read.
+    """
+    row = await table.get(HEAD_KEY)
+    head = decode(Head, row.value) if row else Head()
+    if head.revision >= revision:
+        return await compare(table, Revision(revision, "", "", change, 0.0))
+    outcome = await table.transact(
+        Transaction(
+            [Check(HEAD_KEY, row.version if row else ABSENT)],
+            [Put(HEAD_KEY, encode(head))],
+        )
+    )
+    if isinstance(outcome, Committed):
+        return Fenced()
+    return Undecided(change)
+
+
 async def compare(table: Table, revision: Revision) -> ChangeOutcome:
-    """Tells an own change from another's at the same revision."""
+    """Tells an own change from another's at the same revision.
+
+    Raises:
+      StoreUnavailableError: The store did not answer.
+    """
     present = await read_revision(table, revision.revision)
     if present is None:
-        return NotAccepted("the store holds no such revision")
+        return Fenced()
     if present.change == revision.change:
         return Accepted(revision.revision)
     return Raced(present)
--- a/tests/lib/clock.py
+++ b/tests/lib/clock.py
@@ -45,3 +45,11 @@
     """Lets every task that can run do so."""
     for _ in range(turns):
         await asyncio.sleep(0)
+
+
+class SkippingClock(ManualClock):
+    """Time moves on by itself when something sleeps."""
+
+    async def sleep(self, seconds):
+        self.now += seconds
+        await asyncio.sleep(0)
