Check configuration and settings before use

Cause: a configuration with an unknown name, a rule that is never reached or a text in place of a flag came into force; draining = "false" meant true. Ruled out: reach by all earlier rules together (costly, and harder to explain than one rule that covers another); refusing a version rule that some workspace may not use, because a refusal there is an ordinary way of use. Change: configuration/check.py, check_rules.py and check_settings.py yield findings; problem.py gives them file and line. parse.py takes no other type for the wanted one and suggests names. load_settings checks.

--- a/src/rattanpier/_internal/configuration/parse.py
+++ b/src/rattanpier/_internal/configuration/parse.py
@@ -2,13 +2,22 @@
 
 from __future__ import annotations
 
+import enum
 import pathlib
 import re
 import tomllib
-from typing import TypeVar
+from collections.abc import Callable, Iterator
+from typing import Any, TypeVar, get_origin
 
+import attrs
 import cattrs
+from cattrs.cols import list_structure_factory
+from cattrs.gen import make_dict_structure_fn
+from cattrs.v import format_exception
 
+from rattanpier._internal.configuration.check_settings import check_settings
+from rattanpier._internal.configuration.lines import find_line, split_path
+from rattanpier._internal.configuration.problem import suggest
 from rattanpier._internal.exceptions import (
     ConfigurationError,
     RattanpierError,
@@ -19,9 +28,78 @@
 
 T = TypeVar("T")
 
-converter = cattrs.Converter(forbid_extra_keys=True)
+REPAIR = "correct the named lines"
 
-PATH_STEP = re.compile(r"\['([^']*)'\]|\[(\d+)\]|([^.\[\]$]+)")
+TYPE_NAMES: dict[Any, str] = {
+    str: "a text in quotes",
+    int: "a whole number",
+    float: "a number",
+    bool: "true or false, without quotes",
+}
+
+
+def structure_exactly(value: Any, cls: type[Any]) -> Any:
+    """Takes a value of the wanted type, and turns no other into it.
+
+    >>> structure_exactly(1, float)
+    1.0
+    >>> structure_exactly("false", bool)
+    Traceback (most recent call last):
+      ...
+    TypeError: 'false' is wrong; give true or false, without quotes
+    """
+    if issubclass(cls, enum.Enum):
+        return cls(value)
+    if cls is float and type(value) is int:
+        return float(value)
+    if type(value) is not cls:
+        raise TypeError(f"{value!r} is wrong; give {TYPE_NAMES[cls]}")
+    return value
+
+
+def list_factory(
+    cls: Any, converter: cattrs.BaseConverter
+) -> Callable[[Any, Any], Any]:
+    """Returns the hook of a list type; a text is not a list of letters."""
+    structure = list_structure_factory(cls, converter)
+
+    def hook(value: Any, wanted: Any) -> Any:
+        if not isinstance(value, list):
+            raise TypeError(f"{value!r} is wrong; give a list")
+        return structure(value, wanted)
+
+    return hook
+
+
+def table_factory(
+    cls: Any, converter: cattrs.BaseConverter
+) -> Callable[[Any, Any], Any]:
+    """Returns the hook of an attrs class, which is a table in TOML."""
+    structure = make_dict_structure_fn(
+        cls, converter, _cattrs_forbid_extra_keys=True
+    )
+
+    def hook(value: Any, wanted: Any) -> Any:
+        if not isinstance(value, dict):
+            raise TypeError(f"{value!r} is wrong; give a table")
+        return structure(value, wanted)
+
+    return hook
+
+
+def make_converter() -> cattrs.Converter:
+    """Returns a converter that refuses unknown keys and wrong types."""
+    made = cattrs.Converter()
+    for cls in TYPE_NAMES:
+        made.register_structure_hook(cls, structure_exactly)
+    made.register_structure_hook_factory(attrs.has, table_factory)
+    made.register_structure_hook_factory(
+        lambda cls: get_origin(cls) is list, list_factory
+    )
+    return made
+
+
+converter = make_converter()
 
 
 def parse_configuration(
@@ -36,18 +114,29 @@
 
 
 def load_settings(path: str) -> Settings:
-    """Returns the settings in a file.
+    """Returns the settings in a file, checked.
 
     Raises:
-      SettingsError: The file can't be read, or is not of the right shape.
+      SettingsError: The file can't be read, is not of the right shape, or
+        has settings that can't be used.
     """
+    text = read_text(path, SettingsError)
+    settings = parse(Settings, text, path, SettingsError)
+    problems = check_settings(settings, text, path)
+    if problems:
+        lines = "\n".join(str(problem) for problem in problems)
+        raise SettingsError(lines, REPAIR)
+    return settings
+
+
+def read_text(path: str, error_class: type[RattanpierError]) -> str:
+    """Returns the text of a file."""
     try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
+        return pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(
+        raise error_class(
             f"{path}: can't be read: {error}", "give a readable TOML file"
         ) from error
-    return parse(Settings, text, path, SettingsError)
 
 
 def parse(
@@ -57,85 +146,55 @@
     try:
         return converter.structure(tomllib.loads(text), cls)
     except tomllib.TOMLDecodeError as error:
-        raise error_class(f"{file}: {error}", "correct the TOML") from error
-    except cattrs.BaseValidationError as error:
-        reports = [
-            describe(report, text, file)
-            for report in cattrs.transform_error(error)
-        ]
+        line = toml_error_line(str(error), text)
         raise error_class(
-            "\n".join(reports), "correct the named lines"
+            f"{file}:{line}: {error}", "correct the TOML"
         ) from error
+    except cattrs.BaseValidationError as error:
+        reports = cattrs.transform_error(error, format_exception=explain)
+        lines = [place(report, text, file) for report in reports]
+        raise error_class("\n".join(lines), REPAIR) from error
 
 
-def describe(report: str, text: str, file: str) -> str:
-    """Puts file and line before a report of cattrs."""
-    problem, _, path = report.partition(" @ ")
-    steps = split_path(path)
-    extra = re.search(r"extra fields found \(([^,)]+)", problem)
-    if extra:
-        steps = [*steps, extra.group(1)]
-    return f"{file}:{find_line(text, steps)}: {problem} at {path}"
-
-
-def split_path(path: str) -> list[str]:
-    """Splits a path of cattrs into its steps.
-
-    >>> split_path("$.versions['a@1'].model")
-    ['versions', 'a@1', 'model']
-    >>> split_path("$.rules[2].when")
-    ['rules', '2', 'when']
-    """
-    return [
-        next(part for part in match.groups() if part is not None)
-        for match in PATH_STEP.finditer(path)
-    ]
-
-
-def find_line(text: str, steps: list[str]) -> int:
-    r"""Returns the line, from 1, that best fits a path.
+def toml_error_line(message: str, text: str) -> int:
+    """Returns the line that an error of tomllib names, or the last one.
 
-    >>> find_line('[a.b]\nc = 1\n[a.d]\nc = 2', ["a", "d", "c"])
-    4
-    """
-    best_line, best_depth = 1, 0
-    table: list[str] = []
-    counts: dict[str, int] = {}
-    for number, line in enumerate(text.splitlines(), start=1):
-        header = re.match(r"\s*(\[\[?)([^\[\]]+)\]", line)
-        assignment = re.match(r'\s*("[^"]+"|[\w.@-]+)\s*=', line)
-        if header:
-            table = split_key(header.group(2))
-            if header.group(1) == "[[":
-                index = counts.get(header.group(2), 0)
-                counts[header.group(2)] = index + 1
-                table = [*table, str(index)]
-            path = table
-        elif assignment:
-            path = [*table, *split_key(assignment.group(1))]
-        else:
-            continue
-        depth = common_depth(path, steps)
-        if depth > best_depth:
-            best_line, best_depth = number, depth
-    return best_line
-
-
-def split_key(key: str) -> list[str]:
-    """Splits a dotted TOML key.
-
-    >>> split_key('versions."a.b".model')
-    ['versions', 'a.b', 'model']
+    >>> toml_error_line("Invalid value (at line 3, column 1)", "")
+    3
     """
-    parts = re.findall(r'"([^"]*)"|([^."\s]+)', key)
-    return [quoted or bare for quoted, bare in parts]
-
-
-def common_depth(path: list[str], steps: list[str]) -> int:
-    """Returns how many leading steps two paths share."""
-    depth = 0
-    for left, right in zip(path, steps, strict=False):
-        if left != right:
-            break
-        depth += 1
-    return depth
+    found = re.search(r"at line (\d+)", message)
+    return int(found.group(1)) if found else max(1, len(text.splitlines()))
+
+
+def explain(error: BaseException, cls: type[Any] | None) -> str:
+    """Says what is wrong with a value, and what would be right."""
+    match error:
+        case cattrs.ForbiddenExtraKeysError():
+            known = [field.name for field in attrs.fields(error.cl)]
+            return "; ".join(explain_keys(error.extra_fields, known))
+        case KeyError():
+            return f"{error.args[0]!r} is missing; add it"
+        case ValueError() if isinstance(cls, type) and issubclass(
+            cls, enum.Enum
+        ):
+            return f"{error}; {suggest('', [item.value for item in cls])}"
+        case AttributeError():
+            return "wrong value; give a table"
+        case TypeError():
+            return str(error)
+    return format_exception(error, cls)
+
+
+def explain_keys(extra: set[str], known: list[str]) -> Iterator[str]:
+    """Yields a sentence for each unknown key."""
+    for key in sorted(extra):
+        yield f"unknown key {key!r}; {suggest(key, known)}"
+
+
+def place(report: str, text: str, file: str) -> str:
+    """Puts file and line before a report, whose path is behind it."""
+    problem, _, path = report.rpartition(" @ ")
+    steps = split_path(path)
+    if problem.startswith("unknown key "):
+        steps = [*steps, problem.split("'")[1]]
+    return f"{file}:{find_line(text, steps)}: {problem} (at {path})"
--- /dev/null
+++ b/tests/unit/test_check_settings.py
@@ -0,0 +1,123 @@
+"""Settings are checked before a process starts."""
+
+import os
+import subprocess
+import sys
+
+import pytest
+
+from rattanpier._internal.configuration.parse import load_settings
+from rattanpier._internal.exceptions import SettingsError
+from tests.lib.cluster import SOURCE
+from tests.lib.texts import SETTINGS
+
+CASES = {
+    "no file": (
+        "port = 8080",
+        'port = 8080\ncertificate = "/absent.pem"\nkey = "/absent.key"',
+        "there is no readable file '/absent.pem'; give the path",
+        "certificate",
+    ),
+    "certificate without key": (
+        "port = 8080",
+        'port = 8080\ncertificate = "/absent.pem"',
+        "'certificate' and 'key' come together; give both",
+        "certificate",
+    ),
+    "port": ("8080", "80800", "port 80800 does not exist; give 0", "port"),
+    "advertised name": (
+        "10.0.0.4",
+        "entry-1",
+        "advertise 'entry-1' is not an IP number",
+        "advertise",
+    ),
+    "advertise nothing": (
+        'advertise = "10.0.0.4"\n',
+        "",
+        "0.0.0.0 can't be told to others; give the IP number",
+        "[callers]",
+    ),
+    "table by name": (
+        "10.0.0.9",
+        "table",
+        "has the name 'table', not an IP number",
+        "table_url",
+    ),
+    "short key": (
+        "0123456789abcdef",
+        "short",
+        "session_key has 5 characters; give at least 16",
+        "session_key",
+    ),
+    "operator key in the clear": (
+        "operator_key_sha256 = [",
+        'operator_key_sha256 = ["operator", ',
+        "a digest is not 64 small hexadecimal digits",
+        "operator_key_sha256",
+    ),
+    "no domain": ('domain = "a"', 'domain = ""', "domain is empty", "domain"),
+    "timeout": (
+        "max_timeout_s = 300.0",
+        "max_timeout_s = 0",
+        "max_timeout_s is 0",
+        "max_timeout_s",
+    ),
+    "statsd by name": (
+        "[edge]",
+        '[metrics]\nhost = "statsd"\n[edge]',
+        "host 'statsd' is not an IP number",
+        "statsd",
+    ),
+    "log level": (
+        "[edge]",
+        '[logs]\nlevel = "warn"\n[edge]',
+        "unknown level 'warn'; did you mean 'warning'?",
+        "warn",
+    ),
+    "unknown key": (
+        "max_timeout_s = 300.0",
+        "max_timeout = 300.0",
+        "unknown key 'max_timeout'; did you mean 'max_timeout_s'?",
+        "max_timeout",
+    ),
+}
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_refuses(case, tmp_path):
+    old, new, what, line = CASES[case]
+    assert old in SETTINGS
+    text = SETTINGS.replace(old, new, 1)
+    path = tmp_path / "s.toml"
+    path.write_text(text)
+    with pytest.raises(SettingsError) as raised:
+        load_settings(str(path))
+    assert raised.value.code == "bad_settings"
+    first = raised.value.message.splitlines()[0]
+    assert what in first
+    number = int(first.removeprefix(f"{path}:").split(":")[0])
+    assert line in text.splitlines()[number - 1]
+
+
+def test_lets_pass(tmp_path):
+    path = tmp_path / "s.toml"
+    path.write_text(SETTINGS)
+    assert load_settings(str(path)).node.name == "entry-1"
+
+
+def test_a_process_does_not_start_with_bad_settings(tmp_path):
+    path = tmp_path / "s.toml"
+    path.write_text(SETTINGS.replace("8080", "80800"))
+    result = subprocess.run(
+        [
+            sys.executable,
+            *("-m", "rattanpier._internal.cli.entry"),
+            *("--settings", str(path)),
+        ],
+        capture_output=True,
+        text=True,
+        env={**os.environ, "PYTHONPATH": SOURCE},
+    )
+    assert result.returncode == 2
+    assert "bad_settings" in result.stderr
+    assert "s.toml:10: port 80800 does not exist" in result.stderr
