--- a/src/rattanpier/_internal/configuration/edit.py
+++ b/src/rattanpier/_internal/configuration/edit.py
@@ -12,7 +12,7 @@
 import tomllib
 from typing import Any
 
-from rattanpier._internal.configuration.parse import split_key
+from rattanpier._internal.configuration.lines import split_key
 from rattanpier._internal.exceptions import ConfigurationError
 
 Value = str | float | bool
