Rework claim shards: bounded queues, disowning, outage, handover

Cause, found by reading: a lease acquired with its answer lost, or whose log could not be read, left a shard without owner for as long as the process lived; a paused owner answered from its old book where it had nothing to write (a grant, a denial) without a look at its lease; an ask that timed out left a claim running under a live holder; queues had no bound; waiters of a lost epoch waited for the store.

--- a/src/rattanpier/_internal/claims/book.py
+++ b/src/rattanpier/_internal/claims/book.py
@@ -24,9 +24,9 @@
 ClaimId = tuple[str, str]
 
 
-@attrs.define
+@attrs.frozen
 class Claim:
-    """One claim.
+    """One claim as it stood at some moment; a change makes a new object.
 
     Attributes:
       attempt: The latest attempt; only it may settle.
@@ -68,11 +68,17 @@
       outcome: For the asker.
       claim: The claim as it stands, or None.
       op: The operation to be logged first, or None.
+      durable: False if the operation is not yet in the log.
+      not_run: True if no attempt of this claim can have run.
+      retry_after_s: When to come back, if refused.
     """
 
     outcome: ClaimOutcome | SettleOutcome
     claim: Claim | None = None
     op: ClaimOp | SettleOp | None = None
+    durable: bool = True
+    not_run: bool = False
+    retry_after_s: float = 0.0
 
 
 @attrs.define
@@ -132,7 +138,9 @@
             ask.idempotent,
             ask.digest,
         )
-        return Decision(ClaimOutcome.GRANTED, None, op)
+        before = self.claims.get((ask.workspace, ask.key))
+        fresh = before is None or before.result is ClaimResult.RELEASED
+        return Decision(ClaimOutcome.GRANTED, None, op, not_run=fresh)
 
     def settle(self, op: SettleOp) -> Decision:
         """Decides whether an attempt may end a claim.
@@ -149,6 +157,43 @@
             return Decision(SettleOutcome.SUPERSEDED, claim)
         return Decision(SettleOutcome.SETTLED, claim, op)
 
+    def disown(self, op: SettleOp, holder: str) -> Decision:
+        """Ends whatever attempt a holder has; `op.attempt` is not known.
+
+        A holder whose ask was not answered does not know whether it was
+        granted. Without an end such a claim would run for ever. Superseded
+        says that the holder has no claim.
+        """
+        claim = self.claims.get((op.workspace, op.key))
+        if claim is None or claim.holder != holder:
+            return Decision(SettleOutcome.SUPERSEDED, claim)
+        return self.settle(attrs.evolve(op, attempt=claim.attempt))
+
+    def restore(self, claim: ClaimOp, settle: SettleOp) -> list[Decision]:
+        """Takes in a claim whose answer was released in an outage.
+
+        Returns:
+          The decisions to be logged; none if the claim is answered already,
+          so that a bill restored twice is billed once.
+        """
+        present = self.claims.get((claim.workspace, claim.key))
+        if present is not None and present.result is ClaimResult.ANSWERED:
+            return []
+        if (
+            present is not None
+            and present.holder == claim.holder
+            and present.result is ClaimResult.RUNNING
+        ):
+            end = attrs.evolve(settle, attempt=present.attempt)
+            return [Decision(SettleOutcome.SETTLED, op=end)]
+        attempt = present.attempt + 1 if present else claim.attempt
+        grant = attrs.evolve(claim, attempt=attempt)
+        end = attrs.evolve(settle, attempt=attempt)
+        return [
+            Decision(ClaimOutcome.GRANTED, op=grant),
+            Decision(SettleOutcome.SETTLED, op=end),
+        ]
+
     def apply(self, op: ClaimOp | SettleOp, sequence: int = 0) -> None:
         """Applies an operation; one that no longer fits changes nothing."""
         if isinstance(op, ClaimOp):
@@ -178,10 +223,13 @@
             return
         if claim.result is not ClaimResult.RUNNING:
             return
-        claim.result = op.result
-        claim.bill = op.bill
-        claim.answer = op.answer
-        claim.sequence = sequence
+        self.claims[op.workspace, op.key] = attrs.evolve(
+            claim,
+            result=op.result,
+            bill=op.bill,
+            answer=op.answer,
+            sequence=sequence,
+        )
 
     def apply_batch(self, batch: Batch) -> None:
         """Applies a row of the log."""
--- /dev/null
+++ b/src/rattanpier/_internal/claims/messages.py
@@ -0,0 +1,119 @@
+"""The owner's decisions as messages between processes."""
+
+from __future__ import annotations
+
+from rattanpier._internal.claims.book import Ask, Claim, Decision
+from rattanpier._internal.claims.owner import ShardOwner
+from rattanpier._internal.claims.records import (
+    Answer,
+    Bill,
+    ClaimResult,
+    PendingBill,
+    SettleOp,
+)
+from rattanpier._internal.models.outcomes import ClaimOutcome
+from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.utils.codec import decode, encode
+
+ANY_ATTEMPT = 0  # In a settlement: whichever attempt the holder has.
+
+
+async def serve(
+    owner: ShardOwner, call: peer_pb2.Call
+) -> peer_pb2.Reply | None:
+    """Serves a call on a shard; None if the shard has another owner."""
+    match call.WhichOneof("body"):
+        case "claim":
+            return await serve_claim(owner, call.claim)
+        case "settle":
+            return await serve_settle(owner, call.settle)
+        case "hold":
+            return await serve_restore(owner, call.hold)
+        case _:
+            return serve_lookup(owner, call.lookup)
+
+
+async def serve_claim(
+    owner: ShardOwner, body: peer_pb2.ClaimRequest
+) -> peer_pb2.Reply | None:
+    """Decides on a claim."""
+    ask = Ask(
+        body.workspace, body.key, body.holder, body.idempotent, body.digest
+    )
+    decision = await owner.ask(ask)
+    if decision is None:
+        return None
+    return peer_pb2.Reply(claim=describe_claim(decision))
+
+
+def describe_claim(decision: Decision) -> peer_pb2.ClaimReply:
+    """Returns the message for a decision on a claim."""
+    reply = peer_pb2.ClaimReply(
+        outcome=str(decision.outcome.value),
+        durable=decision.durable,
+        not_run=decision.not_run,
+        retry_after_s=decision.retry_after_s,
+    )
+    if decision.claim is not None:
+        reply.attempt = decision.claim.attempt
+        reply.holder = decision.claim.holder
+        if decision.outcome is ClaimOutcome.ANSWERED:
+            reply.answer = encode(decision.claim.answer).encode()
+    elif decision.op is not None:
+        reply.attempt = decision.op.attempt
+    return reply
+
+
+async def serve_settle(
+    owner: ShardOwner, body: peer_pb2.SettleRequest
+) -> peer_pb2.Reply | None:
+    """Decides on a settlement."""
+    op = SettleOp(
+        body.workspace,
+        body.key,
+        body.attempt,
+        ClaimResult(body.result),
+        decode(Bill, body.bill) if body.bill else None,
+        decode(Answer, body.answer) if body.answer else None,
+    )
+    if op.attempt == ANY_ATTEMPT:
+        decision = await owner.disown(op, body.holder)
+    else:
+        decision = await owner.settle(op)
+    return describe_settle(decision)
+
+
+async def serve_restore(
+    owner: ShardOwner, body: peer_pb2.HoldRequest
+) -> peer_pb2.Reply | None:
+    """Takes in a bill that a peer kept."""
+    decision = await owner.restore(decode(PendingBill, body.record))
+    return describe_settle(decision)
+
+
+def describe_settle(decision: Decision | None) -> peer_pb2.Reply | None:
+    """Returns the message for a decision on a settlement."""
+    if decision is None:
+        return None
+    return peer_pb2.Reply(
+        settle=peer_pb2.SettleReply(
+            outcome=str(decision.outcome.value), durable=decision.durable
+        )
+    )
+
+
+def serve_lookup(
+    owner: ShardOwner, body: peer_pb2.LookupRequest
+) -> peer_pb2.Reply:
+    """Tells how a claim stands."""
+    claim: Claim | None = owner.find(body.workspace, body.key)
+    if claim is None:
+        return peer_pb2.Reply(lookup=peer_pb2.LookupReply(state="none"))
+    return peer_pb2.Reply(
+        lookup=peer_pb2.LookupReply(
+            state=claim.result.value,
+            attempt=claim.attempt,
+            holder=claim.holder,
+            answer=encode(claim.answer).encode() if claim.answer else b"",
+        )
+    )
--- /dev/null
+++ b/src/rattanpier/_internal/claims/outage.py
@@ -0,0 +1,186 @@
+"""What an entry does while the store is down: bills kept by peers.
+
+An answer may leave only once its bill is certain. While the table service is
+down, certain means: in the memory of the shard's owner and of a peer in
+another failure domain. The peer agrees only if it can't reach the store
+either, so an entry that alone is cut off does not go on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import itertools
+from collections.abc import Callable, Iterable
+
+import attrs
+import structlog
+
+from rattanpier._internal.claims.records import (
+    ClaimOp,
+    PendingBill,
+    SettleOp,
+)
+from rattanpier._internal.exceptions import PeerUnavailableError
+from rattanpier._internal.membership.members import Members
+from rattanpier._internal.models.member import Member
+from rattanpier._internal.peers.links import Links
+from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.utils.codec import decode, encode
+from rattanpier._internal.utils.hashing import rendezvous
+from rattanpier._internal.utils.metrics import Metrics
+
+log = structlog.get_logger(part="claims")
+
+KEEP_TIMEOUT_S = 1.0
+MAX_PEERS = 3  # Peers asked about the store, and tried for one bill.
+KEPT_BYTES = 32 * 2**20  # Bills that one process keeps for others.
+FLUSH_AFTER_S = 2.0  # The owner, if alive, writes its bills itself first.
+
+BillId = tuple[str, str]
+
+
+def bill_id(op: ClaimOp | SettleOp) -> BillId:
+    """Returns the claim that an operation belongs to."""
+    return op.workspace, op.key
+
+
+@attrs.define
+class Outage:
+    """The sender's side: has pending bills kept.
+
+    Attributes:
+      confirmed: True while peers can't reach the store either.
+      sent: Who keeps which record, by claim.
+    """
+
+    members: Members | None = None
+    links: Links | None = None
+    spawn: Callable[..., asyncio.Task] | None = None
+    confirmed: bool = False
+    sent: dict[BillId, tuple[Member, str]] = attrs.Factory(dict)
+    ids: itertools.count = attrs.Factory(itertools.count)
+
+    def peers(self) -> list[Member]:
+        """Returns entries in other failure domains, the same ones first."""
+        assert self.members is not None
+        me = self.members.me
+        others = {
+            member.name: member
+            for member in self.members.entries()
+            if (member.region, member.domain) != (me.region, me.domain)
+        }
+        order = rendezvous(f"keep-{me.name}", list(others))
+        return [others[name] for name in itertools.islice(order, MAX_PEERS)]
+
+    async def check(self) -> None:
+        """Asks peers whether they can reach the store."""
+        request = peer_pb2.HoldRequest()
+        replies = await asyncio.gather(
+            *(self.send(peer, request) for peer in self.peers())
+        )
+        heard = [reply.held for reply in replies if reply is not None]
+        confirmed = bool(heard) and all(heard)
+        if confirmed != self.confirmed:
+            log.warning("Store outage.", confirmed=confirmed)
+        self.confirmed = confirmed
+
+    async def send(
+        self, peer: Member, request: peer_pb2.HoldRequest
+    ) -> peer_pb2.HoldReply | None:
+        """Sends a request to a peer; None if it did not answer."""
+        assert self.links is not None
+        call = peer_pb2.Call(hold=request)
+        try:
+            reply = await self.links.to(peer).call(call, KEEP_TIMEOUT_S)
+        except PeerUnavailableError:
+            return None
+        return reply.hold
+
+    async def keep(self, bill: PendingBill) -> bool:
+        """Has a bill kept by a peer in another failure domain."""
+        if not self.confirmed:
+            return False
+        assert self.members is not None
+        me = self.members.me
+        record_id = f"{me.name}/{me.incarnation}/{next(self.ids)}"
+        request = peer_pb2.HoldRequest(
+            owner=f"{me.name}/{me.incarnation}",
+            record=encode(bill).encode(),
+            record_id=record_id,
+        )
+        for peer in self.peers():
+            reply = await self.send(peer, request)
+            if reply is not None and reply.held:
+                self.sent[bill_id(bill.settle)] = (peer, record_id)
+                return True
+        return False
+
+    def release(self, ops: Iterable[ClaimOp | SettleOp]) -> None:
+        """Tells peers which bills are durable now; may be lost."""
+        done: dict[str, tuple[Member, list[str]]] = {}
+        for op in ops:
+            if isinstance(op, SettleOp) and bill_id(op) in self.sent:
+                peer, record_id = self.sent.pop(bill_id(op))
+                done.setdefault(peer.name, (peer, []))[1].append(record_id)
+        for peer, ids in done.values():
+            request = peer_pb2.HoldRequest(
+                release=True, record_id="\n".join(ids)
+            )
+            assert self.spawn is not None
+            self.spawn(self.send(peer, request))
+
+
+@attrs.define
+class Keeper:
+    """The receiver's side: keeps others' bills, and flushes them.
+
+    Attributes:
+      reachable: Says whether this process can reach the store.
+      kept: Records by their id, oldest first.
+      size: Bytes of them.
+    """
+
+    reachable: Callable[[], bool]
+    metrics: Metrics
+    kept: collections.OrderedDict[str, bytes] = attrs.Factory(
+        collections.OrderedDict
+    )
+    size: int = 0
+
+    async def serve(self, call: peer_pb2.Call) -> peer_pb2.Reply:
+        """Keeps or releases records for a peer."""
+        request = call.hold
+        if request.release:
+            for record_id in request.record_id.split("\n"):
+                self.drop(record_id)
+            held = True
+        else:
+            held = not self.reachable() and self.put(request)
+        return peer_pb2.Reply(
+            hold=peer_pb2.HoldReply(held=held, queued=len(self.kept))
+        )
+
+    def put(self, request: peer_pb2.HoldRequest) -> bool:
+        """Keeps a record; False if there is no room."""
+        if not request.record:
+            return True  # A question about the store only.
+        if self.size + len(request.record) > KEPT_BYTES:
+            self.metrics.count("claims.refused.keeper_full")
+            return False
+        self.drop(request.record_id)
+        self.kept[request.record_id] = request.record
+        self.size += len(request.record)
+        self.metrics.count("claims.kept")
+        return True
+
+    def drop(self, record_id: str) -> None:
+        """Forgets a record."""
+        self.size -= len(self.kept.pop(record_id, b""))
+
+    def records(self) -> list[tuple[str, PendingBill]]:
+        """Returns what is kept, with its ids."""
+        return [
+            (record_id, decode(PendingBill, record))
+            for record_id, record in self.kept.items()
+        ]
--- a/src/rattanpier/_internal/claims/owner.py
+++ b/src/rattanpier/_internal/claims/owner.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import enum
 from collections.abc import Callable
 
@@ -16,9 +17,12 @@
 import structlog
 
 from rattanpier._internal.claims.book import Ask, Claim, ClaimBook, Decision
+from rattanpier._internal.claims.outage import Outage
 from rattanpier._internal.claims.records import (
     Batch,
     ClaimOp,
+    ClaimResult,
+    PendingBill,
     SettleOp,
     ShardLease,
     lease_key,
@@ -27,9 +31,11 @@
 )
 from rattanpier._internal.exceptions import StoreUnavailableError
 from rattanpier._internal.models.outcomes import (
+    ClaimOutcome,
     Committed,
     Conflict,
     NotRun,
+    SettleOutcome,
     Uncertain,
 )
 from rattanpier._internal.platform.table import (
@@ -48,6 +54,14 @@
 log = structlog.get_logger(part="claims")
 
 RETRY_PAUSE_S = 0.2  # Between tries of a batch while the store is down.
+BATCH_BYTES = 256 * 1024  # A row of the log is kept below about this size.
+PENDING_BYTES = 16 * 2**20  # Operations not yet written, of one shard.
+MAX_WAITERS = 4096  # Calls that wait for a write, of one shard.
+OP_BYTES = 300  # An operation without its answer, roughly.
+DISOWNED_KEPT = 4096  # Disowned holders remembered, of one shard.
+CLOSE_PAUSE_S = 0.01
+CLOSE_LIMIT_S = 3.0  # Then the shard is given up as if the process died.
+OUTAGE_RETRY_S = 2.0  # Told to callers while the store is down.
 
 
 class FlushResult(enum.Enum):
@@ -66,6 +80,15 @@
     done: asyncio.Future[Decision | None]
 
 
+@attrs.define
+class OpenBatch:
+    """Operations that will be one row of the log, and who waits for it."""
+
+    ops: list[ClaimOp | SettleOp] = attrs.Factory(list)
+    waiters: list[Waiter] = attrs.Factory(list)
+    size: int = 0
+
+
 @attrs.define
 class ShardOwner:
     """One shard, while this process owns it.
@@ -74,10 +97,16 @@
       shard: Its number.
       lease: The lease row's content, as this process wrote it.
       lease_version: The lease row's version.
+      outage: What this process does while the store is down.
       book: Claims, including those not yet durable.
       next_sequence: Log position of the next batch.
+      durable_sequence: Log position of the last batch known to be written.
       lost: True once another owner is known, or has to be assumed.
+      closing: True once this owner takes nothing more, to hand over.
       store_down: True while the last write did not become known.
+      open: Batches not yet written; only the last takes operations.
+      in_flight: The batch being written.
+      disowned: Holders that gave up; a late ask of theirs is refused.
     """
 
     shard: int
@@ -88,69 +117,234 @@
     metrics: Metrics
     alive: Callable[[str], bool]
     interval_s: float
+    outage: Outage = attrs.Factory(Outage)
     book: ClaimBook = attrs.Factory(ClaimBook)
     next_sequence: int = 1
+    durable_sequence: int = attrs.field(
+        default=attrs.Factory(
+            lambda self: self.next_sequence - 1, takes_self=True
+        )
+    )
     lost: bool = False
+    closing: bool = False
     store_down: bool = False
-    pending_ops: list[ClaimOp | SettleOp] = attrs.Factory(list)
-    pending_waiters: list[Waiter] = attrs.Factory(list)
-    settled: dict[tuple[str, str], list[asyncio.Future[None]]] = attrs.Factory(
-        dict
-    )
+    open: collections.deque[OpenBatch] = attrs.Factory(collections.deque)
+    in_flight: OpenBatch | None = None
+    disowned: dict[str, None] = attrs.Factory(dict)
     wake: asyncio.Event = attrs.Factory(asyncio.Event)
 
+    @property
+    def gone(self) -> bool:
+        """True if calls have to go to another owner."""
+        return self.lost or self.closing
+
+    @property
+    def down(self) -> bool:
+        """True if nothing can be made durable now."""
+        return self.store_down or self.outage.confirmed
+
+    # Decisions.
+
     async def ask(self, ask: Ask) -> Decision | None:
         """Decides on a claim; None if the epoch was lost meanwhile."""
-        return await self.submit(self.book.ask(ask, self.alive))
+        if self.gone:
+            return None
+        decision = self.book.ask(ask, self.alive)
+        if ask.holder in self.disowned:
+            # Its own disowning overtook this ask.
+            return refuse(decision, 0.0, "disowned", self.metrics)
+        if self.is_full():
+            return refuse(decision, self.drain_s(), "full", self.metrics)
+        if self.down and decision.op is not None:
+            return self.ask_in_outage(ask, decision)
+        return await self.submit(decision)
+
+    def ask_in_outage(self, ask: Ask, decision: Decision) -> Decision:
+        """Decides on a new attempt while the store is down.
+
+        A non-idempotent request is refused before anything is queued, so that
+        nothing of it can become durable later. An idempotent one goes on.
+        """
+        granted = decision.outcome is ClaimOutcome.GRANTED
+        if granted and ask.idempotent and self.outage.confirmed:
+            self.add(decision.op)
+            self.metrics.count("claims.provisional")
+            return attrs.evolve(decision, durable=False)
+        certain = decision.not_run and self.outage.confirmed
+        decision = attrs.evolve(decision, not_run=certain)
+        return refuse(decision, OUTAGE_RETRY_S, "store_down", self.metrics)
 
     async def settle(self, op: SettleOp) -> Decision | None:
         """Ends a claim; None if the epoch was lost meanwhile."""
-        return await self.submit(self.book.settle(op))
+        if self.gone:
+            return None
+        decision = self.book.settle(op)
+        if not (self.down and self.is_open(decision)):
+            reply = await self.submit(decision)
+            if reply is None or reply.durable:
+                return reply
+        return await self.settle_in_outage(op)
+
+    def is_open(self, decision: Decision) -> bool:
+        """Says whether a settlement is not in the log yet."""
+        if decision.op is not None:
+            return True
+        settled = decision.outcome is SettleOutcome.SETTLED
+        return settled and not self.is_durable(decision.claim)
+
+    async def settle_in_outage(self, op: SettleOp) -> Decision | None:
+        """Ends a claim while the store is down.
+
+        An answer is given out only once a peer in another failure domain
+        keeps its bill; whatever gives nothing out needs no such care.
+        """
+        if op.result is ClaimResult.ANSWERED:
+            claim = self.find(op.workspace, op.key)
+            if claim is None or claim.attempt != op.attempt:
+                return Decision(SettleOutcome.UNAVAILABLE)
+            if self.is_full() or not await self.keep(op, claim):
+                self.metrics.count("claims.refused.bill_not_kept")
+                return Decision(
+                    SettleOutcome.UNAVAILABLE, retry_after_s=OUTAGE_RETRY_S
+                )
+        if self.gone:
+            return None
+        decision = self.book.settle(op)
+        if decision.op is not None:
+            self.add(decision.op)
+        return attrs.evolve(decision, durable=False)
+
+    async def keep(self, op: SettleOp, claim: Claim) -> bool:
+        """Has a pending bill kept by a peer."""
+        grant = ClaimOp(
+            op.workspace,
+            op.key,
+            op.attempt,
+            claim.holder,
+            claim.idempotent,
+            claim.digest,
+        )
+        return await self.outage.keep(PendingBill(grant, op))
 
-    async def submit(self, decision: Decision) -> Decision | None:
-        """Waits until a decision and all it rests on are durable."""
-        if self.lost:
+    async def disown(self, op: SettleOp, holder: str) -> Decision | None:
+        """Ends a holder's attempt, whichever it is."""
+        if self.gone:
             return None
+        self.disowned[holder] = None
+        if len(self.disowned) > DISOWNED_KEPT:
+            del self.disowned[next(iter(self.disowned))]
+        decision = self.book.disown(op, holder)
+        if not self.down:
+            return await self.submit(decision)
         if decision.op is not None:
-            self.book.apply(decision.op, self.next_sequence)
-            self.pending_ops.append(decision.op)
-        loop = asyncio.get_running_loop()
-        waiter = Waiter(decision, loop.create_future())
-        self.pending_waiters.append(waiter)
-        self.wake.set()
-        return await waiter.done
+            self.add(decision.op)
+        return attrs.evolve(decision, durable=False)
+
+    async def restore(self, bill: PendingBill) -> Decision | None:
+        """Takes in a bill that a peer kept; harmless when repeated."""
+        if self.gone:
+            return None
+        decisions = self.book.restore(bill.claim, bill.settle)
+        if self.down:
+            return Decision(SettleOutcome.UNAVAILABLE)
+        for decision in decisions[:-1]:
+            self.add(decision.op)
+        claim = self.find(bill.claim.workspace, bill.claim.key)
+        settled = Decision(SettleOutcome.SETTLED, claim)
+        return await self.submit(decisions[-1] if decisions else settled)
 
     def find(self, workspace: str, key: str) -> Claim | None:
         """Returns a claim as it stands."""
         return self.book.claims.get((workspace, key))
 
-    async def wait_settled(self, workspace: str, key: str) -> None:
-        """Waits until a running claim ends or the epoch is lost."""
-        future = asyncio.get_running_loop().create_future()
-        self.settled.setdefault((workspace, key), []).append(future)
-        await future
+    # Queue.
+
+    def add(self, op: ClaimOp | SettleOp | None) -> OpenBatch:
+        """Queues an operation; returns the batch that it rests on."""
+        if not self.open or (op and self.open[-1].size >= BATCH_BYTES):
+            self.open.append(OpenBatch())
+        batch = self.open[-1]
+        if op is not None:
+            sequence = self.next_sequence + len(self.open) - 1
+            self.book.apply(op, sequence)
+            batch.ops.append(op)
+            batch.size += op_size(op)
+        self.wake.set()
+        return batch
+
+    async def submit(self, decision: Decision) -> Decision | None:
+        """Waits until a decision and all it rests on are durable."""
+        if self.gone:
+            return None
+        if self.is_final(decision):
+            return decision
+        waiter = Waiter(decision, asyncio.get_running_loop().create_future())
+        self.add(decision.op).waiters.append(waiter)
+        if self.down:
+            self.relieve(self.open[-1])
+        return await waiter.done
+
+    def is_final(self, decision: Decision) -> bool:
+        """Says whether a decision rests on nothing that may still change.
+
+        A book that is out of date may lack a later attempt, so the owner has
+        to be sure of its epoch before it grants or denies one.
+        """
+        if decision.op is not None or not self.is_durable(decision.claim):
+            return False
+        unsure = (ClaimOutcome.GRANTED, SettleOutcome.SUPERSEDED)
+        return decision.outcome not in unsure
+
+    def is_durable(self, claim: Claim | None) -> bool:
+        """Says whether a claim's last change is known to be written."""
+        return claim is not None and claim.sequence <= self.durable_sequence
+
+    def is_full(self) -> bool:
+        """Says whether nothing more may wait here."""
+        size = sum(batch.size for batch in self.open)
+        waiting = sum(len(batch.waiters) for batch in self.open)
+        return size >= PENDING_BYTES or waiting >= MAX_WAITERS
+
+    def drain_s(self) -> float:
+        """Returns the seconds until what is queued will be written."""
+        return max(0.5, len(self.open) * self.interval_s)
+
+    # Writing.
 
     async def run(self) -> None:
         """Writes batches until the epoch is lost."""
         while not self.lost:
-            await self.wake.wait()
+            if not self.store_down:
+                await self.wake.wait()
             self.wake.clear()
             await self.flush()
             # The write budget sets the pace, not the number of requests.
             await self.clock.sleep(self.interval_s)
 
     async def flush(self) -> None:
-        """Writes what is pending as one batch and answers its waiters."""
-        ops, self.pending_ops = self.pending_ops, []
-        waiters, self.pending_waiters = self.pending_waiters, []
-        if ops:
-            await self.write(self.make_batch(ops))
-        self.answer(waiters, ops)
+        """Writes the first open batch and answers its waiters."""
+        if not self.open and not self.store_down:
+            return
+        if not self.open:
+            self.open.append(OpenBatch())
+        batch = self.in_flight = self.open.popleft()
+        if self.open:
+            self.wake.set()
+        if batch.ops:
+            await self.write(self.make_batch(batch.ops))
+        else:
+            await self.confirm()
+        self.in_flight = None
+        self.answer(batch)
 
     def make_batch(self, ops: list[ClaimOp | SettleOp]) -> Batch:
         """Returns the next batch of the log."""
         batch = Batch(
-            self.lease.epoch, self.next_sequence, self.lease.incarnation, ops
+            self.lease.epoch,
+            self.next_sequence,
+            self.lease.incarnation,
+            ops,
+            self.clock.time(),
         )
         self.next_sequence += 1
         return batch
@@ -159,8 +353,10 @@
         """Writes a batch until it is durable or the epoch is lost."""
         while not self.lost:
             result = await self.write_once(batch)
-            self.store_down = result is FlushResult.STORE_DOWN
+            self.note(result)
             if result is FlushResult.DURABLE:
+                self.durable_sequence = batch.sequence
+                self.outage.release(batch.ops)
                 return
             if result is FlushResult.EPOCH_LOST:
                 self.lose()
@@ -168,6 +364,45 @@
             self.metrics.count("claims.retry.store_down")
             await self.clock.sleep(RETRY_PAUSE_S)
 
+    def note(self, result: FlushResult) -> None:
+        """Notes whether the store is down, and answers who need not wait."""
+        self.store_down = result is FlushResult.STORE_DOWN
+        if not self.store_down:
+            return
+        self.wake.set()  # So that the store is tried again.
+        for batch in [self.in_flight, *self.open]:
+            if batch is not None:
+                self.relieve(batch)
+
+    async def close(self) -> bool:
+        """Takes nothing more and writes what is queued.
+
+        Returns:
+          True if the log has everything that was decided here.
+        """
+        self.closing = True
+        end = self.clock.monotonic() + CLOSE_LIMIT_S
+        while self.open or self.in_flight is not None:
+            if self.lost or self.clock.monotonic() > end:
+                return False
+            self.wake.set()
+            await self.clock.sleep(CLOSE_PAUSE_S)
+        return not self.lost
+
+    async def confirm(self) -> None:
+        """Makes sure of the epoch, for decisions that write nothing.
+
+        An owner that was paused may decide from a book that is out of date.
+        """
+        try:
+            row = await self.table.get(lease_key(self.shard))
+        except StoreUnavailableError:
+            self.note(FlushResult.STORE_DOWN)
+            return
+        self.note(FlushResult.DURABLE)
+        if row is None or row.version != self.lease_version:
+            self.lose()
+
     async def write_once(self, batch: Batch) -> FlushResult:
         """Tries to write a batch and finds out what became of it."""
         key = log_key(self.shard, batch.sequence)
@@ -204,22 +439,53 @@
         # has to be written again at the same position.
         return FlushResult.STORE_DOWN
 
-    def answer(
-        self, waiters: list[Waiter], ops: list[ClaimOp | SettleOp]
-    ) -> None:
-        """Gives waiters their decisions, or None if the epoch was lost."""
+    # Answers.
+
+    def relieve(self, batch: OpenBatch) -> None:
+        """Answers, in an outage, those who need not or must not wait."""
+        waiters, batch.waiters = batch.waiters, []
         for waiter in waiters:
+            reply = self.outage_reply(waiter.decision)
+            if reply is None:
+                batch.waiters.append(waiter)
+            elif not waiter.done.done():
+                waiter.done.set_result(reply)
+
+    def outage_reply(self, decision: Decision) -> Decision | None:
+        """Returns what a waiter gets in an outage; None if it waits on."""
+        match decision.op:
+            case ClaimOp() as op if not op.idempotent:
+                # Its operation may have become durable: it is taken back.
+                self.add(release_of(op))
+                certain = decision.not_run and self.outage.confirmed
+                return refuse(
+                    attrs.evolve(decision, not_run=certain),
+                    OUTAGE_RETRY_S,
+                    "store_down",
+                    self.metrics,
+                )
+            case None if decision.outcome is SettleOutcome.SUPERSEDED:
+                return Decision(SettleOutcome.UNAVAILABLE)
+            case None if self.is_sole_grant(decision):
+                return refuse(
+                    decision, OUTAGE_RETRY_S, "store_down", self.metrics
+                )
+            case _ if not self.outage.confirmed:
+                return None
+            case _:
+                return attrs.evolve(decision, durable=False)
+
+    def is_sole_grant(self, decision: Decision) -> bool:
+        """Says whether a grant is of a request that may run only once."""
+        granted = decision.outcome is ClaimOutcome.GRANTED
+        claim = decision.claim
+        return granted and claim is not None and not claim.idempotent
+
+    def answer(self, batch: OpenBatch) -> None:
+        """Gives waiters their decisions, or None if the epoch was lost."""
+        for waiter in batch.waiters:
             if not waiter.done.done():
                 waiter.done.set_result(None if self.lost else waiter.decision)
-        for op in ops:
-            if isinstance(op, SettleOp):
-                self.notify(op.workspace, op.key)
-
-    def notify(self, workspace: str, key: str) -> None:
-        """Wakes those who wait for a claim to end."""
-        for future in self.settled.pop((workspace, key), []):
-            if not future.done():
-                future.set_result(None)
 
     def lose(self) -> None:
         """Gives up the shard; nothing more is granted or settled here."""
@@ -228,13 +494,38 @@
         self.lost = True
         self.metrics.count("claims.epoch_lost")
         log.warning("Epoch lost.", shard=self.shard, epoch=self.lease.epoch)
-        waiters, self.pending_waiters = self.pending_waiters, []
-        self.answer(waiters, [])
-        for workspace, key in list(self.settled):
-            self.notify(workspace, key)
+        for batch in [self.in_flight, *self.open]:
+            if batch is not None:
+                self.answer(batch)
+        self.open.clear()
         self.wake.set()
 
 
+def op_size(op: ClaimOp | SettleOp) -> int:
+    """Returns roughly the bytes of an operation in the log."""
+    if isinstance(op, SettleOp) and op.answer is not None:
+        return OP_BYTES + len(op.answer.body)
+    return OP_BYTES
+
+
+def release_of(op: ClaimOp) -> SettleOp:
+    """Returns the operation that takes a claim back."""
+    return SettleOp(op.workspace, op.key, op.attempt, ClaimResult.RELEASED)
+
+
+def refuse(
+    decision: Decision, retry_after_s: float, reason: str, metrics: Metrics
+) -> Decision:
+    """Returns the refusal of an ask and counts its reason."""
+    metrics.count(f"claims.refused.{reason}")
+    return Decision(
+        ClaimOutcome.UNAVAILABLE,
+        decision.claim,
+        not_run=decision.not_run,
+        retry_after_s=retry_after_s,
+    )
+
+
 async def recover(table: Table, shard: int) -> tuple[ClaimBook, int]:
     """Reads a shard's log.
 
--- a/src/rattanpier/_internal/claims/records.py
+++ b/src/rattanpier/_internal/claims/records.py
@@ -96,12 +96,14 @@
       sequence: Position in the log, from 1.
       writer: Unique to the writing process; identifies a lost write.
       ops: Operations, in order.
+      time: Writer's wall clock, for retention only.
     """
 
     epoch: int
     sequence: int
     writer: str
     ops: list[ClaimOp | SettleOp] = attrs.Factory(list)
+    time: float = 0.0
 
 
 @attrs.frozen
@@ -123,6 +125,14 @@
     snapshot: str = ""
 
 
+@attrs.frozen
+class PendingBill:
+    """What a peer keeps while the store is down: a claim and its end."""
+
+    claim: ClaimOp
+    settle: SettleOp
+
+
 def lease_key(shard: int) -> str:
     """Returns the key of a shard's lease row."""
     return f"shard/{shard:04d}"
--- a/src/rattanpier/_internal/claims/service.py
+++ b/src/rattanpier/_internal/claims/service.py
@@ -3,25 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
 
 import attrs
 import structlog
 
-from rattanpier._internal.claims.book import Ask, Claim, Decision
-from rattanpier._internal.claims.owner import ShardOwner, acquire, recover
+from rattanpier._internal.claims.book import Ask
+from rattanpier._internal.claims.messages import ANY_ATTEMPT, serve
+from rattanpier._internal.claims.outage import (
+    FLUSH_AFTER_S,
+    Keeper,
+    Outage,
+)
+from rattanpier._internal.claims.owner import OUTAGE_RETRY_S
+from rattanpier._internal.claims.ownership import Ownership
 from rattanpier._internal.claims.records import (
     Answer,
-    Bill,
     ClaimResult,
+    PendingBill,
     SettleOp,
-    ShardLease,
-    lease_key,
-)
-from rattanpier._internal.exceptions import (
-    PeerUnavailableError,
-    StoreUnavailableError,
 )
+from rattanpier._internal.exceptions import PeerUnavailableError
 from rattanpier._internal.kernel import Kernel
 from rattanpier._internal.membership.members import Members
 from rattanpier._internal.models.configuration import Fleet
@@ -29,17 +30,21 @@
 from rattanpier._internal.models.outcomes import ClaimOutcome, SettleOutcome
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.proto import peer_pb2
-from rattanpier._internal.platform.table import Row, Table, scan_all
+from rattanpier._internal.platform.table import Table
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.codec import decode, encode
-from rattanpier._internal.utils.hashing import rendezvous, stable_hash
+from rattanpier._internal.utils.hashing import stable_hash
 from rattanpier._internal.utils.metrics import Metrics
 
 log = structlog.get_logger(part="claims")
 
-MAINTAIN_S = 0.5  # Between looks at the lease rows.
 RETRY_S = 0.05  # Between tries to reach a shard's owner.
-LEASE_PREFIX = "shard/"
+TRY_S = 1.0  # For one try; the owner may be frozen and replaced meanwhile.
+OUTAGE_TRIES = 2  # With the store down, no new owner will come.
+KEEPER_PAUSE_S = 0.5  # Between looks at the bills kept for peers.
+DISOWN_PAUSE_S = 1.0  # Between tries to end a claim in the background.
+DISOWN_LIMIT_S = 3600.0  # Then the claim is left to the owner's sweep.
+MAX_DISOWNING = 10_000  # Claims ended in the background at once.
 NOT_OWNER = "not_owner"
 
 
@@ -52,24 +57,32 @@
       attempt: The attempt granted, or the latest.
       holder: Who runs the latest attempt.
       answer: The recorded answer, if answered.
+      durable: False if granted while the store is down.
+      not_run: True if no attempt of this claim can have run.
+      retry_after_s: When to come back, or 0.
     """
 
     outcome: ClaimOutcome
     attempt: int = 0
     holder: str = ""
     answer: Answer | None = None
+    durable: bool = True
+    not_run: bool = False
+    retry_after_s: float = 0.0
 
 
-UNAVAILABLE = ClaimReply(ClaimOutcome.UNAVAILABLE)
+UNAVAILABLE = ClaimReply(ClaimOutcome.UNAVAILABLE, retry_after_s=OUTAGE_RETRY_S)
 
 
 @attrs.define
 class Claims:
-    """Owns some shards and finds the owners of the others.
+    """Finds the owners of shards and asks them.
 
     Attributes:
-      owners: Shards this process owns.
-      rows: Lease rows as last read, by shard.
+      ownership: Which shards this process owns, and who the others.
+      outage: What this process does while the store is down.
+      keeper: Bills that this process keeps for others meanwhile.
+      disowning: Tasks that end claims in the background.
     """
 
     me: Member
@@ -80,111 +93,48 @@
     members: Members
     links: Links
     kernel: Kernel
-    owners: dict[int, ShardOwner] = attrs.Factory(dict)
-    rows: dict[int, Row] = attrs.Factory(dict)
-    reading: asyncio.Lock = attrs.Factory(asyncio.Lock)
+    outage: Outage = attrs.field(
+        default=attrs.Factory(
+            lambda self: Outage(self.members, self.links, self.kernel.spawn),
+            takes_self=True,
+        )
+    )
+    ownership: Ownership = attrs.field(
+        default=attrs.Factory(
+            lambda self: Ownership(
+                self.fleet,
+                self.table,
+                self.clock,
+                self.metrics,
+                self.members,
+                self.links,
+                self.kernel,
+                self.outage,
+            ),
+            takes_self=True,
+        )
+    )
+    keeper: Keeper = attrs.field(
+        default=attrs.Factory(
+            lambda self: Keeper(lambda: self.ownership.reachable, self.metrics),
+            takes_self=True,
+        )
+    )
+    disowning: set[asyncio.Task] = attrs.Factory(set)
 
     def shard_of(self, workspace: str, key: str) -> int:
         """Returns the shard of a request."""
         text = f"{workspace}\x1f{key}"
         return stable_hash(text) % self.fleet.claim_shards
 
-    @property
-    def interval_s(self) -> float:
-        """Seconds between two batches of one shard, from the budget."""
-        return self.fleet.claim_shards / self.fleet.store_writes_per_s
-
-    # Ownership.
-
     async def run(self) -> None:
-        """Takes over shards without an owner until the end."""
-        while not self.kernel.stopping.is_set():
-            try:
-                await self.maintain()
-            except StoreUnavailableError:
-                log.warning("Lease rows can't be read.")
-            await self.clock.sleep(MAINTAIN_S)
-
-    async def maintain(self) -> None:
-        """Looks at the lease rows once and takes over what is free."""
-        await self.read_rows()
-        for shard in range(self.fleet.claim_shards):
-            if self.should_take(shard):
-                await self.take(shard)
-
-    async def read_rows(self) -> None:
-        """Reads all lease rows."""
-        rows = await scan_all(self.table, LEASE_PREFIX)
-        self.rows = {
-            int(row.key.removeprefix(LEASE_PREFIX)): row for row in rows
-        }
-        for shard, owner in list(self.owners.items()):
-            row = self.rows.get(shard)
-            if row is None or row.version != owner.lease_version:
-                owner.lose()
-            if owner.lost:
-                del self.owners[shard]
-
-    def should_take(self, shard: int) -> bool:
-        """Says whether this entry is next to own a shard without owner."""
-        if shard in self.owners:
-            return False
-        row = self.rows.get(shard)
-        if row is not None:
-            lease = decode(ShardLease, row.value)
-            if lease.owner and self.members.alive(
-                f"{lease.owner}/{lease.incarnation}"
-            ):
-                return False
-        return self.preferred(shard) == self.me.name
-
-    def preferred(self, shard: int) -> str:
-        """Returns the entry that should own a shard."""
-        names = [member.name for member in self.members.entries()]
-        return next(iter(rendezvous(f"shard-{shard}", names)), "")
-
-    async def take(self, shard: int) -> None:
-        """Takes a shard over and starts to serve it."""
-        row = self.rows.get(shard)
-        obtained = await acquire(
-            self.table, shard, row, self.me.name, self.me.incarnation
-        )
-        if obtained is None:
-            return
-        lease, version = obtained
-        book, sequence = await recover(self.table, shard)
-        owner = ShardOwner(
-            shard=shard,
-            lease=lease,
-            lease_version=version,
-            table=self.table,
-            clock=self.clock,
-            metrics=self.metrics,
-            alive=self.members.alive,
-            interval_s=self.interval_s,
-            book=book,
-            next_sequence=sequence,
-        )
-        self.owners[shard] = owner
-        self.rows[shard] = Row(lease_key(shard), version, encode(lease))
-        self.kernel.spawn(owner.run())
-        log.info("Shard taken.", shard=shard, epoch=lease.epoch)
-
-    def owner_member(self, shard: int) -> Member | None:
-        """Returns the live owner of a shard, as far as is known."""
-        row = self.rows.get(shard)
-        if row is None:
-            return None
-        lease = decode(ShardLease, row.value)
-        member = self.live.get(lease.owner)
-        if member is None or member.incarnation != lease.incarnation:
-            return None
-        return member
+        """Looks after shards and kept bills until the end."""
+        self.kernel.spawn(self.run_keeper())
+        await self.ownership.run()
 
-    @property
-    def live(self) -> Mapping[str, Member]:
-        """The live members by name."""
-        return self.members.live.value
+    async def hand_over(self) -> None:
+        """Gives up every shard, for a planned stop."""
+        await self.ownership.hand_over_all()
 
     # For the rest of the entry.
 
@@ -202,15 +152,29 @@
         if reply is None:
             return UNAVAILABLE
         claim = reply.claim
-        answer = decode(Answer, claim.answer) if claim.answer else None
         return ClaimReply(
-            ClaimOutcome(claim.outcome), claim.attempt, claim.holder, answer
+            ClaimOutcome(claim.outcome),
+            claim.attempt,
+            claim.holder,
+            decode(Answer, claim.answer) if claim.answer else None,
+            claim.durable,
+            claim.not_run,
+            claim.retry_after_s,
         )
 
     async def settle(
         self, op: SettleOp, holder: str, timeout_s: float
     ) -> SettleOutcome:
         """Ends a claim; safe to repeat."""
+        reply = await self.send_settle(op, holder, timeout_s)
+        if reply is None:
+            return SettleOutcome.UNAVAILABLE
+        return SettleOutcome(reply.outcome)
+
+    async def send_settle(
+        self, op: SettleOp, holder: str, timeout_s: float
+    ) -> peer_pb2.SettleReply | None:
+        """Sends a settlement; None if the owner can't be reached."""
         body = peer_pb2.SettleRequest(
             workspace=op.workspace,
             key=op.key,
@@ -222,9 +186,38 @@
         )
         shard = self.shard_of(op.workspace, op.key)
         reply = await self.reach(shard, peer_pb2.Call(settle=body), timeout_s)
-        if reply is None:
-            return SettleOutcome.UNAVAILABLE
-        return SettleOutcome(reply.settle.outcome)
+        return None if reply is None else reply.settle
+
+    def disown(self, ask: Ask, result: ClaimResult) -> None:
+        """Ends, in the background, whatever claim an ask has obtained.
+
+        For an asker that goes away without a settlement: its ask may have
+        been granted though no reply came. Harmless if it was not, or if the
+        claim has ended.
+
+        Args:
+          ask: The ask as it was made.
+          result: Released if nothing can have run or it may run again; else
+            unknown.
+        """
+        if len(self.disowning) >= MAX_DISOWNING:
+            self.metrics.count("claims.disown_dropped")
+            return
+        task = self.kernel.spawn(self.disown_until_known(ask, result))
+        self.disowning.add(task)
+        task.add_done_callback(self.disowning.discard)
+
+    async def disown_until_known(self, ask: Ask, result: ClaimResult) -> None:
+        """Ends a holder's claim; repeats until that is durable."""
+        op = SettleOp(ask.workspace, ask.key, ANY_ATTEMPT, result)
+        end = self.clock.monotonic() + DISOWN_LIMIT_S
+        while self.clock.monotonic() < end:
+            reply = await self.send_settle(op, ask.holder, TRY_S)
+            known = reply is not None and reply.durable
+            if known and reply.outcome != SettleOutcome.UNAVAILABLE:
+                self.metrics.count("claims.disowned")
+                return
+            await self.clock.sleep(DISOWN_PAUSE_S)
 
     async def lookup(
         self, workspace: str, key: str, timeout_s: float
@@ -243,123 +236,102 @@
         Every call is idempotent at the owner, so it is repeated freely.
         """
         end = self.clock.monotonic() + timeout_s
+        tries = 0
         while (left := end - self.clock.monotonic()) > 0:
-            try:
-                reply = await self.try_owner(shard, call, left)
-            except PeerUnavailableError:
-                reply = None
+            reply = await self.try_owner(shard, call, min(left, TRY_S))
             if reply is not None:
                 return reply
+            tries += 1
+            if not self.ownership.reachable and tries >= OUTAGE_TRIES:
+                self.metrics.count("claims.refused.no_owner")
+                return None
             self.metrics.count("claims.retry.owner")
             await self.clock.sleep(RETRY_S)
+            await self.ownership.refresh(shard)
         return None
 
     async def try_owner(
         self, shard: int, call: peer_pb2.Call, timeout_s: float
     ) -> peer_pb2.Reply | None:
         """Carries a call to the present owner; None if that failed."""
-        if shard in self.owners:
+        owner = self.ownership.owners.get(shard)
+        if owner is not None:
             try:
-                return await asyncio.wait_for(
-                    self.serve(shard, call), timeout_s
-                )
+                return await asyncio.wait_for(serve(owner, call), timeout_s)
             except TimeoutError:
                 return None
-        member = self.owner_member(shard)
+        member = self.ownership.owner_member(shard)
         if member is None or member.name == self.me.name:
             return None
-        link = self.links.to(member)
-        return await link.call(call, timeout_s)
+        try:
+            return await self.links.to(member).call(call, timeout_s)
+        except PeerUnavailableError:
+            return None
 
     # For peers.
 
     async def serve_call(self, call: peer_pb2.Call) -> peer_pb2.Reply:
-        """Serves a peer's claim, settlement or look-up."""
+        """Serves a peer's claim, settlement or look-up.
+
+        Raises:
+          PeerUnavailableError: The shard has another owner.
+        """
         body = getattr(call, call.WhichOneof("body") or "")
         shard = self.shard_of(body.workspace, body.key)
-        reply = await self.serve(shard, call)
+        return await self.serve_shard(shard, call)
+
+    async def serve_shard(
+        self, shard: int, call: peer_pb2.Call
+    ) -> peer_pb2.Reply:
+        """Serves a call on an own shard.
+
+        Raises:
+          PeerUnavailableError: The shard has another owner.
+        """
+        owner = self.ownership.owners.get(shard)
+        reply = None if owner is None else await serve(owner, call)
         if reply is None:
             raise PeerUnavailableError(NOT_OWNER)
         return reply
 
-    async def serve(
-        self, shard: int, call: peer_pb2.Call
-    ) -> peer_pb2.Reply | None:
-        """Serves a call on an own shard; None if it is not owned."""
-        owner = self.owners.get(shard)
-        if owner is None or owner.lost:
-            return None
-        match call.WhichOneof("body"):
-            case "claim":
-                return await serve_claim(owner, call.claim)
-            case "settle":
-                return await serve_settle(owner, call.settle)
-            case _:
-                return serve_lookup(owner, call.lookup)
-
-
-async def serve_claim(
-    owner: ShardOwner, body: peer_pb2.ClaimRequest
-) -> peer_pb2.Reply | None:
-    """Decides on a claim."""
-    ask = Ask(
-        body.workspace, body.key, body.holder, body.idempotent, body.digest
-    )
-    decision = await owner.ask(ask)
-    if decision is None:
-        return None
-    return peer_pb2.Reply(claim=describe_claim(decision))
+    async def serve_hold(self, call: peer_pb2.Call) -> peer_pb2.Reply:
+        """Keeps a bill for a peer, or takes one in as a shard's owner.
 
+        Raises:
+          PeerUnavailableError: The shard has another owner.
+        """
+        if not call.hold.flush:
+            return await self.keeper.serve(call)
+        bill = decode(PendingBill, call.hold.record)
+        shard = self.shard_of(bill.claim.workspace, bill.claim.key)
+        return await self.serve_shard(shard, call)
 
-def describe_claim(decision: Decision) -> peer_pb2.ClaimReply:
-    """Returns the message for a decision on a claim."""
-    reply = peer_pb2.ClaimReply(
-        outcome=str(decision.outcome.value), durable=True
-    )
-    if decision.claim is not None:
-        reply.attempt = decision.claim.attempt
-        reply.holder = decision.claim.holder
-        if decision.outcome is ClaimOutcome.ANSWERED:
-            reply.answer = encode(decision.claim.answer).encode()
-    elif decision.op is not None:
-        reply.attempt = decision.op.attempt
-    return reply
-
-
-async def serve_settle(
-    owner: ShardOwner, body: peer_pb2.SettleRequest
-) -> peer_pb2.Reply | None:
-    """Decides on a settlement."""
-    op = SettleOp(
-        body.workspace,
-        body.key,
-        body.attempt,
-        ClaimResult(body.result),
-        decode(Bill, body.bill) if body.bill else None,
-        decode(Answer, body.answer) if body.answer else None,
-    )
-    decision = await owner.settle(op)
-    if decision is None:
-        return None
-    return peer_pb2.Reply(
-        settle=peer_pb2.SettleReply(
-            outcome=str(decision.outcome.value), durable=True
-        )
-    )
+    # Bills kept for peers.
 
+    async def run_keeper(self) -> None:
+        """Flushes kept bills whenever the store is back."""
+        while not self.kernel.stopping.is_set():
+            await self.flush_kept()
+            await self.clock.sleep(KEEPER_PAUSE_S)
 
-def serve_lookup(
-    owner: ShardOwner, body: peer_pb2.LookupRequest
-) -> peer_pb2.Reply:
-    """Tells how a claim stands."""
-    claim: Claim | None = owner.find(body.workspace, body.key)
-    if claim is None:
-        return peer_pb2.Reply(lookup=peer_pb2.LookupReply(state="none"))
-    return peer_pb2.Reply(
-        lookup=peer_pb2.LookupReply(
-            state=claim.result.value,
-            attempt=claim.attempt,
-            holder=claim.holder,
-            answer=encode(claim.answer).encode() if claim.answer else b"",
-        )
-    )
+    async def flush_kept(self) -> None:
+        """Hands what is still kept to the owners of its shards.
+
+        An owner that lives writes its bills itself and has them dropped
+        here; what is left after a while belongs to an owner that died. Both
+        may happen: a bill is keyed by its claim.
+        """
+        since = self.clock.monotonic() - self.ownership.reachable_since
+        if not self.ownership.reachable or since < FLUSH_AFTER_S:
+            return
+        for record_id, bill in self.keeper.records():
+            body = peer_pb2.HoldRequest(
+                flush=True, record=encode(bill).encode()
+            )
+            shard = self.shard_of(bill.claim.workspace, bill.claim.key)
+            reply = await self.reach(shard, peer_pb2.Call(hold=body), TRY_S)
+            if reply is None or not reply.settle.durable:
+                continue
+            if reply.settle.outcome == SettleOutcome.SETTLED:
+                self.keeper.drop(record_id)
+                self.metrics.count("claims.kept_flushed")
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -79,6 +79,11 @@
     server = kernel.find("peer_server")
     for kind in CLAIM_CALLS:
         server.on_call(kind, claims.serve_call)
+    server.on_call("hold", claims.serve_hold)
+    server.on_notice("shard_free", claims.ownership.take_free)
+    kernel.find("drain").add(
+        DrainPhase.HAND_OVER, "claim shards", claims.hand_over
+    )
     return kernel.add("claims", claims)
 
 
