--- /dev/null
+++ b/src/rattanpier/_internal/configuration/currency.py
@@ -0,0 +1,225 @@
+"""Whether this node may take itself for current.
+
+Three grounds, in this order (docs/design/configuration.md has the proof):
+
+* the store confirmed within the validity that no newer revision exists;
+* a peer on the same revision was confirmed within the validity;
+* more than half of the entries, this one among them, are on this revision
+  and can't reach the store: then no change can be reported as in force.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import attrs
+import structlog
+
+from rattanpier._internal.configuration.follow import NEVER, Follower
+from rattanpier._internal.exceptions import PeerUnavailableError
+from rattanpier._internal.kernel import Kernel
+from rattanpier._internal.membership.members import Members
+from rattanpier._internal.models.configuration import Fleet
+from rattanpier._internal.models.member import Member, Role
+from rattanpier._internal.peers.links import Links
+from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.metrics import Metrics
+
+log = structlog.get_logger(part="config")
+
+ROUND_S = 0.25
+ASK_TIMEOUT_S = 0.5
+FEW = 3  # Peers asked before all of them are.
+ROUNDS_PER_VOTE = 4
+
+
+def vote_s(fleet: Fleet) -> float:
+    """Returns for how long a peer's report of an outage counts."""
+    return fleet.validity_s / 2
+
+
+def majority(fleet: Fleet) -> int:
+    """Returns how many entries are more than half.
+
+    >>> [majority(Fleet(size=size)) for size in (8, 3, 1)]
+    [5, 2, 1]
+    """
+    return fleet.size // 2 + 1
+
+
+@attrs.define
+class Currency:
+    """Judges whether the node is current, and answers peers that ask.
+
+    Attributes:
+      votes: When each entry was asked that reported, at this revision, that
+        it can't reach the store.
+      votes_revision: The revision of the votes.
+      outage_until: Until when the votes let this node go on.
+    """
+
+    follower: Follower
+    members: Members
+    links: Links
+    clock: Clock
+    metrics: Metrics
+    rng: random.Random
+    votes: dict[str, float] = attrs.Factory(dict)
+    votes_revision: int = 0
+    outage_until: float = NEVER
+    was_current: bool = False
+
+    def is_current(self) -> bool:
+        """Says whether the node may start work now.
+
+        Compares the monotonic clock at the moment of the call, so that a
+        process that was frozen finds itself out of date.
+        """
+        now = self.clock.monotonic()
+        configuration = self.follower.configuration
+        if configuration.revision == 0:
+            return False
+        if now - self.follower.confirmed < configuration.fleet.validity_s:
+            return True
+        return (
+            now < self.outage_until
+            and self.votes_revision == configuration.revision
+        )
+
+    async def run(self, kernel: Kernel) -> None:
+        """Asks peers whenever the store leaves this node alone."""
+        while not kernel.stopping.is_set():
+            await self.step()
+            self.report()
+            await self.clock.sleep(self.pause_s())
+
+    def pause_s(self) -> float:
+        """Returns the pause before the next round."""
+        if not self.is_current():
+            return ROUND_S
+        fleet = self.follower.configuration.fleet
+        return max(ROUND_S, vote_s(fleet) / ROUNDS_PER_VOTE)
+
+    def report(self) -> None:
+        """Logs when the node becomes current or stops to be."""
+        current = self.is_current()
+        if current != self.was_current:
+            self.was_current = current
+            self.metrics.count("config.current" if current else "config.stale")
+            log.info(
+                "Node is current." if current else "Node is not current.",
+                revision=self.follower.revision,
+                store_reachable=self.follower.store_reachable,
+            )
+
+    async def step(self) -> None:
+        """Asks peers once, unless the store confirmed lately."""
+        now = self.clock.monotonic()
+        fleet = self.follower.configuration.fleet
+        if now - self.follower.confirmed < fleet.validity_s / 2:
+            return
+        peers = [
+            member
+            for member in self.members.live.value.values()
+            if member.name != self.members.me.name
+        ]
+        self.rng.shuffle(peers)
+        few, rest = peers[:FEW], peers[FEW:]
+        await asyncio.gather(*(self.ask(member) for member in few))
+        if self.clock.monotonic() - self.follower.confirmed >= vote_s(fleet):
+            await asyncio.gather(*(self.ask(member) for member in rest))
+        self.count_votes()
+
+    async def ask(self, member: Member) -> None:
+        """Asks one peer what it knows."""
+        asked = self.clock.monotonic()
+        me = self.members.me
+        request = peer_pb2.CurrencyRequest(
+            revision=self.follower.revision,
+            member=me.name,
+            incarnation=me.incarnation,
+        )
+        self.metrics.count("config.peers_asked")
+        try:
+            reply = await self.links.to(member).call(
+                peer_pb2.Call(currency=request), ASK_TIMEOUT_S
+            )
+        except PeerUnavailableError:
+            return
+        self.take(member, reply.currency, asked)
+
+    def take(
+        self, member: Member, reply: peer_pb2.CurrencyReply, asked: float
+    ) -> None:
+        """Takes in what a peer knows; `asked` is when it was asked."""
+        if reply.revision > self.follower.revision and reply.text:
+            self.follower.enforce(reply.revision, reply.text.decode())
+        if reply.revision != self.follower.revision:
+            self.votes.pop(member.name, None)
+            return
+        if reply.lends:
+            # The age was taken after `asked`, so this errs on the old side.
+            confirmed = asked - reply.confirmed_age_s
+            self.follower.confirmed = max(self.follower.confirmed, confirmed)
+        if reply.votes and member.role is Role.ENTRY:
+            self.add_vote(member.name, asked)
+        else:
+            self.votes.pop(member.name, None)
+
+    def add_vote(self, name: str, asked: float) -> None:
+        """Notes that an entry can't reach the store at this revision."""
+        if self.votes_revision != self.follower.revision:
+            self.votes.clear()
+            self.outage_until = NEVER
+            self.votes_revision = self.follower.revision
+        self.votes[name] = asked
+
+    def count_votes(self) -> None:
+        """Works out until when the votes let this node go on."""
+        me = self.members.me
+        if me.role is Role.ENTRY and self.may_vote():
+            self.add_vote(me.name, self.clock.monotonic())
+        else:
+            self.votes.pop(me.name, None)
+        fleet = self.follower.configuration.fleet
+        newest_first = sorted(self.votes.values(), reverse=True)
+        needed = majority(fleet)
+        if me.name not in self.votes or len(newest_first) < needed:
+            self.outage_until = NEVER
+            return
+        self.outage_until = newest_first[needed - 1] + vote_s(fleet)
+
+    def may_vote(self) -> bool:
+        """Says whether this node counts towards an outage of the store.
+
+        A process that was not confirmed by the store since its start may
+        have been on a newer revision before; its word counts for nothing.
+        """
+        return (
+            self.follower.store_confirmed and not self.follower.store_reachable
+        )
+
+    async def serve(self, call: peer_pb2.Call) -> peer_pb2.Reply:
+        """Answers a peer that asks."""
+        request = call.currency
+        follower = self.follower
+        age = self.clock.monotonic() - follower.confirmed
+        known = self.members.live.value.get(request.member)
+        lends = (
+            known is not None
+            and known.incarnation == request.incarnation
+            and age < follower.configuration.fleet.validity_s
+        )
+        newer = follower.revision > request.revision
+        reply = peer_pb2.CurrencyReply(
+            revision=follower.revision,
+            store_reachable=follower.store_reachable,
+            confirmed_age_s=age,
+            member=self.members.me.name,
+            lends=lends,
+            votes=self.may_vote(),
+            text=follower.text.encode() if newer else b"",
+        )
+        return peer_pb2.Reply(currency=reply)
--- a/src/rattanpier/_internal/configuration/follow.py
+++ b/src/rattanpier/_internal/configuration/follow.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import attrs
 import structlog
 from reactivex.subject import BehaviorSubject
@@ -13,13 +15,33 @@
     StoreUnavailableError,
 )
 from rattanpier._internal.kernel import Kernel
-from rattanpier._internal.models.configuration import Configuration
+from rattanpier._internal.models.configuration import Configuration, Fleet
+from rattanpier._internal.models.member import Member, member_key
 from rattanpier._internal.platform.table import Table
 from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.codec import decode
 
 log = structlog.get_logger(part="config")
 
-POLL_S = 1.0
+FASTEST_POLL_S = 0.5
+POLL_TIMEOUT_S = 1.0
+READ_BUDGET_PER_S = 200.0  # Reads a second for all nodes' polls together.
+PROCESSES_PER_VM = 2  # An entry and a control process.
+POLLS_PER_VALIDITY = 4  # So that a lost poll or two does no harm.
+NEVER = float("-inf")
+
+
+def poll_interval_s(fleet: Fleet) -> float:
+    """Returns the pause between two polls of one node.
+
+    >>> poll_interval_s(Fleet(size=8)), poll_interval_s(Fleet(size=420))
+    (0.5, 1.0)
+    >>> poll_interval_s(Fleet(size=420, validity_s=18.0))
+    4.2
+    """
+    wanted = fleet.size * PROCESSES_PER_VM / READ_BUDGET_PER_S
+    most = fleet.validity_s / POLLS_PER_VALIDITY
+    return min(max(FASTEST_POLL_S, wanted), most)
 
 
 @attrs.define
@@ -28,7 +50,11 @@
 
     Attributes:
       current: Emits each configuration that comes into force.
-      confirmed: Monotonic time of the last poll that found it current.
+      text: The TOML text of the configuration in force.
+      me: Own member row; without it nothing is confirmed.
+      confirmed: Monotonic time at which this node surely was current.
+      registered: Monotonic time at which the own member row surely was there.
+      store_confirmed: Whether the store itself confirmed since the start.
       store_reachable: Whether the last poll was answered.
     """
 
@@ -37,7 +63,11 @@
     current: BehaviorSubject[Configuration] = attrs.field(
         factory=lambda: BehaviorSubject(Configuration())
     )
-    confirmed: float = float("-inf")
+    text: str = ""
+    me: Member | None = None
+    confirmed: float = NEVER
+    registered: float = NEVER
+    store_confirmed: bool = False
     store_reachable: bool = False
 
     @property
@@ -45,37 +75,74 @@
         """The configuration in force."""
         return self.current.value
 
+    @property
+    def revision(self) -> int:
+        """The revision in force."""
+        return self.current.value.revision
+
     async def run(self, kernel: Kernel) -> None:
         """Polls the head until the end."""
         while not kernel.stopping.is_set():
             await self.poll()
-            await self.clock.sleep(POLL_S)
+            await self.clock.sleep(poll_interval_s(self.configuration.fleet))
 
     async def poll(self) -> None:
         """Asks the store once whether there is a newer revision."""
         asked = self.clock.monotonic()
+        before = self.revision
         try:
-            head = await read_head(self.table)
-            if head > self.configuration.revision:
-                revision = await read_revision(self.table, head)
-                if revision is not None:
-                    self.enforce(revision.revision, revision.text)
-        except StoreUnavailableError:
+            async with asyncio.timeout(POLL_TIMEOUT_S):
+                await self.check_registration(asked)
+                head = await read_head(self.table)
+                await self.fetch(head)
+        except (StoreUnavailableError, TimeoutError):
             self.store_reachable = False
             return
         self.store_reachable = True
-        if head <= self.configuration.revision:
-            self.confirmed = asked
+        if head < before:
+            # Going on could run what was withdrawn since; see the design.
+            log.error("Store is behind this node.", head=head, node=before)
+            return
+        fresh = asked - self.registered < self.configuration.fleet.validity_s
+        if head <= self.revision and fresh:
+            self.confirmed = max(self.confirmed, asked)
+            self.store_confirmed = True
+
+    async def fetch(self, head: int) -> None:
+        """Takes over the head revision if it is newer."""
+        if head <= self.revision:
+            return
+        revision = await read_revision(self.table, head)
+        if revision is not None:
+            self.enforce(revision.revision, revision.text)
+
+    async def check_registration(self, asked: float) -> None:
+        """Looks whether those who count nodes can see this one.
+
+        A node whose row was removed is waited for by nobody, so it must not
+        take itself for current. One look serves for half the validity.
+        """
+        if self.me is None:
+            return
+        due = self.configuration.fleet.validity_s / 2
+        if asked - self.registered < due:
+            return
+        row = await self.table.get(member_key(self.me.name))
+        if row is None:
+            return
+        if decode(Member, row.value).incarnation == self.me.incarnation:
+            self.registered = asked
 
     def enforce(self, revision: int, text: str) -> bool:
         """Puts a revision in force unless it is not newer."""
-        if revision <= self.configuration.revision:
+        if revision <= self.revision:
             return False
         try:
             parsed = parse_configuration(text, f"revision {revision}")
         except ConfigurationError as error:
             log.error("Revision can't be used.", error=error.message)
             return False
+        self.text = text
         self.current.on_next(attrs.evolve(parsed, revision=revision))
         log.info("Revision in force.", revision=revision)
         return True
--- a/src/rattanpier/_internal/programs/common.py
+++ b/src/rattanpier/_internal/programs/common.py
@@ -11,7 +11,9 @@
 import aiohttp
 import structlog
 
+from rattanpier._internal.configuration.currency import Currency
 from rattanpier._internal.configuration.follow import Follower
+from rattanpier._internal.configuration.spread import Spreader
 from rattanpier._internal.kernel import Kernel
 from rattanpier._internal.membership.draining import Drain, add_leaving
 from rattanpier._internal.membership.members import Members
@@ -78,9 +80,35 @@
     add_drain(kernel, settings, members)
     await members.step()
     add_brakes(kernel, members)
+    await add_currency(kernel, members)
     return members
 
 
+async def add_currency(kernel: Kernel, members: Members) -> Currency:
+    """Adds what keeps the node current, and answers peers about it."""
+    follower = kernel.find("follower")
+    links = kernel.find("links")
+    metrics = kernel.find("metrics")
+    server = kernel.find("peer_server")
+    currency = Currency(
+        follower=follower,
+        members=members,
+        links=links,
+        clock=kernel.find("clock"),
+        metrics=metrics,
+        rng=random.Random(members.me.name),
+    )
+    spreader = Spreader(follower, members, links, metrics)
+    server.on_call("currency", currency.serve)
+    server.on_call("config_push", spreader.serve)
+    kernel.add("currency", currency)
+    kernel.add("spreader", spreader)
+    follower.me = members.me
+    await follower.poll()
+    kernel.spawn(currency.run(kernel))
+    return currency
+
+
 def add_drain(kernel: Kernel, settings: Settings, members: Members) -> None:
     """Adds the planned stop."""
     clock = kernel.find("clock")
