Serve operators over HTTP from each control process

Cause: a configuration could be changed only by writing to the store.

Ruled out: the interface on entries (it would share a port and keys with callers); retrying a raced text by itself (it would undo the other's change). Narrowing edits are put on top of what came first, and show it.

Change: package operators (aiohttp, bearer keys, [operators] in settings); member rows carry operator_url; a withdrawal and a halt brake at once.

--- a/src/rattanpier/_internal/models/member.py
+++ b/src/rattanpier/_internal/models/member.py
@@ -36,6 +36,7 @@
       peer_port: Port for peers.
       state: Live or leaving.
       revision: Configuration revision in force when it last refreshed.
+      operator_url: Where operators connect; empty for an entry.
     """
 
     name: str
@@ -48,6 +49,7 @@
     peer_port: int
     state: MemberState = MemberState.LIVE
     revision: int = 0
+    operator_url: str = ""
 
 
 MEMBER_PREFIX = "member/"
--- a/src/rattanpier/_internal/models/settings.py
+++ b/src/rattanpier/_internal/models/settings.py
@@ -121,6 +121,7 @@
     platform: PlatformSettings
     callers: ListenSettings = attrs.Factory(ListenSettings)
     peers: ListenSettings = attrs.Factory(ListenSettings)
+    operators: ListenSettings = attrs.Factory(ListenSettings)
     metrics: MetricsSettings = attrs.Factory(MetricsSettings)
     logs: LogSettings = attrs.Factory(LogSettings)
     secrets: SecretSettings = attrs.Factory(SecretSettings)
--- /dev/null
+++ b/src/rattanpier/_internal/operators/changes.py
@@ -0,0 +1,240 @@
+"""Changes that operators make: whole texts, and single fields."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from rattanpier._internal.configuration.change import (
+    Edit,
+    change_surely,
+    decide,
+    edit_surely,
+    newest,
+)
+from rattanpier._internal.configuration.edit import Value, set_fields
+from rattanpier._internal.configuration.inforce import InForce
+from rattanpier._internal.configuration.parse import parse_configuration
+from rattanpier._internal.configuration.store import (
+    Accepted,
+    ChangeOutcome,
+    Raced,
+    Revision,
+    read_revision,
+)
+from rattanpier._internal.exceptions import (
+    ConfigurationError,
+    StoreUnavailableError,
+)
+from rattanpier._internal.models.configuration import (
+    Configuration,
+    RolloutState,
+    VersionState,
+)
+from rattanpier._internal.operators.messages import (
+    ChangeReport,
+    OtherChange,
+    other_change,
+    report_of,
+    with_progress,
+)
+from rattanpier._internal.platform.table import Table
+from rattanpier._internal.routing.brakes import Brakes
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.metrics import Metrics
+
+CHANGE_TIMEOUT_S = 10.0  # Until a silent store leaves a change undecided.
+
+Check = Callable[[str], Configuration]
+
+
+@attrs.frozen
+class Order:
+    """Who makes a change, and how it is known.
+
+    Attributes:
+      author: Who.
+      change: Unique id of the change.
+      wait_s: Seconds to wait until it is in force everywhere.
+    """
+
+    author: str
+    change: str
+    wait_s: float
+
+
+@attrs.define
+class Changes:
+    """Carries out operators' changes.
+
+    Attributes:
+      check: Parses and checks a text; raises ConfigurationError.
+    """
+
+    table: Table
+    clock: Clock
+    inforce: InForce
+    brakes: Brakes
+    metrics: Metrics
+    check: Check = parse_configuration
+
+    async def replace(self, text: str, base: int, order: Order) -> ChangeReport:
+        """Proposes a whole text to follow a revision.
+
+        Raises:
+          ConfigurationError: The text can't be used.
+        """
+        self.check(text)
+        draft = self.draft(order)
+        revision = attrs.evolve(draft, revision=base + 1, text=text)
+        outcome = await change_surely(
+            self.table, self.clock, revision, CHANGE_TIMEOUT_S
+        )
+        return await self.report(outcome, revision, order)
+
+    async def decide(self, revision: int, order: Order) -> ChangeReport:
+        """Finds out what became of a change; fences off one not there."""
+        draft = attrs.evolve(self.draft(order), revision=revision)
+        outcome = await decide(
+            self.table, self.clock, revision, order.change, CHANGE_TIMEOUT_S
+        )
+        return await self.report(outcome, draft, order)
+
+    async def withdraw(self, version: str, order: Order) -> ChangeReport:
+        """Withdraws a version: braked at once, then by configuration.
+
+        The brake stands also if the store can't be reached.
+
+        Raises:
+          ConfigurationError: There is no such version.
+        """
+        self.require(version in self.present.versions, "version", version)
+        self.brakes.apply(version, "withdrawn", order.author)
+        state = VersionState.WITHDRAWN.value
+        report = await self.narrow(
+            ["versions", version], {"state": state}, order
+        )
+        return attrs.evolve(report, braked=version)
+
+    async def drain(self, upstream: str, order: Order) -> ChangeReport:
+        """Stops new work for an upstream.
+
+        Raises:
+          ConfigurationError: There is no such upstream.
+        """
+        self.require(upstream in self.present.upstreams, "upstream", upstream)
+        return await self.narrow(
+            ["upstreams", upstream], {"draining": True}, order
+        )
+
+    async def halt(self, rollout: str, order: Order) -> ChangeReport:
+        """Halts a roll-out; its candidate is braked at once.
+
+        Raises:
+          ConfigurationError: There is no such roll-out.
+        """
+        known = self.present.rollouts.get(rollout)
+        self.require(known is not None, "roll-out", rollout)
+        assert known is not None
+        self.brakes.apply(known.candidate, "halted", order.author, rollout)
+        state = RolloutState.HALTED.value
+        report = await self.narrow(
+            ["rollouts", rollout], {"state": state}, order
+        )
+        return attrs.evolve(report, braked=known.candidate)
+
+    async def widen(
+        self, rollout: str, fields: dict[str, Value], order: Order
+    ) -> ChangeReport:
+        """Starts or widens a roll-out on the revision that is accepted now.
+
+        A change that races with it wins; the operator decides anew.
+
+        Raises:
+          ConfigurationError: The result can't be used.
+          StoreUnavailableError: The store did not answer; nothing changed.
+        """
+        base = await newest(self.table)
+        text = set_fields(base.text, ["rollouts", rollout], fields)
+        return await self.replace(text, base.revision, order)
+
+    async def narrow(
+        self, path: list[str], fields: dict[str, Value], order: Order
+    ) -> ChangeReport:
+        """Proposes an edit that narrows, on top of whatever came first."""
+        edit = self.checked(lambda text: set_fields(text, path, fields))
+        done = await edit_surely(
+            self.table, self.clock, edit, self.draft(order), CHANGE_TIMEOUT_S
+        )
+        revision = self.draft(order)
+        if isinstance(done.outcome, Accepted):
+            number = done.outcome.revision
+            revision = attrs.evolve(revision, revision=number)
+        report = await self.report(done.outcome, revision, order)
+        over = [await self.describe(other) for other in done.over]
+        return attrs.evolve(report, over=over)
+
+    def checked(self, edit: Edit) -> Edit:
+        """Returns an edit whose result is checked."""
+
+        def checked_edit(text: str) -> str:
+            edited = edit(text)
+            self.check(edited)
+            return edited
+
+        return checked_edit
+
+    def draft(self, order: Order) -> Revision:
+        """Returns a revision without number and text."""
+        return Revision(0, "", order.author, order.change, self.clock.time())
+
+    @property
+    def present(self) -> Configuration:
+        """The configuration in force on this node."""
+        return self.inforce.follower.configuration
+
+    def require(self, known: bool, kind: str, name: str) -> None:
+        """Raises ConfigurationError unless a name is known."""
+        if not known:
+            raise ConfigurationError(
+                f"there is no {kind} {name!r}",
+                "see GET /operator/config for the names",
+            )
+
+    async def report(
+        self, outcome: ChangeOutcome, revision: Revision, order: Order
+    ) -> ChangeReport:
+        """Follows an outcome up and returns its report."""
+        report = report_of(outcome, revision)
+        self.metrics.count(f"config.change.{report.outcome}")
+        match outcome:
+            case Accepted(number):
+                return await self.follow_up(report, number, order)
+            case Raced(other):
+                described = await self.describe(other)
+                return attrs.evolve(report, other=described)
+            case _:
+                return report
+
+    async def follow_up(
+        self, report: ChangeReport, number: int, order: Order
+    ) -> ChangeReport:
+        """Spreads an accepted revision and waits until it is in force."""
+        try:
+            accepted = await read_revision(self.table, number)
+        except StoreUnavailableError:
+            # The polls bring it; `GET /operator/status` tells when.
+            return report
+        assert accepted is not None
+        self.inforce.begin(accepted)
+        progress = await self.inforce.wait(number, order.wait_s)
+        return with_progress(report, progress)
+
+    async def describe(self, other: Revision) -> OtherChange:
+        """Returns somebody else's change, with what it changed."""
+        try:
+            before = await read_revision(self.table, other.revision - 1)
+        except StoreUnavailableError:
+            before = None
+        return other_change(before.text if before else "", other)
--- a/tests/lib/builders.py
+++ b/tests/lib/builders.py
@@ -16,6 +16,7 @@
 from rattanpier._internal.utils.hashing import sha256_hex
 
 DESK_KEY = "desk-key"
+OPERATOR_KEY = "operator-key"
 SMALL = "small@1"
 LARGE = "large@1"
 
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -11,6 +11,8 @@
 import rattanpier
 from rattanpier._internal.configuration.store import Revision, propose
 from rattanpier._internal.platform.table import HttpTable
+from rattanpier._internal.utils.hashing import sha256_hex
+from tests.lib.builders import OPERATOR_KEY
 
 SOURCE = str(pathlib.Path(rattanpier.__file__).parents[1])
 CLI = "rattanpier._internal.cli"
@@ -105,6 +107,7 @@
 table_url = "{self.urls["table"]}"
 [secrets]
 session_key = "test-session-key"
+operator_key_sha256 = ["{sha256_hex(OPERATOR_KEY)}"]
 {extra}
 """
 
