Let the engine stand-in resume, cancel and mix up answers

Cause: the stand-in tied a run to its connection, so a cut stream could not be resumed, a cut and a cancel were the same, and answers carried no request id to check.

Change: a run is generated by a task of its own and kept for 3 s; GET with X-Request-Id and Last-Event-ID sends the rest and counts as the same run, 410 when it is gone; DELETE cancels. New faults: forget, swap, duplicate, missing, redirect, no_end. Ruled out: resume by POST, which an engine that ignores Last-Event-ID would run again.

--- a/src/rattanpier/_internal/standin/engine.py
+++ b/src/rattanpier/_internal/standin/engine.py
@@ -33,6 +33,12 @@
     CUT = "cut"  # Ends the stream half way.
     CUT_BEFORE_ANSWER = "cut_before_answer"  # Runs, then closes.
     STALL = "stall"  # Takes the request and says nothing.
+    FORGET = "forget"  # Cuts the stream half way; can't resume it.
+    SWAP = "swap"  # Answers two requests with each other's answer.
+    DUPLICATE = "duplicate"  # Sends a chunk twice.
+    MISSING = "missing"  # Leaves a chunk out.
+    REDIRECT = "redirect"  # Sends the caller elsewhere.
+    NO_END = "no_end"  # Ends the stream after the text, without its end.
 
 
 @attrs.define
@@ -43,12 +49,14 @@
       fault: What is wrong now.
       count: How many more requests it hits; -1 for all.
       slowdown: Factor on every duration.
+      redirect: Address for the fault of that name.
       bad_versions: Versions whose answers are poor.
     """
 
     fault: EngineFault = EngineFault.NONE
     count: int = -1
     slowdown: float = 1.0
+    redirect: str = ""
     bad_versions: list[str] = attrs.Factory(list)
 
 
@@ -61,6 +69,27 @@
     chunks: int = 0
     finished: bool = False
     cancelled: bool = False
+    resumes: int = 0
+
+
+@attrs.define
+class Stream:
+    """The answer of a run, kept for a while so that it can be resumed.
+
+    Attributes:
+      events: The events so far, in order.
+      over: True once there will be no more.
+      readers: Connections that follow it.
+      changed: Set with each event.
+    """
+
+    run: Run
+    total: int
+    events: list[bytes] = attrs.Factory(list)
+    over: bool = False
+    readers: int = 0
+    changed: asyncio.Event = attrs.Factory(asyncio.Event)
+    task: asyncio.Task[None] | None = None
 
 
 @attrs.frozen
@@ -71,11 +100,16 @@
       prefill_tokens_per_s: Prompt tokens read a second.
       decode_s: Seconds between tokens of one answer.
       slots: Requests run at once; more of them wait.
+      resume_s: Seconds a cut or ended stream can be resumed.
     """
 
     prefill_tokens_per_s: float = 20_000.0
     decode_s: float = 0.005
     slots: int = 16
+    resume_s: float = 3.0
+
+
+CUTS = (EngineFault.CUT, EngineFault.FORGET)
 
 
 @attrs.define
@@ -85,12 +119,16 @@
     Attributes:
       versions: Versions it serves, with the skill (0 to 1) of each.
       runs: Everything it ran, in order.
+      streams: Answers that can be resumed, by request id.
     """
 
     versions: dict[str, float]
     speed: EngineSpeed = attrs.Factory(EngineSpeed)
     faults: EngineFaults = attrs.Factory(EngineFaults)
     runs: list[Run] = attrs.Factory(list)
+    streams: dict[str, Stream] = attrs.Factory(dict)
+    waiting_swap: asyncio.Future[Stream] | None = None
+    swapped: Stream | None = None
     ids: itertools.count = attrs.Factory(itertools.count)
     free: asyncio.Semaphore = attrs.field(
         default=attrs.Factory(
@@ -104,6 +142,10 @@
         fault = self.take_fault()
         if fault is EngineFault.REFUSE:
             return refuse("the engine is full", not_run=True)
+        if fault is EngineFault.REDIRECT:
+            raise web.HTTPTemporaryRedirect(
+                f"{self.faults.redirect}{request.path}"
+            )
         if body["model"] not in self.versions:
             return refuse("the version is not loaded", not_run=True)
         run = Run(request.headers.get("X-Request-Id", ""), body["model"])
@@ -112,11 +154,90 @@
             return web.json_response({"error": "failed"}, status=500)
         if fault is EngineFault.STALL:
             await asyncio.Event().wait()
+        stream = self.start(body, run)
+        if fault is EngineFault.CUT_BEFORE_ANSWER:
+            await self.pause(self.prefill_s(body))
+            abort(request)
+        if fault is EngineFault.SWAP:
+            stream = await self.swap(stream)
+        return await self.send(request, stream, 0, fault)
+
+    async def resume(self, request: web.Request) -> web.StreamResponse:
+        """Sends the rest of an answer; runs nothing."""
+        stream = self.streams.get(request.headers.get("X-Request-Id", ""))
+        if stream is None or "Last-Event-ID" not in request.headers:
+            return web.json_response({"error": "not known"}, status=410)
+        stream.run.resumes += 1
+        start = int(request.headers["Last-Event-ID"]) + 1
+        return await self.send(request, stream, start, EngineFault.NONE)
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Stops a run."""
+        stream = self.streams.get(request.headers.get("X-Request-Id", ""))
+        if stream is not None:
+            self.stop(stream)
+        return web.Response(status=204)
+
+    async def swap(self, stream: Stream) -> Stream:
+        """Returns the answer of the other one of two requests."""
+        if self.waiting_swap is None or self.waiting_swap.done():
+            future = asyncio.get_running_loop().create_future()
+            self.waiting_swap, self.swapped = future, stream
+            return await future
+        other, self.waiting_swap = self.waiting_swap, None
+        other.set_result(stream)
+        assert self.swapped is not None
+        return self.swapped
+
+    def start(self, body: dict[str, Any], run: Run) -> Stream:
+        """Starts to generate an answer."""
+        stream = Stream(run, len(self.words(body)))
+        self.streams[run.request] = stream
+        loop = asyncio.get_running_loop()
+        stream.task = loop.create_task(self.generate(body, stream))
+        return stream
+
+    async def generate(self, body: dict[str, Any], stream: Stream) -> None:
+        """Generates an answer at the engine's pace."""
         async with self.free:
             await self.pause(self.prefill_s(body))
-            if fault is EngineFault.CUT_BEFORE_ANSWER:
-                abort(request)
-            return await self.stream(request, body, run, fault)
+            async for number, event in self.events(body, self.words(body)):
+                line = f"id: {number}\ndata: {json.dumps(event)}\n\n"
+                stream.events.append(line.encode())
+                stream.run.chunks += 1
+                stream.changed.set()
+        stream.run.finished = True
+        self.end(stream)
+
+    def stop(self, stream: Stream) -> None:
+        """Cancels a run that is not finished."""
+        if stream.over:
+            return
+        stream.run.cancelled = True
+        assert stream.task is not None
+        stream.task.cancel()
+        self.end(stream)
+
+    def end(self, stream: Stream) -> None:
+        """Ends a stream and forgets it after a while."""
+        stream.over = True
+        stream.changed.set()
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            self.speed.resume_s, self.streams.pop, stream.run.request, None
+        )
+
+    def leave(self, stream: Stream) -> None:
+        """Notes that a reader left; a run without one is stopped later."""
+        stream.readers -= 1
+        if stream.readers == 0 and not stream.over:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.speed.resume_s, self.stop_unread, stream)
+
+    def stop_unread(self, stream: Stream) -> None:
+        """Cancels a run that nobody came back for."""
+        if stream.readers == 0:
+            self.stop(stream)
 
     def take_fault(self) -> EngineFault:
         """Returns the fault that hits this request."""
@@ -135,54 +256,68 @@
         tokens = estimate_tokens(len(prompt_text(body)))
         return tokens / self.speed.prefill_tokens_per_s
 
-    async def stream(
+    async def send(
         self,
         request: web.Request,
-        body: dict[str, Any],
-        run: Run,
+        stream: Stream,
+        start: int,
         fault: EngineFault,
     ) -> web.StreamResponse:
-        """Sends the answer token by token."""
-        response = web.StreamResponse()
+        """Sends an answer's events from a number on, as they come."""
+        response = web.StreamResponse(
+            headers={"X-Request-Id": stream.run.request}
+        )
         response.content_type = "text/event-stream"
-        await response.prepare(request)
-        words = self.words(body)
-        start = int(request.headers.get("Last-Event-ID", "-1")) + 1
+        stream.readers += 1
+        half = stream.total // 2
         try:
-            async for number, event in self.events(body, words, start):
-                if fault is EngineFault.CUT and number >= len(words) // 2:
+            await self.wait_event(stream, start)
+            await response.prepare(request)
+            number = start
+            while await self.wait_event(stream, number):
+                if fault in CUTS and number >= half:
+                    if fault is EngineFault.FORGET:
+                        self.stop(stream)
+                        self.streams.pop(stream.run.request, None)
                     abort(request)
                     return response
-                line = f"id: {number}\ndata: {json.dumps(event)}\n\n"
-                await response.write(line.encode())
-                run.chunks += 1
-            await response.write(b"data: [DONE]\n\n")
-        except (ConnectionResetError, asyncio.CancelledError):
-            run.cancelled = True
-            raise
-        run.finished = True
+                if fault is EngineFault.NO_END and number >= stream.total:
+                    return response
+                if fault is not EngineFault.MISSING or number != half:
+                    await response.write(stream.events[number])
+                if fault is EngineFault.DUPLICATE and number == half:
+                    await response.write(stream.events[number])
+                number += 1
+            if stream.run.finished:
+                await response.write(b"data: [DONE]\n\n")
+        finally:
+            self.leave(stream)
         return response
 
+    async def wait_event(self, stream: Stream, number: int) -> bool:
+        """Waits for an event; False if the stream ended before it."""
+        while len(stream.events) <= number and not stream.over:
+            stream.changed.clear()
+            await stream.changed.wait()
+        return len(stream.events) > number
+
     async def events(
-        self, body: dict[str, Any], words: list[str], start: int
+        self, body: dict[str, Any], words: list[str]
     ) -> AsyncIterator[tuple[int, dict[str, Any]]]:
         """Yields numbered chat-completion chunks at the decoding pace."""
         identity = f"chatcmpl-{next(self.ids)}"
         for number, word in enumerate(words):
-            if number < start:
-                continue
             await self.pause(self.speed.decode_s)
             yield number, make_event(identity, body["model"], word, None)
-        if start <= len(words):
-            final = make_event(identity, body["model"], "", "stop")
-            final["usage"] = {
-                "prompt_tokens": estimate_tokens(len(prompt_text(body))),
-                "completion_tokens": len(words),
-                "total_tokens": estimate_tokens(len(prompt_text(body)))
-                + len(words),
-            }
-            final["confidence"] = self.confidence(body)
-            yield len(words), final
+        prompt_tokens = estimate_tokens(len(prompt_text(body)))
+        final = make_event(identity, body["model"], "", "stop")
+        final["usage"] = {
+            "prompt_tokens": prompt_tokens,
+            "completion_tokens": len(words),
+            "total_tokens": prompt_tokens + len(words),
+        }
+        final["confidence"] = self.confidence(body)
+        yield len(words), final
 
     def words(self, body: dict[str, Any]) -> list[str]:
         """Returns the words of the answer."""
@@ -215,6 +350,8 @@
         """Returns the aiohttp application."""
         app = web.Application(client_max_size=64 * 2**20)
         app.router.add_post("/v1/chat/completions", self.chat)
+        app.router.add_get("/v1/chat/completions", self.resume)
+        app.router.add_delete("/v1/chat/completions", self.cancel)
         app.router.add_post("/standin/faults", self.set_faults)
         app.router.add_get("/standin/runs", self.get_runs)
         return app
