Say "not run" only where no try can have run a request

Cause: the refusal after the last try described only that try. With one worker, a run that failed was followed by "no worker", which said "not run"; the same after a failed run and a withdrawn version. Also found by reading: a total timeout of 0 waits for ever in aiohttp; redirects were followed (a second dispatch); the first chunk of a stream could have any number; answers were not matched to requests; generators were not closed, so that a caller who went away cancelled nothing at once; a claim whose caller went away, or whose settlement was unavailable, stayed running until its entry died; a claim of an idempotent request that may have run was released as "certainly not run"; repeats of a key were planned before their claim was asked; every try had the same request id.

Change: an Attempt carries over all tries whether anything may have run; refusals take their not_run from it alone. A ClaimKeeper obtains, confirms (by the clock, 1 s) and ends claims, also in the background. Non-idempotent requests get a connection of their own, are confirmed right before dispatch and go on to their end when the caller leaves. Cut streams are resumed by GET, or rerun where idempotent and word for word the same.

Ruled out: a look-up as proof for a repeated key (an owner that lost its epoch without knowing would answer it); only a claim granted as the first counts.

--- /dev/null
+++ b/src/rattanpier/_internal/dispatch/attempt.py
@@ -0,0 +1,73 @@
+"""One attempt at a request: its claim, and what it may have run."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from rattanpier._internal.claims.book import Ask
+from rattanpier._internal.claims.service import ClaimReply
+from rattanpier._internal.models.outcomes import ClaimOutcome
+from rattanpier._internal.models.request import RouteRequest
+
+
+@attrs.define
+class Attempt:
+    """The state of one attempt.
+
+    Attributes:
+      request: What is to be answered.
+      ask: Its claim.
+      task: Obtains the claim; None until that was begun.
+      asked_at: Monotonic seconds at which the claim was last asked for; the
+        claim was certain at some moment after it.
+      tries: Dispatches so far, each with a request id of its own.
+      may_have_run: True unless it is certain that no upstream ran it.
+      ended: True once the claim was settled, or is somebody else's.
+    """
+
+    request: RouteRequest
+    ask: Ask
+    task: asyncio.Task[ClaimReply] | None = None
+    asked_at: float = 0.0
+    tries: int = 0
+    may_have_run: bool = False
+    ended: bool = False
+
+    def next_id(self) -> str:
+        """Returns the request id of the next dispatch."""
+        self.tries += 1
+        return f"{self.ask.holder}/{self.tries}"
+
+    @property
+    def reply(self) -> ClaimReply | None:
+        """What came of the claim, once it is known."""
+        if self.task is None or not self.task.done():
+            return None
+        return self.task.result()
+
+    @property
+    def granted(self) -> bool:
+        """True if the claim is certain and this attempt's."""
+        reply = self.reply
+        return reply is not None and is_granted(reply)
+
+    @property
+    def proves_not_run(self) -> bool:
+        """True if no upstream ran the request, in this attempt or before.
+
+        A caller's key may have been used by an earlier attempt: then the
+        shard's owner has to say that none of them can have run.
+        """
+        if self.may_have_run:
+            return False
+        if not self.request.keyed:
+            return True
+        reply = self.reply
+        return reply is not None and reply.not_run
+
+
+def is_granted(reply: ClaimReply) -> bool:
+    """Says whether a claim was granted."""
+    return reply.outcome is ClaimOutcome.GRANTED
--- a/src/rattanpier/_internal/dispatch/attempts.py
+++ b/src/rattanpier/_internal/dispatch/attempts.py
@@ -9,7 +9,8 @@
 import attrs
 from reactivex.subject import Subject
 
-from rattanpier._internal.dispatch.engine import Chunk, EngineError
+from rattanpier._internal.dispatch.engine import Chunk
+from rattanpier._internal.dispatch.failures import UpstreamError
 from rattanpier._internal.utils.clock import Clock
 
 
@@ -76,7 +77,7 @@
                     # The caller may stop asking once it has the last chunk.
                     emit(AttemptOutcome.WHOLE)
                 yield chunk
-    except EngineError as error:
+    except UpstreamError as error:
         if chunks and finish is None:
             emit(AttemptOutcome.TRUNCATED)
         elif not chunks and not error.not_run:
--- a/src/rattanpier/_internal/dispatch/engine.py
+++ b/src/rattanpier/_internal/dispatch/engine.py
@@ -1,20 +1,31 @@
 """Client of a model engine: chat completions as numbered chunks.
 
 Engines speak the usual chat-completions protocol with server-sent events; the
-`id` line of an event carries the chunk's number.
+`id` line of an event carries the chunk's number. A cut answer is resumed by a
+GET with the request's id and the last number seen: a GET never runs anything,
+whatever the engine knows of the request. A DELETE cancels it.
 """
 
 from __future__ import annotations
 
 import json
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator
+from contextlib import suppress
 from typing import Any
 
 import aiohttp
 import attrs
 
-MAX_EVENT_BYTES = 2**20
+from rattanpier._internal.dispatch.failures import UpstreamError
+
+CHAT_PATH = "/v1/chat/completions"
+REQUEST_ID = "X-Request-Id"
+LAST_EVENT_ID = "Last-Event-ID"
+CONNECT_TIMEOUT_S = 1.0
+CANCEL_TIMEOUT_S = 2.0
 DONE = b"[DONE]"
+# Client errors that another worker may not repeat.
+RETRYABLE_CLIENT_ERRORS = frozenset({404, 408, 410, 429})
 
 
 @attrs.frozen
@@ -36,6 +47,7 @@
       finish: Why the answer ended, or None.
       usage: Given with the last chunk.
       confidence: The engine's own measure of the answer, with the last chunk.
+      identity: The engine's name of the answer.
     """
 
     number: int
@@ -44,90 +56,144 @@
     finish: str | None = None
     usage: Usage | None = None
     confidence: float | None = None
+    identity: str = ""
 
 
-class EngineError(Exception):
-    """An engine failed.
+@attrs.frozen
+class EngineCall:
+    """One request to one engine.
 
     Attributes:
-      not_run: True only if the request certainly did not run there.
-      retry_after_s: When the engine said to come back, or None.
+      url: Base address of the worker.
+      body: The chat-completions request, as JSON text.
+      request_id: Unique to this try; the answer has to carry it.
+      timeout_s: Seconds for the whole answer.
     """
 
-    def __init__(
-        self,
-        message: str,
-        not_run: bool,
-        retry_after_s: float | None = None,
-    ) -> None:
-        super().__init__(message)
-        self.not_run = not_run
-        self.retry_after_s = retry_after_s
+    url: str
+    body: bytes
+    request_id: str
+    timeout_s: float
 
 
 async def stream_chat(
-    session: aiohttp.ClientSession,
-    url: str,
-    body: Mapping[str, Any],
-    headers: Mapping[str, str],
-    timeout_s: float,
+    session: aiohttp.ClientSession, call: EngineCall, after: int | None = None
 ) -> AsyncIterator[Chunk]:
     """Yields the chunks of an answer.
 
     Args:
       session: For the connections.
-      url: Base address of the worker.
-      body: The chat-completions request.
-      headers: The request's id and further headers.
-      timeout_s: Seconds for the whole answer.
+      call: The request.
+      after: Number of the last chunk seen, to resume; None to run.
 
     Raises:
-      EngineError: The engine refused, failed or stopped half way.
+      UpstreamError: The engine refused, failed or stopped half way.
     """
-    timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=1.0)
     try:
-        async with session.post(
-            f"{url}/v1/chat/completions",
-            json=body,
-            headers=headers,
-            timeout=timeout,
-        ) as response:
+        async with open_answer(session, call, after) as response:
             if response.status != 200:
                 raise await refusal_of(response)
-            async for chunk in read_events(response):
+            check_identity(response, call.request_id)
+            async for chunk in read_events(response, after):
                 yield chunk
-    except aiohttp.ClientConnectorError as error:
+    except (
+        aiohttp.ClientConnectorError,
+        aiohttp.ConnectionTimeoutError,
+    ) as error:
         # No connection: no byte of the request left this process.
-        raise EngineError(f"can't connect: {error}", True) from error
-    except (aiohttp.ClientError, TimeoutError, ValueError) as error:
-        raise EngineError(f"connection failed: {error!r}", False) from error
+        raise UpstreamError(f"can't connect: {error}", True) from error
+    except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+        raise UpstreamError(
+            f"connection failed: {error!r}", False, cut=True
+        ) from error
+
+
+def open_answer(
+    session: aiohttp.ClientSession, call: EngineCall, after: int | None
+) -> Any:
+    """Returns the context of a response: a run, or a resumed one."""
+    timeout = aiohttp.ClientTimeout(
+        total=call.timeout_s, sock_connect=CONNECT_TIMEOUT_S
+    )
+    headers = {REQUEST_ID: call.request_id}
+    url = call.url + CHAT_PATH
+    # A redirect would be a second dispatch.
+    if after is not None:
+        headers[LAST_EVENT_ID] = str(after)
+        return session.get(
+            url, headers=headers, timeout=timeout, allow_redirects=False
+        )
+    headers["Content-Type"] = "application/json"
+    return session.post(
+        url,
+        data=call.body,
+        headers=headers,
+        timeout=timeout,
+        allow_redirects=False,
+    )
+
+
+async def cancel_chat(session: aiohttp.ClientSession, call: EngineCall) -> None:
+    """Tells an engine to stop a request; a lost order does no harm."""
+    timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
+    with suppress(aiohttp.ClientError, OSError, TimeoutError):
+        async with session.delete(
+            call.url + CHAT_PATH,
+            headers={REQUEST_ID: call.request_id},
+            timeout=timeout,
+            allow_redirects=False,
+        ):
+            pass
+
+
+def check_identity(response: aiohttp.ClientResponse, request_id: str) -> None:
+    """Raises UpstreamError if an answer belongs to another request."""
+    given = response.headers.get(REQUEST_ID)
+    if given != request_id:
+        raise UpstreamError(
+            f"the answer is for request {given!r}", False, cut=False
+        )
 
 
-async def refusal_of(response: aiohttp.ClientResponse) -> EngineError:
-    """Returns the error for an engine's refusal."""
+async def refusal_of(response: aiohttp.ClientResponse) -> UpstreamError:
+    """Returns the error for an upstream's refusal."""
     try:
         body = json.loads(await response.read())
-    except ValueError:
+    except (ValueError, aiohttp.ClientError):
         body = {}
     not_run = isinstance(body, dict) and body.get("not_run") is True
-    after = response.headers.get("Retry-After")
-    return EngineError(
-        f"engine answered {response.status}",
+    status = response.status
+    return UpstreamError(
+        f"it answered {status}",
         not_run,
-        float(after) if after else None,
+        retry_after(response),
+        final=400 <= status < 500 and status not in RETRYABLE_CLIENT_ERRORS,
     )
 
 
+def retry_after(response: aiohttp.ClientResponse) -> float | None:
+    """Returns the seconds in Retry-After; None for a date or for nothing."""
+    try:
+        seconds = float(response.headers.get("Retry-After", ""))
+    except ValueError:
+        return None
+    return seconds if 0 <= seconds < float("inf") else None
+
+
 async def read_events(
-    response: aiohttp.ClientResponse,
+    response: aiohttp.ClientResponse, after: int | None = None
 ) -> AsyncIterator[Chunk]:
     """Yields chunks in order until the end mark.
 
+    Args:
+      response: A response with server-sent events.
+      after: Number of the last chunk seen before; None if there is none.
+
     Raises:
-      EngineError: The stream ended early or a chunk is missing.
+      UpstreamError: The stream ended early or a chunk is missing.
     """
     number = -1
-    expected: int | None = None
+    expected = 0 if after is None else after + 1
     async for line in response.content:
         if line.startswith(b"id:"):
             number = int(line[3:])
@@ -135,31 +201,43 @@
             data = line[5:].strip()
             if data == DONE:
                 return
-            if expected is not None and number != expected:
-                raise EngineError(
-                    f"chunk {number} came in place of {expected}", False
+            if number < expected:
+                continue  # A chunk that came twice.
+            if number > expected:
+                raise UpstreamError(
+                    f"chunk {number} came in place of {expected}",
+                    False,
+                    cut=True,
                 )
-            expected = number + 1
+            expected += 1
             yield parse_chunk(number, data)
-    raise EngineError("the stream ended early", False)
+    raise UpstreamError("the stream ended early", False, cut=True)
 
 
 def parse_chunk(number: int, data: bytes) -> Chunk:
-    """Returns a chunk from its JSON text."""
+    """Returns a chunk from its JSON text.
+
+    Raises:
+      ValueError: The text is not a chunk.
+    """
     event = json.loads(data)
-    choices = event.get("choices") or [{}]
-    delta = choices[0].get("delta", {})
-    counted = event.get("usage")
-    usage = (
-        Usage(counted["prompt_tokens"], counted["completion_tokens"])
-        if counted
-        else None
-    )
-    return Chunk(
-        number,
-        data,
-        delta.get("content") or "",
-        choices[0].get("finish_reason"),
-        usage,
-        event.get("confidence"),
-    )
+    try:
+        choices = event.get("choices") or [{}]
+        text = choices[0].get("delta", {}).get("content") or ""
+        counted = event.get("usage")
+        usage = (
+            Usage(counted["prompt_tokens"], counted["completion_tokens"])
+            if counted
+            else None
+        )
+        return Chunk(
+            number,
+            data,
+            text,
+            choices[0].get("finish_reason"),
+            usage,
+            event.get("confidence"),
+            event.get("id", ""),
+        )
+    except (AttributeError, KeyError, TypeError, IndexError) as error:
+        raise ValueError(f"not a chunk: {error!r}") from error
--- /dev/null
+++ b/src/rattanpier/_internal/dispatch/failures.py
@@ -0,0 +1,110 @@
+"""What can go wrong between an entry and an upstream."""
+
+from __future__ import annotations
+
+from rattanpier._internal.models.refusal import Refusal, RefusalCode
+
+NO_WORKER_RETRY_S = 1.0
+FAILED_RETRY_S = 1.0
+BUDGET_RETRY_S = 2.0
+DEADLINE_RETRY_S = 1.0
+
+
+class UpstreamError(Exception):
+    """One try at an upstream failed.
+
+    Attributes:
+      not_run: True only if the request certainly did not run there: no byte
+        of it left this process, or the upstream itself said so.
+      retry_after_s: When the upstream said to come back, or None.
+      cut: True if an answer had begun and may be resumed.
+      final: True if another worker would say the same.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        not_run: bool,
+        retry_after_s: float | None = None,
+        cut: bool = False,
+        final: bool = False,
+    ) -> None:
+        super().__init__(message)
+        self.not_run = not_run
+        self.retry_after_s = retry_after_s
+        self.cut = cut
+        self.final = final
+
+
+class DispatchError(Exception):
+    """No try, or no further try, can answer a request.
+
+    Attributes:
+      refusal: For the caller. Its `not_run` says nothing yet: only the
+        attempt knows what was sent over all tries.
+    """
+
+    def __init__(
+        self, code: RefusalCode, message: str, retry_after_s: float | None
+    ) -> None:
+        super().__init__(message)
+        self.refusal = Refusal(code, message, False, retry_after_s)
+
+
+def no_worker() -> DispatchError:
+    """Returns the error for a version or service without a worker."""
+    return DispatchError(
+        RefusalCode.NO_WORKER, "No worker is free.", NO_WORKER_RETRY_S
+    )
+
+
+def version_stopped(version: str) -> DispatchError:
+    """Returns the error for a version that takes no new work."""
+    return DispatchError(
+        RefusalCode.VERSION_WITHDRAWN,
+        f"Version {version} takes no new work.",
+        None,
+    )
+
+
+def deadline_passed() -> DispatchError:
+    """Returns the error for a request whose time is up."""
+    return DispatchError(
+        RefusalCode.DEADLINE, "The request's time is up.", DEADLINE_RETRY_S
+    )
+
+
+def budget_spent() -> DispatchError:
+    """Returns the error for a retry that the budget does not allow."""
+    return DispatchError(
+        RefusalCode.RETRY_BUDGET,
+        "The upstream failed, and too many requests are retried already.",
+        BUDGET_RETRY_S,
+    )
+
+
+def claim_in_doubt() -> DispatchError:
+    """Returns the error for a claim that can't be confirmed any more."""
+    return DispatchError(
+        RefusalCode.CLAIM_UNAVAILABLE,
+        "The request's claim could not be confirmed before dispatch.",
+        FAILED_RETRY_S,
+    )
+
+
+def upstream_failed(error: UpstreamError) -> DispatchError:
+    """Returns the error for the failure of the last try."""
+    return DispatchError(
+        RefusalCode.UPSTREAM_FAILED,
+        f"The upstream failed: {error}.",
+        error.retry_after_s or FAILED_RETRY_S,
+    )
+
+
+def not_whole() -> DispatchError:
+    """Returns the error for an answer without its end or its usage."""
+    return DispatchError(
+        RefusalCode.UPSTREAM_FAILED,
+        "The upstream's answer is not whole.",
+        FAILED_RETRY_S,
+    )
--- /dev/null
+++ b/src/rattanpier/_internal/dispatch/keeper.py
@@ -0,0 +1,238 @@
+"""Obtains, confirms and ends the claims of attempts."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from rattanpier._internal.claims.records import (
+    Answer,
+    Bill,
+    ClaimResult,
+    SettleOp,
+)
+from rattanpier._internal.claims.service import (
+    UNAVAILABLE,
+    ClaimReply,
+    Claims,
+)
+from rattanpier._internal.dispatch.attempt import Attempt, is_granted
+from rattanpier._internal.dispatch.parts import Part, Recorded, Refused
+from rattanpier._internal.models.outcomes import ClaimOutcome, SettleOutcome
+from rattanpier._internal.models.refusal import Refusal, RefusalCode
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.metrics import Metrics
+
+CLAIM_TIMEOUT_S = 3.0
+SETTLE_TIMEOUT_S = 5.0
+REFUSE_WAIT_S = 0.5  # A refusal waits no longer for its claim.
+JOIN_PAUSE_S = 0.1  # Between looks at a claim that another attempt runs.
+CONFIRM_MARGIN_S = 1.0  # A claim older than this is asked for again.
+CONFIRM_TRIES = 3
+END_LATER_TRIES = 24  # Of SETTLE_TIMEOUT_S each: two minutes.
+MAX_ENDING = 10_000  # Claims that wait to be ended; further ones lapse.
+CLAIM_RETRY_S = 2.0
+# Outcomes of a claim that tell a caller more than any refusal.
+TELLING = (ClaimOutcome.ANSWERED, ClaimOutcome.MISMATCH, ClaimOutcome.UNKNOWN)
+
+
+@attrs.define
+class ClaimKeeper:
+    """Looks after the claims of the attempts of one entry.
+
+    Attributes:
+      ending: Number of claims being ended in the background.
+    """
+
+    claims: Claims
+    clock: Clock
+    metrics: Metrics
+    spawn: Callable[..., asyncio.Task]
+    ending: int = 0
+
+    def begin(self, attempt: Attempt) -> None:
+        """Starts to obtain the claim, unless that was done."""
+        if attempt.task is None:
+            attempt.task = self.spawn(self.obtain(attempt))
+
+    async def obtain(self, attempt: Attempt) -> ClaimReply:
+        """Claims a request; waits while another attempt runs it."""
+        while True:
+            now = self.clock.monotonic()
+            left = attempt.request.deadline - now
+            if left <= 0:
+                return UNAVAILABLE
+            # Taken before the ask: a pause at any later moment counts.
+            attempt.asked_at = now
+            reply = await self.claims.claim(
+                attempt.ask, min(CLAIM_TIMEOUT_S, left)
+            )
+            if reply.outcome is not ClaimOutcome.RUNNING:
+                return reply
+            if left <= JOIN_PAUSE_S or attempt.ended:
+                return reply
+            self.metrics.count("claims.joined")
+            await self.clock.sleep(JOIN_PAUSE_S)
+
+    async def wait(self, attempt: Attempt) -> ClaimReply:
+        """Returns what came of the claim."""
+        assert attempt.task is not None
+        # The claim goes on when its caller goes away: it has to be ended.
+        return await asyncio.shield(attempt.task)
+
+    async def head_start(self, attempt: Attempt, seconds: float) -> None:
+        """Waits a little for the claim."""
+        if attempt.task is not None:
+            await asyncio.wait({attempt.task}, timeout=seconds)
+
+    async def confirm(self, attempt: Attempt) -> bool:
+        """Says, right before a dispatch, whether the claim still holds.
+
+        A process that was frozen since its claim notices by the clock and
+        asks again; by then the claim may have been given up as unknown.
+        """
+        reply = attempt.reply
+        assert reply is not None and is_granted(reply)
+        for _ in range(CONFIRM_TRIES):
+            now = self.clock.monotonic()
+            if now - attempt.asked_at <= CONFIRM_MARGIN_S:
+                return True
+            self.metrics.count("claims.retry.confirm")
+            again = await self.claims.claim(attempt.ask, CLAIM_TIMEOUT_S)
+            if not is_granted(again) or again.attempt != reply.attempt:
+                return False
+            attempt.asked_at = now
+        return False
+
+    async def end(
+        self,
+        attempt: Attempt,
+        result: ClaimResult,
+        bill: Bill | None = None,
+        answer: Answer | None = None,
+    ) -> SettleOutcome:
+        """Settles the claim; goes on trying when it can't be done now."""
+        op = settle_op(attempt, result, bill, answer)
+        attempt.ended = True
+        # A caller that goes away now must not leave the claim half ended.
+        return await asyncio.shield(self.spawn(self.end_now(attempt, op)))
+
+    async def end_now(self, attempt: Attempt, op: SettleOp) -> SettleOutcome:
+        """Settles a claim once, and in the background if that failed."""
+        outcome = await self.claims.settle(
+            op, attempt.ask.holder, SETTLE_TIMEOUT_S
+        )
+        if outcome is SettleOutcome.UNAVAILABLE:
+            self.later(self.end_later(attempt, op))
+        return outcome
+
+    async def end_later(self, attempt: Attempt, op: SettleOp) -> None:
+        """Settles a claim in the background."""
+        for _ in range(END_LATER_TRIES):
+            outcome = await self.claims.settle(
+                op, attempt.ask.holder, SETTLE_TIMEOUT_S
+            )
+            if outcome is not SettleOutcome.UNAVAILABLE:
+                return
+            self.metrics.count("claims.retry.settle")
+        self.metrics.count("claims.not_ended")
+
+    def abandon(self, attempt: Attempt) -> None:
+        """Ends a claim without an answer, in the background.
+
+        For callers that went away and for refusals: a repeat of the key has
+        not to wait for this process to die.
+        """
+        if attempt.ended or attempt.task is None:
+            return
+        attempt.ended = True
+        self.later(self.end_abandoned(attempt))
+
+    async def end_abandoned(self, attempt: Attempt) -> None:
+        """Ends a claim once it is known whether it was asked for in vain."""
+        reply = await self.wait(attempt)
+        # Where no reply came, the claim may have been granted all the same.
+        if is_granted(reply) or reply.outcome is ClaimOutcome.UNAVAILABLE:
+            self.claims.disown(attempt.ask, unanswered(attempt))
+
+    def later(self, work: object) -> None:
+        """Runs the ending of a claim in the background, within a bound."""
+        if self.ending >= MAX_ENDING:
+            self.metrics.count("claims.not_ended")
+            work.close()  # type: ignore[attr-defined]
+            return
+        self.ending += 1
+        task = self.spawn(work)
+        task.add_done_callback(self.note_ended)
+
+    def note_ended(self, _task: asyncio.Task) -> None:
+        """Counts a background task that is done."""
+        self.ending -= 1
+
+    async def give_up(self, attempt: Attempt, refusal: Refusal) -> Part:
+        """Ends an attempt without an answer and returns its last part."""
+        if attempt.request.keyed:
+            await self.head_start(attempt, REFUSE_WAIT_S)
+        reply = attempt.reply
+        if reply is not None and reply.outcome in TELLING:
+            return refuse_claim(attempt, reply)
+        self.abandon(attempt)
+        return Refused(attrs.evolve(refusal, not_run=attempt.proves_not_run))
+
+
+def unanswered(attempt: Attempt) -> ClaimResult:
+    """Returns the truth about an attempt that gave no answer."""
+    if attempt.may_have_run:
+        return ClaimResult.UNKNOWN
+    return ClaimResult.RELEASED
+
+
+def settle_op(
+    attempt: Attempt,
+    result: ClaimResult,
+    bill: Bill | None,
+    answer: Answer | None,
+) -> SettleOp:
+    """Returns the operation that ends a granted claim."""
+    reply = attempt.reply
+    assert reply is not None and is_granted(reply)
+    return SettleOp(
+        attempt.ask.workspace,
+        attempt.ask.key,
+        reply.attempt,
+        result,
+        bill,
+        answer,
+    )
+
+
+def refuse_claim(attempt: Attempt, reply: ClaimReply) -> Part:
+    """Returns the part for a claim that was not granted."""
+    match reply.outcome:
+        case ClaimOutcome.ANSWERED if reply.answer is not None:
+            return Recorded(reply.answer)
+        case ClaimOutcome.ANSWERED:
+            code = RefusalCode.OUTCOME_UNKNOWN
+            message = "The request was answered; its answer is not kept."
+        case ClaimOutcome.MISMATCH:
+            code = RefusalCode.KEY_MISMATCH
+            message = "The key was used for another request."
+        case ClaimOutcome.UNKNOWN:
+            code = RefusalCode.OUTCOME_UNKNOWN
+            message = "An earlier attempt may have run the request."
+        case ClaimOutcome.RUNNING:
+            code = RefusalCode.DEADLINE
+            message = "Another attempt still runs the request."
+        case _:
+            code = RefusalCode.CLAIM_UNAVAILABLE
+            message = "The request's claim can't be made certain now."
+    return Refused(
+        Refusal(
+            code,
+            message,
+            attempt.proves_not_run,
+            reply.retry_after_s or CLAIM_RETRY_S,
+        )
+    )
--- a/src/rattanpier/_internal/dispatch/tries.py
+++ b/src/rattanpier/_internal/dispatch/tries.py
@@ -2,17 +2,33 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import aclosing
 
 import aiohttp
 import attrs
 
+from rattanpier._internal.dispatch.attempt import Attempt
+from rattanpier._internal.dispatch.attempts import Attempts, observe
+from rattanpier._internal.dispatch.budget import RetryBudget
 from rattanpier._internal.dispatch.engine import (
     Chunk,
-    EngineError,
+    EngineCall,
+    cancel_chat,
     stream_chat,
 )
+from rattanpier._internal.dispatch.failures import (
+    UpstreamError,
+    budget_spent,
+    claim_in_doubt,
+    deadline_passed,
+    no_worker,
+    upstream_failed,
+    version_stopped,
+)
 from rattanpier._internal.models.configuration import Configuration
 from rattanpier._internal.models.request import RouteRequest
 from rattanpier._internal.routing.placement import (
@@ -25,16 +41,10 @@
 from rattanpier._internal.utils.metrics import Metrics
 
 MAX_TRIES = 3
+MAX_RESUMES = 3  # Of one run.
 
 MayServe = Callable[[str], bool]
-
-
-class NoWorkerError(Exception):
-    """No worker may get the request; nothing was sent."""
-
-
-class VersionStoppedError(Exception):
-    """The version may get no new work any more."""
+Confirm = Callable[[Attempt], Awaitable[bool]]
 
 
 @attrs.define
@@ -42,74 +52,107 @@
     """Sends requests to workers.
 
     Attributes:
+      session: For requests that may be repeated.
+      fresh: For non-idempotent ones: each gets a connection of its own, so
+        that none is lost on a pooled connection that the upstream closed.
       configuration: Returns the configuration in force.
+      confirm: Says right before a dispatch whether a claim still holds.
       leaving: Workers that are leaving.
+      attempts: Emits the result of each try.
     """
 
     session: aiohttp.ClientSession
+    fresh: aiohttp.ClientSession
     configuration: Callable[[], Configuration]
     clock: Clock
     metrics: Metrics
     domain: str
     rng: random.Random
+    spawn: Callable[..., asyncio.Task]
+    confirm: Confirm
+    budget: RetryBudget
     load: Load = attrs.Factory(Load)
     leaving: set[str] = attrs.Factory(set)
+    attempts: Attempts = attrs.Factory(Attempts)
 
     async def stream(
-        self,
-        request: RouteRequest,
-        version: str,
-        request_id: str,
-        may_serve: MayServe,
+        self, attempt: Attempt, version: str, may_serve: MayServe
     ) -> AsyncIterator[Chunk]:
         """Yields an answer's chunks, from one worker or a retry on others.
 
-        A request is sent again only while no chunk came, and only if it is
-        idempotent or certainly did not run.
+        A request is sent again only if it is idempotent or certainly did not
+        run. Where chunks came already, a rerun may only go on if it repeats
+        them word for word.
 
         Raises:
-          EngineError: The last try failed.
-          NoWorkerError: Nothing was sent.
-          VersionStoppedError: The version was stopped before a dispatch.
+          DispatchError: No try, or no further try, can answer.
         """
         tried: set[str] = set()
-        ran = False
+        seen: list[Chunk] = []
+        failed: UpstreamError | None = None
+        self.budget.note_request()
         while True:
-            # Asked before each dispatch: a withdrawal counts at once.
-            if not may_serve(version):
-                raise VersionStoppedError(version)
             target = self.pick(version, tried)
             if target is None:
-                raise NoWorkerError(version)
+                raise upstream_failed(failed) if failed else no_worker()
+            await self.check_dispatch(attempt, version, may_serve)
             tried.add(target.name)
-            started = False
+            ran_before = attempt.may_have_run
+            attempt.may_have_run = True
             try:
-                async for chunk in self.send(
-                    target, request, version, request_id
-                ):
-                    started = True
-                    yield chunk
+                source = observe(
+                    self.follow(target, attempt, version, may_serve),
+                    self.attempts,
+                    self.clock,
+                    attempt.request.workspace,
+                    version,
+                )
+                async with aclosing(source):
+                    async for chunk in source:
+                        if not is_repeat(chunk, seen):
+                            seen.append(chunk)
+                            yield chunk
                 return
-            except EngineError as error:
-                ran = ran or not error.not_run
-                if not self.may_retry(request, error, started, tried):
-                    raise EngineError(
-                        str(error), not ran, error.retry_after_s
-                    ) from error
-                reason = "not_run" if error.not_run else "failed"
-                self.metrics.count(f"dispatch.retry.{reason}")
-
-    def may_retry(
-        self,
-        request: RouteRequest,
-        error: EngineError,
-        started: bool,
-        tried: set[str],
-    ) -> bool:
-        """Says whether a failed request may go to another worker."""
-        if started or len(tried) >= MAX_TRIES:
-            return False
-        return error.not_run or request.idempotent
+            except UpstreamError as error:
+                if error.not_run:
+                    attempt.may_have_run = ran_before
+                self.check_retry(attempt.request, error, tried)
+                failed = error
+
+    async def check_dispatch(
+        self, attempt: Attempt, version: str, may_serve: MayServe
+    ) -> None:
+        """Raises DispatchError if there must be no dispatch now."""
+        await self.check_claim(attempt)
+        # Asked last before each dispatch: a withdrawal counts at once.
+        if not may_serve(version):
+            raise version_stopped(version)
+
+    async def check_claim(self, attempt: Attempt) -> None:
+        """Raises DispatchError if an attempt may dispatch nothing more."""
+        if not attempt.request.idempotent and not await self.confirm(attempt):
+            raise claim_in_doubt()
+        if self.left_s(attempt.request) <= 0:
+            raise deadline_passed()
+
+    def check_retry(
+        self, request: RouteRequest, error: UpstreamError, tried: set[str]
+    ) -> None:
+        """Raises DispatchError unless a failed request may go elsewhere."""
+        if self.left_s(request) <= 0:
+            raise deadline_passed() from error
+        if error.final or len(tried) >= MAX_TRIES:
+            raise upstream_failed(error) from error
+        if not error.not_run and not request.idempotent:
+            raise upstream_failed(error) from error
+        if not self.budget.take():
+            raise budget_spent() from error
+        reason = "not_run" if error.not_run else "failed"
+        self.metrics.count(f"dispatch.retry.{reason}")
+
+    def left_s(self, request: RouteRequest) -> float:
+        """Returns the seconds until the caller gives up."""
+        return request.deadline - self.clock.monotonic()
 
     def pick(self, version: str, tried: set[str]) -> Target | None:
         """Returns the worker for the next try."""
@@ -122,30 +165,96 @@
         ]
         return two_choices(targets, self.load, self.domain, self.rng)
 
-    async def send(
+    def session_for(self, request: RouteRequest) -> aiohttp.ClientSession:
+        """Returns the session whose connections suit a request."""
+        return self.session if request.idempotent else self.fresh
+
+    async def follow(
         self,
         target: Target,
-        request: RouteRequest,
+        attempt: Attempt,
         version: str,
-        request_id: str,
+        may_serve: MayServe,
     ) -> AsyncIterator[Chunk]:
-        """Sends a request to one worker."""
+        """Yields the chunks of one run, resumed where its stream was cut.
+
+        Raises:
+          UpstreamError: The run failed or can't be resumed.
+        """
+        call = self.make_call(target, attempt, version)
+        session = self.session_for(attempt.request)
+        after: int | None = None
+        resumes = 0
+        over = False  # The engine has nothing left to stop.
+        self.load.outstanding[target.name] += 1
+        try:
+            while True:
+                try:
+                    source = stream_chat(session, call, after)
+                    async with aclosing(source):
+                        async for chunk in source:
+                            after = chunk.number
+                            yield chunk
+                    over = True
+                    return
+                except UpstreamError as error:
+                    over = error.not_run and after is None
+                    if after is not None:
+                        error.not_run = False
+                    resumes += 1
+                    if after is None or resumes > MAX_RESUMES:
+                        raise
+                    if not may_serve(version):
+                        raise
+                    call = self.resumed(call, attempt.request, error)
+        finally:
+            self.load.outstanding[target.name] -= 1
+            if not over:
+                self.spawn(cancel_chat(self.session, call))
+
+    def resumed(
+        self, call: EngineCall, request: RouteRequest, error: UpstreamError
+    ) -> EngineCall:
+        """Returns the call that resumes a cut run.
+
+        Raises:
+          UpstreamError: There is nothing to resume, or no time.
+        """
+        left = self.left_s(request)
+        if not error.cut or left <= 0:
+            raise error
+        self.metrics.count("dispatch.retry.resume")
+        return attrs.evolve(call, timeout_s=left)
+
+    def make_call(
+        self, target: Target, attempt: Attempt, version: str
+    ) -> EngineCall:
+        """Returns the call of one try."""
         body = {
-            **request.body,
+            **attempt.request.body,
             "model": version,
             "stream": True,
             "stream_options": {"include_usage": True},
         }
-        left = request.deadline - self.clock.monotonic()
-        self.load.outstanding[target.name] += 1
-        try:
-            async for chunk in stream_chat(
-                self.session,
-                target.worker.url,
-                body,
-                {"X-Request-Id": request_id},
-                left,
-            ):
-                yield chunk
-        finally:
-            self.load.outstanding[target.name] -= 1
+        return EngineCall(
+            target.worker.url,
+            json.dumps(body).encode(),
+            attempt.next_id(),
+            self.left_s(attempt.request),
+        )
+
+
+def is_repeat(chunk: Chunk, seen: list[Chunk]) -> bool:
+    """Says whether a rerun repeats a chunk that was seen before.
+
+    Raises:
+      UpstreamError: The rerun says something else.
+    """
+    if chunk.number >= len(seen):
+        return False
+    before = seen[chunk.number]
+    if (chunk.text, chunk.finish) != (before.text, before.finish):
+        raise UpstreamError(
+            "a rerun differs from what was released", False, final=True
+        )
+    return True
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -4,9 +4,12 @@
 
 import random
 
+import aiohttp
 import attrs
 
 from rattanpier._internal.claims.service import Claims
+from rattanpier._internal.dispatch.budget import RetryBudget
+from rattanpier._internal.dispatch.keeper import ClaimKeeper
 from rattanpier._internal.dispatch.runner import Runner
 from rattanpier._internal.dispatch.tries import Tries
 from rattanpier._internal.edge.app import Edge
@@ -87,6 +90,14 @@
     return kernel.add("claims", claims)
 
 
+def add_fresh_session(kernel: Kernel) -> aiohttp.ClientSession:
+    """Adds the session that opens a connection for each request."""
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, force_close=True)
+    )
+    return kernel.add("http_fresh", session, stop=session.close)
+
+
 def make_handler(
     kernel: Kernel, settings: Settings, claims: Claims
 ) -> ChatHandler:
@@ -94,18 +105,24 @@
     follower = kernel.find("follower")
     clock = kernel.find("clock")
     metrics = kernel.find("metrics")
+    keeper = ClaimKeeper(claims, clock, metrics, kernel.spawn)
     tries = Tries(
         session=kernel.find("http"),
+        fresh=add_fresh_session(kernel),
         configuration=lambda: follower.configuration,
         clock=clock,
         metrics=metrics,
         domain=settings.node.domain,
         rng=random.Random(settings.node.name),
+        spawn=kernel.spawn,
+        confirm=keeper.confirm,
+        budget=RetryBudget(clock),
     )
     runner = Runner(
         configuration=lambda: follower.configuration,
         claims=claims,
         tries=tries,
+        keeper=keeper,
         clock=clock,
         metrics=metrics,
         holder=f"{claims.me.name}/{claims.me.incarnation}",
--- /dev/null
+++ b/tests/failure/test_not_run.py
@@ -0,0 +1,136 @@
+"""Refusals that say "not run", against what upstreams really ran."""
+
+import socket
+
+import pytest
+import pytest_asyncio
+
+from tests.lib.builders import DESK_KEY, configuration_text
+from tests.lib.cluster import Cluster, wait_for
+from tests.lib.raw import RawUpstream
+
+PER_CASE = 6
+RUNNING = {"cut_after", "fail", "stall", "half", "cut_reused"}
+CERTAIN = {"closed", "refuse"}
+UNSURE = {"cut_on_accept", "cut_in_headers", "cut_in_body", "refuse_busy"}
+
+
+def closed_url():
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return f"http://127.0.0.1:{free.getsockname()[1]}"
+
+
+@pytest_asyncio.fixture(scope="module", loop_scope="module")
+async def cluster(tmp_path_factory):
+    async with Cluster(tmp_path_factory.mktemp("not_run")) as cluster:
+        await cluster.start_table()
+        cluster.revision = 1
+        await cluster.apply(configuration_text([closed_url()], fleet_size=1))
+        await cluster.start_entry("entry-1")
+        yield cluster
+
+
+async def use(cluster, urls):
+    """Puts workers in force and waits until the entry uses them."""
+    cluster.revision += 1
+    text = configuration_text(urls, fleet_size=1)
+    await cluster.apply(text, cluster.revision)
+
+    async def in_force():
+        url = f"{cluster.urls['entry-1']}/readyz"
+        async with cluster.session.get(url) as response:
+            return (await response.json())["revision"] == cluster.revision
+
+    await wait_for(in_force)
+
+
+async def ask(cluster, **headers):
+    """Sends one request; returns its id and its error, or None."""
+    async with cluster.session.post(
+        f"{cluster.urls['entry-1']}/v1/chat/completions",
+        json={"model": "auto", "messages": [{"role": "user", "content": "x"}]},
+        headers={
+            "Authorization": f"Bearer {DESK_KEY}",
+            "X-Timeout-Ms": "3000",
+            **headers,
+        },
+    ) as response:
+        body = await response.json()
+        return response.headers["X-Request-Id"], body.get("error")
+
+
+async def count_false(cluster, upstreams, **headers):
+    """Sends requests; returns (refusals, said not run, falsely said)."""
+    refused = said = false = 0
+    for _ in range(PER_CASE):
+        request_id, error = await ask(cluster, **headers)
+        ran = sum(len(up.runs_of(request_id)) for up in upstreams)
+        if error is None:
+            continue
+        refused += 1
+        said += error["not_run"]
+        false += error["not_run"] and ran > 0
+    return refused, said, false
+
+
+@pytest.mark.parametrize("marked", ["false", "true"])
+@pytest.mark.parametrize("mode", sorted(RUNNING | CERTAIN | UNSURE))
+@pytest.mark.asyncio(loop_scope="module")
+async def test_one_worker(cluster, mode, marked):
+    async with RawUpstream(mode) as upstream:
+        url = closed_url() if mode == "closed" else upstream.url
+        await use(cluster, [url])
+        timeout = "300" if mode == "stall" else "3000"
+        refused, said, false = await count_false(
+            cluster,
+            [upstream],
+            **{"X-Non-Idempotent": marked, "X-Timeout-Ms": timeout},
+        )
+        assert false == 0
+        if mode in CERTAIN:
+            assert (refused, said) == (PER_CASE, PER_CASE)
+        if mode in UNSURE:
+            assert (refused, said) == (PER_CASE, 0)
+        if marked == "true":
+            ids = [run.split("/")[2] for run in upstream.runs]
+            assert len(ids) == len(set(ids))
+
+
+@pytest.mark.parametrize("first", ["cut_after", "fail", "half"])
+@pytest.mark.parametrize("second", ["closed", "refuse"])
+@pytest.mark.asyncio(loop_scope="module")
+async def test_a_run_before_a_certain_refusal_is_not_forgotten(
+    cluster, first, second
+):
+    async with RawUpstream(first) as one, RawUpstream(second) as two:
+        second_url = closed_url() if second == "closed" else two.url
+        await use(cluster, [one.url, second_url])
+        _, _, false = await count_false(cluster, [one, two])
+        assert false == 0
+
+
+@pytest.mark.asyncio(loop_scope="module")
+async def test_no_worker_and_a_passed_deadline_are_not_run(cluster):
+    async with RawUpstream("ok") as upstream:
+        await use(cluster, [upstream.url])
+        _, error = await ask(cluster, **{"X-Timeout-Ms": "0.001"})
+        assert error["code"] == "deadline"
+        assert error["not_run"] is True
+        assert error["retry_after_s"] > 0
+        assert upstream.runs == []
+
+
+@pytest.mark.asyncio(loop_scope="module")
+async def test_a_stale_connection_never_counts_as_not_run(cluster):
+    async with RawUpstream("cut_reused") as upstream:
+        await use(cluster, [upstream.url])
+        _, first = await ask(cluster)
+        assert first is None
+        for _ in range(PER_CASE):
+            request_id, error = await ask(
+                cluster, **{"X-Non-Idempotent": "true"}
+            )
+            # A connection of its own: the pooled one can't lose it.
+            assert error is None
+            assert len(upstream.runs_of(request_id)) == 1
--- a/tests/unit/test_rollout_attempts.py
+++ b/tests/unit/test_rollout_attempts.py
@@ -7,7 +7,8 @@
     Attempts,
     observe,
 )
-from rattanpier._internal.dispatch.engine import Chunk, EngineError
+from rattanpier._internal.dispatch.engine import Chunk
+from rattanpier._internal.dispatch.failures import UpstreamError
 from rattanpier._internal.utils.clock import SystemClock
 
 
@@ -30,7 +31,7 @@
     try:
         async for _ in observed:
             pass
-    except EngineError as raised:
+    except UpstreamError as raised:
         assert raised is error
     return results
 
@@ -40,8 +41,8 @@
     [
         ([None, "stop"], None, AttemptOutcome.WHOLE),
         ([None], None, AttemptOutcome.TRUNCATED),
-        ([None], EngineError("cut", False), AttemptOutcome.TRUNCATED),
-        ([], EngineError("500", False), AttemptOutcome.FAILED),
+        ([None], UpstreamError("cut", False), AttemptOutcome.TRUNCATED),
+        ([], UpstreamError("500", False), AttemptOutcome.FAILED),
         ([], None, AttemptOutcome.FAILED),
     ],
 )
@@ -53,7 +54,7 @@
 
 
 async def test_an_attempt_that_did_not_run_says_nothing():
-    assert await gather([], EngineError("full", True)) == []
+    assert await gather([], UpstreamError("full", True)) == []
 
 
 async def test_a_caller_that_left_says_nothing():
