--- /dev/null
+++ b/benchmarks/rollout.py
@@ -0,0 +1,515 @@
+"""Callers exposed to versions that turn bad, by way of rolling out.
+
+Usage: python benchmarks/rollout.py [--seeds N] [--processes N] [--out DIR]
+
+Every way meets the same worlds. Thresholds of the fixed steps are tuned on
+seeds below `TUNING`, to be as tight as they can be without a false halt there;
+the table is of other seeds.
+"""
+
+from __future__ import annotations
+
+import argparse
+import collections
+import concurrent.futures
+import functools
+import pathlib
+import subprocess
+from collections.abc import Callable
+
+import attrs
+import numpy as np
+
+from rattanpier._internal.rollout.course import Course
+from rattanpier._internal.rollout.evidence import (
+    BUCKETS,
+    LATENCY_EDGES_S,
+    Counts,
+    Measure,
+    Pair,
+    slow_bucket,
+    trials_of,
+)
+from rattanpier._internal.rollout.judge import (
+    EVERYONE,
+    Batch,
+    Halt,
+    Judge,
+    Narrow,
+    Widen,
+)
+from rattanpier._internal.rollout.sequential import (
+    RATIOS,
+    ChangeTest,
+    paired_factors,
+)
+
+TICK_S = 2.0
+HORIZON_S = 7200.0
+RATE = 40.0  # Requests a second.
+WORKSPACES = [f"w{number}" for number in range(10)]
+SHARES = np.array([1 / (number + 1) for number in range(len(WORKSPACES))])
+SHARES /= SHARES.sum()
+RATED = 0.1
+RATING_DELAY_TICKS = 15
+FAILED, TRUNCATED, POOR = 0.005, 0.003, 0.1
+MEDIAN_S, SIGMA = 0.25, 0.5
+TUNING = 10  # Seeds below are for tuning only.
+STEPS = (0.01, 0.05, 0.25, 0.5, 1.0)
+DWELL_S = 600.0
+CHECK_S = 60.0
+MIN_ATTEMPTS, MIN_RATED = 50, 20
+MEASURES = tuple(Measure)
+
+
+@attrs.frozen
+class Fault:
+    """How a candidate turns bad."""
+
+    name: str
+    failed: float = FAILED
+    truncated: float = TRUNCATED
+    poor: float = POOR
+    slowdown: float = 1.0
+    one_workspace: bool = False
+    from_start: bool = False
+    after_full: bool = False
+
+
+GOOD = Fault("good")
+FAULTS = (
+    Fault("poor, sharply", poor=0.6),
+    Fault("poor, slightly", poor=0.2),
+    Fault("poor, one workspace", poor=0.6, one_workspace=True),
+    Fault("latency only", slowdown=3.0),
+    Fault("errors only", failed=0.1),
+    Fault("truncated only", truncated=0.05),
+    Fault("poor from the start", poor=0.35, from_start=True),
+    Fault("poor after full roll-out", poor=0.4, after_full=True),
+    Fault("errors after full roll-out", failed=0.05, after_full=True),
+)
+
+
+def latency_shares(median_s: float) -> np.ndarray:
+    """Returns the chance of each latency bucket (lognormal)."""
+    from math import erf, log, sqrt
+
+    edges = [
+        0.5 * (1 + erf(log(edge / median_s) / SIGMA / sqrt(2)))
+        for edge in LATENCY_EDGES_S
+    ]
+    return np.diff([0.0, *edges, 1.0])
+
+
+class World:
+    """What callers send and versions do, from a seed."""
+
+    def __init__(self, fault: Fault, seed: int) -> None:
+        self.fault = fault
+        self.rng = np.random.default_rng([seed, len(fault.name)])
+        self.turn_s = self.rng.uniform(0, 3600)
+        if fault.from_start:
+            self.turn_s = 0.0
+        self.delay_s = self.rng.uniform(300, 1800)
+        if fault.after_full:
+            self.turn_s = float("inf")
+        self.victim = int(self.rng.integers(0, 5))
+        self.hardness = self.rng.lognormal(0, 0.3, len(WORKSPACES))
+        # An incident that hits both versions alike.
+        self.incident_s = self.rng.uniform(300, 5000)
+        self.latency = latency_shares(MEDIAN_S)
+        self.slow_latency = latency_shares(MEDIAN_S * fault.slowdown)
+        self.late: collections.deque = collections.deque()
+        shape = (len(WORKSPACES), 2)
+        self.sums = np.zeros((*shape, 5), dtype=np.int64)
+        self.histogram = np.zeros((*shape, BUCKETS), dtype=np.int64)
+        self.exposed = 0
+        self.bad = 0
+
+    def notice_full(self, now: float) -> None:
+        """Sets when a version turns bad after full roll-out."""
+        if self.fault.after_full and self.turn_s == float("inf"):
+            self.turn_s = now + self.delay_s
+
+    def tick(self, now: float, share: float) -> None:
+        """Runs one tick."""
+        rng, fault = self.rng, self.fault
+        mean = RATE * TICK_S * SHARES
+        attempts = rng.poisson(
+            np.stack([mean * (1 - share), mean * share], axis=1)
+        )
+        affected = np.zeros(attempts.shape, dtype=bool)
+        if now >= self.turn_s and fault != GOOD:
+            affected[:, 1] = True
+            if fault.one_workspace:
+                affected[:, 1] = np.arange(len(WORKSPACES)) == self.victim
+        incident = 0 <= now - self.incident_s < 60
+        failed_rate = np.where(affected, fault.failed, FAILED)
+        failed_rate = failed_rate + (0.05 if incident else 0.0)
+        failed = rng.binomial(attempts, failed_rate)
+        cut = rng.binomial(
+            attempts - failed, np.where(affected, fault.truncated, TRUNCATED)
+        )
+        drift = 1 + 0.1 * np.sin(now / 1200)
+        poor_rate = np.where(affected, fault.poor, POOR) * drift
+        poor_rate = np.clip(poor_rate * self.hardness[:, None], 0, 0.95)
+        whole = attempts - failed - cut
+        poor = rng.binomial(whole, poor_rate)
+        rated = rng.binomial(whole, RATED)
+        rated_poor = rng.hypergeometric(poor, whole - poor, rated)
+        answered = attempts - failed
+        latency = rng.multinomial(
+            answered,
+            np.where(affected[..., None], self.slow_latency, self.latency),
+        )
+        self.histogram += latency
+        self.sums[..., 0] += attempts
+        self.sums[..., 1] += failed
+        self.sums[..., 2] += cut
+        self.late.append((rated, rated_poor))
+        if len(self.late) > RATING_DELAY_TICKS:
+            rated, rated_poor = self.late.popleft()
+            self.sums[..., 3] += rated
+            self.sums[..., 4] += rated_poor
+        self.exposed += int(attempts[affected].sum())
+        self.bad += int((failed + cut + poor)[affected].sum())
+        if fault.slowdown > 1:
+            self.bad += int(latency[affected][:, 10:].sum())
+
+    def totals(self) -> dict[str, Pair]:
+        """Returns the sums by workspace."""
+        return {
+            name: Pair(self.counts(row, 0), self.counts(row, 1))
+            for row, name in enumerate(WORKSPACES)
+        }
+
+    def counts(self, row: int, column: int) -> Counts:
+        """Returns the sums of one workspace and version."""
+        return Counts(
+            *self.sums[row, column].tolist(),
+            tuple(self.histogram[row, column].tolist()),
+        )
+
+
+class ByEvidence:
+    """The product's course of judgement."""
+
+    def __init__(self, judge: Callable[[], Judge] = Judge) -> None:
+        self.course = Course(judge=judge())
+        self.share = 0.0
+        self.full = False
+        self.narrowed = 0
+
+    def step(self, now: float, totals: dict[str, Pair]) -> Halt | None:
+        """Takes in evidence; sets the share; returns a halt."""
+        self.course.observe(totals)
+        match self.course.decide(self.share, 1.0):
+            case Halt() as halt:
+                return halt
+            case Widen(share):
+                self.change(share)
+            case Narrow(share):
+                self.narrowed += 1
+                self.change(share)
+        return None
+
+    def change(self, share: float) -> None:
+        """Sets the share."""
+        self.share = share
+        self.course.share_changed()
+        self.full = self.full or share >= 1.0
+
+
+class NoRestart(Judge):
+    """Betting, from the start only: no restarts for later changes."""
+
+    def judge(self, workspace: str, measure: Measure, batch: Batch) -> None:
+        """Updates products of likelihood ratios from the first batch on."""
+        if not batch.stable.bad and not batch.candidate.bad:
+            return
+        factors = paired_factors(
+            batch.stable, batch.candidate, self.policy.tolerance
+        )
+        for scope in (EVERYONE, workspace):
+            test = self.tests.setdefault(
+                (scope, measure), ChangeTest([1.0] * len(RATIOS))
+            )
+            test.sums = [
+                total * factor
+                for total, factor in zip(test.sums, factors, strict=True)
+            ]
+            if test.value >= self.limit(scope) and self.worst is None:
+                self.worst = Halt(measure, scope, test.value)
+
+
+class NormalMixture(Judge):
+    """Always-valid difference of shares: a normal mixture (mSPRT)."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sides: dict = collections.defaultdict(Batch)
+
+    def judge(self, workspace: str, measure: Measure, batch: Batch) -> None:
+        """Updates the difference of shares and its mixture."""
+        for scope in (EVERYONE, workspace):
+            side = self.sides[scope, measure]
+            side.stable += batch.stable
+            side.candidate += batch.candidate
+            value = normal_mixture(side, self.policy.tolerance)
+            self.tests.setdefault((scope, measure), ChangeTest()).sums = [
+                value
+            ] * len(RATIOS)
+            if value >= self.limit(scope) and self.worst is None:
+                self.worst = Halt(measure, scope, value)
+
+
+def normal_mixture(side: Batch, tolerance: float) -> float:
+    """Returns the mixture's likelihood ratio, over differences above 0."""
+    stable, candidate = side.stable, side.candidate
+    usual = (stable.bad + 0.5) / (stable.total + 1)
+    present = (candidate.bad + 0.5) / (candidate.total + 1)
+    pooled = (stable.bad + candidate.bad + 1) / (
+        stable.total + candidate.total + 2
+    )
+    variance = pooled * (1 - pooled)
+    variance *= 1 / stable.total + 1 / candidate.total
+    difference = present - usual * tolerance
+    if difference <= 0 or candidate.total < 30:
+        return 0.0
+    prior = 0.05**2
+    exponent = prior * difference**2 / (2 * variance * (variance + prior))
+    scale = (variance / (variance + prior)) ** 0.5
+    return min(2 * scale * np.exp(min(exponent, 400)), 1e200)
+
+
+@attrs.frozen
+class Thresholds:
+    """Highest rise of each share of bad answers over a window."""
+
+    window_s: float
+    rises: dict[Measure, float]
+
+
+class FixedSteps:
+    """Steps by the clock, with thresholds checked every minute."""
+
+    def __init__(self, thresholds: Thresholds) -> None:
+        self.thresholds = thresholds
+        self.share = STEPS[0]
+        self.full = False
+        self.began: float | None = None
+        self.past: collections.deque = collections.deque()
+        self.checked = 0.0
+        self.reference: dict[str, Pair] | None = None
+        self.highest: collections.Counter = collections.Counter()
+
+    def step(self, now: float, totals: dict[str, Pair]) -> Halt | None:
+        """Takes in evidence; sets the share; returns a halt."""
+        self.began = now if self.began is None else self.began
+        step = min(int((now - self.began) / DWELL_S), len(STEPS) - 1)
+        self.share = STEPS[step]
+        if self.share >= 1.0 and not self.full:
+            self.full = True
+            self.reference = totals
+        if now - self.checked < CHECK_S:
+            return None
+        self.checked = now
+        self.past.append((now, add_up(totals)))
+        while now - self.past[0][0] > self.thresholds.window_s:
+            self.past.popleft()
+        if len(self.past) < 2:
+            return None
+        return self.check(self.past[-1][1], self.past[0][1])
+
+    def check(self, last: Pair, first: Pair) -> Halt | None:
+        """Compares the window with the stable, or with its past."""
+        candidate = last.candidate - first.candidate
+        stable = last.stable - first.stable
+        if self.reference is not None:
+            past = add_up(self.reference)
+            stable = past.stable + past.candidate
+        slow_from = slow_bucket(stable.latency, 0.9)
+        for measure in MEASURES:
+            least = MIN_RATED if measure is Measure.POOR else MIN_ATTEMPTS
+            usual = trials_of(stable, measure, slow_from)
+            present = trials_of(candidate, measure, slow_from)
+            if present.total < least or usual.total < least:
+                continue
+            rise = present.bad / present.total - usual.bad / usual.total
+            self.highest[measure] = max(self.highest[measure], rise)
+            if rise > self.thresholds.rises.get(measure, float("inf")):
+                return Halt(measure, EVERYONE, 0.0)
+        return None
+
+
+def add_up(totals: dict[str, Pair]) -> Pair:
+    """Returns the sums over all workspaces."""
+    return Pair(
+        sum((pair.stable for pair in totals.values()), Counts()),
+        sum((pair.candidate for pair in totals.values()), Counts()),
+    )
+
+
+@attrs.frozen
+class Result:
+    """One run."""
+
+    exposed: int
+    bad: int
+    halted_s: float | None
+    full_s: float | None
+    turn_s: float
+    false_halt: bool
+    narrowed: int = 0
+    highest: dict[Measure, float] = attrs.Factory(dict)
+
+
+def run(way: Callable[[], object], fault: Fault, seed: int) -> Result:
+    """Runs one roll-out in one world."""
+    world, policy = World(fault, seed), way()
+    full_s = halted_s = None
+    now = 0.0
+    while now < HORIZON_S and halted_s is None:
+        now += TICK_S
+        world.tick(now, policy.share)
+        # What a decision is made of is one tick old, as are its effects.
+        if policy.step(now, world.totals()) is not None:
+            halted_s = now
+            world.tick(now, policy.share)
+        if policy.full and full_s is None:
+            full_s = now
+            world.notice_full(now)
+    false_halt = halted_s is not None and (
+        fault == GOOD or halted_s < world.turn_s
+    )
+    highest = dict(getattr(policy, "highest", {}))
+    return Result(
+        world.exposed,
+        world.bad,
+        halted_s,
+        full_s,
+        world.turn_s,
+        false_halt,
+        getattr(policy, "narrowed", 0),
+        highest,
+    )
+
+
+def run_job(job: tuple) -> Result:
+    """Runs one job of a pool."""
+    return run(*job)
+
+
+def tune(pool, window_s: float) -> Thresholds:
+    """Returns the tightest thresholds without a false halt in tuning."""
+    loose = functools.partial(FixedSteps, Thresholds(window_s, {}))
+    jobs = [(loose, GOOD, seed) for seed in range(TUNING)]
+    results = list(pool.map(run_job, jobs))
+    return Thresholds(
+        window_s,
+        {
+            measure: max(result.highest[measure] for result in results)
+            for measure in MEASURES
+        },
+    )
+
+
+def make_ways(pool) -> dict[str, Callable[[], object]]:
+    """Returns the ways compared, baselines tuned."""
+    tuned = {window: tune(pool, window) for window in (60.0, 120.0, 300.0)}
+    for thresholds in tuned.values():
+        print(thresholds)
+    exposure = {}
+    for window, thresholds in tuned.items():
+        way = functools.partial(FixedSteps, thresholds)
+        jobs = [(way, fault, s) for fault in FAULTS for s in range(TUNING)]
+        results = pool.map(run_job, jobs)
+        exposure[window] = sum(result.exposed for result in results)
+    best = tuned[min(exposure, key=exposure.get)]
+    print("exposure by window in tuning", exposure)
+    errors = Thresholds(
+        best.window_s, {Measure.FAILED: best.rises[Measure.FAILED]}
+    )
+    return {
+        "fixed steps, errors only": functools.partial(FixedSteps, errors),
+        "fixed steps, four measures": functools.partial(FixedSteps, best),
+        "betting, no restart": functools.partial(ByEvidence, NoRestart),
+        "normal mixture": functools.partial(ByEvidence, NormalMixture),
+        "by evidence": ByEvidence,
+    }
+
+
+def report(name: str, fault: str, results: list[Result]) -> str:
+    """Returns one row of the table."""
+    exposed = np.mean([result.exposed for result in results])
+    bad = np.mean([result.bad for result in results])
+    false_halts = sum(result.false_halt for result in results)
+    caught = sum(
+        result.halted_s is not None and not result.false_halt
+        for result in results
+    )
+    full = [r.full_s for r in results if r.full_s is not None]
+    median = f"{np.median(full):.0f}" if full else "-"
+    return (
+        f"| {fault} | {name} | {exposed:.0f} | {bad:.0f} | {caught} | "
+        f"{false_halts} | {len(results)} | {median} |"
+    )
+
+
+def plot(table: dict, out: pathlib.Path) -> None:
+    """Draws the exposure by fault and way."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(10, 5))
+    ways = list(table)
+    for number, way in enumerate(ways):
+        means = [np.mean([r.exposed for r in table[way][f]]) for f in FAULTS]
+        places = np.arange(len(FAULTS)) + number / (len(ways) + 1)
+        axes.bar(places, np.maximum(means, 1), 1 / (len(ways) + 1), label=way)
+    axes.set_yscale("log")
+    axes.set_ylabel("callers exposed, mean")
+    axes.set_xticks(np.arange(len(FAULTS)) + 0.4)
+    axes.set_xticklabels([f.name for f in FAULTS], rotation=20, ha="right")
+    axes.legend()
+    figure.tight_layout()
+    out.mkdir(parents=True, exist_ok=True)
+    figure.savefig(out / "rollout.png")
+
+
+def main() -> None:
+    """Runs the comparison."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seeds", type=int, default=20)
+    parser.add_argument("--good-seeds", type=int, default=60)
+    parser.add_argument("--first-seed", type=int, default=1000)
+    parser.add_argument("--processes", type=int, default=4)
+    parser.add_argument("--out", default="out")
+    arguments = parser.parse_args()
+    commit = subprocess.run(
+        ["git", "rev-parse", "--short", "HEAD"], capture_output=True, text=True
+    ).stdout.strip()
+    print(f"commit {commit}, {arguments}")
+    first = arguments.first_seed
+    table: dict = {}
+    with concurrent.futures.ProcessPoolExecutor(arguments.processes) as pool:
+        ways = make_ways(pool)
+        print("| fault | way | exposed | bad answers | caught | false halts |")
+        for fault in (GOOD, *FAULTS):
+            count = arguments.good_seeds if fault == GOOD else arguments.seeds
+            for name, way in ways.items():
+                jobs = [(way, fault, first + seed) for seed in range(count)]
+                results = list(pool.map(run_job, jobs))
+                table.setdefault(name, {})[fault] = results
+                print(report(name, fault.name, results), flush=True)
+    for name in ways:
+        own = sum(r.exposed for f in FAULTS for r in table["by evidence"][f])
+        other = sum(r.exposed for f in FAULTS for r in table[name][f])
+        print(f"exposure of 'by evidence' to '{name}': {own / other:.3f}")
+    plot(table, pathlib.Path(arguments.out))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/rattanpier/_internal/rollout/__init__.py
+++ b/src/rattanpier/_internal/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-outs: evidence, the judgement, and the driver."""
--- /dev/null
+++ b/src/rattanpier/_internal/rollout/sequential.py
@@ -0,0 +1,89 @@
+"""Sequential tests that hold at any time, also for a change on the way.
+
+Each test is a sum of likelihood ratios over the places where a change may
+have begun. With weights w that add up to W, the chance that a version which
+is no worse ever reaches 1/alpha is at most alpha * W (Ville's inequality), so
+it may be looked at after every answer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import attrs
+
+from rattanpier._internal.rollout.evidence import Trials
+
+# How many times as often the candidate may be bad, as alternatives.
+RATIOS = (1.25, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0)
+# Least weight of a change that begins now; bounds the delay of detection.
+RESTART = 1e-4
+CEILING = 1e200  # Against overflow; far above any threshold.
+MAX_RATE = 0.95
+
+
+@attrs.define
+class ChangeTest:
+    """Evidence that one version is or became worse.
+
+    Attributes:
+      sums: Evidence for each of `RATIOS`.
+      steps: Batches taken in.
+    """
+
+    sums: list[float] = attrs.Factory(lambda: [0.0] * len(RATIOS))
+    steps: int = 0
+
+    @property
+    def value(self) -> float:
+        """The evidence; compared with 1/alpha."""
+        return sum(self.sums) / len(self.sums)
+
+    def update(self, factors: Sequence[float]) -> None:
+        """Takes in the likelihood ratios of one batch."""
+        self.steps += 1
+        weight = max(1 / (self.steps * (self.steps + 1)), RESTART)
+        self.sums = [
+            min((total + weight) * factor, CEILING)
+            for total, factor in zip(self.sums, factors, strict=True)
+        ]
+
+
+def paired_factors(
+    stable: Trials, candidate: Trials, tolerance: float
+) -> list[float]:
+    """Returns likelihood ratios of a batch in which both versions ran.
+
+    Each bad answer is a draw of "was it the candidate's?"; how often answers
+    are bad at all drops out, so that an incident which hits both versions is
+    no evidence against one of them.
+
+    Args:
+      stable: Trials of the version in service.
+      candidate: Trials of the candidate in the same batch.
+      tolerance: Ratio of bad answers that is still no worse.
+    """
+    bad = stable.bad + candidate.bad
+    weight = candidate.total * tolerance
+    expected = weight / (weight + stable.total)
+    return [
+        ratio**candidate.bad / (1 + (ratio - 1) * expected) ** bad
+        for ratio in RATIOS
+    ]
+
+
+def past_factors(trials: Trials, rate: float) -> list[float]:
+    """Returns likelihood ratios of a batch against a known rate.
+
+    Args:
+      trials: Trials of the version in service.
+      rate: Highest share of bad answers that is still no worse.
+    """
+    good = trials.total - trials.bad
+    factors = []
+    for ratio in RATIOS:
+        worse = min(rate * ratio, max(rate, MAX_RATE))
+        factors.append(
+            (worse / rate) ** trials.bad * ((1 - worse) / (1 - rate)) ** good
+        )
+    return factors
--- /dev/null
+++ b/src/rattanpier/_internal/rollout/watch.py
@@ -0,0 +1,132 @@
+"""The watch over a version after its full roll-out.
+
+There is no version beside it to compare with any more, so it is compared with
+the past: its own and the previous version's, as found during the roll-out. An
+incident that hits all versions looks the same, so an alarm does not halt; it
+narrows the share, and the paired test settles the matter.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import attrs
+
+from rattanpier._internal.rollout.evidence import (
+    BUCKETS,
+    Counts,
+    Measure,
+    Pair,
+    Trials,
+    slow_bucket,
+    trials_of,
+)
+from rattanpier._internal.rollout.judge import (
+    EVERYONE,
+    MEASURES,
+    Halt,
+    Policy,
+)
+from rattanpier._internal.rollout.sequential import ChangeTest, past_factors
+
+PRIOR_TRIALS = 100.0  # Weight of all workspaces in the rate of one.
+MIN_TRIALS = 500  # Trials of the past without which nothing is judged.
+MAX_BASE_RATE = 0.9
+
+
+@attrs.frozen
+class Reference:
+    """Shares of bad answers in the past.
+
+    Attributes:
+      slow_from: First bucket that counts as slow.
+      overall: By measure, for all workspaces.
+      workspaces: By workspace and measure.
+    """
+
+    slow_from: int = BUCKETS
+    overall: dict[Measure, float] = attrs.Factory(dict)
+    workspaces: dict[str, dict[Measure, float]] = attrs.Factory(dict)
+
+
+def make_reference(totals: Mapping[str, Pair], policy: Policy) -> Reference:
+    """Returns the past as found during a roll-out."""
+    both = {name: pair.stable + pair.candidate for name, pair in totals.items()}
+    everyone = sum(both.values(), Counts())
+    slow_from = slow_bucket(everyone.latency, policy.slow_quantile)
+    overall = {}
+    for measure in MEASURES:
+        trials = trials_of(everyone, measure, slow_from)
+        if trials.total >= MIN_TRIALS:
+            overall[measure] = (trials.bad + 1) / (trials.total + 2)
+    workspaces = {
+        name: {
+            measure: shrink(trials_of(counts, measure, slow_from), rate)
+            for measure, rate in overall.items()
+        }
+        for name, counts in both.items()
+    }
+    return Reference(slow_from, overall, workspaces)
+
+
+def shrink(trials: Trials, rate: float) -> float:
+    """Returns a workspace's rate, drawn towards that of all.
+
+    >>> shrink(Trials(100, 30), 0.1)
+    0.2
+    """
+    return (trials.bad + PRIOR_TRIALS * rate) / (trials.total + PRIOR_TRIALS)
+
+
+@attrs.define
+class Watch:
+    """Looks for a change for the worse in one version.
+
+    Attributes:
+      reference: The past to compare with.
+      totals: Counts already taken in, by workspace.
+      tests: Evidence of a change, by workspace and measure.
+      alarm: The first alarm found.
+    """
+
+    reference: Reference
+    policy: Policy = attrs.Factory(Policy)
+    totals: dict[str, Counts] = attrs.Factory(dict)
+    tests: dict[tuple[str, Measure], ChangeTest] = attrs.Factory(dict)
+    alarm: Halt | None = None
+
+    def adopt(self, totals: Mapping[str, Pair]) -> None:
+        """Starts from sums that were judged before."""
+        self.totals = {name: pair.candidate for name, pair in totals.items()}
+
+    def observe(self, totals: Mapping[str, Pair]) -> None:
+        """Takes in what was added to the sums of each workspace."""
+        everyone = Counts()
+        for workspace, pair in totals.items():
+            added = pair.candidate - self.totals.get(workspace, Counts())
+            self.totals[workspace] = pair.candidate
+            if added == Counts():
+                continue
+            everyone += added
+            rates = self.reference.workspaces.get(workspace, {})
+            self.judge(workspace, added, rates)
+        self.judge(EVERYONE, everyone, self.reference.overall)
+
+    def judge(
+        self, scope: str, added: Counts, rates: Mapping[Measure, float]
+    ) -> None:
+        """Updates the tests of one scope."""
+        for measure, rate in rates.items():
+            trials = trials_of(added, measure, self.reference.slow_from)
+            if not trials.total:
+                continue
+            highest = min(rate * self.policy.tolerance, MAX_BASE_RATE)
+            test = self.tests.setdefault((scope, measure), ChangeTest())
+            test.update(past_factors(trials, highest))
+            if test.value >= self.limit(scope) and self.alarm is None:
+                self.alarm = Halt(measure, scope, test.value)
+
+    def limit(self, scope: str) -> float:
+        """Returns the evidence that alarms; shared as in `Judge.limit`."""
+        scopes = 1 if scope == EVERYONE else max(1, len(self.totals))
+        return 2 * len(MEASURES) * scopes / self.policy.false_alarms
