Let a configuration change carry further conditions

Cause: a driver of roll-outs that was frozen and replaced could still change the share by an old view; the head row alone does not tell drivers apart. Ruled out: checking the lease before the write, which races with a freeze. Change: Attempt and change_surely take checks that hold in the same transaction; a check that fails for good ends as Fenced.

--- a/src/rattanpier/_internal/configuration/change.py
+++ b/src/rattanpier/_internal/configuration/change.py
@@ -22,7 +22,7 @@
     submit,
 )
 from rattanpier._internal.exceptions import StoreUnavailableError
-from rattanpier._internal.platform.table import Table
+from rattanpier._internal.platform.table import Check, Table
 from rattanpier._internal.utils.clock import Clock
 
 RETRY_S = 0.2  # Between looks at a store that does not answer.
@@ -45,7 +45,11 @@
 
 
 async def change_surely(
-    table: Table, clock: Clock, revision: Revision, timeout_s: float
+    table: Table,
+    clock: Clock,
+    revision: Revision,
+    timeout_s: float,
+    checks: tuple[Check, ...] = (),
 ) -> ChangeOutcome:
     """Proposes a change and finds out what became of it.
 
@@ -58,6 +62,7 @@
       clock: For the timeout.
       revision: The change, with the number after its base.
       timeout_s: Seconds until a silent store is given up.
+      checks: Further conditions; one that fails for good gives `Fenced`.
     """
     give_up = clock.monotonic() + timeout_s
     try:
@@ -66,6 +71,7 @@
         return NotAccepted(error.message)
     if not isinstance(prepared, Attempt):
         return prepared
+    prepared = attrs.evolve(prepared, checks=checks)
     may_land = False
     while True:
         outcome = await submit(table, prepared)
--- a/src/rattanpier/_internal/configuration/store.py
+++ b/src/rattanpier/_internal/configuration/store.py
@@ -121,10 +121,12 @@
     Attributes:
       revision: The change.
       head_version: Version of the head row; `ABSENT` if there is none.
+      checks: Further conditions, such as the writer's lease.
     """
 
     revision: Revision
     head_version: int
+    checks: tuple[Check, ...] = ()
 
 
 async def propose(table: Table, revision: Revision) -> ChangeOutcome:
@@ -161,7 +163,11 @@
     key = revision_key(revision.revision)
     outcome = await table.transact(
         Transaction(
-            [Check(HEAD_KEY, attempt.head_version), Check(key, ABSENT)],
+            [
+                Check(HEAD_KEY, attempt.head_version),
+                Check(key, ABSENT),
+                *attempt.checks,
+            ],
             [
                 Put(HEAD_KEY, encode(Head(revision.revision))),
                 Put(key, encode(revision)),
