--- a/src/rattanpier/_internal/programs/control.py
+++ b/src/rattanpier/_internal/programs/control.py
@@ -12,6 +12,7 @@
 from rattanpier._internal.operators.app import OperatorApp
 from rattanpier._internal.operators.changes import Changes
 from rattanpier._internal.programs.common import add_base, add_membership
+from rattanpier._internal.rollout.services import add_driver
 
 
 async def build_control(settings: Settings) -> Kernel:
@@ -28,6 +29,7 @@
     kernel.spawn(members.run(kernel))
     kernel.spawn(inforce.run(kernel))
     kernel.spawn(inforce.watch_members(kernel))
+    add_driver(kernel)
     return kernel
 
 
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -22,6 +22,7 @@
 from rattanpier._internal.models.member import Role
 from rattanpier._internal.models.settings import Settings
 from rattanpier._internal.programs.common import add_base, add_membership
+from rattanpier._internal.rollout.services import add_collector
 
 CLAIM_CALLS = ("claim", "settle", "lookup")
 
@@ -129,5 +130,6 @@
         spawn=kernel.spawn,
         braked=kernel.find("brakes"),
     )
+    add_collector(kernel, runner.attempts)
     tokens = SessionTokens(settings.secrets.session_key)
     return ChatHandler(runner, tokens, settings.edge, clock, metrics)
--- /dev/null
+++ b/src/rattanpier/_internal/rollout/collect.py
@@ -0,0 +1,227 @@
+"""Evidence as an entry gathers it, sends it, and acts on it alone."""
+
+from __future__ import annotations
+
+import attrs
+import structlog
+
+from rattanpier._internal.dispatch.attempts import (
+    AttemptOutcome,
+    AttemptResult,
+)
+from rattanpier._internal.kernel import Kernel
+from rattanpier._internal.membership.members import Members
+from rattanpier._internal.models.configuration import (
+    Configuration,
+    Rollout,
+    RolloutState,
+)
+from rattanpier._internal.models.member import Member, Role
+from rattanpier._internal.peers.links import Links
+from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.rollout.evidence import (
+    NO_LATENCY,
+    NOTHING,
+    Counts,
+    latency_bucket,
+)
+from rattanpier._internal.rollout.judge import Judge
+from rattanpier._internal.rollout.ledger import pair_up
+from rattanpier._internal.rollout.records import EvidenceRow, EvidenceRows
+from rattanpier._internal.routing.brakes import Brakes
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.codec import encode
+from rattanpier._internal.utils.hashing import rendezvous
+from rattanpier._internal.utils.metrics import Metrics
+
+log = structlog.get_logger(part="rollout")
+
+SEND_S = 1.0
+ROWS_PER_NOTICE = 16  # Bounds what a notice weighs, however many workspaces.
+
+
+@attrs.define
+class SentRow:
+    """What is known of sending one row.
+
+    Attributes:
+      sequence: Rises with each change.
+      sent: Sequence sent last.
+      turn: Number of the notice that carried it last.
+    """
+
+    sequence: int = 0
+    sent: int = 0
+    turn: int = 0
+
+
+@attrs.define
+class Collector:
+    """Counts attempts and ratings of versions in a roll-out.
+
+    Attributes:
+      sums: Since the start, by workspace and version.
+      sending: State of sending, likewise.
+      judges: This entry's own judgement, by roll-out.
+      braked: Roll-outs that this entry braked.
+      watched: Roll-outs as last seen.
+      turn: Number of notices sent.
+    """
+
+    me: Member
+    configuration: Configuration
+    members: Members
+    links: Links
+    brakes: Brakes
+    clock: Clock
+    metrics: Metrics
+    sums: dict[tuple[str, str], Counts] = attrs.Factory(dict)
+    sending: dict[tuple[str, str], SentRow] = attrs.Factory(dict)
+    judges: dict[str, Judge] = attrs.Factory(dict)
+    braked: set[str] = attrs.Factory(set)
+    watched: dict[str, Rollout] = attrs.Factory(dict)
+    turn: int = 0
+
+    @property
+    def origin(self) -> str:
+        """How this start of the entry is named in notices."""
+        return f"{self.me.name}/{self.me.incarnation}"
+
+    def take_attempt(self, result: AttemptResult) -> None:
+        """Counts one attempt."""
+        latency = NO_LATENCY
+        if result.first_token_s is not None:
+            bucket = latency_bucket(result.first_token_s)
+            latency = (*latency[:bucket], 1, *latency[bucket + 1 :])
+        self.add(
+            result.workspace,
+            result.version,
+            Counts(
+                attempts=1,
+                failed=int(result.outcome is AttemptOutcome.FAILED),
+                truncated=int(result.outcome is AttemptOutcome.TRUNCATED),
+                latency=latency,
+            ),
+        )
+
+    def take_rating(self, workspace: str, version: str, good: bool) -> None:
+        """Counts one rating, whenever it comes."""
+        self.add(workspace, version, Counts(rated=1, poor=int(not good)))
+
+    def add(self, workspace: str, version: str, counts: Counts) -> None:
+        """Adds to the sums of a version that is in a roll-out."""
+        if not self.is_watched(version):
+            return
+        key = (workspace, version)
+        self.sums[key] = self.sums.get(key, NOTHING) + counts
+        self.sending.setdefault(key, SentRow()).sequence += 1
+
+    def is_watched(self, version: str) -> bool:
+        """Says whether a version is in a roll-out that is not halted."""
+        return any(
+            version in (rollout.stable, rollout.candidate)
+            for rollout in self.watched.values()
+        )
+
+    def follow(self, configuration: Configuration) -> None:
+        """Takes in a configuration; starts afresh what was started anew."""
+        self.configuration = configuration
+        watched = {
+            name: rollout
+            for name, rollout in configuration.rollouts.items()
+            if rollout.state is not RolloutState.HALTED
+        }
+        for name, rollout in watched.items():
+            if not same_versions(rollout, self.watched.get(name)):
+                self.start(name, rollout)
+            elif rollout.share != self.watched[name].share:
+                self.judges[name].share_changed()
+        for name in self.judges.keys() - watched.keys():
+            del self.judges[name]
+            self.braked.discard(name)
+        self.watched = watched
+
+    def start(self, name: str, rollout: Rollout) -> None:
+        """Begins to judge a roll-out; what came before does not count."""
+        self.judges[name] = Judge()
+        self.judges[name].adopt(self.pairs(rollout))
+
+    def pairs(self, rollout: Rollout) -> dict:
+        """Returns this entry's own sums for a roll-out."""
+        return pair_up(self.sums, rollout.stable, rollout.candidate)
+
+    async def run(self, kernel: Kernel) -> None:
+        """Sends and judges once a second until the end."""
+        while not kernel.stopping.is_set():
+            self.step()
+            await self.clock.sleep(SEND_S)
+
+    def step(self) -> None:
+        """Judges what this entry saw, and sends what changed."""
+        for name, rollout in self.watched.items():
+            self.judge(name, rollout)
+            driver = find_driver(name, self.members)
+            if driver is not None:
+                self.send(name, rollout, driver)
+
+    def judge(self, name: str, rollout: Rollout) -> None:
+        """Brakes a candidate that this entry's own evidence halts."""
+        if name in self.braked and rollout.candidate not in self.brakes:
+            # Only a revision lifts a brake: somebody decided to go on.
+            self.braked.discard(name)
+            self.start(name, rollout)
+        judge = self.judges[name]
+        judge.observe(self.pairs(rollout))
+        if judge.worst is None or rollout.candidate in self.brakes:
+            return
+        self.braked.add(name)
+        self.metrics.count("rollout.local_brake")
+        self.brakes.apply(
+            rollout.candidate, judge.worst.reason, self.me.name, name
+        )
+
+    def send(self, name: str, rollout: Rollout, driver: Member) -> None:
+        """Sends rows to the driver: changed ones first, then the oldest."""
+        versions = (rollout.stable, rollout.candidate)
+        keys = [key for key in self.sending if key[1] in versions]
+        keys.sort(key=lambda key: self.order(self.sending[key]))
+        if not keys:
+            return
+        self.turn += 1
+        rows = [self.make_row(key) for key in keys[:ROWS_PER_NOTICE]]
+        evidence = peer_pb2.Evidence(
+            rollout=name,
+            origin=self.origin,
+            sequence=self.turn,
+            counts=encode(EvidenceRows(rows)).encode(),
+        )
+        self.links.to(driver).notify(peer_pb2.Notice(evidence=evidence))
+        self.metrics.count("rollout.evidence_sent")
+
+    def order(self, row: SentRow) -> tuple[bool, int]:
+        """Returns the place of a row in the order of sending."""
+        return (row.sent == row.sequence, row.turn)
+
+    def make_row(self, key: tuple[str, str]) -> EvidenceRow:
+        """Returns a row and notes that it is sent."""
+        row = self.sending[key]
+        row.sent, row.turn = row.sequence, self.turn
+        return EvidenceRow(*key, row.sequence, self.sums[key])
+
+
+def same_versions(rollout: Rollout, before: Rollout | None) -> bool:
+    """Says whether a roll-out is the one seen before."""
+    return before is not None and (
+        (rollout.stable, rollout.candidate) == (before.stable, before.candidate)
+    )
+
+
+def find_driver(rollout: str, members: Members) -> Member | None:
+    """Returns the control process that is to drive a roll-out."""
+    controls = {
+        name: member
+        for name, member in members.live.value.items()
+        if member.role is Role.CONTROL
+    }
+    names = rendezvous(rollout, controls)
+    return controls[names[0]] if names else None
--- /dev/null
+++ b/src/rattanpier/_internal/rollout/ledger.py
@@ -0,0 +1,83 @@
+"""The driver's sums of what entries sent.
+
+Entries send sums since their start with a sequence, so that a notice which is
+lost, repeated or overtaken does no harm.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+import attrs
+
+from rattanpier._internal.rollout.evidence import NOTHING, Counts, Pair
+from rattanpier._internal.rollout.records import EvidenceRow
+
+MAX_RETIRED = 4096  # Ended processes whose late notices are known.
+
+
+@attrs.define
+class Ledger:
+    """Sums by origin.
+
+    Attributes:
+      rows: Latest row by origin, workspace and version.
+      retired: Sums of processes that ended, by workspace and version.
+      ended: Origins whose sums are in `retired`, oldest first.
+    """
+
+    rows: dict[str, dict[tuple[str, str], EvidenceRow]] = attrs.Factory(dict)
+    retired: dict[tuple[str, str], Counts] = attrs.Factory(dict)
+    ended: dict[str, None] = attrs.Factory(dict)
+
+    def take(self, origin: str, row: EvidenceRow) -> None:
+        """Takes in a row unless a newer one is known.
+
+        Args:
+          origin: "name/incarnation" of the entry.
+          row: Sums since that start.
+        """
+        if origin in self.ended:
+            return
+        known = self.rows.setdefault(origin, {})
+        key = (row.workspace, row.version)
+        if key in known and known[key].sequence >= row.sequence:
+            return
+        known[key] = row
+
+    def retire(self, live: Collection[str]) -> None:
+        """Folds the rows of origins that are not live any more."""
+        for origin in [name for name in self.rows if name not in live]:
+            for key, row in self.rows.pop(origin).items():
+                self.retired[key] = self.retired.get(key, NOTHING) + row.counts
+            self.ended[origin] = None
+        while len(self.ended) > MAX_RETIRED:
+            del self.ended[next(iter(self.ended))]
+
+    def totals(self, stable: str, candidate: str) -> dict[str, Pair]:
+        """Returns the sums of two versions by workspace."""
+        sums = dict(self.retired)
+        for rows in self.rows.values():
+            for key, row in rows.items():
+                sums[key] = sums.get(key, NOTHING) + row.counts
+        return pair_up(sums, stable, candidate)
+
+
+def pair_up(
+    sums: dict[tuple[str, str], Counts], stable: str, candidate: str
+) -> dict[str, Pair]:
+    """Returns the sums of two versions by workspace."""
+    workspaces = sorted(
+        {
+            workspace
+            for workspace, version in sums
+            if version in (stable, candidate)
+        }
+    )
+    return {
+        workspace: Pair(
+            sums.get((workspace, stable), NOTHING),
+            sums.get((workspace, candidate), NOTHING),
+        )
+        for workspace in workspaces
+    }
--- /dev/null
+++ b/src/rattanpier/_internal/rollout/services.py
@@ -0,0 +1,44 @@
+"""Adds the parts of roll-outs to the programs."""
+
+from __future__ import annotations
+
+from rattanpier._internal.dispatch.attempts import Attempts
+from rattanpier._internal.kernel import Kernel
+from rattanpier._internal.rollout.collect import Collector
+from rattanpier._internal.rollout.driver import Driver
+
+
+def add_collector(kernel: Kernel, attempts: Attempts) -> Collector:
+    """Adds an entry's collection of evidence."""
+    follower = kernel.find("follower")
+    members = kernel.find("members")
+    collector = Collector(
+        me=members.me,
+        configuration=follower.configuration,
+        members=members,
+        links=kernel.find("links"),
+        brakes=kernel.find("brakes"),
+        clock=kernel.find("clock"),
+        metrics=kernel.find("metrics"),
+    )
+    follower.current.subscribe(collector.follow)
+    attempts.subscribe(collector.take_attempt)
+    kernel.spawn(collector.run(kernel))
+    return kernel.add("rollout_collector", collector)
+
+
+def add_driver(kernel: Kernel) -> Driver:
+    """Adds a control process's driver of roll-outs."""
+    members = kernel.find("members")
+    driver = Driver(
+        me=members.me,
+        table=kernel.find("table"),
+        clock=kernel.find("clock"),
+        follower=kernel.find("follower"),
+        members=members,
+        brakes=kernel.find("brakes"),
+        metrics=kernel.find("metrics"),
+    )
+    kernel.find("peer_server").on_notice("evidence", driver.receive)
+    kernel.spawn(driver.run(kernel))
+    return kernel.add("rollout_driver", driver)
--- /dev/null
+++ b/tests/unit/test_rollout_ledger.py
@@ -0,0 +1,58 @@
+"""Evidence on its way: lost, repeated, reordered, from ended processes."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rattanpier._internal.rollout.evidence import Counts, Pair
+from rattanpier._internal.rollout.ledger import Ledger
+from rattanpier._internal.rollout.records import EvidenceRow
+
+
+def make_row(sequence, attempts):
+    return EvidenceRow("desk", "new", sequence, Counts(attempts))
+
+
+def total(ledger):
+    return ledger.totals("old", "new").get("desk", Pair()).candidate.attempts
+
+
+@given(st.integers(0, 2**32), st.integers(1, 30))
+def test_any_order_with_repeats_and_losses_gives_the_newest_sum(seed, count):
+    rng = random.Random(seed)
+    rows = [make_row(number, number * 10) for number in range(1, count + 1)]
+    sent = [row for row in rows if rng.random() < 0.7] or rows[-1:]
+    newest = sent[-1].counts.attempts
+    arrived = sent + rng.choices(sent, k=5)
+    rng.shuffle(arrived)
+    ledger = Ledger()
+    for row in arrived:
+        ledger.take("entry-1/i1", row)
+    assert total(ledger) == newest
+
+
+def test_sums_of_two_starts_of_an_entry_add_up():
+    ledger = Ledger()
+    ledger.take("entry-1/i1", make_row(9, 90))
+    ledger.take("entry-1/i2", make_row(1, 5))
+    assert total(ledger) == 95
+
+
+def test_a_late_notice_of_an_ended_process_is_not_counted_twice():
+    ledger = Ledger()
+    ledger.take("entry-1/i1", make_row(2, 20))
+    ledger.retire(live={"entry-2/i1"})
+    assert total(ledger) == 20
+    ledger.take("entry-1/i1", make_row(2, 20))
+    ledger.take("entry-1/i1", make_row(3, 30))
+    assert total(ledger) == 20
+
+
+def test_sums_never_shrink_while_processes_come_and_go():
+    ledger, sums = Ledger(), []
+    for start in range(1, 6):
+        ledger.take(f"entry/{start}", make_row(1, 7))
+        ledger.retire(live={f"entry/{start}"})
+        sums.append(total(ledger))
+    assert sums == [7, 14, 21, 28, 35]
