Break claims in virtual time, alone and in pairs; collect kept bills

A new owner now collects what peers keep of its shard before it serves it.

Ruled out: waiting for a fixed time after an outage (delays every shard, and proves nothing).

--- a/src/rattanpier/_internal/claims/book.py
+++ b/src/rattanpier/_internal/claims/book.py
@@ -169,11 +169,13 @@
             return Decision(SettleOutcome.SUPERSEDED, claim)
         return self.settle(attrs.evolve(op, attempt=claim.attempt))
 
-    def restore(self, claim: ClaimOp, settle: SettleOp) -> list[Decision]:
+    def restore(
+        self, claim: ClaimOp, settle: SettleOp
+    ) -> list[ClaimOp | SettleOp]:
         """Takes in a claim whose answer was released in an outage.
 
         Returns:
-          The decisions to be logged; none if the claim is answered already,
+          The operations to be logged; none if the claim is answered already,
           so that a bill restored twice is billed once.
         """
         present = self.claims.get((claim.workspace, claim.key))
@@ -184,14 +186,11 @@
             and present.holder == claim.holder
             and present.result is ClaimResult.RUNNING
         ):
-            end = attrs.evolve(settle, attempt=present.attempt)
-            return [Decision(SettleOutcome.SETTLED, op=end)]
+            return [attrs.evolve(settle, attempt=present.attempt)]
         attempt = present.attempt + 1 if present else claim.attempt
-        grant = attrs.evolve(claim, attempt=attempt)
-        end = attrs.evolve(settle, attempt=attempt)
         return [
-            Decision(ClaimOutcome.GRANTED, op=grant),
-            Decision(SettleOutcome.SETTLED, op=end),
+            attrs.evolve(claim, attempt=attempt),
+            attrs.evolve(settle, attempt=attempt),
         ]
 
     def apply(self, op: ClaimOp | SettleOp, sequence: int = 0) -> None:
--- a/src/rattanpier/_internal/claims/outage.py
+++ b/src/rattanpier/_internal/claims/outage.py
@@ -26,6 +26,7 @@
 from rattanpier._internal.models.member import Member
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.peers.server import CallHandler
 from rattanpier._internal.utils.codec import decode, encode
 from rattanpier._internal.utils.hashing import rendezvous
 from rattanpier._internal.utils.metrics import Metrics
@@ -34,6 +35,7 @@
 
 KEEP_TIMEOUT_S = 1.0
 MAX_PEERS = 3  # Peers asked about the store, and tried for one bill.
+MAX_KEEPERS = 12  # Asked for what they keep when a shard's owner died.
 KEPT_BYTES = 32 * 2**20  # Bills that one process keeps for others.
 FLUSH_AFTER_S = 2.0  # The owner, if alive, writes its bills itself first.
 
@@ -50,6 +52,7 @@
     """The sender's side: has pending bills kept.
 
     Attributes:
+      own: Serves a call to this process's own keeper.
       confirmed: True while peers can't reach the store either.
       sent: Who keeps which record, by claim.
     """
@@ -57,6 +60,7 @@
     members: Members | None = None
     links: Links | None = None
     spawn: Callable[..., asyncio.Task] | None = None
+    own: CallHandler | None = None
     confirmed: bool = False
     sent: dict[BillId, tuple[Member, str]] = attrs.Factory(dict)
     ids: itertools.count = attrs.Factory(itertools.count)
@@ -89,14 +93,42 @@
         self, peer: Member, request: peer_pb2.HoldRequest
     ) -> peer_pb2.HoldReply | None:
         """Sends a request to a peer; None if it did not answer."""
-        assert self.links is not None
+        assert self.links is not None and self.members is not None
         call = peer_pb2.Call(hold=request)
+        if peer.name == self.members.me.name:
+            assert self.own is not None
+            return (await self.own(call)).hold
         try:
             reply = await self.links.to(peer).call(call, KEEP_TIMEOUT_S)
         except PeerUnavailableError:
             return None
         return reply.hold
 
+    async def collect(self, dead: str, shard: int) -> list[PendingBill]:
+        """Returns the bills of a shard that peers keep for a dead owner.
+
+        A new owner has to know of them before it grants anything: their
+        answers are with their callers already.
+
+        Args:
+          dead: Member name of the owner before.
+          shard: The shard.
+        """
+        if self.members is None:
+            return []
+        entries = {member.name: member for member in self.members.entries()}
+        order = rendezvous(f"keep-{dead}", list(entries))
+        request = peer_pb2.HoldRequest(collect=True, shard=shard)
+        replies = await asyncio.gather(
+            *(self.send(entries[name], request) for name in order[:MAX_KEEPERS])
+        )
+        return [
+            decode(PendingBill, record)
+            for reply in replies
+            if reply is not None
+            for record in reply.records
+        ]
+
     async def keep(self, bill: PendingBill) -> bool:
         """Has a bill kept by a peer in another failure domain."""
         if not self.confirmed:
@@ -137,11 +169,13 @@
 
     Attributes:
       reachable: Says whether this process can reach the store.
+      shard_of: Returns the shard of a workspace and key.
       kept: Records by their id, oldest first.
       size: Bytes of them.
     """
 
     reachable: Callable[[], bool]
+    shard_of: Callable[[str, str], int]
     metrics: Metrics
     kept: collections.OrderedDict[str, bytes] = attrs.Factory(
         collections.OrderedDict
@@ -151,16 +185,30 @@
     async def serve(self, call: peer_pb2.Call) -> peer_pb2.Reply:
         """Keeps or releases records for a peer."""
         request = call.hold
-        if request.release:
+        records: list[bytes] = []
+        if request.collect:
+            records = self.of_shard(request.shard)
+            held = True
+        elif request.release:
             for record_id in request.record_id.split("\n"):
                 self.drop(record_id)
             held = True
         else:
             held = not self.reachable() and self.put(request)
         return peer_pb2.Reply(
-            hold=peer_pb2.HoldReply(held=held, queued=len(self.kept))
+            hold=peer_pb2.HoldReply(
+                held=held, queued=len(self.kept), records=records
+            )
         )
 
+    def of_shard(self, shard: int) -> list[bytes]:
+        """Returns the records that belong to a shard."""
+        return [
+            encode(bill).encode()
+            for _, bill in self.records()
+            if self.shard_of(*bill_id(bill.settle)) == shard
+        ]
+
     def put(self, request: peer_pb2.HoldRequest) -> bool:
         """Keeps a record; False if there is no room."""
         if not request.record:
--- a/src/rattanpier/_internal/claims/owner.py
+++ b/src/rattanpier/_internal/claims/owner.py
@@ -244,14 +244,16 @@
         """Takes in a bill that a peer kept; harmless when repeated."""
         if self.gone:
             return None
-        decisions = self.book.restore(bill.claim, bill.settle)
         if self.down:
             return Decision(SettleOutcome.UNAVAILABLE)
-        for decision in decisions[:-1]:
-            self.add(decision.op)
+        self.take_in(bill)
         claim = self.find(bill.claim.workspace, bill.claim.key)
-        settled = Decision(SettleOutcome.SETTLED, claim)
-        return await self.submit(decisions[-1] if decisions else settled)
+        return await self.submit(Decision(SettleOutcome.SETTLED, claim))
+
+    def take_in(self, bill: PendingBill) -> None:
+        """Queues what a bill that a peer kept adds to the book."""
+        for op in self.book.restore(bill.claim, bill.settle):
+            self.add(op)
 
     def find(self, workspace: str, key: str) -> Claim | None:
         """Returns a claim as it stands."""
--- a/src/rattanpier/_internal/claims/ownership.py
+++ b/src/rattanpier/_internal/claims/ownership.py
@@ -264,7 +264,7 @@
         lease, version = obtained
         self.seen[shard] = Seen(lease, version)
         book, sequence = await recover(self.table, shard)
-        return ShardOwner(
+        owner = ShardOwner(
             shard=shard,
             lease=lease,
             lease_version=version,
@@ -277,6 +277,10 @@
             book=book,
             next_sequence=sequence,
         )
+        if seen is not None and seen.lease.owner:
+            for bill in await self.outage.collect(seen.lease.owner, shard):
+                owner.take_in(bill)
+        return owner
 
     def owner_member(self, shard: int) -> Member | None:
         """Returns the live owner of a shard, as far as is known."""
--- a/src/rattanpier/_internal/claims/service.py
+++ b/src/rattanpier/_internal/claims/service.py
@@ -95,7 +95,12 @@
     kernel: Kernel
     outage: Outage = attrs.field(
         default=attrs.Factory(
-            lambda self: Outage(self.members, self.links, self.kernel.spawn),
+            lambda self: Outage(
+                self.members,
+                self.links,
+                self.kernel.spawn,
+                lambda call: self.keeper.serve(call),
+            ),
             takes_self=True,
         )
     )
@@ -116,7 +121,9 @@
     )
     keeper: Keeper = attrs.field(
         default=attrs.Factory(
-            lambda self: Keeper(lambda: self.ownership.reachable, self.metrics),
+            lambda self: Keeper(
+                lambda: self.ownership.reachable, self.shard_of, self.metrics
+            ),
             takes_self=True,
         )
     )
--- /dev/null
+++ b/tests/failure/test_claims_switched_off.py
@@ -0,0 +1,96 @@
+"""The loads of test_claims_faults.py, with one mechanism switched off.
+
+They show that those tests are able to fail, and what each mechanism is for.
+"""
+
+import pytest
+
+from rattanpier._internal.claims import outage, owner, ownership, service
+from rattanpier._internal.claims.owner import FlushResult
+from rattanpier._internal.claims.records import log_key
+from rattanpier._internal.models.outcomes import Committed
+from rattanpier._internal.platform.table import Put, Transaction
+from rattanpier._internal.utils.codec import encode
+from tests.failure import test_claims_faults as faults
+from tests.lib.virtual import run_virtual
+
+
+def no_fence(patch):
+    """The batch is written whoever holds the lease."""
+
+    async def write_once(self, batch):
+        put = Put(log_key(self.shard, batch.sequence), encode(batch))
+        outcome = await self.table.transact(Transaction([], [put]))
+        if isinstance(outcome, Committed):
+            return FlushResult.DURABLE
+        return FlushResult.STORE_DOWN
+
+    patch.setattr(owner.ShardOwner, "write_once", write_once)
+
+
+def read_back_believes(patch):
+    """A write that is not there on read-back counts as never written."""
+    original = owner.ShardOwner.read_back
+
+    async def read_back(self, batch):
+        result = await original(self, batch)
+        if result is FlushResult.STORE_DOWN:
+            return FlushResult.DURABLE
+        return result
+
+    patch.setattr(owner.ShardOwner, "read_back", read_back)
+
+
+def no_disown(patch):
+    patch.setattr(service.Claims, "disown", lambda *_: None)
+
+
+def no_keeper(patch):
+    """Answers leave in an outage though no peer keeps their bills."""
+
+    async def keep(self, bill):
+        return True
+
+    patch.setattr(outage.Outage, "keep", keep)
+
+
+def no_collect(patch):
+    """A new owner grants before it knows what peers keep."""
+
+    async def collect(self, dead, shard):
+        return []
+
+    patch.setattr(outage.Outage, "collect", collect)
+
+
+def dead_holders_live(patch):
+    """Nobody is ever found dead."""
+    patch.setattr(
+        ownership.Ownership,
+        "has_owner",
+        lambda self, lease: bool(lease.owner),
+    )
+
+
+CASES = (
+    (no_fence, (faults.frozen_owners,), True),
+    (no_fence, (faults.delayed_writes, faults.frozen_owners), False),
+    (read_back_believes, (faults.dropped_writes,), True),
+    (read_back_believes, (faults.dropped_writes, faults.killed_owners), False),
+    (no_disown, (faults.unshared_outage,), True),
+    (no_keeper, (faults.outage, faults.killed_late), True),
+    (no_collect, (faults.outage, faults.frozen_owners), True),
+    (dead_holders_live, (faults.killed_owners,), True),
+)
+
+
+@pytest.mark.parametrize(
+    "switch_off, together, idempotent",
+    CASES,
+    ids=lambda value: getattr(value, "__name__", None),
+)
+def test_load_finds_it(monkeypatch, switch_off, together, idempotent):
+    switch_off(monkeypatch)
+    count = run_virtual(faults.run_load(together, idempotent, seed=7))
+    print(switch_off.__name__, faults.name_of(together), idempotent, count)
+    assert count != faults.Count(asked=faults.REQUESTS)
