Serve plain services, and send what may not be repeated once

Cause: /services/NAME/ did not exist. Building it showed that a library can repeat a call on its own: aiohttp sends GET, PUT, DELETE and others a second time when their connection breaks, also on a fresh connection, and follows redirects, which is a second dispatch. A list of calls like "POST /orders" is passed by in other spellings of the path. A caller that left took its non-idempotent run with it, so that a repeat of its key found no answer.

Paths are compared decoded, in one case, with single slashes, and below the listed path; paths with dot segments are refused. X-Non-Idempotent counts unless it plainly says no. A run whose caller left goes on, and a planned stop waits for it. Deadlines go to the upstream as X-Timeout-Ms.

Ruled out: aiohttp's private switch for its retries; a connection for each call alone, which does not stop them.

--- a/src/rattanpier/_internal/claims/records.py
+++ b/src/rattanpier/_internal/claims/records.py
@@ -46,12 +46,16 @@
       content_type: Of the body.
       body: Text; for a model the whole, non-streamed JSON answer.
       version: Version that answered.
+      base64: True if the body is bytes in base 64.
+      kept: False if the body was too large to be recorded.
     """
 
     status: int
     content_type: str
     body: str
     version: str
+    base64: bool = False
+    kept: bool = True
 
 
 @attrs.frozen
--- a/src/rattanpier/_internal/dispatch/engine.py
+++ b/src/rattanpier/_internal/dispatch/engine.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import AsyncIterator
 from contextlib import suppress
 from typing import Any
@@ -20,6 +21,7 @@
 
 CHAT_PATH = "/v1/chat/completions"
 REQUEST_ID = "X-Request-Id"
+TIMEOUT_MS = "X-Timeout-Ms"
 LAST_EVENT_ID = "Last-Event-ID"
 CONNECT_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 2.0
@@ -115,7 +117,10 @@
     timeout = aiohttp.ClientTimeout(
         total=call.timeout_s, sock_connect=CONNECT_TIMEOUT_S
     )
-    headers = {REQUEST_ID: call.request_id}
+    headers = {
+        REQUEST_ID: call.request_id,
+        TIMEOUT_MS: str(math.ceil(call.timeout_s * 1000)),
+    }
     url = call.url + CHAT_PATH
     # A redirect would be a second dispatch.
     if after is not None:
--- a/src/rattanpier/_internal/dispatch/keeper.py
+++ b/src/rattanpier/_internal/dispatch/keeper.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import attrs
 
@@ -44,6 +45,7 @@
 
     Attributes:
       ending: Number of claims being ended in the background.
+      tasks: Work that goes on without a caller; a planned stop waits for it.
     """
 
     claims: Claims
@@ -51,6 +53,19 @@
     metrics: Metrics
     spawn: Callable[..., asyncio.Task]
     ending: int = 0
+    tasks: set[asyncio.Task] = attrs.Factory(set)
+
+    def track(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
+        """Runs work that a planned stop has to wait for."""
+        task = self.spawn(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def finished(self) -> None:
+        """Waits until nothing goes on without a caller."""
+        while self.tasks:
+            await asyncio.wait(list(self.tasks))
 
     def begin(self, attempt: Attempt) -> None:
         """Starts to obtain the claim, unless that was done."""
@@ -117,7 +132,7 @@
         op = settle_op(attempt, result, bill, answer)
         attempt.ended = True
         # A caller that goes away now must not leave the claim half ended.
-        return await asyncio.shield(self.spawn(self.end_now(attempt, op)))
+        return await asyncio.shield(self.track(self.end_now(attempt, op)))
 
     async def end_now(self, attempt: Attempt, op: SettleOp) -> SettleOutcome:
         """Settles a claim once, and in the background if that failed."""
@@ -157,14 +172,14 @@
         if is_granted(reply) or reply.outcome is ClaimOutcome.UNAVAILABLE:
             self.claims.disown(attempt.ask, unanswered(attempt))
 
-    def later(self, work: object) -> None:
+    def later(self, work: Coroutine[Any, Any, Any]) -> None:
         """Runs the ending of a claim in the background, within a bound."""
         if self.ending >= MAX_ENDING:
             self.metrics.count("claims.not_ended")
-            work.close()  # type: ignore[attr-defined]
+            work.close()
             return
         self.ending += 1
-        task = self.spawn(work)
+        task = self.track(work)
         task.add_done_callback(self.note_ended)
 
     def note_ended(self, _task: asyncio.Task) -> None:
--- /dev/null
+++ b/src/rattanpier/_internal/dispatch/repeatable.py
@@ -0,0 +1,55 @@
+"""Which calls of a plain service may be sent more than once."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+from urllib.parse import unquote
+
+ANY_METHOD = "*"
+
+
+def plain_path(target: str) -> str:
+    """Returns a path in the one form that paths are compared in.
+
+    >>> plain_path("/Orders//%37/?x=1")
+    '/orders/7'
+    """
+    path = unquote(target.partition("?")[0])
+    return re.sub("/+", "/", path).rstrip("/").casefold() or "/"
+
+
+def has_dot_segments(target: str) -> bool:
+    """Says whether a path climbs or stands still.
+
+    >>> has_dot_segments("/a/%2e%2e/orders"), has_dot_segments("/a.b/c")
+    (True, False)
+    """
+    parts = re.split(r"[/\\]", unquote(target.partition("?")[0]))
+    return any(part in (".", "..") for part in parts)
+
+
+def may_repeat(non_repeatable: Iterable[str], method: str, target: str) -> bool:
+    """Says whether a call may be sent more than once.
+
+    A listed path stands for all below it too.
+
+    Args:
+      non_repeatable: Calls like "POST /orders" or "* /payments".
+      method: HTTP method.
+      target: Path and query as received.
+
+    >>> may_repeat(["POST /orders"], "POST", "/orders/7?dry=1")
+    False
+    >>> may_repeat(["POST /orders"], "GET", "/orders/7")
+    True
+    """
+    path = plain_path(target)
+    for listed in non_repeatable:
+        listed_method, _, listed_path = listed.partition(" ")
+        if listed_method.upper() not in (ANY_METHOD, method.upper()):
+            continue
+        prefix = plain_path(listed_path)
+        if path == prefix or path.startswith(prefix.rstrip("/") + "/"):
+            return False
+    return True
--- a/src/rattanpier/_internal/dispatch/runner.py
+++ b/src/rattanpier/_internal/dispatch/runner.py
@@ -95,7 +95,7 @@
         parts = self.attempt(request, request_id)
         if request.idempotent:
             return parts
-        return detached(parts, self.spawn)
+        return detached(parts, self.keeper.track)
 
     async def attempt(
         self, request: RouteRequest, request_id: str
@@ -129,6 +129,12 @@
         plan = make_plan(configuration, request, self.braked)
         if self.tries.left_s(request) <= 0:
             plan = deadline_passed().refusal
+        elif isinstance(plan, Plan) and not plan.steps:
+            plan = Refusal(
+                RefusalCode.NO_RULE,
+                "The rule names a plain service: ask under /services/.",
+                True,
+            )
         if isinstance(plan, Refusal):
             yield await self.keeper.give_up(attempt, plan)
             return
--- a/src/rattanpier/_internal/edge/app.py
+++ b/src/rattanpier/_internal/edge/app.py
@@ -11,6 +11,7 @@
 from rattanpier._internal.edge.auth import find_workspace
 from rattanpier._internal.edge.chat import ChatHandler
 from rattanpier._internal.edge.errors import error_response
+from rattanpier._internal.edge.services import PATH, ServiceHandler
 from rattanpier._internal.membership.members import Members
 from rattanpier._internal.models.member import MemberState
 from rattanpier._internal.models.refusal import Refusal, RefusalCode
@@ -24,6 +25,7 @@
     """Serves everything but the answers themselves."""
 
     chat: ChatHandler
+    services: ServiceHandler
     follower: Follower
     members: Members
     settings: EdgeSettings
@@ -122,6 +124,7 @@
         """Returns the aiohttp application."""
         app = web.Application(client_max_size=self.settings.max_body_bytes)
         app.router.add_post("/v1/chat/completions", self.chat.handle)
+        app.router.add_route("*", PATH, self.services.handle)
         app.router.add_get("/v1/models", self.models)
         app.router.add_get("/v1/entries", self.entries)
         app.router.add_get("/v1/requests/{key}", self.request_state)
--- a/src/rattanpier/_internal/edge/intake.py
+++ b/src/rattanpier/_internal/edge/intake.py
@@ -16,6 +16,7 @@
 
 DEFAULT_MAX_TOKENS = 256
 MAX_KEY_LENGTH = 255
+NOT_MARKED = frozenset({"", "false", "0", "no"})
 
 
 class IntakeError(Exception):
@@ -106,8 +107,13 @@
 
 
 def is_marked(request: web.Request) -> bool:
-    """Says whether the caller marked a request as non-idempotent."""
-    return request.headers.get("X-Non-Idempotent", "").lower() == "true"
+    """Says whether the caller marked a request as non-idempotent.
+
+    Whatever does not plainly say "no" is a mark: a request that is run once
+    without need costs less than one that is run twice.
+    """
+    text = request.headers.get("X-Non-Idempotent", "")
+    return text.strip().lower() not in NOT_MARKED
 
 
 def route_request(
--- /dev/null
+++ b/src/rattanpier/_internal/edge/services.py
@@ -0,0 +1,191 @@
+"""`/services/NAME/...`: calls to plain services."""
+
+from __future__ import annotations
+
+import base64
+import uuid
+
+import attrs
+from aiohttp import web
+
+from rattanpier._internal.claims.records import Answer
+from rattanpier._internal.dispatch.parts import Recorded, Refused
+from rattanpier._internal.dispatch.plain import (
+    ServiceAnswer,
+    ServiceCall,
+    pass_on,
+)
+from rattanpier._internal.dispatch.repeatable import has_dot_segments
+from rattanpier._internal.dispatch.service_runner import ServiceRunner
+from rattanpier._internal.edge.auth import find_workspace
+from rattanpier._internal.edge.errors import error_response
+from rattanpier._internal.edge.intake import (
+    IntakeError,
+    bad_request,
+    idempotency_key,
+    is_marked,
+    read_body,
+    timeout_s,
+)
+from rattanpier._internal.models.configuration import UpstreamKind
+from rattanpier._internal.models.refusal import Refusal, RefusalCode
+from rattanpier._internal.models.request import RouteRequest
+from rattanpier._internal.models.settings import EdgeSettings
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.hashing import sha256_hex
+from rattanpier._internal.utils.metrics import Metrics
+
+PATH = "/services/{service}{rest:(/.*)?}"
+# What concerns the system alone; a workspace's key goes to no upstream.
+OWN_HEADERS = frozenset(
+    {
+        "host",
+        "authorization",
+        "expect",
+        "accept-encoding",
+        "x-request-id",
+        "x-timeout-ms",
+        "x-non-idempotent",
+    }
+)
+OWN_ANSWER_HEADERS = frozenset({"x-request-id", "content-type", "date"})
+
+
+@attrs.define
+class ServiceHandler:
+    """Serves calls to plain services."""
+
+    runner: ServiceRunner
+    settings: EdgeSettings
+    clock: Clock
+    metrics: Metrics
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Answers one call."""
+        request_id = uuid.uuid4().hex
+        try:
+            route, call = await self.take_in(request)
+        except IntakeError as error:
+            return self.refuse(error.refusal, request_id)
+        result = await self.runner.answer(route, call, request_id)
+        match result:
+            case ServiceAnswer():
+                return passed_response(result, request_id)
+            case Recorded(answer):
+                return self.recorded(answer, request_id)
+            case Refused(refusal):
+                return self.refuse(refusal, request_id)
+
+    async def take_in(
+        self, request: web.Request
+    ) -> tuple[RouteRequest, ServiceCall]:
+        """Checks who asks, and what.
+
+        Raises:
+          IntakeError: The request is refused.
+        """
+        configuration = self.runner.configuration()
+        workspace = find_workspace(
+            configuration, request.headers.get("Authorization", "")
+        )
+        if workspace is None:
+            raise IntakeError(
+                Refusal(RefusalCode.BAD_KEY, "The key is not known.", True)
+            )
+        service = request.match_info["service"]
+        upstream = configuration.upstreams.get(service)
+        if upstream is None or upstream.kind is not UpstreamKind.PLAIN:
+            raise IntakeError(
+                Refusal(
+                    RefusalCode.UNKNOWN_SERVICE,
+                    f"There is no service {service!r}.",
+                    True,
+                )
+            )
+        body = await read_body(request, self.settings.max_body_bytes)
+        call = make_call(request, body)
+        return self.route(request, workspace, service, call), call
+
+    def route(
+        self,
+        request: web.Request,
+        workspace: str,
+        service: str,
+        call: ServiceCall,
+    ) -> RouteRequest:
+        """Returns a call as the decisions see it."""
+        return RouteRequest(
+            workspace=workspace,
+            key=idempotency_key(request),
+            keyed="Idempotency-Key" in request.headers,
+            service=service,
+            session=request.headers.get("X-Session-Id", ""),
+            idempotent=not is_marked(request),
+            deadline=self.clock.monotonic() + timeout_s(request, self.settings),
+            digest=digest_of(service, call),
+        )
+
+    def refuse(self, refusal: Refusal, request_id: str) -> web.Response:
+        """Returns a refusal and counts its reason."""
+        self.metrics.count(f"refusal.{refusal.code.value}")
+        return error_response(refusal, request_id)
+
+    def recorded(self, answer: Answer, request_id: str) -> web.Response:
+        """Returns a recorded answer."""
+        if not answer.kept:
+            refusal = Refusal(
+                RefusalCode.OUTCOME_UNKNOWN,
+                "The request was answered; its answer was too large to keep.",
+                False,
+            )
+            return self.refuse(refusal, request_id)
+        return web.Response(
+            status=answer.status,
+            body=base64.b64decode(answer.body),
+            headers={
+                "Content-Type": answer.content_type,
+                "X-Request-Id": request_id,
+            },
+        )
+
+
+def make_call(request: web.Request, body: bytes) -> ServiceCall:
+    """Returns the call to pass on.
+
+    Raises:
+      IntakeError: The path climbs out of the service.
+    """
+    _, _, rest = request.raw_path.lstrip("/").partition("/")
+    _, slash, target = rest.partition("/")
+    if not slash:
+        _, mark, query = rest.partition("?")
+        target = mark + query
+    if has_dot_segments(target):
+        raise bad_request("The path has '.' or '..' in it.")
+    return ServiceCall(
+        request.method,
+        f"/{target}",
+        pass_on(request.headers.items(), OWN_HEADERS),
+        body,
+    )
+
+
+def digest_of(service: str, call: ServiceCall) -> str:
+    """Returns the digest that tells one call from another."""
+    head = f"{call.method} {service} {call.target}\n"
+    return sha256_hex(head.encode() + call.body)
+
+
+def passed_response(answer: ServiceAnswer, request_id: str) -> web.Response:
+    """Returns a service's answer."""
+    response = web.Response(status=answer.status, body=answer.body)
+    types = []
+    for name, value in answer.headers:
+        if name.lower() == "content-type":
+            types.append(value)
+        elif name.lower() not in OWN_ANSWER_HEADERS:
+            response.headers.add(name, value)
+    if types:
+        response.headers["Content-Type"] = types[0]
+    response.headers["X-Request-Id"] = request_id
+    return response
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -11,11 +11,13 @@
 from rattanpier._internal.dispatch.budget import RetryBudget
 from rattanpier._internal.dispatch.keeper import ClaimKeeper
 from rattanpier._internal.dispatch.runner import Runner
+from rattanpier._internal.dispatch.service_runner import ServiceRunner
 from rattanpier._internal.dispatch.tries import Tries
 from rattanpier._internal.edge.app import Edge
 from rattanpier._internal.edge.chat import ChatHandler
 from rattanpier._internal.edge.gate import Gate
 from rattanpier._internal.edge.server import HttpServer
+from rattanpier._internal.edge.services import ServiceHandler
 from rattanpier._internal.edge.sessions import SessionTokens
 from rattanpier._internal.kernel import Kernel
 from rattanpier._internal.membership.draining import DrainPhase
@@ -34,8 +36,12 @@
     members = await add_membership(kernel, settings, Role.ENTRY, "")
     claims = add_claims(kernel)
     handler = make_handler(kernel, settings, claims)
-    edge = Edge(handler, kernel.find("follower"), members, settings.edge)
+    services = make_service_handler(handler, settings)
+    edge = Edge(
+        handler, services, kernel.find("follower"), members, settings.edge
+    )
     gate = add_gate(kernel)
+    add_detached_drain(kernel, gate, handler.runner.keeper)
     server = HttpServer(edge.app(), settings.callers, gate)
     kernel.add("edge", server, stop=server.stop)
     await server.start()
@@ -67,6 +73,18 @@
     return gate
 
 
+def add_detached_drain(kernel: Kernel, gate: Gate, keeper: ClaimKeeper) -> None:
+    """Lets a planned stop wait for requests whose caller went away."""
+
+    async def finish() -> None:
+        await gate.idle.wait()
+        await keeper.finished()
+
+    kernel.find("drain").add(
+        DrainPhase.FINISH, "requests without a caller", finish
+    )
+
+
 def add_claims(kernel: Kernel) -> Claims:
     """Adds the claims service and its handlers for peers."""
     members = kernel.find("members")
@@ -133,3 +151,16 @@
     add_collector(kernel, runner.attempts)
     tokens = SessionTokens(settings.secrets.session_key)
     return ChatHandler(runner, tokens, settings.edge, clock, metrics)
+
+
+def make_service_handler(
+    chat: ChatHandler, settings: Settings
+) -> ServiceHandler:
+    """Returns the handler of calls to plain services."""
+    runner = ServiceRunner(
+        configuration=chat.runner.configuration,
+        tries=chat.runner.tries,
+        keeper=chat.runner.keeper,
+        holder=chat.runner.holder,
+    )
+    return ServiceHandler(runner, settings.edge, chat.clock, chat.metrics)
--- /dev/null
+++ b/tests/failure/test_non_idempotent.py
@@ -0,0 +1,225 @@
+"""Non-idempotent requests run at most once, counted at the upstreams."""
+
+import asyncio
+
+import aiohttp
+import pytest
+import pytest_asyncio
+from yarl import URL
+
+from tests.lib.builders import DESK_KEY, configuration_text
+from tests.lib.cluster import Cluster, wait_for
+from tests.lib.raw import RawUpstream
+
+ENTRIES = ("entry-1", "entry-2")
+AUTHORIZATION = {"Authorization": f"Bearer {DESK_KEY}"}
+MARKED = {"X-Non-Idempotent": "true"}
+CHAT = {"model": "auto", "messages": [{"role": "user", "content": "x"}]}
+
+
+@pytest_asyncio.fixture(scope="module", loop_scope="module")
+async def cluster(tmp_path_factory):
+    async with Cluster(tmp_path_factory.mktemp("once")) as cluster:
+        await cluster.start_table()
+        cluster.revision = 1
+        await cluster.apply(configuration_text(["http://127.0.0.1:1"]))
+        for entry in ENTRIES:
+            await cluster.start_entry(entry)
+        yield cluster
+
+
+async def use(cluster, engines, services):
+    """Puts upstreams in force on both entries."""
+    cluster.revision += 1
+    text = configuration_text(
+        [engine.url for engine in engines] or ["http://127.0.0.1:1"],
+        [service.url for service in services] or "",
+    )
+    await cluster.apply(text, cluster.revision)
+
+    async def in_force():
+        for entry in ENTRIES:
+            url = f"{cluster.urls[entry]}/readyz"
+            async with cluster.session.get(url) as response:
+                body = await response.json()
+                if body["revision"] != cluster.revision:
+                    return False
+        return True
+
+    await wait_for(in_force)
+
+
+async def call(cluster, method, path, entry="entry-1", **headers):
+    """Sends one call to an entry; returns (status, body)."""
+    async with cluster.session.request(
+        method,
+        URL(f"{cluster.urls[entry]}{path}", encoded=True),
+        json=CHAT if path.startswith("/v1") else None,
+        headers={**AUTHORIZATION, "X-Timeout-Ms": "5000", **headers},
+    ) as response:
+        return response.status, await response.json()
+
+
+@pytest.mark.parametrize("mode", ["cut_after", "fail", "refuse_busy"])
+@pytest.mark.parametrize(
+    ("method", "path"),
+    [
+        ("PUT", "/services/phrases/cards/1"),
+        ("DELETE", "/services/phrases/cards/1"),
+        ("GET", "/services/phrases/draw"),
+        ("POST", "/v1/chat/completions"),
+    ],
+)
+@pytest.mark.asyncio(loop_scope="module")
+async def test_a_marked_call_is_sent_once(cluster, mode, method, path):
+    async with RawUpstream(mode) as one, RawUpstream(mode) as two:
+        await use(cluster, [one, two], [one, two])
+        for number in range(4):
+            key = f"{mode}-{method}-{path}-{number}"
+            answers = [
+                await call(
+                    cluster,
+                    method,
+                    path,
+                    entry,
+                    **MARKED,
+                    **{"Idempotency-Key": key},
+                )
+                for entry in (*ENTRIES, *ENTRIES)
+            ]
+            assert all(body["error"]["code"] for _, body in answers)
+            assert not any(body["error"]["not_run"] for _, body in answers)
+        assert one.touched + two.touched == 4
+
+
+@pytest.mark.parametrize(
+    "path", ["/orders", "/Orders/", "//orders", "/%6frders?x=1", "/orders/7"]
+)
+@pytest.mark.asyncio(loop_scope="module")
+async def test_a_listed_call_is_sent_once(cluster, path):
+    async with RawUpstream("cut_after") as one, RawUpstream("ok") as two:
+        await use(cluster, [], [one, two])
+        for number in range(6):
+            await call(
+                cluster,
+                "POST",
+                f"/services/phrases{path}",
+                ENTRIES[number % 2],
+            )
+        assert len(one.runs) + len(two.runs) == 6
+        assert one.runs
+
+
+@pytest.mark.asyncio(loop_scope="module")
+async def test_a_repeatable_call_is_retried_elsewhere(cluster):
+    async with RawUpstream("cut_after") as one, RawUpstream("ok") as two:
+        await use(cluster, [], [one, two])
+        for _ in range(6):
+            status, body = await call(
+                cluster, "POST", "/services/phrases/search"
+            )
+            assert (status, body) == (200, {"done": True})
+        assert len(two.runs) == 6
+        assert one.runs
+
+
+@pytest.mark.parametrize("path", ["/services/phrases/orders", "/v1/chat"])
+@pytest.mark.asyncio(loop_scope="module")
+async def test_a_redirect_is_not_followed(cluster, path):
+    async with RawUpstream("redirect") as one, RawUpstream("ok") as two:
+        one.elsewhere = two.url
+        await use(cluster, [one], [one])
+        path = path.replace("/v1/chat", "/v1/chat/completions")
+        async with cluster.session.post(
+            cluster.urls["entry-1"] + path,
+            json=CHAT,
+            headers=AUTHORIZATION,
+            allow_redirects=False,
+        ) as response:
+            assert response.status in (307, 502)
+        assert two.runs == []
+
+
+@pytest.mark.parametrize(
+    "path", ["/services/phrases/orders", "/v1/chat/completions"]
+)
+@pytest.mark.asyncio(loop_scope="module")
+async def test_a_caller_that_left_finds_its_answer(cluster, path):
+    async with RawUpstream("hold") as upstream:
+        await use(cluster, [upstream], [upstream])
+        headers = {**MARKED, "Idempotency-Key": f"left-{path}"}
+        first = asyncio.create_task(
+            call(cluster, "POST", path, "entry-1", **headers)
+        )
+        await wait_for(lambda: truth(upstream.runs))
+        first.cancel()
+        await asyncio.gather(first, return_exceptions=True)
+        second = asyncio.create_task(
+            call(cluster, "POST", path, "entry-2", **headers)
+        )
+        upstream.gate.set()
+        status, body = await second
+        assert status == 200
+        assert body.get("done") or body["choices"][0]["message"]["content"]
+        assert len(upstream.runs) == 1
+
+
+@pytest.mark.asyncio(loop_scope="module")
+async def test_a_key_names_one_call(cluster):
+    async with RawUpstream("ok") as upstream:
+        await use(cluster, [], [upstream])
+        headers = {"Idempotency-Key": "one-call"}
+        status, _ = await call(
+            cluster, "POST", "/services/phrases/orders", **headers
+        )
+        assert status == 200
+        for method, path in (("PUT", "orders"), ("POST", "orders/2")):
+            status, body = await call(
+                cluster,
+                method,
+                f"/services/phrases/{path}",
+                "entry-2",
+                **headers,
+            )
+            assert (status, body["error"]["code"]) == (422, "key_mismatch")
+        assert len(upstream.runs) == 1
+
+
+@pytest.mark.parametrize("mode", ["short_body", "no_length"])
+@pytest.mark.asyncio(loop_scope="module")
+async def test_a_cut_answer_is_not_passed_off_as_whole(cluster, mode):
+    async with RawUpstream(mode) as upstream:
+        await use(cluster, [], [upstream])
+        headers = {"Idempotency-Key": f"cut-{mode}"}
+        for entry in ENTRIES:
+            status, body = await call(
+                cluster, "POST", "/services/phrases/orders", entry, **headers
+            )
+            assert status in (502, 409)
+            assert body["error"]["not_run"] is False
+        assert len(upstream.runs) == 1
+
+
+@pytest.mark.asyncio(loop_scope="module")
+async def test_services_refuse_what_is_not_allowed(cluster):
+    async with RawUpstream("ok") as upstream:
+        await use(cluster, [upstream], [upstream])
+        cases = {
+            "/services/nothing/x": (404, "unknown_service"),
+            "/services/pool/x": (404, "unknown_service"),
+            "/services/phrases/a/%2e%2e/orders": (400, "bad_request"),
+        }
+        for path, (status, code) in cases.items():
+            found, body = await call(cluster, "GET", path)
+            assert (found, body["error"]["code"]) == (status, code)
+            assert body["error"]["not_run"] is True
+        with pytest.raises(aiohttp.ClientResponseError):
+            await cluster.session.get(
+                f"{cluster.urls['entry-1']}/services/phrases/x",
+                raise_for_status=True,
+            )
+        assert upstream.runs == []
+
+
+async def truth(value):
+    return value
--- a/tests/lib/builders.py
+++ b/tests/lib/builders.py
@@ -19,6 +19,12 @@
 OPERATOR_KEY = "operator-key"
 SMALL = "small@1"
 LARGE = "large@1"
+PHRASES_RULE = """
+[[rules]]
+name = "phrases"
+when.services = ["phrases"]
+then.service = "phrases"
+"""
 
 
 def build_configuration(**changes):
@@ -61,14 +67,18 @@
 """
         for number, url in enumerate(engine_urls)
     )
-    plain = f"""
+    plain_urls = [plain_url] if isinstance(plain_url, str) else plain_url
+    plain = """
 [upstreams.phrases]
 kind = "plain"
 non_repeatable = ["POST /orders"]
-[upstreams.phrases.workers.p0]
-url = "{plain_url}"
+""" + "\n".join(
+        f"""[upstreams.phrases.workers.p{number}]
+url = "{url}"
 domain = "a"
 """
+        for number, url in enumerate(plain_urls)
+    )
     return f"""
 [fleet]
 size = {fleet_size}
@@ -92,6 +102,7 @@
 services = [{'"phrases"' if plain_url else ""}]
 [cascades.quick]
 steps = ["{SMALL}"]
+{PHRASES_RULE if plain_url else ""}
 [[rules]]
 name = "all"
 then.cascade = "quick"
--- a/tests/lib/raw.py
+++ b/tests/lib/raw.py
@@ -10,14 +10,18 @@
     """Speaks just enough HTTP and counts the requests that came whole.
 
     Modes: ok, cut_on_accept, cut_in_headers, cut_in_body, cut_after, refuse,
-    refuse_busy, fail, stall, half, cut_reused, short_body, no_length.
+    refuse_busy, fail, stall, half, cut_reused, short_body, no_length, hold
+    (answers once `gate` is set), redirect (to `elsewhere`).
     """
 
+    elsewhere = ""
+
     def __init__(self, mode="ok"):
         self.mode = mode
         self.runs = []
         self.touched = 0
         self.server = None
+        self.gate = asyncio.Event()
 
     async def __aenter__(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -48,7 +52,6 @@
         served = 0
         while True:
             method, headers = await read_head(reader)
-            self.touched += 1
             length = int(headers.get("content-length", "0"))
             if method == "POST" and self.mode == "cut_in_headers":
                 return
@@ -59,6 +62,7 @@
             if method in ("GET", "DELETE") and "chat" in headers[":path"]:
                 await respond(writer, "410 Gone", "{}")
                 continue
+            self.touched += 1
             self.runs.append(headers.get("x-request-id", ""))
             served += 1
             if not await self.answer(headers, writer, served):
@@ -66,6 +70,8 @@
 
     async def answer(self, headers, writer, served):
         """Answers one request; False if the connection ends."""
+        if self.mode == "hold":
+            await self.gate.wait()
         if self.mode == "refuse":
             self.runs.pop()
             await respond(writer, "503 Full", '{"not_run": true}')
@@ -76,6 +82,10 @@
             await respond(writer, "500 Failed", '{"error": "failed"}')
         elif self.mode == "stall":
             await asyncio.sleep(3600)
+        elif self.mode == "redirect":
+            path = headers[":path"]
+            status = f"307 Moved\r\nLocation: {self.elsewhere}{path}"
+            await respond(writer, status, "{}")
         elif self.mode == "cut_after":
             return False
         elif self.mode == "cut_reused":
