Harden links against silent, half-open and stopped peers

Cause: a stopped peer server ended its streams without telling the other side; a half-open stream stayed in use; queues had no bound. Ruled out: HTTP/2 keep-alive pings: a frozen process still gets them answered late, and each link would pay for them when idle. Change: a server that stops resets its streams; a broken stream fails its calls at once and is opened again after 0 to 1 s; a stream is replaced after 3 calls without a reply; 10,000 pending calls and 1,000 notices at most; a refused connection is told apart (PeerRefusedError); a peer that reads no replies is cut off, one with 5,000 calls under way is refused. Conclusion: a bad peer costs its callers no more than their timeout.

--- a/src/rattanpier/_internal/exceptions.py
+++ b/src/rattanpier/_internal/exceptions.py
@@ -44,6 +44,12 @@
     code = "peer_unavailable"
 
 
+class PeerRefusedError(PeerUnavailableError):
+    """The peer's VM answered that no process listens there."""
+
+    code = "peer_refused"
+
+
 class PlatformUnavailableError(RattanpierError):
     """A service of the platform other than the store did not answer."""
 
--- a/src/rattanpier/_internal/peers/link.py
+++ b/src/rattanpier/_internal/peers/link.py
@@ -1,17 +1,27 @@
-"""A stream to one peer, over which calls are batched into frames."""
+"""A stream to one peer, over which calls are batched into frames.
+
+A stream that breaks fails its calls at once and is opened again after a
+bounded wait. A peer that takes frames and never answers is given a new stream
+after a few calls without a reply, since its old one may be half open.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import itertools
+import random
 import ssl
+import time
 
 import structlog
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
-from rattanpier._internal.exceptions import PeerUnavailableError
+from rattanpier._internal.exceptions import (
+    PeerRefusedError,
+    PeerUnavailableError,
+)
 from rattanpier._internal.peers.proto import peer_pb2
 from rattanpier._internal.peers.proto.peer_grpc import PeerStub
 
@@ -19,7 +29,18 @@
 
 BATCH_PAUSE_S = 0.001  # Calls of one millisecond share a frame.
 CONNECT_TIMEOUT_S = 2.0
-BROKEN = (OSError, GRPCError, StreamTerminatedError, TimeoutError)
+FIRST_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 1.0
+MAX_PENDING = 10_000  # Calls without a reply.
+MAX_NOTICES = 1_000  # Notices not yet sent; further ones are dropped.
+MAX_SILENT_CALLS = 3  # Timeouts in a row before the stream is replaced.
+BROKEN = (
+    OSError,
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    TimeoutError,
+)
 
 
 class Link:
@@ -30,6 +51,10 @@
       port: Its port.
       member: Own member name, sent in the first frame.
       pending: Futures of calls without a reply, by call id.
+      connected: Whether the present stream has been answered.
+      silent_calls: Timeouts since the last frame from the peer.
+      backoff_s: Wait before the next stream; 0 after one that worked.
+      retry_at: Monotonic time before which no stream is opened.
     """
 
     def __init__(
@@ -45,10 +70,13 @@
         self.tls = tls
         self.pending: dict[int, asyncio.Future[peer_pb2.Reply]] = {}
         self.ids = itertools.count(1)
-        self.frame = peer_pb2.Frame()
+        self.frame = peer_pb2.Frame(sender=member)
         self.wake = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
         self.connected = False
+        self.silent_calls = 0
+        self.backoff_s = 0.0
+        self.retry_at = 0.0
 
     async def call(
         self, call: peer_pb2.Call, timeout_s: float
@@ -56,9 +84,12 @@
         """Sends a call and returns its reply.
 
         Raises:
+          PeerRefusedError: No process listens there; nothing was sent.
           PeerUnavailableError: No reply in time, or the peer failed. The
             call may or may not have taken effect.
         """
+        if len(self.pending) >= MAX_PENDING:
+            raise PeerUnavailableError(f"link to {self.address} is full")
         self.ensure_running()
         call.id = next(self.ids)
         future = asyncio.get_running_loop().create_future()
@@ -68,8 +99,9 @@
         try:
             reply = await asyncio.wait_for(future, timeout_s)
         except TimeoutError as error:
+            self.note_silence()
             raise PeerUnavailableError(
-                f"peer {self.host}:{self.port} did not answer"
+                f"peer {self.address} did not answer"
             ) from error
         finally:
             self.pending.pop(call.id, None)
@@ -79,47 +111,84 @@
 
     def notify(self, notice: peer_pb2.Notice) -> None:
         """Sends a notice that may be lost."""
+        if len(self.frame.notices) >= MAX_NOTICES:
+            return
         self.ensure_running()
         self.frame.notices.append(notice)
         self.wake.set()
 
+    @property
+    def address(self) -> str:
+        """The peer's address, for messages."""
+        return f"{self.host}:{self.port}"
+
     def ensure_running(self) -> None:
         """Starts the stream if there is none."""
         if self.task is None or self.task.done():
             self.frame = peer_pb2.Frame(sender=self.member)
             self.task = asyncio.get_running_loop().create_task(self.run())
 
+    def note_silence(self) -> None:
+        """Counts a call without a reply; replaces a silent stream."""
+        self.silent_calls += 1
+        if self.silent_calls >= MAX_SILENT_CALLS and self.task is not None:
+            log.info("Link is silent.", peer=self.address)
+            self.silent_calls = 0
+            self.task.cancel()
+
     async def run(self) -> None:
         """Keeps one stream until it breaks; then fails what is pending."""
-        channel = Channel(self.host, self.port, ssl=self.tls)
+        error: Exception | None = None
+        channel: Channel | None = None
         try:
+            await asyncio.sleep(max(0.0, self.retry_at - time.monotonic()))
+            channel = Channel(self.host, self.port, ssl=self.tls)
             await self.exchange(channel)
-        except BROKEN as error:
-            log.info("Link broke.", peer=self.host, error=repr(error))
+        except BROKEN as broken:
+            error = broken
+            log.info("Link broke.", peer=self.address, error=repr(broken))
         finally:
-            self.connected = False
-            channel.close()
-            self.fail_pending()
+            self.note_break()
+            if channel is not None:
+                channel.close()
+            self.fail_pending(error)
+
+    def note_break(self) -> None:
+        """Sets when the next stream may be opened."""
+        worked, self.connected = self.connected, False
+        self.backoff_s = (
+            0.0
+            if worked
+            else min(MAX_BACKOFF_S, max(FIRST_BACKOFF_S, 2 * self.backoff_s))
+        )
+        # Peers of one process that went must not come back in step.
+        wait = self.backoff_s * random.uniform(0.5, 1.0)
+        self.retry_at = time.monotonic() + wait
 
     async def exchange(self, channel: Channel) -> None:
         """Opens the stream, sends frames and receives replies."""
-        async with PeerStub(channel).Exchange.open() as stream:
-            await asyncio.wait_for(stream.send_request(), CONNECT_TIMEOUT_S)
-            sender = asyncio.get_running_loop().create_task(self.send(stream))
-            sender.add_done_callback(lambda task: self.note_end(task, stream))
+        async with contextlib.AsyncExitStack() as stack:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await channel.__connect__()
+                stream = await stack.enter_async_context(
+                    PeerStub(channel).Exchange.open()
+                )
+                await stream.send_request()
+            loop = asyncio.get_running_loop()
+            work = [
+                loop.create_task(self.send(stream)),
+                loop.create_task(self.receive_all(stream)),
+            ]
             try:
-                async for frame in stream:
-                    self.connected = True
-                    self.receive(frame)
+                # Whichever fails first ends the other.
+                await asyncio.wait(work, return_when=asyncio.FIRST_COMPLETED)
             finally:
-                sender.cancel()
-                with contextlib.suppress(asyncio.CancelledError, *BROKEN):
-                    await sender
-
-    def note_end(self, task: asyncio.Task[None], stream: object) -> None:
-        """Closes the stream when its sender failed."""
-        if not task.cancelled() and task.exception() is not None:
-            self.fail_pending()
+                for task in work:
+                    task.cancel()
+                ended = await asyncio.gather(*work, return_exceptions=True)
+            for result in ended:
+                if isinstance(result, Exception):
+                    raise result
 
     async def send(self, stream: object) -> None:
         """Sends a frame whenever there is something to send."""
@@ -130,6 +199,13 @@
             frame, self.frame = self.frame, peer_pb2.Frame()
             await stream.send_message(frame)  # type: ignore[attr-defined]
 
+    async def receive_all(self, stream: object) -> None:
+        """Takes frames until the peer ends the stream."""
+        async for frame in stream:  # type: ignore[attr-defined]
+            self.connected = True
+            self.silent_calls = 0
+            self.receive(frame)
+
     def receive(self, frame: peer_pb2.Frame) -> None:
         """Hands replies to their callers."""
         for reply in frame.replies:
@@ -137,16 +213,17 @@
             if future is not None and not future.done():
                 future.set_result(reply)
 
-    def fail_pending(self) -> None:
+    def fail_pending(self, error: Exception | None) -> None:
         """Fails every call without a reply."""
         pending, self.pending = self.pending, {}
+        kind = (
+            PeerRefusedError
+            if isinstance(error, ConnectionRefusedError)
+            else PeerUnavailableError
+        )
         for future in pending.values():
             if not future.done():
-                future.set_exception(
-                    PeerUnavailableError(
-                        f"link to {self.host}:{self.port} broke"
-                    )
-                )
+                future.set_exception(kind(f"link to {self.address} broke"))
 
     async def close(self) -> None:
         """Ends the stream."""
--- a/src/rattanpier/_internal/peers/server.py
+++ b/src/rattanpier/_internal/peers/server.py
@@ -17,6 +17,9 @@
 
 log = structlog.get_logger(part="peers")
 
+MAX_RUNNING = 5_000  # Calls of one peer under way; more are refused at once.
+MAX_OUTGOING = 10_000  # Replies a peer has not read; then it is cut off.
+
 CallHandler = Callable[[peer_pb2.Call], Awaitable[peer_pb2.Reply]]
 NoticeHandler = Callable[[peer_pb2.Notice], None]
 
@@ -57,12 +60,23 @@
             async for frame in stream:
                 for notice in frame.notices:
                     self.take_notice(notice)
+                if outgoing.qsize() > MAX_OUTGOING:
+                    log.warning("A peer reads no replies.")
+                    return
                 for call in frame.calls:
+                    if len(running) >= MAX_RUNNING:
+                        outgoing.put_nowait(busy(call))
+                        continue
                     task = asyncio.get_running_loop().create_task(
                         self.answer(call, outgoing)
                     )
                     running.add(task)
                     task.add_done_callback(running.discard)
+        except asyncio.CancelledError:
+            # The peer has to hear of it, or its calls wait for nothing.
+            with contextlib.suppress(Exception):
+                await stream.cancel()
+            raise
         finally:
             sender.cancel()
             with contextlib.suppress(
@@ -114,6 +128,13 @@
     return peer_pb2.Reply(failure=peer_pb2.Failure(code=code, message=message))
 
 
+def busy(call: peer_pb2.Call) -> peer_pb2.Reply:
+    """Returns the reply to a call that is not even tried."""
+    reply = failure("busy", "too many calls are under way")
+    reply.id = call.id
+    return reply
+
+
 async def send_replies(
     stream: Stream[peer_pb2.Frame, peer_pb2.Frame],
     outgoing: asyncio.Queue[peer_pb2.Reply],
