Ask peers for certificates of one authority

Cause: streams between processes were in the clear, and anybody could call. Ruled out: names in certificates: VMs get their numbers when they start. Figures: plain text, no certificate, another authority's certificate (client and server side): 0 of 4 calls reach a handler; same authority: served. Conclusion: one authority decides who is a peer.

--- a/src/rattanpier/_internal/edge/server.py
+++ b/src/rattanpier/_internal/edge/server.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import ssl
-
 from aiohttp import web
 
 from rattanpier._internal.edge.gate import Gate, gate_middleware
 from rattanpier._internal.models.settings import ListenSettings
+from rattanpier._internal.peers.tls import caller_server_context
 
 SHUTDOWN_S = 5.0  # aiohttp's own patience; the drain comes before it.
 
@@ -40,7 +39,7 @@
             self.runner,
             self.listen.host,
             self.listen.port,
-            ssl_context=server_tls(self.listen),
+            ssl_context=caller_server_context(self.listen),
             shutdown_timeout=SHUTDOWN_S,
         )
         await site.start()
@@ -56,12 +55,3 @@
         scheme = "https" if self.listen.certificate else "http"
         host = self.listen.advertise or self.listen.host
         return f"{scheme}://{host}:{self.port}"
-
-
-def server_tls(listen: ListenSettings) -> ssl.SSLContext | None:
-    """Returns the TLS context of a listener, or None for plain text."""
-    if not listen.certificate:
-        return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(listen.certificate, listen.key)
-    return context
--- a/src/rattanpier/_internal/programs/common.py
+++ b/src/rattanpier/_internal/programs/common.py
@@ -21,6 +21,10 @@
 from rattanpier._internal.models.settings import Settings
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.server import PeerServer
+from rattanpier._internal.peers.tls import (
+    peer_client_context,
+    peer_server_context,
+)
 from rattanpier._internal.platform.table import HttpTable
 from rattanpier._internal.routing.brakes import Brakes
 from rattanpier._internal.utils.clock import SystemClock
@@ -50,7 +54,9 @@
     )
     server = kernel.add("peer_server", PeerServer())
     kernel.services["peer_server"].stop = server.stop
-    links = kernel.add("links", Links(settings.node.name))
+    links = kernel.add(
+        "links", Links(settings.node.name, peer_client_context(settings.peers))
+    )
     kernel.services["links"].stop = links.close
     follower = kernel.add("follower", Follower(table, clock))
     await follower.poll()
@@ -61,7 +67,11 @@
 ) -> Members:
     """Listens for peers and joins the others."""
     server = kernel.find("peer_server")
-    await server.start(settings.peers.host, settings.peers.port)
+    await server.start(
+        settings.peers.host,
+        settings.peers.port,
+        peer_server_context(settings.peers),
+    )
     me = Member(
         name=settings.node.name,
         incarnation=uuid.uuid4().hex[:12],
