--- /dev/null
+++ b/tests/failure/test_configuration_currency.py
@@ -0,0 +1,227 @@
+"""Nodes cut off, frozen and restarted while the configuration changes.
+
+On a controlled clock, with the real code of all nodes in one process. A fault
+in these tests may hit any node at any moment; what has to hold is that no
+node works by a revision older than one that was reported in force.
+"""
+
+import random
+
+import pytest
+
+from tests.lib.config_fleet import Fleet
+
+IN_FORCE_S = 5.0
+
+
+@pytest.fixture
+async def fleet():
+    return await Fleet().start()
+
+
+def outdated(fleet):
+    """Nodes that would start work by less than what is in force."""
+    revisions = [node.works_by() for node in fleet.entries]
+    return [r for r in revisions if r is not None and r < fleet.in_force()]
+
+
+async def run_until_in_force(fleet, revision, limit_s=60.0):
+    """Seconds until a revision was reported; nobody may be outdated."""
+    started = fleet.clock.now
+    while fleet.in_force() < revision:
+        assert fleet.clock.now - started < limit_s, "never reported"
+        await fleet.run(0.25)
+        assert not outdated(fleet)
+    return fleet.clock.now - started
+
+
+async def test_healthy_fleet_acknowledges_at_once(fleet):
+    await fleet.run(10.0)
+    assert await fleet.control.propose(fleet.text)
+    assert await run_until_in_force(fleet, 2) <= 0.25
+
+
+@pytest.mark.parametrize("cut", [["table"], ["peers"], ["table", "peers"]])
+async def test_cut_node_never_works_by_an_older_revision(fleet, cut):
+    await fleet.run(10.0)
+    node = fleet.entries[0]
+    node.table.cut = "table" in cut
+    node.peers_cut = "peers" in cut
+    assert await fleet.control.propose(fleet.text)
+    assert await run_until_in_force(fleet, 2) < IN_FORCE_S
+    await fleet.run(10.0)
+    assert not outdated(fleet)
+    # Cut from one side it hears from the other; cut from both it refuses.
+    assert node.works_by() == (None if len(cut) == 2 else 2)
+    node.table.cut = node.peers_cut = False
+    await fleet.run(1.0)
+    assert node.works_by() == 2
+
+
+async def test_frozen_node_thaws_out_of_date(fleet):
+    await fleet.run(10.0)
+    node = fleet.entries[0]
+    node.frozen = True
+    assert await fleet.control.propose(fleet.text)
+    assert await run_until_in_force(fleet, 2) < IN_FORCE_S
+    node.frozen = False
+    assert node.works_by() is None
+    await fleet.run(1.0)
+    assert node.works_by() == 2
+
+
+async def test_store_outage_without_a_change_lets_all_go_on(fleet):
+    for node in fleet.nodes.values():
+        node.table.cut = True
+    gaps = 0
+    for _ in range(240):
+        await fleet.run(0.25)
+        gaps += sum(node.works_by() is None for node in fleet.entries)
+    assert gaps == 0
+
+
+async def test_store_outage_that_only_a_minority_sees_stops_it(fleet):
+    for node in fleet.entries[:2]:
+        node.table.cut = node.peers_cut = True
+    await fleet.run(5.0)
+    assert [node.works_by() for node in fleet.entries] == [None, None, 1, 1, 1]
+
+
+async def test_outage_with_a_change_accepted_just_before(fleet):
+    await fleet.run(10.0)
+    # Three of five and the control process lose the store and each other;
+    # nothing may be reported while they may take it for an outage.
+    for node in fleet.entries[:3]:
+        node.table.cut = True
+    control = fleet.control
+    control.peers_cut = True
+    assert await control.propose(fleet.text)
+    for node in fleet.entries[3:]:
+        node.peers_cut = True
+    await fleet.run(20.0)
+    assert fleet.in_force() == 1 or not outdated(fleet)
+    working = [node.works_by() for node in fleet.entries]
+    assert working == [1, 1, 1, 2, 2]
+    assert fleet.in_force() < 2
+    for node in fleet.nodes.values():
+        node.table.cut = node.peers_cut = False
+    await run_until_in_force(fleet, 2)
+
+
+async def test_restart_of_all_nodes_does_not_go_back(fleet):
+    await fleet.run(10.0)
+    assert await fleet.control.propose(fleet.text)
+    await run_until_in_force(fleet, 2)
+    for node in fleet.entries:
+        node.table.cut = True
+    for node in fleet.entries:
+        await node.start()
+    await fleet.run(1.0)
+    # An old peer pushes what it still has; nobody takes it for current.
+    for node in fleet.entries:
+        node.follower.enforce(1, fleet.text)
+    await fleet.run(10.0)
+    assert not outdated(fleet)
+    for node in fleet.entries:
+        node.table.cut = False
+    await fleet.run(1.0)
+    assert [node.works_by() for node in fleet.entries] == [2] * 5
+
+
+async def test_restarted_nodes_do_not_vote_for_what_a_stale_peer_gave(fleet):
+    await fleet.run(10.0)
+    stale = fleet.entries[:2]
+    for node in stale:
+        node.side, node.table.cut = 1, True
+    assert await fleet.control.propose(fleet.text)
+    await run_until_in_force(fleet, 2)
+    restarted = fleet.entries[2]
+    restarted.side, restarted.table.cut = 1, True
+    await restarted.start()
+    await fleet.run(10.0)
+    assert restarted.follower.revision == 1
+    assert [node.works_by() for node in [*stale, restarted]] == [None] * 3
+
+
+async def test_old_peer_can_not_push_a_node_back(fleet):
+    assert await fleet.control.propose(fleet.text)
+    await fleet.run(2.0)
+    node = fleet.entries[0]
+    assert not node.follower.enforce(1, fleet.text)
+    assert node.works_by() == 2
+
+
+async def test_store_that_went_back_confirms_nobody(fleet):
+    assert await fleet.control.propose(fleet.text)
+    await fleet.run(2.0)
+    for key in ("config/head", "config/revision/000000002"):
+        del fleet.table.rows[key]
+    await fleet.run(5.0)
+    assert [node.works_by() for node in fleet.entries] == [None] * 5
+
+
+async def test_node_whose_row_was_removed_does_not_count_itself_current(fleet):
+    node = fleet.entries[0]
+    del fleet.table.rows[f"member/{node.name}"]
+    node.peers_cut = True
+    await fleet.run(2 * 4.0 + 0.5)
+    assert node.works_by() is None
+
+
+async def test_wall_clock_steps_change_nothing(fleet):
+    for step in (-86_400.0, 86_400.0):
+        fleet.clock.wall += step
+        await fleet.run(1.0)
+        assert [node.works_by() for node in fleet.entries] == [1] * 5
+
+
+async def act(fleet, rng):
+    """Lets one thing happen to the fleet."""
+    node = rng.choice(fleet.entries)
+    match rng.randrange(12):
+        case 0 | 1:
+            node.table.cut = not node.table.cut
+        case 2:
+            node.side = rng.choice([0, 1, node.name])
+        case 3:
+            node.frozen = not node.frozen
+        case 4 | 5:
+            if not node.frozen:
+                await node.start()
+        case 6 | 7:
+            for each in rng.sample(fleet.entries, rng.choice([2, 3])):
+                each.side, each.table.cut = 1, True
+        case 8:
+            down = rng.random() < 0.5
+            for each in fleet.entries:
+                each.table.cut = down
+        case 9 | 10:
+            await fleet.control.propose(fleet.text)
+        case 11:
+            for each in fleet.nodes.values():
+                each.table.cut = each.frozen = False
+                each.side = 0
+
+
+async def run_random(seed, steps=60):
+    """Runs a random history; returns nodes outdated and revisions reported."""
+    rng = random.Random(seed)
+    fleet = await Fleet().start()
+    await fleet.run(9.0)
+    wrong = 0
+    for _ in range(steps):
+        await act(fleet, rng)
+        for _ in range(rng.choice([1, 1, 4, 24])):
+            await fleet.run(0.25)
+            wrong += len(outdated(fleet))
+    return wrong, fleet.in_force()
+
+
+@pytest.mark.parametrize("seed", range(0, 40, 8))
+async def test_random_histories(seed):
+    reported = 0
+    for number in range(seed, seed + 8):
+        wrong, in_force = await run_random(number)
+        assert wrong == 0, f"seed {number}"
+        reported += in_force
+    assert reported > 8
--- /dev/null
+++ b/tests/lib/config_fleet.py
@@ -0,0 +1,214 @@
+"""Nodes of a fleet in one process, on a clock that the test turns.
+
+The nodes run the real code for following, currency, pushes and "in force";
+the store is shared, and links and stores can be cut.
+"""
+
+import asyncio
+import random
+import types
+import uuid
+
+from reactivex.subject import BehaviorSubject
+
+from rattanpier._internal.configuration.currency import Currency
+from rattanpier._internal.configuration.follow import (
+    Follower,
+    poll_interval_s,
+)
+from rattanpier._internal.configuration.inforce import InForce
+from rattanpier._internal.configuration.spread import Spreader
+from rattanpier._internal.configuration.store import (
+    Accepted,
+    Revision,
+    propose,
+    read_head,
+)
+from rattanpier._internal.exceptions import (
+    PeerUnavailableError,
+    StoreUnavailableError,
+)
+from rattanpier._internal.models.member import Member, Role, member_key
+from rattanpier._internal.models.outcomes import NotRun
+from rattanpier._internal.platform.table import Put, Transaction
+from rattanpier._internal.standin.table import MemoryTable
+from rattanpier._internal.utils.codec import encode
+from rattanpier._internal.utils.metrics import Metrics
+from tests.lib.clock import ManualClock
+
+TICK_S = 0.25
+
+
+class CutTable:
+    """One node's way to the shared store."""
+
+    def __init__(self, table):
+        self.table = table
+        self.cut = False
+
+    def check(self):
+        if self.cut:
+            raise StoreUnavailableError("cut off")
+
+    async def get(self, key):
+        self.check()
+        return await self.table.get(key)
+
+    async def scan(self, prefix, after="", limit=500):
+        self.check()
+        return await self.table.scan(prefix, after, limit)
+
+    async def transact(self, transaction):
+        if self.cut:
+            return NotRun("cut off")
+        return await self.table.transact(transaction)
+
+
+class Node:
+    """One process; `start` is also a restart that forgets everything."""
+
+    def __init__(self, fleet, name, role):
+        self.fleet = fleet
+        self.name = name
+        self.role = role
+        self.table = CutTable(fleet.table)
+        self.frozen = False
+        self.side = 0  # Peers reach each other on the same side only.
+        self.next_poll = 0.0
+
+    @property
+    def peers_cut(self):
+        return self.side == self.name
+
+    @peers_cut.setter
+    def peers_cut(self, cut):
+        self.side = self.name if cut else 0
+
+    async def start(self):
+        me = Member(
+            self.name, uuid.uuid4().hex, self.role, "a", "r", "", self.name, 0
+        )
+        self.members = types.SimpleNamespace(me=me, live=self.fleet.live)
+        self.fleet.live.on_next({**self.fleet.live.value, self.name: me})
+        clock, metrics = self.fleet.clock, Metrics()
+        self.follower = Follower(self.table, clock, me=me)
+        links = types.SimpleNamespace(
+            to=lambda member: FakeLink(self, self.fleet.nodes[member.name])
+        )
+        self.currency = Currency(
+            self.follower,
+            self.members,
+            links,
+            clock,
+            metrics,
+            random.Random(self.name),
+        )
+        self.spreader = Spreader(self.follower, self.members, links, metrics)
+        self.inforce = InForce(
+            self.table,
+            clock,
+            self.follower,
+            self.members,
+            self.spreader,
+            metrics,
+            clock.monotonic(),
+        )
+        put = Put(member_key(self.name), encode(me))
+        await self.table.transact(Transaction(puts=[put]))
+        await self.follower.poll()
+
+    async def tick(self):
+        if self.frozen:
+            return
+        now = self.fleet.clock.monotonic()
+        if now >= self.next_poll:
+            await self.follower.poll()
+            fleet = self.follower.configuration.fleet
+            self.next_poll = now + poll_interval_s(fleet)
+        await self.currency.step()
+        self.inforce.note_sightings()
+        watch = self.inforce.watch
+        if watch and not self.inforce.progress.value.in_force:
+            await self.inforce.step(watch)
+
+    async def propose(self, text):
+        """Proposes a text to follow the head; True if it was accepted."""
+        try:
+            revision = await read_head(self.table) + 1
+            change = Revision(revision, text, self.name, uuid.uuid4().hex, 0.0)
+            outcome = await propose(self.table, change)
+        except StoreUnavailableError:
+            return False
+        if outcome != Accepted(revision):
+            return False
+        self.inforce.begin(change)
+        return True
+
+    def works_by(self):
+        """The revision it would start work by now; None if it refuses."""
+        if self.frozen or not self.currency.is_current():
+            return None
+        return self.follower.revision
+
+
+class FakeLink:
+    """Carries a call from one node to another, unless either is cut off."""
+
+    def __init__(self, sender, receiver):
+        self.sender = sender
+        self.receiver = receiver
+
+    async def call(self, call, _timeout_s):
+        receiver = self.receiver
+        if receiver.frozen or receiver.side != self.sender.side:
+            raise PeerUnavailableError("cut off")
+        handlers = {
+            "currency": receiver.currency.serve,
+            "config_push": receiver.spreader.serve,
+        }
+        return await handlers[call.WhichOneof("body")](call)
+
+
+class Fleet:
+    """Entries and one control process over one store."""
+
+    def __init__(self, entries=5, size=5, validity_s=4.0):
+        self.clock = ManualClock()
+        self.table = MemoryTable()
+        self.live = BehaviorSubject({})
+        self.reported = 0
+        self.text = f"[fleet]\nsize = {size}\nvalidity_s = {validity_s}\n"
+        names = [f"entry-{number}" for number in range(entries)]
+        self.nodes = {name: Node(self, name, Role.ENTRY) for name in names}
+        self.nodes["control"] = Node(self, "control", Role.CONTROL)
+
+    @property
+    def control(self):
+        return self.nodes["control"]
+
+    @property
+    def entries(self):
+        return [n for n in self.nodes.values() if n.role is Role.ENTRY]
+
+    async def start(self):
+        await propose(self.table, Revision(1, self.text, "t", "first", 0.0))
+        for node in self.nodes.values():
+            await node.start()
+        await self.run(1.0)
+        return self
+
+    async def run(self, seconds):
+        """Lets time pass for all nodes."""
+        end = self.clock.now + seconds
+        while self.clock.now < end:
+            for node in self.nodes.values():
+                await node.tick()
+            await asyncio.sleep(0)
+            self.clock.now += TICK_S
+
+    def in_force(self):
+        """The newest revision that was ever reported in force."""
+        found = self.control.inforce.progress.value
+        if found.in_force:
+            self.reported = max(self.reported, found.revision)
+        return self.reported
