--- a/src/rattanpier/_internal/cli/common.py
+++ b/src/rattanpier/_internal/cli/common.py
@@ -9,24 +9,27 @@
 
 import fire
 
+from rattanpier._internal.commands.result import ExitCode
 from rattanpier._internal.configuration.parse import load_settings
 from rattanpier._internal.exceptions import RattanpierError
 from rattanpier._internal.programs.common import Build, run_until_signal
 from rattanpier._internal.utils.logs import configure_logs
 
-EXIT_BAD_INPUT = 2
-
 
 def run_fire(component: object, name: str) -> None:
     """Runs fire and turns coded errors into exit codes."""
     os.environ.setdefault("PAGER", "cat")  # Help pages stay on the terminal.
     try:
         fire.Fire(component, name=name)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader, such as `head`, has seen enough.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
     except RattanpierError as error:
         print(f"{name}: {error.code}: {error.message}", file=sys.stderr)
         if error.hint:
             print(f"{name}: hint: {error.hint}", file=sys.stderr)
-        sys.exit(EXIT_BAD_INPUT)
+        sys.exit(getattr(error, "exit_code", ExitCode.BAD_INPUT))
 
 
 def server_command(build: Build) -> Callable[[str], None]:
--- a/src/rattanpier/_internal/cli/operator.py
+++ b/src/rattanpier/_internal/cli/operator.py
@@ -2,10 +2,80 @@
 
 from __future__ import annotations
 
+import functools
+import inspect
+import json as json_module
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from rich.console import Console
+
 from rattanpier._internal.cli.common import run_fire
+from rattanpier._internal.commands import cluster, config, orders
 from rattanpier._internal.commands.demo import demo
+from rattanpier._internal.commands.explain import explain
+from rattanpier._internal.commands.result import ExitCode, Result
+
+JSON_HELP = "  json: Print JSON for programs.\n"
+
+
+def printed(function: Callable[..., Result]) -> Callable[..., None]:
+    """Returns a command that prints its result and exits with its code.
+
+    The command gets the option `--json` besides its own.
+    """
+
+    @functools.wraps(function)
+    def command(*arguments: Any, json: bool = False, **options: Any) -> None:
+        result = function(*arguments, **options)
+        print_result(result, json)
+        if result.code is not ExitCode.DONE:
+            sys.exit(result.code)
+
+    signature = inspect.signature(function)
+    option = inspect.Parameter(
+        "json", inspect.Parameter.KEYWORD_ONLY, default=False, annotation=bool
+    )
+    command.__signature__ = signature.replace(  # type: ignore[attr-defined]
+        parameters=[*signature.parameters.values(), option],
+        return_annotation=None,
+    )
+    text = (function.__doc__ or "").rstrip() + "\n"
+    command.__doc__ = f"{text}    {JSON_HELP}"
+    return command
+
+
+def print_result(result: Result, as_json: bool) -> None:
+    """Prints tables for people, or JSON for programs."""
+    if as_json:
+        print(json_module.dumps(result.data, indent=2))
+        return
+    console = Console(highlight=False, soft_wrap=False)
+    for item in result.shown:
+        console.print(item, markup=False)
+
 
-COMMANDS = {
+COMMANDS: dict[str, Any] = {
+    "config": {
+        "check": printed(config.check),
+        "apply": printed(config.apply),
+        "show": printed(config.show),
+        "diff": printed(config.diff),
+        "history": printed(config.history),
+        "outcome": printed(config.outcome),
+    },
+    "explain": printed(explain),
+    "rollout": {
+        "start": printed(orders.start),
+        "widen": printed(orders.widen),
+        "halt": printed(orders.halt),
+        "status": printed(orders.status),
+    },
+    "version": {"withdraw": printed(orders.withdraw)},
+    "upstream": {"drain": printed(orders.drain)},
+    "entries": printed(cluster.entries),
+    "status": printed(cluster.status),
     "demo": demo,
 }
 
--- a/src/rattanpier/_internal/commands/demo.py
+++ b/src/rattanpier/_internal/commands/demo.py
@@ -14,8 +14,8 @@
 from aiohttp import web
 
 from rattanpier._internal.commands.demo_text import (
-    DEMO_KEY,
     OPERATOR_KEY,
+    Addresses,
     configuration_text,
     usage_text,
 )
@@ -63,10 +63,12 @@
     Attributes:
       platform: The embedded stand-ins.
       entry_urls: Where callers connect, one an entry.
+      operator_urls: Where operators connect, one a control process.
     """
 
     platform: DemoPlatform
     entry_urls: list[str]
+    operator_urls: list[str]
 
 
 async def serve(stack: AsyncExitStack, app: web.Application) -> str:
@@ -128,15 +130,16 @@
     stack: AsyncExitStack, platform: DemoPlatform, ports: list[int]
 ) -> DemoSystem:
     """Starts an entry and a control process for each port."""
-    urls = []
+    entry_urls, operator_urls = [], []
     for settings in node_settings(platform, ports):
         control = await build_control(control_settings(settings))
         stack.push_async_callback(control.stop)
         entry = await build_entry(settings)
         stack.push_async_callback(stop_entry, entry)
-        urls.append(entry.find("edge").url)
-    await wait_ready(urls)
-    return DemoSystem(platform, urls)
+        entry_urls.append(entry.find("edge").url)
+        operator_urls.append(control.find("operators").url)
+    await wait_ready(entry_urls)
+    return DemoSystem(platform, entry_urls, operator_urls)
 
 
 async def stop_entry(entry: Kernel) -> None:
@@ -188,15 +191,13 @@
         loop.add_signal_handler(number, stop.set)
     ports = [port + number if port else 0 for number in range(ENTRIES)]
     async with running_demo(ports) as system:
-        print(
-            usage_text(
-                system.entry_urls,
-                system.platform.table_url,
-                system.platform.engine_urls,
-                DEMO_KEY,
-            ),
-            flush=True,
+        addresses = Addresses(
+            system.entry_urls,
+            system.operator_urls,
+            system.platform.engine_urls,
+            system.platform.table_url,
         )
+        print(usage_text(addresses), flush=True)
         await stop.wait()
     print("Stopped.", flush=True)
 
--- a/src/rattanpier/_internal/commands/demo_text.py
+++ b/src/rattanpier/_internal/commands/demo_text.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Sequence
 
+import attrs
+
 from rattanpier._internal.utils.hashing import sha256_hex
 
 DEMO_KEY = "demo-key"
@@ -62,6 +64,7 @@
 rattanpier runs on loopback; Ctrl-C ends it.
 
 Entries:        {entries}
+Operators:      {operators}
 Engine workers: {engines}
 Table service:  {table}
 
@@ -69,6 +72,9 @@
 
 {curl}
 
+Look at it as an operator:
+
+{orders}
 Or, with the openai package (`make run` installed it in .venv):
 
 {snippet}"""
@@ -79,6 +85,11 @@
   -d '{{"model": "auto", "messages": [{{"role": "user", "content": "hello"}}]}}'
 """
 
+ORDERS = """\
+export RATTANPIER_URL={url} RATTANPIER_OPERATOR_KEY={key}
+.venv/bin/rattanpier status
+"""
+
 SNIPPET = """\
 import openai
 
@@ -125,18 +136,25 @@
     )
 
 
-def usage_text(
-    entry_urls: Sequence[str],
-    table_url: str,
-    engine_urls: Sequence[str],
-    key: str,
-) -> str:
+@attrs.frozen
+class Addresses:
+    """Addresses that the demo prints."""
+
+    entries: Sequence[str]
+    operators: Sequence[str]
+    engines: Sequence[str]
+    table: str
+
+
+def usage_text(addresses: Addresses) -> str:
     """Returns what the demo prints once it is ready."""
-    first = entry_urls[0]
+    first = addresses.entries[0]
     return USAGE.format(
-        entries="  ".join(entry_urls),
-        engines="  ".join(engine_urls),
-        table=table_url,
-        curl=CURL.format(url=first, key=key),
-        snippet=SNIPPET.format(url=first, key=key),
+        entries="  ".join(addresses.entries),
+        operators="  ".join(addresses.operators),
+        engines="  ".join(addresses.engines),
+        table=addresses.table,
+        orders=ORDERS.format(url=addresses.operators[0], key=OPERATOR_KEY),
+        curl=CURL.format(url=first, key=DEMO_KEY),
+        snippet=SNIPPET.format(url=first, key=DEMO_KEY),
     )
--- /dev/null
+++ b/src/rattanpier/_internal/commands/orders.py
@@ -0,0 +1,110 @@
+"""`rollout`, `version` and `upstream`: changes of a single field."""
+
+from __future__ import annotations
+
+import json
+
+from rattanpier._internal.commands.api import connect
+from rattanpier._internal.commands.changes import Change, carry_out
+from rattanpier._internal.commands.result import Result, make_table
+from rattanpier._internal.exceptions import CommandError
+
+
+def start(
+    name: str,
+    stable: str,
+    candidate: str,
+    share: float = 0.0,
+    max_share: float = 1.0,
+    url: str = "",
+) -> Result:
+    """Starts a roll-out.
+
+    Args:
+      name: Its name.
+      stable: Version in service.
+      candidate: Version rolled out.
+      share: Share of new sessions that get the candidate, 0 to 1.
+      max_share: Share that evidence may widen to without an operator.
+      url: Operators' address of a control process.
+    """
+    fields = {
+        "stable": stable,
+        "candidate": candidate,
+        "share": checked_share(share),
+        "max_share": checked_share(max_share),
+    }
+    change = Change(connect(url), f"rollouts/{name}/start", json.dumps(fields))
+    return carry_out(change, f"Start roll-out {name}")
+
+
+def widen(name: str, share: float, url: str = "") -> Result:
+    """Widens a roll-out.
+
+    Args:
+      name: Its name.
+      share: Share of new sessions that get the candidate, 0 to 1.
+      url: Operators' address of a control process.
+    """
+    fields = json.dumps({"share": checked_share(share)})
+    change = Change(connect(url), f"rollouts/{name}/widen", fields)
+    return carry_out(change, f"Widen roll-out {name}")
+
+
+def checked_share(share: float) -> float:
+    """Returns a share.
+
+    Raises:
+      CommandError: It is not a number from 0 to 1.
+    """
+    wrong = isinstance(share, bool) or not isinstance(share, int | float)
+    if wrong or not 0 <= share <= 1:
+        raise CommandError(f"{share!r} is not a share", "give 0 to 1")
+    return float(share)
+
+
+def halt(name: str, url: str = "") -> Result:
+    """Halts a roll-out; its candidate gets no new work as of now.
+
+    Args:
+      name: Its name.
+      url: Operators' address of a control process.
+    """
+    change = Change(connect(url), f"rollouts/{name}/halt")
+    return carry_out(change, f"Halt roll-out {name}")
+
+
+def status(name: str, url: str = "") -> Result:
+    """Shows where a roll-out stands.
+
+    Args:
+      name: Its name.
+      url: Operators' address of a control process.
+    """
+    found = connect(url).get(f"rollouts/{name}")
+    table = make_table(f"Roll-out {name}", ("what", "value"))
+    for key, value in found.items():
+        table.add_row(key, str(value))
+    return Result(found, [table])
+
+
+def withdraw(version: str, url: str = "") -> Result:
+    """Withdraws a version; it gets no new work as of now.
+
+    Args:
+      version: Its name.
+      url: Operators' address of a control process.
+    """
+    change = Change(connect(url), f"versions/{version}/withdraw")
+    return carry_out(change, f"Withdraw {version}")
+
+
+def drain(upstream: str, url: str = "") -> Result:
+    """Stops new work for an upstream.
+
+    Args:
+      upstream: Its name.
+      url: Operators' address of a control process.
+    """
+    change = Change(connect(url), f"upstreams/{upstream}/drain")
+    return carry_out(change, f"Drain {upstream}")
--- a/src/rattanpier/_internal/configuration/check.py
+++ b/src/rattanpier/_internal/configuration/check.py
@@ -8,6 +8,7 @@
     check_rules,
     plain_services,
 )
+from rattanpier._internal.configuration.parse import parse_configuration
 from rattanpier._internal.configuration.problem import (
     Finding,
     Problem,
@@ -272,3 +273,14 @@
     check_rollouts,
     check_rules,
 )
+
+
+def parse_checked(text: str, file: str = "configuration") -> Configuration:
+    """Returns a configuration from its TOML text, parsed and checked.
+
+    Raises:
+      ConfigurationError: The text can't be used; names every line at fault.
+    """
+    configuration = parse_configuration(text, file)
+    require_valid(configuration, text, file)
+    return configuration
--- a/src/rattanpier/_internal/edge/server.py
+++ b/src/rattanpier/_internal/edge/server.py
@@ -27,7 +27,10 @@
         if gate is not None:
             app.middlewares.append(gate_middleware(gate))
         self.runner = web.AppRunner(
-            app, access_log=None, handler_cancellation=True
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_S,
         )
         self.listen = listen
         self.port = listen.port
@@ -40,7 +43,6 @@
             self.listen.host,
             self.listen.port,
             ssl_context=caller_server_context(self.listen),
-            shutdown_timeout=SHUTDOWN_S,
         )
         await site.start()
         self.port = self.runner.addresses[0][1]
--- a/tests/functional/test_demo.py
+++ b/tests/functional/test_demo.py
@@ -59,7 +59,7 @@
 
 async def test_curl_and_snippet_work_as_printed(demo):
     usage = await asyncio.wait_for(read_usage(demo), START_LIMIT_S)
-    curl = usage[usage.index("curl ") : usage.index("\n\nOr, with")]
+    curl = usage[usage.index("curl ") : usage.index("\n\nLook at it")]
     answer = await run("sh", "-c", curl)
     assert '"chat.completion"' in answer
     snippet = usage[usage.index("import openai") :]
