--- a/src/rattanpier/_internal/edge/app.py
+++ b/src/rattanpier/_internal/edge/app.py
@@ -118,7 +118,7 @@
     async def ready(self, _request: web.Request) -> web.Response:
         """`GET /readyz`: the entry takes new callers."""
         ready = (
-            self.follower.configuration.revision > 0
+            self.chat.runner.tries.current()
             and self.members.me.state is MemberState.LIVE
         )
         return web.json_response(
