Find dead members by probes; keep who belongs in a directory

Cause: each process refreshed a row every second and read all rows of all others: 420 writes/s and 420 x 420 rows/s at 420 nodes; in a store outage nobody could be found dead, and a thawed process went on under the incarnation that the others had given up. Ruled out: direct probes alone (a cut between two processes declares both gone); probes of all by all; a member list read whole (105 KB at 420). Change: two ring successors are probed each second, then again directly and through up to three others before a Departed notice goes to at most five neighbours; rows are refreshed at 20 writes/s for the whole fleet; a directory with a change row per revision is written by the holder of a lease row and read behind the reader's own revision; a process that was declared gone rejoins under a new incarnation, unless no peer answers it. Found on the way, by tests: a directory writer that was not among the three candidates any more stopped to renew; what a process cut from the store found out was recorded by nobody (the writer now records what it knows); a process cut from its peers rejoined again and again.

--- /dev/null
+++ b/src/rattanpier/_internal/membership/directory.py
@@ -0,0 +1,278 @@
+"""The directory of members in the table service: reading and writing it.
+
+Any process may ask for a change by a row of its own; whoever holds the lease
+row turns what was asked for into the next revision. Readers fetch only the
+changes behind their own revision, so that a read costs the same at any size.
+"""
+
+from __future__ import annotations
+
+import attrs
+import structlog
+
+from rattanpier._internal.membership.records import (
+    CHANGE_PREFIX,
+    FULL_KEY,
+    LEASE_KEY,
+    REQUEST_PREFIX,
+    Change,
+    Directory,
+    DirectoryLease,
+    Presence,
+    apply_presences,
+    change_key,
+    incarnation_id,
+    request_key,
+)
+from rattanpier._internal.membership.roster import Roster
+from rattanpier._internal.models.member import Member, Role, member_key
+from rattanpier._internal.models.outcomes import Committed, WriteOutcome
+from rattanpier._internal.platform.table import (
+    ABSENT,
+    Check,
+    Put,
+    Row,
+    Table,
+    Transaction,
+    scan_all,
+)
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.codec import decode, encode
+
+log = structlog.get_logger(part="directory")
+
+KEPT_CHANGES = 64  # A reader further behind reads the whole directory.
+LEASE_LAPSE_S = 4.0  # Unchanged for so long on the watcher's own clock.
+RANK_PAUSE_S = 1.5  # The second candidate waits so much longer, and so on.
+MAX_REQUESTS = 200  # Requests taken into one revision.
+
+
+async def read_full(table: Table) -> Directory:
+    """Returns the whole directory.
+
+    Raises:
+      StoreUnavailableError: It can't be read.
+    """
+    row = await table.get(FULL_KEY)
+    return decode(Directory, row.value) if row else Directory()
+
+
+async def read_changes(table: Table, revision: int) -> list[Change]:
+    """Returns the changes behind a revision.
+
+    Raises:
+      StoreUnavailableError: They can't be read.
+    """
+    rows = await table.scan(CHANGE_PREFIX, change_key(revision))
+    return [decode(Change, row.value) for row in rows]
+
+
+async def read_requests(table: Table) -> list[Presence]:
+    """Returns what was asked for and is not in the directory yet.
+
+    Raises:
+      StoreUnavailableError: It can't be read.
+    """
+    rows = await scan_all(table, REQUEST_PREFIX)
+    return [decode(Presence, row.value) for row in rows]
+
+
+async def write_requests(
+    table: Table, presences: list[Presence]
+) -> WriteOutcome:
+    """Asks for changes; repeating it is harmless."""
+    puts = [
+        Put(request_key(presence), encode(presence)) for presence in presences
+    ]
+    return await table.transact(Transaction(puts=puts))
+
+
+@attrs.define
+class DirectoryWriter:
+    """Holds the lease of the directory, or waits for it to lapse.
+
+    Attributes:
+      seen_version: Version of the lease row as last seen, held by another.
+      seen_since: When that version was first seen.
+      directory: The directory as last written or read; None: to be read.
+      holding: Whether the lease was this process's at the last look.
+    """
+
+    table: Table
+    clock: Clock
+    seen_version: int = -1
+    seen_since: float = 0.0
+    directory: Directory | None = None
+    holding: bool = False
+
+    async def step(
+        self, me: Member, rank: int, roster: Roster
+    ) -> list[Presence]:
+        """Renews, watches or takes the lease; writes when it is held.
+
+        Args:
+          me: This process.
+          rank: Its place among the candidates, from 0.
+          roster: What this process knows of the others.
+
+        Returns:
+          What was written into the directory.
+
+        Raises:
+          StoreUnavailableError: The table service does not answer.
+        """
+        row = await self.table.get(LEASE_KEY)
+        lease = decode(DirectoryLease, row.value) if row else None
+        if row and lease and lease.holder == incarnation_id(me):
+            return await self.write(me, row, roster)
+        self.directory = None
+        self.holding = False
+        if self.is_free(row, rank):
+            return await self.take(me, row, roster)
+        return []
+
+    def is_free(self, row: Row | None, rank: int) -> bool:
+        """Says whether the lease is there to be taken."""
+        if row is None:
+            return True
+        now = self.clock.monotonic()
+        if row.version != self.seen_version:
+            self.seen_version = row.version
+            self.seen_since = now
+        return now - self.seen_since >= LEASE_LAPSE_S + RANK_PAUSE_S * rank
+
+    async def take(
+        self, me: Member, row: Row | None, roster: Roster
+    ) -> list[Presence]:
+        """Takes the lease from the version seen, and writes at once."""
+        version = row.version if row else ABSENT
+        lease = DirectoryLease(incarnation_id(me))
+        await self.table.transact(
+            Transaction(
+                [Check(LEASE_KEY, version)], [Put(LEASE_KEY, encode(lease))]
+            )
+        )
+        # Read back: the answer may be lost, and the version is needed.
+        present = await self.table.get(LEASE_KEY)
+        if present and decode(DirectoryLease, present.value) == lease:
+            log.info("Directory lease taken.", holder=lease.holder)
+            return await self.write(me, present, roster)
+        return []
+
+    async def write(
+        self, me: Member, lease_row: Row, roster: Roster
+    ) -> list[Presence]:
+        """Renews the lease and writes what was asked for."""
+        self.holding = True
+        if self.directory is None:
+            self.directory = await read_full(self.table)
+        rows = await self.table.scan(REQUEST_PREFIX, limit=MAX_REQUESTS)
+        transaction = renewal(me, lease_row)
+        directory = self.directory
+        presences = [decode(Presence, row.value) for row in rows]
+        presences += unrecorded(directory, roster, presences)
+        if presences:
+            directory, change = apply_presences(directory, presences)
+            gone_rows = await self.rows_of_gone(presences)
+            transaction = attrs.evolve(
+                transaction,
+                checks=[
+                    *transaction.checks,
+                    Check(change_key(change.revision), ABSENT),
+                    *(Check(row.key, row.version) for row in gone_rows),
+                ],
+                puts=[
+                    *transaction.puts,
+                    Put(FULL_KEY, encode(directory)),
+                    Put(change_key(change.revision), encode(change)),
+                ],
+                deletes=[
+                    *(row.key for row in rows),
+                    change_key(change.revision - KEPT_CHANGES),
+                    *(row.key for row in gone_rows),
+                ],
+            )
+        outcome = await self.table.transact(transaction)
+        # After a lost answer or a conflict the next step reads afresh.
+        committed = isinstance(outcome, Committed)
+        self.directory = directory if committed else None
+        return presences if committed else []
+
+    async def rows_of_gone(self, presences: list[Presence]) -> list[Row]:
+        """Returns the member rows whose incarnation is gone."""
+        found = []
+        for presence in presences:
+            if not presence.gone:
+                continue
+            row = await self.table.get(member_key(presence.member.name))
+            if row is None:
+                continue
+            owner = decode(Member, row.value).incarnation
+            if owner == presence.member.incarnation:
+                found.append(row)
+        return found
+
+
+def unrecorded(
+    directory: Directory, roster: Roster, asked: list[Presence]
+) -> list[Presence]:
+    """Returns what the writer knows by notices and nobody could record.
+
+    A process that is cut from the store can find another dead, or rejoin.
+    """
+    members = {incarnation_id(item): item for item in directory.members}
+    settled = {incarnation_id(item.member) for item in asked}
+    gone = [
+        Presence(member, gone=True)
+        for identity, member in members.items()
+        if identity in roster.departed and identity not in settled
+    ]
+    joined = [
+        Presence(member)
+        for member in roster.known.values()
+        if incarnation_id(member) not in settled
+        and members.get(incarnation_id(member)) != member
+        and (member.caller_url or member.role is not Role.ENTRY)
+    ]
+    return gone + joined
+
+
+def renewal(me: Member, lease_row: Row) -> Transaction:
+    """Returns the transaction that renews a lease that is still held."""
+    lease = DirectoryLease(incarnation_id(me))
+    return Transaction(
+        [Check(LEASE_KEY, lease_row.version)], [Put(LEASE_KEY, encode(lease))]
+    )
+
+
+@attrs.define
+class DirectoryReader:
+    """Follows the directory.
+
+    Attributes:
+      revision: The last revision taken in; None before the first.
+    """
+
+    table: Table
+    revision: int | None = None
+
+    async def news(self) -> list[Presence]:
+        """Returns the presences that are new since the last call.
+
+        Raises:
+          StoreUnavailableError: The directory can't be read.
+        """
+        if self.revision is not None:
+            changes = await read_changes(self.table, self.revision)
+            if not changes:
+                return []
+            if changes[0].revision == self.revision + 1:
+                self.revision = changes[-1].revision
+                return [
+                    presence
+                    for change in changes
+                    for presence in change.presences
+                ]
+        full = await read_full(self.table)
+        self.revision = full.revision
+        return [Presence(member) for member in full.members]
--- /dev/null
+++ b/src/rattanpier/_internal/membership/probing.py
@@ -0,0 +1,219 @@
+"""Finds dead and frozen peers by direct and indirect probes.
+
+A process probes its two successors on the ring. One that does not answer is
+probed again, by this process and through others at the same time; it is
+declared gone only if another confirms it, or its VM refuses the connection,
+or nobody else can be asked and its row in the table service stands still.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from collections.abc import Callable
+
+import attrs
+import structlog
+
+from rattanpier._internal.exceptions import (
+    PeerRefusedError,
+    PeerUnavailableError,
+    StoreUnavailableError,
+)
+from rattanpier._internal.membership.records import incarnation_id
+from rattanpier._internal.membership.ring import neighbours, successors
+from rattanpier._internal.membership.roster import Roster
+from rattanpier._internal.models.member import Member, member_key
+from rattanpier._internal.peers.links import Links
+from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.platform.table import Table
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.metrics import Metrics
+
+log = structlog.get_logger(part="probes")
+
+PROBE_S = 1.0  # Between two probes of one successor.
+PING_TIMEOUT_S = 1.5
+INDIRECT_TIMEOUT_S = 2.0
+HELPERS = 3
+
+
+class Probe(enum.Enum):
+    """What a probe found."""
+
+    ALIVE = "alive"
+    REPLACED = "replaced"  # Another incarnation answers there.
+    REFUSED = "refused"  # Its VM says that nothing listens there.
+    SILENT = "silent"
+    SELF_GONE = "self_gone"  # Alive, and says that this process is gone.
+
+
+@attrs.define
+class StillRow:
+    """A member row that may have stopped to change."""
+
+    version: int
+    since: float
+
+
+@attrs.define
+class Prober:
+    """Probes the successors of one process.
+
+    Attributes:
+      me: Returns this process.
+      on_gone: Called with a member that is declared gone.
+      on_self_gone: Called when a peer says that this process is gone.
+      row_lapse_s: Returns how long a row may stand still.
+      under_way: Names that are being probed.
+      last_answer: When a peer last answered a probe.
+      still: Rows watched while nobody else can be asked.
+    """
+
+    me: Callable[[], Member]
+    roster: Roster
+    links: Links
+    table: Table
+    clock: Clock
+    metrics: Metrics
+    on_gone: Callable[[Member], None]
+    on_self_gone: Callable[[], None]
+    row_lapse_s: Callable[[], float]
+    directory_revision: Callable[[], int]
+    under_way: set[str] = attrs.Factory(set)
+    last_answer: float = float("-inf")
+    still: dict[str, StillRow] = attrs.Factory(dict)
+
+    async def round(self) -> None:
+        """Probes each successor that is not being probed already."""
+        names = successors(self.roster.known, self.me().name)
+        targets = [name for name in names if name not in self.under_way]
+        await asyncio.gather(*(self.probe(name) for name in targets))
+
+    async def probe(self, name: str) -> None:
+        """Probes one member, and declares it gone if that is confirmed."""
+        member = self.roster.known[name]
+        self.under_way.add(name)
+        try:
+            found = await self.ping(member, PING_TIMEOUT_S)
+            if found in (Probe.REFUSED, Probe.SILENT):
+                self.metrics.count(f"members.suspect.{found.value}")
+                found = await self.confirm(member)
+            if found is Probe.REPLACED or found is Probe.REFUSED:
+                self.on_gone(member)
+            elif found is Probe.ALIVE:
+                self.still.pop(name, None)
+        finally:
+            self.under_way.discard(name)
+
+    async def ping(self, member: Member, timeout_s: float) -> Probe:
+        """Probes a member directly."""
+        me = self.me()
+        call = peer_pb2.Call(
+            ping=peer_pb2.PingRequest(
+                sender=me.name,
+                incarnation=me.incarnation,
+                state=me.state.value,
+                directory_revision=self.directory_revision(),
+            )
+        )
+        try:
+            reply = await self.links.to(member).call(call, timeout_s)
+        except PeerRefusedError:
+            return Probe.REFUSED
+        except PeerUnavailableError:
+            return Probe.SILENT
+        if reply.ping.incarnation != member.incarnation:
+            return Probe.REPLACED
+        self.last_answer = self.clock.monotonic()
+        if reply.ping.sender_departed:
+            self.on_self_gone()
+        return Probe.ALIVE
+
+    async def confirm(self, member: Member) -> Probe:
+        """Probes a member again, directly and through others.
+
+        Returns:
+          ALIVE if anybody reached it, REFUSED if it is confirmed to be gone,
+          else SILENT: nothing is known, and the next round asks again.
+        """
+        direct, *indirect = await asyncio.gather(
+            self.ping(member, INDIRECT_TIMEOUT_S),
+            *(self.ask(helper, member) for helper in self.helpers(member)),
+        )
+        if direct is Probe.ALIVE or True in indirect:
+            return Probe.ALIVE
+        if direct is Probe.REPLACED:
+            return direct
+        if direct is Probe.REFUSED or False in indirect:
+            return Probe.REFUSED
+        if await self.row_stands_still(member):
+            return Probe.REFUSED
+        self.metrics.count("members.suspect.unconfirmed")
+        return Probe.SILENT
+
+    def helpers(self, member: Member) -> list[Member]:
+        """Returns the members through which another is probed."""
+        known = self.roster.known
+        names = neighbours(
+            (name for name in known if name != member.name), self.me().name
+        )
+        return [known[name] for name in names[:HELPERS]]
+
+    async def ask(self, helper: Member, member: Member) -> bool | None:
+        """Returns what a helper found, or None if it does not answer."""
+        request = peer_pb2.ProbeRequest(
+            address=f"{member.peer_host}:{member.peer_port}",
+            member=member.name,
+            incarnation=member.incarnation,
+        )
+        try:
+            reply = await self.links.to(helper).call(
+                peer_pb2.Call(probe=request), INDIRECT_TIMEOUT_S
+            )
+        except PeerUnavailableError:
+            return None
+        self.last_answer = self.clock.monotonic()
+        return reply.probe.alive
+
+    async def row_stands_still(self, member: Member) -> bool:
+        """Says whether a member stopped to refresh its row."""
+        try:
+            row = await self.table.get(member_key(member.name))
+        except StoreUnavailableError:
+            # Cut from all others and from the store: nobody is judged.
+            self.still.pop(member.name, None)
+            return False
+        version = row.version if row else 0
+        now = self.clock.monotonic()
+        seen = self.still.get(member.name)
+        if seen is None or seen.version != version:
+            self.still[member.name] = StillRow(version, now)
+            return False
+        return now - seen.since >= self.row_lapse_s()
+
+    # For peers.
+
+    async def serve_ping(self, call: peer_pb2.Call) -> peer_pb2.Reply:
+        """Answers a direct probe."""
+        me = self.me()
+        sender = f"{call.ping.sender}/{call.ping.incarnation}"
+        return peer_pb2.Reply(
+            ping=peer_pb2.PingReply(
+                state=me.state.value,
+                incarnation=me.incarnation,
+                directory_revision=self.directory_revision(),
+                sender_departed=sender in self.roster.departed,
+            )
+        )
+
+    async def serve_probe(self, call: peer_pb2.Call) -> peer_pb2.Reply:
+        """Probes a member for another process."""
+        request = call.probe
+        identity = f"{request.member}/{request.incarnation}"
+        member = self.roster.known.get(request.member)
+        alive = False
+        if member is not None and incarnation_id(member) == identity:
+            found = await self.ping(member, PING_TIMEOUT_S)
+            alive = found is Probe.ALIVE
+        return peer_pb2.Reply(probe=peer_pb2.ProbeReply(alive=alive))
--- /dev/null
+++ b/src/rattanpier/_internal/membership/records.py
@@ -0,0 +1,102 @@
+"""Rows of the directory: who belongs to the system."""
+
+from __future__ import annotations
+
+import attrs
+
+from rattanpier._internal.models.member import Member, MemberState
+
+LEASE_KEY = "directory/lease"
+FULL_KEY = "directory/full"
+CHANGE_PREFIX = "directory/change/"
+REQUEST_PREFIX = "directory/request/"
+
+
+@attrs.frozen
+class Presence:
+    """What became of one incarnation of a member.
+
+    Attributes:
+      member: The member, with its state.
+      gone: True once it was declared gone, or went.
+    """
+
+    member: Member
+    gone: bool = False
+
+    @property
+    def rank(self) -> int:
+        """Order of the states: an incarnation only moves to higher ones."""
+        if self.gone:
+            return 2
+        return int(self.member.state is MemberState.LEAVING)
+
+
+@attrs.frozen
+class DirectoryLease:
+    """Who writes the directory.
+
+    Attributes:
+      holder: "name/incarnation" of the writer.
+    """
+
+    holder: str
+
+
+@attrs.frozen
+class Change:
+    """What a revision of the directory changed."""
+
+    revision: int
+    presences: list[Presence]
+
+
+@attrs.frozen
+class Directory:
+    """All members, as of a revision."""
+
+    revision: int = 0
+    members: list[Member] = attrs.Factory(list)
+
+
+def change_key(revision: int) -> str:
+    """Returns the key of a revision's change."""
+    return f"{CHANGE_PREFIX}{revision:012d}"
+
+
+def request_key(presence: Presence) -> str:
+    """Returns the key under which a presence waits for the writer."""
+    member = presence.member
+    state = "gone" if presence.gone else member.state.value
+    return f"{REQUEST_PREFIX}{member.name}/{member.incarnation}/{state}"
+
+
+def incarnation_id(member: Member) -> str:
+    """Returns "name/incarnation"."""
+    return f"{member.name}/{member.incarnation}"
+
+
+def apply_presences(
+    directory: Directory, presences: list[Presence]
+) -> tuple[Directory, Change]:
+    """Returns the next revision and what it changed.
+
+    A member is dropped only by the "gone" of its own incarnation, and never
+    goes back from leaving to live.
+    """
+    members = {member.name: member for member in directory.members}
+    applied = []
+    for presence in sorted(presences, key=lambda item: item.rank):
+        known = members.get(presence.member.name)
+        same = known is not None and incarnation_id(known) == incarnation_id(
+            presence.member
+        )
+        if presence.gone:
+            if same:
+                del members[presence.member.name]
+        elif not same or presence.rank > Presence(known).rank:
+            members[presence.member.name] = presence.member
+        applied.append(presence)
+    revision = directory.revision + 1
+    ordered = [members[name] for name in sorted(members)]
+    return Directory(revision, ordered), Change(revision, applied)
--- /dev/null
+++ b/src/rattanpier/_internal/membership/ring.py
@@ -0,0 +1,36 @@
+"""A hash ring of members: who probes whom, and who passes notices on to whom.
+
+Each process talks to a few others whose number does not grow with the fleet.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from rattanpier._internal.utils.hashing import stable_hash
+
+PROBED = 2  # Successors that each process probes.
+# Together these reach 420 members in at most 13 steps, over 5 links each.
+OFFSETS = (1, 2, 8, 32, 128)
+
+
+def ring_after(names: Iterable[str], me: str) -> list[str]:
+    """Returns the other names in ring order, beginning behind `me`.
+
+    >>> len(ring_after(["a", "b", "c"], "b"))
+    2
+    """
+    start = stable_hash(me)
+    others = (name for name in names if name != me)
+    return sorted(others, key=lambda name: (stable_hash(name) - start) % 2**64)
+
+
+def successors(names: Iterable[str], me: str) -> list[str]:
+    """Returns the names that `me` probes."""
+    return ring_after(names, me)[:PROBED]
+
+
+def neighbours(names: Iterable[str], me: str) -> list[str]:
+    """Returns the names that `me` sends notices to."""
+    ring = ring_after(names, me)
+    return [ring[offset - 1] for offset in OFFSETS if offset <= len(ring)]
--- /dev/null
+++ b/src/rattanpier/_internal/membership/roster.py
@@ -0,0 +1,80 @@
+"""What one process knows of the others; pure state, no network."""
+
+from __future__ import annotations
+
+import collections
+
+import attrs
+from reactivex.subject import BehaviorSubject
+
+from rattanpier._internal.membership.records import (
+    Presence,
+    incarnation_id,
+)
+from rattanpier._internal.models.member import Member
+
+MAX_DEPARTED = 2_000  # Incarnations remembered as gone.
+
+
+@attrs.define
+class Roster:
+    """Members by name, and the incarnations that are gone.
+
+    Attributes:
+      known: Members that are alive as far as is known.
+      departed: Ids of incarnations that went, the oldest first.
+      live: Emits `known` whenever it changes.
+    """
+
+    known: dict[str, Member] = attrs.Factory(dict)
+    departed: collections.OrderedDict[str, None] = attrs.Factory(
+        collections.OrderedDict
+    )
+    live: BehaviorSubject[dict[str, Member]] = attrs.field(
+        factory=lambda: BehaviorSubject({})
+    )
+
+    def learn(self, presence: Presence) -> bool:
+        """Takes in a presence; says whether it was news."""
+        if presence.gone:
+            return self.depart(incarnation_id(presence.member))
+        member = presence.member
+        if incarnation_id(member) in self.departed:
+            return False
+        known = self.known.get(member.name)
+        if known is not None:
+            if known.incarnation != member.incarnation:
+                # A process that came again is not the one that was there.
+                self.remember_departed(incarnation_id(known))
+            elif presence.rank < Presence(known).rank or known == member:
+                return False
+        self.known[member.name] = member
+        self.publish()
+        return True
+
+    def depart(self, identity: str) -> bool:
+        """Takes in that an incarnation is gone; says whether it was news."""
+        if identity in self.departed:
+            return False
+        self.remember_departed(identity)
+        name = identity.split("/")[0]
+        known = self.known.get(name)
+        if known is not None and incarnation_id(known) == identity:
+            del self.known[name]
+            self.publish()
+        return True
+
+    def remember_departed(self, identity: str) -> None:
+        """Remembers an incarnation as gone."""
+        self.departed[identity] = None
+        while len(self.departed) > MAX_DEPARTED:
+            self.departed.popitem(last=False)
+
+    def publish(self) -> None:
+        """Emits the members."""
+        self.live.on_next(dict(self.known))
+
+    def alive(self, identity: str) -> bool:
+        """Says whether "name/incarnation" may still be running."""
+        known = self.known.get(identity.split("/")[0])
+        return known is not None and incarnation_id(known) == identity
--- a/src/rattanpier/_internal/peers/links.py
+++ b/src/rattanpier/_internal/peers/links.py
@@ -31,6 +31,13 @@
             self.links[address] = Link(*address, self.member, self.tls)
         return self.links[address]
 
+    def keep(self, addresses: set[tuple[str, int]]) -> None:
+        """Ends the links to all other addresses; their calls fail."""
+        for address in [key for key in self.links if key not in addresses]:
+            link = self.links.pop(address)
+            if link.task is not None:
+                link.task.cancel()
+
     async def close(self) -> None:
         """Ends all links."""
         for link in self.links.values():
--- a/src/rattanpier/_internal/programs/common.py
+++ b/src/rattanpier/_internal/programs/common.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import signal
-import uuid
 from collections.abc import Awaitable, Callable
 
 import aiohttp
@@ -16,7 +15,11 @@
 from rattanpier._internal.configuration.spread import Spreader
 from rattanpier._internal.kernel import Kernel
 from rattanpier._internal.membership.draining import Drain, add_leaving
-from rattanpier._internal.membership.members import Members
+from rattanpier._internal.membership.members import (
+    Members,
+    new_incarnation,
+    serve_peers,
+)
 from rattanpier._internal.models.member import Member, Role
 from rattanpier._internal.models.settings import Settings
 from rattanpier._internal.peers.links import Links
@@ -74,7 +77,7 @@
     )
     me = Member(
         name=settings.node.name,
-        incarnation=uuid.uuid4().hex[:12],
+        incarnation=new_incarnation(),
         role=role,
         domain=settings.node.domain,
         region=settings.node.region,
@@ -83,10 +86,14 @@
         peer_port=server.port,
     )
     members = Members(
-        me, kernel.find("table"), kernel.find("clock"), kernel.find("links")
+        me,
+        kernel.find("table"),
+        kernel.find("clock"),
+        kernel.find("links"),
+        kernel.find("metrics"),
     )
     kernel.add("members", members)
-    server.on_notice("leaving", members.take_leaving)
+    serve_peers(members, server)
     add_drain(kernel, settings, members)
     await members.step()
     add_brakes(kernel, members)
@@ -114,6 +121,7 @@
     kernel.add("currency", currency)
     kernel.add("spreader", spreader)
     follower.me = members.me
+    members.rejoined.subscribe(lambda me: setattr(follower, "me", me))
     await follower.poll()
     kernel.spawn(currency.run(kernel))
     return currency
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -21,7 +21,9 @@
 from rattanpier._internal.edge.sessions import SessionTokens
 from rattanpier._internal.kernel import Kernel
 from rattanpier._internal.membership.draining import DrainPhase
-from rattanpier._internal.models.member import Role
+from rattanpier._internal.membership.members import Members
+from rattanpier._internal.membership.records import incarnation_id
+from rattanpier._internal.models.member import Member, Role
 from rattanpier._internal.models.settings import Settings
 from rattanpier._internal.programs.common import add_base, add_membership
 from rattanpier._internal.rollout.services import add_collector
@@ -40,6 +42,7 @@
     edge = Edge(
         handler, services, kernel.find("follower"), members, settings.edge
     )
+    follow_incarnation(members, claims, handler, services)
     gate = add_gate(kernel)
     add_detached_drain(kernel, gate, handler.runner.keeper)
     server = HttpServer(edge.app(), settings.callers, gate)
@@ -53,6 +56,22 @@
     return kernel
 
 
+def follow_incarnation(
+    members: Members,
+    claims: Claims,
+    chat: ChatHandler,
+    services: ServiceHandler,
+) -> None:
+    """Lets claims be held by the new incarnation after a rejoin."""
+
+    def take_over(me: Member) -> None:
+        claims.me = me
+        chat.runner.holder = incarnation_id(me)
+        services.runner.holder = incarnation_id(me)
+
+    members.rejoined.subscribe(take_over)
+
+
 def add_gate(kernel: Kernel) -> Gate:
     """Adds the gate of the caller edge and its steps of a drain."""
     gate = kernel.add("gate", Gate(kernel.find("metrics")))
--- /dev/null
+++ b/tests/failure/test_membership.py
@@ -0,0 +1,79 @@
+"""Dead and frozen entries, as callers see them, with real processes."""
+
+import asyncio
+import random
+import signal
+
+import aiohttp
+import pytest
+
+from tests.lib.builders import configuration_text
+from tests.lib.callers import Caller, Ledger
+from tests.lib.cluster import Cluster, wait_for
+
+NAMES = ("entry-1", "entry-2", "entry-3", "entry-4")
+
+
+@pytest.fixture
+async def cluster(tmp_path):
+    async with Cluster(tmp_path) as cluster:
+        await cluster.start_table()
+        url = await cluster.start_standin(
+            "engine", "engine", "--versions=small@1=0.9,large@1=1.0"
+        )
+        await cluster.apply(configuration_text([url], fleet_size=4))
+        await asyncio.gather(*(cluster.start_entry(name) for name in NAMES))
+        await listed(cluster, NAMES, NAMES)
+        yield cluster
+
+
+async def entries(cluster, name):
+    url = f"{cluster.urls[name]}/v1/entries"
+    async with cluster.session.get(url) as response:
+        return {entry["name"] for entry in (await response.json())["entries"]}
+
+
+async def listed(cluster, by, names):
+    """Waits until each of `by` lists exactly these entries."""
+
+    async def probe():
+        found = [await entries(cluster, name) for name in by]
+        return all(entries == set(names) for entries in found)
+
+    await wait_for(probe, 40)
+
+
+async def answered(cluster, name, key):
+    """Whether a request through an entry gets its whole answer."""
+    ledger = Ledger()
+    async with aiohttp.ClientSession() as session:
+        url = cluster.urls[name]
+        caller = Caller(session, [url], ledger, random.Random(0))
+        caller.cache, caller.cached_until = [url], float("inf")
+        await caller.request(key, 5, tries=40)
+    return (ledger.whole, ledger.faults) == (1, [])
+
+
+@pytest.mark.parametrize("store", ["none", "down"])
+async def test_a_killed_and_a_frozen_entry_are_listed_by_none(cluster, store):
+    await cluster.set_faults("table", fault=store)
+    await cluster.processes["entry-1"].kill()
+    cluster.processes["entry-2"].send(signal.SIGSTOP)
+    await listed(cluster, NAMES[2:], NAMES[2:])
+    cluster.processes["entry-2"].send(signal.SIGCONT)
+    await listed(cluster, NAMES[1:], NAMES[1:])
+    await cluster.set_faults("table", fault="none")
+    for name in NAMES[1:]:
+        assert await answered(cluster, name, f"after-{name}")
+    runs = await cluster.runs("engine")
+    assert len(runs) == 3
+    # The one that was frozen came back as another incarnation.
+    assert "rejoined" in cluster.processes["entry-2"].log()
+
+
+async def test_a_store_outage_alone_declares_nobody_gone(cluster):
+    await cluster.set_faults("table", fault="down")
+    await asyncio.sleep(8)
+    for name in NAMES:
+        assert await entries(cluster, name) == set(NAMES)
+        assert "gone" not in cluster.processes[name].log()
--- /dev/null
+++ b/tests/unit/test_membership.py
@@ -0,0 +1,245 @@
+"""Membership on a controlled clock: dead, frozen and cut-off members."""
+
+import pytest
+
+from rattanpier._internal.models.member import MemberState
+from tests.lib.network import Network
+
+DETECT_S = 6.0  # Two rounds of probes and a confirmation.
+
+
+@pytest.fixture
+async def network():
+    network = Network()
+    yield network
+    await network.stop()
+
+
+async def start_fleet(network, size):
+    nodes = [await network.start(f"n{number}") for number in range(size)]
+    await network.clock.advance(5)
+    names = {node.name for node in nodes}
+    assert all(node.sees == names for node in nodes)
+    return nodes
+
+
+def without(nodes, *gone):
+    return [node for node in nodes if node not in gone]
+
+
+def names(nodes):
+    return {node.name for node in nodes}
+
+
+async def test_a_killed_member_is_gone_for_all_and_from_the_store(network):
+    nodes = await start_fleet(network, 8)
+    old = nodes[3].identity
+    await nodes[3].kill()
+    await network.clock.advance(DETECT_S)
+    rest = without(nodes, nodes[3])
+    assert all(node.sees == names(rest) for node in rest)
+    assert not any(node.members.alive(f"{old}/request") for node in rest)
+    assert "member/n3" not in network.table.rows
+    assert "n3/" not in network.table.rows["directory/full"].value
+
+
+async def test_a_frozen_member_is_gone_and_rejoins_as_another(network):
+    nodes = await start_fleet(network, 8)
+    old = nodes[3].identity
+    nodes[3].freeze()
+    await network.clock.advance(DETECT_S)
+    rest = without(nodes, nodes[3])
+    assert all(node.sees == names(rest) for node in rest)
+    nodes[3].thaw()
+    await network.clock.advance(5)
+    assert all(node.sees == names(nodes) for node in nodes)
+    assert nodes[3].identity != old
+    assert all(node.members.alive(nodes[3].identity) for node in nodes)
+    assert not any(node.members.alive(old) for node in nodes)
+
+
+async def test_two_neighbours_killed_at_once_and_then_two_more(network):
+    nodes = await start_fleet(network, 10)
+    for pair in (nodes[0:2], nodes[4:6]):
+        for node in pair:
+            await node.kill()
+        await network.clock.advance(2 * DETECT_S)
+        nodes = [node for node in nodes if node not in pair]
+        assert all(node.sees == names(nodes) for node in nodes)
+
+
+async def test_all_but_one_killed_at_once(network):
+    nodes = await start_fleet(network, 6)
+    for node in nodes[1:]:
+        await node.kill()
+    await network.clock.advance(4 * DETECT_S)
+    assert nodes[0].sees == {"n0"}
+
+
+async def test_deaths_are_found_while_the_store_is_down(network):
+    nodes = await start_fleet(network, 8)
+    network.store_down = True
+    await nodes[1].kill()
+    nodes[2].freeze()
+    await network.clock.advance(2 * DETECT_S)
+    rest = without(nodes, nodes[1], nodes[2])
+    assert all(node.sees == names(rest) for node in rest)
+    nodes[2].thaw()
+    await network.clock.advance(5)
+    rest = without(nodes, nodes[1])
+    assert all(node.sees == names(rest) for node in rest)
+    network.store_down = False
+    await network.clock.advance(10)
+    directory = network.table.rows["directory/full"].value
+    assert all(node.members.me.incarnation in directory for node in rest)
+    assert '"n1"' not in directory
+
+
+async def test_a_store_outage_alone_changes_nothing(network):
+    nodes = await start_fleet(network, 8)
+    before = {node.identity for node in nodes}
+    network.store_down = True
+    await network.clock.advance(120)
+    assert all(node.sees == names(nodes) for node in nodes)
+    network.store_down = False
+    await network.clock.advance(20)
+    assert all(node.sees == names(nodes) for node in nodes)
+    assert {node.identity for node in nodes} == before
+
+
+async def test_a_member_cut_from_all_peers_declares_nobody_gone(network):
+    nodes = await start_fleet(network, 8)
+    alone = nodes[3]
+    network.cut_off(alone)
+    await network.clock.advance(60)
+    rest = without(nodes, alone)
+    assert all(node.sees == names(rest) for node in rest)
+    # It sees what the store tells, and judges nobody by its own probes.
+    assert alone.metrics.counts["members.declared_gone"] == 0
+    assert alone.sees == names(nodes)
+    assert alone.metrics.counts["members.rejoined"] == 0
+    network.cuts.clear()
+    await network.clock.advance(8)
+    assert all(node.sees == names(nodes) for node in nodes)
+    assert alone.metrics.counts["members.rejoined"] == 1
+
+
+async def test_a_member_cut_from_the_store_stays(network):
+    nodes = await start_fleet(network, 8)
+    network.no_store.add(nodes[3].name)
+    await network.clock.advance(120)
+    assert all(node.sees == names(nodes) for node in nodes)
+    await nodes[5].kill()
+    await network.clock.advance(DETECT_S)
+    rest = without(nodes, nodes[5])
+    assert all(node.sees == names(rest) for node in rest)
+    late = await network.start("late")
+    await network.clock.advance(3)
+    assert "late" in nodes[3].sees
+    assert nodes[3].sees == late.sees
+
+
+async def test_a_member_cut_from_peers_and_store_comes_back(network):
+    nodes = await start_fleet(network, 8)
+    alone = nodes[3]
+    network.cut_off(alone)
+    network.no_store.add(alone.name)
+    await network.clock.advance(60)
+    assert alone.metrics.counts["members.declared_gone"] == 0
+    network.cuts.clear()
+    network.no_store.clear()
+    await network.clock.advance(10)
+    assert all(node.sees == names(nodes) for node in nodes)
+
+
+async def test_a_cut_between_two_members_only_harms_nobody(network):
+    nodes = await start_fleet(network, 8)
+    for one in nodes:
+        for other in nodes:
+            network.cuts = {frozenset((one.name, other.name))}
+            await network.clock.advance(3)
+    assert all(node.sees == names(nodes) for node in nodes)
+    assert sum(n.metrics.counts["members.declared_gone"] for n in nodes) == 0
+
+
+@pytest.mark.parametrize("fault", ["kill", "freeze"])
+async def test_the_writer_of_the_directory_fails_with_a_member(network, fault):
+    nodes = await start_fleet(network, 8)
+    lease = network.table.rows["directory/lease"].value
+    writer = next(node for node in nodes if f'"{node.identity}"' in lease)
+    other = next(node for node in nodes if node is not writer)
+    for node in (writer, other):
+        if fault == "kill":
+            await node.kill()
+        else:
+            node.freeze()
+    await network.clock.advance(4 * DETECT_S)
+    rest = without(nodes, writer, other)
+    assert all(node.sees == names(rest) for node in rest)
+    directory = network.table.rows["directory/full"].value
+    assert writer.members.me.incarnation not in directory
+    assert other.members.me.incarnation not in directory
+    late = await network.start("late")
+    await network.clock.advance(5)
+    assert late.sees == names([*rest, late])
+
+
+async def test_two_members_alone_need_the_store_to_judge_a_silent_one(network):
+    one, other = await start_fleet(network, 2)
+    other.freeze()
+    network.no_store.add(one.name)
+    await network.clock.advance(30)
+    assert one.sees == {"n0", "n1"}
+    network.no_store.clear()
+    await network.clock.advance(12)
+    assert one.sees == {"n0"}
+
+
+async def test_a_name_taken_by_a_new_process_is_not_taken_back(network):
+    nodes = await start_fleet(network, 4)
+    old = nodes[1]
+    old.freeze()
+    await network.clock.advance(DETECT_S)
+    again = await network.start("n1")
+    await network.clock.advance(5)
+    old.thaw()
+    await network.clock.advance(20)
+    rest = without(nodes, old)
+    assert all(node.members.alive(again.identity) for node in rest)
+    assert old.metrics.counts["members.name_taken"] == 1
+
+
+async def test_all_start_anew_at_once(network):
+    nodes = await start_fleet(network, 8)
+    for node in nodes:
+        await node.kill()
+    again = [await network.start(f"new{number}") for number in range(8)]
+    await network.clock.advance(40)
+    assert all(node.sees == names(again) for node in again)
+
+
+async def test_a_leaving_member_is_listed_by_none_at_once(network):
+    nodes = await start_fleet(network, 8)
+    network.store_down = True
+    await nodes[2].members.leave()
+    await network.clock.advance(0.1)
+    assert all(nodes[2].name not in node.lists for node in nodes)
+    assert all(node.members.alive(nodes[2].identity) for node in nodes)
+    await network.clock.advance(30)
+    assert nodes[2].members.me.state is MemberState.LEAVING
+    assert all(nodes[2].name not in node.lists for node in nodes)
+
+
+async def test_work_of_a_node_does_not_grow_with_the_fleet(network):
+    figures = []
+    for size in (8, 32):
+        fleet = Network()
+        nodes = await start_fleet(fleet, size)
+        await fleet.clock.advance(10)
+        before = sum(node.traffic.messages for node in nodes)
+        await fleet.clock.advance(20)
+        after = sum(node.traffic.messages for node in nodes)
+        figures.append((after - before) / size / 20)
+        await fleet.stop()
+    small, large = figures
+    assert small == pytest.approx(large, rel=0.1)
