Bound going on after a failed step; test the order of claim and dispatch

Cause: with a two-step cascade whose engines all fail, 100 requests were sent 229 times: going on to the next step after a failed one was not counted as a retry, and each step filled the budget. An exception that nobody foresaw left the caller with a bare 500.

Change: a request fills the budget once; the step after a failed one takes from it. Unforeseen failures are refused as `internal`, never "not run". Tests on a controlled clock over the claim book: freeze between claim and dispatch, lost claim replies, grants that are not durable, cascades, admission, budget.

Conclusion: the budget holds over tries and steps.

--- a/src/rattanpier/_internal/dispatch/failures.py
+++ b/src/rattanpier/_internal/dispatch/failures.py
@@ -11,6 +11,7 @@
 BUDGET_RETRY_S = 2.0
 NOT_CURRENT_RETRY_S = 1.0
 DEADLINE_RETRY_S = 1.0
+STOPPED_RETRY_S = 0.5  # A fresh plan may name another version.
 
 
 class UpstreamError(Exception):
@@ -70,7 +71,7 @@
     return DispatchError(
         RefusalCode.VERSION_WITHDRAWN,
         f"Version {version} takes no new work.",
-        None,
+        STOPPED_RETRY_S,
     )
 
 
--- a/src/rattanpier/_internal/dispatch/runner.py
+++ b/src/rattanpier/_internal/dispatch/runner.py
@@ -7,6 +7,7 @@
 from contextlib import aclosing
 
 import attrs
+import structlog
 
 from rattanpier._internal.cascade.policy import (
     CascadePolicy,
@@ -49,8 +50,11 @@
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.metrics import Metrics
 
+log = structlog.get_logger(part="dispatch")
+
 CLAIM_HEAD_START_S = 0.1
 UNSETTLED_RETRY_S = 2.0
+INTERNAL_RETRY_S = 1.0
 
 __all__ = ["Runner", "completion"]
 
@@ -107,6 +111,11 @@
             async with aclosing(self.admitted(attempt)) as parts:
                 async for part in parts:
                     yield part
+        except AssertionError:
+            raise
+        except Exception:
+            log.exception("Request failed.", request=attempt.ask.holder)
+            yield Refused(internal_failure())
         finally:
             self.keeper.abandon(attempt)
 
@@ -123,6 +132,7 @@
     async def admitted(self, attempt: Attempt) -> AsyncIterator[Part]:
         """Plans a request and runs it once it is let through."""
         request = attempt.request
+        self.tries.budget.note_request()
         if request.keyed:
             # What became of an earlier attempt goes before any refusal.
             self.keeper.begin(attempt)
@@ -235,6 +245,7 @@
             self.policy,
             lambda version: self.tries.stream(attempt, version, allowed),
             allowed,
+            self.tries.may_retry_step,
         )
 
     async def settle(
@@ -260,6 +271,13 @@
     return is_granted(reply) and (reply.durable or request.idempotent)
 
 
+def internal_failure() -> Refusal:
+    """Returns the refusal for a failure that nobody foresaw."""
+    return Refusal(
+        RefusalCode.INTERNAL, "The entry failed.", False, INTERNAL_RETRY_S
+    )
+
+
 def settle_refusal(outcome: SettleOutcome) -> Refusal | None:
     """Returns the refusal for an answer that was not settled, or None."""
     match outcome:
--- a/src/rattanpier/_internal/dispatch/service_runner.py
+++ b/src/rattanpier/_internal/dispatch/service_runner.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 import attrs
+import structlog
 
 from rattanpier._internal.claims.book import Ask
 from rattanpier._internal.claims.records import Answer, Bill, ClaimResult
@@ -23,6 +24,7 @@
 from rattanpier._internal.dispatch.repeatable import may_repeat
 from rattanpier._internal.dispatch.runner import (
     CLAIM_HEAD_START_S,
+    internal_failure,
     may_dispatch,
     settle_refusal,
 )
@@ -34,6 +36,8 @@
 from rattanpier._internal.models.request import RouteRequest
 from rattanpier._internal.routing.plan import make_plan
 
+log = structlog.get_logger(part="dispatch")
+
 MAX_RECORDED_BYTES = 256 * 2**10
 DEFAULT_TYPE = "application/octet-stream"
 
@@ -64,6 +68,7 @@
         A caller that goes away cancels this: an idempotent call then ends,
         another goes on so that a repeat of its key finds the answer.
         """
+        self.tries.budget.note_request()
         request = self.mark(request, request.service, call)
         plan = self.plan(request)
         if isinstance(plan, Plan):
@@ -126,6 +131,11 @@
                 return await self.claimed(attempt, plan.service, call)
         except DispatchError as error:
             return await self.keeper.give_up(attempt, error.refusal)
+        except AssertionError:
+            raise
+        except Exception:
+            log.exception("Call failed.", request=ask.holder)
+            return Refused(internal_failure())
         finally:
             self.keeper.abandon(attempt)
 
--- a/src/rattanpier/_internal/dispatch/service_tries.py
+++ b/src/rattanpier/_internal/dispatch/service_tries.py
@@ -37,7 +37,6 @@
     """
     tried: set[str] = set()
     failed: UpstreamError | None = None
-    tries.budget.note_request()
     while True:
         target = pick(tries, service, tried)
         if target is None:
--- a/src/rattanpier/_internal/dispatch/steps.py
+++ b/src/rattanpier/_internal/dispatch/steps.py
@@ -55,6 +55,7 @@
       policy: Says whether an answer is good enough.
       source: Opens the answer of a version.
       may_serve: Says whether a version may get work now.
+      may_retry: Says whether the retry budget allows one more dispatch.
       spent: An item for each step whose answer was whole.
     """
 
@@ -62,6 +63,7 @@
     policy: CascadePolicy
     source: Source
     may_serve: MayServe
+    may_retry: Callable[[], bool]
     spent: list[Spent] = attrs.Factory(list)
 
     async def chunks(self) -> AsyncIterator[StepChunk]:
@@ -93,8 +95,11 @@
         try:
             chunks = await self.collect(version)
         except DispatchError:
+            # The next step is a retry: what fails must not double the load.
             if go_on(self.walk, self.may_serve) is Verdict.ACCEPT:
                 raise
+            if not self.may_retry():
+                raise
             return None
         self.spent.append(spent_by(version, chunks))
         verdict = self.policy.judge(
--- a/src/rattanpier/_internal/dispatch/tries.py
+++ b/src/rattanpier/_internal/dispatch/tries.py
@@ -93,7 +93,6 @@
         tried: set[str] = set()
         seen: list[Chunk] = []
         failed: UpstreamError | None = None
-        self.budget.note_request()
         while True:
             target = self.pick(version, tried)
             if target is None:
@@ -155,6 +154,13 @@
         reason = "not_run" if error.not_run else "failed"
         self.metrics.count(f"dispatch.retry.{reason}")
 
+    def may_retry_step(self) -> bool:
+        """Says whether the next step may follow a step that failed."""
+        allowed = self.budget.take()
+        if allowed:
+            self.metrics.count("dispatch.retry.step")
+        return allowed
+
     def left_s(self, request: RouteRequest) -> float:
         """Returns the seconds until the caller gives up."""
         return request.deadline - self.clock.monotonic()
--- /dev/null
+++ b/tests/lib/dispatch.py
@@ -0,0 +1,145 @@
+"""Runners over claims in memory, for the order of events in dispatch."""
+
+import asyncio
+import random
+
+import aiohttp
+import attrs
+
+from rattanpier._internal.claims.book import ClaimBook
+from rattanpier._internal.claims.records import SettleOp
+from rattanpier._internal.claims.service import ClaimReply
+from rattanpier._internal.dispatch.budget import RetryBudget
+from rattanpier._internal.dispatch.keeper import ClaimKeeper
+from rattanpier._internal.dispatch.runner import Runner
+from rattanpier._internal.dispatch.tries import Tries
+from rattanpier._internal.models.configuration import (
+    Upstream,
+    UpstreamKind,
+    Worker,
+)
+from rattanpier._internal.models.outcomes import ClaimOutcome, SettleOutcome
+from rattanpier._internal.utils.metrics import Metrics
+from tests.lib.builders import LARGE, SMALL, build_configuration
+from tests.lib.clock import ManualClock
+
+
+class BookClaims:
+    """The claims service over one book, without a network.
+
+    `after_claim` is called once, after the next claim was decided.
+    """
+
+    def __init__(self):
+        self.book = ClaimBook()
+        self.dead = set()
+        self.after_claim = None
+        self.durable = True
+        self.lose_replies = False
+        self.asks = 0
+
+    def decide(self, ask):
+        decision = self.book.ask(ask, lambda holder: holder not in self.dead)
+        if decision.op is not None:
+            self.book.apply(decision.op)
+        return decision
+
+    async def claim(self, ask, timeout_s):
+        self.asks += 1
+        decision = self.decide(ask)
+        hook, self.after_claim = self.after_claim, None
+        if hook is not None:
+            hook(ask)
+        if self.lose_replies:
+            return ClaimReply(ClaimOutcome.UNAVAILABLE)
+        claim = self.book.claims[ask.workspace, ask.key]
+        return ClaimReply(
+            decision.outcome,
+            claim.attempt,
+            claim.holder,
+            claim.answer,
+            self.durable,
+            decision.not_run,
+        )
+
+    async def settle(self, op, holder, timeout_s):
+        decision = self.book.settle(op)
+        if decision.op is not None:
+            self.book.apply(decision.op)
+        return SettleOutcome(decision.outcome)
+
+    def disown(self, ask, result):
+        op = SettleOp(ask.workspace, ask.key, 0, result)
+        decision = self.book.disown(op, ask.holder)
+        if decision.op is not None:
+            self.book.apply(decision.op)
+
+
+class Bench:
+    """A runner, its clock, its claims and its sessions."""
+
+    def __init__(self, configuration):
+        self.configuration = configuration
+        self.clock = ManualClock()
+        self.claims = BookClaims()
+        self.metrics = Metrics()
+        self.tasks = set()
+
+    def spawn(self, work):
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def __aenter__(self):
+        self.session = aiohttp.ClientSession()
+        self.keeper = ClaimKeeper(
+            self.claims, self.clock, self.metrics, self.spawn
+        )
+        tries = Tries(
+            session=self.session,
+            fresh=self.session,
+            configuration=lambda: self.configuration,
+            clock=self.clock,
+            metrics=self.metrics,
+            domain="a",
+            rng=random.Random(1),
+            spawn=self.spawn,
+            confirm=self.keeper.confirm,
+            budget=RetryBudget(self.clock),
+        )
+        self.runner = Runner(
+            configuration=lambda: self.configuration,
+            claims=self.claims,
+            tries=tries,
+            keeper=self.keeper,
+            clock=self.clock,
+            metrics=self.metrics,
+            holder="entry-1/a",
+            spawn=self.spawn,
+        )
+        return self
+
+    async def __aexit__(self, *_):
+        await self.keeper.finished()
+        while self.tasks:
+            await asyncio.wait(list(self.tasks))
+        await self.session.close()
+
+    async def ask(self, request, request_id="r1"):
+        """Returns the last part of an answer."""
+        request = attrs.evolve(
+            request, deadline=min(request.deadline, self.clock.now + 30.0)
+        )
+        parts = [p async for p in self.runner.answer(request, request_id)]
+        return parts[-1]
+
+
+def bench_over(*upstreams, **changes):
+    """A bench whose one pool has these raw upstreams as workers."""
+    workers = {
+        f"w{number}": Worker(upstream.url, "a", [SMALL, LARGE])
+        for number, upstream in enumerate(upstreams)
+    }
+    pools = {"pool": Upstream(UpstreamKind.ENGINE, workers)}
+    return Bench(build_configuration(upstreams=pools, **changes))
--- /dev/null
+++ b/tests/unit/test_dispatch_order.py
@@ -0,0 +1,190 @@
+"""The order of claim, dispatch and end, on a controlled clock."""
+
+from contextlib import asynccontextmanager
+
+import attrs
+import pytest
+
+from rattanpier._internal.cascade.policy import fixed_threshold
+from rattanpier._internal.claims.book import Ask
+from rattanpier._internal.claims.records import ClaimResult
+from rattanpier._internal.dispatch.parts import Ended, Recorded, Refused
+from rattanpier._internal.models.configuration import VersionState
+from rattanpier._internal.models.outcomes import ClaimOutcome
+from rattanpier._internal.models.refusal import Refusal, RefusalCode
+from tests.lib.builders import LARGE, SMALL, build_request
+from tests.lib.dispatch import bench_over
+from tests.lib.raw import RawUpstream
+
+ONCE = build_request(idempotent=False, keyed=True)
+
+
+def freeze(bench, seconds, others=True):
+    """Stops the process after its claim; another entry asks meanwhile."""
+
+    def after_claim(ask):
+        bench.clock.now += seconds
+        if others:
+            bench.claims.dead.add(ask.holder)
+            repeat = attrs.evolve(ask, holder="entry-2/b/r2")
+            outcome = bench.claims.decide(repeat).outcome
+            assert outcome is ClaimOutcome.UNKNOWN
+
+    bench.claims.after_claim = after_claim
+
+
+async def test_a_thawed_process_does_not_dispatch():
+    async with RawUpstream() as up, bench_over(up) as bench:
+        freeze(bench, 20.0)
+        part = await bench.ask(ONCE)
+        assert up.runs == []
+        assert part.refusal.code is RefusalCode.CLAIM_UNAVAILABLE
+
+
+async def test_a_thawed_process_whose_claim_holds_goes_on():
+    async with RawUpstream() as up, bench_over(up) as bench:
+        freeze(bench, 20.0, others=False)
+        assert isinstance(await bench.ask(ONCE), Ended)
+        assert len(up.runs) == 1
+        assert bench.claims.asks == 2
+
+
+async def test_a_process_thawed_after_the_deadline_says_not_run():
+    async with RawUpstream() as up, bench_over(up) as bench:
+        freeze(bench, 40.0, others=False)
+        part = await bench.ask(ONCE)
+        assert up.runs == []
+        assert part.refusal.code is RefusalCode.DEADLINE
+        assert part.refusal.not_run is True
+        await bench.keeper.finished()
+        claim = bench.claims.book.claims["desk", "k1"]
+        assert claim.result is ClaimResult.RELEASED
+
+
+async def test_a_grant_that_is_not_durable_runs_nothing_non_idempotent():
+    async with RawUpstream() as up, bench_over(up) as bench:
+        bench.claims.durable = False
+        part = await bench.ask(ONCE)
+        assert isinstance(part, Refused)
+        assert up.runs == []
+
+
+async def test_a_claim_whose_reply_was_lost_is_ended():
+    async with RawUpstream() as up, bench_over(up) as bench:
+        bench.claims.lose_replies = True
+        part = await bench.ask(ONCE)
+        await bench.keeper.finished()
+        assert part.refusal.code is RefusalCode.CLAIM_UNAVAILABLE
+        claim = bench.claims.book.claims["desk", "k1"]
+        assert claim.result is ClaimResult.RELEASED
+        assert up.runs == []
+
+
+async def test_a_version_stopped_after_a_run_is_no_proof():
+    async with RawUpstream("fail") as up, bench_over(up, up) as bench:
+        stopped = {
+            name: attrs.evolve(version, state=VersionState.WITHDRAWN)
+            for name, version in bench.configuration.versions.items()
+        }
+        withdrawn = attrs.evolve(bench.configuration, versions=stopped)
+        answer = up.answer
+
+        async def withdraw_then_answer(*arguments):
+            bench.configuration = withdrawn
+            return await answer(*arguments)
+
+        up.answer = withdraw_then_answer
+        part = await bench.ask(build_request())
+        assert len(up.runs) == 1
+        assert part.refusal.code is RefusalCode.VERSION_WITHDRAWN
+        assert part.refusal.not_run is False
+
+
+async def test_a_repeat_gets_its_answer_though_no_rule_matches_now():
+    async with RawUpstream() as up, bench_over(up) as bench:
+        request = build_request(keyed=True)
+        assert isinstance(await bench.ask(request), Ended)
+        bench.configuration = attrs.evolve(bench.configuration, rules=[])
+        assert isinstance(await bench.ask(request, "r2"), Recorded)
+        assert len(up.runs) == 1
+
+
+@pytest.mark.parametrize("keyed", [False, True])
+async def test_a_refused_admission_sends_nothing(keyed):
+    @asynccontextmanager
+    async def refuse(_request, _plan):
+        yield Refusal(RefusalCode.QUEUE_FULL, "Full.", True, 3.0)
+
+    async with RawUpstream() as up, bench_over(up) as bench:
+        bench.runner.admit = refuse
+        part = await bench.ask(build_request(keyed=keyed))
+        await bench.keeper.finished()
+        assert part.refusal.code is RefusalCode.QUEUE_FULL
+        assert part.refusal.not_run is True
+        assert part.refusal.retry_after_s == 3.0
+        assert up.runs == []
+        claims = list(bench.claims.book.claims.values())
+        results = [claim.result for claim in claims]
+        assert results == [ClaimResult.RELEASED] * keyed
+
+
+async def test_a_repeated_key_is_not_said_to_be_not_run():
+    async with RawUpstream() as up, bench_over(up) as bench:
+        lost = Ask("desk", "k1", "entry-9/z/r0", True, "")
+        bench.claims.decide(lost)
+        bench.claims.dead.add(lost.holder)
+        bench.configuration = attrs.evolve(bench.configuration, rules=[])
+        part = await bench.ask(build_request(keyed=True))
+        assert part.refusal.code is RefusalCode.NO_RULE
+        assert part.refusal.not_run is False
+
+
+async def test_steps_of_a_cascade_share_one_bill():
+    async with RawUpstream() as up, bench_over(up) as bench:
+        bench.runner.policy = fixed_threshold(0.5)
+        part = await bench.ask(build_request())
+        assert len(up.runs) == 2
+        assert part.bill.version == LARGE
+        # Each run reads 1 token and generates 3.
+        assert (part.bill.prompt_tokens, part.bill.output_tokens) == (2, 6)
+        cost = (1 * 1 + 3 * 2) + (1 * 10 + 3 * 20)
+        assert part.bill.credits == pytest.approx(cost / 1_000_000)
+
+
+async def test_a_non_idempotent_request_runs_one_step():
+    async with RawUpstream() as up, bench_over(up) as bench:
+        bench.runner.policy = fixed_threshold(0.5)
+        part = await bench.ask(ONCE)
+        assert part.bill.version == LARGE
+        assert len(up.runs) == 1
+
+
+async def test_a_step_that_was_withdrawn_is_not_asked():
+    async with RawUpstream() as up, bench_over(up) as bench:
+        bench.runner.policy = fixed_threshold(0.5)
+        answer = up.answer
+
+        async def brake_then_answer(*arguments):
+            bench.runner.braked = {LARGE}
+            return await answer(*arguments)
+
+        up.answer = brake_then_answer
+        part = await bench.ask(build_request())
+        assert part.bill.version == SMALL
+        assert len(up.runs) == 1
+
+
+async def test_retries_are_a_bounded_share_of_the_traffic():
+    async with RawUpstream("fail") as up, bench_over(up, up) as bench:
+        codes = set()
+        for number in range(100):
+            request = build_request(key=f"k{number}")
+            part = await bench.ask(request, f"r{number}")
+            assert part.refusal.not_run is False
+            assert part.refusal.retry_after_s > 0
+            codes.add(part.refusal.code)
+        assert codes == {
+            RefusalCode.UPSTREAM_FAILED,
+            RefusalCode.RETRY_BUDGET,
+        }
+        assert 100 + 20 <= len(up.runs) <= 100 + 20 + 10
