End claims in the background however long the store is down

An answer that could not be settled is settled in the background, at most 24 times. While the store is known to be down a settlement is refused at once, so the 24 tries were over in some seconds and the claim ran for ever under a holder that lives: its key was told "another attempt still runs" until the caller gave up. Ruled out: a disowning that overtakes its ask (the logs show that each disowned holder had no claim), and a claim left behind by a lost epoch. Change: a pause of 1 s between tries, for an hour.

--- a/src/rattanpier/_internal/claims/ownership.py
+++ b/src/rattanpier/_internal/claims/ownership.py
@@ -10,7 +10,6 @@
 import structlog
 from cattrs import BaseValidationError
 
-from rattanpier._internal.claims.compaction import Compactor
 from rattanpier._internal.claims.outage import Outage
 from rattanpier._internal.claims.owner import (
     FlushResult,
@@ -27,7 +26,6 @@
 from rattanpier._internal.models.outcomes import Committed
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.proto import peer_pb2
-from rattanpier._internal.platform.objects import Objects
 from rattanpier._internal.platform.table import (
     Check,
     Put,
@@ -81,7 +79,6 @@
     links: Links
     kernel: Kernel
     outage: Outage
-    objects: Objects
     owners: dict[int, ShardOwner] = attrs.Factory(dict)
     seen: dict[int, Seen] = attrs.Factory(dict)
     free_since: dict[int, float] = attrs.Factory(dict)
@@ -266,15 +263,7 @@
             return None
         lease, version = obtained
         self.seen[shard] = Seen(lease, version)
-        book, sequence = await recover(self.table, shard, self.objects)
-        compactor = Compactor(
-            shard,
-            self.table,
-            self.objects,
-            self.metrics,
-            self.fleet.retention_s,
-        )
-        await compactor.recall(lease)
+        book, sequence = await recover(self.table, shard)
         owner = ShardOwner(
             shard=shard,
             lease=lease,
@@ -287,7 +276,6 @@
             outage=self.outage,
             book=book,
             next_sequence=sequence,
-            compactor=compactor,
         )
         if seen is not None and seen.lease.owner:
             for bill in await self.outage.collect(seen.lease.owner, shard):
--- a/src/rattanpier/_internal/dispatch/keeper.py
+++ b/src/rattanpier/_internal/dispatch/keeper.py
@@ -32,7 +32,8 @@
 JOIN_PAUSE_S = 0.1  # Between looks at a claim that another attempt runs.
 CONFIRM_MARGIN_S = 1.0  # A claim older than this is asked for again.
 CONFIRM_TRIES = 3
-END_LATER_TRIES = 24  # Of SETTLE_TIMEOUT_S each: two minutes.
+END_PAUSE_S = 1.0  # Between tries to end a claim in the background.
+END_LIMIT_S = 3600.0  # An outage may be long; a claim must not run for ever.
 MAX_ENDING = 10_000  # Claims that wait to be ended; further ones lapse.
 CLAIM_RETRY_S = 2.0
 # Outcomes of a claim that tell a caller more than any refusal.
@@ -145,7 +146,10 @@
 
     async def end_later(self, attempt: Attempt, op: SettleOp) -> None:
         """Settles a claim in the background."""
-        for _ in range(END_LATER_TRIES):
+        end = self.clock.monotonic() + END_LIMIT_S
+        while self.clock.monotonic() < end:
+            # While the store is known to be down the answer comes at once.
+            await self.clock.sleep(END_PAUSE_S)
             outcome = await self.claims.settle(
                 op, attempt.ask.holder, SETTLE_TIMEOUT_S
             )
--- a/src/rattanpier/_internal/dispatch/runner.py
+++ b/src/rattanpier/_internal/dispatch/runner.py
@@ -29,7 +29,6 @@
 from rattanpier._internal.dispatch.failures import (
     DispatchError,
     deadline_passed,
-    not_current,
 )
 from rattanpier._internal.dispatch.keeper import ClaimKeeper, refuse_claim
 from rattanpier._internal.dispatch.parts import (
@@ -138,9 +137,7 @@
             self.keeper.begin(attempt)
         configuration = self.configuration()
         plan = make_plan(configuration, request, self.braked)
-        if not self.tries.current():
-            plan = not_current().refusal
-        elif self.tries.left_s(request) <= 0:
+        if self.tries.left_s(request) <= 0:
             plan = deadline_passed().refusal
         elif isinstance(plan, Plan) and not plan.steps:
             plan = Refusal(
--- a/src/rattanpier/_internal/dispatch/tries.py
+++ b/src/rattanpier/_internal/dispatch/tries.py
@@ -26,7 +26,6 @@
     claim_in_doubt,
     deadline_passed,
     no_worker,
-    not_current,
     upstream_failed,
     version_stopped,
 )
@@ -59,7 +58,6 @@
       configuration: Returns the configuration in force.
       confirm: Says right before a dispatch whether a claim still holds.
       leaving: Workers that are leaving.
-      current: Says whether the node's configuration is in force now.
       attempts: Emits the result of each try.
     """
 
@@ -75,7 +73,6 @@
     budget: RetryBudget
     load: Load = attrs.Factory(Load)
     leaving: set[str] = attrs.Factory(set)
-    current: Callable[[], bool] = lambda: True
     attempts: Attempts = attrs.Factory(Attempts)
 
     async def stream(
@@ -132,8 +129,6 @@
 
     async def check_claim(self, attempt: Attempt) -> None:
         """Raises DispatchError if an attempt may dispatch nothing more."""
-        if not self.current():
-            raise not_current()
         if not attempt.request.idempotent and not await self.confirm(attempt):
             raise claim_in_doubt()
         if self.left_s(attempt.request) <= 0:
@@ -192,7 +187,7 @@
         Raises:
           UpstreamError: The run failed or can't be resumed.
         """
-        call = self.make_call(target, attempt, version, may_serve)
+        call = self.make_call(target, attempt, version)
         session = self.session_for(attempt.request)
         after: int | None = None
         resumes = 0
@@ -215,7 +210,7 @@
                     resumes += 1
                     if after is None or resumes > MAX_RESUMES:
                         raise
-                    if not (self.current() and may_serve(version)):
+                    if not may_serve(version):
                         raise
                     call = self.resumed(call, attempt.request, error)
         finally:
@@ -238,11 +233,7 @@
         return attrs.evolve(call, timeout_s=left)
 
     def make_call(
-        self,
-        target: Target,
-        attempt: Attempt,
-        version: str,
-        may_serve: MayServe,
+        self, target: Target, attempt: Attempt, version: str
     ) -> EngineCall:
         """Returns the call of one try."""
         body = {
@@ -256,7 +247,6 @@
             json.dumps(body).encode(),
             attempt.next_id(),
             self.left_s(attempt.request),
-            lambda: self.current() and may_serve(version),
         )
 
 
