--- /dev/null
+++ b/src/rattanpier/_internal/load/__init__.py
@@ -0,0 +1,1 @@
+"""The load tool: seeded arrivals, checked answers, percentiles."""
--- /dev/null
+++ b/src/rattanpier/_internal/load/report.py
@@ -0,0 +1,68 @@
+"""Counts and percentiles of a run."""
+
+from __future__ import annotations
+
+import collections
+from typing import Any
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+HIGHEST_US = 3_600_000_000
+DIGITS = 3
+MICROSECONDS = 1_000_000
+PERCENTILES = (50.0, 90.0, 95.0, 99.0, 99.9, 100.0)
+
+
+def make_histogram() -> HdrHistogram:
+    """Returns a histogram of microseconds up to an hour."""
+    return HdrHistogram(1, HIGHEST_US, DIGITS)
+
+
+@attrs.define
+class Report:
+    """What callers saw.
+
+    Attributes:
+      counts: Answers that were whole, wrong, broken; refusals by code.
+      first: Time to the first token of streams.
+      whole: Time to the whole answer.
+    """
+
+    counts: collections.Counter[str] = attrs.Factory(collections.Counter)
+    first: HdrHistogram = attrs.Factory(make_histogram)
+    whole: HdrHistogram = attrs.Factory(make_histogram)
+
+    @property
+    def faults(self) -> int:
+        """Answers that must never be.
+
+        A text that is not the answer to the request, a repeat that was
+        answered otherwise, a session moved without a word.
+        """
+        names = ("wrong", "repeat_differs", "session_moved")
+        return sum(self.counts[name] for name in names)
+
+    def data(self) -> dict[str, Any]:
+        """Returns the report for programs; times are in milliseconds."""
+        return {
+            "counts": dict(sorted(self.counts.items())),
+            "faults": self.faults,
+            "first_token_ms": percentiles(self.first),
+            "whole_answer_ms": percentiles(self.whole),
+        }
+
+
+def record(histogram: HdrHistogram, seconds: float) -> None:
+    """Adds a time."""
+    histogram.record_value(max(1, int(seconds * MICROSECONDS)))
+
+
+def percentiles(histogram: HdrHistogram) -> dict[str, float]:
+    """Returns percentiles in milliseconds; none if nothing was recorded."""
+    if not histogram.get_total_count():
+        return {}
+    return {
+        f"p{point:g}": histogram.get_value_at_percentile(point) / 1000
+        for point in PERCENTILES
+    }
--- /dev/null
+++ b/tests/unit/test_load.py
@@ -0,0 +1,84 @@
+"""The load tool sees what is wrong with an answer."""
+
+import attrs
+import pytest
+
+from rattanpier._internal.load.arrivals import Arrival, Shape, plan_arrivals
+from rattanpier._internal.load.caller import Heard, is_right
+from rattanpier._internal.load.report import Report, percentiles, record
+from rattanpier._internal.load.run import Load
+from rattanpier._internal.standin.engine import answer_words
+
+SHAPE = Shape(["a", "b", "c"], rate=100.0, seconds=20.0, max_tokens=8)
+ARRIVAL = Arrival(0.0, 0, "a", "p", False, "s", True)
+RIGHT = "".join(answer_words("small@1", "p", 8, True))
+WRONG = {
+    "cut": RIGHT[:-3],
+    "another prompt": "".join(answer_words("small@1", "q", 8, True)),
+    "another version": "".join(answer_words("large@1", "p", 8, True)),
+    "doubled": RIGHT * 2,
+    "empty": "",
+}
+
+
+def test_workspaces_are_of_unlike_size_and_the_plan_is_seeded():
+    arrivals = list(plan_arrivals(SHAPE))
+    assert arrivals == list(plan_arrivals(SHAPE))
+    assert arrivals != list(plan_arrivals(attrs.evolve(SHAPE, seed=2)))
+    sizes = [sum(one.workspace_key == key for one in arrivals) for key in "abc"]
+    assert sizes[0] > 1.5 * sizes[1] > 1.5 * sizes[2]
+    assert len({one.prompt for one in arrivals}) == len(arrivals)
+    assert {one.stream for one in arrivals} == {True, False}
+    assert any(one.session for one in arrivals)
+    assert any(one.repeats for one in arrivals)
+
+
+@pytest.mark.parametrize("fault", WRONG)
+def test_a_wrong_text_is_seen(fault):
+    heard = Heard(200, version="small@1", text=WRONG[fault])
+    assert not is_right(heard, "p", 8)
+    assert is_right(attrs.evolve(heard, text=RIGHT), "p", 8)
+
+
+@attrs.define
+class FakeCaller:
+    heard: list
+
+    async def ask(self, _arrival):
+        return self.heard.pop(0)
+
+
+def answer(**changes):
+    fields = {"version": "small@1", "text": RIGHT, "tries": 1}
+    return Heard(200, **{**fields, **changes})
+
+
+async def counts(*heard):
+    load = Load(SHAPE, FakeCaller(list(heard)), Report())
+    await load.serve(ARRIVAL)
+    return load.report
+
+
+async def test_a_repeat_that_is_answered_otherwise_is_a_fault():
+    report = await counts(answer(), answer())
+    assert (report.faults, report.counts["whole"]) == (0, 1)
+    report = await counts(answer(), answer(text=WRONG["another prompt"]))
+    assert report.counts["repeat_differs"] == report.faults == 1
+
+
+async def test_a_session_that_moves_without_a_word_is_a_fault():
+    told = answer(pinned="old@1", version_lost="old@1")
+    report = await counts(told, answer())
+    assert (report.faults, report.counts["session_told"]) == (0, 1)
+    report = await counts(answer(pinned="old@1"), answer())
+    assert report.counts["session_moved"] == report.faults == 1
+
+
+def test_percentiles_are_in_milliseconds():
+    report = Report()
+    assert percentiles(report.whole) == {}
+    for milliseconds in range(1, 101):
+        record(report.whole, milliseconds / 1000)
+    found = percentiles(report.whole)
+    assert found["p50"] == pytest.approx(50, rel=0.01)
+    assert found["p100"] == pytest.approx(100, rel=0.01)
