--- a/src/rattanpier/_internal/claims/service.py
+++ b/src/rattanpier/_internal/claims/service.py
@@ -83,6 +83,7 @@
       outage: What this process does while the store is down.
       keeper: Bills that this process keeps for others meanwhile.
       disowning: Tasks that end claims in the background.
+      flush_after_s: Seconds that owners have to write bills themselves.
     """
 
     me: Member
@@ -128,6 +129,7 @@
         )
     )
     disowning: set[asyncio.Task] = attrs.Factory(set)
+    flush_after_s: float = FLUSH_AFTER_S
 
     def shard_of(self, workspace: str, key: str) -> int:
         """Returns the shard of a request."""
@@ -329,7 +331,7 @@
         may happen: a bill is keyed by its claim.
         """
         since = self.clock.monotonic() - self.ownership.reachable_since
-        if not self.ownership.reachable or since < FLUSH_AFTER_S:
+        if not self.ownership.reachable or since < self.flush_after_s:
             return
         for record_id, bill in self.keeper.records():
             body = peer_pb2.HoldRequest(
--- /dev/null
+++ b/tests/failure/test_claims_outage.py
@@ -0,0 +1,238 @@
+"""What holds while the store is down, step by step in virtual time."""
+
+import asyncio
+
+import attrs
+
+from rattanpier._internal.claims import outage, owner
+from rattanpier._internal.claims.book import Ask
+from rattanpier._internal.models.outcomes import ClaimOutcome
+from tests.lib.fleet import FleetOfNodes
+from tests.lib.virtual import run_virtual
+
+KEYS = [f"k{number}" for number in range(20)]
+
+
+async def down_fleet(**changes):
+    """A fleet whose store is down, and known to be."""
+    fleet = FleetOfNodes(count=4, **changes)
+    await fleet.settled()
+    fleet.faults.silent = True
+    await asyncio.sleep(6)
+    return fleet
+
+
+async def ask_each(fleet, idempotent):
+    return [
+        await node.answer(key, idempotent)
+        for key in KEYS
+        for node in fleet.working()[:1]
+    ]
+
+
+async def provisional_answers(fleet):
+    """Answers of an outage whose owners then die; with it, the repeats."""
+    answers = dict(zip(KEYS, await ask_each(fleet, True), strict=True))
+    assert all(isinstance(answer, str) for answer in answers.values())
+    for node in fleet.nodes.values():
+        node.claims.flush_after_s = 8.0  # The new owner is quicker.
+    (fleet.owner_of(KEYS[0])).kill()
+    fleet.faults.silent = False
+    await fleet.settled()
+    repeats = {}
+    for key in KEYS:
+        reply = await fleet.working()[-1].answer(key)
+        repeats[key] = reply if isinstance(reply, str) else reply.answer.body
+    await asyncio.sleep(10)
+    return answers, repeats, fleet.bills()
+
+
+def test_repeat_after_the_owner_died_gets_the_released_answer():
+    async def run():
+        return await provisional_answers(await down_fleet())
+
+    answers, repeats, bills = run_virtual(run())
+    assert repeats == answers
+    assert bills == dict.fromkeys(KEYS, 1)
+
+
+def test_non_idempotent_is_refused_at_once_and_truly_not_run():
+    async def run():
+        fleet = await down_fleet()
+        started = fleet.now()
+        replies = await ask_each(fleet, False)
+        took = fleet.now() - started
+        assert all(
+            reply.outcome is ClaimOutcome.UNAVAILABLE for reply in replies
+        )
+        assert all(reply.not_run for reply in replies)
+        assert all(reply.retry_after_s > 0 for reply in replies)
+        assert not fleet.runs
+        # No waiting for the store, twenty requests one after the other.
+        assert took < 1.0
+        fleet.faults.silent = False
+        await asyncio.sleep(10)
+        # Nothing of a refused request may become durable: its key is free.
+        assert all(
+            isinstance(answer, str) for answer in await ask_each(fleet, False)
+        )
+        assert fleet.runs == dict.fromkeys(KEYS, 1)
+        assert fleet.bills() == dict.fromkeys(KEYS, 1)
+
+    run_virtual(run())
+
+
+def test_asks_queued_as_the_store_goes_down_are_taken_back():
+    async def run():
+        fleet = FleetOfNodes(count=4)
+        await fleet.settled()
+        fleet.faults.lost = 1.0  # In the log, but nobody knows.
+        node = fleet.working()[0]
+        asks = [
+            Ask("desk", key, f"entry-0/i0/{key}", False, "d") for key in KEYS
+        ]
+        claims = [fleet.spawn(node.claims.claim(ask, 8.0)) for ask in asks]
+        await asyncio.sleep(0.004)
+        fleet.faults.silent = True
+        replies = await asyncio.gather(*claims)
+        assert {reply.outcome for reply in replies} == {
+            ClaimOutcome.UNAVAILABLE
+        }
+        fleet.faults.lost = 0.0
+        fleet.faults.silent = False
+        await asyncio.sleep(15)
+        answers = [
+            await node.claims.claim(
+                attrs.evolve(ask, holder=f"{ask.holder}-2"), 8.0
+            )
+            for ask in asks
+        ]
+        # Not in the way of a later ask, and in the log to be taken back.
+        assert {reply.outcome for reply in answers} == {ClaimOutcome.GRANTED}
+        assert any(reply.attempt == 2 for reply in answers)
+
+    run_virtual(run())
+
+
+def test_full_queue_refuses_at_once_and_recovers(monkeypatch):
+    monkeypatch.setattr(owner, "PENDING_BYTES", 5 * owner.OP_BYTES)
+
+    async def run():
+        fleet = await down_fleet(shards=1)
+        started = fleet.now()
+        replies = await ask_each(fleet, True)
+        refused = [reply for reply in replies if not isinstance(reply, str)]
+        assert 15 <= len(refused) < len(KEYS)
+        assert all(reply.retry_after_s for reply in refused)
+        assert fleet.now() - started < 3.0
+        fleet.faults.silent = False
+        await asyncio.sleep(20)
+        for key in KEYS:
+            await fleet.working()[0].answer(key)
+        assert fleet.bills() == dict.fromkeys(KEYS, 1)
+        assert all(len(set(fleet.released[key])) <= 1 for key in KEYS)
+
+    run_virtual(run())
+
+
+def test_full_keeper_holds_the_last_byte_back(monkeypatch):
+    monkeypatch.setattr(outage, "KEPT_BYTES", 1500)
+
+    async def run():
+        fleet = await down_fleet()
+        answers = await ask_each(fleet, True)
+        released = [one for one in answers if isinstance(one, str)]
+        kept = [
+            record
+            for node in fleet.nodes.values()
+            for record in node.claims.keeper.kept
+        ]
+        assert 0 < len(released) == len(kept) < len(KEYS)
+        assert all(
+            node.claims.keeper.size <= 1500 for node in fleet.nodes.values()
+        )
+
+    run_virtual(run())
+
+
+def test_entry_that_alone_is_cut_off_gives_nothing_out():
+    async def run():
+        fleet = FleetOfNodes(count=4)
+        await fleet.settled()
+        node = fleet.owner_of(KEYS[0])
+        node.cut_store()
+        replies = []
+        for _ in range(10):
+            for key in KEYS:
+                replies.append(fleet.spawn(node.answer(key)))
+            await asyncio.sleep(1)
+        await asyncio.gather(*replies)
+        others = [other for other in fleet.working() if other is not node]
+        for key in KEYS:
+            await others[0].answer(key)
+        assert all(len(set(fleet.released[key])) == 1 for key in KEYS)
+        assert fleet.bills() == dict.fromkeys(KEYS, 1)
+        assert not node.claims.outage.confirmed
+
+    run_virtual(run())
+
+
+def test_dead_owner_in_an_outage_is_told_at_once():
+    async def run():
+        fleet = await down_fleet()
+        fleet.owner_of(KEYS[0]).kill()
+        await asyncio.sleep(1)
+        node = fleet.working()[0]
+        ask = Ask("desk", KEYS[0], "h/i/1", False, "digest")
+        started = fleet.now()
+        reply = await node.claims.claim(ask, 8.0)
+        assert reply.outcome is ClaimOutcome.UNAVAILABLE
+        assert reply.retry_after_s > 0
+        return fleet.now() - started
+
+    # Two tries of the dead owner's address, not the whole timeout.
+    assert run_virtual(run()) <= 2.2
+
+
+def test_flush_by_owner_and_peer_bills_once():
+    async def run():
+        fleet = await down_fleet()
+        await ask_each(fleet, True)
+        for node in fleet.nodes.values():
+            # Every release is lost, so each bill is flushed twice.
+            node.claims.outage.sent.clear()
+        fleet.faults.silent = False
+        await asyncio.sleep(15)
+        flushed = sum(
+            node.metrics.counts["claims.kept_flushed"]
+            for node in fleet.nodes.values()
+        )
+        assert flushed == len(KEYS)
+        assert fleet.bills() == dict.fromkeys(KEYS, 1)
+        assert all(not node.claims.keeper.kept for node in fleet.nodes.values())
+
+    run_virtual(run())
+
+
+def test_bills_do_not_depend_on_which_peer_is_asked():
+    async def run():
+        fleet = await down_fleet(domains=("a", "b"))
+        await ask_each(fleet, True)
+        for node in fleet.nodes.values():
+            for member, _ in node.claims.outage.sent.values():
+                assert member.domain != node.member.domain
+        return sum(
+            len(node.claims.outage.sent) for node in fleet.nodes.values()
+        )
+
+    assert run_virtual(run()) == len(KEYS)
+
+
+def test_one_domain_alone_gives_nothing_out_in_an_outage():
+    async def run():
+        fleet = await down_fleet(domains=("a",))
+        replies = await ask_each(fleet, True)
+        assert not fleet.released
+        return [attrs.astuple(reply)[0] for reply in replies]
+
+    assert set(run_virtual(run())) == {ClaimOutcome.UNAVAILABLE}
--- /dev/null
+++ b/tests/failure/test_claims_ownership.py
@@ -0,0 +1,268 @@
+"""Who owns a shard, when owners come, go and fail; in virtual time."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from rattanpier._internal.claims import ownership
+from rattanpier._internal.claims.book import Ask
+from rattanpier._internal.claims.owner import acquire
+from rattanpier._internal.claims.records import (
+    ShardLease,
+    lease_key,
+    log_prefix,
+)
+from rattanpier._internal.exceptions import StoreUnavailableError
+from rattanpier._internal.models.member import MemberState
+from rattanpier._internal.models.outcomes import ClaimOutcome, Uncertain
+from rattanpier._internal.platform.table import Row
+from rattanpier._internal.standin.table import MemoryTable
+from rattanpier._internal.utils.codec import decode
+from tests.lib.fleet import FleetOfNodes
+from tests.lib.virtual import run_virtual
+
+REQUESTS = 100
+
+
+def owned(fleet):
+    """Returns the owner of each shard by the table's own word."""
+    return {
+        shard: decode(ShardLease, fleet.table.rows[lease_key(shard)].value)
+        for shard in range(fleet.sizes.claim_shards)
+    }
+
+
+async def slowest(fleet, event):
+    """Sends requests through one entry around an event."""
+    node = list(fleet.nodes.values())[-1]
+    times = []
+
+    async def one(number):
+        started = fleet.now()
+        answer = await node.answer(f"k{number}")
+        assert isinstance(answer, str)
+        times.append(fleet.now() - started)
+
+    callers = []
+    for number in range(REQUESTS):
+        if number == REQUESTS // 4:
+            event(fleet)
+        callers.append(fleet.spawn(one(number)))
+        await asyncio.sleep(0.05)
+    await asyncio.gather(*callers)
+    return max(times)
+
+
+def first_owner(fleet):
+    last = list(fleet.nodes)[-1]
+    return next(
+        node
+        for name, node in fleet.nodes.items()
+        if name != last and node.claims.ownership.owners
+    )
+
+
+def leave(fleet):
+    node = first_owner(fleet)
+    node.members.me = attrs.evolve(node.members.me, state=MemberState.LEAVING)
+    for other in fleet.nodes.values():
+        other.members.look()
+
+
+def test_planned_stop_makes_nobody_wait():
+    async def run():
+        fleet = FleetOfNodes(count=4)
+        await fleet.settled()
+        leaving = first_owner(fleet)
+        worst = await slowest(fleet, leave)
+        assert not leaving.claims.ownership.owners
+        names = {lease.owner for lease in owned(fleet).values()}
+        assert leaving.member.name not in names
+        return worst
+
+    assert run_virtual(run()) < 0.5
+
+
+@pytest.mark.parametrize(
+    "event", (lambda node: node.kill(), lambda node: node.freeze())
+)
+def test_shards_of_a_dead_or_frozen_owner_are_owned_within_seconds(event):
+    async def run():
+        fleet = FleetOfNodes(count=4)
+        await fleet.settled()
+        return await slowest(fleet, lambda fleet: event(first_owner(fleet)))
+
+    # The lease lapses after 3 s here; the rest is this code's.
+    assert run_virtual(run()) < 5.5
+
+
+def test_joining_entry_gets_its_share():
+    async def run():
+        fleet = FleetOfNodes(count=2, shards=12)
+        await fleet.settled()
+        for number in range(4):
+            fleet.start(f"joined-{number}")
+        worst = await slowest(fleet, lambda fleet: None)
+        await asyncio.sleep(10)
+        shares = {}
+        for lease in owned(fleet).values():
+            shares[lease.owner] = shares.get(lease.owner, 0) + 1
+        assert len(shares) == 6
+        assert max(shares.values()) <= 5
+        return worst
+
+    assert run_virtual(run()) < 0.5
+
+
+def test_two_that_take_a_shard_at_once():
+    async def run():
+        table = MemoryTable()
+        rows = [None]
+        wins = 0
+        for turn in range(50):
+            row = rows[-1]
+            taken = await asyncio.gather(
+                *(acquire(table, 0, row, f"n{n}", f"{turn}") for n in range(3))
+            )
+            winners = [one for one in taken if one is not None]
+            assert len(winners) == 1
+            wins += 1
+            rows.append(await table.get(lease_key(0)))
+            assert decode(ShardLease, rows[-1].value) == winners[0][0]
+        return wins, decode(ShardLease, rows[-1].value).epoch
+
+    assert run_virtual(run()) == (50, 50)
+
+
+def test_shard_whose_log_can_not_be_read_is_taken_again():
+    async def run():
+        fleet = FleetOfNodes(count=3)
+        scan = fleet.table.scan
+        refused = []
+
+        async def no_logs(prefix, after="", limit=500):
+            if prefix.startswith(log_prefix(0)[:7]) and len(refused) < 8:
+                refused.append(prefix)
+                raise StoreUnavailableError("log can't be read")
+            return await scan(prefix, after, limit)
+
+        fleet.table.scan = no_logs
+        await fleet.settled()
+        assert len(refused) == 8
+        assert isinstance(await fleet.working()[0].answer("k1"), str)
+
+    run_virtual(run())
+
+
+def test_acquisition_whose_answer_is_lost_leaves_no_shard_behind():
+    async def run():
+        fleet = FleetOfNodes(count=3)
+        get = fleet.table.get
+        lost = []
+
+        async def no_lease(key):
+            if key.startswith("shard/") and len(lost) < 8:
+                lost.append(key)
+                raise StoreUnavailableError("row can't be read")
+            return await get(key)
+
+        fleet.table.get = no_lease
+        fleet.faults.lost = 1.0
+        fleet.spawn(heal(fleet))
+        await fleet.settled()
+        assert len(lost) == 8
+        assert isinstance(await fleet.working()[0].answer("k1"), str)
+
+    run_virtual(run())
+
+
+async def heal(fleet):
+    await asyncio.sleep(2)
+    fleet.faults.lost = 0.0
+
+
+def test_lease_row_that_makes_no_sense_stops_no_other_shard():
+    async def run():
+        fleet = FleetOfNodes(count=3)
+        await fleet.settled()
+        key = lease_key(2)
+        row = fleet.table.rows[key]
+        fleet.table.rows[key] = Row(key, row.version + 1, "{nonsense")
+        await asyncio.sleep(3)
+        node = fleet.working()[0]
+        keys = [f"k{number}" for number in range(40)]
+        others = [k for k in keys if node.claims.shard_of("desk", k) != 2]
+        assert len(others) > 20
+        for key in others:
+            assert isinstance(await node.answer(key), str)
+
+    run_virtual(run())
+
+
+def test_late_release_of_a_shard_takes_it_from_nobody():
+    async def run():
+        fleet = FleetOfNodes(count=3)
+        await fleet.settled()
+        node = first_owner(fleet)
+        shard = next(iter(node.claims.ownership.owners))
+        version = fleet.table.rows[lease_key(shard)].version
+        lease = node.claims.ownership.owners[shard].lease
+        node.freeze()
+        await asyncio.sleep(8)
+        node.thaw()
+        await node.claims.ownership.free(shard, lease, version)
+        assert owned(fleet)[shard].owner not in ("", node.member.name)
+
+    run_virtual(run())
+
+
+def test_thawed_owner_does_not_confirm_its_own_old_grant():
+    async def run():
+        fleet = FleetOfNodes(count=3)
+        await fleet.settled()
+        node = first_owner(fleet)
+        shards = node.claims.ownership.owners
+        keys = (f"k{number}" for number in range(100))
+        key = next(
+            key for key in keys if node.claims.shard_of("desk", key) in shards
+        )
+        holder = f"{node.member.name}/{node.member.incarnation}/1"
+        ask = Ask("desk", key, holder, False, "digest")
+        first = await node.claims.claim(ask, 5.0)
+        assert first.outcome is ClaimOutcome.GRANTED
+        node.freeze()
+        await asyncio.sleep(8)
+        other = fleet.working()[0]
+        told = await other.answer(key, False)
+        assert told.outcome is ClaimOutcome.UNKNOWN
+        again = fleet.spawn(node.claims.claim(ask, 5.0))
+        node.thaw()
+        return (await again).outcome
+
+    assert run_virtual(run()) is ClaimOutcome.UNKNOWN
+
+
+def test_shard_that_is_nobodys_choice_is_taken_all_the_same(monkeypatch):
+    async def run():
+        fleet = FleetOfNodes(count=3)
+        await fleet.settled()
+
+    # Entries disagree on who should own a shard: each names another.
+    monkeypatch.setattr(
+        ownership.Ownership, "preferred", lambda self, shard: "somebody"
+    )
+    run_virtual(run())
+
+
+def test_outcome_of_an_unknown_acquisition_is_read():
+    class Silent(MemoryTable):
+        async def transact(self, transaction):
+            await super().transact(transaction)
+            return Uncertain("no answer")
+
+    async def run():
+        return await acquire(Silent(), 0, None, "n", "i")
+
+    lease, version = run_virtual(run())
+    assert (lease.owner, lease.epoch, version) == ("n", 1, 1)
