Serve only by what the store itself confirmed since the start

Cause: specs/configuration.prism without SERVE_AFTER_READ: an entry on revision 2 restarts, a peer still on revision 1 lends what is left of its validity, and the entry works by revision 1: it went back.

Ruled out: asking several peers for the newest revision (all that answer may be stale); remembering the revision across a restart (entries have no disk).

Change: Currency.is_current needs follower.store_confirmed. The test fleet now repeats a node's registration until it succeeds, as Members does; before, a node restarted while cut off never had a member row and could not become current by itself at all.

Conclusion: an entry that restarts during an outage of the store serves only once the store is back.

--- a/src/rattanpier/_internal/configuration/currency.py
+++ b/src/rattanpier/_internal/configuration/currency.py
@@ -79,7 +79,9 @@
         """
         now = self.clock.monotonic()
         configuration = self.follower.configuration
-        if configuration.revision == 0:
+        if not self.follower.store_confirmed:
+            # Before a restart it may have been on a newer revision than the
+            # one that a peer lends.
             return False
         if now - self.follower.confirmed < configuration.fleet.validity_s:
             return True
--- a/tests/failure/test_configuration_currency.py
+++ b/tests/failure/test_configuration_currency.py
@@ -225,3 +225,23 @@
         assert wrong == 0, f"seed {number}"
         reported += in_force
     assert reported > 8
+
+
+async def test_restarted_node_does_not_go_back_to_what_a_peer_lends(fleet):
+    # As in specs/configuration.prism without SERVE_AFTER_READ.
+    await fleet.run(10.0)
+    stale, restarted = fleet.entries[:2]
+    stale.table.cut, stale.side = True, 1
+    assert await fleet.control.propose(fleet.text)
+    await fleet.run(0.25)
+    assert restarted.works_by() == 2
+    restarted.table.cut, restarted.side = True, 1
+    await restarted.start()
+    worked_by = set()
+    for _ in range(20):
+        await fleet.run(0.25)
+        worked_by.add(restarted.works_by())
+    assert worked_by == {None}
+    restarted.table.cut, restarted.side = False, 0
+    await fleet.run(1.0)
+    assert restarted.works_by() == 2
--- a/tests/lib/config_fleet.py
+++ b/tests/lib/config_fleet.py
@@ -29,7 +29,7 @@
     StoreUnavailableError,
 )
 from rattanpier._internal.models.member import Member, Role, member_key
-from rattanpier._internal.models.outcomes import NotRun
+from rattanpier._internal.models.outcomes import Committed, NotRun
 from rattanpier._internal.platform.table import Put, Transaction
 from rattanpier._internal.standin.table import MemoryTable
 from rattanpier._internal.utils.codec import encode
@@ -113,13 +113,21 @@
             metrics,
             clock.monotonic(),
         )
-        put = Put(member_key(self.name), encode(me))
-        await self.table.transact(Transaction(puts=[put]))
+        self.registered = False
+        await self.register()
         await self.follower.poll()
 
+    async def register(self):
+        """Writes the own row, as a process does until it succeeds."""
+        put = Put(member_key(self.name), encode(self.members.me))
+        outcome = await self.table.transact(Transaction(puts=[put]))
+        self.registered = isinstance(outcome, Committed)
+
     async def tick(self):
         if self.frozen:
             return
+        if not self.registered:
+            await self.register()
         now = self.fleet.clock.monotonic()
         if now >= self.next_poll:
             await self.follower.poll()
