--- a/src/rattanpier/_internal/claims/messages.py
+++ b/src/rattanpier/_internal/claims/messages.py
@@ -11,7 +11,7 @@
     PendingBill,
     SettleOp,
 )
-from rattanpier._internal.models.outcomes import ClaimOutcome
+from rattanpier._internal.models.outcomes import ClaimOutcome, SettleOutcome
 from rattanpier._internal.peers.proto import peer_pb2
 from rattanpier._internal.utils.codec import decode, encode
 
@@ -78,11 +78,24 @@
     )
     if op.attempt == ANY_ATTEMPT:
         decision = await owner.disown(op, body.holder)
+    elif is_anothers(owner, body):
+        decision = Decision(SettleOutcome.SUPERSEDED)
     else:
         decision = await owner.settle(op)
     return describe_settle(decision)
 
 
+def is_anothers(owner: ShardOwner, body: peer_pb2.SettleRequest) -> bool:
+    """Says whether an attempt is another holder's.
+
+    Attempts count from 1 again once a claim was forgotten.
+    """
+    claim = owner.find(body.workspace, body.key)
+    if claim is None or claim.attempt != body.attempt:
+        return False
+    return claim.holder != body.holder
+
+
 async def serve_restore(
     owner: ShardOwner, body: peer_pb2.HoldRequest
 ) -> peer_pb2.Reply | None:
--- a/src/rattanpier/_internal/claims/owner.py
+++ b/src/rattanpier/_internal/claims/owner.py
@@ -11,12 +11,20 @@
 import asyncio
 import collections
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine, Mapping
+from typing import Any
 
 import attrs
 import structlog
 
-from rattanpier._internal.claims.book import Ask, Claim, ClaimBook, Decision
+from rattanpier._internal.claims.book import (
+    Ask,
+    Claim,
+    ClaimBook,
+    ClaimId,
+    Decision,
+)
+from rattanpier._internal.claims.compaction import Compacted, Compactor
 from rattanpier._internal.claims.outage import Outage
 from rattanpier._internal.claims.records import (
     Batch,
@@ -29,6 +37,7 @@
     log_key,
     log_prefix,
 )
+from rattanpier._internal.claims.snapshot import read_claims
 from rattanpier._internal.exceptions import StoreUnavailableError
 from rattanpier._internal.models.outcomes import (
     ClaimOutcome,
@@ -38,6 +47,7 @@
     SettleOutcome,
     Uncertain,
 )
+from rattanpier._internal.platform.objects import Objects, TableObjects
 from rattanpier._internal.platform.table import (
     ABSENT,
     Check,
@@ -106,6 +116,8 @@
       store_down: True while the last write did not become known.
       open: Batches not yet written; only the last takes operations.
       in_flight: The batch being written.
+      compactor: Compacts the log, or None.
+      beside: Work of the compactor under way.
       disowned: Holders that gave up; a late ask of theirs is refused.
     """
 
@@ -131,6 +143,8 @@
     open: collections.deque[OpenBatch] = attrs.Factory(collections.deque)
     in_flight: OpenBatch | None = None
     disowned: dict[str, None] = attrs.Factory(dict)
+    compactor: Compactor | None = None
+    beside: set[asyncio.Task] = attrs.Factory(set)
     wake: asyncio.Event = attrs.Factory(asyncio.Event)
 
     @property
@@ -333,12 +347,61 @@
         if self.open:
             self.wake.set()
         if batch.ops:
-            await self.write(self.make_batch(batch.ops))
+            await self.write_and_compact(self.make_batch(batch.ops))
         else:
             await self.confirm()
         self.in_flight = None
         self.answer(batch)
 
+    async def write_and_compact(self, batch: Batch) -> None:
+        """Writes a batch, and compacts the log when it is time."""
+        image = None
+        if self.compactor is not None and not self.open:
+            # Nothing behind this batch is in the book yet.
+            image = self.compactor.capture(batch, self.lease, self.book.claims)
+        await self.write(batch)
+        if self.compactor is None or self.lost:
+            return
+        if image is not None:
+            self.spawn(self.compactor.prepare(image, self.lease))
+            self.end_abandoned(image.old)
+        elif self.compactor.ready is not None:
+            await self.take_effect(self.compactor.ready)
+
+    async def take_effect(self, compacted: Compacted) -> None:
+        """Moves the lease row on to a snapshot; forgets what it left out."""
+        key = lease_key(self.shard)
+        await self.table.transact(
+            Transaction(
+                [Check(key, self.lease_version)],
+                [Put(key, encode(compacted.lease)), *compacted.puts],
+            )
+        )
+        await self.confirm()
+        if self.lease != compacted.lease:
+            return  # Not known yet; it is written again after a later batch.
+        for claim_id, claim in compacted.image.forgotten.items():
+            if self.book.claims.get(claim_id) is claim:
+                del self.book.claims[claim_id]
+        assert self.compactor is not None
+        self.spawn(self.compactor.finish(compacted))
+
+    def end_abandoned(self, old: Mapping[ClaimId, Claim]) -> None:
+        """Ends claims whose holder died and whose key nobody repeated."""
+        for (workspace, key), claim in old.items():
+            changed = self.find(workspace, key) is not claim
+            if changed or self.alive(claim.holder):
+                continue
+            unknown = ClaimResult.UNKNOWN
+            self.add(SettleOp(workspace, key, claim.attempt, unknown))
+            self.metrics.count("claims.abandoned")
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs work beside the writing of batches."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.beside.add(task)
+        task.add_done_callback(self.beside.discard)
+
     def make_batch(self, ops: list[ClaimOp | SettleOp]) -> Batch:
         """Returns the next batch of the log."""
         batch = Batch(
@@ -402,9 +465,26 @@
             self.note(FlushResult.STORE_DOWN)
             return
         self.note(FlushResult.DURABLE)
-        if row is None or row.version != self.lease_version:
+        if not self.still_holds(row):
             self.lose()
 
+    def still_holds(self, row: Row | None) -> bool:
+        """Says whether a lease row is this owner's; follows its version.
+
+        Only this owner writes a lease with its epoch and incarnation, so a
+        version that rose under them is its own compaction.
+        """
+        if row is None:
+            return False
+        if row.version == self.lease_version:
+            return True
+        lease = decode(ShardLease, row.value)
+        mine = (self.lease.epoch, self.lease.owner, self.lease.incarnation)
+        if (lease.epoch, lease.owner, lease.incarnation) != mine:
+            return False
+        self.lease, self.lease_version = lease, row.version
+        return True
+
     async def write_once(self, batch: Batch) -> FlushResult:
         """Tries to write a batch and finds out what became of it."""
         key = log_key(self.shard, batch.sequence)
@@ -435,7 +515,7 @@
             return FlushResult.STORE_DOWN
         if row is not None and decode(Batch, row.value) == batch:
             return FlushResult.DURABLE
-        if lease is None or lease.version != self.lease_version:
+        if not self.still_holds(lease):
             return FlushResult.EPOCH_LOST
         # Not there yet, but a delayed write may still arrive: the same batch
         # has to be written again at the same position.
@@ -528,24 +608,37 @@
     )
 
 
-async def recover(table: Table, shard: int) -> tuple[ClaimBook, int]:
-    """Reads a shard's log.
+async def recover(
+    table: Table, shard: int, objects: Objects | None = None
+) -> tuple[ClaimBook, int]:
+    """Reads a shard's snapshot and log.
 
     Args:
       table: The table service.
       shard: The shard; its epoch must be the caller's already, so that no
         earlier owner can add to the log.
+      objects: Where snapshots are; the table if None.
 
     Returns:
       The book and the next log position.
 
     Raises:
-      StoreUnavailableError: The log can't be read.
+      StoreUnavailableError: The log or the snapshot can't be read.
     """
+    row = await table.get(lease_key(shard))
+    first, snapshot = 1, ""
+    if row is not None:
+        lease = decode(ShardLease, row.value)
+        first, snapshot = lease.first, lease.snapshot
     book = ClaimBook()
-    sequence = 0
-    for row in await scan_all(table, log_prefix(shard)):
-        batch = decode(Batch, row.value)
+    if snapshot:
+        book = await read_claims(objects or TableObjects(table), snapshot)
+    sequence = first - 1
+    behind = log_key(shard, sequence)
+    for found in await scan_all(table, log_prefix(shard), behind):
+        batch = decode(Batch, found.value)
+        if batch.sequence != sequence + 1:
+            raise StoreUnavailableError(f"log of shard {shard} has a gap")
         book.apply_batch(batch)
         sequence = batch.sequence
     return book, sequence + 1
--- a/src/rattanpier/_internal/claims/ownership.py
+++ b/src/rattanpier/_internal/claims/ownership.py
@@ -10,6 +10,7 @@
 import structlog
 from cattrs import BaseValidationError
 
+from rattanpier._internal.claims.compaction import Compactor
 from rattanpier._internal.claims.outage import Outage
 from rattanpier._internal.claims.owner import (
     FlushResult,
@@ -26,6 +27,7 @@
 from rattanpier._internal.models.outcomes import Committed
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.platform.objects import Objects
 from rattanpier._internal.platform.table import (
     Check,
     Put,
@@ -79,6 +81,7 @@
     links: Links
     kernel: Kernel
     outage: Outage
+    objects: Objects
     owners: dict[int, ShardOwner] = attrs.Factory(dict)
     seen: dict[int, Seen] = attrs.Factory(dict)
     free_since: dict[int, float] = attrs.Factory(dict)
@@ -263,7 +266,15 @@
             return None
         lease, version = obtained
         self.seen[shard] = Seen(lease, version)
-        book, sequence = await recover(self.table, shard)
+        book, sequence = await recover(self.table, shard, self.objects)
+        compactor = Compactor(
+            shard,
+            self.table,
+            self.objects,
+            self.metrics,
+            self.fleet.retention_s,
+        )
+        await compactor.recall(lease)
         owner = ShardOwner(
             shard=shard,
             lease=lease,
@@ -276,6 +287,7 @@
             outage=self.outage,
             book=book,
             next_sequence=sequence,
+            compactor=compactor,
         )
         if seen is not None and seen.lease.owner:
             for bill in await self.outage.collect(seen.lease.owner, shard):
--- a/src/rattanpier/_internal/claims/service.py
+++ b/src/rattanpier/_internal/claims/service.py
@@ -30,6 +30,7 @@
 from rattanpier._internal.models.outcomes import ClaimOutcome, SettleOutcome
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.platform.objects import Objects, TableObjects
 from rattanpier._internal.platform.table import Table
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.codec import decode, encode
@@ -79,6 +80,7 @@
     """Finds the owners of shards and asks them.
 
     Attributes:
+      objects: Where snapshots and bills of compacted logs are kept.
       ownership: Which shards this process owns, and who the others.
       outage: What this process does while the store is down.
       keeper: Bills that this process keeps for others meanwhile.
@@ -94,6 +96,11 @@
     members: Members
     links: Links
     kernel: Kernel
+    objects: Objects = attrs.field(
+        default=attrs.Factory(
+            lambda self: TableObjects(self.table), takes_self=True
+        )
+    )
     outage: Outage = attrs.field(
         default=attrs.Factory(
             lambda self: Outage(
@@ -116,6 +123,7 @@
                 self.links,
                 self.kernel,
                 self.outage,
+                self.objects,
             ),
             takes_self=True,
         )
--- /dev/null
+++ b/src/rattanpier/_internal/commands/bills.py
@@ -0,0 +1,106 @@
+"""`rattanpier bills`: every bill, each once.
+
+Bills are read where they are certain: in the objects that compaction wrote
+and in the log rows behind them. Nothing is asked of an entry, so a bill that
+is printed is one that no fault can take back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Mapping
+
+import attrs
+
+from rattanpier._internal.claims.owner import recover
+from rattanpier._internal.claims.records import ShardLease, lease_key
+from rattanpier._internal.claims.snapshot import (
+    BilledClaim,
+    BillFile,
+    bill_file_prefix,
+    read_bills,
+)
+from rattanpier._internal.exceptions import StoreUnavailableError
+from rattanpier._internal.platform.objects import Objects, TableObjects
+from rattanpier._internal.platform.table import Row, Table, scan_all
+from rattanpier._internal.utils.codec import decode
+
+LEASE_PREFIX = "shard/"
+
+
+@attrs.frozen
+class ShardBills:
+    """A shard's bills at one moment.
+
+    Attributes:
+      files: Bill objects, in order.
+      tail: Bills that are still in the log.
+    """
+
+    files: list[BillFile]
+    tail: list[BilledClaim]
+
+
+async def export_bills(
+    table: Table,
+    objects: Objects | None = None,
+    after: Mapping[int, int] | None = None,
+) -> AsyncIterator[BilledClaim]:
+    """Yields every bill once, shard by shard, in log order.
+
+    Args:
+      table: The table service.
+      objects: Where compaction keeps bills; the table if None.
+      after: For each shard, the last log position already exported.
+
+    Raises:
+      StoreUnavailableError: The store did not answer; what was yielded so
+        far stands, and `after` says where to go on.
+    """
+    objects = objects or TableObjects(table)
+    for row in await scan_all(table, LEASE_PREFIX):
+        shard = int(row.key.removeprefix(LEASE_PREFIX))
+        start = (after or {}).get(shard, 0)
+        found = await read_shard(table, objects, shard, row)
+        for file in found.files:
+            if not file.name or file.last <= start:
+                continue
+            for billed in in_order(await read_bills(objects, file.name)):
+                if billed.sequence > start:
+                    yield billed
+        for billed in in_order(found.tail):
+            if billed.sequence > start:
+                yield billed
+
+
+def in_order(bills: list[BilledClaim]) -> list[BilledClaim]:
+    """Returns bills in log order."""
+    return sorted(bills, key=lambda billed: billed.sequence)
+
+
+async def read_shard(
+    table: Table, objects: Objects, shard: int, row: Row
+) -> ShardBills:
+    """Reads a shard's bills, again if it was compacted meanwhile."""
+    while True:
+        lease = decode(ShardLease, row.value)
+        try:
+            rows = await scan_all(table, bill_file_prefix(shard))
+            book, _ = await recover(table, shard, objects)
+            failure = None
+        except StoreUnavailableError as error:
+            # A snapshot may just have been replaced by the next.
+            failure = error
+        again = await table.get(lease_key(shard))
+        assert again is not None, "a shard's lease row is never deleted"
+        if decode(ShardLease, again.value).first == lease.first:
+            break
+        row = again
+    if failure is not None:
+        raise failure
+    files = [decode(BillFile, found.value) for found in rows]
+    tail = [
+        BilledClaim(shard, claim.sequence, claim.bill)
+        for claim in book.claims.values()
+        if claim.bill is not None and claim.sequence >= lease.first
+    ]
+    return ShardBills(files, tail)
--- a/src/rattanpier/_internal/dispatch/engine.py
+++ b/src/rattanpier/_internal/dispatch/engine.py
@@ -17,6 +17,7 @@
 import aiohttp
 import attrs
 
+from rattanpier._internal.dispatch.body import GuardedBody, MaySend
 from rattanpier._internal.dispatch.failures import UpstreamError
 
 CHAT_PATH = "/v1/chat/completions"
@@ -70,12 +71,14 @@
       body: The chat-completions request, as JSON text.
       request_id: Unique to this try; the answer has to carry it.
       timeout_s: Seconds for the whole answer.
+      may_send: Asked right before the body is sent.
     """
 
     url: str
     body: bytes
     request_id: str
     timeout_s: float
+    may_send: MaySend = lambda: True
 
 
 async def stream_chat(
@@ -91,8 +94,9 @@
     Raises:
       UpstreamError: The engine refused, failed or stopped half way.
     """
+    body = GuardedBody(call.body, call.may_send)
     try:
-        async with open_answer(session, call, after) as response:
+        async with open_answer(session, call, body, after) as response:
             if response.status != 200:
                 raise await refusal_of(response)
             check_identity(response, call.request_id)
@@ -105,13 +109,18 @@
         # No connection: no byte of the request left this process.
         raise UpstreamError(f"can't connect: {error}", True) from error
     except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+        if body.held:
+            raise UpstreamError("the body was held back", True) from error
         raise UpstreamError(
             f"connection failed: {error!r}", False, cut=True
         ) from error
 
 
 def open_answer(
-    session: aiohttp.ClientSession, call: EngineCall, after: int | None
+    session: aiohttp.ClientSession,
+    call: EngineCall,
+    body: GuardedBody,
+    after: int | None,
 ) -> Any:
     """Returns the context of a response: a run, or a resumed one."""
     timeout = aiohttp.ClientTimeout(
@@ -131,7 +140,7 @@
     headers["Content-Type"] = "application/json"
     return session.post(
         url,
-        data=call.body,
+        data=body,
         headers=headers,
         timeout=timeout,
         allow_redirects=False,
--- a/src/rattanpier/_internal/dispatch/failures.py
+++ b/src/rattanpier/_internal/dispatch/failures.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import attrs
+
 from rattanpier._internal.models.refusal import Refusal, RefusalCode
 
 NO_WORKER_RETRY_S = 1.0
 FAILED_RETRY_S = 1.0
 BUDGET_RETRY_S = 2.0
+NOT_CURRENT_RETRY_S = 1.0
 DEADLINE_RETRY_S = 1.0
 STOPPED_RETRY_S = 0.5  # A fresh plan may name another version.
 
@@ -51,6 +54,10 @@
         super().__init__(message)
         self.refusal = Refusal(code, message, False, retry_after_s)
 
+    def refusal_not_run(self) -> Refusal:
+        """Returns the refusal of a request that was never sent."""
+        return attrs.evolve(self.refusal, not_run=True)
+
 
 def no_worker() -> DispatchError:
     """Returns the error for a version or service without a worker."""
@@ -68,6 +75,15 @@
     )
 
 
+def not_current() -> DispatchError:
+    """Returns the error for a node that may be on an older revision."""
+    return DispatchError(
+        RefusalCode.NOT_CURRENT,
+        "This entry can't tell whether its configuration is in force.",
+        NOT_CURRENT_RETRY_S,
+    )
+
+
 def deadline_passed() -> DispatchError:
     """Returns the error for a request whose time is up."""
     return DispatchError(
--- a/src/rattanpier/_internal/dispatch/runner.py
+++ b/src/rattanpier/_internal/dispatch/runner.py
@@ -29,6 +29,7 @@
 from rattanpier._internal.dispatch.failures import (
     DispatchError,
     deadline_passed,
+    not_current,
 )
 from rattanpier._internal.dispatch.keeper import ClaimKeeper, refuse_claim
 from rattanpier._internal.dispatch.parts import (
@@ -137,7 +138,9 @@
             self.keeper.begin(attempt)
         configuration = self.configuration()
         plan = make_plan(configuration, request, self.braked)
-        if self.tries.left_s(request) <= 0:
+        if not self.tries.current():
+            plan = not_current().refusal
+        elif self.tries.left_s(request) <= 0:
             plan = deadline_passed().refusal
         elif isinstance(plan, Plan) and not plan.steps:
             plan = Refusal(
--- a/src/rattanpier/_internal/dispatch/service_runner.py
+++ b/src/rattanpier/_internal/dispatch/service_runner.py
@@ -16,6 +16,7 @@
 from rattanpier._internal.dispatch.failures import (
     DispatchError,
     deadline_passed,
+    not_current,
 )
 from rattanpier._internal.dispatch.keeper import ClaimKeeper, refuse_claim
 from rattanpier._internal.dispatch.parts import Recorded, Refused
@@ -89,6 +90,8 @@
 
     def plan(self, request: RouteRequest) -> Plan | Refusal:
         """Decides which service gets a call."""
+        if not self.tries.current():
+            return not_current().refusal
         if self.tries.left_s(request) <= 0:
             return deadline_passed().refusal
         plan = make_plan(self.configuration(), request)
--- a/src/rattanpier/_internal/dispatch/tries.py
+++ b/src/rattanpier/_internal/dispatch/tries.py
@@ -26,6 +26,7 @@
     claim_in_doubt,
     deadline_passed,
     no_worker,
+    not_current,
     upstream_failed,
     version_stopped,
 )
@@ -58,6 +59,7 @@
       configuration: Returns the configuration in force.
       confirm: Says right before a dispatch whether a claim still holds.
       leaving: Workers that are leaving.
+      current: Says whether the node's configuration is in force now.
       attempts: Emits the result of each try.
     """
 
@@ -73,6 +75,7 @@
     budget: RetryBudget
     load: Load = attrs.Factory(Load)
     leaving: set[str] = attrs.Factory(set)
+    current: Callable[[], bool] = lambda: True
     attempts: Attempts = attrs.Factory(Attempts)
 
     async def stream(
@@ -129,6 +132,8 @@
 
     async def check_claim(self, attempt: Attempt) -> None:
         """Raises DispatchError if an attempt may dispatch nothing more."""
+        if not self.current():
+            raise not_current()
         if not attempt.request.idempotent and not await self.confirm(attempt):
             raise claim_in_doubt()
         if self.left_s(attempt.request) <= 0:
@@ -187,7 +192,7 @@
         Raises:
           UpstreamError: The run failed or can't be resumed.
         """
-        call = self.make_call(target, attempt, version)
+        call = self.make_call(target, attempt, version, may_serve)
         session = self.session_for(attempt.request)
         after: int | None = None
         resumes = 0
@@ -210,7 +215,7 @@
                     resumes += 1
                     if after is None or resumes > MAX_RESUMES:
                         raise
-                    if not may_serve(version):
+                    if not (self.current() and may_serve(version)):
                         raise
                     call = self.resumed(call, attempt.request, error)
         finally:
@@ -233,7 +238,11 @@
         return attrs.evolve(call, timeout_s=left)
 
     def make_call(
-        self, target: Target, attempt: Attempt, version: str
+        self,
+        target: Target,
+        attempt: Attempt,
+        version: str,
+        may_serve: MayServe,
     ) -> EngineCall:
         """Returns the call of one try."""
         body = {
@@ -247,6 +256,7 @@
             json.dumps(body).encode(),
             attempt.next_id(),
             self.left_s(attempt.request),
+            lambda: self.current() and may_serve(version),
         )
 
 
--- a/src/rattanpier/_internal/edge/app.py
+++ b/src/rattanpier/_internal/edge/app.py
@@ -12,12 +12,17 @@
 from rattanpier._internal.edge.chat import ChatHandler
 from rattanpier._internal.edge.errors import error_response
 from rattanpier._internal.edge.services import PATH, ServiceHandler
+from rattanpier._internal.edge.unrouted import (
+    mark_started,
+    refuse_unrouted,
+)
 from rattanpier._internal.membership.members import Members
 from rattanpier._internal.models.member import MemberState
 from rattanpier._internal.models.refusal import Refusal, RefusalCode
 from rattanpier._internal.models.settings import EdgeSettings
 
 LOOKUP_TIMEOUT_S = 3.0
+BAD_KEY = Refusal(RefusalCode.BAD_KEY, "The key is not known.", True)
 
 
 @attrs.define
@@ -37,11 +42,16 @@
             request.headers.get("Authorization", ""),
         )
 
+    def refuse(self, refusal: Refusal) -> web.Response:
+        """Returns a refusal and counts its reason."""
+        self.chat.metrics.count(f"refusal.{refusal.code.value}")
+        return error_response(refusal, uuid.uuid4().hex)
+
     async def models(self, request: web.Request) -> web.Response:
         """`GET /v1/models`: only what the workspace allows."""
         name = self.workspace(request)
         if name is None:
-            return refuse_key()
+            return self.refuse(BAD_KEY)
         allowed = self.follower.configuration.workspaces[name].versions
         data = [
             {
@@ -77,7 +87,7 @@
         """`GET /v1/requests/KEY`: what became of a request."""
         name = self.workspace(request)
         if name is None:
-            return refuse_key()
+            return self.refuse(BAD_KEY)
         key = request.match_info["key"]
         reply = await self.chat.runner.claims.lookup(
             name, key, LOOKUP_TIMEOUT_S
@@ -89,14 +99,14 @@
                 False,
                 2.0,
             )
-            return error_response(refusal, uuid.uuid4().hex)
+            return self.refuse(refusal)
         if reply.state == "none":
             refusal = Refusal(
                 RefusalCode.UNKNOWN_REQUEST,
                 "No request with this key is known.",
                 False,
             )
-            return error_response(refusal, uuid.uuid4().hex)
+            return self.refuse(refusal)
         return web.json_response(
             {"key": key, "state": reply.state, "attempt": reply.attempt}
         )
@@ -108,7 +118,7 @@
     async def ready(self, _request: web.Request) -> web.Response:
         """`GET /readyz`: the entry takes new callers."""
         ready = (
-            self.follower.configuration.revision > 0
+            self.chat.runner.tries.current()
             and self.members.me.state is MemberState.LIVE
         )
         return web.json_response(
@@ -122,7 +132,11 @@
 
     def app(self) -> web.Application:
         """Returns the aiohttp application."""
-        app = web.Application(client_max_size=self.settings.max_body_bytes)
+        app = web.Application(
+            client_max_size=self.settings.max_body_bytes,
+            middlewares=[refuse_unrouted(self.chat.metrics)],
+        )
+        app.on_response_prepare.append(mark_started)
         app.router.add_post("/v1/chat/completions", self.chat.handle)
         app.router.add_route("*", PATH, self.services.handle)
         app.router.add_get("/v1/models", self.models)
@@ -131,11 +145,3 @@
         app.router.add_get("/healthz", self.health)
         app.router.add_get("/readyz", self.ready)
         return app
-
-
-def refuse_key() -> web.Response:
-    """Returns the refusal of an unknown key."""
-    return error_response(
-        Refusal(RefusalCode.BAD_KEY, "The key is not known.", True),
-        uuid.uuid4().hex,
-    )
--- a/src/rattanpier/_internal/edge/auth.py
+++ b/src/rattanpier/_internal/edge/auth.py
@@ -5,7 +5,9 @@
 import hmac
 from collections.abc import Iterable
 
+from rattanpier._internal.dispatch.failures import not_current
 from rattanpier._internal.models.configuration import Configuration
+from rattanpier._internal.models.refusal import Refusal, RefusalCode
 from rattanpier._internal.utils.hashing import sha256_hex
 
 BEARER = "Bearer "
@@ -27,6 +29,18 @@
     return any(found)
 
 
+def unknown_key(current: bool) -> Refusal:
+    """Returns the refusal for a key that is not in the configuration.
+
+    Args:
+      current: Whether the configuration is in force; if not, the key may be
+        newer than it.
+    """
+    if current:
+        return Refusal(RefusalCode.BAD_KEY, "The key is not known.", True)
+    return not_current().refusal_not_run()
+
+
 def find_workspace(configuration: Configuration, header: str) -> str | None:
     """Returns the workspace whose key a request carries, or None."""
     key = bearer_key(header)
--- a/src/rattanpier/_internal/edge/chat.py
+++ b/src/rattanpier/_internal/edge/chat.py
@@ -21,7 +21,7 @@
     Started,
 )
 from rattanpier._internal.dispatch.runner import Runner, completion
-from rattanpier._internal.edge.auth import find_workspace
+from rattanpier._internal.edge.auth import find_workspace, unknown_key
 from rattanpier._internal.edge.errors import error_event, error_response
 from rattanpier._internal.edge.intake import (
     IntakeError,
@@ -29,7 +29,7 @@
     route_request,
 )
 from rattanpier._internal.edge.sessions import SessionTokens
-from rattanpier._internal.models.refusal import Refusal, RefusalCode
+from rattanpier._internal.models.refusal import Refusal
 from rattanpier._internal.models.request import RouteRequest
 from rattanpier._internal.models.settings import EdgeSettings
 from rattanpier._internal.utils.clock import Clock
@@ -77,9 +77,7 @@
             configuration, request.headers.get("Authorization", "")
         )
         if workspace is None:
-            raise IntakeError(
-                Refusal(RefusalCode.BAD_KEY, "The key is not known.", True)
-            )
+            raise IntakeError(unknown_key(self.runner.tries.current()))
         data = await read_body(request, self.settings.max_body_bytes)
         pinned = self.tokens.pinned(
             workspace, request.headers.get("X-Session-Token", "")
--- a/src/rattanpier/_internal/edge/services.py
+++ b/src/rattanpier/_internal/edge/services.py
@@ -17,7 +17,7 @@
 )
 from rattanpier._internal.dispatch.repeatable import has_dot_segments
 from rattanpier._internal.dispatch.service_runner import ServiceRunner
-from rattanpier._internal.edge.auth import find_workspace
+from rattanpier._internal.edge.auth import find_workspace, unknown_key
 from rattanpier._internal.edge.errors import error_response
 from rattanpier._internal.edge.intake import (
     IntakeError,
@@ -89,9 +89,7 @@
             configuration, request.headers.get("Authorization", "")
         )
         if workspace is None:
-            raise IntakeError(
-                Refusal(RefusalCode.BAD_KEY, "The key is not known.", True)
-            )
+            raise IntakeError(unknown_key(self.runner.tries.current()))
         service = request.match_info["service"]
         upstream = configuration.upstreams.get(service)
         if upstream is None or upstream.kind is not UpstreamKind.PLAIN:
--- /dev/null
+++ b/src/rattanpier/_internal/edge/unrouted.py
@@ -0,0 +1,91 @@
+"""Refusals for requests that no handler answers."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Awaitable, Callable
+
+import structlog
+from aiohttp import web
+
+from rattanpier._internal.edge.errors import error_response
+from rattanpier._internal.models.refusal import Refusal, RefusalCode
+from rattanpier._internal.utils.metrics import Metrics
+
+log = structlog.get_logger(part="edge")
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+Middleware = Callable[[web.Request, Handler], Awaitable[web.StreamResponse]]
+
+STARTED = web.RequestKey("started", bool)
+
+
+async def mark_started(
+    request: web.Request, _response: web.StreamResponse
+) -> None:
+    """Notes that the head of an answer goes out."""
+    request[STARTED] = True
+
+
+def refuse_unrouted(metrics: Metrics) -> Middleware:
+    """Returns the middleware that answers what no handler does.
+
+    Unknown paths, wrong methods and faults of a handler get a refusal in the
+    shape of all others, as long as no answer has begun.
+    """
+
+    def refuse(refusal: Refusal) -> web.Response:
+        metrics.count(f"refusal.{refusal.code.value}")
+        return error_response(refusal, uuid.uuid4().hex)
+
+    @web.middleware
+    async def middleware(
+        request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        try:
+            return await handler(request)
+        except web.HTTPNotFound:
+            return refuse(unknown_path(request))
+        except web.HTTPMethodNotAllowed as error:
+            response = refuse(wrong_method(request, error))
+            response.headers["Allow"] = error.headers["Allow"]
+            return response
+        except (web.HTTPException, ConnectionError):
+            raise
+        except Exception:
+            if STARTED in request:
+                raise
+            log.exception("Handler failed.", path=request.path)
+            return refuse(handler_failed())
+
+    return middleware
+
+
+def unknown_path(request: web.Request) -> Refusal:
+    """Returns the refusal of a path that does not exist."""
+    return Refusal(
+        RefusalCode.UNKNOWN_PATH,
+        f"There is no path {request.path!r}; try /v1/chat/completions.",
+        True,
+    )
+
+
+def wrong_method(
+    request: web.Request, error: web.HTTPMethodNotAllowed
+) -> Refusal:
+    """Returns the refusal of a method that a path does not have."""
+    allowed = ", ".join(sorted(error.allowed_methods))
+    return Refusal(
+        RefusalCode.METHOD_NOT_ALLOWED,
+        f"{request.path!r} takes {allowed}, not {request.method}.",
+        True,
+    )
+
+
+def handler_failed() -> Refusal:
+    """Returns the refusal for a fault of this program."""
+    return Refusal(
+        RefusalCode.INTERNAL,
+        "The request failed for a fault of the router; it may have run.",
+        False,
+    )
--- a/src/rattanpier/_internal/models/refusal.py
+++ b/src/rattanpier/_internal/models/refusal.py
@@ -32,6 +32,8 @@
     NOT_CURRENT = "not_current"
     DRAINING = "draining"
     UNKNOWN_REQUEST = "unknown_request"
+    UNKNOWN_PATH = "unknown_path"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
     INTERNAL = "internal"
 
 
@@ -58,6 +60,8 @@
     RefusalCode.NOT_CURRENT: 503,
     RefusalCode.DRAINING: 503,
     RefusalCode.UNKNOWN_REQUEST: 404,
+    RefusalCode.UNKNOWN_PATH: 404,
+    RefusalCode.METHOD_NOT_ALLOWED: 405,
     RefusalCode.INTERNAL: 500,
 }
 
--- /dev/null
+++ b/src/rattanpier/_internal/platform/objects.py
@@ -0,0 +1,95 @@
+"""Objects: texts that are written once under a name and read as a whole."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import attrs
+
+from rattanpier._internal.exceptions import StoreUnavailableError
+from rattanpier._internal.models.outcomes import Committed
+from rattanpier._internal.platform.table import (
+    Put,
+    Table,
+    Transaction,
+    scan_all,
+)
+
+PART_CHARACTERS = 64 * 1024
+OBJECT_PREFIX = "object/"
+LAST_PART = "end"
+
+
+class Objects(Protocol):
+    """What the program asks of an object store.
+
+    A name is written once; writing the same text again is harmless.
+    """
+
+    async def put(self, name: str, text: str) -> None:
+        """Writes an object.
+
+        Raises:
+          StoreUnavailableError: It is not certain that it was written.
+        """
+        ...
+
+    async def get(self, name: str) -> str | None:
+        """Returns an object's text, or None.
+
+        Raises:
+          StoreUnavailableError: The store did not answer.
+        """
+        ...
+
+    async def delete(self, name: str) -> None:
+        """Deletes an object, if the store can be reached."""
+        ...
+
+
+@attrs.define
+class TableObjects:
+    """Objects kept in rows of the table service, a part to a row.
+
+    For sites without an object store; the parts cost writes.
+    """
+
+    table: Table
+
+    async def put(self, name: str, text: str) -> None:
+        """Writes an object.
+
+        Raises:
+          StoreUnavailableError: It is not certain that it was written.
+        """
+        parts = range(0, len(text), PART_CHARACTERS)
+        for number, start in enumerate(parts):
+            part = text[start : start + PART_CHARACTERS]
+            await self.write(f"{OBJECT_PREFIX}{name}/{number:06d}", part)
+        # Without this row the object does not exist yet.
+        await self.write(f"{OBJECT_PREFIX}{name}/{LAST_PART}", str(len(parts)))
+
+    async def write(self, key: str, text: str) -> None:
+        """Writes a row."""
+        outcome = await self.table.transact(Transaction(puts=[Put(key, text)]))
+        if not isinstance(outcome, Committed):
+            raise StoreUnavailableError(f"{key} was not written")
+
+    async def get(self, name: str) -> str | None:
+        """Returns an object's text, or None.
+
+        Raises:
+          StoreUnavailableError: The store did not answer.
+        """
+        rows = await scan_all(self.table, f"{OBJECT_PREFIX}{name}/")
+        if not rows or not rows[-1].key.endswith(f"/{LAST_PART}"):
+            return None
+        count = int(rows[-1].value)
+        return "".join(row.value for row in rows[:count])
+
+    async def delete(self, name: str) -> None:
+        """Deletes an object, its last row first."""
+        rows = await scan_all(self.table, f"{OBJECT_PREFIX}{name}/")
+        if rows:
+            keys = [row.key for row in reversed(rows)]
+            await self.table.transact(Transaction(deletes=keys))
--- a/src/rattanpier/_internal/platform/table.py
+++ b/src/rattanpier/_internal/platform/table.py
@@ -178,11 +178,11 @@
         return Conflict(reply.conflict)
 
 
-async def scan_all(table: Table, prefix: str) -> list[Row]:
-    """Returns every row of a prefix, page by page."""
+async def scan_all(table: Table, prefix: str, after: str = "") -> list[Row]:
+    """Returns every row of a prefix behind `after`, page by page."""
     rows: list[Row] = []
     while True:
-        page = await table.scan(prefix, rows[-1].key if rows else "")
+        page = await table.scan(prefix, rows[-1].key if rows else after)
         rows.extend(page)
         if len(page) < SCAN_LIMIT:
             return rows
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -155,6 +155,7 @@
         spawn=kernel.spawn,
         confirm=keeper.confirm,
         budget=RetryBudget(clock),
+        current=kernel.find("currency").is_current,
     )
     runner = Runner(
         configuration=lambda: follower.configuration,
--- a/src/rattanpier/_internal/standin/engine.py
+++ b/src/rattanpier/_internal/standin/engine.py
@@ -22,7 +22,6 @@
 from rattanpier._internal.utils.hashing import stable_hash
 
 DEFAULT_MAX_TOKENS = 32
-PROMPT_START = 100  # Characters of a prompt that are kept with its run.
 
 
 class EngineFault(enum.StrEnum):
@@ -63,17 +62,10 @@
 
 @attrs.define
 class Run:
-    """One request as the engine ran it.
-
-    Attributes:
-      request: Its `X-Request-Id`.
-      version: Version that ran it.
-      prompt: Start of its prompt, by which a test knows its request.
-    """
+    """One request as the engine ran it."""
 
     request: str
     version: str
-    prompt: str = ""
     chunks: int = 0
     finished: bool = False
     cancelled: bool = False
@@ -156,11 +148,7 @@
             )
         if body["model"] not in self.versions:
             return refuse("the version is not loaded", not_run=True)
-        run = Run(
-            request.headers.get("X-Request-Id", ""),
-            body["model"],
-            prompt_text(body)[:PROMPT_START],
-        )
+        run = Run(request.headers.get("X-Request-Id", ""), body["model"])
         self.runs.append(run)
         if fault is EngineFault.FAIL:
             return web.json_response({"error": "failed"}, status=500)
--- /dev/null
+++ b/tests/failure/test_whole_answers.py
@@ -0,0 +1,263 @@
+"""Callers get the whole answer to their own request, or none."""
+
+import asyncio
+import json
+import signal
+
+import aiohttp
+import pytest
+import pytest_asyncio
+
+from rattanpier._internal.standin.engine import answer_words
+from tests.lib.builders import DESK_KEY, SMALL, configuration_text
+from tests.lib.cluster import Cluster, wait_for
+
+AUTHORIZATION = {"Authorization": f"Bearer {DESK_KEY}"}
+ENGINES = ("engine-1", "engine-2")
+TOKENS = 24
+
+
+@pytest_asyncio.fixture(scope="module", loop_scope="module")
+async def cluster(tmp_path_factory):
+    async with Cluster(tmp_path_factory.mktemp("whole")) as cluster:
+        await cluster.start_table()
+        for engine in ENGINES:
+            await cluster.start_standin(
+                engine, "engine", "--versions", f"{SMALL}=1.0"
+            )
+        cluster.revision = 1
+        await cluster.apply(configuration_text(urls(cluster)))
+        for entry in ("entry-1", "entry-2"):
+            await cluster.start_entry(entry)
+        yield cluster
+
+
+def urls(cluster, engines=ENGINES):
+    return [cluster.urls[engine] for engine in engines]
+
+
+async def use(cluster, engines, **faults):
+    """Puts engines in force, each with the same faults."""
+    for engine in ENGINES:
+        await cluster.set_faults(engine, **faults)
+    cluster.revision += 1
+    text = configuration_text(urls(cluster, engines))
+    await cluster.apply(text, cluster.revision)
+
+    async def in_force():
+        for entry in ("entry-1", "entry-2"):
+            url = f"{cluster.urls[entry]}/readyz"
+            async with cluster.session.get(url) as response:
+                body = await response.json()
+                if body["revision"] != cluster.revision:
+                    return False
+        return True
+
+    await wait_for(in_force)
+
+
+def expected(prompt, tokens=TOKENS, good=True):
+    return "".join(answer_words(SMALL, prompt, tokens, good))
+
+
+class Heard:
+    """What a caller got: text, whether the end came, and the error."""
+
+    def __init__(self):
+        self.text = ""
+        self.done = False
+        self.error = None
+        self.started = asyncio.Event()
+
+
+async def listen(cluster, prompt, entry="entry-1", heard=None, **headers):
+    """Streams one answer."""
+    heard = heard or Heard()
+    body = {
+        "model": "auto",
+        "stream": True,
+        "max_tokens": int(headers.pop("tokens", TOKENS)),
+        "messages": [{"role": "user", "content": prompt}],
+    }
+    async with cluster.session.post(
+        f"{cluster.urls[entry]}/v1/chat/completions",
+        json=body,
+        headers={**AUTHORIZATION, "X-Timeout-Ms": "20000", **headers},
+    ) as response:
+        if response.status != 200:
+            heard.error = (await response.json())["error"]
+            return heard
+        async for line in response.content:
+            if line.startswith(b"data:"):
+                take(heard, line[5:].strip())
+    return heard
+
+
+def take(heard, data):
+    if data == b"[DONE]":
+        heard.done = True
+        return
+    event = json.loads(data)
+    if "error" in event:
+        heard.error = event["error"]
+        return
+    heard.text += event["choices"][0]["delta"].get("content") or ""
+    heard.started.set()
+
+
+async def runs_of(cluster, count_from):
+    runs = []
+    for engine in ENGINES:
+        runs += (await cluster.runs(engine))[count_from[engine] :]
+    return runs
+
+
+async def marks(cluster):
+    return {engine: len(await cluster.runs(engine)) for engine in ENGINES}
+
+
+async def state_of(cluster, key, entry="entry-2"):
+    url = f"{cluster.urls[entry]}/v1/requests/{key}"
+    async with cluster.session.get(url, headers=AUTHORIZATION) as response:
+        return (await response.json()).get("state")
+
+
+async def is_state(cluster, key, state):
+    return await state_of(cluster, key) == state
+
+
+@pytest.mark.parametrize("marked", ["true", "false"])
+@pytest.mark.parametrize("fault", ["cut", "missing", "no_end"])
+@pytest.mark.asyncio(loop_scope="module")
+async def test_a_cut_stream_is_resumed(cluster, fault, marked):
+    await use(cluster, ENGINES, fault=fault, count=1)
+    before = await marks(cluster)
+    heard = await listen(cluster, f"p-{fault}", **{"X-Non-Idempotent": marked})
+    assert (heard.text, heard.done) == (expected(f"p-{fault}"), True)
+    runs = await runs_of(cluster, before)
+    assert [run["resumes"] for run in runs] == [1]
+
+
+@pytest.mark.asyncio(loop_scope="module")
+async def test_a_chunk_that_comes_twice_is_released_once(cluster):
+    await use(cluster, ENGINES, fault="duplicate")
+    heard = await listen(cluster, "twice")
+    assert (heard.text, heard.done) == (expected("twice"), True)
+
+
+@pytest.mark.asyncio(loop_scope="module")
+async def test_a_rerun_may_go_on_where_it_says_the_same(cluster):
+    await use(cluster, ENGINES, fault="none")
+    await cluster.set_faults("engine-1", fault="forget")
+    for number in range(6):
+        prompt = f"rerun-{number}"
+        heard = await listen(cluster, prompt)
+        assert (heard.text, heard.done) == (expected(prompt), True)
+    assert any(run["cancelled"] for run in await cluster.runs("engine-1"))
+
+
+@pytest.mark.asyncio(loop_scope="module")
+async def test_a_rerun_that_differs_ends_with_an_error(cluster):
+    await use(cluster, ENGINES, fault="forget")
+    await cluster.set_faults("engine-1", fault="forget", bad_versions=[SMALL])
+    key = {"Idempotency-Key": "differs"}
+    heard = await listen(cluster, "differs", **key)
+    assert heard.done is False
+    assert heard.error["not_run"] is False
+    whole = (expected("differs"), expected("differs", good=False))
+    assert any(text.startswith(heard.text) for text in whole)
+    await wait_for(lambda: is_state(cluster, "differs", "unknown"))
+
+
+@pytest.mark.asyncio(loop_scope="module")
+async def test_a_truncated_answer_is_not_recorded(cluster):
+    await use(cluster, ENGINES, fault="forget")
+    before = await marks(cluster)
+    headers = {"Idempotency-Key": "truncated", "X-Non-Idempotent": "true"}
+    heard = await listen(cluster, "truncated", **headers)
+    assert heard.done is False
+    assert heard.error["code"] == "upstream_failed"
+    again = await listen(cluster, "truncated", "entry-2", **headers)
+    assert (again.text, again.done) == ("", False)
+    assert again.error["code"] == "outcome_unknown"
+    assert again.error["not_run"] is False
+    assert len(await runs_of(cluster, before)) == 1
+    assert await state_of(cluster, "truncated") == "unknown"
+
+
+@pytest.mark.asyncio(loop_scope="module")
+async def test_swapped_answers_reach_nobody(cluster):
+    await use(cluster, ENGINES[:1], fault="swap")
+    prompts = [f"swap-{number}" for number in range(6)]
+    answers = await asyncio.gather(
+        *(listen(cluster, prompt) for prompt in prompts)
+    )
+    for heard in answers:
+        assert (heard.text, heard.done) == ("", False)
+        assert heard.error["code"] == "upstream_failed"
+
+
+@pytest.mark.asyncio(loop_scope="module")
+async def test_a_late_answer_reaches_nobody(cluster):
+    await use(cluster, ENGINES, fault="none", slowdown=50.0)
+    headers = {"Idempotency-Key": "late", "X-Timeout-Ms": "600"}
+    heard = await listen(cluster, "late", **headers)
+    assert heard.done is False
+    assert heard.error["code"] == "deadline"
+    assert heard.error["not_run"] is False
+    assert heard.error["retry_after_s"] > 0
+    await wait_for(lambda: is_state(cluster, "late", "unknown"))
+
+
+@pytest.mark.asyncio(loop_scope="module")
+async def test_a_caller_that_left_cancels_and_frees_its_key(cluster):
+    await use(cluster, ENGINES, fault="none", slowdown=100.0)
+    before = await marks(cluster)
+    key = {"Idempotency-Key": "gone"}
+    heard = Heard()
+    first = asyncio.create_task(
+        listen(cluster, "gone", "entry-1", heard, **key)
+    )
+    await heard.started.wait()
+    first.cancel()
+    await asyncio.gather(first, return_exceptions=True)
+
+    async def cancelled():
+        runs = await runs_of(cluster, before)
+        return [run["cancelled"] for run in runs] == [True]
+
+    await wait_for(cancelled, 2.5)  # Less than the engine waits by itself.
+    for engine in ENGINES:
+        await cluster.set_faults(engine)
+    again = await listen(
+        cluster, "gone", "entry-2", **key, **{"X-Timeout-Ms": "3000"}
+    )
+    assert (again.text, again.done) == (expected("gone"), True)
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+@pytest.mark.asyncio(loop_scope="module")
+async def test_a_caller_finds_its_answer_at_another_entry(cluster, number):
+    await use(cluster, ENGINES, fault="none", slowdown=10.0)
+    name = f"entry-{number.name.lower()}"
+    await cluster.start_entry(name)
+    key = {"Idempotency-Key": f"elsewhere-{number.name}"}
+    heard = Heard()
+    first = asyncio.create_task(
+        listen(cluster, "elsewhere", name, heard, tokens=60, **key)
+    )
+    await heard.started.wait()
+    cluster.processes[name].send(number)
+    again = await listen(cluster, "elsewhere", "entry-2", tokens=60, **key)
+    text = expected("elsewhere", 60)
+    assert (again.text, again.done) == (text, True)
+    if number is signal.SIGSTOP:
+        cluster.processes[name].send(signal.SIGCONT)
+        await first
+        assert heard.error["code"] == "superseded"
+    else:
+        with pytest.raises(aiohttp.ClientError):
+            await first
+    assert heard.done is False
+    assert text.startswith(heard.text)
+    assert await state_of(cluster, key["Idempotency-Key"]) == "answered"
--- /dev/null
+++ b/tests/unit/test_claims_compaction.py
@@ -0,0 +1,275 @@
+"""Compaction: nothing that counts is lost, nothing else is kept."""
+
+import asyncio
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rattanpier._internal.claims.book import Ask
+from rattanpier._internal.claims.compaction import Compactor
+from rattanpier._internal.claims.owner import ShardOwner, acquire, recover
+from rattanpier._internal.claims.records import (
+    Answer,
+    Bill,
+    ClaimResult,
+    SettleOp,
+    lease_key,
+    log_prefix,
+)
+from rattanpier._internal.commands.bills import export_bills
+from rattanpier._internal.exceptions import StoreUnavailableError
+from rattanpier._internal.models.outcomes import ClaimOutcome, Uncertain
+from rattanpier._internal.platform.objects import TableObjects
+from rattanpier._internal.standin.objects import MemoryObjects
+from rattanpier._internal.standin.table import MemoryTable
+from rattanpier._internal.utils.metrics import Metrics
+from tests.lib.clock import ManualClock
+from tests.lib.virtual import run_virtual
+
+RETENTION_S = 60.0
+BATCHES = 4
+
+
+async def make_owner(table, objects, clock, name="a", alive=lambda _: True):
+    row = await table.get(lease_key(0))
+    lease, version = await acquire(table, 0, row, name, f"{name}1")
+    book, sequence = await recover(table, 0, objects)
+    metrics = Metrics()
+    compactor = Compactor(0, table, objects, metrics, RETENTION_S, BATCHES)
+    await compactor.recall(lease)
+    return ShardOwner(
+        shard=0,
+        lease=lease,
+        lease_version=version,
+        table=table,
+        clock=clock,
+        metrics=metrics,
+        alive=alive,
+        interval_s=0.0,
+        book=book,
+        next_sequence=sequence,
+        compactor=compactor,
+    )
+
+
+async def decide(owner, work):
+    """Runs a decision to its end, writing what it needs."""
+    task = asyncio.get_running_loop().create_task(work)
+    await asyncio.sleep(0)
+    while not task.done():
+        await owner.flush()
+        await asyncio.sleep(0)
+    while owner.beside:
+        await asyncio.sleep(0)
+    return task.result()
+
+
+def settle_op(key, attempt, result):
+    if result is not ClaimResult.ANSWERED:
+        return SettleOp("w", key, attempt, result)
+    bill = Bill("w", key, "v", 1, 1, 1.0)
+    answer = Answer(200, "text/plain", key, "v")
+    return SettleOp("w", key, attempt, result, bill, answer)
+
+
+async def run_one(owner, key, holder, result):
+    """Claims a key and ends it; returns the bill if it is to be billed."""
+    ask = Ask("w", key, holder, True, "d")
+    decision = await decide(owner, owner.ask(ask))
+    if decision.outcome is not ClaimOutcome.GRANTED or result is None:
+        return []
+    attempt = (decision.op or decision.claim).attempt
+    await decide(owner, owner.settle(settle_op(key, attempt, result)))
+    return [key] if result is ClaimResult.ANSWERED else []
+
+
+async def exported(table, objects, after=None):
+    return [billed async for billed in export_bills(table, objects, after)]
+
+
+steps = st.lists(
+    st.tuples(
+        st.sampled_from("abcd"),
+        st.sampled_from(
+            (
+                None,
+                ClaimResult.ANSWERED,
+                ClaimResult.RELEASED,
+                ClaimResult.UNKNOWN,
+            )
+        ),
+        st.sampled_from((0.0, 5.0, 100.0)),
+    ),
+    max_size=30,
+)
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(steps)
+def test_recovered_book_equals_live_book(script):
+    async def run():
+        table, objects, clock = MemoryTable(), MemoryObjects(), ManualClock()
+        owner = await make_owner(table, objects, clock)
+        expected = []
+        for number, (key, result, pause_s) in enumerate(script):
+            clock.now += pause_s
+            expected += await run_one(owner, key, f"h/i/{number}", result)
+            book, sequence = await recover(table, 0, objects)
+            assert book == owner.book
+            assert sequence == owner.next_sequence
+        found = [billed.bill.key for billed in await exported(table, objects)]
+        assert sorted(found) == sorted(expected)
+
+    run_virtual(run())
+
+
+async def fill(owner, clock, count, start=0, step_s=1.0):
+    for number in range(start, start + count):
+        clock.now += step_s
+        await run_one(
+            owner, f"k{number}", f"h/i/{number}", ClaimResult.ANSWERED
+        )
+
+
+@pytest.mark.parametrize("kind", (MemoryObjects, None))
+def test_log_and_memory_stay_bounded_and_bills_survive(kind):
+    async def run():
+        table, clock = MemoryTable(), ManualClock()
+        objects = kind() if kind else TableObjects(table)
+        owner = await make_owner(table, objects, clock)
+        await fill(owner, clock, 300)
+        rows = [key for key in table.rows if key.startswith(log_prefix(0))]
+        assert len(rows) <= 3 * BATCHES
+        assert len(owner.book.claims) <= 2 * RETENTION_S
+        found = await exported(table, objects)
+        assert [billed.bill.key for billed in found] == [
+            f"k{number}" for number in range(300)
+        ]
+        assert len({billed.id for billed in found}) == 300
+
+    run_virtual(run())
+
+
+def test_export_goes_on_where_it_stopped():
+    async def run():
+        table, objects, clock = MemoryTable(), MemoryObjects(), ManualClock()
+        owner = await make_owner(table, objects, clock)
+        await fill(owner, clock, 23)
+        first = await exported(table, objects)
+        await fill(owner, clock, 20, start=23)
+        second = await exported(table, objects, {0: first[-1].sequence})
+        keys = [billed.bill.key for billed in first + second]
+        assert keys == [f"k{number}" for number in range(43)]
+
+    run_virtual(run())
+
+
+def test_new_owner_forgets_what_is_old():
+    async def run():
+        table, objects, clock = MemoryTable(), MemoryObjects(), ManualClock()
+        for turn in range(6):
+            owner = await make_owner(table, objects, clock, f"n{turn}")
+            await fill(owner, clock, 40, start=40 * turn)
+        assert len(owner.book.claims) <= 2 * RETENTION_S
+        assert len(await exported(table, objects)) == 240
+
+    run_virtual(run())
+
+
+def test_claims_of_the_dead_end():
+    async def run():
+        table, objects, clock = MemoryTable(), MemoryObjects(), ManualClock()
+        owner = await make_owner(
+            table, objects, clock, alive=lambda holder: "dead" not in holder
+        )
+        await run_one(owner, "left", "dead/i/0", None)
+        await run_one(owner, "runs", "h/i/0", None)
+        await fill(owner, clock, 200)
+        assert owner.find("w", "left") is None
+        assert owner.find("w", "runs").result is ClaimResult.RUNNING
+
+    run_virtual(run())
+
+
+def test_objects_down_delays_compaction_only():
+    async def run():
+        table, objects, clock = MemoryTable(), MemoryObjects(), ManualClock()
+        owner = await make_owner(table, objects, clock)
+        objects.down = True
+        await fill(owner, clock, 40)
+        assert owner.lease.first == 1
+        objects.down = False
+        await fill(owner, clock, 60, start=40)
+        assert owner.lease.first > 1
+        assert len(await exported(table, objects)) == 100
+
+    run_virtual(run())
+
+
+class LateTable(MemoryTable):
+    """Loses the answers to writes of lease rows; applies some late."""
+
+    def __init__(self):
+        super().__init__()
+        self.late = []
+        self.turn = 0
+
+    async def transact(self, transaction):
+        lease = any(put.key == lease_key(0) for put in transaction.puts)
+        if not lease or not self.turn:
+            return await super().transact(transaction)
+        self.turn += 1
+        if self.turn % 2:
+            self.late.append(transaction)
+        else:
+            await super().transact(transaction)
+        return Uncertain("no answer")
+
+
+def test_lost_and_late_lease_writes_lose_no_bill():
+    async def run():
+        table, objects, clock = LateTable(), MemoryObjects(), ManualClock()
+        owner = await make_owner(table, objects, clock)
+        table.turn = 1
+        for number in range(60):
+            await fill(owner, clock, 1, start=number)
+            if number % 3 == 0 and table.late:
+                await MemoryTable.transact(table, table.late.pop(0))
+        assert not owner.lost
+        assert owner.lease.first > 1
+        book, _ = await recover(table, 0, objects)
+        assert book == owner.book
+        assert len(await exported(table, objects)) == 60
+
+    run_virtual(run())
+
+
+def test_paused_owner_does_not_compact():
+    async def run():
+        table, objects, clock = MemoryTable(), MemoryObjects(), ManualClock()
+        old = await make_owner(table, objects, clock)
+        await fill(old, clock, BATCHES)
+        compacted = old.compactor.ready
+        new = await make_owner(table, objects, clock, "b")
+        await fill(new, clock, 20, start=BATCHES)
+        if compacted is not None:
+            await old.take_effect(compacted)
+        assert old.lost
+        assert len(await exported(table, objects)) == BATCHES + 20
+
+    run_virtual(run())
+
+
+def test_missing_snapshot_is_not_an_empty_one():
+    async def run():
+        table, objects, clock = MemoryTable(), MemoryObjects(), ManualClock()
+        owner = await make_owner(table, objects, clock)
+        await fill(owner, clock, 20)
+        objects.texts.clear()
+        with pytest.raises(StoreUnavailableError):
+            await recover(table, 0, objects)
+        assert attrs.evolve(owner.lease).snapshot
+
+    run_virtual(run())
