Add object store and weight store stand-ins; wire bills

Ruled out: asking entries for bills, which a kill would cut short. Conclusion: not tested here: a compaction through HttpObjects in a running entry.

--- a/src/rattanpier/_internal/cli/operator.py
+++ b/src/rattanpier/_internal/cli/operator.py
@@ -13,6 +13,7 @@
 
 from rattanpier._internal.cli.common import run_fire
 from rattanpier._internal.commands import cluster, config, orders
+from rattanpier._internal.commands.billing import bills
 from rattanpier._internal.commands.demo import demo
 from rattanpier._internal.commands.explain import explain
 from rattanpier._internal.commands.result import ExitCode, Result
@@ -76,6 +77,7 @@
     "upstream": {"drain": printed(orders.drain)},
     "entries": printed(cluster.entries),
     "status": printed(cluster.status),
+    "bills": printed(bills),
     "demo": demo,
 }
 
--- a/src/rattanpier/_internal/cli/standin.py
+++ b/src/rattanpier/_internal/cli/standin.py
@@ -11,8 +11,10 @@
 from rattanpier._internal.edge.server import HttpServer
 from rattanpier._internal.models.settings import ListenSettings
 from rattanpier._internal.standin.engine import EngineServer, EngineSpeed
+from rattanpier._internal.standin.objects import ObjectServer
 from rattanpier._internal.standin.plain import PlainServer
 from rattanpier._internal.standin.table import TableServer
+from rattanpier._internal.standin.weights import DEFAULT_BYTES, WeightServer
 
 DEFAULT_SKILL = 0.9
 
@@ -50,6 +52,22 @@
         """Runs a table service."""
         asyncio.run(serve_app(TableServer().app(), host, port))
 
+    def objects(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Runs an object store."""
+        asyncio.run(serve_app(ObjectServer().app(), host, port))
+
+    def weights(
+        self, host: str = "127.0.0.1", port: int = 0, size: int = DEFAULT_BYTES
+    ) -> None:
+        """Runs a rate-limited weight store.
+
+        Args:
+          host: IP number.
+          port: Port; 0 takes a free one.
+          size: Bytes of a version's weights.
+        """
+        asyncio.run(serve_app(WeightServer(size).app(), host, port))
+
     def engine(
         self,
         versions: str,
--- a/src/rattanpier/_internal/commands/demo.py
+++ b/src/rattanpier/_internal/commands/demo.py
@@ -33,6 +33,7 @@
 from rattanpier._internal.programs.control import build_control
 from rattanpier._internal.programs.entry import build_entry
 from rattanpier._internal.standin.engine import EngineServer
+from rattanpier._internal.standin.objects import ObjectServer
 from rattanpier._internal.standin.plain import PlainServer
 from rattanpier._internal.standin.table import TableServer
 from rattanpier._internal.utils.hashing import sha256_hex
@@ -52,6 +53,7 @@
     """Addresses of the embedded stand-ins."""
 
     table_url: str
+    objects_url: str
     engine_urls: list[str]
     plain_url: str
 
@@ -84,6 +86,7 @@
     engines = [EngineServer(dict(SKILLS)) for _ in range(WORKERS)]
     return DemoPlatform(
         table_url=await serve(stack, TableServer().app()),
+        objects_url=await serve(stack, ObjectServer().app()),
         engine_urls=[await serve(stack, engine.app()) for engine in engines],
         plain_url=await serve(stack, PlainServer("phrases").app()),
     )
@@ -110,7 +113,7 @@
             node=NodeSettings(
                 f"entry-{number + 1}", DOMAINS[number % len(DOMAINS)]
             ),
-            platform=PlatformSettings(platform.table_url),
+            platform=PlatformSettings(platform.table_url, platform.objects_url),
             callers=ListenSettings(HOST, port),
             secrets=SecretSettings(session_key, [sha256_hex(OPERATOR_KEY)]),
         )
--- /dev/null
+++ b/src/rattanpier/_internal/platform/http_objects.py
@@ -0,0 +1,72 @@
+"""Objects of the platform's object store, over HTTP."""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+import aiohttp
+import attrs
+
+from rattanpier._internal.exceptions import StoreUnavailableError
+
+NOT_FOUND = 404
+
+
+@attrs.frozen
+class HttpObjects:
+    """Implements `rattanpier._internal.platform.objects.Objects`.
+
+    Attributes:
+      session: For calls.
+      url: Base address of the object store.
+      timeout_s: Seconds until a call is given up.
+    """
+
+    session: aiohttp.ClientSession
+    url: str
+    timeout_s: float = 2.0
+
+    async def put(self, name: str, text: str) -> None:
+        """Writes an object.
+
+        Raises:
+          StoreUnavailableError: It is not certain that it was written.
+        """
+        await self.call("PUT", name, text)
+
+    async def get(self, name: str) -> str | None:
+        """Returns an object's text, or None.
+
+        Raises:
+          StoreUnavailableError: The store did not answer.
+        """
+        return await self.call("GET", name)
+
+    async def delete(self, name: str) -> None:
+        """Deletes an object, also one that is not there.
+
+        Raises:
+          StoreUnavailableError: It is not certain that it was deleted.
+        """
+        await self.call("DELETE", name)
+
+    async def call(
+        self, method: str, name: str, text: str | None = None
+    ) -> str | None:
+        """Makes one call; None if the object does not exist."""
+        timeout = aiohttp.ClientTimeout(total=self.timeout_s)
+        try:
+            async with self.session.request(
+                method,
+                f"{self.url}/v1/objects/{quote(name)}",
+                data=None if text is None else text.encode(),
+                timeout=timeout,
+            ) as response:
+                if response.status == NOT_FOUND:
+                    return None
+                response.raise_for_status()
+                return await response.text()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise StoreUnavailableError(
+                f"object {name}: {error or type(error).__name__}"
+            ) from error
--- a/src/rattanpier/_internal/programs/common.py
+++ b/src/rattanpier/_internal/programs/common.py
@@ -21,14 +21,16 @@
     serve_peers,
 )
 from rattanpier._internal.models.member import Member, Role
-from rattanpier._internal.models.settings import Settings
+from rattanpier._internal.models.settings import PlatformSettings, Settings
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.server import PeerServer
 from rattanpier._internal.peers.tls import (
     peer_client_context,
     peer_server_context,
 )
-from rattanpier._internal.platform.table import HttpTable
+from rattanpier._internal.platform.http_objects import HttpObjects
+from rattanpier._internal.platform.objects import Objects, TableObjects
+from rattanpier._internal.platform.table import HttpTable, Table
 from rattanpier._internal.routing.brakes import Brakes
 from rattanpier._internal.utils.clock import SystemClock
 from rattanpier._internal.utils.metrics import Metrics
@@ -55,6 +57,7 @@
             settings.platform.timeout_s,
         ),
     )
+    kernel.add("objects", make_objects(settings.platform, session, table))
     server = kernel.add("peer_server", PeerServer())
     kernel.services["peer_server"].stop = server.stop
     links = kernel.add(
@@ -65,6 +68,15 @@
     await follower.poll()
 
 
+def make_objects(
+    platform: PlatformSettings, session: aiohttp.ClientSession, table: Table
+) -> Objects:
+    """Returns the object store, or rows of the table where there is none."""
+    if not platform.objects_url:
+        return TableObjects(table)
+    return HttpObjects(session, platform.objects_url, platform.timeout_s)
+
+
 async def add_membership(
     kernel: Kernel, settings: Settings, role: Role, caller_url: str
 ) -> Members:
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -116,6 +116,7 @@
         members=members,
         links=kernel.find("links"),
         kernel=kernel,
+        objects=kernel.find("objects"),
     )
     server = kernel.find("peer_server")
     for kind in CLAIM_CALLS:
--- a/tests/functional/test_cli.py
+++ b/tests/functional/test_cli.py
@@ -5,10 +5,11 @@
 import os
 import sys
 
+import aiohttp
 import pytest
 
 from rattanpier._internal.commands.demo import running_demo
-from rattanpier._internal.commands.demo_text import OPERATOR_KEY
+from rattanpier._internal.commands.demo_text import DEMO_KEY, OPERATOR_KEY
 from tests.lib.cluster import SOURCE, wait_for
 
 LIMIT_S = 60.0
@@ -46,9 +47,51 @@
 
 
 @pytest.fixture
-async def cli(tmp_path):
+async def system():
     async with running_demo([0, 0]) as system:
-        yield Cli(system.operator_urls[0], tmp_path)
+        yield system
+
+
+@pytest.fixture
+async def cli(system, tmp_path):
+    yield Cli(system.operator_urls[0], tmp_path)
+
+
+async def test_bills_are_those_of_the_answers(system, cli):
+    keys = [f"k{number}" for number in range(3)]
+    async with aiohttp.ClientSession() as session:
+        for key in (*keys, keys[0]):
+            async with session.post(
+                f"{system.entry_urls[0]}/v1/chat/completions",
+                headers={
+                    "Authorization": f"Bearer {DEMO_KEY}",
+                    "Idempotency-Key": key,
+                },
+                json={
+                    "model": "large",
+                    "messages": [{"role": "user", "content": "x" * 40}],
+                },
+            ) as response:
+                assert response.status == 200
+                tokens = (await response.json())["usage"]["completion_tokens"]
+    table = ("--table_url", system.platform.table_url)
+    objects = ("--objects_url", system.platform.objects_url)
+
+    async def billed():
+        code, found = await cli.json("bills", *table, *objects)
+        assert code == 0
+        return found if len(found) == len(keys) else None
+
+    found = await wait_for(billed, LIMIT_S)
+    assert sorted(one["bill"]["key"] for one in found) == keys
+    # 10 prompt tokens at 10, the generated ones at 20 credits a million.
+    price = (10 * 10 + tokens * 20) / 1_000_000
+    assert all(one["bill"]["credits"] == pytest.approx(price) for one in found)
+    code, out, _ = await cli.run("bills", *table, *objects)
+    assert code == 0
+    assert "large@1" in out
+    code, found = await cli.json("bills", *table, "--workspace", "other")
+    assert found == []
 
 
 async def test_accepted_and_raced_are_told_apart(cli):
