Prove the driver of roll-outs under failure

Ruled out: brakes that end by time (they widen by clock); making operators change something else when they resume. Change: a roll-out counts its halts, in the halt's own change; the lease and the stored past are read before the first decision; rows are folded only once there are very many origins. An operator's halt is completed as it was meant, without withdrawing the version.

--- a/src/rattanpier/_internal/models/configuration.py
+++ b/src/rattanpier/_internal/models/configuration.py
@@ -148,6 +148,8 @@
       share: Share of new sessions that get the candidate, 0 to 1.
       state: Where it stands.
       max_share: Share that evidence may widen to without an operator.
+      halts: Times it was halted, so that a brake from before a halt ends for
+        good when the roll-out is begun anew just as it was.
     """
 
     stable: str
@@ -155,6 +157,7 @@
     share: float = 0.0
     state: RolloutState = RolloutState.RUNNING
     max_share: float = 1.0
+    halts: int = 0
 
 
 @attrs.frozen
--- a/src/rattanpier/_internal/operators/changes.py
+++ b/src/rattanpier/_internal/operators/changes.py
@@ -139,9 +139,8 @@
         assert known is not None
         self.brakes.apply(known.candidate, "halted", order.author, rollout)
         state = RolloutState.HALTED.value
-        report = await self.narrow(
-            ["rollouts", rollout], {"state": state}, order
-        )
+        fields = {"state": state, "halts": known.halts + 1}
+        report = await self.narrow(["rollouts", rollout], fields, order)
         return attrs.evolve(report, braked=known.candidate)
 
     async def widen(
--- a/src/rattanpier/_internal/rollout/changes.py
+++ b/src/rattanpier/_internal/rollout/changes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import uuid
+from collections.abc import Callable
 
 import attrs
 
@@ -13,6 +14,7 @@
 )
 from rattanpier._internal.configuration.edit import set_fields
 from rattanpier._internal.configuration.store import (
+    Accepted,
     ChangeOutcome,
     NotAccepted,
     Revision,
@@ -50,8 +52,21 @@
     author: str
 
 
+@attrs.frozen
+class Writer:
+    """How changes are written.
+
+    Attributes:
+      accepted: Called with each revision that the store accepted.
+    """
+
+    table: Table
+    clock: Clock
+    accepted: Callable[[Revision], None]
+
+
 async def set_share(
-    table: Table, clock: Clock, held: HeldLease, change: Change, share: float
+    writer: Writer, held: HeldLease, change: Change, share: float
 ) -> ChangeOutcome:
     """Sets the share, if nobody changed anything since it was judged."""
     done = share >= FULL_SHARE
@@ -64,42 +79,54 @@
             {"share": round(share, 6), "state": state.value},
         )
 
-    return await propose_edit(table, clock, held, change, edit)
+    return await propose_edit(writer, held, change, edit)
 
 
 async def halt(
-    table: Table, clock: Clock, held: HeldLease, change: Change
+    writer: Writer, held: HeldLease, change: Change, withdraw: bool
 ) -> ChangeOutcome:
     """Halts a roll-out and withdraws its candidate, likewise.
 
     The brake is on already, so there is time to let an operator's change
     come into force first.
+
+    Args:
+      writer: Where to write.
+      held: The driver's lease.
+      change: What is changed.
+      withdraw: Whether the candidate gets no new work at all; an operator who
+        halted it decides that alone.
     """
 
     def edit(text: str) -> str:
         halted = set_fields(
             text,
             ["rollouts", change.name],
-            {"state": RolloutState.HALTED.value},
+            {
+                "state": RolloutState.HALTED.value,
+                "halts": change.rollout.halts + 1,
+            },
         )
+        if not withdraw:
+            return halted
         return set_fields(
             halted,
             ["versions", change.rollout.candidate],
             {"state": VersionState.WITHDRAWN.value},
         )
 
-    return await propose_edit(table, clock, held, change, edit)
+    return await propose_edit(writer, held, change, edit)
 
 
 async def propose_edit(
-    table: Table, clock: Clock, held: HeldLease, change: Change, edit: Edit
+    writer: Writer, held: HeldLease, change: Change, edit: Edit
 ) -> ChangeOutcome:
     """Makes an edit follow exactly the revision that was judged.
 
     An operator's change in between wins; the driver judges again on it.
     """
     try:
-        base = await newest(table)
+        base = await newest(writer.table)
     except StoreUnavailableError as error:
         return NotAccepted(error.message)
     if base.revision != change.revision:
@@ -109,6 +136,11 @@
         edit(base.text),
         change.author,
         uuid.uuid4().hex,
-        clock.time(),
+        writer.clock.time(),
+    )
+    outcome = await change_surely(
+        writer.table, writer.clock, revision, TIMEOUT_S, (held.check,)
     )
-    return await change_surely(table, clock, revision, TIMEOUT_S, (held.check,))
+    if isinstance(outcome, Accepted):
+        writer.accepted(revision)
+    return outcome
--- a/src/rattanpier/_internal/rollout/course.py
+++ b/src/rattanpier/_internal/rollout/course.py
@@ -60,13 +60,20 @@
         return decision
 
     def start_watch(self) -> None:
-        """Begins to compare with the past."""
+        """Begins to compare with the past, once enough of it is known."""
         totals = self.judge.totals
-        if self.reference is None:
-            self.reference = make_reference(totals, self.policy)
-        self.watch = Watch(self.reference, self.policy)
+        reference = self.reference or make_reference(totals, self.policy)
+        if not reference.overall:
+            return
+        self.reference = reference
+        self.watch = Watch(reference, self.policy)
         self.watch.adopt(totals)
 
+    def use(self, reference: Reference) -> None:
+        """Takes over the past as an earlier driver stored it."""
+        self.reference = reference
+        self.watch = None
+
     def share_changed(self) -> None:
         """Begins a step at another share."""
         self.judge.share_changed()
--- a/src/rattanpier/_internal/rollout/driver.py
+++ b/src/rattanpier/_internal/rollout/driver.py
@@ -18,6 +18,7 @@
     Accepted,
     ChangeOutcome,
     Fenced,
+    Revision,
 )
 from rattanpier._internal.exceptions import StoreUnavailableError
 from rattanpier._internal.kernel import Kernel
@@ -26,7 +27,7 @@
 from rattanpier._internal.models.member import Member
 from rattanpier._internal.peers.proto import peer_pb2
 from rattanpier._internal.platform.table import Put, Table, Transaction
-from rattanpier._internal.rollout.changes import Change, halt, set_share
+from rattanpier._internal.rollout.changes import Change, Writer, halt, set_share
 from rattanpier._internal.rollout.collect import find_driver, same_versions
 from rattanpier._internal.rollout.course import Course
 from rattanpier._internal.rollout.judge import (
@@ -78,6 +79,7 @@
     """The roll-outs that this control process drives.
 
     Attributes:
+      accepted: Called with each revision that the store accepted.
       ledgers: What entries sent, by roll-out.
       drives: By roll-out.
       make_course: Returns a new judgement.
@@ -90,10 +92,16 @@
     members: Members
     brakes: Brakes
     metrics: Metrics
+    accepted: Callable[[Revision], None]
     make_course: Callable[[], Course] = Course
     ledgers: dict[str, Ledger] = attrs.Factory(dict)
     drives: dict[str, Drive] = attrs.Factory(dict)
 
+    @property
+    def writer(self) -> Writer:
+        """How this process writes changes."""
+        return Writer(self.table, self.clock, self.accepted)
+
     def receive(self, notice: peer_pb2.Notice) -> None:
         """Takes in an entry's evidence."""
         evidence = notice.evidence
@@ -135,6 +143,8 @@
         """Judges one roll-out and acts on the decision."""
         revision = self.follower.configuration.revision
         drive = self.follow(name, rollout)
+        if drive.held is None:
+            await self.take(name, drive)
         totals = self.totals(drive)
         drive.course.observe(totals)
         drive.decision = self.decide(drive)
@@ -144,8 +154,6 @@
             self.brakes.apply(
                 rollout.candidate, drive.decision.reason, self.me.name, name
             )
-        if drive.held is None:
-            await self.take(name, drive)
         if rollout.candidate in self.brakes:
             drive.braked = True
             await self.halt(drive, change)
@@ -206,7 +214,9 @@
         signed = attrs.evolve(change, author=author)
         if drive.held is None:
             return
-        outcome = await halt(self.table, self.clock, drive.held, signed)
+        # An operator's halt is completed as it was meant.
+        withdraw = record.origin in self.members.live.value
+        outcome = await halt(self.writer, drive.held, signed, withdraw)
         if isinstance(outcome, Fenced):
             drive.held = None
         self.note("halt", signed, outcome)
@@ -224,8 +234,9 @@
             )
         except StoreUnavailableError:
             return
-        if row is not None and drive.course.reference is None:
-            drive.course.reference = decode(Reference, row.value)
+        if row is not None:
+            # An earlier driver's past is longer than what was seen here.
+            drive.course.use(decode(Reference, row.value))
             drive.stored = True
         drive.held = held
         log.info("Driving.", rollout=name, epoch=held.lease.epoch)
@@ -239,9 +250,7 @@
                 return
         outcome: ChangeOutcome | None = None
         if drive.held is not None:
-            outcome = await set_share(
-                self.table, self.clock, drive.held, change, share
-            )
+            outcome = await set_share(self.writer, drive.held, change, share)
             self.note(f"share {share:.3g}", change, outcome)
         if isinstance(outcome, Fenced):
             drive.held = None  # Another took over, or the head moved.
--- a/src/rattanpier/_internal/rollout/ledger.py
+++ b/src/rattanpier/_internal/rollout/ledger.py
@@ -13,6 +13,7 @@
 from rattanpier._internal.rollout.evidence import NOTHING, Counts, Pair
 from rattanpier._internal.rollout.records import EvidenceRow
 
+MAX_ORIGINS = 2048  # Processes whose rows are kept apart.
 MAX_RETIRED = 4096  # Ended processes whose late notices are known.
 
 
@@ -21,7 +22,8 @@
     """Sums by origin.
 
     Attributes:
-      rows: Latest row by origin, workspace and version.
+      rows: Latest row by origin, workspace and version; the origin heard of
+        last comes last.
       retired: Sums of processes that ended, by workspace and version.
       ended: Origins whose sums are in `retired`, oldest first.
     """
@@ -39,15 +41,23 @@
         """
         if origin in self.ended:
             return
-        known = self.rows.setdefault(origin, {})
+        known = self.rows.pop(origin, {})
+        self.rows[origin] = known
         key = (row.workspace, row.version)
         if key in known and known[key].sequence >= row.sequence:
             return
         known[key] = row
 
-    def retire(self, live: Collection[str]) -> None:
-        """Folds the rows of origins that are not live any more."""
-        for origin in [name for name in self.rows if name not in live]:
+    def retire(
+        self, live: Collection[str], max_origins: int = MAX_ORIGINS
+    ) -> None:
+        """Folds rows of origins that are not live, once there are many.
+
+        Not sooner: a process that only seemed to have ended goes on sending.
+        """
+        surplus = len(self.rows) - max_origins
+        gone = [name for name in self.rows if name not in live]
+        for origin in gone[: max(0, surplus)]:
             for key, row in self.rows.pop(origin).items():
                 self.retired[key] = self.retired.get(key, NOTHING) + row.counts
             self.ended[origin] = None
--- a/src/rattanpier/_internal/rollout/services.py
+++ b/src/rattanpier/_internal/rollout/services.py
@@ -38,6 +38,7 @@
         members=members,
         brakes=kernel.find("brakes"),
         metrics=kernel.find("metrics"),
+        accepted=kernel.find("inforce").begin,
     )
     kernel.find("peer_server").on_notice("evidence", driver.receive)
     kernel.spawn(driver.run(kernel))
