Count attempts that began and were given up

Cause: with the table service down the entries gave up answers of the stable version once they had begun, as no claim could be had; such attempts were not counted, so there was nothing to compare a failing candidate with, and it was never braked: in tests/failure/test_rollout_processes.py, 3 entries, 200 batches of 12 requests, the candidate's engine still ran requests after the last batch. Ruled out: judging a candidate by its errors alone in an outage; an outage that hits both versions would brake it. Change: an attempt that began counts as answered, also if it is given up; one that is given up before anything came says nothing, as before.

--- a/src/rattanpier/_internal/dispatch/attempts.py
+++ b/src/rattanpier/_internal/dispatch/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
 from collections.abc import AsyncIterator
 from contextlib import aclosing
@@ -20,6 +21,7 @@
     WHOLE = "whole"
     TRUNCATED = "truncated"  # It began, and did not come to its end.
     FAILED = "failed"  # Nothing came.
+    ABANDONED = "abandoned"  # It began; then it was not wanted any more.
 
 
 @attrs.frozen
@@ -53,8 +55,8 @@
 ) -> AsyncIterator[Chunk]:
     """Passes chunks on and emits the result at the end.
 
-    Attempts that did not run, or whose caller left, say nothing of the
-    version and are not emitted.
+    Attempts that did not run, or were not wanted any more before anything
+    came, say nothing of the version and are not emitted.
     """
     started = clock.monotonic()
     first: float | None = None
@@ -83,5 +85,9 @@
         elif not chunks and not error.not_run:
             emit(AttemptOutcome.FAILED)
         raise
+    except (GeneratorExit, asyncio.CancelledError):
+        if chunks and finish is None:
+            emit(AttemptOutcome.ABANDONED)
+        raise
     if finish is None:
         emit(AttemptOutcome.TRUNCATED if chunks else AttemptOutcome.FAILED)
--- /dev/null
+++ b/tests/failure/test_rollout_processes.py
@@ -0,0 +1,92 @@
+"""A candidate that turns bad, on separate processes."""
+
+import asyncio
+
+import pytest
+
+from rattanpier._internal.standin.table import TableFault
+from tests.lib.builders import DESK_KEY
+from tests.lib.cluster import Cluster, wait_for
+from tests.lib.rollouts import CANDIDATE, rollout_text
+
+ENTRIES = ("entry-1", "entry-2", "entry-3")
+QUIET_BATCHES = 4  # At a share of a half, 48 requests without the candidate.
+
+
+@pytest.fixture
+async def cluster(tmp_path):
+    async with Cluster(tmp_path) as cluster:
+        await cluster.start_table()
+        stable = await cluster.start_standin(
+            "stable", "engine", "--versions", "small@1=0.9", "--decode_s", "0"
+        )
+        candidate = await cluster.start_standin(
+            "candidate", "engine", "--versions", "small@2=0.9"
+        )
+        text = rollout_text(0.5, url=stable, candidate_url=candidate)
+        await cluster.apply(text)
+        await asyncio.gather(*(cluster.start_entry(e) for e in ENTRIES))
+        await cluster.start_node("control-1", "control")
+        yield cluster
+
+
+async def ask(cluster, entry, number):
+    """Sends one request; whatever its answer, the engines count runs."""
+    body = {
+        "model": "auto",
+        "max_tokens": 2,
+        "messages": [{"role": "user", "content": f"hello {number}"}],
+    }
+    headers = {"Authorization": f"Bearer {DESK_KEY}"}
+    url = f"{cluster.urls[entry]}/v1/chat/completions"
+    async with cluster.session.post(url, json=body, headers=headers) as reply:
+        return reply.status
+
+
+async def send_batch(cluster, batch):
+    """Sends four requests through each entry."""
+    await asyncio.gather(
+        *(
+            ask(cluster, entry, f"{batch}-{entry}-{number}")
+            for entry in ENTRIES
+            for number in range(4)
+        )
+    )
+
+
+async def send_until_quiet(cluster):
+    """Sends until all runs on the stable; returns the candidate's runs."""
+    quiet, runs = 0, len(await cluster.runs("candidate"))
+    for batch in range(200):
+        before = len(await cluster.runs("stable"))
+        await send_batch(cluster, f"{runs}-{batch}")
+        now = len(await cluster.runs("candidate"))
+        served = len(await cluster.runs("stable")) - before
+        quiet = quiet + 1 if now == runs and served == 12 else 0
+        runs = now
+        if quiet == QUIET_BATCHES:
+            return runs
+    raise AssertionError("the candidate was never braked")
+
+
+@pytest.mark.parametrize("store_down", [False, True])
+async def test_a_candidate_that_fails_is_braked_on_all_entries(
+    cluster, store_down
+):
+    await send_batch(cluster, "first")
+    assert await cluster.runs("candidate")
+    if store_down:
+        await cluster.set_faults("table", fault=TableFault.DOWN)
+    await cluster.set_faults("candidate", fault="fail")
+    runs = await send_until_quiet(cluster)
+    for batch in range(QUIET_BATCHES):
+        await send_batch(cluster, f"after-{batch}")
+    assert len(await cluster.runs("candidate")) == runs
+    await cluster.set_faults("table", fault=TableFault.NONE)
+
+    async def halted():
+        head = await cluster.table.scan("config/revision/")
+        return "halted" in head[-1].value and "withdrawn" in head[-1].value
+
+    await wait_for(halted)
+    assert CANDIDATE in (await cluster.table.scan("config/"))[-1].value
