Give orders to engines, with and without fencing numbers

Cause: nothing told workers which versions to serve, and a paused sender of such orders could undo a newer one at engines that obey anyone. Ruled out: orders as steps (a repeat means something else); a lease on the wall clock; leaving out either the sender's margin or the next owner's wait.

--- a/src/rattanpier/_internal/cli/standin.py
+++ b/src/rattanpier/_internal/cli/standin.py
@@ -76,6 +76,7 @@
         decode_s: float = 0.005,
         prefill: float = 20_000.0,
         slots: int = 16,
+        checks_fencing: bool = False,
     ) -> None:
         """Runs a model engine.
 
@@ -86,11 +87,14 @@
           decode_s: Seconds between tokens.
           prefill: Prompt tokens read a second.
           slots: Requests run at once.
+          checks_fencing: Refuse orders with old fencing numbers.
         """
         # fire turns a list with commas into a tuple.
         text = versions if isinstance(versions, str) else ",".join(versions)
         server = EngineServer(
-            parse_versions(text), EngineSpeed(prefill, decode_s, slots)
+            parse_versions(text),
+            EngineSpeed(prefill, decode_s, slots),
+            checks_fencing=checks_fencing,
         )
         asyncio.run(serve_app(server.app(), host, port))
 
--- a/src/rattanpier/_internal/models/configuration.py
+++ b/src/rattanpier/_internal/models/configuration.py
@@ -97,6 +97,7 @@
       kind: Engine or plain service.
       workers: Workers by name.
       checks_fencing: True if its workers refuse old fencing numbers.
+      takes_orders: True if its workers are told which versions to serve.
       non_repeatable: Calls like "POST /orders" that may not be repeated.
       draining: True when the whole pool must get no new work.
     """
@@ -104,6 +105,7 @@
     kind: UpstreamKind
     workers: dict[str, Worker]
     checks_fencing: bool = False
+    takes_orders: bool = False
     non_repeatable: list[str] = attrs.Factory(list)
     draining: bool = False
 
--- /dev/null
+++ b/src/rattanpier/_internal/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines: which versions each worker is to serve."""
--- a/src/rattanpier/_internal/standin/engine.py
+++ b/src/rattanpier/_internal/standin/engine.py
@@ -18,6 +18,7 @@
 from aiohttp import web
 
 from rattanpier._internal.models.request import estimate_tokens
+from rattanpier._internal.standin.orders import OrderDesk
 from rattanpier._internal.utils.codec import decode, encode
 from rattanpier._internal.utils.hashing import stable_hash
 
@@ -120,6 +121,7 @@
       versions: Versions it serves, with the skill (0 to 1) of each.
       runs: Everything it ran, in order.
       streams: Answers that can be resumed, by request id.
+      checks_fencing: Whether it refuses orders with old fencing numbers.
     """
 
     versions: dict[str, float]
@@ -127,6 +129,7 @@
     faults: EngineFaults = attrs.Factory(EngineFaults)
     runs: list[Run] = attrs.Factory(list)
     streams: dict[str, Stream] = attrs.Factory(dict)
+    checks_fencing: bool = False
     waiting_swap: asyncio.Future[Stream] | None = None
     swapped: Stream | None = None
     ids: itertools.count = attrs.Factory(itertools.count)
@@ -354,6 +357,7 @@
         app.router.add_delete("/v1/chat/completions", self.cancel)
         app.router.add_post("/standin/faults", self.set_faults)
         app.router.add_get("/standin/runs", self.get_runs)
+        OrderDesk(self.versions, self.checks_fencing).add_routes(app)
         return app
 
 
