Keep new work from workers that leave, announced or not

Cause: a worker that died, froze or was leaving stayed in the choice of all entries until an operator drained it. Ruled out: probes of all workers by all entries (600 x 420 a second at the target); ejecting on any error, which a full or failing worker would cause; trusting the VM list alone, which lags. Change: membership/workers.py, a collection of names that dispatch leaves out. Two entries probe each worker (0.8 s, twice before it counts as silent) and two read the VM list (only when its entity tag changed); an own refused connection counts at once, a broken one asks for a probe; findings are spread by notices, reminded of every 10 s and expire after 30 s; at most half of a pool is left out on suspicion. Stand-in for the VM list, with a lag.

--- a/src/rattanpier/_internal/cli/standin.py
+++ b/src/rattanpier/_internal/cli/standin.py
@@ -14,6 +14,7 @@
 from rattanpier._internal.standin.objects import ObjectServer
 from rattanpier._internal.standin.plain import PlainServer
 from rattanpier._internal.standin.table import TableServer
+from rattanpier._internal.standin.vms import VmServer
 from rattanpier._internal.standin.weights import DEFAULT_BYTES, WeightServer
 
 DEFAULT_SKILL = 0.9
@@ -68,6 +69,10 @@
         """
         asyncio.run(serve_app(WeightServer(size).app(), host, port))
 
+    def vms(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Runs a list of live and leaving VMs."""
+        asyncio.run(serve_app(VmServer().app(), host, port))
+
     def engine(
         self,
         versions: str,
--- a/src/rattanpier/_internal/dispatch/service_tries.py
+++ b/src/rattanpier/_internal/dispatch/service_tries.py
@@ -52,6 +52,7 @@
         try:
             return await send_one(tries, attempt, target, call)
         except UpstreamError as error:
+            tries.on_failure(target.name, error)
             if error.not_run:
                 attempt.may_have_run = ran_before
             tries.check_retry(attempt.request, error, tried)
--- a/src/rattanpier/_internal/dispatch/tries.py
+++ b/src/rattanpier/_internal/dispatch/tries.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Collection
 from contextlib import aclosing
 
 import aiohttp
@@ -58,7 +58,8 @@
         that none is lost on a pooled connection that the upstream closed.
       configuration: Returns the configuration in force.
       confirm: Says right before a dispatch whether a claim still holds.
-      leaving: Workers that are leaving.
+      leaving: Workers that get nothing new.
+      on_failure: Called with a worker's name and the error of a try.
       current: Says whether the node's configuration is in force now.
       attempts: Emits the result of each try.
     """
@@ -74,7 +75,8 @@
     confirm: Confirm
     budget: RetryBudget
     load: Load = attrs.Factory(Load)
-    leaving: set[str] = attrs.Factory(set)
+    leaving: Collection[str] = ()
+    on_failure: Callable[[str, Exception], None] = lambda name, error: None
     current: Callable[[], bool] = lambda: True
     attempts: Attempts = attrs.Factory(Attempts)
 
@@ -116,6 +118,7 @@
                             yield chunk
                 return
             except UpstreamError as error:
+                self.on_failure(target.name, error)
                 if error.not_run:
                     attempt.may_have_run = ran_before
                 self.check_retry(attempt.request, error, tried)
--- a/src/rattanpier/_internal/membership/ring.py
+++ b/src/rattanpier/_internal/membership/ring.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import bisect
 from collections.abc import Iterable
 
 from rattanpier._internal.utils.hashing import stable_hash
@@ -34,3 +35,21 @@
     """Returns the names that `me` sends notices to."""
     ring = ring_after(names, me)
     return [ring[offset - 1] for offset in OFFSETS if offset <= len(ring)]
+
+
+def ring_order(names: Iterable[str]) -> list[tuple[int, str]]:
+    """Returns names with their places on the ring, in ring order."""
+    return sorted((stable_hash(name), name) for name in names)
+
+
+def owners(key: str, ring: list[tuple[int, str]], count: int) -> list[str]:
+    """Returns the names behind a key's place, at most `count`.
+
+    >>> owners("k", ring_order(["a"]), 2)
+    ['a']
+    """
+    start = bisect.bisect(ring, (stable_hash(key), ""))
+    return [
+        ring[(start + step) % len(ring)][1]
+        for step in range(min(count, len(ring)))
+    ]
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -23,8 +23,10 @@
 from rattanpier._internal.membership.draining import DrainPhase
 from rattanpier._internal.membership.members import Members
 from rattanpier._internal.membership.records import incarnation_id
+from rattanpier._internal.membership.workers import Workers, http_probe
 from rattanpier._internal.models.member import Member, Role
 from rattanpier._internal.models.settings import Settings
+from rattanpier._internal.platform.vms import HttpVms
 from rattanpier._internal.programs.common import add_base, add_membership
 from rattanpier._internal.rollout.services import add_collector
 
@@ -45,6 +47,7 @@
     follow_incarnation(members, claims, handler, services)
     gate = add_gate(kernel)
     add_detached_drain(kernel, gate, handler.runner.keeper)
+    add_workers(kernel, settings, handler.runner.tries)
     server = HttpServer(edge.app(), settings.callers, gate)
     kernel.add("edge", server, stop=server.stop)
     await server.start()
@@ -72,6 +75,30 @@
     members.rejoined.subscribe(take_over)
 
 
+def add_workers(kernel: Kernel, settings: Settings, tries: Tries) -> Workers:
+    """Adds what keeps new work from workers that leave or don't answer."""
+    follower = kernel.find("follower")
+    session = kernel.find("http")
+    vms_url = settings.platform.vms_url
+    vms = HttpVms(session, vms_url, settings.platform.timeout_s)
+    workers = Workers(
+        configuration=lambda: follower.configuration,
+        members=kernel.find("members"),
+        clock=kernel.find("clock"),
+        metrics=kernel.find("metrics"),
+        probe=http_probe(session),
+        spawn=kernel.spawn,
+        read_vms=vms.read if vms_url else None,
+    )
+    tries.leaving = workers
+    tries.on_failure = workers.note_failure
+    kernel.find("peer_server").on_notice("worker", workers.take_notice)
+    kernel.spawn(workers.run(kernel))
+    if vms_url:
+        kernel.spawn(workers.follow_vms(kernel))
+    return kernel.add("workers", workers)
+
+
 def add_gate(kernel: Kernel) -> Gate:
     """Adds the gate of the caller edge and its steps of a drain."""
     gate = kernel.add("gate", Gate(kernel.find("metrics")))
--- a/src/rattanpier/_internal/standin/engine.py
+++ b/src/rattanpier/_internal/standin/engine.py
@@ -355,12 +355,18 @@
         app.router.add_post("/v1/chat/completions", self.chat)
         app.router.add_get("/v1/chat/completions", self.resume)
         app.router.add_delete("/v1/chat/completions", self.cancel)
+        app.router.add_get("/health", health)
         app.router.add_post("/standin/faults", self.set_faults)
         app.router.add_get("/standin/runs", self.get_runs)
         OrderDesk(self.versions, self.checks_fencing).add_routes(app)
         return app
 
 
+async def health(_request: web.Request) -> web.Response:
+    """Answers that the process runs; counted nowhere."""
+    return web.Response(text="ok")
+
+
 def abort(request: web.Request) -> None:
     """Closes the connection at once."""
     if request.transport is not None:
--- a/src/rattanpier/_internal/standin/plain.py
+++ b/src/rattanpier/_internal/standin/plain.py
@@ -11,6 +11,7 @@
     EngineFault,
     EngineFaults,
     abort,
+    health,
     refuse,
 )
 from rattanpier._internal.utils.codec import decode, encode
@@ -78,6 +79,7 @@
     def app(self) -> web.Application:
         """Returns the aiohttp application."""
         app = web.Application(client_max_size=64 * 2**20)
+        app.router.add_get("/health", health)
         app.router.add_post("/standin/faults", self.set_faults)
         app.router.add_get("/standin/runs", self.get_calls)
         app.router.add_route("*", "/{path:.*}", self.serve)
