Ask for oneself before believing that a member is gone

Cause: with the network cut between two groups of processes, each declared the other gone, the store carried that into both, and each group dropped its own healthy members until they rejoined. Ruled out: a shorter pause between rejoins alone (more incarnations, and the gaps stay); a cap on declarations (it slows the loss of a real failure domain). Change: a process that hears that a member is gone passes the notice on and asks the member itself, for at most 1 s; it keeps one that answers. A rejoin is told to all peers directly, so that nobody finds the old incarnation gone before it knows the new one. Conclusion: a cut harms the other half only; the rejoins during it remain.

--- a/src/rattanpier/_internal/membership/members.py
+++ b/src/rattanpier/_internal/membership/members.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import uuid
 from collections.abc import Callable
 
@@ -22,7 +23,7 @@
     read_requests,
     write_requests,
 )
-from rattanpier._internal.membership.probing import PROBE_S, Prober
+from rattanpier._internal.membership.probing import PROBE_S, Probe, Prober
 from rattanpier._internal.membership.records import (
     Presence,
     incarnation_id,
@@ -66,6 +67,9 @@
 MIN_REJOIN_S = 1.0
 MAX_REJOIN_S = 30.0
 REMOVE_TRIES = 3
+VERIFY_TIMEOUT_S = 1.0
+DOUBT_S = 10.0  # The same said again within this time is not news.
+MAX_DOUBTED = 1_000
 
 
 @attrs.define
@@ -78,6 +82,8 @@
       rejoined: Emits this process's member after such a change.
       waiting: Presences that the store does not have yet, by request key.
       recorded: Whether the directory has this incarnation.
+      spawn: Runs a task; None until this process runs.
+      doubted: When others last said of an incarnation that it is gone.
       yielded: Whether another process has this one's name.
     """
 
@@ -97,6 +103,10 @@
     rejoin_pause_s: float = MIN_REJOIN_S
     rejoin_at: float = float("-inf")
     next_refresh: float = float("-inf")
+    spawn: Callable[..., asyncio.Task] | None = None
+    doubted: collections.OrderedDict[str, float] = attrs.Factory(
+        collections.OrderedDict
+    )
     reader: DirectoryReader = attrs.field(init=False)
     writer: DirectoryWriter = attrs.field(init=False)
     prober: Prober | None = attrs.field(init=False, default=None)
@@ -154,6 +164,8 @@
 
     async def run(self, kernel: Kernel) -> None:
         """Keeps membership going until the end."""
+        if self.prober is not None:
+            self.spawn = kernel.spawn
         work = [(self.duty, DUTY_S), (self.follow, FOLLOW_S)]
         if self.prober is not None:
             work.append((self.prober.round, PROBE_S))
@@ -230,8 +242,48 @@
         """Takes in a presence; says whether it was news."""
         if presence.member.name == self.me.name:
             return self.take_own(presence)
+        if presence.gone:
+            return self.doubt(incarnation_id(presence.member))
         return self.roster.learn(presence)
 
+    def doubt(self, identity: str) -> bool:
+        """Takes in that others say of a member that it is gone.
+
+        A member that still answers here is kept: when the network between two
+        groups is cut, each declares the other gone, and only the other.
+
+        Returns:
+          True if it was news.
+        """
+        now = self.clock.monotonic()
+        heard = self.doubted.get(identity, float("-inf"))
+        if identity in self.roster.departed or now - heard < DOUBT_S:
+            return False
+        self.doubted[identity] = now
+        self.doubted.move_to_end(identity)
+        while len(self.doubted) > MAX_DOUBTED:
+            self.doubted.popitem(last=False)
+        known = self.roster.known.get(identity.split("/")[0])
+        if (
+            self.spawn is None
+            or known is None
+            or incarnation_id(known) != identity
+            or known.state is MemberState.LEAVING
+        ):
+            self.roster.depart(identity)
+        else:
+            self.spawn(self.verify(known))
+        return True
+
+    async def verify(self, member: Member) -> None:
+        """Takes a member out unless it answers this process."""
+        assert self.prober is not None
+        found = await self.prober.ping(member, VERIFY_TIMEOUT_S)
+        if found is Probe.ALIVE:
+            self.metrics.count("members.kept")
+        else:
+            self.roster.depart(incarnation_id(member))
+
     def take_own(self, presence: Presence) -> bool:
         """Takes in what others say of this process."""
         if presence.member.incarnation != self.me.incarnation:
@@ -251,17 +303,24 @@
             me.caller_url or me.role is not Role.ENTRY
         ):
             return
-        if self.announced is None or incarnation_id(me) != incarnation_id(
-            self.announced
-        ):
+        rejoined = self.announced is not None and incarnation_id(
+            me
+        ) != incarnation_id(self.announced)
+        if self.announced is None or rejoined:
             self.recorded = False
             self.announced_at = self.clock.monotonic()
         self.announced = me
         self.next_refresh = float("-inf")
         self.ask_for(Presence(me))
-        self.spread(
-            peer_pb2.Notice(joined=peer_pb2.Joined(member=encode(me).encode()))
+        notice = peer_pb2.Notice(
+            joined=peer_pb2.Joined(member=encode(me).encode())
         )
+        if rejoined:
+            # Told to all: whoever finds the old incarnation gone by a probe
+            # has to know the new one already.
+            self.send(notice, self.others())
+        else:
+            self.spread(notice)
 
     def ask_for(self, presence: Presence) -> None:
         """Sees to it that the directory gets a presence."""
@@ -431,7 +490,8 @@
         identity = f"{notice.departed.member}/{notice.departed.incarnation}"
         if identity == incarnation_id(self.me):
             self.note_self_gone()
-        elif self.roster.depart(identity):
+        elif self.doubt(identity):
+            # Passed on at once: others ask for themselves.
             self.spread(notice)
 
 
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -162,6 +162,30 @@
     assert sum(n.metrics.counts["members.declared_gone"] for n in nodes) == 0
 
 
+async def test_two_halves_cut_from_each_other_stay_whole(network):
+    nodes = await start_fleet(network, 8)
+    halves = nodes[:4], nodes[4:]
+    network.cuts = {
+        frozenset((one.name, other.name))
+        for one in halves[0]
+        for other in halves[1]
+    }
+    for _ in range(120):
+        await network.clock.advance(1)
+        for half in halves:
+            assert all(names(half) <= node.sees for node in half)
+    # The other half is listed again only for a while after each rejoin.
+    assert all(node.metrics.counts["members.rejoined"] < 10 for node in nodes)
+    await nodes[1].kill()
+    await network.clock.advance(DETECT_S)
+    half = without(halves[0], nodes[1])
+    assert not any("n1" in node.sees for node in half)
+    network.cuts.clear()
+    rest = without(nodes, nodes[1])
+    await network.clock.advance(40)
+    assert all(node.sees == names(rest) for node in rest)
+
+
 @pytest.mark.parametrize("fault", ["kill", "freeze"])
 async def test_the_writer_of_the_directory_fails_with_a_member(network, fault):
     nodes = await start_fleet(network, 8)
