Learn from ratings where a cascade starts and goes on

Cause: every request took the first step whatever it was worth; nothing held a workspace at its quality target and nothing asked for ratings. Change: logistic beliefs shared and per workspace, one price of quality per workspace sought so that expected quality less doubt meets the target, probes that are rated and never released, a hard budget, a rating loop that no request waits for, the stand-in rating service, what operators are told; wired into the entry. Ratings go to the roll-outs' collector as well. Through processes, 20 requests of the class that the cheap version fails: none runs there after learning.

--- /dev/null
+++ b/src/rattanpier/_internal/cascade/budget.py
@@ -0,0 +1,69 @@
+"""The hard budget of ratings, and its share of one entry."""
+
+from __future__ import annotations
+
+import collections
+import math
+from collections.abc import Collection
+
+import attrs
+
+from rattanpier._internal.utils.hashing import rendezvous
+
+HOUR_S = 3600.0
+BURST = 3.0  # Ratings that may wait for a request worth them.
+
+
+def entry_share(
+    budget: int, workspace: str, entry: str, entries: Collection[str]
+) -> int:
+    """Returns the ratings an hour that one entry may ask for.
+
+    The shares of all entries add up to the budget.
+
+    >>> names = ["e1", "e2", "e3"]
+    >>> sum(entry_share(7, "desk", name, names) for name in names)
+    7
+    """
+    if entry not in entries:
+        return 0
+    rest = budget % len(entries)
+    extra = entry in rendezvous(workspace, entries)[:rest]
+    return budget // len(entries) + extra
+
+
+@attrs.define
+class Purse:
+    """What one entry may spend for one workspace.
+
+    It starts empty, so that an entry that restarts does not spend twice, and
+    fills evenly; in no hour is more than the share spent.
+
+    Attributes:
+      filled_at: Seconds of the clock up to which it is filled.
+      tokens: Ratings that may be asked for now.
+      spent: Times of the ratings of the last hour.
+    """
+
+    filled_at: float
+    tokens: float = 0.0
+    spent: collections.deque[float] = attrs.Factory(collections.deque)
+
+
+def fill(purse: Purse, share: int, now: float) -> float:
+    """Fills a purse and returns the ratings that may be asked for now."""
+    passed = now - purse.filled_at
+    purse.filled_at = now
+    purse.tokens = min(BURST, purse.tokens + share * passed / HOUR_S)
+    while purse.spent and purse.spent[0] <= now - HOUR_S:
+        purse.spent.popleft()
+    return min(purse.tokens, float(share - len(purse.spent)))
+
+
+def spend(purse: Purse, share: int, now: float) -> bool:
+    """Takes one rating out of a purse, if there is one."""
+    if math.floor(fill(purse, share, now)) < 1:
+        return False
+    purse.tokens -= 1
+    purse.spent.append(now)
+    return True
--- /dev/null
+++ b/src/rattanpier/_internal/cascade/features.py
@@ -0,0 +1,111 @@
+"""What the cascade's learner knows of a request, as numbers.
+
+A request falls into a cell: the steps planned for it, its class (the model
+asked for and its labels), the power of two of its prompt length, and whether
+it streams. All requests of a cell are decided alike, so that the cost of a
+decision does not grow with traffic.
+"""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+import numpy as np
+
+from rattanpier._internal.models.request import RouteRequest
+
+CLASSES = 24  # Classes told apart; the first takes all others.
+CLASSES_PER_WORKSPACE = 8  # So that odd labels of one can't use them all up.
+BINS = 11  # Confidence is rounded to tenths.
+USUAL_LENGTH = 8.0  # log2 of a usual prompt's tokens.
+
+BIAS, LENGTH, STREAM, FIRST_CLASS = 0, 1, 2, 3
+CONFIDENCE = FIRST_CLASS + CLASSES  # Linear and logit.
+EARLIER = CONFIDENCE + 2  # The same of the rejected answer before.
+ESCALATED = EARLIER + 2
+SIZE = ESCALATED + 1
+
+
+@attrs.frozen
+class CellKey:
+    """What requests of a cell have in common."""
+
+    steps: tuple[str, ...]
+    class_name: str
+    length: int
+    stream: bool
+
+
+def class_of(request: RouteRequest) -> str:
+    """Returns the name of a request's class.
+
+    >>> class_of(RouteRequest("w", "k", model="auto", labels={"task": "draft"}))
+    'auto task=draft'
+    """
+    labels = [f"{name}={request.labels[name]}" for name in request.labels]
+    return " ".join([request.model, *sorted(labels)])
+
+
+def cell_key(request: RouteRequest, steps: tuple[str, ...]) -> CellKey:
+    """Returns the key of a request's cell."""
+    length = round(math.log2(request.prompt_tokens + 1))
+    return CellKey(steps, class_of(request), length, request.stream)
+
+
+def bin_of(confidence: float | None) -> int | None:
+    """Returns the bin of a confidence.
+
+    >>> bin_of(0.84), bin_of(1.7), bin_of(None)
+    (8, 10, None)
+    """
+    if confidence is None or math.isnan(confidence):
+        return None
+    return round(min(1.0, max(0.0, confidence)) * (BINS - 1))
+
+
+def confidence_features(confidence: np.ndarray) -> np.ndarray:
+    """Returns the two features of each confidence, in a last axis."""
+    inner = np.clip(confidence, 0.02, 0.98)
+    logit = np.log(inner / (1 - inner))
+    return np.stack([(confidence - 0.5) * 2, logit / 4], axis=-1)
+
+
+BIN_FEATURES = confidence_features(np.linspace(0.0, 1.0, BINS))
+NO_CONFIDENCE = np.zeros(2)
+
+
+def features_of_bin(index: int | None) -> np.ndarray:
+    """Returns the two features of a bin; none known: the middle."""
+    return NO_CONFIDENCE if index is None else BIN_FEATURES[index]
+
+
+@attrs.define
+class Classes:
+    """Numbers of classes, in the order of their appearance."""
+
+    numbers: dict[str, int] = attrs.Factory(dict)
+    seen: dict[str, set[str]] = attrs.Factory(dict)
+
+    def number(self, workspace: str, name: str) -> int:
+        """Returns the number of a class; 0 once there are too many."""
+        seen = self.seen.setdefault(workspace, set())
+        if name not in seen:
+            if len(seen) >= CLASSES_PER_WORKSPACE:
+                return 0
+            seen.add(name)
+        if name not in self.numbers:
+            if len(self.numbers) >= CLASSES - 1:
+                return 0
+            self.numbers[name] = len(self.numbers) + 1
+        return self.numbers[name]
+
+
+def static_features(key: CellKey, class_number: int) -> np.ndarray:
+    """Returns the features known before dispatch; the others are 0."""
+    features = np.zeros(SIZE)
+    features[BIAS] = 1.0
+    features[LENGTH] = (key.length - USUAL_LENGTH) / 3
+    features[STREAM] = float(key.stream)
+    features[FIRST_CLASS + class_number] = 1.0
+    return features
--- /dev/null
+++ b/src/rattanpier/_internal/cascade/learned.py
@@ -0,0 +1,194 @@
+"""The policy that learns from ratings."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+
+import attrs
+import numpy as np
+
+from rattanpier._internal.cascade import features as f
+from rattanpier._internal.cascade.budget import Purse, fill, spend
+from rattanpier._internal.cascade.cells import Cell
+from rattanpier._internal.cascade.learner import Learner, Rated
+from rattanpier._internal.cascade.paths import CellPlan
+from rattanpier._internal.cascade.policy import (
+    CascadePolicy,
+    MayServe,
+    StepAnswer,
+    Verdict,
+    Walk,
+    go_on,
+)
+from rattanpier._internal.models.request import RouteRequest
+
+PROBE_SHARE = 0.6  # Of ratings, where the plan starts at a later step.
+BOTH_SHARE = 0.5  # Of rated answers gone on from, to have the next rated too.
+USUAL_CHANCE = 0.3  # To sample a request of usual doubt, budget permitting.
+LEAST_CHANCE = 0.05
+DOUBT_STEP = 0.02  # Weight of one request in the mean doubt.
+
+
+@attrs.frozen
+class Sample:
+    """An answer to be rated.
+
+    Attributes:
+      request_id: The request it belongs to.
+      text: The answer.
+      rated: What the learner needs when the rating comes.
+    """
+
+    request_id: str
+    request: RouteRequest
+    text: str
+    rated: Rated
+
+
+@attrs.define
+class Memo:
+    """What the learned policy remembers of a request.
+
+    Attributes:
+      sampled: True if the next answer is to be rated.
+      earlier: Features of the confidence of the rejected answer before.
+      escalated: True if an answer was rejected.
+    """
+
+    cell: Cell
+    plan: CellPlan
+    sampled: bool = False
+    earlier: np.ndarray = attrs.Factory(lambda: f.NO_CONFIDENCE)
+    escalated: bool = False
+
+
+@attrs.define
+class Sampler:
+    """Decides which answers are worth a rating.
+
+    Attributes:
+      share: Returns the ratings an hour of a workspace, of this entry.
+      purses: By workspace.
+      usual: Mean doubt about a request, by workspace.
+    """
+
+    learner: Learner
+    rng: random.Random
+    share: Callable[[str], int]
+    purses: dict[str, Purse] = attrs.Factory(dict)
+    usual: dict[str, float] = attrs.Factory(dict)
+
+    def purse(self, workspace: str) -> Purse:
+        """Returns the purse of a workspace."""
+        if workspace not in self.purses:
+            self.purses[workspace] = Purse(self.learner.clock.monotonic())
+        return self.purses[workspace]
+
+    def wants(self, workspace: str, cell: Cell) -> bool:
+        """Says whether a request of a cell is worth a rating now."""
+        now = self.learner.clock.monotonic()
+        share = self.share(workspace)
+        if fill(self.purse(workspace), share, now) < 1:
+            return False
+        doubt = self.doubt(workspace, cell, now)
+        usual = self.usual.get(workspace, doubt)
+        self.usual[workspace] = usual + DOUBT_STEP * (doubt - usual)
+        chance = USUAL_CHANCE * doubt / max(usual, 1e-9)
+        return self.rng.random() < max(LEAST_CHANCE, chance)
+
+    def doubt(self, workspace: str, cell: Cell, now: float) -> float:
+        """Returns the largest doubt about a step's quality in a cell."""
+        return max(
+            self.step_doubt(workspace, cell, version, now)
+            for version in cell.key.steps[:-1]
+        )
+
+    def step_doubt(
+        self, workspace: str, cell: Cell, version: str, now: float
+    ) -> float:
+        """Returns the variance of a step's expected quality in a cell."""
+        mean, covariance = self.learner.beliefs.weights(workspace, version, now)
+        share = 1 / (1 + np.exp(-float(cell.features @ mean)))
+        doubt = float(cell.features @ covariance @ cell.features)
+        return doubt * (share * (1 - share)) ** 2
+
+    def pay(self, workspace: str) -> bool:
+        """Takes one rating out of the budget."""
+        return spend(
+            self.purse(workspace),
+            self.share(workspace),
+            self.learner.clock.monotonic(),
+        )
+
+
+def learned(
+    learner: Learner, sampler: Sampler, send: Callable[[Sample], None]
+) -> CascadePolicy:
+    """Returns the policy that learns from ratings.
+
+    Args:
+      learner: Its state.
+      sampler: Picks answers to be rated.
+      send: Takes an answer to be rated; must not block.
+    """
+
+    def begin(
+        request: RouteRequest, steps: Sequence[str], request_id: str
+    ) -> Walk:
+        walk = Walk(request, tuple(steps), 0, request_id)
+        cell = learner.cell(request, walk.steps)
+        learner.count(request, cell)
+        plan = learner.plan(request.workspace, cell)
+        walk.memo = Memo(cell, plan)
+        walk.at = plan.start
+        if len(steps) > 1 and sampler.wants(request.workspace, cell):
+            walk.memo.sampled = True
+            if walk.at and sampler.rng.random() < PROBE_SHARE:
+                walk.at -= 1
+        return walk
+
+    def judge(walk: Walk, answer: StepAnswer, may_serve: MayServe) -> Verdict:
+        memo: Memo = walk.memo
+        index = f.bin_of(answer.confidence)
+        tokens = answer.usage.output_tokens if answer.usage else None
+        learner.note(memo.cell, walk.version, index, tokens)
+        sample(walk, memo, answer, index)
+        # What runs below the planned start is run just to be rated.
+        if walk.at >= memo.plan.start and accepts(memo.plan, walk.at, index):
+            return Verdict.ACCEPT
+        verdict = go_on(walk, may_serve)
+        memo.earlier = f.features_of_bin(index)
+        memo.escalated = True
+        return verdict
+
+    def sample(
+        walk: Walk, memo: Memo, answer: StepAnswer, index: int | None
+    ) -> None:
+        workspace = walk.request.workspace
+        if not memo.sampled or not sampler.pay(workspace):
+            return
+        memo.sampled = sampler.rng.random() < BOTH_SHARE
+        rated = Rated(workspace, walk.version, answer_features(memo, index))
+        send(Sample(walk.request_id, walk.request, answer.text, rated))
+
+    return CascadePolicy(begin, judge)
+
+
+def accepts(plan: CellPlan, step: int, index: int | None) -> bool:
+    """Says whether a plan accepts an answer.
+
+    Without a confidence the answer is taken as one of middling confidence.
+    """
+    middle = f.BINS // 2
+    return bool(plan.accepts[step][middle if index is None else index])
+
+
+def answer_features(memo: Memo, index: int | None) -> np.ndarray:
+    """Returns all features of a finished answer."""
+    features = memo.cell.features.copy()
+    features[f.CONFIDENCE : f.EARLIER] = f.features_of_bin(index)
+    if memo.escalated:
+        features[f.EARLIER : f.ESCALATED] = memo.earlier
+        features[f.ESCALATED] = 1.0
+    return features
--- a/src/rattanpier/_internal/cli/standin.py
+++ b/src/rattanpier/_internal/cli/standin.py
@@ -13,6 +13,10 @@
 from rattanpier._internal.standin.engine import EngineServer, EngineSpeed
 from rattanpier._internal.standin.objects import ObjectServer
 from rattanpier._internal.standin.plain import PlainServer
+from rattanpier._internal.standin.ratings import (
+    RatingBehaviour,
+    RatingServer,
+)
 from rattanpier._internal.standin.table import TableServer
 from rattanpier._internal.standin.vms import VmServer
 from rattanpier._internal.standin.weights import DEFAULT_BYTES, WeightServer
@@ -109,6 +113,30 @@
         """Runs a plain service."""
         asyncio.run(serve_app(PlainServer(name).app(), host, port))
 
+    def ratings(
+        self,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        delay_s: float = 0.2,
+        noise: float = 0.0,
+        price: float = 1.0,
+        fails: str = "",
+        fails_on: str = "",
+    ) -> None:
+        """Runs an answer-rating service.
+
+        Args:
+          host: IP number.
+          port: Port; 0 takes a free one.
+          delay_s: Seconds until a rating is ready.
+          noise: Share of ratings that say the opposite.
+          price: Credits for each item.
+          fails: Version whose answers to some prompts are poor.
+          fails_on: Word in those prompts.
+        """
+        behaviour = RatingBehaviour(delay_s, noise, price, fails, fails_on)
+        asyncio.run(serve_app(RatingServer(behaviour).app(), host, port))
+
 
 def main() -> None:
     """Runs the program."""
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -7,6 +7,8 @@
 import aiohttp
 import attrs
 
+from rattanpier._internal.cascade.ratings import RatingNews
+from rattanpier._internal.cascade.services import add_cascade
 from rattanpier._internal.claims.service import Claims
 from rattanpier._internal.dispatch.budget import RetryBudget
 from rattanpier._internal.dispatch.keeper import ClaimKeeper
@@ -28,6 +30,7 @@
 from rattanpier._internal.models.settings import Settings
 from rattanpier._internal.platform.vms import HttpVms
 from rattanpier._internal.programs.common import add_base, add_membership
+from rattanpier._internal.rollout.collect import Collector
 from rattanpier._internal.rollout.services import add_collector
 
 CLAIM_CALLS = ("claim", "settle", "lookup")
@@ -195,12 +198,25 @@
         holder=f"{claims.me.name}/{claims.me.incarnation}",
         spawn=kernel.spawn,
         braked=kernel.find("brakes"),
+        policy=add_cascade(kernel),
     )
-    add_collector(kernel, runner.attempts)
+    collector = add_collector(kernel, runner.attempts)
+    pass_ratings_on(kernel, collector)
     tokens = SessionTokens(settings.secrets.session_key)
     return ChatHandler(runner, tokens, settings.edge, clock, metrics)
 
 
+def pass_ratings_on(kernel: Kernel, collector: Collector) -> None:
+    """Lets ratings count as evidence of roll-outs, where there are any."""
+    if "ratings" not in kernel.services:
+        return
+
+    def take(news: RatingNews) -> None:
+        collector.take_rating(news.workspace, news.version, news.good)
+
+    kernel.find("ratings").news.subscribe(take)
+
+
 def make_service_handler(
     chat: ChatHandler, settings: Settings
 ) -> ServiceHandler:
--- /dev/null
+++ b/src/rattanpier/_internal/standin/ratings.py
@@ -0,0 +1,134 @@
+"""A stand-in for the answer-rating service: late, noisy, and paid for."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import attrs
+from aiohttp import web
+
+from rattanpier._internal.platform.ratings import (
+    RatingItem,
+    RatingPage,
+    RatingResult,
+)
+from rattanpier._internal.utils.codec import decode, encode
+
+GOOD_ANSWER = "good"  # How the engine stand-in's good answers begin.
+
+
+@attrs.define
+class RatingFaults:
+    """The fault switch.
+
+    Attributes:
+      down: Refuses every call.
+      stall_s: Seconds that each call takes.
+      keep_back: Gives no results, but takes items.
+    """
+
+    down: bool = False
+    stall_s: float = 0.0
+    keep_back: bool = False
+
+
+@attrs.frozen
+class RatingBehaviour:
+    """How the service rates.
+
+    Attributes:
+      delay_s: Seconds until a rating is ready.
+      noise: Share of ratings that say the opposite.
+      price: Credits for each item.
+      fails: Version whose answers to some prompts are poor, or empty.
+      fails_on: Word in those prompts.
+    """
+
+    delay_s: float = 0.2
+    noise: float = 0.0
+    price: float = 1.0
+    fails: str = ""
+    fails_on: str = ""
+
+
+@attrs.define
+class RatingServer:
+    """The service.
+
+    Attributes:
+      items: Everything handed in, in order.
+      ready: Results by client.
+    """
+
+    behaviour: RatingBehaviour = attrs.Factory(RatingBehaviour)
+    faults: RatingFaults = attrs.Factory(RatingFaults)
+    items: list[RatingItem] = attrs.Factory(list)
+    ready: dict[str, list[RatingResult]] = attrs.Factory(dict)
+    rng: random.Random = attrs.Factory(lambda: random.Random(1))
+    tasks: set[asyncio.Task] = attrs.Factory(set)
+
+    async def take(self, request: web.Request) -> web.Response:
+        """Takes items."""
+        await self.obey_faults()
+        items = decode(list[RatingItem], await request.read())
+        self.items.extend(items)
+        for item in items:
+            task = asyncio.create_task(self.rate(item))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        price = self.behaviour.price * len(items)
+        return web.json_response({"price": price}, status=202)
+
+    async def rate(self, item: RatingItem) -> None:
+        """Rates an item, later."""
+        await asyncio.sleep(self.behaviour.delay_s)
+        good = self.is_good(item) ^ (self.rng.random() < self.behaviour.noise)
+        results = self.ready.setdefault(item.client, [])
+        results.append(RatingResult(len(results) + 1, item.id, good))
+
+    def is_good(self, item: RatingItem) -> bool:
+        """Says whether an answer is good."""
+        behaviour = self.behaviour
+        if (
+            item.version == behaviour.fails
+            and behaviour.fails_on in item.prompt
+        ):
+            return False
+        return item.answer.startswith(GOOD_ANSWER)
+
+    async def results(self, request: web.Request) -> web.Response:
+        """Answers with the results of a client."""
+        await self.obey_faults()
+        ready = self.ready.get(request.query["client"], [])
+        after = int(request.query.get("after", "0"))
+        page = [] if self.faults.keep_back else ready[after:]
+        return web.Response(text=encode(RatingPage(page)))
+
+    async def obey_faults(self) -> None:
+        """Refuses or stalls a call as switched.
+
+        Raises:
+          HTTPServiceUnavailable: The service is down.
+        """
+        if self.faults.down:
+            raise web.HTTPServiceUnavailable
+        await asyncio.sleep(self.faults.stall_s)
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Sets the fault switch."""
+        self.faults = decode(RatingFaults, await request.read())
+        return web.Response(text=encode(self.faults))
+
+    async def get_items(self, _request: web.Request) -> web.Response:
+        """Answers with everything handed in."""
+        return web.Response(text=encode(self.items))
+
+    def app(self) -> web.Application:
+        """Returns the aiohttp application."""
+        app = web.Application(client_max_size=64 * 2**20)
+        app.router.add_post("/v1/items", self.take)
+        app.router.add_get("/v1/results", self.results)
+        app.router.add_post("/standin/faults", self.set_faults)
+        app.router.add_get("/standin/runs", self.get_items)
+        return app
--- /dev/null
+++ b/tests/functional/test_cascade.py
@@ -0,0 +1,127 @@
+"""A cascade learns from ratings, through separate processes."""
+
+import asyncio
+
+import openai
+import pytest
+
+from tests.lib.builders import DESK_KEY, LARGE, SMALL, configuration_text
+from tests.lib.cluster import Cluster, wait_for
+
+FAILS_ON = "legal"
+BATCH = 20
+LEARNING_S = 60.0
+ENOUGH_RATINGS = 200
+NO_PROBES = 0
+MANY_RATINGS = 1_000_000
+
+
+def cascade_text(url, rating_budget):
+    text = configuration_text([url], fleet_size=1)
+    text = text.replace(
+        f'steps = ["{SMALL}"]', f'steps = ["{SMALL}", "{LARGE}"]'
+    )
+    text = text.replace('model = "small"', 'model = "small"\nquality = 0.9')
+    text = text.replace('model = "large"', 'model = "large"\nquality = 0.97')
+    return text.replace(
+        "[workspaces.desk]",
+        f"[workspaces.desk]\nrating_budget = {rating_budget}",
+    )
+
+
+@pytest.fixture
+async def cluster(tmp_path):
+    async with Cluster(tmp_path) as cluster:
+        await cluster.start_table()
+        await cluster.start_standin(
+            "engine",
+            "engine",
+            "--versions",
+            f"{SMALL}=1.0,{LARGE}=1.0",
+            "--decode_s",
+            "0.0",
+        )
+        await cluster.start_standin(
+            "ratings",
+            "ratings",
+            "--delay_s=0.1",
+            f"--fails={SMALL}",
+            f"--fails_on={FAILS_ON}",
+        )
+        text = cascade_text(cluster.urls["engine"], MANY_RATINGS)
+        await cluster.apply(text)
+        await cluster.start_entry("entry-1")
+        yield cluster
+
+
+class Caller:
+    """Asks, and counts at the engine what ran."""
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.number = 0
+        self.api = openai.AsyncOpenAI(
+            base_url=f"{cluster.urls['entry-1']}/v1",
+            api_key=DESK_KEY,
+            max_retries=0,
+        )
+
+    async def ask(self, task):
+        self.number += 1
+        answer = await self.api.chat.completions.create(
+            model="auto",
+            messages=[
+                {"role": "user", "content": f"{task} question {self.number}"}
+            ],
+            max_tokens=4,
+            extra_body={"metadata": {"task": task}},
+        )
+        return answer.model
+
+    async def batch(self, task):
+        """Returns the versions that answered, and those that ran."""
+        before = len(await self.cluster.runs("engine"))
+        answered = await asyncio.gather(*(self.ask(task) for _ in range(BATCH)))
+        ran = (await self.cluster.runs("engine"))[before:]
+        return answered, [run["version"] for run in ran]
+
+
+async def in_force(cluster, caller):
+    """Stops the buying of ratings and waits until it has stopped."""
+    text = cascade_text(cluster.urls["engine"], NO_PROBES)
+    await cluster.apply(text, revision=2)
+
+    async def quiet():
+        # A probe runs the cheap version too; none must be left.
+        runs = [await caller.batch(FAILS_ON) for _ in range(3)]
+        return all(SMALL not in ran for _, ran in runs)
+
+    await wait_for(quiet)
+
+
+async def test_a_class_that_the_cheap_version_fails_starts_strong(cluster):
+    caller = Caller(cluster)
+
+    async def learned():
+        chat, _ = await caller.batch("chat")
+        legal, _ = await caller.batch(FAILS_ON)
+        if len(await cluster.runs("ratings")) < ENOUGH_RATINGS:
+            return False
+        return chat.count(SMALL) >= BATCH - 2 and legal == [LARGE] * BATCH
+
+    await wait_for(learned, LEARNING_S)
+    await in_force(cluster, caller)
+    answered, ran = await caller.batch(FAILS_ON)
+    assert answered == [LARGE] * BATCH
+    assert ran == [LARGE] * BATCH  # The cheap version is not even asked.
+    answered, ran = await caller.batch("chat")
+    assert answered.count(SMALL) >= BATCH - 2
+    assert ran.count(SMALL) >= BATCH - 2
+
+
+async def test_requests_are_answered_while_the_rating_service_is_down(cluster):
+    await cluster.set_faults("ratings", down=True)
+    caller = Caller(cluster)
+    answered, _ = await caller.batch("chat")
+    assert answered == [LARGE] * BATCH
+    assert await cluster.runs("ratings") == []
--- /dev/null
+++ b/tests/lib/cascades.py
@@ -0,0 +1,120 @@
+"""Builders for tests of cascades."""
+
+import random
+
+from rattanpier._internal.cascade.learned import Sampler, learned
+from rattanpier._internal.cascade.learner import Learner
+from rattanpier._internal.cascade.policy import StepAnswer, Verdict
+from rattanpier._internal.cascade.ratings import RatingLoop
+from rattanpier._internal.dispatch.engine import Usage
+from rattanpier._internal.exceptions import PlatformUnavailableError
+from rattanpier._internal.models.configuration import Version, Workspace
+from rattanpier._internal.platform.ratings import RatingResult
+from rattanpier._internal.utils.metrics import Metrics
+from tests.lib.builders import LARGE, SMALL, build_request
+from tests.lib.clock import ManualClock
+
+CHAT, LEGAL = "chat", "legal"
+STEPS = (SMALL, LARGE)
+PACE_S = 1.0  # Between two requests.
+
+
+class FakeRatings:
+    """A rating service in this process; a function says what is good."""
+
+    def __init__(self, is_good):
+        self.is_good = is_good
+        self.items = []
+        self.down = False
+        self.keep_back = False
+
+    async def hand_in(self, items):
+        if self.down:
+            raise PlatformUnavailableError("down")
+        self.items.extend(items)
+
+    async def results(self, client, after):
+        if self.down:
+            raise PlatformUnavailableError("down")
+        if self.keep_back:
+            return []
+        numbered = list(enumerate(self.items, 1))[after:]
+        return [
+            RatingResult(number, item.id, self.is_good(item))
+            for number, item in numbered
+        ]
+
+
+class CascadeWorld:
+    """A learned policy with its ratings, on a clock that the test turns."""
+
+    def __init__(self, is_good, budget=3600, target=0.9):
+        self.clock = ManualClock()
+        self.metrics = Metrics()
+        self.budget = budget
+        self.versions = {
+            SMALL: Version("small", input_price=1, output_price=1, quality=0.9),
+            LARGE: Version(
+                "large", input_price=10, output_price=10, quality=0.97
+            ),
+        }
+        self.desk = Workspace([], list(STEPS), quality_target=target)
+        self.learner = Learner(
+            self.versions.get, lambda name: self.desk, self.clock
+        )
+        sampler = Sampler(
+            self.learner,
+            random.Random(1),
+            lambda name: self.budget * self.loop.available,
+        )
+        self.service = FakeRatings(is_good)
+        self.loop = RatingLoop(
+            self.service,
+            self.learner,
+            self.clock,
+            self.metrics,
+            "e1/1",
+            self.versions.get,
+        )
+        self.policy = learned(self.learner, sampler, self.loop.send)
+        self.number = 0
+
+    def begin(self, task):
+        self.number += 1
+        request = build_request(
+            key=str(self.number),
+            labels={"task": task},
+            prompt_tokens=100,
+            body={"messages": [{"content": task}]},
+        )
+        return self.policy.begin(request, STEPS, f"r{self.number}")
+
+    def answer(self, task, may_serve=lambda version: True):
+        """Answers one request; returns the versions that ran."""
+        walk = self.begin(task)
+        ran = []
+        while True:
+            ran.append(walk.version)
+            answer = StepAnswer("text", "stop", Usage(100, 50), 0.8)
+            verdict = self.policy.judge(walk, answer, may_serve)
+            if verdict is Verdict.ACCEPT:
+                return ran
+
+    async def run(self, count, tasks=(CHAT, LEGAL)):
+        """Answers requests in turn; returns versions that ran, by task."""
+        ran = {task: [] for task in tasks}
+        for number in range(count):
+            task = tasks[number % len(tasks)]
+            ran[task].append(self.answer(task))
+            self.clock.now += PACE_S
+            await self.loop.step()
+        return ran
+
+
+def share_at(runs, ran):
+    """Returns the share of requests that ran on just these versions."""
+    return sum(run == list(ran) for run in runs) / len(runs)
+
+
+def small_fails_legal(item):
+    return item.version == LARGE or item.prompt != LEGAL
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -106,6 +106,7 @@
 domain = "{domain}"
 [platform]
 table_url = "{self.urls["table"]}"
+ratings_url = "{self.urls.get("ratings", "")}"
 [secrets]
 session_key = "test-session-key"
 operator_key_sha256 = ["{sha256_hex(OPERATOR_KEY)}"]
