--- /dev/null
+++ b/benchmarks/cascade.py
@@ -0,0 +1,185 @@
+"""Cost at equal quality of cascades, against baselines, in one run.
+
+Run from the root: `python -m benchmarks.cascade`. Seed 1 was used for tuning
+and is not among the reported ones.
+"""
+
+from __future__ import annotations
+
+import concurrent.futures
+import pathlib
+import sys
+
+import attrs
+import numpy as np
+
+from benchmarks.cascade_run import (
+    Make,
+    Result,
+    make_calibrated,
+    make_learned,
+    make_plain,
+    oracle,
+    run_policy,
+)
+from benchmarks.workloads import SHIFTS, Trace, draw, federation, tuakana
+from rattanpier._internal.cascade.policy import always_strong, fixed_threshold
+
+TUNING_SEEDS = (1,)
+HELD_BACK_SEEDS = (101, 102)
+WORKLOADS = {"federation": federation, "tuakana": tuakana}
+THRESHOLD = 0.6  # The one that served best on the tuning seed.
+THRESHOLDS = np.arange(0.3, 1.0, 0.05)  # For the one picked in hindsight.
+JOBS = 4
+OUT = pathlib.Path("out")
+
+
+@attrs.frozen
+class Row:
+    """A line of the table: one policy on one run."""
+
+    workload: str
+    shift: str
+    seed: int
+    policy: str
+    of_strong: float
+    of_oracle: float
+    worst: float
+    below: int
+    worst_late: float
+    ratings: int
+
+
+def hindsight(trace: Trace) -> Result:
+    """Returns the cheapest single threshold that meets every target.
+
+    If none does, the highest one.
+    """
+    targets = np.array([c.target for c in trace.workload.customers])
+    for threshold in THRESHOLDS:
+        make = make_plain(fixed_threshold(float(threshold)))
+        result = run_policy("threshold in hindsight", make, trace)
+        if (result.quality() >= targets).all():
+            break
+    return result
+
+
+def policies(shift: str, seed: int) -> dict[str, Make]:
+    """Returns the policies of a run, by name."""
+    made = {
+        f"cheap first, {THRESHOLD}": make_plain(fixed_threshold(THRESHOLD)),
+        "threshold steered": make_calibrated(),
+        "ours": make_learned(),
+    }
+    if seed == HELD_BACK_SEEDS[0] and shift == "steady":
+        made["ours, 1/8 of ratings"] = make_learned(1 / 8)
+        made["ours, all rated at once"] = make_learned(1.0, True)
+    return made
+
+
+def run_one(workload: str, shift: str, seed: int) -> list[Row]:
+    """Runs every policy on one drawn run."""
+    trace = draw(WORKLOADS[workload](), shift, seed)
+    strong = run_policy("always strong", make_plain(always_strong()), trace)
+    best = oracle(trace)
+    results = [strong, best, hindsight(trace)]
+    for name, make in policies(shift, seed).items():
+        results.append(run_policy(name, make, trace))
+    return [
+        make_row(workload, shift, seed, result, strong, best, trace)
+        for result in results
+    ]
+
+
+def make_row(
+    workload: str,
+    shift: str,
+    seed: int,
+    result: Result,
+    strong: Result,
+    best: Result,
+    trace: Trace,
+) -> Row:
+    """Returns the line of a result."""
+    targets = np.array([c.target for c in trace.workload.customers])
+    margin = result.quality() - targets
+    late = result.late_good / np.maximum(1, result.late_count) - targets
+    return Row(
+        workload,
+        shift,
+        seed,
+        result.policy,
+        float(result.cost.sum() / strong.cost.sum()),
+        float(result.cost.sum() / best.cost.sum()),
+        100 * float(margin.min()),
+        int((margin < 0).sum()),
+        100 * float(late.min()),
+        int(result.ratings.sum()),
+    )
+
+
+def table(rows: list[Row]) -> str:
+    """Returns the table in Markdown."""
+    lines = [
+        "| workload | shift | seed | policy | cost / strong | cost / oracle "
+        "| worst workspace, points over target | workspaces below "
+        "| worst in the last third | ratings |",
+        "|---|---|---|---|---|---|---|---|---|---|",
+    ]
+    lines += [
+        f"| {r.workload} | {r.shift} | {r.seed} | {r.policy} "
+        f"| {r.of_strong:.3f} | {r.of_oracle:.2f} | {r.worst:+.1f} "
+        f"| {r.below} | {r.worst_late:+.1f} | {r.ratings} |"
+        for r in rows
+    ]
+    return "\n".join(lines)
+
+
+def plot(rows: list[Row], path: pathlib.Path) -> None:
+    """Draws cost against the worst workspace's quality."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(1, 2, figsize=(11, 4.5), sharey=True)
+    for axis, workload in zip(axes, WORKLOADS, strict=True):
+        mine = [row for row in rows if row.workload == workload]
+        for policy in dict.fromkeys(row.policy for row in mine):
+            points = [row for row in mine if row.policy == policy]
+            axis.scatter(
+                [row.of_strong for row in points],
+                [row.worst for row in points],
+                label=policy,
+            )
+        axis.axhline(0, color="black", linewidth=0.8)
+        axis.set_title(workload)
+        axis.set_xlabel("cost, always strong = 1")
+    axes[0].set_ylabel("worst workspace, points over target")
+    axes[1].legend(fontsize="small")
+    figure.tight_layout()
+    path.parent.mkdir(exist_ok=True)
+    figure.savefig(path)
+
+
+def main() -> None:
+    """Runs everything, prints the table, and draws the plot."""
+    runs = [
+        (workload, shift, seed)
+        for workload in WORKLOADS
+        for shift in SHIFTS
+        for seed in HELD_BACK_SEEDS
+    ]
+    with concurrent.futures.ProcessPoolExecutor(JOBS) as pool:
+        rows: list[Row] = []
+        for done in pool.map(run_one, *zip(*runs, strict=True)):
+            rows.extend(done)
+            print(table(done), file=sys.stderr, flush=True)
+    print(table(rows))
+    OUT.mkdir(exist_ok=True)
+    (OUT / "cascade.md").write_text(table(rows) + "\n")
+    plot(rows, OUT / "cascade.png")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/cascade_run.py
@@ -0,0 +1,334 @@
+"""Runs a policy over a drawn workload."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+import attrs
+import numpy as np
+
+from benchmarks.workloads import HOUR_S, HOURS, Trace
+from rattanpier._internal.cascade.learned import Sample, Sampler, learned
+from rattanpier._internal.cascade.learner import Learner
+from rattanpier._internal.cascade.policy import (
+    CascadePolicy,
+    MayServe,
+    StepAnswer,
+    Verdict,
+    Walk,
+    go_on,
+)
+from rattanpier._internal.dispatch.engine import Usage
+from rattanpier._internal.models.configuration import Version, Workspace
+from rattanpier._internal.models.request import RouteRequest
+
+UNLIMITED = 10**9
+
+
+@attrs.define
+class RunClock:
+    """The clock of a run."""
+
+    now: float = 0.0
+
+    def monotonic(self) -> float:
+        """Returns seconds since the start of the run."""
+        return self.now
+
+    def time(self) -> float:
+        """Returns the same."""
+        return self.now
+
+    async def sleep(self, seconds: float) -> None:
+        """Is not used."""
+        raise AssertionError("nothing sleeps in a run")
+
+
+@attrs.frozen
+class Result:
+    """What a run cost and yielded; arrays over workspaces.
+
+    Attributes:
+      policy: Its name.
+      cost: Credits.
+      good: Answers rated good.
+      late_good: Those of the last third.
+      count: Requests.
+      late_count: Those of the last third.
+      ratings: Ratings paid for.
+      steps: Requests by the step that answered.
+    """
+
+    policy: str
+    cost: np.ndarray
+    good: np.ndarray
+    late_good: np.ndarray
+    count: np.ndarray
+    late_count: np.ndarray
+    ratings: np.ndarray
+
+    def quality(self) -> np.ndarray:
+        """Returns the share of good answers of each workspace."""
+        return self.good / np.maximum(1, self.count)
+
+
+@attrs.define
+class Rating:
+    """A rating as it comes back."""
+
+    workspace: str
+    version: str
+    sample: object
+    good: bool
+
+
+Make = Callable[["Run"], tuple[CascadePolicy, Callable[[Rating], None]]]
+
+
+@attrs.define
+class Run:
+    """One run.
+
+    Attributes:
+      pending: Ratings under way, by time of arrival.
+      paid: Ratings paid for, by workspace.
+    """
+
+    trace: Trace
+    clock: RunClock = attrs.Factory(RunClock)
+    pending: list = attrs.Factory(list)
+    numbers: itertools.count = attrs.Factory(itertools.count)
+    paid: dict[str, int] = attrs.Factory(dict)
+    current: int = 0
+
+    @property
+    def steps(self) -> tuple[str, ...]:
+        """Versions from cheap to strong."""
+        return tuple(model.name for model in self.trace.workload.models)
+
+    def rate(
+        self, workspace: str, version: str, sample: object, prompt: bool = False
+    ) -> None:
+        """Sends the present request's answer of a version to be rated."""
+        step = self.steps.index(version)
+        self.paid[workspace] = self.paid.get(workspace, 0) + 1
+        delay = 0.0 if prompt else self.trace.delay[self.current, step]
+        good = bool(self.trace.good[self.current, step])
+        rating = Rating(workspace, version, sample, good)
+        item = (self.clock.now + delay, next(self.numbers), rating)
+        heapq.heappush(self.pending, item)
+
+    def request(self, index: int) -> RouteRequest:
+        """Returns a request as the policy sees it."""
+        workload = self.trace.workload
+        label = workload.tasks[self.trace.label[index]]
+        return RouteRequest(
+            workspace=workload.customers[self.trace.customer[index]].name,
+            key=str(index),
+            model="auto",
+            stream=label.stream,
+            prompt_tokens=int(self.trace.prompt_tokens[index]),
+            max_tokens=2048,
+            labels={"task": label.label},
+        )
+
+    def versions(self, name: str) -> Version | None:
+        """Returns a version as configured."""
+        for model in self.trace.workload.models:
+            if model.name == name:
+                return Version(
+                    model.name,
+                    input_price=model.input_price,
+                    output_price=model.output_price,
+                    quality=model.quality,
+                )
+        return None
+
+    def workspace(self, name: str) -> Workspace | None:
+        """Returns a workspace as configured."""
+        for customer in self.trace.workload.customers:
+            if customer.name == name:
+                return Workspace(
+                    [],
+                    list(self.steps),
+                    quality_target=customer.target,
+                    rating_budget=customer.budget,
+                )
+        return None
+
+
+def everything(_version: str) -> bool:
+    """Every version may serve in a run."""
+    return True
+
+
+def walk_through(
+    run: Run, policy: CascadePolicy, index: int, costs: np.ndarray
+) -> tuple[float, int]:
+    """Answers one request; returns credits and the step that answered."""
+    trace = run.trace
+    request = run.request(index)
+    walk = policy.begin(request, run.steps, str(index))
+    cost = 0.0
+    while True:
+        at = walk.at
+        cost += costs[index, at]
+        usage = Usage(request.prompt_tokens, int(trace.output_tokens[index]))
+        answer = StepAnswer(
+            "", "stop", usage, float(trace.confidence[index, at])
+        )
+        if policy.judge(walk, answer, everything) is Verdict.ACCEPT:
+            return cost, at
+
+
+def run_policy(name: str, make: Make, trace: Trace) -> Result:
+    """Runs a policy over a whole trace."""
+    run = Run(trace)
+    policy, take = make(run)
+    costs = trace.costs()
+    total = np.zeros(len(trace.at))
+    answered = np.zeros(len(trace.at), int)
+    for index, at in enumerate(trace.at):
+        while run.pending and run.pending[0][0] <= at:
+            due, _, rating = heapq.heappop(run.pending)
+            run.clock.now = max(run.clock.now, due)
+            take(rating)
+        run.clock.now = at
+        run.current = index
+        total[index], answered[index] = walk_through(run, policy, index, costs)
+    good = trace.good[np.arange(len(answered)), answered]
+    paid = [run.paid.get(c.name, 0) for c in trace.workload.customers]
+    return summarise(name, trace, total, good, np.array(paid))
+
+
+def summarise(
+    name: str,
+    trace: Trace,
+    cost: np.ndarray,
+    good: np.ndarray,
+    ratings: np.ndarray,
+) -> Result:
+    """Adds up a run by workspace."""
+    size = len(trace.workload.customers)
+
+    def by_workspace(weights: np.ndarray) -> np.ndarray:
+        return np.bincount(trace.customer, weights, size)
+
+    late = (trace.at > HOURS * HOUR_S * 2 / 3).astype(float)
+    return Result(
+        name,
+        by_workspace(cost),
+        by_workspace(good),
+        by_workspace(good * late),
+        by_workspace(np.ones(len(good))),
+        by_workspace(late),
+        ratings,
+    )
+
+
+def make_learned(share: float = 1.0, prompt: bool = False) -> Make:
+    """Returns the maker of the product's policy.
+
+    Args:
+      share: Part of the rating budget that this entry has.
+      prompt: True to rate without limit and without delay.
+    """
+
+    def make(run: Run) -> tuple[CascadePolicy, Callable[[Rating], None]]:
+        learner = Learner(run.versions, run.workspace, run.clock)
+
+        def budget(workspace: str) -> int:
+            if prompt:
+                return UNLIMITED
+            known = run.workspace(workspace)
+            return int(known.rating_budget * share) if known else 0
+
+        def send(sample: Sample) -> None:
+            rated = sample.rated
+            run.rate(rated.workspace, rated.version, rated, prompt)
+
+        def take(rating: Rating) -> None:
+            learner.learn(rating.sample, rating.good)
+
+        sampler = Sampler(learner, random.Random(7), budget)
+        return learned(learner, sampler, send), take
+
+    return make
+
+
+def make_plain(policy: CascadePolicy) -> Make:
+    """Returns the maker of a policy that learns nothing."""
+    return lambda run: (policy, lambda rating: None)
+
+
+def make_calibrated() -> Make:
+    """Returns the maker of a threshold steered by each workspace's ratings.
+
+    Ratings of answers that were given move the threshold until the share of
+    good ones is the target: no classes, no start at a later step.
+    """
+    gain, first = 0.02, 0.9
+
+    def make(run: Run) -> tuple[CascadePolicy, Callable[[Rating], None]]:
+        thresholds: dict[str, float] = {}
+        credit: dict[str, float] = {}
+        rng = random.Random(7)
+
+        def begin(
+            request: RouteRequest, steps: tuple[str, ...], request_id: str
+        ) -> Walk:
+            return Walk(request, tuple(steps), 0, request_id)
+
+        def judge(walk: Walk, answer: StepAnswer, may: MayServe) -> Verdict:
+            name = walk.request.workspace
+            threshold = thresholds.setdefault(name, first)
+            if not walk.is_last and (answer.confidence or 0.0) < threshold:
+                return go_on(walk, may)
+            customer = next(
+                c for c in run.trace.workload.customers if c.name == name
+            )
+            if rng.random() < customer.budget / (customer.rate * HOUR_S):
+                run.rate(name, walk.version, None)
+            return Verdict.ACCEPT
+
+        def take(rating: Rating) -> None:
+            known = run.workspace(rating.workspace)
+            credit[rating.workspace] = rating.good - known.quality_target
+            moved = thresholds[rating.workspace] - gain * (
+                rating.good - known.quality_target
+            )
+            thresholds[rating.workspace] = min(1.01, max(0.0, moved))
+
+        return CascadePolicy(begin, judge), take
+
+    return make
+
+
+def oracle(trace: Trace) -> Result:
+    """Returns the cheapest way to the targets if all ratings are known.
+
+    Each request goes at once to the cheapest version whose answer is rated
+    good; where none is, or more than the target would be good, to the
+    cheapest. Saving the dearest first is optimal within a workspace.
+    """
+    costs = trace.costs()
+    chosen = np.where(trace.good, costs, np.inf).argmin(axis=1)
+    rows = np.arange(len(chosen))
+    extra = costs[rows, chosen] - costs[:, 0]
+    for number, customer in enumerate(trace.workload.customers):
+        mine = np.flatnonzero(trace.customer == number)
+        good = trace.good[mine].any(axis=1)
+        wanted = int(np.ceil(customer.target * len(mine)))
+        spare = max(0, int(good.sum()) - wanted)
+        dearest = mine[np.argsort(-extra[mine])][:spare]
+        chosen[dearest] = 0
+    return summarise(
+        "oracle",
+        trace,
+        costs[rows, chosen],
+        trace.good[rows, chosen],
+        np.zeros(len(trace.workload.customers)),
+    )
