Show operators the phase and the next step of a roll-out

Cause: the operators' interface showed the fields of a roll-out, and not whether it is halting, halted or paused, nor what to do; and no test showed that pinned sessions leave a halted candidate. Change: phase, reason and next_step in GET /operator/rollouts/NAME; the test.

--- a/src/rattanpier/_internal/operators/app.py
+++ b/src/rattanpier/_internal/operators/app.py
@@ -30,6 +30,7 @@
     other_change,
 )
 from rattanpier._internal.platform.table import Table
+from rattanpier._internal.rollout.status import rollout_status
 from rattanpier._internal.utils.codec import encode
 from rattanpier._internal.utils.hashing import sha256_hex
 
@@ -141,9 +142,14 @@
         rollout = self.changes.present.rollouts.get(name)
         if rollout is None:
             return not_found(f"there is no roll-out {name!r}")
+        brakes = self.changes.brakes
+        found = rollout_status(name, self.changes.present, brakes.active)
         body = {
             **json.loads(encode(rollout)),
             "name": name,
+            "phase": found.state,
+            "reason": found.reason,
+            "next_step": found.next_step,
             "revision": self.changes.present.revision,
             "braked": rollout.candidate in self.changes.brakes,
         }
--- a/tests/failure/test_rollout_driver.py
+++ b/tests/failure/test_rollout_driver.py
@@ -3,7 +3,8 @@
 import pytest
 
 from rattanpier._internal.rollout.status import rollout_status
-from tests.lib.builders import SMALL
+from rattanpier._internal.routing.plan import make_plan
+from tests.lib.builders import SMALL, build_request
 from tests.lib.rollouts import (
     CANDIDATE,
     NAME,
@@ -45,6 +46,19 @@
     assert world.refused == 0
 
 
+async def test_pinned_sessions_leave_a_halted_candidate_and_are_told():
+    world = await start()
+    world.failing = BAD
+    await world.steps(60, world.is_halted)
+    entry = world.entries[0]
+    plan = make_plan(
+        entry.follower.configuration,
+        build_request(session="s", pinned=CANDIDATE),
+        entry.brakes,
+    )
+    assert (plan.steps, plan.pin_lost) == ([SMALL], CANDIDATE)
+
+
 @pytest.mark.parametrize("after_effect", [False, True])
 @pytest.mark.parametrize("call", range(1, 14))
 async def test_driver_killed_at_each_call_of_the_store(call, after_effect):
--- a/tests/functional/test_operators.py
+++ b/tests/functional/test_operators.py
@@ -73,7 +73,9 @@
     assert (await operator.get("rollouts/r"))["share"] == 0.5
     status, report = await operator.post("rollouts/r/halt")
     assert (status, report["braked"]) == (200, LARGE)
-    assert (await operator.get("rollouts/r"))["state"] == "halted"
+    found = await operator.get("rollouts/r")
+    assert found["state"] == found["phase"] == "halted"
+    assert "begin anew" in found["next_step"]
     status, report = await operator.post("upstreams/pool/drain")
     assert status == 200
 
