Judge batches of any size

Cause: likelihood ratios were powers of the counts, and a batch with some hundred bad answers overflowed: the driver's step failed, in a load of thousands of requests a second or after an outage. Ruled out: smaller batches; a driver can't choose what came in an outage. Change: exponents are added up and bounded before the power.

--- a/src/rattanpier/_internal/rollout/sequential.py
+++ b/src/rattanpier/_internal/rollout/sequential.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 
 import attrs
@@ -18,6 +19,7 @@
 RATIOS = (1.25, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0)
 # Least weight of a change that begins now; bounds the delay of detection.
 RESTART = 1e-4
+MAX_EXPONENT = 230.0  # About 1e100, so that the ceiling times it is finite.
 CEILING = 1e200  # Against overflow; far above any threshold.
 MAX_RATE = 0.95
 
@@ -67,7 +69,10 @@
     weight = candidate.total * tolerance
     expected = weight / (weight + stable.total)
     return [
-        ratio**candidate.bad / (1 + (ratio - 1) * expected) ** bad
+        bounded_exp(
+            candidate.bad * math.log(ratio)
+            - bad * math.log1p((ratio - 1) * expected)
+        )
         for ratio in RATIOS
     ]
 
@@ -83,7 +88,16 @@
     factors = []
     for ratio in RATIOS:
         worse = min(rate * ratio, max(rate, MAX_RATE))
-        factors.append(
-            (worse / rate) ** trials.bad * ((1 - worse) / (1 - rate)) ** good
-        )
+        support = trials.bad * math.log(worse / rate)
+        support += good * math.log((1 - worse) / (1 - rate))
+        factors.append(bounded_exp(support))
     return factors
+
+
+def bounded_exp(exponent: float) -> float:
+    """Returns e to a power, within what sums of it can hold.
+
+    >>> bounded_exp(0.0), bounded_exp(1e6) > 1e90, bounded_exp(-1e6) > 0
+    (1.0, True, True)
+    """
+    return math.exp(min(max(exponent, -MAX_EXPONENT), MAX_EXPONENT))
--- a/tests/unit/test_rollout_judge.py
+++ b/tests/unit/test_rollout_judge.py
@@ -210,3 +210,19 @@
     course.share_changed()
     course.decide(1.0, 1.0)
     return course, traffic
+
+
+@pytest.mark.parametrize("bad", [0, 100_000, 900_000])
+def test_a_batch_of_any_size_is_judged(bad):
+    """After an outage of the store, or at thousands of requests a second."""
+    million = Counts(1_000_000, bad, 0, 1_000_000, bad)
+    judge = Judge()
+    judge.observe({"a": Pair(million, million)})
+    assert judge.worst is None
+    worse = Counts(2_000_000, bad + 950_000, 0, 2_000_000, bad + 950_000)
+    judge.observe({"a": Pair(million, worse)})
+    course, traffic = run_full_roll_out()
+    totals = traffic.totals
+    totals["a"] = Pair(totals["a"].stable, totals["a"].candidate + million)
+    course.observe(totals)
+    assert isinstance(course.decide(1.0, 1.0), Hold if bad == 0 else Narrow)
