Wait for the driver before the fault

Cause: tests/failure/test_rollout_processes.py timed out once on a busy machine; the control process had not been waited for, so the fault could come before there was a driver. Ruled out: a control process that dies when it starts in a store outage; one was started so, lived, and drove when the store came back. Change: the test waits for the driver's lease.

--- a/tests/failure/test_rollout_processes.py
+++ b/tests/failure/test_rollout_processes.py
@@ -27,6 +27,7 @@
         await cluster.apply(text)
         await asyncio.gather(*(cluster.start_entry(e) for e in ENTRIES))
         await cluster.start_node("control-1", "control")
+        await wait_for(lambda: cluster.table.get("rollout/next/lease"))
         yield cluster
 
 
