--- a/src/rattanpier/_internal/commands/explain.py
+++ b/src/rattanpier/_internal/commands/explain.py
@@ -39,7 +39,7 @@
     Attributes:
       version: Its name.
       cost: Credits for the prompt and all tokens asked for.
-      quality: Expected share of good answers.
+      quality: Expected share of good answers, before any rating.
     """
 
     version: str
@@ -199,7 +199,7 @@
         return
     if plan.pin_lost:
         yield f"The session can't keep version {plan.pin_lost!r}."
-    names = ("version", "cost at most, in credits", "expected quality")
+    names = ("version", "credits at most", "quality before ratings")
     table = make_table("Versions left, in order", names)
     for step in steps:
         table.add_row(step.version, f"{step.cost:.6f}", f"{step.quality:.2f}")
