End a start on a taken port, and Ctrl-C, without a traceback

Cause: a port that is taken or an address of another VM ended a program with a traceback, as did Ctrl-C in a command; long lines of config check were broken at the terminal's width, so that file and line could not be searched. Conclusion: errors at the start have one shape.

--- a/src/rattanpier/_internal/cli/common.py
+++ b/src/rattanpier/_internal/cli/common.py
@@ -11,10 +11,12 @@
 
 from rattanpier._internal.commands.result import ExitCode
 from rattanpier._internal.configuration.parse import load_settings
-from rattanpier._internal.exceptions import RattanpierError
+from rattanpier._internal.exceptions import RattanpierError, SettingsError
 from rattanpier._internal.programs.common import Build, run_until_signal
 from rattanpier._internal.utils.logs import configure_logs
 
+EXIT_INTERRUPTED = 130  # As shells say it of SIGINT.
+
 
 def run_fire(component: object, name: str) -> None:
     """Runs fire and turns coded errors into exit codes."""
@@ -25,6 +27,8 @@
     except BrokenPipeError:
         # The reader, such as `head`, has seen enough.
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+    except KeyboardInterrupt:
+        sys.exit(EXIT_INTERRUPTED)
     except RattanpierError as error:
         print(f"{name}: {error.code}: {error.message}", file=sys.stderr)
         if error.hint:
@@ -43,6 +47,12 @@
         """
         loaded = load_settings(settings)
         configure_logs(loaded.logs.json, loaded.logs.level)
-        asyncio.run(run_until_signal(build, loaded))
+        try:
+            asyncio.run(run_until_signal(build, loaded))
+        except OSError as error:
+            raise SettingsError(
+                f"{settings}: the process can't start: {error}",
+                "give an address of this VM and a port that is free",
+            ) from error
 
     return serve
--- a/src/rattanpier/_internal/cli/operator.py
+++ b/src/rattanpier/_internal/cli/operator.py
@@ -52,9 +52,10 @@
     if as_json:
         print(json_module.dumps(result.data, indent=2))
         return
-    console = Console(highlight=False, soft_wrap=False)
+    console = Console(highlight=False)
     for item in result.shown:
-        console.print(item, markup=False)
+        # A sentence with a file and a line stays on one line, for `grep`.
+        console.print(item, markup=False, soft_wrap=isinstance(item, str))
 
 
 COMMANDS: dict[str, Any] = {
