--- a/src/rattanpier/_internal/commands/api.py
+++ b/src/rattanpier/_internal/commands/api.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 import attrs
+from yarl import URL
 
 from rattanpier._internal.commands.result import ExitCode
 from rattanpier._internal.exceptions import CommandError
@@ -116,7 +117,11 @@
         async with (
             aiohttp.ClientSession(timeout=timeout) as session,
             session.request(
-                method, url, params=query, data=data.encode(), headers=sent
+                method,
+                URL(url, encoded=True),
+                params=query,
+                data=data.encode(),
+                headers=sent,
             ) as response,
         ):
             return Reply(response.status, json.loads(await response.read()))
--- a/src/rattanpier/_internal/commands/orders.py
+++ b/src/rattanpier/_internal/commands/orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from urllib.parse import quote
 
 from rattanpier._internal.commands.api import connect
 from rattanpier._internal.commands.changes import Change, carry_out
@@ -34,7 +35,9 @@
         "share": checked_share(share),
         "max_share": checked_share(max_share),
     }
-    change = Change(connect(url), f"rollouts/{name}/start", json.dumps(fields))
+    change = Change(
+        connect(url), f"rollouts/{quoted(name)}/start", json.dumps(fields)
+    )
     return carry_out(change, f"Start roll-out {name}")
 
 
@@ -47,10 +50,19 @@
       url: Operators' address of a control process.
     """
     fields = json.dumps({"share": checked_share(share)})
-    change = Change(connect(url), f"rollouts/{name}/widen", fields)
+    change = Change(connect(url), f"rollouts/{quoted(name)}/widen", fields)
     return carry_out(change, f"Widen roll-out {name}")
 
 
+def quoted(name: str) -> str:
+    """Returns a name as a part of a path.
+
+    >>> quoted("a/b@1"), quoted(3)
+    ('a%2Fb%401', '3')
+    """
+    return quote(str(name), safe="")
+
+
 def checked_share(share: float) -> float:
     """Returns a share.
 
@@ -70,7 +82,7 @@
       name: Its name.
       url: Operators' address of a control process.
     """
-    change = Change(connect(url), f"rollouts/{name}/halt")
+    change = Change(connect(url), f"rollouts/{quoted(name)}/halt")
     return carry_out(change, f"Halt roll-out {name}")
 
 
@@ -81,7 +93,7 @@
       name: Its name.
       url: Operators' address of a control process.
     """
-    found = connect(url).get(f"rollouts/{name}")
+    found = connect(url).get(f"rollouts/{quoted(name)}")
     table = make_table(f"Roll-out {name}", ("what", "value"))
     for key, value in found.items():
         table.add_row(key, str(value))
@@ -95,7 +107,7 @@
       version: Its name.
       url: Operators' address of a control process.
     """
-    change = Change(connect(url), f"versions/{version}/withdraw")
+    change = Change(connect(url), f"versions/{quoted(version)}/withdraw")
     return carry_out(change, f"Withdraw {version}")
 
 
@@ -106,5 +118,5 @@
       upstream: Its name.
       url: Operators' address of a control process.
     """
-    change = Change(connect(url), f"upstreams/{upstream}/drain")
+    change = Change(connect(url), f"upstreams/{quoted(upstream)}/drain")
     return carry_out(change, f"Drain {upstream}")
