End links that are opened while all end

Ruled out: a copy of the list, which would leave the late link open. Change: close takes links out until there is none. Conclusion: stopping no longer depends on what still runs.

--- a/src/rattanpier/_internal/peers/links.py
+++ b/src/rattanpier/_internal/peers/links.py
@@ -39,6 +39,7 @@
                 link.task.cancel()
 
     async def close(self) -> None:
-        """Ends all links."""
-        for link in self.links.values():
+        """Ends all links, also those that are opened meanwhile."""
+        while self.links:
+            _, link = self.links.popitem()
             await link.close()
