--- a/src/rattanpier/_internal/commands/demo.py
+++ b/src/rattanpier/_internal/commands/demo.py
@@ -35,6 +35,7 @@
 from rattanpier._internal.standin.engine import EngineServer
 from rattanpier._internal.standin.objects import ObjectServer
 from rattanpier._internal.standin.plain import PlainServer
+from rattanpier._internal.standin.ratings import RatingServer
 from rattanpier._internal.standin.table import TableServer
 from rattanpier._internal.utils.hashing import sha256_hex
 from rattanpier._internal.utils.logs import configure_logs
@@ -54,6 +55,7 @@
 
     table_url: str
     objects_url: str
+    ratings_url: str
     engine_urls: list[str]
     plain_url: str
 
@@ -87,6 +89,7 @@
     return DemoPlatform(
         table_url=await serve(stack, TableServer().app()),
         objects_url=await serve(stack, ObjectServer().app()),
+        ratings_url=await serve(stack, RatingServer().app()),
         engine_urls=[await serve(stack, engine.app()) for engine in engines],
         plain_url=await serve(stack, PlainServer("phrases").app()),
     )
