Record what an entry decides, and replay traces

Cause: a failure that was found in operation could not be run again.

Change: with trace_path an entry records configuration, brakes and each request without its body with its plan; rattanpier replay runs the decision code on a trace and compares with stated outcomes.

Ruled out: recording bodies (callers' content); a line of free JSON (events are typed, told apart by cattrs' tagged union).

Without trace_path one call of an empty function.

--- a/src/rattanpier/_internal/cli/operator.py
+++ b/src/rattanpier/_internal/cli/operator.py
@@ -16,6 +16,7 @@
 from rattanpier._internal.commands.billing import bills
 from rattanpier._internal.commands.demo import demo
 from rattanpier._internal.commands.explain import explain
+from rattanpier._internal.commands.replay import replay
 from rattanpier._internal.commands.result import ExitCode, Result
 
 JSON_HELP = "  json: Print JSON for programs.\n"
@@ -68,6 +69,7 @@
         "outcome": printed(config.outcome),
     },
     "explain": printed(explain),
+    "replay": printed(replay),
     "rollout": {
         "start": printed(orders.start),
         "widen": printed(orders.widen),
--- a/src/rattanpier/_internal/dispatch/runner.py
+++ b/src/rattanpier/_internal/dispatch/runner.py
@@ -60,6 +60,15 @@
 __all__ = ["Runner", "completion"]
 
 
+Observe = Callable[[RouteRequest, Plan | Refusal, Collection[str]], None]
+
+
+def observe_nothing(
+    request: RouteRequest, plan: Plan | Refusal, braked: Collection[str]
+) -> None:
+    """Takes no note of a request."""
+
+
 @attrs.define
 class Runner:
     """Answers requests for models.
@@ -70,6 +79,7 @@
       braked: Versions that peers stopped using.
       admit: May hold a request back or refuse it before it is claimed.
       policy: Says at which step to start and when to go on.
+      observe: Is told of each request and its plan, to record them.
     """
 
     configuration: Callable[[], Configuration]
@@ -83,6 +93,7 @@
     braked: Collection[str] = ()
     admit: Admit = admit_all
     policy: CascadePolicy = attrs.Factory(lambda: fixed_threshold(0.0))
+    observe: Observe = observe_nothing
 
     @property
     def attempts(self) -> Attempts:
@@ -139,6 +150,7 @@
             self.keeper.begin(attempt)
         configuration = self.configuration()
         plan = make_plan(configuration, request, self.braked)
+        self.observe(request, plan, self.braked)
         if not self.tries.current():
             plan = not_current().refusal
         elif self.tries.left_s(request) <= 0:
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -32,6 +32,7 @@
 from rattanpier._internal.programs.common import add_base, add_membership
 from rattanpier._internal.rollout.collect import Collector
 from rattanpier._internal.rollout.services import add_collector
+from rattanpier._internal.trace.record import open_recorder
 
 CLAIM_CALLS = ("claim", "settle", "lookup")
 
@@ -43,6 +44,7 @@
     members = await add_membership(kernel, settings, Role.ENTRY, "")
     claims = add_claims(kernel)
     handler = make_handler(kernel, settings, claims)
+    add_trace(kernel, settings, handler)
     services = make_service_handler(handler, settings)
     edge = Edge(
         handler, services, kernel.find("follower"), members, settings.edge
@@ -62,6 +64,19 @@
     return kernel
 
 
+def add_trace(kernel: Kernel, settings: Settings, handler: ChatHandler) -> None:
+    """Records what comes in and what is decided, if the settings say so."""
+    if not settings.trace_path:
+        return
+    recorder = open_recorder(settings.trace_path, settings.node)
+    kernel.add("trace", recorder, stop=recorder.close)
+    follower = kernel.find("follower")
+    follower.current.subscribe(
+        lambda current: recorder.note_revision(current, follower.text)
+    )
+    handler.runner.observe = recorder.note_plan
+
+
 def follow_incarnation(
     members: Members,
     claims: Claims,
--- /dev/null
+++ b/src/rattanpier/_internal/trace/record.py
@@ -0,0 +1,84 @@
+"""Records what comes in and what is decided, one event a line."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from typing import TextIO
+
+import attrs
+import structlog
+
+from rattanpier._internal.models.configuration import Configuration
+from rattanpier._internal.models.plan import Plan
+from rattanpier._internal.models.refusal import Refusal
+from rattanpier._internal.models.request import RouteRequest
+from rattanpier._internal.models.settings import NodeSettings
+from rattanpier._internal.trace.events import (
+    Braked,
+    Event,
+    Requested,
+    RevisionOffered,
+    Started,
+    encode_event,
+)
+from rattanpier._internal.trace.replay import describe_plan
+
+log = structlog.get_logger(part="trace")
+
+MAX_CHARACTERS = 256 * 2**20  # Then the recorder stops, and says so.
+
+
+@attrs.define
+class Recorder:
+    """Writes one process's trace.
+
+    Attributes:
+      file: Where to; buffered, so the last lines come with `close`.
+      written: Characters so far.
+      braked: The brakes as last recorded.
+    """
+
+    file: TextIO
+    written: int = 0
+    braked: list[str] = attrs.Factory(list)
+
+    def write(self, event: Event) -> None:
+        """Writes an event, unless the trace is as long as it may be."""
+        if self.written >= MAX_CHARACTERS:
+            return
+        line = encode_event(event) + "\n"
+        self.written += len(line)
+        self.file.write(line)
+        if self.written >= MAX_CHARACTERS:
+            log.warning("Trace is full.", characters=self.written)
+
+    def note_revision(self, configuration: Configuration, text: str) -> None:
+        """Records a revision that came into force."""
+        if configuration.revision > 0:
+            self.write(RevisionOffered(configuration.revision, text))
+
+    def note_plan(
+        self,
+        request: RouteRequest,
+        plan: Plan | Refusal,
+        braked: Collection[str],
+    ) -> None:
+        """Records a request without its body, and what was decided."""
+        versions = sorted(braked)
+        if versions != self.braked:
+            self.braked = versions
+            self.write(Braked(versions))
+        bare = attrs.evolve(request, body={}, deadline=0.0)
+        self.write(Requested(bare, describe_plan(plan)))
+
+    async def close(self) -> None:
+        """Writes what is buffered and closes the file."""
+        self.file.close()
+
+
+def open_recorder(path: str, node: NodeSettings) -> Recorder:
+    """Starts a trace; an older one at the same path is replaced."""
+    file = open(path, "w", encoding="utf-8")  # noqa: SIM115 - see close
+    recorder = Recorder(file)
+    recorder.write(Started(node))
+    return recorder
