Hold the body back when a claim grew old while connecting

Cause: the claim of a non-idempotent request was confirmed before a connection of up to 1 s; a process frozen in between sent the request long after the others took it for dead and told a repeat that it is unknown. Change: the body is also held when the claim was asked for more than 3 s ago, or the deadline has passed; the next try confirms the claim again. Ruled out: confirming again inside the write (the body's write can't wait for a peer without holding the upstream's connection open). Conclusion: what is left is a freeze within the write itself, which no sender can see; a non-idempotent claim is never granted to a second attempt then.

--- a/src/rattanpier/_internal/dispatch/tries.py
+++ b/src/rattanpier/_internal/dispatch/tries.py
@@ -42,6 +42,7 @@
 from rattanpier._internal.utils.metrics import Metrics
 
 MAX_TRIES = 3
+SEND_MARGIN_S = 3.0  # Age of a claim; confirming and connecting take 2 s.
 MAX_RESUMES = 3  # Of one run.
 
 MayServe = Callable[[str], bool]
@@ -157,6 +158,16 @@
         reason = "not_run" if error.not_run else "failed"
         self.metrics.count(f"dispatch.retry.{reason}")
 
+    def may_send(self, attempt: Attempt) -> bool:
+        """Says whether a body may be sent, however long connecting took.
+
+        A process may have been frozen since the claim was confirmed.
+        """
+        if self.left_s(attempt.request) <= 0:
+            return False
+        age = self.clock.monotonic() - attempt.asked_at
+        return attempt.request.idempotent or age <= SEND_MARGIN_S
+
     def may_retry_step(self) -> bool:
         """Says whether the next step may follow a step that failed."""
         allowed = self.budget.take()
@@ -259,7 +270,9 @@
             json.dumps(body).encode(),
             attempt.next_id(),
             self.left_s(attempt.request),
-            lambda: self.current() and may_serve(version),
+            lambda: (
+                self.current() and may_serve(version) and self.may_send(attempt)
+            ),
         )
 
 
--- a/tests/unit/test_dispatch_order.py
+++ b/tests/unit/test_dispatch_order.py
@@ -41,6 +41,29 @@
         assert part.refusal.code is RefusalCode.CLAIM_UNAVAILABLE
 
 
+@pytest.mark.parametrize("others", [False, True])
+async def test_a_process_frozen_while_connecting_sends_no_body(others):
+    async with RawUpstream() as up, bench_over(up, up) as bench:
+        calls = []
+
+        def current():
+            calls.append(bench.clock.now)
+            # Asked by the plan, before the dispatch, and before the body.
+            if len(calls) == 3:
+                bench.clock.now += 20.0
+                ask = next(iter(bench.claims.book.claims.values()))
+                if others:
+                    bench.claims.dead.add(ask.holder)
+                    repeat = Ask("desk", "k1", "entry-2/b/r2", False, "")
+                    bench.claims.decide(repeat)
+            return True
+
+        bench.runner.tries.current = current
+        part = await bench.ask(ONCE)
+        assert len(up.runs) == (0 if others else 1)
+        assert isinstance(part, Refused if others else Ended)
+
+
 async def test_a_thawed_process_whose_claim_holds_goes_on():
     async with RawUpstream() as up, bench_over(up) as bench:
         freeze(bench, 20.0, others=False)
