Test withdrawals under load, freezes, outages and session pins

Cause: nothing showed with real processes that a withdrawn version gets no new work. Found on the way: a body that was held back ended as 502 where no other worker was left; the stop is now the reason told.

--- a/src/rattanpier/_internal/dispatch/tries.py
+++ b/src/rattanpier/_internal/dispatch/tries.py
@@ -97,10 +97,11 @@
         seen: list[Chunk] = []
         failed: UpstreamError | None = None
         while True:
+            # A stop is the reason to tell, also where no worker is left.
+            await self.check_dispatch(attempt, version, may_serve)
             target = self.pick(version, tried)
             if target is None:
                 raise upstream_failed(failed) if failed else no_worker()
-            await self.check_dispatch(attempt, version, may_serve)
             tried.add(target.name)
             ran_before = attempt.may_have_run
             attempt.may_have_run = True
--- /dev/null
+++ b/tests/failure/test_withdrawal.py
@@ -0,0 +1,213 @@
+"""A withdrawn version gets no new work: real processes, counted at engines."""
+
+import asyncio
+import signal
+
+import aiohttp
+import pytest
+
+from rattanpier._internal.configuration.edit import set_fields
+from tests.lib.builders import DESK_KEY, LARGE, SMALL, configuration_text
+from tests.lib.cluster import Cluster, wait_for
+from tests.lib.operators import find_operator
+
+FLEET = "[fleet]\nvalidity_s = 2.0"
+ENTRIES = ("entry-1", "entry-2", "entry-3")
+
+
+@pytest.fixture
+async def system(tmp_path):
+    """Three entries whose rule names the small version first."""
+    async with Cluster(tmp_path) as cluster:
+        await cluster.start_table()
+        url = await cluster.start_standin(
+            "engine", "engine", "--versions", f"{SMALL}=0.9,{LARGE}=1.0"
+        )
+        text = configuration_text([url], fleet_size=3)
+        await cluster.apply(text.replace("[fleet]", FLEET))
+        await asyncio.gather(
+            cluster.start_node("control-1", "control"),
+            *(
+                cluster.start_entry(name, domain=domain)
+                for name, domain in zip(ENTRIES, "abc", strict=True)
+            ),
+        )
+        await wait_for(lambda: know_each_other(cluster))
+        yield cluster, await find_operator(cluster)
+
+
+async def know_each_other(cluster):
+    """Whether each entry knows of all entries."""
+    for entry in ENTRIES:
+        url = f"{cluster.urls[entry]}/v1/entries"
+        async with cluster.session.get(url) as response:
+            listed = (await response.json())["entries"]
+        if len(listed) < len(ENTRIES):
+            return False
+    return True
+
+
+async def ask(cluster, entry, **headers):
+    """The status and JSON body of one answer, or None if there was none."""
+    try:
+        async with cluster.session.post(
+            f"{cluster.urls[entry]}/v1/chat/completions",
+            json={
+                "model": "auto",
+                "max_tokens": 4,
+                "messages": [{"role": "user", "content": "x"}],
+            },
+            headers={"Authorization": f"Bearer {DESK_KEY}", **headers},
+            timeout=aiohttp.ClientTimeout(total=20),
+        ) as response:
+            return response.status, await response.json()
+    except aiohttp.ClientError:
+        return None
+
+
+async def runs_of(cluster, version):
+    return sum(
+        run["version"] == version for run in await cluster.runs("engine")
+    )
+
+
+class Load:
+    """Keeps asking entries; collects what they answered."""
+
+    def __init__(self, cluster, entries, per_entry=4):
+        self.answers = []
+        self.stopped = False
+        self.tasks = [
+            asyncio.create_task(self.run(cluster, entry))
+            for entry in entries
+            for _ in range(per_entry)
+        ]
+
+    async def run(self, cluster, entry):
+        while not self.stopped:
+            answer = await ask(cluster, entry)
+            self.answers.append(answer)
+            if answer is None or answer[0] != 200:
+                await asyncio.sleep(0.02)
+
+    async def stop(self):
+        self.stopped = True
+        await asyncio.gather(*self.tasks)
+
+
+async def test_no_run_starts_after_in_force_was_reported(system):
+    cluster, operator = system
+    load = Load(cluster, ENTRIES)
+    await wait_for(lambda: has_runs(cluster, 20))
+    status, report = await operator.post(f"versions/{SMALL}/withdraw")
+    started = await runs_of(cluster, SMALL)
+    assert (status, report["in_force"]) == (200, True)
+    before = len(load.answers)
+    await wait_for(lambda: has_answers(load, before + 60))
+    await load.stop()
+    assert await runs_of(cluster, SMALL) == started
+    refused = [a[1]["error"] for a in load.answers if a[0] != 200]
+    assert {error["not_run"] for error in refused} == {True}
+
+
+async def test_frozen_entry_thaws_after_a_withdrawal(system):
+    cluster, operator = system
+    frozen = cluster.processes["entry-1"]
+    await ask(cluster, "entry-1")
+    frozen.send(signal.SIGSTOP)
+    # These wait in the frozen entry's sockets and are read on thaw.
+    waiting = [asyncio.create_task(ask(cluster, "entry-1")) for _ in range(20)]
+    await asyncio.sleep(0)
+    status, report = await operator.post(f"versions/{SMALL}/withdraw")
+    started = await runs_of(cluster, SMALL)
+    assert (status, report["in_force"]) == (200, True)
+    frozen.send(signal.SIGCONT)
+    answers = await asyncio.gather(*waiting)
+    assert await runs_of(cluster, SMALL) == started
+    assert {status for status, _ in answers} == {503}
+    assert {body["error"]["not_run"] for _, body in answers} == {True}
+
+
+async def test_thawed_entry_that_no_push_reached_checks_first(system):
+    cluster, operator = system
+    frozen = cluster.processes["entry-1"]
+    await ask(cluster, "entry-1")
+    frozen.send(signal.SIGSTOP)
+    waiting = [asyncio.create_task(ask(cluster, "entry-1")) for _ in range(20)]
+    text = (await operator.get("config"))["text"]
+    text = set_fields(text, ["versions", SMALL], {"state": "withdrawn"})
+    await cluster.apply(text, revision=2)
+    await asyncio.sleep(2.5)  # The validity has run out; others have polled.
+    started = await runs_of(cluster, SMALL)
+    frozen.send(signal.SIGCONT)
+    answers = await asyncio.gather(*waiting)
+    assert await runs_of(cluster, SMALL) == started
+    assert {status for status, _ in answers} == {503}
+
+
+async def test_store_outage_stops_nobody_and_a_brake_still_acts(system):
+    cluster, operator = system
+    await cluster.set_faults("table", fault="down")
+    await asyncio.sleep(4.0)  # Longer than the validity.
+    for entry in ENTRIES:
+        assert (await ask(cluster, entry))[0] == 200
+    status, report = await operator.post(f"versions/{SMALL}/withdraw")
+    assert (status, report["outcome"]) == (503, "not_accepted")
+    assert report["braked"] == SMALL
+
+    async def braked():
+        answers = [await ask(cluster, entry) for entry in ENTRIES]
+        return all(status == 503 for status, _ in answers)
+
+    await wait_for(braked)
+    started = await runs_of(cluster, SMALL)
+    for entry in ENTRIES:
+        _, body = await ask(cluster, entry)
+        assert body["error"]["code"] == "no_version"
+    assert await runs_of(cluster, SMALL) == started
+    await cluster.set_faults("table", fault="none")
+
+    async def accepted():
+        return (await operator.post(f"versions/{SMALL}/withdraw"))[0] == 200
+
+    await wait_for(accepted)
+    assert (await operator.get("status"))["brakes"] == []
+    assert await runs_of(cluster, SMALL) == started
+
+
+async def test_withdrawal_beats_a_session_pin_and_the_caller_is_told(system):
+    cluster, operator = system
+    url = f"{cluster.urls['entry-1']}/v1/chat/completions"
+    body = {"model": "auto", "messages": [{"role": "user", "content": "x"}]}
+    headers = {"Authorization": f"Bearer {DESK_KEY}"}
+    async with cluster.session.post(
+        url, json=body, headers=headers
+    ) as response:
+        token = response.headers["X-Session-Token"]
+        assert response.headers["X-Model-Version"] == SMALL
+    text = (await operator.get("config"))["text"]
+    text = text.replace(f'steps = ["{SMALL}"]', f'steps = ["{LARGE}"]')
+    text = text.replace('model = "large"', 'model = "small"')
+    assert (await operator.post("config", text, base=1))[0] == 200
+    headers["X-Session-Token"] = token
+    url = url.replace(cluster.urls["entry-1"], cluster.urls["entry-2"])
+    async with cluster.session.post(
+        url, json=body, headers=headers
+    ) as response:
+        assert response.headers["X-Model-Version"] == SMALL
+    assert (await operator.post(f"versions/{SMALL}/withdraw"))[0] == 200
+    started = await runs_of(cluster, SMALL)
+    async with cluster.session.post(
+        url, json=body, headers=headers
+    ) as response:
+        assert response.headers["X-Model-Version"] == LARGE
+        assert response.headers["X-Session-Version-Lost"] == SMALL
+    assert await runs_of(cluster, SMALL) == started
+
+
+async def has_runs(cluster, count):
+    return len(await cluster.runs("engine")) >= count
+
+
+async def has_answers(load, count):
+    return len(load.answers) >= count
