Pin sessions that only send an id while a roll-out is open

Cause: a session without a token followed the split: as the share moves, it changes its version.

Ruled out: a row for every session at all times (a write a session without need); a pin at the claim shard (the same write, batched, but a second message per request and more to recover; see docs/design/sessions.md).

Change: SessionPins remembers versions on the entry and, while a roll-out is open, keeps a row a session, written before the answer's first byte is released. If the row can't be read and the split would give the candidate, the request is refused as not run.

--- a/src/rattanpier/_internal/edge/chat.py
+++ b/src/rattanpier/_internal/edge/chat.py
@@ -29,13 +29,18 @@
     read_body,
     route_request,
 )
+from rattanpier._internal.edge.pins import SessionPins
 from rattanpier._internal.edge.sessions import SessionTokens
-from rattanpier._internal.models.refusal import Refusal
+from rattanpier._internal.exceptions import StoreUnavailableError
+from rattanpier._internal.models.plan import Plan
+from rattanpier._internal.models.refusal import Refusal, RefusalCode
 from rattanpier._internal.models.request import RouteRequest
 from rattanpier._internal.models.settings import EdgeSettings
+from rattanpier._internal.routing.plan import make_plan
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.metrics import Metrics
 
+PIN_RETRY_S = 2.0
 DONE_EVENT = b"data: [DONE]\n\n"
 
 
@@ -46,10 +51,12 @@
     Attributes:
       runner: Answers the requests.
       tokens: Signs and reads session tokens.
+      pins: Versions of sessions without a token.
     """
 
     runner: Runner
     tokens: SessionTokens
+    pins: SessionPins
     settings: EdgeSettings
     clock: Clock
     metrics: Metrics
@@ -83,9 +90,47 @@
         pinned = self.tokens.pinned(
             workspace, request.headers.get("X-Session-Token", "")
         )
-        return route_request(
+        route = route_request(
             request, workspace, data, self.settings, self.clock, pinned
         )
+        if pinned or not route.session:
+            return route
+        return await self.with_pin(route)
+
+    async def with_pin(self, route: RouteRequest) -> RouteRequest:
+        """Returns a request with the version that its session keeps.
+
+        Raises:
+          IntakeError: It can't be found out, and the request would get the
+            candidate of a roll-out.
+        """
+        try:
+            pinned = await self.pins.find(route.workspace, route.session)
+        except StoreUnavailableError as error:
+            if self.gets_candidate(route):
+                raise IntakeError(pin_unknown()) from error
+            return route
+        return attrs.evolve(route, pinned=pinned)
+
+    def gets_candidate(self, route: RouteRequest) -> bool:
+        """Says whether a roll-out puts its candidate into a request's plan."""
+        configuration = self.runner.configuration()
+        plan = make_plan(configuration, route, self.runner.braked)
+        candidates = {
+            rollout.candidate for rollout in configuration.rollouts.values()
+        }
+        return isinstance(plan, Plan) and not candidates.isdisjoint(plan.steps)
+
+    async def keep_pin(self, route: RouteRequest, started: Started) -> Started:
+        """Pins the session of an answer that is about to be released."""
+        if not route.session:
+            return started
+        kept = await self.pins.keep(
+            route.workspace, route.session, started.version
+        )
+        if kept == started.version:
+            return started
+        return attrs.evolve(started, pin_lost=kept)
 
     def refuse(self, refusal: Refusal, request_id: str) -> web.Response:
         """Returns a refusal and counts its reason."""
@@ -119,6 +164,7 @@
         async for part in parts:
             match part:
                 case Started():
+                    part = await self.keep_pin(route, part)
                     headers = self.headers(route, request_id, part)
                 case Piece(chunk):
                     chunks.append(chunk)
@@ -152,6 +198,7 @@
                 case Waiting():
                     await write_all(response, ready)
                 case Started():
+                    part = await self.keep_pin(route, part)
                     response = event_stream(
                         self.headers(route, request_id, part)
                     )
@@ -182,6 +229,16 @@
         await response.write(data)
 
 
+def pin_unknown() -> Refusal:
+    """Returns the refusal while a session's version can't be read."""
+    return Refusal(
+        RefusalCode.NO_VERSION,
+        "The session's version can't be read now; send X-Session-Token.",
+        True,
+        PIN_RETRY_S,
+    )
+
+
 def event_stream(headers: dict[str, str]) -> web.StreamResponse:
     """Returns a response for server-sent events."""
     response = web.StreamResponse(headers=headers)
--- /dev/null
+++ b/src/rattanpier/_internal/edge/pins.py
@@ -0,0 +1,146 @@
+"""Pins of sessions whose callers send an id and no token.
+
+An entry remembers what it answered. While a roll-out is open, the version is
+also kept in the table service, one row a session, so that the session holds
+it on other entries and while the share moves. Without an open roll-out the
+split can't move a session, and nothing is written or read.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+
+import attrs
+
+from rattanpier._internal.exceptions import StoreUnavailableError
+from rattanpier._internal.models.configuration import Configuration
+from rattanpier._internal.models.outcomes import Committed, Conflict
+from rattanpier._internal.platform.table import (
+    ABSENT,
+    Check,
+    Put,
+    Table,
+    Transaction,
+)
+from rattanpier._internal.routing.plan import is_open
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.codec import decode, encode
+from rattanpier._internal.utils.hashing import sha256_hex
+from rattanpier._internal.utils.metrics import Metrics
+
+PIN_PREFIX = "pin/"
+MAX_REMEMBERED = 50_000  # Sessions; about 200 bytes each.
+
+
+@attrs.frozen
+class PinRow:
+    """The row of one session.
+
+    Attributes:
+      version: Version that the session keeps.
+      time: Seconds since the epoch at which it was pinned.
+    """
+
+    version: str
+    time: float
+
+
+def pin_key(workspace: str, session: str) -> str:
+    """Returns the key of a session's row."""
+    return f"{PIN_PREFIX}{workspace}/{sha256_hex(session)[:32]}"
+
+
+def in_rollout(configuration: Configuration) -> set[str]:
+    """Returns the versions between which an open roll-out moves traffic."""
+    return {
+        version
+        for rollout in configuration.rollouts.values()
+        if is_open(rollout)
+        for version in (rollout.stable, rollout.candidate)
+    }
+
+
+@attrs.define
+class SessionPins:
+    """Finds and keeps the versions of sessions.
+
+    Attributes:
+      configuration: Returns the configuration in force.
+      remembered: Versions by row key, the most recently used last.
+    """
+
+    table: Table
+    clock: Clock
+    metrics: Metrics
+    configuration: Callable[[], Configuration]
+    remembered: collections.OrderedDict[str, str] = attrs.Factory(
+        collections.OrderedDict
+    )
+
+    async def find(self, workspace: str, session: str) -> str:
+        """Returns the version that a session keeps, or an empty string.
+
+        Raises:
+          StoreUnavailableError: It is not remembered here, and the store did
+            not answer.
+        """
+        key = pin_key(workspace, session)
+        if key in self.remembered:
+            self.remembered.move_to_end(key)
+            return self.remembered[key]
+        if not in_rollout(self.configuration()):
+            return ""
+        self.metrics.count("sessions.pin_read")
+        return await self.read(key)
+
+    async def read(self, key: str) -> str:
+        """Returns the version in a row and remembers it."""
+        row = await self.table.get(key)
+        if row is None:
+            return ""
+        version = decode(PinRow, row.value).version
+        self.remember(key, version)
+        return version
+
+    async def keep(self, workspace: str, session: str, version: str) -> str:
+        """Pins a session; called before an answer's first byte is released.
+
+        Returns:
+          The version that the session keeps: another one if another entry
+          pinned it first.
+        """
+        key = pin_key(workspace, session)
+        if self.remembered.get(key) == version:
+            return version
+        if version not in in_rollout(self.configuration()):
+            self.remember(key, version)
+            return version
+        row = PinRow(version, self.clock.time())
+        outcome = await self.table.transact(
+            Transaction([Check(key, ABSENT)], [Put(key, encode(row))])
+        )
+        match outcome:
+            case Committed():
+                self.metrics.count("sessions.pin_written")
+            case Conflict():
+                return await self.other(key, version)
+            case _:
+                # Held by this entry alone until the store is back.
+                self.metrics.count("sessions.pin_unwritten")
+        self.remember(key, version)
+        return version
+
+    async def other(self, key: str, version: str) -> str:
+        """Returns the version that was pinned before."""
+        try:
+            return await self.read(key) or version
+        except StoreUnavailableError:
+            return version
+
+    def remember(self, key: str, version: str) -> None:
+        """Notes a session's version in this process."""
+        self.remembered[key] = version
+        self.remembered.move_to_end(key)
+        if len(self.remembered) > MAX_REMEMBERED:
+            self.remembered.popitem(last=False)
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -18,6 +18,7 @@
 from rattanpier._internal.edge.app import Edge
 from rattanpier._internal.edge.chat import ChatHandler
 from rattanpier._internal.edge.gate import Gate
+from rattanpier._internal.edge.pins import SessionPins
 from rattanpier._internal.edge.server import HttpServer
 from rattanpier._internal.edge.services import ServiceHandler
 from rattanpier._internal.edge.sessions import SessionTokens
@@ -218,7 +219,10 @@
     collector = add_collector(kernel, runner.attempts)
     pass_ratings_on(kernel, collector)
     tokens = SessionTokens(settings.secrets.session_key)
-    return ChatHandler(runner, tokens, settings.edge, clock, metrics)
+    pins = SessionPins(
+        kernel.find("table"), clock, metrics, lambda: follower.configuration
+    )
+    return ChatHandler(runner, tokens, pins, settings.edge, clock, metrics)
 
 
 def pass_ratings_on(kernel: Kernel, collector: Collector) -> None:
