--- /dev/null
+++ b/benchmarks/claims.py
@@ -0,0 +1,144 @@
+"""What a claim costs: latency, writes a second, processor time.
+
+In one process, against the table stand-in in memory with a set write time,
+so the figures show the pacing of batches and this code's own work, not a
+network.
+
+    python benchmarks/claims.py [seconds]
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from rattanpier._internal.claims.book import Ask
+from rattanpier._internal.claims.owner import ShardOwner, acquire
+from rattanpier._internal.claims.records import (
+    Answer,
+    Bill,
+    ClaimResult,
+    SettleOp,
+)
+from rattanpier._internal.models.outcomes import WriteOutcome
+from rattanpier._internal.platform.table import Transaction
+from rattanpier._internal.standin.table import MemoryTable
+from rattanpier._internal.utils.clock import SystemClock
+from rattanpier._internal.utils.metrics import Metrics
+
+RATES = (1, 50, 230)  # Claims a second of one shard.
+INTERVALS_S = (1 / 15, 0.02)  # 16 shards in 240 writes/s; 4 in 200.
+WRITE_S = 0.005
+ANSWER = "x" * 900  # About 220 tokens.
+MICROSECONDS = 1_000_000
+
+
+class SlowTable(MemoryTable):
+    """The table stand-in with a write time."""
+
+    async def transact(self, transaction: Transaction) -> WriteOutcome:
+        """Carries out a transaction after a while."""
+        await asyncio.sleep(WRITE_S)
+        return await super().transact(transaction)
+
+
+@attrs.define
+class Figures:
+    """What one run gave."""
+
+    claim: HdrHistogram
+    settle: HdrHistogram
+    batches: int = 0
+    bytes_written: int = 0
+    busy_s: float = 0.0
+
+
+async def one(owner: ShardOwner, number: int, figures: Figures) -> None:
+    """Claims and settles one request."""
+    key = f"k{number}"
+    started = time.perf_counter()
+    await owner.ask(Ask("desk", key, f"e/i/{number}", True, "d" * 64))
+    note(figures.claim, started)
+    await asyncio.sleep(0.2)
+    started = time.perf_counter()
+    await owner.settle(
+        SettleOp(
+            "desk",
+            key,
+            1,
+            ClaimResult.ANSWERED,
+            Bill("desk", key, "small@1", 100, 220, 1.0),
+            Answer(200, "application/json", ANSWER, "small@1"),
+        )
+    )
+    note(figures.settle, started)
+
+
+def note(histogram: HdrHistogram, started: float) -> None:
+    """Records a duration in microseconds."""
+    histogram.record_value(int((time.perf_counter() - started) * MICROSECONDS))
+
+
+async def run(rate: int, interval_s: float, seconds: float) -> Figures:
+    """Runs one shard at a rate."""
+    table = SlowTable()
+    obtained = await acquire(table, 0, None, "e", "i")
+    assert obtained is not None
+    lease, version = obtained
+    owner = ShardOwner(
+        shard=0,
+        lease=lease,
+        lease_version=version,
+        table=table,
+        clock=SystemClock(),
+        metrics=Metrics(),
+        alive=lambda _: True,
+        interval_s=interval_s,
+    )
+    writer = asyncio.create_task(owner.run())
+    histogram = HdrHistogram(1, 60 * MICROSECONDS, 3)
+    figures = Figures(histogram, HdrHistogram(1, 60 * MICROSECONDS, 3))
+    busy = time.process_time()
+    requests = []
+    for number in range(int(rate * seconds)):
+        requests.append(asyncio.create_task(one(owner, number, figures)))
+        await asyncio.sleep(1 / rate)
+    await asyncio.gather(*requests)
+    figures.busy_s = time.process_time() - busy
+    figures.batches = owner.next_sequence - 1
+    figures.bytes_written = sum(len(row.value) for row in table.rows.values())
+    writer.cancel()
+    return figures
+
+
+def main() -> None:
+    """Prints a table of figures."""
+    seconds = float(sys.argv[1]) if len(sys.argv) > 1 else 10.0
+    print(f"write {WRITE_S * 1000:.0f} ms, {seconds:.0f} s a run")
+    print(
+        "rate/s interval claim p50 p99 ms settle p50 p99 writes/s B/req us/req"
+    )
+    for interval_s in INTERVALS_S:
+        for rate in RATES:
+            figures = asyncio.run(run(rate, interval_s, seconds))
+            count = int(rate * seconds)
+            values = [
+                histogram.get_value_at_percentile(percentile) / 1000
+                for histogram in (figures.claim, figures.settle)
+                for percentile in (50, 99)
+            ]
+            print(
+                f"{rate:6d} {interval_s * 1000:6.0f}ms",
+                *(f"{value:8.1f}" for value in values),
+                f"{figures.batches / seconds:8.1f}",
+                f"{figures.bytes_written / count:7.0f}",
+                f"{figures.busy_s / count * MICROSECONDS:7.0f}",
+            )
+
+
+if __name__ == "__main__":
+    main()
