--- a/tests/failure/test_claims_processes.py
+++ b/tests/failure/test_claims_processes.py
@@ -6,8 +6,8 @@
 
 import aiohttp
 import pytest
-from rattanpier._internal.commands.bills import export_bills
 
+from rattanpier._internal.commands.bills import export_bills
 from tests.lib.builders import DESK_KEY, configuration_text
 from tests.lib.cluster import Cluster, wait_for
 
