--- a/src/rattanpier/_internal/membership/workers.py
+++ b/src/rattanpier/_internal/membership/workers.py
@@ -59,12 +59,14 @@
       reason: Why.
       since: When this entry learned of it.
       heard: When it last heard of it.
+      url: Where the worker was then; a new address is a new machine.
       told: When it last told others.
     """
 
     reason: Reason
     since: float
     heard: float
+    url: str
     told: float = float("-inf")
 
 
@@ -100,7 +102,7 @@
     def __contains__(self, name: object) -> bool:
         """Says whether a worker gets nothing new."""
         absence = self.absent.get(str(name))
-        if absence is None:
+        if absence is None or absence.url != self.url_of(str(name)):
             return False
         if absence.reason is Reason.LEAVING:
             return True
@@ -159,6 +161,11 @@
         pool = self.pool_of(name)
         return pool.workers[name] if pool else None
 
+    def url_of(self, name: str) -> str:
+        """Returns where a worker is by the configuration in force."""
+        worker = self.find(name)
+        return worker.url if worker else ""
+
     # Probes.
 
     async def run(self, kernel: Kernel) -> None:
@@ -247,8 +254,10 @@
         """Leaves out a worker and tells the others, now and then again."""
         now = self.clock.monotonic()
         absence = self.absent.get(name)
-        if absence is None or absence.reason is not reason:
-            absence = self.absent[name] = Absence(reason, now, now)
+        moved = absence is not None and absence.url != self.url_of(name)
+        if absence is None or absence.reason is not reason or moved:
+            url = self.url_of(name)
+            absence = self.absent[name] = Absence(reason, now, now, url)
             self.metrics.count(f"workers.absent.{reason.value}")
             log.warning("Worker gets nothing new.", worker=name, why=reason)
         absence.heard = now
@@ -296,7 +305,8 @@
                 del self.absent[body.worker]
         elif absence is None or reason is Reason.LEAVING:
             since = absence.since if absence else now
-            self.absent[body.worker] = Absence(reason, since, now, now)
+            url = self.url_of(body.worker)
+            self.absent[body.worker] = Absence(reason, since, now, url, now)
         else:
             absence.heard = now
         self.members.spread(notice)
