Keep a late leave from taking the place of a newer process

Cause: the directory's writer recorded the old, leaving incarnation of a restarted entry over the new one, and other entries took the new one for gone. Ruled out: that the writer adds no incarnation of a name that the directory has: during a cut into halves a killed process then stayed listed. Change: a leaving presence only ever follows its own incarnation, in the directory and in the roster. Conclusion: covered by a test on the controlled clock.

--- a/src/rattanpier/_internal/membership/records.py
+++ b/src/rattanpier/_internal/membership/records.py
@@ -94,7 +94,10 @@
         if presence.gone:
             if same:
                 del members[presence.member.name]
-        elif not same or presence.rank > Presence(known).rank:
+        elif known is None or (
+            # Whoever leaves never takes the place of a newer process.
+            presence.rank > Presence(known).rank if same else not presence.rank
+        ):
             members[presence.member.name] = presence.member
         applied.append(presence)
     revision = directory.revision + 1
--- a/src/rattanpier/_internal/membership/roster.py
+++ b/src/rattanpier/_internal/membership/roster.py
@@ -44,6 +44,9 @@
         known = self.known.get(member.name)
         if known is not None:
             if known.incarnation != member.incarnation:
+                if presence.rank:
+                    # Whoever leaves is older than the one that is there.
+                    return False
                 # A process that came again is not the one that was there.
                 self.remember_departed(incarnation_id(known))
             elif presence.rank < Presence(known).rank or known == member:
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -2,6 +2,11 @@
 
 import pytest
 
+from rattanpier._internal.membership.records import (
+    Directory,
+    Presence,
+    apply_presences,
+)
 from rattanpier._internal.models.member import MemberState
 from tests.lib.network import Network
 
@@ -267,3 +272,20 @@
         await fleet.stop()
     small, large = figures
     assert small == pytest.approx(large, rel=0.1)
+
+
+async def test_a_late_leaving_does_not_replace_the_new_process(network):
+    nodes = await start_fleet(network, 4)
+    old = nodes[1]
+    await old.members.leave()
+    await network.clock.advance(3)
+    leaving = Presence(old.members.me)
+    await old.kill()
+    again = await network.start("n1")
+    await network.clock.advance(DETECT_S)
+    for node in without(nodes, old):
+        assert not node.members.take(leaving)
+        assert node.members.alive(again.identity)
+    directory = Directory(1, [again.members.me])
+    changed, _ = apply_presences(directory, [leaving])
+    assert changed.members == [again.members.me]
