Let requests through to pools by fair, bounded queues

Cause: admission was there but not part of the path; a flood by one workspace reached the engines unbounded. Change: dispatch/gates.py makes it the runner's admit step; dispatch/limits.py gives each entry its part of a pool's slots, and more while first tokens come early, since callers may all come to one entry. Ruled out: a fixed part (a lone busy entry of 8 would use an eighth of a pool) and no limit (the queue forms at the engine, in order of arrival).

--- /dev/null
+++ b/src/rattanpier/_internal/dispatch/gates.py
@@ -0,0 +1,131 @@
+"""Admission as a step of the runner: pools, limits and costs from the rest."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import attrs
+
+from rattanpier._internal.dispatch.admission import Admission, Demand
+from rattanpier._internal.dispatch.attempts import (
+    AttemptOutcome,
+    AttemptResult,
+)
+from rattanpier._internal.dispatch.fairness import request_cost
+from rattanpier._internal.dispatch.limits import PoolLimit
+from rattanpier._internal.models.configuration import (
+    Configuration,
+    Upstream,
+    UpstreamKind,
+)
+from rattanpier._internal.models.plan import Plan
+from rattanpier._internal.models.refusal import Refusal
+from rattanpier._internal.models.request import RouteRequest
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.metrics import Metrics
+
+OUTPUT_MEMORY = 0.95  # Weight of the past in a workspace's mean output.
+FIRST_GUESS = 128.0  # Tokens of an answer, before any was seen.
+
+
+@attrs.define
+class Gates:
+    """Lets requests through to the pools of their plans.
+
+    Attributes:
+      configuration: Returns the configuration in force.
+      entries: Returns the number of live entries.
+      limits: What this entry may have at each pool.
+      output: Mean tokens of the answers of each workspace.
+      admission: The queues before the pools.
+    """
+
+    configuration: Callable[[], Configuration]
+    entries: Callable[[], int]
+    clock: Clock
+    metrics: Metrics
+    limits: dict[str, PoolLimit] = attrs.Factory(
+        lambda: collections.defaultdict(PoolLimit)
+    )
+    output: dict[str, float] = attrs.Factory(dict)
+    admission: Admission = attrs.field(
+        default=attrs.Factory(
+            lambda self: Admission(self.limit, self.clock, self.metrics),
+            takes_self=True,
+        )
+    )
+
+    @asynccontextmanager
+    async def admit(
+        self, request: RouteRequest, plan: Plan
+    ) -> AsyncIterator[Refusal | None]:
+        """Waits for a place before the pool of a plan's first step."""
+        configuration = self.configuration()
+        pool = find_pool(configuration, plan.steps[0]) if plan.steps else None
+        if pool is None:
+            yield None  # That no worker has the version is found out later.
+            return
+        demand = self.demand(configuration, request)
+        ticket = await self.admission.enter(pool, demand)
+        if isinstance(ticket, Refusal):
+            yield ticket
+            return
+        try:
+            yield None
+        finally:
+            self.admission.leave(ticket, demand.cost)
+
+    def demand(
+        self, configuration: Configuration, request: RouteRequest
+    ) -> Demand:
+        """Returns what a request asks of a pool."""
+        workspace = configuration.workspaces[request.workspace]
+        guess = self.output.get(request.workspace, FIRST_GUESS)
+        tokens = min(request.max_tokens, int(guess) + 1)
+        return Demand(
+            request.workspace,
+            workspace.share,
+            workspace.max_queued,
+            request_cost(request.prompt_tokens, tokens),
+            request.deadline,
+        )
+
+    def note(self, result: AttemptResult) -> None:
+        """Learns from an attempt: the pool's pace and answers' lengths."""
+        pool = find_pool(self.configuration(), result.version)
+        if pool is not None and result.first_token_s is not None:
+            self.limits[pool].note(result.first_token_s)
+        elif pool is not None:
+            self.limits[pool].note_refused()
+        if result.outcome is AttemptOutcome.WHOLE:
+            before = self.output.get(result.workspace, float(result.chunks))
+            self.output[result.workspace] = (
+                OUTPUT_MEMORY * before + (1 - OUTPUT_MEMORY) * result.chunks
+            )
+
+    def limit(self, pool: str) -> int:
+        """Returns how many requests may be at a pool."""
+        upstream = self.configuration().upstreams.get(pool)
+        slots = slots_of(upstream) if upstream else 0
+        return self.limits[pool].limit(slots, self.entries())
+
+
+def find_pool(configuration: Configuration, version: str) -> str | None:
+    """Returns the engine upstream that serves a version, or None."""
+    for name, upstream in configuration.upstreams.items():
+        if upstream.kind is UpstreamKind.ENGINE and any(
+            version in worker.versions for worker in upstream.workers.values()
+        ):
+            return name
+    return None
+
+
+def slots_of(upstream: Upstream) -> int:
+    """Returns how many requests an upstream runs at once."""
+    return sum(
+        worker.slots
+        for worker in upstream.workers.values()
+        if not worker.draining
+    )
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -11,6 +11,7 @@
 from rattanpier._internal.cascade.services import add_cascade
 from rattanpier._internal.claims.service import Claims
 from rattanpier._internal.dispatch.budget import RetryBudget
+from rattanpier._internal.dispatch.gates import Gates
 from rattanpier._internal.dispatch.keeper import ClaimKeeper
 from rattanpier._internal.dispatch.runner import Runner
 from rattanpier._internal.dispatch.service_runner import ServiceRunner
@@ -216,6 +217,7 @@
         braked=kernel.find("brakes"),
         policy=add_cascade(kernel),
     )
+    add_gates(kernel, runner)
     collector = add_collector(kernel, runner.attempts)
     pass_ratings_on(kernel, collector)
     tokens = SessionTokens(settings.secrets.session_key)
@@ -225,6 +227,21 @@
     return ChatHandler(runner, tokens, pins, settings.edge, clock, metrics)
 
 
+def add_gates(kernel: Kernel, runner: Runner) -> None:
+    """Adds admission and lets it learn from the runner's attempts."""
+    members = kernel.find("members")
+    gates = Gates(
+        runner.configuration,
+        lambda: len(members.entries()),
+        kernel.find("clock"),
+        kernel.find("metrics"),
+    )
+    runner.admit = gates.admit
+    runner.attempts.subscribe(gates.note)
+    kernel.add("gates", gates)
+    kernel.spawn(gates.admission.run())
+
+
 def pass_ratings_on(kernel: Kernel, collector: Collector) -> None:
     """Lets ratings count as evidence of roll-outs, where there are any."""
     if "ratings" not in kernel.services:
