Bring back the openai test through two entries

Cause: took test_openai_client_through_two_entries out of tests/functional/test_load.py without a word; nothing else streamed through the second entry and compared it with the whole answer.

--- a/tests/functional/test_path.py
+++ b/tests/functional/test_path.py
@@ -61,3 +61,28 @@
         answers.append(answer.choices[0].message.content)
     assert len(set(answers)) == 1
     assert len(await cluster.runs("engine")) == 1
+
+
+async def ask(cluster, entry, stream):
+    """Returns the text of an answer, streamed or whole."""
+    async with client(cluster, entry) as caller:
+        answer = await caller.chat.completions.create(
+            model="auto",
+            messages=[{"role": "user", "content": "hello"}],
+            stream=stream,
+        )
+        if not stream:
+            return answer.choices[0].message.content
+        return "".join(
+            [chunk.choices[0].delta.content async for chunk in answer]
+        )
+
+
+async def test_openai_client_streaming_and_not_through_two_entries(cluster):
+    texts = [
+        await ask(cluster, entry, stream)
+        for entry in ("entry-1", "entry-2")
+        for stream in (False, True)
+    ]
+    assert len(set(texts)) == 1
+    assert len(texts[0].split()) == 32
