Prove that a workspace runs only on what it may use

Ruled out: the check of configurations as the only guard; it refuses rules that lead to a version which is not allowed, but a pin or an entry that is behind may still ask for one. Change: tests/failure/test_allowed.py with real processes, counted at the engine; the load of test_withdrawal.py is shared from tests/lib/version_load.py.

--- /dev/null
+++ b/tests/failure/test_allowed.py
@@ -0,0 +1,138 @@
+"""A request runs only on a version that its workspace allows."""
+
+import asyncio
+import signal
+
+import pytest
+
+from rattanpier._internal.configuration.edit import set_fields
+from rattanpier._internal.utils.hashing import sha256_hex
+from tests.lib.builders import DESK_KEY, LARGE, SMALL, configuration_text
+from tests.lib.cluster import Cluster, wait_for
+from tests.lib.operators import find_operator
+from tests.lib.version_load import (
+    ENTRIES,
+    Load,
+    ask,
+    has_answers,
+    has_runs,
+    know_each_other,
+    runs_of,
+)
+
+OTHER_KEY = "other-key"
+OTHER = f"""
+[workspaces.other]
+key_sha256 = ["{sha256_hex(OTHER_KEY)}"]
+versions = ["{LARGE}"]
+"""
+RULES = f"""
+[[rules]]
+name = "desk"
+when.workspaces = ["desk"]
+then.version = "{SMALL}"
+[[rules]]
+name = "rest"
+then.version = "{LARGE}"
+"""
+
+
+@pytest.fixture
+async def system(tmp_path):
+    """Three entries; `desk` may use both versions, `other` the large one."""
+    async with Cluster(tmp_path) as cluster:
+        await cluster.start_table()
+        url = await cluster.start_standin(
+            "engine", "engine", "--versions", f"{SMALL}=1.0,{LARGE}=1.0"
+        )
+        text = configuration_text([url], fleet_size=3)
+        text = text.replace("[fleet]", "[fleet]\nvalidity_s = 2.0")
+        await cluster.apply(text[: text.index("[[rules]]")] + RULES + OTHER)
+        await asyncio.gather(
+            cluster.start_node("control-1", "control"),
+            *(
+                cluster.start_entry(name, domain=domain)
+                for name, domain in zip(ENTRIES, "abc", strict=True)
+            ),
+        )
+        await wait_for(lambda: know_each_other(cluster))
+        yield cluster, await find_operator(cluster)
+
+
+async def revoke(operator):
+    """Takes the small version from `desk`, for all nodes.
+
+    The check refuses a rule that leads to a version which is not allowed, so
+    only a pin or an entry that is behind can still ask for it.
+    """
+    text = (await operator.get("config"))["text"]
+    text = set_fields(text, ["workspaces", "desk"], {"versions": [LARGE]})
+    text = text.replace(f'version = "{SMALL}"', f'version = "{LARGE}"')
+    status, report = await operator.post("config", text, base=1)
+    assert (status, report["in_force"]) == (200, True)
+
+
+async def pinned_token(cluster):
+    """A session token that pins `desk` to the small version."""
+    async with cluster.session.post(
+        f"{cluster.urls['entry-1']}/v1/chat/completions",
+        json={
+            "model": "auto",
+            "messages": [{"role": "user", "content": "x"}],
+        },
+        headers={"Authorization": f"Bearer {DESK_KEY}"},
+    ) as response:
+        assert response.headers["X-Model-Version"] == SMALL
+        return {"X-Session-Token": response.headers["X-Session-Token"]}
+
+
+async def test_a_version_taken_from_a_workspace_runs_no_more(system):
+    cluster, operator = system
+    load = Load(cluster, ENTRIES, **await pinned_token(cluster))
+    await wait_for(lambda: has_runs(cluster, 20))
+    assert await runs_of(cluster, SMALL) > 0
+    await revoke(operator)
+    started = await runs_of(cluster, SMALL)
+    before = len(load.answers)
+    await wait_for(lambda: has_answers(load, before + 60))
+    await load.stop()
+    assert await runs_of(cluster, SMALL) == started
+    assert {status for status, _ in load.answers} == {200}
+    assert load.answers[-1][1]["model"] == LARGE
+
+
+async def test_an_entry_frozen_meanwhile_does_not_use_it(system):
+    cluster, operator = system
+    frozen = cluster.processes["entry-1"]
+    token = await pinned_token(cluster)
+    frozen.send(signal.SIGSTOP)
+    waiting = [
+        asyncio.create_task(ask(cluster, "entry-1", **token)) for _ in range(20)
+    ]
+    await asyncio.sleep(0)
+    await revoke(operator)
+    started = await runs_of(cluster, SMALL)
+    frozen.send(signal.SIGCONT)
+    await asyncio.gather(*waiting)
+    assert await runs_of(cluster, SMALL) == started
+
+
+async def test_another_workspaces_session_token_opens_nothing(system):
+    cluster, _operator = system
+    token = await pinned_token(cluster)
+    started = await runs_of(cluster, SMALL)
+    for entry in ENTRIES:
+        status, body = await ask(cluster, entry, OTHER_KEY, **token)
+        assert (status, body["model"]) == (200, LARGE)
+    assert await runs_of(cluster, SMALL) == started
+
+
+async def test_a_refused_request_is_not_tried_on_another_version(system):
+    cluster, _operator = system
+    for fault in ("refuse", "fail", "cut_before_answer"):
+        await cluster.set_faults("engine", fault=fault)
+        started = await runs_of(cluster, SMALL)
+        for entry in ENTRIES:
+            status, _ = await ask(cluster, entry, OTHER_KEY)
+            assert status >= 500
+        assert await runs_of(cluster, SMALL) == started
--- a/tests/failure/test_withdrawal.py
+++ b/tests/failure/test_withdrawal.py
@@ -3,16 +3,23 @@
 import asyncio
 import signal
 
-import aiohttp
 import pytest
 
 from rattanpier._internal.configuration.edit import set_fields
 from tests.lib.builders import DESK_KEY, LARGE, SMALL, configuration_text
 from tests.lib.cluster import Cluster, wait_for
 from tests.lib.operators import find_operator
+from tests.lib.version_load import (
+    ENTRIES,
+    Load,
+    ask,
+    has_answers,
+    has_runs,
+    know_each_other,
+    runs_of,
+)
 
 FLEET = "[fleet]\nvalidity_s = 2.0"
-ENTRIES = ("entry-1", "entry-2", "entry-3")
 
 
 @pytest.fixture
@@ -36,65 +43,6 @@
         yield cluster, await find_operator(cluster)
 
 
-async def know_each_other(cluster):
-    """Whether each entry knows of all entries."""
-    for entry in ENTRIES:
-        url = f"{cluster.urls[entry]}/v1/entries"
-        async with cluster.session.get(url) as response:
-            listed = (await response.json())["entries"]
-        if len(listed) < len(ENTRIES):
-            return False
-    return True
-
-
-async def ask(cluster, entry, **headers):
-    """The status and JSON body of one answer, or None if there was none."""
-    try:
-        async with cluster.session.post(
-            f"{cluster.urls[entry]}/v1/chat/completions",
-            json={
-                "model": "auto",
-                "max_tokens": 4,
-                "messages": [{"role": "user", "content": "x"}],
-            },
-            headers={"Authorization": f"Bearer {DESK_KEY}", **headers},
-            timeout=aiohttp.ClientTimeout(total=20),
-        ) as response:
-            return response.status, await response.json()
-    except aiohttp.ClientError:
-        return None
-
-
-async def runs_of(cluster, version):
-    return sum(
-        run["version"] == version for run in await cluster.runs("engine")
-    )
-
-
-class Load:
-    """Keeps asking entries; collects what they answered."""
-
-    def __init__(self, cluster, entries, per_entry=4):
-        self.answers = []
-        self.stopped = False
-        self.tasks = [
-            asyncio.create_task(self.run(cluster, entry))
-            for entry in entries
-            for _ in range(per_entry)
-        ]
-
-    async def run(self, cluster, entry):
-        while not self.stopped:
-            answer = await ask(cluster, entry)
-            self.answers.append(answer)
-            if answer is None or answer[0] != 200:
-                await asyncio.sleep(0.02)
-
-    async def stop(self):
-        self.stopped = True
-        await asyncio.gather(*self.tasks)
-
-
 async def test_no_run_starts_after_in_force_was_reported(system):
     cluster, operator = system
     load = Load(cluster, ENTRIES)
@@ -203,11 +151,3 @@
         assert response.headers["X-Model-Version"] == LARGE
         assert response.headers["X-Session-Version-Lost"] == SMALL
     assert await runs_of(cluster, SMALL) == started
-
-
-async def has_runs(cluster, count):
-    return len(await cluster.runs("engine")) >= count
-
-
-async def has_answers(load, count):
-    return len(load.answers) >= count
--- /dev/null
+++ b/tests/lib/version_load.py
@@ -0,0 +1,77 @@
+"""A load on entries, counted by version at the engine."""
+
+import asyncio
+
+import aiohttp
+
+from tests.lib.builders import DESK_KEY
+
+ENTRIES = ("entry-1", "entry-2", "entry-3")
+
+
+async def know_each_other(cluster):
+    """Whether each entry knows of all entries."""
+    for entry in ENTRIES:
+        url = f"{cluster.urls[entry]}/v1/entries"
+        async with cluster.session.get(url) as response:
+            listed = (await response.json())["entries"]
+        if len(listed) < len(ENTRIES):
+            return False
+    return True
+
+
+async def ask(cluster, entry, key=DESK_KEY, model="auto", **headers):
+    """The status and JSON body of one answer, or None if there was none."""
+    try:
+        async with cluster.session.post(
+            f"{cluster.urls[entry]}/v1/chat/completions",
+            json={
+                "model": model,
+                "max_tokens": 4,
+                "messages": [{"role": "user", "content": "x"}],
+            },
+            headers={"Authorization": f"Bearer {key}", **headers},
+            timeout=aiohttp.ClientTimeout(total=20),
+        ) as response:
+            return response.status, await response.json()
+    except aiohttp.ClientError:
+        return None
+
+
+async def runs_of(cluster, version):
+    return sum(
+        run["version"] == version for run in await cluster.runs("engine")
+    )
+
+
+class Load:
+    """Keeps asking entries; collects what they answered."""
+
+    def __init__(self, cluster, entries, per_entry=4, **headers):
+        self.answers = []
+        self.stopped = False
+        self.headers = headers
+        self.tasks = [
+            asyncio.create_task(self.run(cluster, entry))
+            for entry in entries
+            for _ in range(per_entry)
+        ]
+
+    async def run(self, cluster, entry):
+        while not self.stopped:
+            answer = await ask(cluster, entry, **self.headers)
+            self.answers.append(answer)
+            if answer is None or answer[0] != 200:
+                await asyncio.sleep(0.02)
+
+    async def stop(self):
+        self.stopped = True
+        await asyncio.gather(*self.tasks)
+
+
+async def has_runs(cluster, count):
+    return len(await cluster.runs("engine")) >= count
+
+
+async def has_answers(load, count):
+    return len(load.answers) >= count
