Extend the chaos run, and mend what kept it from judging

It also read bills with recover(), which no longer sees those that compaction moved to objects, and it could not kill an engine, since what it ran died with it.

Change: stand-ins write each run to a file before they run it (--run_path); bills come from the export that operators use. New faults: engines and plain services killed, plain services that fail or hang up, control processes killed and frozen, one entry parted from the store or from its peers by a TCP relay (cut or silent; peers can't reach it, it still reaches them: the relay does not know who calls). New load: calls to a plain service that may not be repeated (one in ten). An operator withdraws the version in service again and again through the control processes. New findings: a run of a withdrawn version after "in force" was reported, an answer cut by a planned stop, an answer without a run, a 503 without Retry-After. Errors inside a stream count as refusals now; a stream without end mark is a broken try. For slow requests it prints where the time went.

Ruled out: reading the engines' memory before a kill (not a kill then).

--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -26,6 +26,13 @@
 BROKEN = (aiohttp.ClientError, TimeoutError, ConnectionError, ValueError)
 
 
+class Kind(enum.StrEnum):
+    """What a caller asks for."""
+
+    CHAT = "chat"
+    ORDER = "order"  # A call to a plain service that may not be repeated.
+
+
 class Fate(enum.StrEnum):
     """What became of a request, as its caller saw it."""
 
@@ -37,11 +44,37 @@
 
 @attrs.define
 class Refused:
-    """One refusal, as seen."""
+    """One refusal, as seen.
+
+    Attributes:
+      seconds: How long the try took.
+    """
 
     request_id: str
     code: str
     not_run: bool
+    status: int = 200
+    retry_after_s: float = 0.0
+    seconds: float = 0.0
+
+
+@attrs.define
+class Broken:
+    """One try that ended without an answer.
+
+    Attributes:
+      time: When it ended, on the monotonic clock.
+      seconds: How long it took.
+    """
+
+    url: str
+    time: float
+    seconds: float
+    error: Exception
+
+
+class CutError(aiohttp.ClientPayloadError):
+    """A stream ended without its end mark and without an error."""
 
 
 @attrs.define
@@ -57,12 +90,14 @@
     key: str
     idempotent: bool
     stream: bool
+    kind: Kind = Kind.CHAT
     tries: int = 0
     fate: Fate = Fate.OPEN
     answers: list[str] = attrs.Factory(list)
     wrong: int = 0
     refusals: list[Refused] = attrs.Factory(list)
     unknown: int = 0
+    broken: list[Broken] = attrs.Factory(list)
     seconds: float = 0.0
 
 
@@ -130,22 +165,26 @@
                 sent.fate = Fate.LOST
                 break
             sent.tries += 1
-            pause = PAUSE_S
+            url = self.addresses.pick(self.rng)
+            began = time.monotonic()
+            told = len(sent.refusals)
             try:
-                pause = await self.try_once(sent)
-            except BROKEN:
+                pause = await self.try_once(sent, url)
+            except BROKEN as error:
                 pause = PAUSE_S
+                now = time.monotonic()
+                sent.broken.append(Broken(url, now, now - began, error))
+            for refused in sent.refusals[told:]:
+                refused.seconds = time.monotonic() - began
             if sent.fate is Fate.OPEN:
                 await asyncio.sleep(pause)
         sent.seconds = time.monotonic() - start
 
-    async def try_once(self, sent: Sent) -> float:
+    async def try_once(self, sent: Sent, url: str) -> float:
         """Sends a request once; returns when to come back."""
-        headers = {
-            "Authorization": f"Bearer {self.api_key}",
-            "Idempotency-Key": sent.key,
-            "X-Timeout-Ms": str(int(TRY_TIMEOUT_S * 1000)),
-        }
+        if sent.kind is Kind.ORDER:
+            return await self.order_once(sent, url)
+        headers = self.headers(sent)
         if not sent.idempotent:
             headers["X-Non-Idempotent"] = "true"
         body = {
@@ -154,7 +193,6 @@
             "max_tokens": ANSWER_TOKENS,
             "messages": [{"role": "user", "content": prompt_of(sent.key)}],
         }
-        url = self.addresses.pick(self.rng)
         async with self.session.post(
             f"{url}/v1/chat/completions",
             json=body,
@@ -162,10 +200,10 @@
             timeout=aiohttp.ClientTimeout(total=TRY_TIMEOUT_S + 5),
         ) as response:
             if response.status != 200:
-                return self.note_refusal(sent, await response.json())
+                return await self.note_refusal(sent, response)
             version = response.headers["X-Model-Version"]
             if sent.stream:
-                text = await read_stream(response)
+                text = await read_stream(sent, response)
             else:
                 answer = await response.json()
                 text = answer["choices"][0]["message"]["content"]
@@ -173,14 +211,37 @@
             self.note_answer(sent, version, text)
         return PAUSE_S
 
-    def note_refusal(self, sent: Sent, body: dict) -> float:
+    def headers(self, sent: Sent) -> dict[str, str]:
+        """Returns the headers of any request."""
+        return {
+            "Authorization": f"Bearer {self.api_key}",
+            "Idempotency-Key": sent.key,
+            "X-Timeout-Ms": str(int(TRY_TIMEOUT_S * 1000)),
+        }
+
+    async def order_once(self, sent: Sent, url: str) -> float:
+        """Sends a call to a plain service once."""
+        async with self.session.post(
+            f"{url}/services/phrases/orders",
+            data=prompt_of(sent.key),
+            headers=self.headers(sent),
+            timeout=aiohttp.ClientTimeout(total=TRY_TIMEOUT_S + 5),
+        ) as response:
+            if response.status != 200:
+                return await self.note_refusal(sent, response)
+            answer = await response.json()
+        sent.answers.append(json.dumps(answer, sort_keys=True))
+        sent.fate = Fate.WHOLE
+        if answer["body"] != prompt_of(sent.key):
+            sent.wrong += 1
+        return PAUSE_S
+
+    async def note_refusal(
+        self, sent: Sent, response: aiohttp.ClientResponse
+    ) -> float:
         """Keeps a refusal; returns when to come back."""
-        error = body["error"]
-        sent.refusals.append(
-            Refused(
-                error.get("request_id", ""), error["code"], error["not_run"]
-            )
-        )
+        error = (await response.json())["error"]
+        sent.refusals.append(refused_of(error, response.status))
         unknown = error["code"] == "outcome_unknown"
         # It may still turn out to be answered: the key is asked for again.
         sent.unknown = sent.unknown + 1 if unknown else 0
@@ -204,8 +265,25 @@
     return f"chaos {key}"
 
 
-async def read_stream(response: aiohttp.ClientResponse) -> str | None:
-    """Returns the text of a stream, or None if it is not whole."""
+def refused_of(error: dict, status: int) -> Refused:
+    """Returns a refusal from an error's body."""
+    return Refused(
+        error.get("request_id", ""),
+        error["code"],
+        error["not_run"],
+        status,
+        error.get("retry_after_s") or 0.0,
+    )
+
+
+async def read_stream(
+    sent: Sent, response: aiohttp.ClientResponse
+) -> str | None:
+    """Returns the text of a stream, or None if an error ended it.
+
+    Raises:
+      CutError: It ended without a word.
+    """
     text = []
     async for line in response.content:
         if not line.startswith(b"data:"):
@@ -215,6 +293,7 @@
             return "".join(text)
         event = json.loads(data)
         if "error" in event:
+            sent.refusals.append(refused_of(event["error"], 200))
             return None
         text.append(event["choices"][0]["delta"].get("content") or "")
-    return None
+    raise CutError("no end mark")
--- a/benchmarks/chaos.py
+++ b/benchmarks/chaos.py
@@ -13,183 +13,105 @@
 import contextlib
 import pathlib
 import random
-import signal
+import socket
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable, Iterator
 
 import aiohttp
 import attrs
 import fire
 import numpy
 
-from benchmarks.callers import (
-    Addresses,
-    Caller,
-    Fate,
-    Sent,
-    prompt_of,
-)
-from rattanpier._internal.claims.owner import recover
+from benchmarks.callers import Addresses, Caller, Fate, Kind, Sent
+from benchmarks.chaos_faults import ENGINES, SERVICES, Chaos
+from benchmarks.chaos_judge import Ran, judge
+from benchmarks.chaos_operator import ChaosOperator, make_text, skills
 from rattanpier._internal.claims.records import Batch
 from rattanpier._internal.platform.table import scan_all
 from rattanpier._internal.utils.codec import decode
-from tests.lib.builders import DESK_KEY, configuration_text
+from tests.lib.builders import DESK_KEY
 from tests.lib.cluster import Cluster
+from tests.lib.relay import Relay
 
-SKILLS = {"small@1": 0.9, "large@1": 1.0}
-VERSIONS = ",".join(f"{name}={skill}" for name, skill in SKILLS.items())
-ENGINES = 3
+VERSIONS = ",".join(f"{name}={skill}" for name, skill in skills().items())
 DOMAINS = ("a", "b", "c")
-SHARDS = 4  # As in the builder's configuration.
+CONTROLS = ["control-1", "control-2"]
 SETTLE_S = 15.0  # After the last fault, for bills held by peers.
 NON_IDEMPOTENT_SHARE = 0.2
 STREAM_SHARE = 0.5
+ORDER_SHARE = 0.1
 MAX_EXPLAINED = 10
-PAIR_SHARE = 0.3  # Of faults that come two at a time.
-MAX_FAULTS = 3  # At the same time.
-BETWEEN_FAULTS_S = (1.0, 4.0)
+SLOW_S = 10.0
+FIXED_PORTS = (20_000, 30_000)  # Below those that the system gives out.
+PEERS_HOST = "127.0.0.2"  # Where the relays before entries listen.
 
 
 @attrs.define
-class Chaos:
-    """Causes faults one after another, some in pairs."""
+class Site:
+    """Starts stand-ins and nodes, with relays before each entry.
 
-    cluster: Cluster
-    entries: list[str]
-    rng: random.Random
-    started: float = attrs.Factory(time.monotonic)
-    hit: set[str] = attrs.Factory(set)
-    table_fault: asyncio.Lock = attrs.Factory(asyncio.Lock)
-    faults: collections.Counter = attrs.Factory(collections.Counter)
-
-    def note(self, what: str) -> None:
-        """Prints a fault."""
-        self.faults[what.split()[0]] += 1
-        elapsed = time.monotonic() - self.started
-        print(f"{elapsed:7.2f}s  {what}", flush=True)
-
-    async def run(self, seconds: float) -> None:
-        """Causes faults until the time is over; heals before it returns."""
-        causes: list[Callable[[], Awaitable[None]]] = [
-            self.kill_entry,
-            self.freeze_entry,
-            self.stop_entry,
-            self.store_outage,
-            self.store_lost_answers,
-            self.cut_streams,
-            self.kill_engine_answers,
-        ]
-        running: set[asyncio.Task] = set()
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            pair = self.rng.random() < PAIR_SHARE
-            for cause in self.rng.sample(causes, 2 if pair else 1):
-                if len(running) < MAX_FAULTS:
-                    task = asyncio.create_task(cause())
-                    running.add(task)
-                    task.add_done_callback(running.discard)
-            await asyncio.sleep(self.rng.uniform(*BETWEEN_FAULTS_S))
-        await asyncio.gather(*running)
-
-    @contextlib.contextmanager
-    def pick_entry(self) -> Iterator[str]:
-        """Gives an entry that no other fault hits meanwhile."""
-        unhurt = [name for name in self.entries if name not in self.hit]
-        name = self.rng.choice(unhurt)
-        self.hit.add(name)
-        try:
-            yield name
-        finally:
-            self.hit.discard(name)
-
-    async def kill_entry(self) -> None:
-        """Kills an entry and starts it again."""
-        with self.pick_entry() as name:
-            self.note(f"kill {name}")
-            await self.cluster.processes[name].kill()
-            await asyncio.sleep(self.rng.uniform(0.5, 3.0))
-            await start_entry(self.cluster, name)
-
-    async def stop_entry(self) -> None:
-        """Stops an entry as planned and starts it again."""
-        with self.pick_entry() as name:
-            self.note(f"stop {name}")
-            await self.cluster.processes[name].stop()
-            await start_entry(self.cluster, name)
-
-    async def freeze_entry(self) -> None:
-        """Freezes an entry for some seconds."""
-        with self.pick_entry() as name:
-            seconds = self.rng.uniform(1.0, 8.0)
-            self.note(f"freeze {name} {seconds:.1f}s")
-            process = self.cluster.processes[name]
-            process.send(signal.SIGSTOP)
-            await asyncio.sleep(seconds)
-            process.send(signal.SIGCONT)
-
-    async def store_outage(self) -> None:
-        """Takes the table service away, by refusal or by silence."""
-        fault = self.rng.choice(["down", "silent"])
-        seconds = self.rng.uniform(1.0, 6.0)
-        self.note(f"outage {fault} {seconds:.1f}s")
-        async with self.table_fault:
-            await self.cluster.set_faults("table", fault=fault)
-            await asyncio.sleep(seconds)
-            await self.cluster.set_faults("table", fault="none")
-
-    async def store_lost_answers(self) -> None:
-        """Loses the answers of some writes that take effect."""
-        count = self.rng.randrange(1, 20)
-        self.note(f"lost-answers {count}")
-        async with self.table_fault:
-            await self.cluster.set_faults(
-                "table", fault="lose_answers", count=count
-            )
-            await asyncio.sleep(1.0)
-            await self.cluster.set_faults("table", fault="none")
-
-    async def cut_streams(self) -> None:
-        """Has an engine cut some streams half way."""
-        await self.engine_fault("cut")
-
-    async def kill_engine_answers(self) -> None:
-        """Has an engine run some requests and close before the answer."""
-        await self.engine_fault("cut_before_answer")
-
-    async def engine_fault(self, fault: str) -> None:
-        """Has a fault hit some requests of one engine."""
-        name = f"engine-{self.rng.randrange(ENGINES)}"
-        count = self.rng.randrange(1, 20)
-        self.note(f"{fault} {name} {count}")
-        await self.cluster.set_faults(name, fault=fault, count=count)
-        await asyncio.sleep(1.0)
-        await self.cluster.set_faults(name, fault="none")
+    Attributes:
+      ports: Of upstreams and of entries' peer ports; kept over restarts.
+    """
 
-
-@attrs.define
-class Findings:
-    """What went wrong, by kind, with the keys it went wrong for."""
-
-    found: dict[str, list[str]] = attrs.Factory(
-        lambda: collections.defaultdict(list)
-    )
-
-    def add(self, kind: str, key: str) -> None:
-        """Adds a finding."""
-        self.found[kind].append(key)
-
-    def print(self) -> None:
-        """Prints counts and some keys of each kind."""
-        for kind, keys in sorted(self.found.items()):
-            print(f"FOUND {kind}: {len(keys)}  {' '.join(keys[:5])}")
+    cluster: Cluster
+    folder: pathlib.Path
+    ports: dict[str, int] = attrs.Factory(dict)
+    table_relays: dict[str, Relay] = attrs.Factory(dict)
+    peer_relays: dict[str, Relay] = attrs.Factory(dict)
+
+    async def start(self, name: str) -> None:
+        """Starts a process, or starts it again."""
+        if name in ENGINES:
+            await self.start_upstream(name, "engine", "--versions", VERSIONS)
+        elif name in SERVICES:
+            await self.start_upstream(name, "plain", "--name", name)
+        elif name in CONTROLS:
+            await self.cluster.start_node(name, "control")
+        else:
+            await self.start_entry(name)
+
+    async def start_upstream(self, name: str, *arguments: str) -> None:
+        """Starts an upstream that notes its runs in a file."""
+        port = self.ports.setdefault(name, 0)
+        url = await self.cluster.start_standin(
+            name, *arguments, "--port", str(port), "--run_path", self.runs(name)
+        )
+        self.ports[name] = int(url.rsplit(":", 1)[1])
+
+    def runs(self, name: str) -> str:
+        """Returns the path of an upstream's run file."""
+        return str(self.folder / f"{name}.runs")
+
+    async def add_relays(self, name: str) -> None:
+        """Puts relays between an entry, the table and its peers."""
+        host, _, port = self.cluster.urls["table"][7:].partition(":")
+        relay = self.table_relays[name] = Relay(host, int(port))
+        at = await relay.start()
+        self.cluster.table_urls[name] = f"http://127.0.0.1:{at}"
+        peer_port = self.ports[name] = free_port()
+        relay = self.peer_relays[name] = Relay("127.0.0.1", peer_port)
+        await relay.start(PEERS_HOST, peer_port)
+
+    async def start_entry(self, name: str) -> None:
+        """Starts an entry in its failure domain."""
+        number = int(name.removeprefix("entry-"))
+        extra = (
+            f'[peers]\nhost = "127.0.0.1"\nport = {self.ports[name]}\n'
+            f'advertise = "{PEERS_HOST}"'
+        )
+        domain = DOMAINS[number % len(DOMAINS)]
+        await self.cluster.start_entry(name, extra, domain)
 
 
-async def start_entry(cluster: Cluster, name: str) -> None:
-    """Starts an entry in its failure domain."""
-    number = int(name.removeprefix("entry-"))
-    await cluster.start_entry(name, domain=DOMAINS[number % len(DOMAINS)])
+def free_port() -> int:
+    """Returns a port that is free now, and that no connection takes later."""
+    while True:
+        port = random.SystemRandom().randrange(*FIXED_PORTS)
+        with contextlib.suppress(OSError), socket.socket() as free:
+            free.bind(("", port))
+            return port
 
 
 async def load(
@@ -198,93 +120,108 @@
     """Sends requests at random times; returns when all are answered."""
     sent: list[Sent] = []
     tasks = []
-    end = time.monotonic() + seconds
-    while time.monotonic() < end:
-        one = Sent(
-            key=f"c-{len(sent)}",
-            idempotent=rng.random() >= NON_IDEMPOTENT_SHARE,
-            stream=rng.random() < STREAM_SHARE,
-        )
-        sent.append(one)
-        tasks.append(asyncio.create_task(caller.send(one)))
-        await asyncio.sleep(rng.expovariate(rate))
+    start = due = time.monotonic()
+    while due < start + seconds:
+        sent.append(make_request(len(sent), rng))
+        tasks.append(asyncio.create_task(caller.send(sent[-1])))
+        due += rng.expovariate(rate)
+        await asyncio.sleep(max(0.0, due - time.monotonic()))
     await asyncio.gather(*tasks)
     return sent
 
 
-async def judge(cluster: Cluster, sent: list[Sent]) -> Findings:
-    """Compares what callers saw with what ran and what was billed."""
-    findings = Findings()
-    ran: collections.Counter[str] = collections.Counter()
-    ran_ids: set[str] = set()
-    for number in range(ENGINES):
-        for run in await cluster.runs(f"engine-{number}"):
-            ran[run["prompt"]] += 1
-            ran_ids.add(run["request"].split("/")[2])
-    billed: collections.Counter[str] = collections.Counter()
-    for shard in range(SHARDS):
-        book, _ = await recover(cluster.table, shard)
-        billed.update(bill.key for bill in book.bills())
-    for one in sent:
-        judge_one(findings, one, ran, ran_ids, billed)
-    return findings
+def make_request(number: int, rng: random.Random) -> Sent:
+    """Returns one of the requests of the load."""
+    order = rng.random() < ORDER_SHARE
+    idempotent = not order and rng.random() >= NON_IDEMPOTENT_SHARE
+    stream = not order and rng.random() < STREAM_SHARE
+    kind = Kind.ORDER if order else Kind.CHAT
+    return Sent(f"c-{number}", idempotent, stream, kind)
 
 
-def judge_one(
-    findings: Findings,
-    one: Sent,
-    ran: collections.Counter[str],
-    ran_ids: set[str],
-    billed: collections.Counter[str],
-) -> None:
-    """Adds what went wrong with one request."""
-    bills = billed[one.key]
-    if one.fate is Fate.LOST:
-        findings.add("lost", one.key)
-    if one.wrong:
-        findings.add("wrong answer", one.key)
-    if len(set(one.answers)) > 1:
-        findings.add("doubled answer", one.key)
-    if not one.idempotent and ran[prompt_of(one.key)] > 1:
-        findings.add("doubled run", one.key)
-    if one.fate is Fate.WHOLE and bills != 1:
-        findings.add(f"answered, {bills} bills", one.key)
-    if one.fate is not Fate.WHOLE and bills:
-        findings.add("billed without a whole answer", one.key)
-    for refused in one.refusals:
-        if refused.not_run and refused.request_id in ran_ids:
-            findings.add("false not-run", one.key)
-
-
-def summarize(sent: list[Sent], chaos: Chaos) -> None:
+def summarize(sent: list[Sent], chaos: Chaos, operator: ChaosOperator) -> None:
     """Prints what callers saw in all."""
     fates = collections.Counter(one.fate.value for one in sent)
     codes = collections.Counter(
-        refused.code for one in sent for refused in one.refusals
+        f"{refused.code}{'' if refused.not_run else ' (may have run)'}"
+        for one in sent
+        for refused in one.refusals
+    )
+    broken = collections.Counter(
+        type(broken.error).__name__ for one in sent for broken in one.broken
     )
     tries = collections.Counter(one.tries for one in sent)
-    seconds = [one.seconds for one in sent]
+    waits = collect_waits(sent)
     print(f"requests {len(sent)}  fates {dict(fates)}")
     print(f"faults {dict(chaos.faults)}")
     print(f"refusals seen {dict(codes)}")
+    print(f"seconds in refused tries, and told to wait: {waits}")
+    print(f"broken tries {dict(broken)}")
     print(f"tries {dict(sorted(tries.items()))}")
-    for q in (50, 95, 99, 100):
-        print(f"p{q} of time to the whole answer: ", end="")
-        print(f"{numpy.percentile(seconds, q):.3f} s")
+    print(f"planned stops {len(chaos.stops)}")
+    print(
+        f"versions {operator.current} withdrawn, "
+        f"{len(operator.withdrawn)} reported in force, "
+        f"answers {dict(operator.outcomes)}"
+    )
+    print_quantiles("time to the whole answer", [one.seconds for one in sent])
+    print_quantiles("time until in force", operator.in_force_s)
+
+
+def collect_waits(sent: list[Sent]) -> str:
+    """Returns, by code, the seconds that refused tries cost callers."""
+    spent: collections.Counter[str] = collections.Counter()
+    told: collections.Counter[str] = collections.Counter()
+    for one in sent:
+        for refused in one.refusals:
+            spent[refused.code] += refused.seconds
+            told[refused.code] += refused.retry_after_s
+    return ", ".join(
+        f"{code} {spent[code]:.0f} and {told[code]:.0f}"
+        for code in sorted(spent)
+    )
+
+
+def print_quantiles(what: str, seconds: list[float]) -> None:
+    """Prints quantiles of durations."""
+    if not seconds:
+        return
+    quantiles = (
+        f"p{q} {numpy.percentile(seconds, q):.2f} s" for q in (50, 95, 99, 100)
+    )
+    print(f"{what}: {', '.join(quantiles)}")
 
 
-async def explain_lost(cluster: Cluster, sent: list[Sent]) -> None:
-    """Prints what callers of lost requests were told, and their claims."""
+async def explain(cluster: Cluster, sent: list[Sent]) -> None:
+    """Prints what callers of lost and slow requests were told."""
     lost = [one for one in sent if one.fate is Fate.LOST]
+    slow = [one for one in sent if one.seconds > SLOW_S and one not in lost]
     rows = await scan_all(cluster.table, "claims/") if lost else []
     ops = [(row.key, op) for row in rows for op in decode(Batch, row.value).ops]
     for one in lost[:MAX_EXPLAINED]:
-        told = collections.Counter(refused.code for refused in one.refusals)
-        kind = "idempotent" if one.idempotent else "non-idempotent"
-        print(f"  {one.key} {kind}, {one.tries} tries, told {dict(told)}")
+        print_request("lost", one)
         for row_key, op in ops:
             if op.key == one.key:
                 print(f"    {row_key} {op}")
+    for one in slow[:MAX_EXPLAINED]:
+        print_request("slow", one)
+
+
+def print_request(what: str, one: Sent) -> None:
+    """Prints what the caller of a request was told."""
+    told = [
+        f"{refused.code} after {refused.seconds:.1f}s, come back in "
+        f"{refused.retry_after_s:.1f}s"
+        for refused in one.refusals
+    ]
+    broken = [
+        f"{broken.error!r} after {broken.seconds:.1f}s" for broken in one.broken
+    ]
+    kind = "idempotent" if one.idempotent else "non-idempotent"
+    print(
+        f"  {what} {one.key} {one.kind.value} {kind}, {one.seconds:.1f} s, "
+        f"{one.tries} tries, {told}, {broken}"
+    )
 
 
 async def run(seconds: float, rate: float, entries: int, seed: int) -> bool:
@@ -293,33 +230,61 @@
     folder = pathlib.Path(tempfile.mkdtemp(prefix="chaos-"))
     print(f"logs in {folder}, seed {seed}")
     async with Cluster(folder) as cluster:
+        site = Site(cluster, folder)
         await cluster.start_table()
-        urls = [
-            await cluster.start_standin(
-                f"engine-{number}", "engine", "--versions", VERSIONS
-            )
-            for number in range(ENGINES)
-        ]
-        await cluster.apply(configuration_text(urls, fleet_size=entries))
+        for name in (*ENGINES, *SERVICES):
+            await site.start(name)
+        engines = [cluster.urls[name] for name in ENGINES]
+        services = [cluster.urls[name] for name in SERVICES]
+
+        def make(current: int) -> str:
+            return make_text(engines, services, entries, current)
+
+        await cluster.apply(make(0))
         names = [f"entry-{number}" for number in range(entries)]
-        await asyncio.gather(*(start_entry(cluster, name) for name in names))
-        session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
-        async with session:
+        for name in names:
+            await site.add_relays(name)
+        await asyncio.gather(*map(site.start, [*names, *CONTROLS]))
+        chaos = Chaos(
+            cluster,
+            names,
+            CONTROLS,
+            random.Random(seed + 1),
+            site.start,
+            site.table_relays,
+            site.peer_relays,
+        )
+        operator = ChaosOperator(
+            cluster, random.Random(seed + 2), make, chaos.note
+        )
+        async with aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        ) as session:
             addresses = Addresses(
                 session, lambda: [cluster.urls[name] for name in names]
             )
             refresh = asyncio.create_task(addresses.run())
-            caller = Caller(session, addresses, DESK_KEY, SKILLS, rng)
-            chaos = Chaos(cluster, names, random.Random(seed + 1))
-            _, sent = await asyncio.gather(
-                chaos.run(seconds), load(caller, rate, seconds, rng)
+            caller = Caller(session, addresses, DESK_KEY, skills(), rng)
+            start, spent = time.monotonic(), time.process_time()
+            _, _, sent = await asyncio.gather(
+                chaos.run(seconds),
+                operator.run(seconds),
+                load(caller, rate, seconds, rng),
             )
+            spent = time.process_time() - spent
+            took = time.monotonic() - start
             refresh.cancel()
+        print(f"took {took:.0f} s; load and relays used {spent / took:.2f} CPU")
         await asyncio.sleep(SETTLE_S)
-        findings = await judge(cluster, sent)
-        summarize(sent, chaos)
+        ran = Ran()
+        for name in (*ENGINES, *SERVICES):
+            ran.add_file(pathlib.Path(site.runs(name)))
+        findings = await judge(
+            cluster.table, ran, sent, operator.withdrawn, chaos.stops
+        )
+        summarize(sent, chaos, operator)
         findings.print()
-        await explain_lost(cluster, sent)
+        await explain(cluster, sent)
         return not findings.found
 
 
--- a/src/rattanpier/_internal/cli/standin.py
+++ b/src/rattanpier/_internal/cli/standin.py
@@ -17,6 +17,7 @@
     RatingBehaviour,
     RatingServer,
 )
+from rattanpier._internal.standin.runs import RunFile
 from rattanpier._internal.standin.table import TableServer
 from rattanpier._internal.standin.vms import VmServer
 from rattanpier._internal.standin.weights import DEFAULT_BYTES, WeightServer
@@ -86,6 +87,7 @@
         prefill: float = 20_000.0,
         slots: int = 16,
         checks_fencing: bool = False,
+        run_path: str = "",
     ) -> None:
         """Runs a model engine.
 
@@ -97,6 +99,7 @@
           prefill: Prompt tokens read a second.
           slots: Requests run at once.
           checks_fencing: Refuse orders with old fencing numbers.
+          run_path: File that gets a line for each run.
         """
         # fire turns a list with commas into a tuple.
         text = versions if isinstance(versions, str) else ",".join(versions)
@@ -104,14 +107,27 @@
             parse_versions(text),
             EngineSpeed(prefill, decode_s, slots),
             checks_fencing=checks_fencing,
+            run_file=RunFile(run_path),
         )
         asyncio.run(serve_app(server.app(), host, port))
 
     def plain(
-        self, name: str = "plain", host: str = "127.0.0.1", port: int = 0
+        self,
+        name: str = "plain",
+        host: str = "127.0.0.1",
+        port: int = 0,
+        run_path: str = "",
     ) -> None:
-        """Runs a plain service."""
-        asyncio.run(serve_app(PlainServer(name).app(), host, port))
+        """Runs a plain service.
+
+        Args:
+          name: Given with each answer.
+          host: IP number.
+          port: Port; 0 takes a free one.
+          run_path: File that gets a line for each call.
+        """
+        server = PlainServer(name, run_file=RunFile(run_path))
+        asyncio.run(serve_app(server.app(), host, port))
 
     def ratings(
         self,
--- a/src/rattanpier/_internal/standin/engine.py
+++ b/src/rattanpier/_internal/standin/engine.py
@@ -11,6 +11,7 @@
 import itertools
 import json
 import random
+import time
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -19,6 +20,7 @@
 
 from rattanpier._internal.models.request import estimate_tokens
 from rattanpier._internal.standin.orders import OrderDesk
+from rattanpier._internal.standin.runs import RunFile
 from rattanpier._internal.utils.codec import decode, encode
 from rattanpier._internal.utils.hashing import stable_hash
 
@@ -63,10 +65,16 @@
 
 @attrs.define
 class Run:
-    """One request as the engine ran it."""
+    """One request as the engine ran it.
+
+    Attributes:
+      started: Seconds since the epoch.
+    """
 
     request: str
     version: str
+    prompt: str = ""
+    started: float = attrs.Factory(time.time)
     chunks: int = 0
     finished: bool = False
     cancelled: bool = False
@@ -122,6 +130,7 @@
       runs: Everything it ran, in order.
       streams: Answers that can be resumed, by request id.
       checks_fencing: Whether it refuses orders with old fencing numbers.
+      run_file: Keeps the start of each run beyond a kill.
     """
 
     versions: dict[str, float]
@@ -130,6 +139,7 @@
     runs: list[Run] = attrs.Factory(list)
     streams: dict[str, Stream] = attrs.Factory(dict)
     checks_fencing: bool = False
+    run_file: RunFile = attrs.Factory(RunFile)
     waiting_swap: asyncio.Future[Stream] | None = None
     swapped: Stream | None = None
     ids: itertools.count = attrs.Factory(itertools.count)
@@ -151,8 +161,13 @@
             )
         if body["model"] not in self.versions:
             return refuse("the version is not loaded", not_run=True)
-        run = Run(request.headers.get("X-Request-Id", ""), body["model"])
+        run = Run(
+            request.headers.get("X-Request-Id", ""),
+            body["model"],
+            prompt_text(body),
+        )
         self.runs.append(run)
+        self.run_file.add(run)
         if fault is EngineFault.FAIL:
             return web.json_response({"error": "failed"}, status=500)
         if fault is EngineFault.STALL:
--- a/src/rattanpier/_internal/standin/plain.py
+++ b/src/rattanpier/_internal/standin/plain.py
@@ -14,6 +14,7 @@
     health,
     refuse,
 )
+from rattanpier._internal.standin.runs import RunFile
 from rattanpier._internal.utils.codec import decode, encode
 
 
@@ -24,6 +25,7 @@
     method: str
     path: str
     request: str
+    body: str = ""
 
 
 @attrs.define
@@ -33,6 +35,7 @@
     name: str
     faults: EngineFaults = attrs.Factory(EngineFaults)
     calls: list[PlainCall] = attrs.Factory(list)
+    run_file: RunFile = attrs.Factory(RunFile)
 
     async def serve(self, request: web.Request) -> web.Response:
         """Runs one call."""
@@ -44,13 +47,14 @@
         if fault is EngineFault.REFUSE:
             return refuse("the service is full", not_run=True)
         body = await request.text()
-        self.calls.append(
-            PlainCall(
-                request.method,
-                request.path,
-                request.headers.get("X-Request-Id", ""),
-            )
+        call = PlainCall(
+            request.method,
+            request.path,
+            request.headers.get("X-Request-Id", ""),
+            body,
         )
+        self.calls.append(call)
+        self.run_file.add(call)
         if fault is EngineFault.FAIL:
             return web.json_response({"error": "failed"}, status=500)
         if fault is EngineFault.STALL:
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -55,6 +55,7 @@
         self.folder = pathlib.Path(folder)
         self.processes = {}
         self.urls = {}
+        self.table_urls = {}  # Of nodes that reach it by a relay.
         self.session = None
         self.table = None
 
@@ -105,7 +106,7 @@
 name = "{name}"
 domain = "{domain}"
 [platform]
-table_url = "{self.urls["table"]}"
+table_url = "{self.table_urls.get(name, self.urls["table"])}"
 ratings_url = "{self.urls.get("ratings", "")}"
 [secrets]
 session_key = "test-session-key"
