Give each entry a bounded subset of a version's workers

Change: targets are found once per configuration and version; rendezvous hashing by entry name, failure domains in turn, 64 workers or as many as give each worker 32 entries. Leaving workers are asked about at each choice; a subset that is half gone is replaced.

--- a/src/rattanpier/_internal/dispatch/service_tries.py
+++ b/src/rattanpier/_internal/dispatch/service_tries.py
@@ -20,11 +20,7 @@
     UpstreamKind,
 )
 from rattanpier._internal.models.refusal import RefusalCode
-from rattanpier._internal.routing.placement import (
-    Target,
-    live_targets,
-    two_choices,
-)
+from rattanpier._internal.routing.placement import Target, two_choices
 
 
 async def try_service(
@@ -78,14 +74,9 @@
 
 def pick(tries: Tries, service: str, tried: set[str]) -> Target | None:
     """Returns the worker for the next try."""
-    upstream = tries.configuration().upstreams.get(service)
-    if upstream is None:
-        return None
-    targets = [
-        target
-        for target in live_targets(service, upstream, tries.leaving)
-        if target.name not in tried
-    ]
+    targets = tries.placement.of_service(
+        tries.configuration(), service, tries.leaving, tried
+    )
     return two_choices(targets, tries.load, tries.domain, tries.rng)
 
 
--- a/src/rattanpier/_internal/dispatch/tries.py
+++ b/src/rattanpier/_internal/dispatch/tries.py
@@ -34,8 +34,8 @@
 from rattanpier._internal.models.request import RouteRequest
 from rattanpier._internal.routing.placement import (
     Load,
+    Placement,
     Target,
-    targets_of_version,
     two_choices,
 )
 from rattanpier._internal.utils.clock import Clock
@@ -59,6 +59,7 @@
         that none is lost on a pooled connection that the upstream closed.
       configuration: Returns the configuration in force.
       confirm: Says right before a dispatch whether a claim still holds.
+      placement: The workers that this entry uses.
       leaving: Workers that get nothing new.
       on_failure: Called with a worker's name and the error of a try.
       current: Says whether the node's configuration is in force now.
@@ -75,6 +76,7 @@
     spawn: Callable[..., asyncio.Task]
     confirm: Confirm
     budget: RetryBudget
+    placement: Placement
     load: Load = attrs.Factory(Load)
     leaving: Collection[str] = ()
     on_failure: Callable[[str, Exception], None] = lambda name, error: None
@@ -185,13 +187,9 @@
 
     def pick(self, version: str, tried: set[str]) -> Target | None:
         """Returns the worker for the next try."""
-        targets = [
-            target
-            for target in targets_of_version(
-                self.configuration(), version, self.leaving
-            )
-            if target.name not in tried
-        ]
+        targets = self.placement.of_version(
+            self.configuration(), version, self.leaving, tried
+        )
         return two_choices(targets, self.load, self.domain, self.rng)
 
     def session_for(self, request: RouteRequest) -> aiohttp.ClientSession:
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -34,6 +34,7 @@
 from rattanpier._internal.programs.common import add_base, add_membership
 from rattanpier._internal.rollout.collect import Collector
 from rattanpier._internal.rollout.services import add_collector
+from rattanpier._internal.routing.placement import Placement
 from rattanpier._internal.trace.record import open_recorder
 
 CLAIM_CALLS = ("claim", "settle", "lookup")
@@ -203,6 +204,7 @@
         spawn=kernel.spawn,
         confirm=keeper.confirm,
         budget=RetryBudget(clock),
+        placement=Placement(settings.node.name),
         current=kernel.find("currency").is_current,
     )
     runner = Runner(
--- a/src/rattanpier/_internal/routing/placement.py
+++ b/src/rattanpier/_internal/routing/placement.py
@@ -1,19 +1,28 @@
-"""Which worker of a version gets a request."""
+"""Which worker of a version gets a request.
+
+An entry does not use all workers of a large pool but a subset of a bounded
+size, so that what it keeps and does for a request, and the connections that a
+worker holds, do not grow with the fleet.
+"""
 
 from __future__ import annotations
 
 import collections
+import itertools
 import random
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterable, Iterator
 
 import attrs
 
 from rattanpier._internal.models.configuration import (
     Configuration,
-    Upstream,
     UpstreamKind,
     Worker,
 )
+from rattanpier._internal.utils.hashing import rendezvous
+
+SUBSET = 64  # Workers of a version that an entry uses, if there are more.
+ENTRIES_PER_WORKER = 32  # At least so many on average; fewer load unevenly.
 
 
 @attrs.frozen
@@ -36,26 +45,163 @@
     outstanding: collections.Counter[str] = attrs.Factory(collections.Counter)
 
 
-def targets_of_version(
-    configuration: Configuration, version: str, leaving: Collection[str]
-) -> Iterator[Target]:
-    """Yields the workers that may get new work for a version."""
-    for name, upstream in configuration.upstreams.items():
-        if upstream.kind is UpstreamKind.ENGINE:
-            for target in live_targets(name, upstream, leaving):
-                if version in target.worker.versions:
-                    yield target
+@attrs.define
+class Subset:
+    """The workers of one version or service that an entry uses.
+
+    Attributes:
+      home: What the configuration in force gives.
+      spare: In use while most of `home` gets nothing new.
+      whole: True if `home` has all workers, so that there are no others.
+    """
+
+    home: list[Target]
+    spare: list[Target]
+    whole: bool
+
 
+@attrs.define
+class Placement:
+    """This entry's workers, found once for each configuration.
+
+    Attributes:
+      entry: Name of this entry, which its subsets follow from.
+      configuration: The one that the subsets were made from.
+      subsets: By version, and by service with its upstream's kind.
+    """
+
+    entry: str
+    configuration: Configuration = attrs.Factory(Configuration)
+    subsets: dict[tuple[UpstreamKind, str], Subset] = attrs.Factory(dict)
+
+    def of_version(
+        self,
+        configuration: Configuration,
+        version: str,
+        leaving: Collection[str],
+        tried: Collection[str] = (),
+    ) -> list[Target]:
+        """Returns the workers that may get new work for a version.
+
+        Args:
+          configuration: The one in force.
+          version: Name of the version.
+          leaving: Workers that get nothing new, asked at each call.
+          tried: Workers that the request was sent to before.
+        """
+        key = (UpstreamKind.ENGINE, version)
+        return self.find(configuration, key, leaving, tried)
+
+    def of_service(
+        self,
+        configuration: Configuration,
+        service: str,
+        leaving: Collection[str],
+        tried: Collection[str] = (),
+    ) -> list[Target]:
+        """Returns the workers that may get new work for a plain service."""
+        key = (UpstreamKind.PLAIN, service)
+        return self.find(configuration, key, leaving, tried)
+
+    def find(
+        self,
+        configuration: Configuration,
+        key: tuple[UpstreamKind, str],
+        leaving: Collection[str],
+        tried: Collection[str],
+    ) -> list[Target]:
+        """Returns the usable part of a subset, or of the one in its place."""
+        if configuration is not self.configuration:
+            self.configuration = configuration
+            self.subsets.clear()
+        subset = self.subsets.get(key)
+        if subset is None:
+            subset = self.subsets[key] = self.make(key)
+        enough = 1 if subset.whole else (len(subset.home) + 1) // 2
+        usable = usable_of(subset.home, leaving, tried)
+        if len(usable) >= enough or subset.whole:
+            return usable
+        usable = usable_of(subset.spare, leaving, tried)
+        if len(usable) >= enough:
+            return usable
+        everywhere = targets_of(configuration, key)
+        subset.spare = self.choose(usable_of(everywhere, leaving, tried))
+        return list(subset.spare)
+
+    def make(self, key: tuple[UpstreamKind, str]) -> Subset:
+        """Returns the subset that the configuration gives."""
+        everywhere = list(targets_of(self.configuration, key))
+        home = self.choose(everywhere)
+        return Subset(home, [], len(home) == len(everywhere))
+
+    def choose(self, targets: list[Target]) -> list[Target]:
+        """Returns this entry's part of some workers."""
+        size = subset_size(len(targets), self.configuration.fleet.size)
+        return choose_subset(self.entry, targets, size)
+
+
+def subset_size(workers: int, entries: int) -> int:
+    """Returns how many of some workers an entry uses.
+
+    Few entries before many workers have to use more, or some workers would
+    get much less than others, or nothing.
+
+    >>> subset_size(9, 8), subset_size(600, 420), subset_size(600, 60)
+    (9, 64, 320)
+    """
+    shared = -(-workers * ENTRIES_PER_WORKER // max(1, entries))
+    return min(workers, max(SUBSET, shared))
+
+
+def choose_subset(
+    entry: str, targets: Iterable[Target], size: int
+) -> list[Target]:
+    """Returns workers for an entry, from each failure domain in turn.
 
-def live_targets(
-    name: str, upstream: Upstream, leaving: Collection[str]
+    A worker that comes or goes changes the subsets of few entries only.
+    """
+    # Two pools may each have a worker of the same name.
+    by_name = {f"{target.upstream}/{target.name}": target for target in targets}
+    if len(by_name) <= size:
+        return list(by_name.values())
+    domains: dict[str, list[Target]] = {}
+    for name in rendezvous(entry, by_name):
+        target = by_name[name]
+        domains.setdefault(target.worker.domain, []).append(target)
+    turns = itertools.chain.from_iterable(
+        itertools.zip_longest(*domains.values())
+    )
+    found = (target for target in turns if target is not None)
+    return list(itertools.islice(found, size))
+
+
+def usable_of(
+    targets: Iterable[Target],
+    leaving: Collection[str],
+    tried: Collection[str],
+) -> list[Target]:
+    """Returns the workers that a request may be sent to."""
+    return [
+        target
+        for target in targets
+        if target.name not in tried and target.name not in leaving
+    ]
+
+
+def targets_of(
+    configuration: Configuration, key: tuple[UpstreamKind, str]
 ) -> Iterator[Target]:
-    """Yields the workers of an upstream that are not leaving."""
-    if upstream.draining:
-        return
-    for worker_name, worker in upstream.workers.items():
-        if not worker.draining and worker_name not in leaving:
-            yield Target(name, worker_name, worker)
+    """Yields all workers of a version or service that are not draining."""
+    kind, wanted = key
+    for name, upstream in configuration.upstreams.items():
+        if upstream.draining or upstream.kind is not kind:
+            continue
+        if kind is UpstreamKind.PLAIN and name != wanted:
+            continue
+        for worker_name, worker in upstream.workers.items():
+            serves = kind is UpstreamKind.PLAIN or wanted in worker.versions
+            if serves and not worker.draining:
+                yield Target(name, worker_name, worker)
 
 
 def two_choices(
--- a/tests/lib/dispatch.py
+++ b/tests/lib/dispatch.py
@@ -19,6 +19,7 @@
     Worker,
 )
 from rattanpier._internal.models.outcomes import ClaimOutcome, SettleOutcome
+from rattanpier._internal.routing.placement import Placement
 from rattanpier._internal.utils.metrics import Metrics
 from tests.lib.builders import LARGE, SMALL, build_configuration
 from tests.lib.clock import ManualClock
@@ -107,6 +108,7 @@
             spawn=self.spawn,
             confirm=self.keeper.confirm,
             budget=RetryBudget(self.clock),
+            placement=Placement("entry-1"),
         )
         self.runner = Runner(
             configuration=lambda: self.configuration,
--- /dev/null
+++ b/tests/unit/test_placement.py
@@ -0,0 +1,149 @@
+"""Which workers an entry uses."""
+
+import collections
+
+import attrs
+import pytest
+
+from rattanpier._internal.models.configuration import UpstreamKind
+from rattanpier._internal.routing.placement import SUBSET, Placement
+from tests.lib.builders import SMALL
+from tests.lib.pools import DOMAINS, pool_of
+
+
+class Watched(set):
+    """A set of leaving workers that counts how often it is asked."""
+
+    asked = 0
+
+    def __contains__(self, name):
+        self.asked += 1
+        return super().__contains__(name)
+
+
+def names(targets):
+    return {target.name for target in targets}
+
+
+def in_domain(configuration, *domains):
+    workers = configuration.upstreams["pool"].workers
+    return {name for name, it in workers.items() if it.domain in domains}
+
+
+def test_a_small_pool_is_used_whole():
+    found = Placement("e1").of_version(pool_of(9, 8), SMALL, ())
+    assert len(found) == 9
+
+
+@pytest.mark.parametrize("workers", [120, 600])
+def test_what_a_request_looks_at_does_not_grow_with_the_pool(workers):
+    placement = Placement("e1")
+    configuration = pool_of(workers, 420)
+    leaving = Watched()
+    found = placement.of_version(configuration, SMALL, leaving)
+    assert len(found) == SUBSET
+    assert leaving.asked == SUBSET
+    counts = collections.Counter(target.worker.domain for target in found)
+    assert counts == dict.fromkeys(DOMAINS, SUBSET // len(DOMAINS))
+
+
+@pytest.mark.parametrize(
+    ("entries", "workers"), [(2, 40), (8, 120), (60, 600), (420, 600)]
+)
+def test_no_worker_is_left_without_an_entry(entries, workers):
+    configuration = pool_of(workers, entries)
+    used = set()
+    for number in range(entries):
+        placement = Placement(f"entry-{number}")
+        used |= names(placement.of_version(configuration, SMALL, ()))
+    assert len(used) == workers
+
+
+def test_a_worker_that_leaves_is_left_out_at_once():
+    placement = Placement("e1")
+    configuration = pool_of(600, 420)
+    before = names(placement.of_version(configuration, SMALL, ()))
+    gone = set(sorted(before)[:3])
+    assert names(placement.of_version(configuration, SMALL, gone)) == (
+        before - gone
+    )
+    assert names(placement.of_version(configuration, SMALL, ())) == before
+
+
+def test_a_subset_that_is_gone_is_replaced_and_taken_up_again():
+    placement = Placement("e1")
+    configuration = pool_of(600, 420)
+    before = names(placement.of_version(configuration, SMALL, ()))
+    leaving = Watched(before)
+    spare = names(placement.of_version(configuration, SMALL, leaving))
+    assert len(spare) == SUBSET
+    assert not spare & before
+    # The replacement is kept: the pool is not searched for each request.
+    leaving.asked = 0
+    assert names(placement.of_version(configuration, SMALL, leaving)) == spare
+    assert leaving.asked == 2 * SUBSET
+    # It is replaced as well.
+    leaving |= spare
+    third = names(placement.of_version(configuration, SMALL, leaving))
+    assert len(third) == SUBSET
+    assert not third & leaving
+    assert names(placement.of_version(configuration, SMALL, ())) == before
+
+
+def test_the_last_domain_takes_over_from_three_lost_ones():
+    configuration = pool_of(600, 420)
+    lost = in_domain(configuration, "a", "b", "c")
+    found = Placement("e1").of_version(configuration, SMALL, lost)
+    assert len(found) == SUBSET
+    assert names(found) <= in_domain(configuration, "d")
+
+
+def test_one_worker_left_of_many_is_found():
+    configuration = pool_of(600, 420)
+    for left in ("w0", "w599"):
+        leaving = in_domain(configuration, *DOMAINS) - {left}
+        found = Placement("e1").of_version(configuration, SMALL, leaving)
+        assert names(found) == {left}
+
+
+def test_a_worker_that_was_tried_is_not_given_again():
+    placement = Placement("e1")
+    configuration = pool_of(600, 420)
+    tried = set()
+    for _ in range(40):
+        found = names(placement.of_version(configuration, SMALL, (), tried))
+        assert found
+        assert not found & tried
+        tried.add(min(found))
+
+
+def test_a_new_configuration_counts_at_once():
+    placement = Placement("e1")
+    configuration = pool_of(600, 420)
+    before = placement.of_version(configuration, SMALL, ())
+    pool = configuration.upstreams["pool"]
+    drained = before[0].name
+    workers = dict(pool.workers)
+    workers[drained] = attrs.evolve(workers[drained], draining=True)
+    new = attrs.evolve(
+        configuration,
+        revision=2,
+        upstreams={"pool": attrs.evolve(pool, workers=workers)},
+    )
+    found = names(placement.of_version(new, SMALL, ()))
+    assert drained not in found
+    assert len(found & names(before)) == SUBSET - 1
+    whole = attrs.evolve(
+        new, upstreams={"pool": attrs.evolve(pool, draining=True)}
+    )
+    assert not placement.of_version(whole, SMALL, ())
+
+
+def test_services_and_versions_are_kept_apart():
+    placement = Placement("e1")
+    plain = pool_of(200, 420, kind=UpstreamKind.PLAIN)
+    assert len(placement.of_service(plain, "pool", ())) == SUBSET
+    assert not placement.of_version(plain, SMALL, ())
+    engines = pool_of(200, 420)
+    assert not placement.of_service(engines, "pool", ())
+    assert not placement.of_service(engines, "other", ())
