Split the absent workers from those who find them

Ruled out: a base class for the collection; Workers hands on to it. Change: absences.py keeps the state, worker_probe.py the probe by HTTP. Run: unit/test_membership_workers, failure/test_upstream_leaving and functional/test_path pass.

--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -27,7 +27,8 @@
 from rattanpier._internal.membership.draining import DrainPhase
 from rattanpier._internal.membership.members import Members
 from rattanpier._internal.membership.records import incarnation_id
-from rattanpier._internal.membership.workers import Workers, http_probe
+from rattanpier._internal.membership.worker_probe import http_probe
+from rattanpier._internal.membership.workers import Workers
 from rattanpier._internal.models.member import Member, Role
 from rattanpier._internal.models.settings import Settings
 from rattanpier._internal.platform.vms import HttpVms
