Split the spread of a revision by job

Cause: inforce.py had 350 lines: what older nodes may go by, who was seen live, the state of a revision and its spread in one module. Ruled out: splitting InForce itself; push, judge and status share its state, and the specification's correspondence names them. Change: limits.py, sightings.py and progress.py, each with one job; the pair of time and member is an attrs class. No behaviour changes. inforce.py has 219 lines now. Run: the operator, cli, currency, allowed, withdrawal and roll-out driver tests and the specification's tests pass.

--- a/src/rattanpier/_internal/configuration/inforce.py
+++ b/src/rattanpier/_internal/configuration/inforce.py
@@ -14,110 +14,35 @@
 import structlog
 from reactivex.subject import BehaviorSubject
 
-from rattanpier._internal.configuration.currency import majority
 from rattanpier._internal.configuration.follow import Follower
-from rattanpier._internal.configuration.parse import parse_configuration
+from rattanpier._internal.configuration.limits import (
+    read_in_force,
+    read_limits,
+    write_in_force,
+)
+from rattanpier._internal.configuration.progress import Progress, Watch
+from rattanpier._internal.configuration.sightings import (
+    CLOCK_MARGIN_S,
+    Sightings,
+)
 from rattanpier._internal.configuration.spread import Spreader, member_id
 from rattanpier._internal.configuration.store import (
     Revision,
     read_revision,
 )
-from rattanpier._internal.exceptions import (
-    ConfigurationError,
-    StoreUnavailableError,
-)
+from rattanpier._internal.exceptions import StoreUnavailableError
 from rattanpier._internal.kernel import Kernel
 from rattanpier._internal.membership.members import Members
-from rattanpier._internal.models.configuration import Fleet
 from rattanpier._internal.models.member import MEMBER_PREFIX, Member, Role
-from rattanpier._internal.platform.table import (
-    Put,
-    Table,
-    Transaction,
-    scan_all,
-)
+from rattanpier._internal.platform.table import Table, scan_all
 from rattanpier._internal.utils.clock import Clock
-from rattanpier._internal.utils.codec import decode, encode
+from rattanpier._internal.utils.codec import decode
 from rattanpier._internal.utils.metrics import Metrics
 
 log = structlog.get_logger(part="config")
 
-ROUND_S = 0.25
-MARGIN_S = 0.3  # For clocks that run at slightly unlike rates.
-IN_FORCE_KEY = "config/in_force"
-MAX_LOOKBACK = 100
-
-
-@attrs.frozen
-class InForceRow:
-    """The newest revision known to be in force everywhere."""
-
-    revision: int = 0
-
-
-@attrs.frozen
-class Progress:
-    """How far a revision has come.
-
-    Attributes:
-      revision: The newest accepted revision that is being spread.
-      in_force: Whether it is in force everywhere.
-      acked: Ids of the members that have it.
-      waiting: Ids of the members that may not have it.
-    """
-
-    revision: int = 0
-    in_force: bool = False
-    acked: frozenset[str] = frozenset()
-    waiting: frozenset[str] = frozenset()
-
-
-@attrs.frozen
-class Limits:
-    """What a node on an older revision may go by.
-
-    Attributes:
-      validity_s: The longest validity of the older revisions.
-      minority: So many entries are never a majority under any of them.
-    """
-
-    validity_s: float
-    minority: int
-
-
-@attrs.define
-class Watch:
-    """One revision on its way.
-
-    Attributes:
-      revision: Its number.
-      packed: Its compressed text.
-      started: Monotonic time, after it was accepted.
-      limits: What nodes without it may go by; None until it was read.
-      expected: The members counted on, by id.
-      acked: Ids of the members that have it.
-      minority_since: Since when too few entries are without it.
-      pushing: The push under way, or None.
-      rounds: Pushes begun.
-    """
-
-    revision: int
-    packed: bytes
-    started: float
-    limits: Limits | None = None
-    expected: dict[str, Member] = attrs.Factory(dict)
-    acked: set[str] = attrs.Factory(set)
-    minority_since: float | None = None
-    pushing: asyncio.Task[None] | None = None
-    rounds: int = 0
-
-    def waiting(self) -> list[Member]:
-        """Returns the members that may not have it."""
-        return [
-            member
-            for name, member in self.expected.items()
-            if name not in self.acked
-        ]
+ROUND_S = 0.25  # Between two pushes, and between looks at the members.
+WAIT_POLL_S = ROUND_S / 5  # Between looks at the progress.
 
 
 @attrs.define
@@ -126,9 +51,10 @@
 
     Attributes:
       progress: Emits how far the newest revision has come.
-      sightings: When each member was last seen live, by id.
-      born: Monotonic time of the start of this process.
-      longest_validity_s: The longest validity that this process has seen.
+      born: Monotonic seconds at the start of this process.
+      sightings: Members seen live lately.
+      watch: The revision on its way, or None.
+      wake: Set when there is a revision to spread.
     """
 
     table: Table
@@ -141,10 +67,9 @@
     progress: BehaviorSubject[Progress] = attrs.field(
         factory=lambda: BehaviorSubject(Progress())
     )
-    sightings: dict[str, tuple[float, Member]] = attrs.Factory(dict)
+    sightings: Sightings = attrs.Factory(Sightings)
     watch: Watch | None = None
     wake: asyncio.Event = attrs.Factory(asyncio.Event)
-    longest_validity_s: float = 0.0
 
     def begin(self, revision: Revision) -> None:
         """Starts to spread an accepted revision."""
@@ -174,25 +99,10 @@
 
     def note_sightings(self) -> None:
         """Notes who is live, and forgets who was not for long enough."""
-        now = self.clock.monotonic()
-        validity = self.follower.configuration.fleet.validity_s
-        self.longest_validity_s = max(self.longest_validity_s, validity)
-        for member in self.members.live.value.values():
-            self.sightings[member_id(member)] = (now, member)
-        kept = self.memory_s()
-        self.sightings = {
-            name: (seen, member)
-            for name, (seen, member) in self.sightings.items()
-            if now - seen < kept
-        }
-
-    def memory_s(self) -> float:
-        """Returns how long a node without a row may take itself for current.
-
-        It looks for its row once per half validity, and a confirmation lasts
-        for one more; see `Follower.check_registration`.
-        """
-        return 2 * self.longest_validity_s + MARGIN_S
+        fleet = self.follower.configuration.fleet
+        self.sightings.note_validity(fleet.validity_s)
+        live = list(self.members.live.value.values())
+        self.sightings.note(live, self.clock.monotonic())
 
     async def step(self, watch: Watch) -> None:
         """Spreads a revision once and judges how far it has come."""
@@ -207,15 +117,8 @@
         if how:
             self.metrics.count(f"config.in_force.{how}")
             log.info("Revision in force everywhere.", revision=watch.revision)
-            await self.note_in_force(watch.revision)
-        self.progress.on_next(
-            Progress(
-                watch.revision,
-                bool(how),
-                frozenset(watch.acked),
-                frozenset(member_id(member) for member in watch.waiting()),
-            )
-        )
+            await write_in_force(self.table, watch.revision)
+        self.progress.on_next(watch.progress(bool(how)))
 
     async def prepare(self, watch: Watch) -> None:
         """Reads, once the revision is accepted, who has to have it.
@@ -227,33 +130,13 @@
             return
         rows = await scan_all(self.table, MEMBER_PREFIX)
         found = [decode(Member, row.value) for row in rows]
-        lately = [member for _, member in self.sightings.values()]
-        limits = await self.read_limits(watch.revision)
+        lately = self.sightings.members()
+        limits = await read_limits(self.table, watch.revision)
         watch.expected = {
             member_id(member): member for member in [*found, *lately]
         }
         watch.limits = limits
 
-    async def read_limits(self, revision: int) -> Limits:
-        """Returns what nodes on revisions before may go by.
-
-        Raises:
-          StoreUnavailableError: The store did not answer.
-        """
-        row = await self.table.get(IN_FORCE_KEY)
-        first = decode(InForceRow, row.value).revision if row else 0
-        first = max(first, revision - MAX_LOOKBACK, 1)
-        fleets = []
-        for number in range(first, revision):
-            found = await read_revision(self.table, number)
-            if found is not None:
-                fleets.append(fleet_of(found.text))
-        fleets = fleets or [Fleet()]
-        return Limits(
-            max(fleet.validity_s for fleet in fleets),
-            min(majority(fleet) for fleet in fleets) - 1,
-        )
-
     async def push(self, watch: Watch) -> None:
         """Pushes the revision, and waits for answers no longer than a round.
 
@@ -286,7 +169,7 @@
         if watch.limits is None:
             return ""
         validity = watch.limits.validity_s
-        self.longest_validity_s = max(self.longest_validity_s, validity)
+        self.sightings.note_validity(validity)
         waiting = watch.waiting()
         if not waiting and self.knows_all(watch):
             return "acked"
@@ -297,18 +180,13 @@
             return ""
         if watch.minority_since is None:
             watch.minority_since = now
-        votes_gone = now - watch.minority_since >= validity / 2 + MARGIN_S
-        expired = now - watch.started >= validity + MARGIN_S
+        votes_gone = now - watch.minority_since >= validity / 2 + CLOCK_MARGIN_S
+        expired = now - watch.started >= validity + CLOCK_MARGIN_S
         return "expired" if votes_gone and expired else ""
 
     def knows_all(self, watch: Watch) -> bool:
         """Says whether no node's row was removed unseen by this process."""
-        return watch.started - self.born >= self.memory_s()
-
-    async def note_in_force(self, revision: int) -> None:
-        """Writes down that a revision is in force; may fail harmlessly."""
-        put = Put(IN_FORCE_KEY, encode(InForceRow(revision)))
-        await self.table.transact(Transaction(puts=[put]))
+        return watch.started - self.born >= self.sightings.memory_s()
 
     async def status(self) -> Progress:
         """Returns how far the accepted revision has come.
@@ -323,8 +201,7 @@
         head = self.follower.revision
         if head == 0 or self.progress.value.revision >= head:
             return self.progress.value
-        row = await self.table.get(IN_FORCE_KEY)
-        if row is not None and decode(InForceRow, row.value).revision >= head:
+        if await read_in_force(self.table) >= head:
             return Progress(head, True)
         found = await read_revision(self.table, head)
         if found is not None:
@@ -338,13 +215,5 @@
             progress = self.progress.value
             if progress.in_force and progress.revision >= revision:
                 break
-            await self.clock.sleep(ROUND_S / 5)
+            await self.clock.sleep(WAIT_POLL_S)
         return self.progress.value
-
-
-def fleet_of(text: str) -> Fleet:
-    """Returns the fleet section of a revision; no node runs a broken one."""
-    try:
-        return parse_configuration(text).fleet
-    except ConfigurationError:
-        return Fleet()
--- a/src/rattanpier/_internal/operators/messages.py
+++ b/src/rattanpier/_internal/operators/messages.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from rattanpier._internal.configuration.inforce import Progress
+from rattanpier._internal.configuration.progress import Progress
 from rattanpier._internal.configuration.store import (
     Accepted,
     ChangeOutcome,
