Ask peers about a silent store without waiting for a second timeout

Cause: a store that is silent lets each read of the lease rows run into its timeout (2 s). A node asked its peers whether the store is down only after such a read; peers that had not noticed yet said no, and the node asked again after the next timeout. Until all agree, no new request goes on. Found by the chaos run: callers of idempotent requests told claim_unavailable for seconds into each silent outage.

Ruled out: shorter timeouts for these reads (a slow store would look down).

Change: while the rows can't be read and peers have not agreed, they are asked every 0.2 s beside the next read (three peers at most, as before).

--- a/src/rattanpier/_internal/claims/ownership.py
+++ b/src/rattanpier/_internal/claims/ownership.py
@@ -43,6 +43,7 @@
 
 log = structlog.get_logger(part="claims")
 
+ASK_PEERS_S = 0.2  # Between questions to peers until they agree.
 MAINTAIN_S = 0.5  # Between looks at the lease rows, at the least.
 LOOKS_PER_S = 200.0  # Looks at the lease rows by the whole fleet.
 REFRESH_S = 0.1  # Between reads of one lease row after a failed call.
@@ -122,7 +123,7 @@
     async def maintain(self) -> None:
         """Looks at the lease rows once and does what follows from them."""
         try:
-            await self.read_rows()
+            await self.read_while_asking()
         except StoreUnavailableError:
             await self.note_outage()
             return
@@ -138,11 +139,36 @@
 
     # The store.
 
+    async def read_while_asking(self) -> None:
+        """Reads all lease rows; asks peers meanwhile if that failed before.
+
+        A store that is silent lets each read run into its timeout. Peers
+        notice at other moments than this process, and no request goes on
+        before they agree, so they are asked more often than the rows are read.
+
+        Raises:
+          StoreUnavailableError: The rows can't be read.
+        """
+        reading = asyncio.ensure_future(self.read_rows())
+        try:
+            while not (self.reachable or self.outage.confirmed):
+                done, _ = await asyncio.wait({reading}, timeout=ASK_PEERS_S)
+                if done:
+                    break
+                await self.ask_peers()
+            await reading
+        finally:
+            reading.cancel()
+
     async def note_outage(self) -> None:
         """Notes that the store is down, and asks peers whether it is."""
         if self.reachable:
             log.warning("Lease rows can't be read.")
         self.reachable = False
+        await self.ask_peers()
+
+    async def ask_peers(self) -> None:
+        """Asks peers whether the store is down for them too."""
         await self.outage.check()
         if self.outage.confirmed:
             for owner in self.owners.values():
--- a/tests/failure/test_claims_outage.py
+++ b/tests/failure/test_claims_outage.py
@@ -155,6 +155,23 @@
     run_virtual(run())
 
 
+def test_silent_store_is_agreed_on_within_one_more_read():
+    async def run(offset):
+        fleet = FleetOfNodes(count=6)
+        await fleet.settled()
+        await asyncio.sleep(offset)
+        fleet.faults.silent = True
+        started = fleet.now()
+        while not all(n.claims.outage.confirmed for n in fleet.working()):
+            await asyncio.sleep(0.02)
+        return fleet.now() - started
+
+    # A node notices after a pause and a read that times out (2.5 s). The last
+    # one to notice may be as late; nobody waits for a second timeout.
+    waits = [run_virtual(run(0.07 * number)) for number in range(8)]
+    assert max(waits) <= 3.8
+
+
 def test_entry_that_alone_is_cut_off_gives_nothing_out():
     async def run():
         fleet = FleetOfNodes(count=4)
