Have the chaos run ask again at the end for what callers gave up

Cause: a caller that gave up after 45 s, or was told "unknown" eight times, left a request whose claim might still be answered and billed.

Change: once the faults are over, each such request is asked for again by its key. A bill without an answer is still a finding, now only if the answer can't be had; that an answer came only then is a finding of its own, and so is a planned stop that does not end. Nothing is let pass that was counted before.

--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -84,6 +84,7 @@
     Attributes:
       answers: Whole answers received; more than one text is a double.
       wrong: Whole answers that are not the request's own.
+      late: Whether its caller had given up, and asked again at the end.
       unknown: How often in a row its outcome was said to be unknown.
     """
 
@@ -99,6 +100,7 @@
     unknown: int = 0
     broken: list[Broken] = attrs.Factory(list)
     seconds: float = 0.0
+    late: bool = False
 
 
 @attrs.define
@@ -178,7 +180,16 @@
                 refused.seconds = time.monotonic() - began
             if sent.fate is Fate.OPEN:
                 await asyncio.sleep(pause)
-        sent.seconds = time.monotonic() - start
+        sent.seconds += time.monotonic() - start
+
+    async def ask_again(self, sent: Sent) -> None:
+        """Asks once more for a request that its caller had given up.
+
+        An answer that was billed has to be there for its key.
+        """
+        sent.late = True
+        sent.fate, sent.unknown = Fate.OPEN, 0
+        await self.send(sent)
 
     async def try_once(self, sent: Sent, url: str) -> float:
         """Sends a request once; returns when to come back."""
--- a/benchmarks/chaos.py
+++ b/benchmarks/chaos.py
@@ -43,6 +43,7 @@
 ORDER_SHARE = 0.1
 MAX_EXPLAINED = 10
 SLOW_S = 10.0
+ASKED_AT_ONCE = 50
 FIXED_PORTS = (20_000, 30_000)  # Below those that the system gives out.
 PEERS_HOST = "127.0.0.2"  # Where the relays before entries listen.
 
@@ -130,6 +131,14 @@
     return sent
 
 
+async def ask_for_open(caller: Caller, sent: list[Sent]) -> None:
+    """Asks again, without faults, for what is lost or unknown so far."""
+    given_up = [one for one in sent if one.fate is not Fate.WHOLE]
+    for start in range(0, len(given_up), ASKED_AT_ONCE):
+        batch = given_up[start : start + ASKED_AT_ONCE]
+        await asyncio.gather(*map(caller.ask_again, batch))
+
+
 def make_request(number: int, rng: random.Random) -> Sent:
     """Returns one of the requests of the load."""
     order = rng.random() < ORDER_SHARE
@@ -153,6 +162,8 @@
     tries = collections.Counter(one.tries for one in sent)
     waits = collect_waits(sent)
     print(f"requests {len(sent)}  fates {dict(fates)}")
+    late = collections.Counter(one.fate.value for one in sent if one.late)
+    print(f"of these, given up and asked for again {dict(late)}")
     print(f"faults {dict(chaos.faults)}")
     print(f"refusals seen {dict(codes)}")
     print(f"seconds in refused tries, and told to wait: {waits}")
@@ -273,15 +284,21 @@
             )
             spent = time.process_time() - spent
             took = time.monotonic() - start
+            print(
+                f"took {took:.0f} s; load and relays used "
+                f"{spent / took:.2f} CPU"
+            )
+            await asyncio.sleep(SETTLE_S)
+            await ask_for_open(caller, sent)
             refresh.cancel()
-        print(f"took {took:.0f} s; load and relays used {spent / took:.2f} CPU")
-        await asyncio.sleep(SETTLE_S)
         ran = Ran()
         for name in (*ENGINES, *SERVICES):
             ran.add_file(pathlib.Path(site.runs(name)))
         findings = await judge(
             cluster.table, ran, sent, operator.withdrawn, chaos.stops
         )
+        for name in chaos.endless:
+            findings.add("planned stop did not end", name)
         summarize(sent, chaos, operator)
         findings.print()
         await explain(cluster, sent)
--- a/benchmarks/chaos_faults.py
+++ b/benchmarks/chaos_faults.py
@@ -38,6 +38,7 @@
     relays: dict[str, Relay]
     peer_relays: dict[str, Relay]
     stops: list[Period] = attrs.Factory(list)
+    endless: list[str] = attrs.Factory(list)
     started: float = attrs.Factory(time.monotonic)
     hit: set[str] = attrs.Factory(set)
     table_fault: asyncio.Lock = attrs.Factory(asyncio.Lock)
@@ -103,9 +104,12 @@
         with self.pick(self.entries) as name:
             self.note(f"stop {name}")
             url, start = self.cluster.urls[name], time.monotonic()
-            await self.cluster.processes[name].stop()
+            ended = await self.cluster.processes[name].stop()
             end = time.monotonic()
-            self.stops.append(Period(url, start, end + AFTER_STOP_S))
+            if ended:
+                self.stops.append(Period(url, start, end + AFTER_STOP_S))
+            else:
+                self.endless.append(name)  # Killed, which may cut answers.
             self.note(f"stopped {name} after {end - start:.1f}s")
             await self.start_node(name)
 
--- a/benchmarks/chaos_judge.py
+++ b/benchmarks/chaos_judge.py
@@ -112,6 +112,8 @@
     """Adds what went wrong with one request."""
     if one.fate is Fate.LOST:
         findings.add("lost", one.key)
+    if one.late and one.fate is Fate.WHOLE:
+        findings.add("answered only when asked again at the end", one.key)
     if one.wrong:
         findings.add("wrong answer", one.key)
     if len(set(one.answers)) > 1:
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -18,6 +18,7 @@
 SOURCE = str(pathlib.Path(rattanpier.__file__).parents[1])
 CLI = "rattanpier._internal.cli"
 START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 60.0
 
 
 class Process:
@@ -36,13 +37,15 @@
         await self.process.wait()
 
     async def stop(self):
-        """A planned stop; an entry drains first."""
+        """A planned stop; an entry drains first. False if it was killed."""
         self.send(signal.SIGCONT)
         self.send(signal.SIGTERM)
         try:
-            await asyncio.wait_for(self.process.wait(), 60)
+            await asyncio.wait_for(self.process.wait(), STOP_TIMEOUT_S)
         except TimeoutError:
             await self.kill()
+            return False
+        return True
 
     def log(self):
         return pathlib.Path(self.log_path).read_text()
--- a/tests/unit/test_chaos_judge.py
+++ b/tests/unit/test_chaos_judge.py
@@ -55,6 +55,7 @@
         ({}, 2, {"answered, 2 bills"}),
         ({"fate": Fate.UNKNOWN}, 1, {"billed without a whole answer"}),
         ({"fate": Fate.LOST}, 0, {"lost"}),
+        ({"late": True}, 1, {"answered only when asked again at the end"}),
         ({"wrong": 1}, 1, {"wrong answer"}),
         ({"answers": ["a", "b"]}, 1, {"doubled answer"}),
         ({"key": "c-2"}, 1, {"answered without a run"}),
