Stop taking chance for a change of a version

The sum of standardised shortfalls has no stated rate of false alarms.

Change: the sum is that of log likelihood ratios against a version 1.0 log-odds worse; a false alarm comes at most once in exp(9) = 8,100 ratings on average if beliefs are right.

--- a/src/rattanpier/_internal/cascade/beliefs.py
+++ b/src/rattanpier/_internal/cascade/beliefs.py
@@ -22,9 +22,12 @@
 OWN_MEMORY_S = 24 * 3600.0
 AGE_STEP_S = 30.0  # Beliefs are aged in steps, not on each look.
 
-# A running sum of surprise (standard deviations); see Change.
-CHANGE_SLACK = 0.35
-CHANGE_LIMIT = 7.0
+# How much likelier ratings have to be if a version turned worse; see Change.
+# Where beliefs are right, a false alarm takes exp(limit) ratings on average, or
+# more.
+CHANGE_ODDS = 1.0  # Log-odds that a version that turned worse has lost.
+CHANGE_LIMIT = 9.0
+LEAST_RISK = 0.05  # No rating is as sure as beliefs may be: some are wrong.
 
 CONFIDENCE_PRIOR = 0.8
 ESCALATED_PRIOR = -0.4
@@ -121,22 +124,24 @@
     """Notices that answers are rated worse than expected.
 
     Attributes:
-      surprise: Sum of standardised shortfalls above the slack.
+      evidence: Logarithm of how much likelier the latest ratings are if the
+        version turned worse than if it did not; never below 0.
       alarms: Changes noticed.
     """
 
-    surprise: float = 0.0
+    evidence: float = 0.0
     alarms: int = 0
 
 
 def note_surprise(change: Change, expected: float, good: bool) -> bool:
     """Takes in a rating; says whether a change has to be assumed."""
-    deviation = math.sqrt(expected * (1 - expected) + 0.02)
-    shortfall = (expected - good) / deviation
-    change.surprise = max(0.0, change.surprise + shortfall - CHANGE_SLACK)
-    if change.surprise <= CHANGE_LIMIT:
+    usual = min(1 - LEAST_RISK, max(LEAST_RISK, expected))
+    worse = float(sigmoid(logit(usual) - CHANGE_ODDS))
+    ratio = worse / usual if good else (1 - worse) / (1 - usual)
+    change.evidence = max(0.0, change.evidence + math.log(ratio))
+    if change.evidence <= CHANGE_LIMIT:
         return False
-    change.surprise = 0.0
+    change.evidence = 0.0
     change.alarms += 1
     return True
 
--- /dev/null
+++ b/tests/unit/test_cascade_change.py
@@ -0,0 +1,42 @@
+"""What is taken for a change of a version."""
+
+import math
+import random
+
+import pytest
+
+from rattanpier._internal.cascade.beliefs import (
+    CHANGE_LIMIT,
+    Change,
+    note_surprise,
+)
+
+EXPECTED = (0.6, 0.8, 0.9, 0.95, 0.98)
+WRONG_RATINGS = 0.02  # As in benchmarks.workloads.
+
+
+def alarms(count, share_of_good, seed):
+    """Returns the alarms of ratings whose version is as good as given."""
+    rng = random.Random(seed)
+    change = Change()
+    for _ in range(count):
+        expected = rng.choice(EXPECTED)
+        good = rng.random() < share_of_good(expected)
+        good ^= rng.random() < WRONG_RATINGS
+        note_surprise(change, expected, good)
+    return change.alarms
+
+
+def test_takes_chance_for_a_change_no_oftener_than_promised():
+    runs, count = 20, 3000
+    found = sum(alarms(count, lambda share: share, n) for n in range(runs))
+    assert found <= runs * count / math.exp(CHANGE_LIMIT)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_notices_a_fall_within_the_ratings_of_an_hour(seed):
+    def fallen(expected):
+        odds = expected / (1 - expected) / 4.5  # 1.5 log-odds worse.
+        return odds / (1 + odds)
+
+    assert alarms(120, fallen, seed) >= 1
