Expect workspaces to differ in level rather than by class

Cause: a workspace's own deviation was allowed 0.25 log-odds for every class and 0.1 for length and confidence. That doubt is paid for by each workspace, and thirty ratings an hour hardly lower it.

Change: 0.35 for the level, 0.1 for classes, 0.05 for the rest.

--- a/src/rattanpier/_internal/cascade/beliefs.py
+++ b/src/rattanpier/_internal/cascade/beliefs.py
@@ -69,7 +69,7 @@
 
 
 SHARED_VARIANCE = prior_deviation(0.4, 0.4, 0.7, 0.8)
-OWN_VARIANCE = prior_deviation(0.25, 0.1, 0.25, 0.1)
+OWN_VARIANCE = prior_deviation(0.35, 0.05, 0.1, 0.05)
 
 
 @attrs.define
