Find a pool and its slots once per configuration

Ruled out: counting slots of the entry's subset alone (the limit is on the pool as a whole).

Change: dispatch/pools.py indexes a configuration once; Gates keeps the index of the one in force.

The test that counts looks at the workers fails on the old code; the other four of the new tests ask for the index and can't run there.

--- a/benchmarks/placement_cost.py
+++ b/benchmarks/placement_cost.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
 import heapq
 import random
@@ -19,10 +20,12 @@
 import attrs
 import fire
 
+from rattanpier._internal.dispatch.gates import Gates
 from rattanpier._internal.models.configuration import (
     Configuration,
     UpstreamKind,
 )
+from rattanpier._internal.models.plan import Plan
 from rattanpier._internal.routing.placement import (
     Load,
     Placement,
@@ -31,7 +34,9 @@
     targets_of,
     two_choices,
 )
-from tests.lib.builders import SMALL
+from rattanpier._internal.utils.clock import SystemClock
+from rattanpier._internal.utils.metrics import Metrics
+from tests.lib.builders import SMALL, build_request
 from tests.lib.pools import DOMAINS, pool_of
 
 ENTRIES = 420
@@ -81,6 +86,23 @@
     return cost_us(change, calls)
 
 
+def admission_us(workers: int, calls: int = 300) -> float:
+    """Returns the cost of being let through to a pool."""
+    configuration = pool_of(workers, 1)
+    gates = Gates(lambda: configuration, lambda: 1, SystemClock(), Metrics())
+    request = build_request(deadline=float("inf"))
+    plan = Plan("all", [SMALL])
+
+    async def pass_all() -> float:
+        started = time.process_time()
+        for _ in range(calls):
+            async with gates.admit(request, plan):
+                pass
+        return time.process_time() - started
+
+    return 1e6 * min(asyncio.run(pass_all()) for _ in range(5)) / calls
+
+
 def cost_us(work, calls: int) -> float:
     """Returns the processor time of a call and a choice among its targets."""
     load, rng = Load(), random.Random(1)
@@ -169,11 +191,12 @@
     Args:
       seconds: Simulated seconds of arrivals that count.
     """
-    print("processor time (us) | all listed | subset | first after a change")
+    print("us of processor | all listed | subset | first | admission")
     for workers in POOLS:
         print(
-            f"{workers:4} workers        | {listing_us(workers):10.1f} |"
+            f"{workers:4} workers    | {listing_us(workers):10.1f} |"
             f" {choice_us(workers):6.1f} | {revision_us(workers):8.1f}"
+            f" | {admission_us(workers):6.1f}"
         )
     print(
         f"{ENTRIES} entries, {WORKERS} workers, {RATE:g} requests/s of"
--- a/src/rattanpier/_internal/dispatch/gates.py
+++ b/src/rattanpier/_internal/dispatch/gates.py
@@ -15,11 +15,8 @@
 )
 from rattanpier._internal.dispatch.fairness import request_cost
 from rattanpier._internal.dispatch.limits import PoolLimit
-from rattanpier._internal.models.configuration import (
-    Configuration,
-    Upstream,
-    UpstreamKind,
-)
+from rattanpier._internal.dispatch.pools import PoolIndex, index_pools
+from rattanpier._internal.models.configuration import Configuration
 from rattanpier._internal.models.plan import Plan
 from rattanpier._internal.models.refusal import Refusal
 from rattanpier._internal.models.request import RouteRequest
@@ -40,6 +37,7 @@
       limits: What this entry may have at each pool.
       output: Mean tokens of the answers of each workspace.
       admission: The queues before the pools.
+      index: Pools of the configuration that was in force last.
     """
 
     configuration: Callable[[], Configuration]
@@ -56,6 +54,7 @@
             takes_self=True,
         )
     )
+    index: PoolIndex = attrs.Factory(lambda: index_pools(Configuration()))
 
     @asynccontextmanager
     async def admit(
@@ -63,7 +62,8 @@
     ) -> AsyncIterator[Refusal | None]:
         """Waits for a place before the pool of a plan's first step."""
         configuration = self.configuration()
-        pool = find_pool(configuration, plan.steps[0]) if plan.steps else None
+        by_version = self.pools().by_version
+        pool = by_version.get(plan.steps[0]) if plan.steps else None
         if pool is None:
             yield None  # That no worker has the version is found out later.
             return
@@ -94,7 +94,7 @@
 
     def note(self, result: AttemptResult) -> None:
         """Learns from an attempt: the pool's pace and answers' lengths."""
-        pool = find_pool(self.configuration(), result.version)
+        pool = self.pools().by_version.get(result.version)
         if pool is not None and result.first_token_s is not None:
             self.limits[pool].note(result.first_token_s)
         elif pool is not None:
@@ -107,25 +107,12 @@
 
     def limit(self, pool: str) -> int:
         """Returns how many requests may be at a pool."""
-        upstream = self.configuration().upstreams.get(pool)
-        slots = slots_of(upstream) if upstream else 0
+        slots = self.pools().slots.get(pool, 0)
         return self.limits[pool].limit(slots, self.entries())
 
-
-def find_pool(configuration: Configuration, version: str) -> str | None:
-    """Returns the engine upstream that serves a version, or None."""
-    for name, upstream in configuration.upstreams.items():
-        if upstream.kind is UpstreamKind.ENGINE and any(
-            version in worker.versions for worker in upstream.workers.values()
-        ):
-            return name
-    return None
-
-
-def slots_of(upstream: Upstream) -> int:
-    """Returns how many requests an upstream runs at once."""
-    return sum(
-        worker.slots
-        for worker in upstream.workers.values()
-        if not worker.draining
-    )
+    def pools(self) -> PoolIndex:
+        """Returns the pools of the configuration in force."""
+        configuration = self.configuration()
+        if configuration is not self.index.configuration:
+            self.index = index_pools(configuration)
+        return self.index
--- /dev/null
+++ b/tests/unit/test_gates.py
@@ -0,0 +1,72 @@
+"""Admission at pools of any size."""
+
+import attrs
+import pytest
+
+from rattanpier._internal.dispatch.gates import Gates
+from rattanpier._internal.models.plan import Plan
+from rattanpier._internal.utils.metrics import Metrics
+from tests.lib.builders import SMALL, build_request
+from tests.lib.clock import ManualClock
+from tests.lib.pools import pool_of
+
+
+class Watched(dict):
+    """Workers that count how often all are looked at."""
+
+    looks = 0
+
+    def values(self):
+        self.looks += 1
+        return super().values()
+
+
+def with_workers(configuration, workers):
+    pool = attrs.evolve(configuration.upstreams["pool"], workers=workers)
+    return attrs.evolve(configuration, upstreams={"pool": pool})
+
+
+def gates_over(current):
+    return Gates(lambda: current[0], lambda: 1, ManualClock(), Metrics())
+
+
+async def admit(gates, request):
+    plan = Plan("all", [SMALL])
+    async with gates.admit(request, plan) as refusal:
+        assert refusal is None
+
+
+async def test_requests_do_not_look_at_all_workers():
+    configuration = pool_of(600, 1)
+    workers = Watched(configuration.upstreams["pool"].workers)
+    gates = gates_over([with_workers(configuration, workers)])
+    request = build_request(deadline=60.0)
+    for _ in range(20):
+        await admit(gates, request)
+    assert workers.looks == 1
+
+
+@pytest.mark.parametrize("left", [0, 1, 5])
+async def test_a_drained_worker_counts_no_more_at_once(left):
+    current = [pool_of(20, 1)]
+    gates = gates_over(current)
+    before = gates.limit("pool")
+    workers = {
+        name: attrs.evolve(worker, draining=number >= left)
+        for number, (name, worker) in enumerate(
+            current[0].upstreams["pool"].workers.items()
+        )
+    }
+    current[0] = with_workers(current[0], workers)
+    assert gates.pools().slots["pool"] == 16 * left
+    assert gates.limit("pool") < before
+
+
+async def test_a_version_that_moved_is_found_at_its_new_pool():
+    current = [pool_of(4, 1)]
+    gates = gates_over(current)
+    assert gates.pools().by_version[SMALL] == "pool"
+    pool = current[0].upstreams["pool"]
+    current[0] = attrs.evolve(current[0], upstreams={"other": pool})
+    assert gates.pools().by_version[SMALL] == "other"
+    assert gates.limit("pool") <= gates.limit("other")
