Share module clusters between tests and start entries beside each other

Cause: xdist dealt the tests of one module to all workers, so that each worker started the module's cluster again, and entries started one after the other: setups of 8 to 12 s in a run of the whole suite (681 passed in 262 s, on a machine with a load average of 22 to 28 on 12 cores). Change: `--dist loadgroup`, with a group for each module that has a shared cluster; fixtures start their entries together. The hook that passes over known-red tests runs before xdist adds the group to a test's name. Ruled out: `--dist loadscope` for all, which would put the long modules of single tests on one worker. Conclusion: no case was cut and no check changed; test_drain, test_whole_answers, test_not_run, test_path and test_known_red pass (60 passed; setups of 5.4 to 6.6 s under a load of 22).

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,8 @@
 	$(BIN)/rattanpier demo
 
 test: $(VENV)/.ready lint
-	$(BIN)/python -m pytest -n $(WORKERS) $(PYTEST_ARGS)
+	$(BIN)/python -m pytest -n $(WORKERS) --dist loadgroup \
+	  $(PYTEST_ARGS)
 
 lint: $(VENV)/.ready
 	$(BIN)/ruff format --check .
--- a/conftest.py
+++ b/conftest.py
@@ -24,6 +24,8 @@
     listed(config)
 
 
+# Before xdist adds a test's group to its name.
+@pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(config, items):
     """Deselects just the listed tests, by their full names."""
     names = {known.test for known in listed(config)}
--- a/tests/failure/test_drain.py
+++ b/tests/failure/test_drain.py
@@ -34,8 +34,7 @@
         text = configuration_text([url], fleet_size=3)
         text = text.replace("[fleet]", f"[fleet]\nentries_ttl_s = {TTL_S}")
         await cluster.apply(text)
-        for name in NAMES:
-            await cluster.start_entry(name, DRAIN)
+        await cluster.start_entries(NAMES, DRAIN)
         await all_listed(cluster, NAMES)
         yield cluster
 
--- a/tests/failure/test_non_idempotent.py
+++ b/tests/failure/test_non_idempotent.py
@@ -12,6 +12,7 @@
 from tests.lib.raw import RawUpstream
 
 ENTRIES = ("entry-1", "entry-2")
+pytestmark = pytest.mark.xdist_group("non_idempotent")  # Share the cluster.
 AUTHORIZATION = {"Authorization": f"Bearer {DESK_KEY}"}
 MARKED = {"X-Non-Idempotent": "true"}
 CHAT = {"model": "auto", "messages": [{"role": "user", "content": "x"}]}
@@ -23,8 +24,7 @@
         await cluster.start_table()
         cluster.revision = 1
         await cluster.apply(configuration_text(["http://127.0.0.1:1"]))
-        for entry in ENTRIES:
-            await cluster.start_entry(entry)
+        await cluster.start_entries(ENTRIES)
         yield cluster
 
 
--- a/tests/failure/test_not_run.py
+++ b/tests/failure/test_not_run.py
@@ -9,6 +9,7 @@
 from tests.lib.cluster import Cluster, wait_for
 from tests.lib.raw import RawUpstream
 
+pytestmark = pytest.mark.xdist_group("not_run")  # They share the cluster.
 PER_CASE = 6
 RUNNING = {"cut_after", "fail", "stall", "half", "cut_reused"}
 CERTAIN = {"closed", "refuse"}
--- a/tests/failure/test_sessions.py
+++ b/tests/failure/test_sessions.py
@@ -25,8 +25,7 @@
         fleet = "[fleet]\nvalidity_s = 2.0"
         await cluster.apply(text.replace("[fleet]", fleet))
         await cluster.start_node("control-1", "control")
-        await cluster.start_entry("entry-1")
-        await cluster.start_entry("entry-2")
+        await cluster.start_entries(("entry-1", "entry-2"))
         yield cluster, await find_operator(cluster)
 
 
--- a/tests/failure/test_whole_answers.py
+++ b/tests/failure/test_whole_answers.py
@@ -12,6 +12,7 @@
 from tests.lib.builders import DESK_KEY, SMALL, configuration_text
 from tests.lib.cluster import Cluster, wait_for
 
+pytestmark = pytest.mark.xdist_group("whole_answers")  # Share the cluster.
 AUTHORIZATION = {"Authorization": f"Bearer {DESK_KEY}"}
 ENGINES = ("engine-1", "engine-2")
 TOKENS = 24
@@ -27,8 +28,7 @@
             )
         cluster.revision = 1
         await cluster.apply(configuration_text(urls(cluster)))
-        for entry in ("entry-1", "entry-2"):
-            await cluster.start_entry(entry)
+        await cluster.start_entries(("entry-1", "entry-2"))
         yield cluster
 
 
--- a/tests/functional/test_path.py
+++ b/tests/functional/test_path.py
@@ -15,8 +15,7 @@
             "engine", "engine", "--versions", "small@1=0.9,large@1=1.0"
         )
         await cluster.apply(configuration_text([url]))
-        await cluster.start_entry("entry-1")
-        await cluster.start_entry("entry-2")
+        await cluster.start_entries(("entry-1", "entry-2"))
         await cluster.start_node("control-1", "control")
         yield cluster
 
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -127,6 +127,10 @@
         self.urls[name] = await self.wait_ready(name)
         return self.urls[name]
 
+    async def start_entries(self, names, extra=""):
+        """Starts entries beside each other."""
+        await asyncio.gather(*(self.start_entry(name, extra) for name in names))
+
     async def wait_ready(self, name):
         """Waits until an entry is listed and ready."""
 
