Split membership by job

Ruled out: reading and writing the own row in one function; the state of this process may change while the read is awaited, so that the row is judged by the state after it, as before. Change: own_row.py, requests.py, notices.py, gone_reports.py, rejoining.py and serving.py, each with one job; outcomes of a look at the own row are attrs classes; "doubt" is called what it is, a report that a member is gone. No behaviour changes. Run: membership's doctests and unit/test_membership, unit/test_membership_workers, failure/test_membership, test_drain, test_upstream_leaving, test_claims_ownership, unit/test_metrics_list and functional/test_path pass.

--- a/src/rattanpier/_internal/membership/directory.py
+++ b/src/rattanpier/_internal/membership/directory.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import attrs
 import structlog
 
@@ -22,11 +24,10 @@
     apply_presences,
     change_key,
     incarnation_id,
-    request_key,
 )
 from rattanpier._internal.membership.roster import Roster
-from rattanpier._internal.models.member import Member, Role, member_key
-from rattanpier._internal.models.outcomes import Committed, WriteOutcome
+from rattanpier._internal.models.member import Member, member_key
+from rattanpier._internal.models.outcomes import Committed
 from rattanpier._internal.platform.table import (
     ABSENT,
     Check,
@@ -34,19 +35,30 @@
     Row,
     Table,
     Transaction,
-    scan_all,
 )
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.codec import decode, encode
+from rattanpier._internal.utils.hashing import rendezvous
 
 log = structlog.get_logger(part="directory")
 
 KEPT_CHANGES = 64  # A reader further behind reads the whole directory.
+CANDIDATES = 3  # Processes that watch the directory's lease.
 LEASE_LAPSE_S = 4.0  # Unchanged for so long on the watcher's own clock.
 RANK_PAUSE_S = 1.5  # The second candidate waits so much longer, and so on.
 MAX_REQUESTS = 200  # Requests taken into one revision.
 
 
+def candidate_rank(names: Iterable[str], me: str) -> int | None:
+    """Returns a process's place among those that watch the lease, or None.
+
+    >>> [candidate_rank(["a", "b"], name) for name in ("a", "b")]
+    [0, 1]
+    """
+    rank = rendezvous("directory", names).index(me)
+    return rank if rank < CANDIDATES else None
+
+
 async def read_full(table: Table) -> Directory:
     """Returns the whole directory.
 
@@ -67,33 +79,13 @@
     return [decode(Change, row.value) for row in rows]
 
 
-async def read_requests(table: Table) -> list[Presence]:
-    """Returns what was asked for and is not in the directory yet.
-
-    Raises:
-      StoreUnavailableError: It can't be read.
-    """
-    rows = await scan_all(table, REQUEST_PREFIX)
-    return [decode(Presence, row.value) for row in rows]
-
-
-async def write_requests(
-    table: Table, presences: list[Presence]
-) -> WriteOutcome:
-    """Asks for changes; repeating it is harmless."""
-    puts = [
-        Put(request_key(presence), encode(presence)) for presence in presences
-    ]
-    return await table.transact(Transaction(puts=puts))
-
-
 @attrs.define
 class DirectoryWriter:
     """Holds the lease of the directory, or waits for it to lapse.
 
     Attributes:
       seen_version: Version of the lease row as last seen, held by another.
-      seen_since: When that version was first seen.
+      seen_since: Monotonic seconds at which it was first seen.
       directory: The directory as last written or read; None: to be read.
       holding: Whether the lease was this process's at the last look.
     """
@@ -232,7 +224,7 @@
         for member in roster.known.values()
         if incarnation_id(member) not in settled
         and members.get(incarnation_id(member)) != member
-        and (member.caller_url or member.role is not Role.ENTRY)
+        and member.is_reachable
     ]
     return gone + joined
 
--- /dev/null
+++ b/src/rattanpier/_internal/membership/gone_reports.py
@@ -0,0 +1,87 @@
+"""What others say of members that are gone, and whether it is believed."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Callable
+
+import attrs
+
+from rattanpier._internal.membership.probing import Probe, Prober
+from rattanpier._internal.membership.records import incarnation_id
+from rattanpier._internal.membership.roster import Roster
+from rattanpier._internal.models.member import Member, MemberState
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.metrics import Metrics
+
+VERIFY_TIMEOUT_S = 1.0
+REPEAT_S = 10.0  # The same said again within this time is not news.
+MAX_REMEMBERED = 1_000  # Reports.
+
+
+@attrs.define
+class GoneReports:
+    """Takes in reports that a member is gone.
+
+    A member that still answers here is kept: when the network between two
+    groups is cut, each declares the other gone, and only the other.
+
+    Attributes:
+      prober: Asks a reported member; None in a process without peers.
+      spawn: Runs a task; None until this process runs, and till then every
+        report is believed.
+      heard: Monotonic seconds of the last report, by "name/incarnation", the
+        oldest first.
+    """
+
+    roster: Roster
+    clock: Clock
+    metrics: Metrics
+    prober: Prober | None
+    spawn: Callable[..., asyncio.Task] | None = None
+    heard: collections.OrderedDict[str, float] = attrs.Factory(
+        collections.OrderedDict
+    )
+
+    def take(self, identity: str) -> bool:
+        """Takes in that others say of a "name/incarnation" that it is gone.
+
+        Returns:
+          True if it was news.
+        """
+        if identity in self.roster.departed or self.is_repeat(identity):
+            return False
+        self.remember(identity)
+        known = self.roster.known.get(identity.split("/")[0])
+        if (
+            self.spawn is None
+            or known is None
+            or incarnation_id(known) != identity
+            or known.state is MemberState.LEAVING
+        ):
+            self.roster.depart(identity)
+        else:
+            self.spawn(self.verify(known))
+        return True
+
+    def is_repeat(self, identity: str) -> bool:
+        """Says whether the same was reported a short time ago."""
+        heard = self.heard.get(identity, float("-inf"))
+        return self.clock.monotonic() - heard < REPEAT_S
+
+    def remember(self, identity: str) -> None:
+        """Notes the time of a report, and forgets the oldest ones."""
+        self.heard[identity] = self.clock.monotonic()
+        self.heard.move_to_end(identity)
+        while len(self.heard) > MAX_REMEMBERED:
+            self.heard.popitem(last=False)
+
+    async def verify(self, member: Member) -> None:
+        """Takes a member out unless it answers this process."""
+        assert self.prober is not None
+        found = await self.prober.ping(member, VERIFY_TIMEOUT_S)
+        if found is Probe.ALIVE:
+            self.metrics.count("members.kept")
+        else:
+            self.roster.depart(incarnation_id(member))
--- a/src/rattanpier/_internal/membership/members.py
+++ b/src/rattanpier/_internal/membership/members.py
@@ -7,8 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
-import uuid
 from collections.abc import Callable
 
 import attrs
@@ -18,40 +16,44 @@
 from rattanpier._internal.exceptions import StoreUnavailableError
 from rattanpier._internal.kernel import Kernel
 from rattanpier._internal.membership.directory import (
+    CANDIDATES,
     DirectoryReader,
     DirectoryWriter,
-    read_requests,
-    write_requests,
+    candidate_rank,
 )
-from rattanpier._internal.membership.probing import PROBE_S, Probe, Prober
+from rattanpier._internal.membership.gone_reports import GoneReports
+from rattanpier._internal.membership.notices import (
+    Notifier,
+    departed_notice,
+    joined_notice,
+    leaving_notice,
+)
+from rattanpier._internal.membership.own_row import (
+    NameTaken,
+    RowMissing,
+    RowOwned,
+    judge_row,
+    read_row,
+    remove_row,
+    write_row,
+)
+from rattanpier._internal.membership.probing import PROBE_S, Prober
 from rattanpier._internal.membership.records import (
     Presence,
     incarnation_id,
-    request_key,
+    new_incarnation,
 )
-from rattanpier._internal.membership.ring import neighbours
+from rattanpier._internal.membership.rejoining import RejoinPause
+from rattanpier._internal.membership.requests import Requests, read_requests
 from rattanpier._internal.membership.roster import Roster
 from rattanpier._internal.models.member import (
     Member,
     MemberState,
-    Role,
-    member_key,
 )
-from rattanpier._internal.models.outcomes import Committed
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.proto import peer_pb2
-from rattanpier._internal.peers.server import PeerServer
-from rattanpier._internal.platform.table import (
-    ABSENT,
-    Check,
-    Put,
-    Row,
-    Table,
-    Transaction,
-)
+from rattanpier._internal.platform.table import Table
 from rattanpier._internal.utils.clock import Clock
-from rattanpier._internal.utils.codec import decode, encode
-from rattanpier._internal.utils.hashing import rendezvous
 from rattanpier._internal.utils.metrics import Metrics
 
 log = structlog.get_logger(part="members")
@@ -61,15 +63,9 @@
 ROW_LAPSE_PERIODS = 3
 DUTY_S = 1.0  # Between looks at the directory's lease, and of its holder.
 FOLLOW_S = 2.0  # Between reads of the directory.
-CANDIDATES = 3  # Processes that watch the directory's lease.
 UNRECORDED_S = 3.0  # Not in the directory for so long: watch its lease too.
 ANSWER_FRESH_S = 3.0  # A peer answered so lately: not cut off.
-MIN_REJOIN_S = 1.0
-MAX_REJOIN_S = 30.0
 REMOVE_TRIES = 3
-VERIFY_TIMEOUT_S = 1.0
-DOUBT_S = 10.0  # The same said again within this time is not news.
-MAX_DOUBTED = 1_000
 
 
 @attrs.define
@@ -80,11 +76,13 @@
       me: This process; its incarnation changes when it was declared gone.
       links: To peers; None in a process without peers.
       rejoined: Emits this process's member after such a change.
-      waiting: Presences that the store does not have yet, by request key.
+      announced: This process as last told to the others, or None.
+      announced_at: When its incarnation was, in monotonic seconds.
       recorded: Whether the directory has this incarnation.
-      spawn: Runs a task; None until this process runs.
-      doubted: When others last said of an incarnation that it is gone.
       yielded: Whether another process has this one's name.
+      must_rejoin: Whether this process was declared gone.
+      rejoin_pause: When it may come back then.
+      next_refresh: Monotonic seconds at which the own row is due.
     """
 
     me: Member
@@ -94,42 +92,48 @@
     metrics: Metrics = attrs.Factory(Metrics)
     roster: Roster = attrs.Factory(Roster)
     rejoined: Subject[Member] = attrs.field(factory=Subject)
-    waiting: dict[str, Presence] = attrs.Factory(dict)
     announced: Member | None = None
     announced_at: float = 0.0
     recorded: bool = False
     yielded: bool = False
     must_rejoin: bool = False
-    rejoin_pause_s: float = MIN_REJOIN_S
-    rejoin_at: float = float("-inf")
+    rejoin_pause: RejoinPause = attrs.Factory(RejoinPause)
     next_refresh: float = float("-inf")
-    spawn: Callable[..., asyncio.Task] | None = None
-    doubted: collections.OrderedDict[str, float] = attrs.Factory(
-        collections.OrderedDict
-    )
     reader: DirectoryReader = attrs.field(init=False)
     writer: DirectoryWriter = attrs.field(init=False)
+    requests: Requests = attrs.field(init=False)
+    notifier: Notifier = attrs.field(init=False)
+    gone_reports: GoneReports = attrs.field(init=False)
     prober: Prober | None = attrs.field(init=False, default=None)
 
     def __attrs_post_init__(self) -> None:
         """Puts the parts together."""
         self.reader = DirectoryReader(self.table)
         self.writer = DirectoryWriter(self.table, self.clock)
+        self.requests = Requests(self.table)
+        self.notifier = Notifier(lambda: self.me, self.roster, self.links)
         if self.links is not None:
-            self.prober = Prober(
-                me=lambda: self.me,
-                roster=self.roster,
-                links=self.links,
-                table=self.table,
-                clock=self.clock,
-                metrics=self.metrics,
-                on_gone=self.declare_gone,
-                on_self_gone=self.note_self_gone,
-                row_lapse_s=lambda: ROW_LAPSE_PERIODS * self.refresh_s,
-                directory_revision=lambda: self.reader.revision or 0,
-            )
+            self.prober = self.build_prober(self.links)
+        self.gone_reports = GoneReports(
+            self.roster, self.clock, self.metrics, self.prober
+        )
         self.roster.learn(Presence(self.me))
 
+    def build_prober(self, links: Links) -> Prober:
+        """Returns what probes peers, and tells what it finds."""
+        return Prober(
+            me=lambda: self.me,
+            roster=self.roster,
+            links=links,
+            table=self.table,
+            clock=self.clock,
+            metrics=self.metrics,
+            on_gone=self.declare_gone,
+            on_self_gone=self.note_self_gone,
+            row_lapse_s=lambda: ROW_LAPSE_PERIODS * self.refresh_s,
+            directory_revision=lambda: self.reader.revision or 0,
+        )
+
     # For other services.
 
     @property
@@ -147,25 +151,18 @@
 
     def entries(self) -> list[Member]:
         """Returns the entries that callers may be sent to."""
-        return [
-            member
-            for member in self.live.value.values()
-            if member.role is Role.ENTRY
-            and member.state is MemberState.LIVE
-            and member.caller_url
-        ]
+        return self.roster.entries()
 
     def others(self) -> list[Member]:
         """Returns the other live members."""
-        live = self.live.value.values()
-        return [member for member in live if member.name != self.me.name]
+        return self.roster.others(self.me.name)
 
     # Work over time.
 
     async def run(self, kernel: Kernel) -> None:
         """Keeps membership going until the end."""
         if self.prober is not None:
-            self.spawn = kernel.spawn
+            self.gone_reports.spawn = kernel.spawn
         work = [(self.duty, DUTY_S), (self.follow, FOLLOW_S)]
         if self.prober is not None:
             work.append((self.prober.round, PROBE_S))
@@ -198,9 +195,9 @@
     async def duty(self) -> None:
         """Announces and refreshes this process; writes the directory."""
         self.roster.learn(Presence(self.me))
-        self.close_links()
+        self.notifier.close_links()
         self.announce()
-        await self.record()
+        await self.requests.write()
         if self.must_rejoin:
             self.rejoin()
         if self.clock.monotonic() >= self.next_refresh:
@@ -220,15 +217,12 @@
         """Returns the place among the directory's candidates, or None."""
         if self.writer.holding:
             return 0
-        names = rendezvous("directory", self.roster.known)
-        rank = names.index(self.me.name)
-        if rank < CANDIDATES:
+        rank = candidate_rank(self.roster.known, self.me.name)
+        if rank is not None or self.recorded:
             return rank
         # All candidates known may be dead when all processes started anew.
         unrecorded_s = self.clock.monotonic() - self.announced_at
-        if not self.recorded and unrecorded_s > UNRECORDED_S:
-            return CANDIDATES
-        return None
+        return CANDIDATES if unrecorded_s > UNRECORDED_S else None
 
     async def follow(self) -> None:
         """Takes in what is new in the directory."""
@@ -243,47 +237,9 @@
         if presence.member.name == self.me.name:
             return self.take_own(presence)
         if presence.gone:
-            return self.doubt(incarnation_id(presence.member))
+            return self.gone_reports.take(incarnation_id(presence.member))
         return self.roster.learn(presence)
 
-    def doubt(self, identity: str) -> bool:
-        """Takes in that others say of a member that it is gone.
-
-        A member that still answers here is kept: when the network between two
-        groups is cut, each declares the other gone, and only the other.
-
-        Returns:
-          True if it was news.
-        """
-        now = self.clock.monotonic()
-        heard = self.doubted.get(identity, float("-inf"))
-        if identity in self.roster.departed or now - heard < DOUBT_S:
-            return False
-        self.doubted[identity] = now
-        self.doubted.move_to_end(identity)
-        while len(self.doubted) > MAX_DOUBTED:
-            self.doubted.popitem(last=False)
-        known = self.roster.known.get(identity.split("/")[0])
-        if (
-            self.spawn is None
-            or known is None
-            or incarnation_id(known) != identity
-            or known.state is MemberState.LEAVING
-        ):
-            self.roster.depart(identity)
-        else:
-            self.spawn(self.verify(known))
-        return True
-
-    async def verify(self, member: Member) -> None:
-        """Takes a member out unless it answers this process."""
-        assert self.prober is not None
-        found = await self.prober.ping(member, VERIFY_TIMEOUT_S)
-        if found is Probe.ALIVE:
-            self.metrics.count("members.kept")
-        else:
-            self.roster.depart(incarnation_id(member))
-
     def take_own(self, presence: Presence) -> bool:
         """Takes in what others say of this process."""
         if presence.member.incarnation != self.me.incarnation:
@@ -299,66 +255,38 @@
     def announce(self) -> None:
         """Tells the others of this process once it can be reached."""
         me = self.me
-        if me == self.announced or not (
-            me.caller_url or me.role is not Role.ENTRY
-        ):
+        if me == self.announced or not me.is_reachable:
             return
-        rejoined = self.announced is not None and incarnation_id(
-            me
-        ) != incarnation_id(self.announced)
-        if self.announced is None or rejoined:
+        before = self.announced
+        rejoined = before is not None and (
+            incarnation_id(before) != incarnation_id(me)
+        )
+        if before is None or rejoined:
             self.recorded = False
             self.announced_at = self.clock.monotonic()
         self.announced = me
         self.next_refresh = float("-inf")
-        self.ask_for(Presence(me))
-        notice = peer_pb2.Notice(
-            joined=peer_pb2.Joined(member=encode(me).encode())
-        )
+        self.requests.add(Presence(me))
+        notice = joined_notice(me)
         if rejoined:
             # Told to all: whoever finds the old incarnation gone by a probe
             # has to know the new one already.
-            self.send(notice, self.others())
+            self.notifier.send(notice, self.others())
         else:
             self.spread(notice)
 
-    def ask_for(self, presence: Presence) -> None:
-        """Sees to it that the directory gets a presence."""
-        self.waiting[request_key(presence)] = presence
-
-    async def record(self) -> None:
-        """Asks the directory's writer for what it does not have yet."""
-        waiting = dict(self.waiting)
-        if not waiting:
-            return
-        outcome = await write_requests(self.table, list(waiting.values()))
-        if isinstance(outcome, Committed):
-            for key, presence in waiting.items():
-                if self.waiting.get(key) == presence:
-                    del self.waiting[key]
-
     async def refresh(self) -> None:
         """Writes the own row, unless it says that this process is gone."""
         if self.yielded:
             return
-        key = member_key(self.me.name)
-        row = await self.table.get(key)
-        if self.recorded and row is None:
-            self.note_self_gone()
-            return
-        owner = decode(Member, row.value) if row else self.me
-        if self.recorded and owner.incarnation != self.me.incarnation:
-            # A newer process has the name; this one was thawed late.
-            self.give_way(owner)
-            return
-        await self.put_row(key, row)
-
-    async def put_row(self, key: str, row: Row | None) -> None:
-        """Writes the own row over the version that was read."""
-        version = row.version if row else ABSENT
-        await self.table.transact(
-            Transaction([Check(key, version)], [Put(key, encode(self.me))])
-        )
+        row = await read_row(self.table, self.me)
+        match judge_row(row, self.me, self.recorded):
+            case RowOwned():
+                await write_row(self.table, self.me, row)
+            case RowMissing():
+                self.note_self_gone()
+            case NameTaken(owner):
+                self.give_way(owner)
 
     def give_way(self, owner: Member) -> None:
         """Leaves the name to the process that has it now."""
@@ -382,11 +310,10 @@
             and self.others()
             and now - self.prober.last_answer > ANSWER_FRESH_S
         )
-        if self.yielded or cut_off or now < self.rejoin_at:
+        if self.yielded or cut_off or not self.rejoin_pause.is_over(now):
             return
         self.must_rejoin = False
-        self.rejoin_at = now + self.rejoin_pause_s
-        self.rejoin_pause_s = min(MAX_REJOIN_S, 2 * self.rejoin_pause_s)
+        self.rejoin_pause.begin(now)
         old = incarnation_id(self.me)
         self.me = attrs.evolve(self.me, incarnation=new_incarnation())
         self.roster.learn(Presence(self.me))
@@ -400,12 +327,9 @@
         self.me = attrs.evolve(self.me, state=MemberState.LEAVING)
         self.roster.learn(Presence(self.me))
         self.announced = self.me
-        self.ask_for(Presence(self.me))
-        leaving = peer_pb2.Leaving(
-            member=self.me.name, incarnation=self.me.incarnation
-        )
+        self.requests.add(Presence(self.me))
         # Told to all, not only to neighbours: callers ask any of them.
-        self.send(peer_pb2.Notice(leaving=leaving), self.others())
+        self.notifier.send(leaving_notice(self.me), self.others())
         self.next_refresh = float("-inf")
         await self.step()
 
@@ -413,28 +337,18 @@
         """Tells the others that this process is gone, and the store."""
         gone = Presence(self.me, gone=True)
         self.spread(departed_notice(self.me))
-        self.ask_for(gone)
+        self.requests.add(gone)
         for _ in range(REMOVE_TRIES):
             try:
-                await self.record()
-                await self.remove_row()
+                await self.requests.write()
+                row = await read_row(self.table, self.me)
+                await remove_row(self.table, self.me, row)
             except StoreUnavailableError:
                 log.warning("The store is down; probes will find this end.")
-            if not self.waiting:
+            if not self.requests.waiting:
                 return
             await self.clock.sleep(DUTY_S)
 
-    async def remove_row(self) -> None:
-        """Deletes the own row if it still is the own one."""
-        key = member_key(self.me.name)
-        row = await self.table.get(key)
-        if row is None:
-            return
-        if decode(Member, row.value).incarnation == self.me.incarnation:
-            await self.table.transact(
-                Transaction([Check(key, row.version)], deletes=[key])
-            )
-
     # Peers.
 
     def declare_gone(self, member: Member) -> None:
@@ -443,77 +357,11 @@
             return
         self.metrics.count("members.declared_gone")
         log.warning("Declared gone.", member=incarnation_id(member))
-        self.ask_for(Presence(member, gone=True))
+        self.requests.add(Presence(member, gone=True))
         self.spread(departed_notice(member))
         # The one that is declared gone hears of it if it is not.
-        self.send(departed_notice(member), [member])
-
-    def close_links(self) -> None:
-        """Ends links to processes that are gone."""
-        if self.links is not None:
-            known = self.roster.known.values()
-            self.links.keep(
-                {(item.peer_host, item.peer_port) for item in known}
-            )
+        self.notifier.send(departed_notice(member), [member])
 
     def spread(self, notice: peer_pb2.Notice) -> None:
         """Sends a notice to the neighbours on the ring."""
-        known = self.roster.known
-        names = neighbours(known, self.me.name)
-        self.send(notice, [known[name] for name in names])
-
-    def send(self, notice: peer_pb2.Notice, targets: list[Member]) -> None:
-        """Sends a notice to members."""
-        if self.links is None:
-            return
-        for member in targets:
-            self.links.to(member).notify(notice)
-
-    def take_joined(self, notice: peer_pb2.Notice) -> None:
-        """Takes in that a member joined; passes news on."""
-        if self.take(Presence(decode(Member, notice.joined.member))):
-            self.spread(notice)
-
-    def take_leaving(self, notice: peer_pb2.Notice) -> None:
-        """Takes in that a member leaves, before the directory says so."""
-        known = self.roster.known.get(notice.leaving.member)
-        if known is None or known.incarnation != notice.leaving.incarnation:
-            return
-        if known.name == self.me.name:
-            return
-        leaving = attrs.evolve(known, state=MemberState.LEAVING)
-        if self.roster.learn(Presence(leaving)):
-            self.spread(notice)
-
-    def take_departed(self, notice: peer_pb2.Notice) -> None:
-        """Takes in that a member is gone; passes news on."""
-        identity = f"{notice.departed.member}/{notice.departed.incarnation}"
-        if identity == incarnation_id(self.me):
-            self.note_self_gone()
-        elif self.doubt(identity):
-            # Passed on at once: others ask for themselves.
-            self.spread(notice)
-
-
-def departed_notice(member: Member) -> peer_pb2.Notice:
-    """Returns the notice that a member is gone."""
-    return peer_pb2.Notice(
-        departed=peer_pb2.Departed(
-            member=member.name, incarnation=member.incarnation
-        )
-    )
-
-
-def new_incarnation() -> str:
-    """Returns a name for a start of a process that no other has."""
-    return uuid.uuid4().hex[:12]
-
-
-def serve_peers(members: Members, server: PeerServer) -> None:
-    """Adds the handlers for peers' calls and notices."""
-    assert members.prober is not None
-    server.on_call("ping", members.prober.serve_ping)
-    server.on_call("probe", members.prober.serve_probe)
-    server.on_notice("joined", members.take_joined)
-    server.on_notice("leaving", members.take_leaving)
-    server.on_notice("departed", members.take_departed)
+        self.notifier.spread(notice)
--- a/src/rattanpier/_internal/membership/records.py
+++ b/src/rattanpier/_internal/membership/records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import uuid
+
 import attrs
 
 from rattanpier._internal.models.member import Member, MemberState
@@ -76,6 +78,11 @@
     return f"{member.name}/{member.incarnation}"
 
 
+def new_incarnation() -> str:
+    """Returns a name for a start of a process that no other has."""
+    return uuid.uuid4().hex[:12]
+
+
 def apply_presences(
     directory: Directory, presences: list[Presence]
 ) -> tuple[Directory, Change]:
--- /dev/null
+++ b/src/rattanpier/_internal/membership/rejoining.py
@@ -0,0 +1,30 @@
+"""How often a process that is declared gone again and again comes back."""
+
+from __future__ import annotations
+
+import attrs
+
+MIN_REJOIN_S = 1.0
+MAX_REJOIN_S = 30.0
+
+
+@attrs.define
+class RejoinPause:
+    """The pause before the next rejoin, which doubles with each.
+
+    Attributes:
+      pause_s: Seconds between the next rejoin and the one after it.
+      not_before: Monotonic seconds before which there is no rejoin.
+    """
+
+    pause_s: float = MIN_REJOIN_S
+    not_before: float = float("-inf")
+
+    def is_over(self, now: float) -> bool:
+        """Says whether the process may rejoin at a monotonic time."""
+        return now >= self.not_before
+
+    def begin(self, now: float) -> None:
+        """Takes in a rejoin at a monotonic time."""
+        self.not_before = now + self.pause_s
+        self.pause_s = min(MAX_REJOIN_S, 2 * self.pause_s)
--- a/src/rattanpier/_internal/membership/roster.py
+++ b/src/rattanpier/_internal/membership/roster.py
@@ -11,7 +11,7 @@
     Presence,
     incarnation_id,
 )
-from rattanpier._internal.models.member import Member
+from rattanpier._internal.models.member import Member, MemberState, Role
 
 MAX_DEPARTED = 2_000  # Incarnations remembered as gone.
 
@@ -81,3 +81,18 @@
         """Says whether "name/incarnation" may still be running."""
         known = self.known.get(identity.split("/")[0])
         return known is not None and incarnation_id(known) == identity
+
+    def entries(self) -> list[Member]:
+        """Returns the entries that callers may be sent to."""
+        return [
+            member
+            for member in self.live.value.values()
+            if member.role is Role.ENTRY
+            and member.state is MemberState.LIVE
+            and member.caller_url
+        ]
+
+    def others(self, name: str) -> list[Member]:
+        """Returns the live members apart from the one of a name."""
+        live = self.live.value.values()
+        return [member for member in live if member.name != name]
--- /dev/null
+++ b/src/rattanpier/_internal/membership/serving.py
@@ -0,0 +1,50 @@
+"""What a process answers to its peers about membership."""
+
+from __future__ import annotations
+
+import attrs
+
+from rattanpier._internal.membership.members import Members
+from rattanpier._internal.membership.records import Presence, incarnation_id
+from rattanpier._internal.models.member import Member, MemberState
+from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.peers.server import PeerServer
+from rattanpier._internal.utils.codec import decode
+
+
+def serve_peers(members: Members, server: PeerServer) -> None:
+    """Adds the handlers for peers' calls and notices."""
+    assert members.prober is not None
+    server.on_call("ping", members.prober.serve_ping)
+    server.on_call("probe", members.prober.serve_probe)
+    server.on_notice("joined", lambda notice: take_joined(members, notice))
+    server.on_notice("leaving", lambda notice: take_leaving(members, notice))
+    server.on_notice("departed", lambda notice: take_departed(members, notice))
+
+
+def take_joined(members: Members, notice: peer_pb2.Notice) -> None:
+    """Takes in that a member joined; passes news on."""
+    if members.take(Presence(decode(Member, notice.joined.member))):
+        members.spread(notice)
+
+
+def take_leaving(members: Members, notice: peer_pb2.Notice) -> None:
+    """Takes in that a member leaves, before the directory says so."""
+    known = members.roster.known.get(notice.leaving.member)
+    if known is None or known.incarnation != notice.leaving.incarnation:
+        return
+    if known.name == members.me.name:
+        return
+    leaving = attrs.evolve(known, state=MemberState.LEAVING)
+    if members.roster.learn(Presence(leaving)):
+        members.spread(notice)
+
+
+def take_departed(members: Members, notice: peer_pb2.Notice) -> None:
+    """Takes in that a member is gone; passes news on."""
+    identity = f"{notice.departed.member}/{notice.departed.incarnation}"
+    if identity == incarnation_id(members.me):
+        members.note_self_gone()
+    elif members.gone_reports.take(identity):
+        # Passed on at once: others ask for themselves.
+        members.spread(notice)
--- a/src/rattanpier/_internal/models/member.py
+++ b/src/rattanpier/_internal/models/member.py
@@ -51,6 +51,11 @@
     revision: int = 0
     operator_url: str = ""
 
+    @property
+    def is_reachable(self) -> bool:
+        """Whether it serves already: an entry needs an address for callers."""
+        return bool(self.caller_url) or self.role is not Role.ENTRY
+
 
 MEMBER_PREFIX = "member/"
 
--- a/src/rattanpier/_internal/programs/common.py
+++ b/src/rattanpier/_internal/programs/common.py
@@ -15,11 +15,9 @@
 from rattanpier._internal.configuration.spread import Spreader
 from rattanpier._internal.kernel import Kernel
 from rattanpier._internal.membership.draining import Drain, add_leaving
-from rattanpier._internal.membership.members import (
-    Members,
-    new_incarnation,
-    serve_peers,
-)
+from rattanpier._internal.membership.members import Members
+from rattanpier._internal.membership.records import new_incarnation
+from rattanpier._internal.membership.serving import serve_peers
 from rattanpier._internal.models.member import Member, Role
 from rattanpier._internal.models.settings import PlatformSettings, Settings
 from rattanpier._internal.peers.links import Links
--- a/tests/lib/network.py
+++ b/tests/lib/network.py
@@ -10,7 +10,8 @@
     StoreUnavailableError,
 )
 from rattanpier._internal.kernel import Kernel
-from rattanpier._internal.membership.members import Members, serve_peers
+from rattanpier._internal.membership.members import Members
+from rattanpier._internal.membership.serving import serve_peers
 from rattanpier._internal.models.member import Member, Role
 from rattanpier._internal.models.outcomes import NotRun
 from rattanpier._internal.peers.proto import peer_pb2
