--- a/src/rattanpier/_internal/cascade/learner.py
+++ b/src/rattanpier/_internal/cascade/learner.py
@@ -308,7 +308,7 @@
 def margin_of(state: WorkspaceState, now: float) -> float:
     """Returns the standard deviations to keep clear of the target."""
     hours = (now - state.rated_at) / HOUR_S
-    first = FIRST_DOUBT / (1 + (state.ratings / FEW_RATINGS) ** 2)
+    first = FIRST_DOUBT / (1 + state.ratings / FEW_RATINGS)
     return DOUBT + first + MORE_DOUBT * hours
 
 
