Split the stand-in engine by job

Cause: engine.py had 435 lines: faults, kept streams, texts and the server; the plain stand-in counted faults by a copy of the same lines. Ruled out: splitting what sends an answer from the server; both need the fault and the stream at each event. Change: faults.py, streams.py, texts.py and replies.py; both stand-ins take faults by EngineFaults.take. Numbers without names got names. Tests and benchmarks import from the new places; no assertion changes. engine.py has 278 lines. No behaviour changes.

--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -16,7 +16,7 @@
 import aiohttp
 import attrs
 
-from rattanpier._internal.standin.engine import answer_words, difficulty
+from rattanpier._internal.standin.texts import answer_words, difficulty
 
 TRY_TIMEOUT_S = 15.0
 GIVE_UP_S = 45.0
--- a/src/rattanpier/_internal/load/caller.py
+++ b/src/rattanpier/_internal/load/caller.py
@@ -12,7 +12,7 @@
 
 from rattanpier._internal.load.arrivals import Arrival
 from rattanpier._internal.load.directory import Directory
-from rattanpier._internal.standin.engine import answer_words
+from rattanpier._internal.standin.texts import answer_words
 
 TRIES = 4  # A caller goes to another entry when its connection breaks.
 DATA = b"data: "
--- a/src/rattanpier/_internal/standin/engine.py
+++ b/src/rattanpier/_internal/standin/engine.py
@@ -7,11 +7,9 @@
 from __future__ import annotations
 
 import asyncio
-import enum
 import itertools
 import json
 import random
-import time
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -19,86 +17,24 @@
 from aiohttp import web
 
 from rattanpier._internal.models.request import estimate_tokens
+from rattanpier._internal.standin.faults import EngineFault, EngineFaults
 from rattanpier._internal.standin.orders import OrderDesk
+from rattanpier._internal.standin.replies import abort, health, refuse
 from rattanpier._internal.standin.runs import RunFile
+from rattanpier._internal.standin.streams import Run, Stream, Streams
+from rattanpier._internal.standin.texts import (
+    answer_words,
+    difficulty,
+    make_event,
+    prompt_text,
+)
 from rattanpier._internal.utils.codec import decode, encode
 from rattanpier._internal.utils.hashing import stable_hash
 
 DEFAULT_MAX_TOKENS = 32
-
-
-class EngineFault(enum.StrEnum):
-    """What is wrong with an engine."""
-
-    NONE = "none"
-    REFUSE = "refuse"  # 503, says that it did not run the request.
-    FAIL = "fail"  # 500, says nothing.
-    CUT = "cut"  # Ends the stream half way.
-    CUT_BEFORE_ANSWER = "cut_before_answer"  # Runs, then closes.
-    STALL = "stall"  # Takes the request and says nothing.
-    FORGET = "forget"  # Cuts the stream half way; can't resume it.
-    SWAP = "swap"  # Answers two requests with each other's answer.
-    DUPLICATE = "duplicate"  # Sends a chunk twice.
-    MISSING = "missing"  # Leaves a chunk out.
-    REDIRECT = "redirect"  # Sends the caller elsewhere.
-    NO_END = "no_end"  # Ends the stream after the text, without its end.
-
-
-@attrs.define
-class EngineFaults:
-    """The fault switch.
-
-    Attributes:
-      fault: What is wrong now.
-      count: How many more requests it hits; -1 for all.
-      slowdown: Factor on every duration.
-      redirect: Address for the fault of that name.
-      bad_versions: Versions whose answers are poor.
-    """
-
-    fault: EngineFault = EngineFault.NONE
-    count: int = -1
-    slowdown: float = 1.0
-    redirect: str = ""
-    bad_versions: list[str] = attrs.Factory(list)
-
-
-@attrs.define
-class Run:
-    """One request as the engine ran it.
-
-    Attributes:
-      started: Seconds since the epoch.
-    """
-
-    request: str
-    version: str
-    prompt: str = ""
-    started: float = attrs.Factory(time.time)
-    chunks: int = 0
-    finished: bool = False
-    cancelled: bool = False
-    resumes: int = 0
-
-
-@attrs.define
-class Stream:
-    """The answer of a run, kept for a while so that it can be resumed.
-
-    Attributes:
-      events: The events so far, in order.
-      over: True once there will be no more.
-      readers: Connections that follow it.
-      changed: Set with each event.
-    """
-
-    run: Run
-    total: int
-    events: list[bytes] = attrs.Factory(list)
-    over: bool = False
-    readers: int = 0
-    changed: asyncio.Event = attrs.Factory(asyncio.Event)
-    task: asyncio.Task[None] | None = None
+MAX_WORDS = 512  # Of one answer; a word counts as a token.
+MAX_BODY_BYTES = 64 * 2**20
+CONFIDENCE_NOISE = 0.15  # Standard deviation.
 
 
 @attrs.frozen
@@ -119,6 +55,8 @@
 
 
 CUTS = (EngineFault.CUT, EngineFault.FORGET)
+# How often the event in the middle is sent under a fault; else once.
+WRITTEN_TIMES = {EngineFault.MISSING: 0, EngineFault.DUPLICATE: 2}
 
 
 @attrs.define
@@ -128,21 +66,29 @@
     Attributes:
       versions: Versions it serves, with the skill (0 to 1) of each.
       runs: Everything it ran, in order.
-      streams: Answers that can be resumed, by request id.
+      streams: Answers that can be resumed.
       checks_fencing: Whether it refuses orders with old fencing numbers.
       run_file: Keeps the start of each run beyond a kill.
+      waiting_swap: Waits for the second one of two requests.
+      swapped: The answer of the first one.
+      ids: Numbers the answers.
+      free: Slots that are free.
     """
 
     versions: dict[str, float]
     speed: EngineSpeed = attrs.Factory(EngineSpeed)
     faults: EngineFaults = attrs.Factory(EngineFaults)
     runs: list[Run] = attrs.Factory(list)
-    streams: dict[str, Stream] = attrs.Factory(dict)
     checks_fencing: bool = False
     run_file: RunFile = attrs.Factory(RunFile)
     waiting_swap: asyncio.Future[Stream] | None = None
     swapped: Stream | None = None
     ids: itertools.count = attrs.Factory(itertools.count)
+    streams: Streams = attrs.field(
+        default=attrs.Factory(
+            lambda self: Streams(self.speed.resume_s), takes_self=True
+        )
+    )
     free: asyncio.Semaphore = attrs.field(
         default=attrs.Factory(
             lambda self: asyncio.Semaphore(self.speed.slots), takes_self=True
@@ -152,7 +98,7 @@
     async def chat(self, request: web.Request) -> web.StreamResponse:
         """Answers a chat-completions request with a stream."""
         body = await request.json()
-        fault = self.take_fault()
+        fault = self.faults.take()
         if fault is EngineFault.REFUSE:
             return refuse("the engine is full", not_run=True)
         if fault is EngineFault.REDIRECT:
@@ -182,7 +128,7 @@
 
     async def resume(self, request: web.Request) -> web.StreamResponse:
         """Sends the rest of an answer; runs nothing."""
-        stream = self.streams.get(request.headers.get("X-Request-Id", ""))
+        stream = self.streams.find(request.headers.get("X-Request-Id", ""))
         if stream is None or "Last-Event-ID" not in request.headers:
             return web.json_response({"error": "not known"}, status=410)
         stream.run.resumes += 1
@@ -191,9 +137,9 @@
 
     async def cancel(self, request: web.Request) -> web.Response:
         """Stops a run."""
-        stream = self.streams.get(request.headers.get("X-Request-Id", ""))
+        stream = self.streams.find(request.headers.get("X-Request-Id", ""))
         if stream is not None:
-            self.stop(stream)
+            self.streams.stop(stream)
         return web.Response(status=204)
 
     async def swap(self, stream: Stream) -> Stream:
@@ -210,7 +156,7 @@
     def start(self, body: dict[str, Any], run: Run) -> Stream:
         """Starts to generate an answer."""
         stream = Stream(run, len(self.words(body)))
-        self.streams[run.request] = stream
+        self.streams.add(stream)
         loop = asyncio.get_running_loop()
         stream.task = loop.create_task(self.generate(body, stream))
         return stream
@@ -221,49 +167,9 @@
             await self.pause(self.prefill_s(body))
             async for number, event in self.events(body, self.words(body)):
                 line = f"id: {number}\ndata: {json.dumps(event)}\n\n"
-                stream.events.append(line.encode())
-                stream.run.chunks += 1
-                stream.changed.set()
+                stream.add(line.encode())
         stream.run.finished = True
-        self.end(stream)
-
-    def stop(self, stream: Stream) -> None:
-        """Cancels a run that is not finished."""
-        if stream.over:
-            return
-        stream.run.cancelled = True
-        assert stream.task is not None
-        stream.task.cancel()
-        self.end(stream)
-
-    def end(self, stream: Stream) -> None:
-        """Ends a stream and forgets it after a while."""
-        stream.over = True
-        stream.changed.set()
-        loop = asyncio.get_running_loop()
-        loop.call_later(
-            self.speed.resume_s, self.streams.pop, stream.run.request, None
-        )
-
-    def leave(self, stream: Stream) -> None:
-        """Notes that a reader left; a run without one is stopped later."""
-        stream.readers -= 1
-        if stream.readers == 0 and not stream.over:
-            loop = asyncio.get_running_loop()
-            loop.call_later(self.speed.resume_s, self.stop_unread, stream)
-
-    def stop_unread(self, stream: Stream) -> None:
-        """Cancels a run that nobody came back for."""
-        if stream.readers == 0:
-            self.stop(stream)
-
-    def take_fault(self) -> EngineFault:
-        """Returns the fault that hits this request."""
-        if self.faults.count == 0:
-            return EngineFault.NONE
-        if self.faults.fault is not EngineFault.NONE and self.faults.count > 0:
-            self.faults.count -= 1
-        return self.faults.fault
+        self.streams.end(stream)
 
     async def pause(self, seconds: float) -> None:
         """Takes its time."""
@@ -289,36 +195,29 @@
         stream.readers += 1
         half = stream.total // 2
         try:
-            await self.wait_event(stream, start)
+            await stream.wait(start)
             await response.prepare(request)
             number = start
-            while await self.wait_event(stream, number):
+            while await stream.wait(number):
                 if fault in CUTS and number >= half:
                     if fault is EngineFault.FORGET:
-                        self.stop(stream)
-                        self.streams.pop(stream.run.request, None)
+                        self.streams.forget(stream)
                     abort(request)
                     return response
                 if fault is EngineFault.NO_END and number >= stream.total:
                     return response
-                if fault is not EngineFault.MISSING or number != half:
-                    await response.write(stream.events[number])
-                if fault is EngineFault.DUPLICATE and number == half:
-                    await response.write(stream.events[number])
+                event = stream.events[number]
+                # With MISSING and DUPLICATE, only the middle event is hit.
+                times = WRITTEN_TIMES.get(fault, 1) if number == half else 1
+                for _ in range(times):
+                    await response.write(event)
                 number += 1
             if stream.run.finished:
                 await response.write(b"data: [DONE]\n\n")
         finally:
-            self.leave(stream)
+            self.streams.leave(stream)
         return response
 
-    async def wait_event(self, stream: Stream, number: int) -> bool:
-        """Waits for an event; False if the stream ended before it."""
-        while len(stream.events) <= number and not stream.over:
-            stream.changed.clear()
-            await stream.changed.wait()
-        return len(stream.events) > number
-
     async def events(
         self, body: dict[str, Any], words: list[str]
     ) -> AsyncIterator[tuple[int, dict[str, Any]]]:
@@ -340,7 +239,7 @@
     def words(self, body: dict[str, Any]) -> list[str]:
         """Returns the words of the answer."""
         good = self.is_good(body)
-        count = min(body.get("max_tokens") or DEFAULT_MAX_TOKENS, 512)
+        count = min(body.get("max_tokens") or DEFAULT_MAX_TOKENS, MAX_WORDS)
         return answer_words(body["model"], prompt_text(body), count, good)
 
     def is_good(self, body: dict[str, Any]) -> bool:
@@ -351,7 +250,9 @@
 
     def confidence(self, body: dict[str, Any]) -> float:
         """Returns a measure of the answer that tells a little of it."""
-        noise = random.Random(stable_hash(prompt_text(body))).gauss(0, 0.15)
+        noise = random.Random(stable_hash(prompt_text(body))).gauss(
+            0, CONFIDENCE_NOISE
+        )
         base = 0.8 if self.is_good(body) else 0.4
         return min(1.0, max(0.0, base + noise))
 
@@ -366,7 +267,7 @@
 
     def app(self) -> web.Application:
         """Returns the aiohttp application."""
-        app = web.Application(client_max_size=64 * 2**20)
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_post("/v1/chat/completions", self.chat)
         app.router.add_get("/v1/chat/completions", self.resume)
         app.router.add_delete("/v1/chat/completions", self.cancel)
@@ -375,63 +276,3 @@
         app.router.add_get("/standin/runs", self.get_runs)
         OrderDesk(self.versions, self.checks_fencing).add_routes(app)
         return app
-
-
-async def health(_request: web.Request) -> web.Response:
-    """Answers that the process runs; counted nowhere."""
-    return web.Response(text="ok")
-
-
-def abort(request: web.Request) -> None:
-    """Closes the connection at once."""
-    if request.transport is not None:
-        request.transport.abort()
-
-
-def refuse(message: str, not_run: bool) -> web.Response:
-    """Returns a refusal."""
-    return web.json_response(
-        {"error": message, "not_run": not_run},
-        status=503,
-        headers={"Retry-After": "1"},
-    )
-
-
-def make_event(
-    identity: str, model: str, text: str, finish: str | None
-) -> dict[str, Any]:
-    """Returns a chat-completion chunk."""
-    return {
-        "id": identity,
-        "object": "chat.completion.chunk",
-        "created": 0,
-        "model": model,
-        "choices": [
-            {
-                "index": 0,
-                "delta": {"role": "assistant", "content": text},
-                "finish_reason": finish,
-            }
-        ],
-    }
-
-
-def prompt_text(body: dict[str, Any]) -> str:
-    """Returns the text of all messages."""
-    return "\n".join(
-        str(message.get("content", "")) for message in body["messages"]
-    )
-
-
-def difficulty(prompt: str) -> float:
-    """Returns how hard a prompt is, 0 to 1, the same every time."""
-    return stable_hash(f"difficulty\x1f{prompt}") % 10_000 / 10_000
-
-
-def answer_words(
-    version: str, prompt: str, count: int, good: bool
-) -> list[str]:
-    """Returns the words of an answer; the first says whether it is good."""
-    rng = random.Random(stable_hash(f"{version}\x1f{prompt}"))
-    words = [f" w{rng.randrange(10_000)}" for _ in range(max(0, count - 1))]
-    return ["good" if good else "poor", *words]
--- a/src/rattanpier/_internal/standin/plain.py
+++ b/src/rattanpier/_internal/standin/plain.py
@@ -7,13 +7,8 @@
 import attrs
 from aiohttp import web
 
-from rattanpier._internal.standin.engine import (
-    EngineFault,
-    EngineFaults,
-    abort,
-    health,
-    refuse,
-)
+from rattanpier._internal.standin.faults import EngineFault, EngineFaults
+from rattanpier._internal.standin.replies import abort, health, refuse
 from rattanpier._internal.standin.runs import RunFile
 from rattanpier._internal.utils.codec import decode, encode
 
@@ -39,11 +34,7 @@
 
     async def serve(self, request: web.Request) -> web.Response:
         """Runs one call."""
-        fault = self.faults.fault
-        if self.faults.count == 0:
-            fault = EngineFault.NONE
-        elif fault is not EngineFault.NONE and self.faults.count > 0:
-            self.faults.count -= 1
+        fault = self.faults.take()
         if fault is EngineFault.REFUSE:
             return refuse("the service is full", not_run=True)
         body = await request.text()
--- a/tests/failure/test_whole_answers.py
+++ b/tests/failure/test_whole_answers.py
@@ -8,7 +8,7 @@
 import pytest
 import pytest_asyncio
 
-from rattanpier._internal.standin.engine import answer_words
+from rattanpier._internal.standin.texts import answer_words
 from tests.lib.builders import DESK_KEY, SMALL, configuration_text
 from tests.lib.cluster import Cluster, wait_for
 
--- a/tests/unit/test_chaos_judge.py
+++ b/tests/unit/test_chaos_judge.py
@@ -13,8 +13,8 @@
     judge_stops,
     judge_withdrawn,
 )
-from rattanpier._internal.standin.engine import Run
 from rattanpier._internal.standin.runs import RunFile
+from rattanpier._internal.standin.streams import Run
 
 KEY = "c-1"
 
--- a/tests/unit/test_load.py
+++ b/tests/unit/test_load.py
@@ -7,7 +7,7 @@
 from rattanpier._internal.load.caller import Heard, is_right
 from rattanpier._internal.load.report import Report, percentiles, record
 from rattanpier._internal.load.run import Load
-from rattanpier._internal.standin.engine import answer_words
+from rattanpier._internal.standin.texts import answer_words
 
 SHAPE = Shape(["a", "b", "c"], rate=100.0, seconds=20.0, max_tokens=8)
 ARRIVAL = Arrival(0.0, 0, "a", "p", False, "s", True)
