Ask the JSON decoder directly for a chunk

Cause: by samples of an entry's stack under load, parsing chunks takes 9.6% of its time; json.loads guesses the encoding of bytes and looks for white space.

Change: events are decoded as UTF-8, as the protocol of server-sent events says, and raw_decode is called; what stands behind the value is refused.

Of 12 tests of what a chunk is, 2 fail on the old code (UTF-16 and a byte-order mark were taken) and 2 without the check of the end. test_whole_answers, test_not_run, test_non_idempotent, test_order* pass.

--- a/src/rattanpier/_internal/dispatch/engine.py
+++ b/src/rattanpier/_internal/dispatch/engine.py
@@ -28,6 +28,7 @@
 CANCEL_TIMEOUT_S = 2.0
 MAX_EVENT_BYTES = 2**20
 DONE = b"[DONE]"
+decode_json = json.JSONDecoder().raw_decode
 # Client errors that another worker may not repeat.
 RETRYABLE_CLIENT_ERRORS = frozenset({404, 408, 410, 429})
 
@@ -270,7 +271,11 @@
     Raises:
       ValueError: The text is not a chunk.
     """
-    body = json.loads(event.data)
+    source = event.data.decode()
+    # json.loads guesses the encoding and looks for spaces around the value.
+    body, end = decode_json(source)
+    if end != len(source):
+        raise ValueError("more than one value in an event")
     try:
         choices = body.get("choices") or [{}]
         text = choices[0].get("delta", {}).get("content") or ""
