Judge a peer silent by calls one after another, not at the same moment

Cause: a link replaced its stream after three timeouts without a frame in between. Calls of one moment run into their timeouts together, so one pause of a peer of a second (busy, not dead) ended the stream three calls deep and with it every other call; each new stream cost the busy peer more.

Ruled out: a higher count (any count is reached by enough calls at once); leaving streams alone (a half-open one would hold its callers for ever).

Change: of calls that overlap, one timeout is counted. Three calls, one after the other, with no frame meanwhile, replace a stream as before.

The new test (200 calls at once time out, one waits on; before: its stream is ended and the call fails; after: it gets its reply) fails without the change.

--- a/src/rattanpier/_internal/peers/link.py
+++ b/src/rattanpier/_internal/peers/link.py
@@ -52,7 +52,9 @@
       member: Own member name, sent in the first frame.
       pending: Futures of calls without a reply, by call id.
       connected: Whether the present stream has been answered.
-      silent_calls: Timeouts since the last frame from the peer.
+      silent_calls: Timeouts since the last frame from the peer; of calls
+        that overlap only one is counted.
+      silent_at: Monotonic time of the last timeout that was counted.
       backoff_s: Wait before the next stream; 0 after one that worked.
       retry_at: Monotonic time before which no stream is opened.
     """
@@ -75,6 +77,7 @@
         self.task: asyncio.Task[None] | None = None
         self.connected = False
         self.silent_calls = 0
+        self.silent_at = 0.0
         self.backoff_s = 0.0
         self.retry_at = 0.0
 
@@ -96,10 +99,11 @@
         self.pending[call.id] = future
         self.frame.calls.append(call)
         self.wake.set()
+        sent_at = time.monotonic()
         try:
             reply = await asyncio.wait_for(future, timeout_s)
         except TimeoutError as error:
-            self.note_silence()
+            self.note_silence(sent_at)
             raise PeerUnavailableError(
                 f"peer {self.address} did not answer"
             ) from error
@@ -128,8 +132,16 @@
             self.frame = peer_pb2.Frame(sender=self.member)
             self.task = asyncio.get_running_loop().create_task(self.run())
 
-    def note_silence(self) -> None:
-        """Counts a call without a reply; replaces a silent stream."""
+    def note_silence(self, sent_at: float) -> None:
+        """Counts a call without a reply; replaces a silent stream.
+
+        A busy peer lets all calls of one moment run into their timeouts.
+        Taken one by one they would end its stream, with every other call on
+        it, and a new stream costs a busy peer more still.
+        """
+        if sent_at < self.silent_at:
+            return  # Under way when the last one was counted.
+        self.silent_at = time.monotonic()
         self.silent_calls += 1
         if self.silent_calls >= MAX_SILENT_CALLS and self.task is not None:
             log.info("Link is silent.", peer=self.address)
--- a/tests/unit/test_peers_link.py
+++ b/tests/unit/test_peers_link.py
@@ -108,6 +108,22 @@
         writer.close()
 
 
+async def test_a_slow_peer_keeps_its_stream_and_the_calls_on_it(links):
+    hold = asyncio.Event()
+    server = await start_server(hold=hold)
+    link = links(server.port)
+    patient = asyncio.create_task(link.call(ping_call(), 60))
+    hasty = [
+        asyncio.create_task(link.call(ping_call(), 0.2)) for _ in range(200)
+    ]
+    ended = await asyncio.gather(*hasty, return_exceptions=True)
+    assert all(isinstance(error, PeerUnavailableError) for error in ended)
+    hold.set()
+    # Two hundred calls at the same time are one sign of silence, not many.
+    assert (await patient).ping.state == "live"
+    await server.stop()
+
+
 async def test_queues_of_a_silent_peer_are_bounded(links, monkeypatch):
     monkeypatch.setattr(link_module, "MAX_PENDING", 10)
     monkeypatch.setattr(link_module, "MAX_NOTICES", 10)
