Pin sessions older than a roll-out once it is open

Cause: an entry that remembered a session from before a roll-out wrote no row for it, however often it asked; on another entry the split could move it.

Ruled out: rows for all sessions at all times (writes with no roll-out open); writing all remembered sessions when a roll-out opens (a burst of up to 50,000 writes an entry against several hundred a second).

Change: what an entry remembers says whether the row was tried; the first answer while a roll-out is open writes it. A failed write is not repeated, as before, so that an outage delays a session once at most.

--- a/src/rattanpier/_internal/edge/pins.py
+++ b/src/rattanpier/_internal/edge/pins.py
@@ -61,20 +61,33 @@
     }
 
 
+@attrs.frozen
+class Remembered:
+    """What an entry knows of a session.
+
+    Attributes:
+      version: Version that the session keeps.
+      row: True once its row was read, or its writing was tried.
+    """
+
+    version: str
+    row: bool
+
+
 @attrs.define
 class SessionPins:
     """Finds and keeps the versions of sessions.
 
     Attributes:
       configuration: Returns the configuration in force.
-      remembered: Versions by row key, the most recently used last.
+      remembered: Sessions by row key, the most recently used last.
     """
 
     table: Table
     clock: Clock
     metrics: Metrics
     configuration: Callable[[], Configuration]
-    remembered: collections.OrderedDict[str, str] = attrs.Factory(
+    remembered: collections.OrderedDict[str, Remembered] = attrs.Factory(
         collections.OrderedDict
     )
 
@@ -88,7 +101,7 @@
         key = pin_key(workspace, session)
         if key in self.remembered:
             self.remembered.move_to_end(key)
-            return self.remembered[key]
+            return self.remembered[key].version
         if not in_rollout(self.configuration()):
             return ""
         self.metrics.count("sessions.pin_read")
@@ -100,7 +113,7 @@
         if row is None:
             return ""
         version = decode(PinRow, row.value).version
-        self.remember(key, version)
+        self.remember(key, version, row=True)
         return version
 
     async def keep(self, workspace: str, session: str, version: str) -> str:
@@ -111,10 +124,13 @@
           pinned it first.
         """
         key = pin_key(workspace, session)
-        if self.remembered.get(key) == version:
+        known = self.remembered.get(key, Remembered("", False))
+        # A session older than the roll-out gets its row once one is open.
+        open_now = version in in_rollout(self.configuration())
+        if known.version == version and (known.row or not open_now):
             return version
-        if version not in in_rollout(self.configuration()):
-            self.remember(key, version)
+        if not open_now:
+            self.remember(key, version, row=False)
             return version
         row = PinRow(version, self.clock.time())
         outcome = await self.table.transact(
@@ -128,7 +144,7 @@
             case _:
                 # Held by this entry alone until the store is back.
                 self.metrics.count("sessions.pin_unwritten")
-        self.remember(key, version)
+        self.remember(key, version, row=True)
         return version
 
     async def other(self, key: str, version: str) -> str:
@@ -138,9 +154,9 @@
         except StoreUnavailableError:
             return version
 
-    def remember(self, key: str, version: str) -> None:
+    def remember(self, key: str, version: str, row: bool) -> None:
         """Notes a session's version in this process."""
-        self.remembered[key] = version
+        self.remembered[key] = Remembered(version, row)
         self.remembered.move_to_end(key)
         if len(self.remembered) > MAX_REMEMBERED:
             self.remembered.popitem(last=False)
