Tell a peer again that does not know this process

Cause: a member that was frozen and comes back under a new incarnation tells the others by notices, which may be lost (a link that is being replaced drops what waits in it). While the store is down nothing else told them: it stayed unlisted until the store came back. Found by reading, while looking for why test_a_killed_and_a_frozen_entry_are_listed_by_none[down] failed once. Ruled out: sending the notice at every duty, which costs messages for ever. Change: the reply to a ping says that the asker's name is not known; the asker then sends its joined notice to that peer, which passes it on as news.

--- a/src/rattanpier/_internal/membership/members.py
+++ b/src/rattanpier/_internal/membership/members.py
@@ -130,6 +130,7 @@
             metrics=self.metrics,
             on_gone=self.declare_gone,
             on_self_gone=self.note_self_gone,
+            on_unknown=self.announce_to,
             row_lapse_s=lambda: ROW_LAPSE_PERIODS * self.refresh_s,
             directory_revision=lambda: self.reader.revision or 0,
         )
@@ -275,6 +276,17 @@
         else:
             self.spread(notice)
 
+    def announce_to(self, peer: Member) -> None:
+        """Tells a peer again whose notice was lost.
+
+        While the store is down nothing else tells it of this process.
+        """
+        if self.announced != self.me or self.yielded:
+            return
+        if self.me.state is MemberState.LIVE:
+            self.metrics.count("members.announced_again")
+            self.notifier.send(joined_notice(self.me), [peer])
+
     async def refresh(self) -> None:
         """Writes the own row, unless it says that this process is gone."""
         if self.yielded:
--- a/src/rattanpier/_internal/membership/probing.py
+++ b/src/rattanpier/_internal/membership/probing.py
@@ -64,6 +64,7 @@
       me: Returns this process.
       on_gone: Called with a member that is declared gone.
       on_self_gone: Called when a peer says that this process is gone.
+      on_unknown: Called with a peer that does not know this process.
       row_lapse_s: Returns how long a row may stand still.
       under_way: Names that are being probed.
       last_answer: When a peer last answered a probe.
@@ -78,6 +79,7 @@
     metrics: Metrics
     on_gone: Callable[[Member], None]
     on_self_gone: Callable[[], None]
+    on_unknown: Callable[[Member], None]
     row_lapse_s: Callable[[], float]
     directory_revision: Callable[[], int]
     under_way: set[str] = attrs.Factory(set)
@@ -128,6 +130,8 @@
         self.last_answer = self.clock.monotonic()
         if reply.ping.sender_departed:
             self.on_self_gone()
+        elif reply.ping.sender_unknown:
+            self.on_unknown(member)
         return Probe.ALIVE
 
     async def confirm(self, member: Member) -> Probe:
@@ -204,6 +208,7 @@
                 incarnation=me.incarnation,
                 directory_revision=self.directory_revision(),
                 sender_departed=sender in self.roster.departed,
+                sender_unknown=call.ping.sender not in self.roster.known,
             )
         )
 
--- a/tests/lib/network.py
+++ b/tests/lib/network.py
@@ -126,6 +126,8 @@
         copy = peer_pb2.Notice.FromString(notice.SerializeToString())
         target = self.target()
         self.node.traffic.add(notice)
+        if notice.WhichOneof("body") in self.network.lost_notices:
+            return
         if not self.network.passes(self.node, target) or target.dead:
             return
         target.traffic.add(notice)
@@ -227,6 +229,7 @@
         self.store_down = False
         self.no_store = set()
         self.cuts = set()
+        self.lost_notices = set()  # Kinds that get lost.
 
     def passes(self, sender, target):
         if target is None or not sender.is_awake:
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -63,6 +63,25 @@
     assert not any(node.members.alive(old) for node in nodes)
 
 
+@pytest.mark.parametrize("size", [3, 8])
+async def test_lost_notices_of_a_return_are_made_good_without_the_store(
+    network, size
+):
+    nodes = await start_fleet(network, size)
+    network.store_down = True
+    nodes[1].freeze()
+    await network.clock.advance(2 * DETECT_S)
+    network.lost_notices = {"joined"}
+    nodes[1].thaw()
+    await network.clock.advance(5)
+    assert not any(
+        nodes[1].name in node.sees for node in without(nodes, nodes[1])
+    )
+    network.lost_notices = set()
+    await network.clock.advance(5)
+    assert all(node.sees == names(nodes) for node in nodes)
+
+
 async def test_two_neighbours_killed_at_once_and_then_two_more(network):
     nodes = await start_fleet(network, 10)
     for pair in (nodes[0:2], nodes[4:6]):
