Let the membership test's callers come back as they are told

Cause: test_a_killed_and_a_frozen_entry_are_listed_by_none[down] asked an entry in the moment in which the store came back, and took `claim_unavailable` with its Retry-After, which is right for an entry that does not know of the store's return yet, for a lost request. Ruled out: waiting for /readyz, which is right to be 200 in an outage. Change: the caller asks again by its key, after this refusal only, until it has its answer.

--- a/tests/failure/test_membership.py
+++ b/tests/failure/test_membership.py
@@ -44,13 +44,23 @@
 
 
 async def answered(cluster, name, key):
-    """Whether a request through an entry gets its whole answer."""
-    ledger = Ledger()
-    async with aiohttp.ClientSession() as session:
-        url = cluster.urls[name]
-        caller = Caller(session, [url], ledger, random.Random(0))
-        caller.cache, caller.cached_until = [url], float("inf")
-        await caller.request(key, 5, tries=40)
+    """Whether a caller that comes back as told gets its whole answer.
+
+    Just after an outage an entry may not know yet that the store is back: it
+    says `claim_unavailable` and when to come back. Nothing else is excused.
+    """
+
+    async def probe():
+        ledger = Ledger()
+        async with aiohttp.ClientSession() as session:
+            url = cluster.urls[name]
+            caller = Caller(session, [url], ledger, random.Random(0))
+            caller.cache, caller.cached_until = [url], float("inf")
+            await caller.request(key, 5, tries=40)
+        told = ledger.lost == [f"{key}: claim_unavailable"]
+        return None if told else ledger
+
+    ledger = await wait_for(probe, 40)
     return (ledger.whole, ledger.faults) == (1, [])
 
 
