Let a link open its stream before calls on it can be found silent

Cause: calls that timed out while a link waited out its backoff, or connected, counted as silence and ended the stream that was about to be opened; the next one waited out its backoff again. With calls coming all the time a link never came back, though its peer was well.

Change: nothing is counted before the stream is open, and the count starts afresh on each stream.

The new test (a link at its longest backoff, its peer back, calls of 0.1 s one after the other: before, 0 of 100 answered; after, one is, as the stream opens) fails without the change.

--- a/src/rattanpier/_internal/peers/link.py
+++ b/src/rattanpier/_internal/peers/link.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import itertools
+import math
 import random
 import ssl
 import time
@@ -54,7 +55,8 @@
       connected: Whether the present stream has been answered.
       silent_calls: Timeouts since the last frame from the peer; of calls
         that overlap only one is counted.
-      silent_at: Monotonic time of the last timeout that was counted.
+      silent_at: Monotonic time of the last timeout that was counted on the
+        present stream, 0 if none was; infinite while there is no stream.
       backoff_s: Wait before the next stream; 0 after one that worked.
       retry_at: Monotonic time before which no stream is opened.
     """
@@ -77,7 +79,7 @@
         self.task: asyncio.Task[None] | None = None
         self.connected = False
         self.silent_calls = 0
-        self.silent_at = 0.0
+        self.silent_at = math.inf
         self.backoff_s = 0.0
         self.retry_at = 0.0
 
@@ -135,12 +137,14 @@
     def note_silence(self, sent_at: float) -> None:
         """Counts a call without a reply; replaces a silent stream.
 
+        Nothing is counted before a stream is open; else calls given up
+        meanwhile would end it again and again before it ever is.
         A busy peer lets all calls of one moment run into their timeouts.
         Taken one by one they would end its stream, with every other call on
         it, and a new stream costs a busy peer more still.
         """
         if sent_at < self.silent_at:
-            return  # Under way when the last one was counted.
+            return
         self.silent_at = time.monotonic()
         self.silent_calls += 1
         if self.silent_calls >= MAX_SILENT_CALLS and self.task is not None:
@@ -168,6 +172,7 @@
     def note_break(self) -> None:
         """Sets when the next stream may be opened."""
         worked, self.connected = self.connected, False
+        self.silent_at = math.inf
         self.backoff_s = (
             0.0
             if worked
@@ -186,6 +191,8 @@
                     PeerStub(channel).Exchange.open()
                 )
                 await stream.send_request()
+            self.silent_at = 0.0
+            self.silent_calls = 0
             loop = asyncio.get_running_loop()
             work = [
                 loop.create_task(self.send(stream)),
--- a/tests/unit/test_peers_link.py
+++ b/tests/unit/test_peers_link.py
@@ -124,6 +124,27 @@
     await server.stop()
 
 
+async def test_hasty_calls_do_not_keep_a_link_from_coming_back(links):
+    server = await start_server()
+    await server.stop()
+    link = links(server.port)
+    for _ in range(8):
+        with pytest.raises(PeerUnavailableError):
+            await link.call(ping_call(), 60)
+    assert link.backoff_s == link_module.MAX_BACKOFF_S
+    again = await start_server(server.port)
+    replies = []
+    # Each is given up before a stream is opened again.
+    for _ in range(100):
+        try:
+            replies.append(await link.call(ping_call(), 0.1))
+        except PeerUnavailableError:
+            continue
+        break
+    assert [reply.ping.state for reply in replies] == ["live"]
+    await again.stop()
+
+
 async def test_queues_of_a_silent_peer_are_bounded(links, monkeypatch):
     monkeypatch.setattr(link_module, "MAX_PENDING", 10)
     monkeypatch.setattr(link_module, "MAX_NOTICES", 10)
