Watch for rows that stand still in one place

Cause: the directory's lease, the last resort of the probes and the leases on orders each counted on their own how long a row stood unchanged. Ruled out: taking in the claim shards' watch as well, which others are changing now. Change: platform/row_watch.py with one attrs class; the limits and their comparisons stay where they were. No behaviour changes. Run: unit/test_membership, failure/test_membership, test_orders and test_orders_processes pass.

--- a/src/rattanpier/_internal/membership/directory.py
+++ b/src/rattanpier/_internal/membership/directory.py
@@ -28,6 +28,7 @@
 from rattanpier._internal.membership.roster import Roster
 from rattanpier._internal.models.member import Member, member_key
 from rattanpier._internal.models.outcomes import Committed
+from rattanpier._internal.platform.row_watch import RowWatch
 from rattanpier._internal.platform.table import (
     ABSENT,
     Check,
@@ -84,16 +85,14 @@
     """Holds the lease of the directory, or waits for it to lapse.
 
     Attributes:
-      seen_version: Version of the lease row as last seen, held by another.
-      seen_since: Monotonic seconds at which it was first seen.
+      watch: The lease row, while another holds it.
       directory: The directory as last written or read; None: to be read.
       holding: Whether the lease was this process's at the last look.
     """
 
     table: Table
     clock: Clock
-    seen_version: int = -1
-    seen_since: float = 0.0
+    watch: RowWatch = attrs.Factory(RowWatch)
     directory: Directory | None = None
     holding: bool = False
 
@@ -127,11 +126,10 @@
         """Says whether the lease is there to be taken."""
         if row is None:
             return True
-        now = self.clock.monotonic()
-        if row.version != self.seen_version:
-            self.seen_version = row.version
-            self.seen_since = now
-        return now - self.seen_since >= LEASE_LAPSE_S + RANK_PAUSE_S * rank
+        unchanged_s = self.watch.unchanged_s(
+            row.version, self.clock.monotonic()
+        )
+        return unchanged_s >= LEASE_LAPSE_S + RANK_PAUSE_S * rank
 
     async def take(
         self, me: Member, row: Row | None, roster: Roster
--- a/src/rattanpier/_internal/membership/probing.py
+++ b/src/rattanpier/_internal/membership/probing.py
@@ -26,6 +26,7 @@
 from rattanpier._internal.models.member import Member, member_key
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.platform.row_watch import RowWatch
 from rattanpier._internal.platform.table import Table
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.metrics import Metrics
@@ -48,14 +49,6 @@
     SELF_GONE = "self_gone"  # Alive, and says that this process is gone.
 
 
-@attrs.define
-class StillRow:
-    """A member row that may have stopped to change."""
-
-    version: int
-    since: float
-
-
 @attrs.define
 class Prober:
     """Probes the successors of one process.
@@ -84,7 +77,7 @@
     directory_revision: Callable[[], int]
     under_way: set[str] = attrs.Factory(set)
     last_answer: float = float("-inf")
-    still: dict[str, StillRow] = attrs.Factory(dict)
+    still: dict[str, RowWatch] = attrs.Factory(dict)
 
     async def round(self) -> None:
         """Probes each successor that is not being probed already."""
@@ -189,12 +182,9 @@
             self.still.pop(member.name, None)
             return False
         version = row.version if row else 0
-        now = self.clock.monotonic()
-        seen = self.still.get(member.name)
-        if seen is None or seen.version != version:
-            self.still[member.name] = StillRow(version, now)
-            return False
-        return now - seen.since >= self.row_lapse_s()
+        watch = self.still.setdefault(member.name, RowWatch())
+        unchanged_s = watch.unchanged_s(version, self.clock.monotonic())
+        return unchanged_s >= self.row_lapse_s()
 
     # For peers.
 
--- a/src/rattanpier/_internal/orders/lease.py
+++ b/src/rattanpier/_internal/orders/lease.py
@@ -14,6 +14,7 @@
 from rattanpier._internal.models.member import Member
 from rattanpier._internal.models.outcomes import NotRun
 from rattanpier._internal.orders.records import OrdersLease, lease_key
+from rattanpier._internal.platform.row_watch import RowWatch
 from rattanpier._internal.platform.table import (
     ABSENT,
     Check,
@@ -57,14 +58,14 @@
 
     Attributes:
       held: By upstream.
-      seen: Row version and when it was seen first, by upstream.
+      seen: Rows of others, by upstream.
     """
 
     me: Member
     table: Table
     clock: Clock
     held: dict[str, Held] = attrs.Factory(dict)
-    seen: dict[str, tuple[int, float]] = attrs.Factory(dict)
+    seen: dict[str, RowWatch] = attrs.Factory(dict)
 
     def valid(self, upstream: str) -> Held | None:
         """Returns a lease that surely holds now, or None."""
@@ -97,12 +98,9 @@
 
     def lapsed(self, upstream: str, row: Row) -> bool:
         """Says whether a row stood unchanged for longer than its term."""
-        now = self.clock.monotonic()
-        version, since = self.seen.get(upstream, (ABSENT, now))
-        if version != row.version:
-            self.seen[upstream] = (row.version, now)
-            return False
-        return now - since > TERM_S + SKEW_S
+        watch = self.seen.setdefault(upstream, RowWatch())
+        unchanged_s = watch.unchanged_s(row.version, self.clock.monotonic())
+        return unchanged_s > TERM_S + SKEW_S
 
     async def write(
         self, upstream: str, lease: OrdersLease, version: int
