--- a/src/rattanpier/_internal/commands/demo.py
+++ b/src/rattanpier/_internal/commands/demo.py
@@ -21,7 +21,6 @@
 )
 from rattanpier._internal.configuration.store import Revision, propose
 from rattanpier._internal.edge.server import HttpServer
-from rattanpier._internal.kernel import Kernel
 from rattanpier._internal.models.settings import (
     ListenSettings,
     NodeSettings,
@@ -141,18 +140,14 @@
         control = await build_control(control_settings(settings))
         stack.push_async_callback(control.stop)
         entry = await build_entry(settings)
-        stack.push_async_callback(stop_entry, entry)
+        # Without a drain: a demo has no callers to wait for.
+        stack.push_async_callback(entry.stop)
         entry_urls.append(entry.find("edge").url)
         operator_urls.append(control.find("operators").url)
     await wait_ready(entry_urls)
     return DemoSystem(platform, entry_urls, operator_urls)
 
 
-async def stop_entry(entry: Kernel) -> None:
-    """Stops an entry at once; a demo has no callers to wait for."""
-    await entry.stop()
-
-
 async def wait_ready(urls: list[str]) -> None:
     """Waits until every entry takes callers and lists all the others.
 
--- a/src/rattanpier/_internal/commands/orders.py
+++ b/src/rattanpier/_internal/commands/orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Mapping
 from urllib.parse import quote
 
 from rattanpier._internal.commands.api import connect
@@ -35,10 +36,8 @@
         "share": checked_share(share),
         "max_share": checked_share(max_share),
     }
-    change = Change(
-        connect(url), f"rollouts/{quoted(name)}/start", json.dumps(fields)
-    )
-    return carry_out(change, f"Start roll-out {name}")
+    path = f"rollouts/{quoted(name)}/start"
+    return send(url, path, f"Start roll-out {name}", fields)
 
 
 def widen(name: str, share: float, url: str = "") -> Result:
@@ -49,30 +48,9 @@
       share: Share of new sessions that get the candidate, 0 to 1.
       url: Operators' address of a control process.
     """
-    fields = json.dumps({"share": checked_share(share)})
-    change = Change(connect(url), f"rollouts/{quoted(name)}/widen", fields)
-    return carry_out(change, f"Widen roll-out {name}")
-
-
-def quoted(name: str) -> str:
-    """Returns a name as a part of a path.
-
-    >>> quoted("a/b@1"), quoted(3)
-    ('a%2Fb%401', '3')
-    """
-    return quote(str(name), safe="")
-
-
-def checked_share(share: float) -> float:
-    """Returns a share.
-
-    Raises:
-      CommandError: It is not a number from 0 to 1.
-    """
-    wrong = isinstance(share, bool) or not isinstance(share, int | float)
-    if wrong or not 0 <= share <= 1:
-        raise CommandError(f"{share!r} is not a share", "give 0 to 1")
-    return float(share)
+    path = f"rollouts/{quoted(name)}/widen"
+    fields = {"share": checked_share(share)}
+    return send(url, path, f"Widen roll-out {name}", fields)
 
 
 def halt(name: str, url: str = "") -> Result:
@@ -82,8 +60,8 @@
       name: Its name.
       url: Operators' address of a control process.
     """
-    change = Change(connect(url), f"rollouts/{quoted(name)}/halt")
-    return carry_out(change, f"Halt roll-out {name}")
+    path = f"rollouts/{quoted(name)}/halt"
+    return send(url, path, f"Halt roll-out {name}")
 
 
 def status(name: str, url: str = "") -> Result:
@@ -107,8 +85,8 @@
       version: Its name.
       url: Operators' address of a control process.
     """
-    change = Change(connect(url), f"versions/{quoted(version)}/withdraw")
-    return carry_out(change, f"Withdraw {version}")
+    path = f"versions/{quoted(version)}/withdraw"
+    return send(url, path, f"Withdraw {version}")
 
 
 def drain(upstream: str, url: str = "") -> Result:
@@ -118,5 +96,44 @@
       upstream: Its name.
       url: Operators' address of a control process.
     """
-    change = Change(connect(url), f"upstreams/{quoted(upstream)}/drain")
-    return carry_out(change, f"Drain {upstream}")
+    path = f"upstreams/{quoted(upstream)}/drain"
+    return send(url, path, f"Drain {upstream}")
+
+
+def send(
+    url: str,
+    path: str,
+    doing: str,
+    fields: Mapping[str, str | float] | None = None,
+) -> Result:
+    """Sends a change and returns what became of it.
+
+    Args:
+      url: Operators' address of a control process, or empty.
+      path: Path of the call.
+      doing: What is done, for people.
+      fields: Fields of the body, or None for no body.
+    """
+    data = "" if fields is None else json.dumps(fields)
+    return carry_out(Change(connect(url), path, data), doing)
+
+
+def quoted(name: str) -> str:
+    """Returns a name as a part of a path.
+
+    >>> quoted("a/b@1"), quoted(3)
+    ('a%2Fb%401', '3')
+    """
+    return quote(str(name), safe="")
+
+
+def checked_share(share: float) -> float:
+    """Returns a share.
+
+    Raises:
+      CommandError: It is not a number from 0 to 1.
+    """
+    wrong = isinstance(share, bool) or not isinstance(share, int | float)
+    if wrong or not 0 <= share <= 1:
+        raise CommandError(f"{share!r} is not a share", "give 0 to 1")
+    return float(share)
