Name an incarnation and a duty's holder in one place

Cause: "name/incarnation" was written out in spread, collect and driver besides records.incarnation_id; orders and roll-outs each found the first live control process in rendezvous order. Change: incarnation_id everywhere; membership/duties.control_for; sums by workspace are typed dict[str, Pair]. No behaviour changes. Run: failure test_rollout_driver, test_rollout_processes, test_orders, test_configuration_currency, unit test_rollout_attempts, test_rollout_ledger and test_correspondence_configuration pass.

--- a/src/rattanpier/_internal/configuration/inforce.py
+++ b/src/rattanpier/_internal/configuration/inforce.py
@@ -25,7 +25,7 @@
     CLOCK_MARGIN_S,
     Sightings,
 )
-from rattanpier._internal.configuration.spread import Spreader, member_id
+from rattanpier._internal.configuration.spread import Spreader
 from rattanpier._internal.configuration.store import (
     Revision,
     read_revision,
@@ -33,6 +33,7 @@
 from rattanpier._internal.exceptions import StoreUnavailableError
 from rattanpier._internal.kernel import Kernel
 from rattanpier._internal.membership.members import Members
+from rattanpier._internal.membership.records import incarnation_id
 from rattanpier._internal.models.member import MEMBER_PREFIX, Member, Role
 from rattanpier._internal.platform.table import Table, scan_all
 from rattanpier._internal.utils.clock import Clock
@@ -133,7 +134,7 @@
         lately = self.sightings.members()
         limits = await read_limits(self.table, watch.revision)
         watch.expected = {
-            member_id(member): member for member in [*found, *lately]
+            incarnation_id(member): member for member in [*found, *lately]
         }
         watch.limits = limits
 
@@ -143,7 +144,7 @@
         Members that are frozen or dead must not hold up the judgement.
         """
         if self.follower.revision >= watch.revision:
-            watch.acked.add(member_id(self.members.me))
+            watch.acked.add(incarnation_id(self.members.me))
         if watch.pushing is None or watch.pushing.done():
             watch.pushing = asyncio.get_running_loop().create_task(
                 self.push_all(watch)
--- a/src/rattanpier/_internal/configuration/progress.py
+++ b/src/rattanpier/_internal/configuration/progress.py
@@ -7,7 +7,7 @@
 import attrs
 
 from rattanpier._internal.configuration.limits import Limits
-from rattanpier._internal.configuration.spread import member_id
+from rattanpier._internal.membership.records import incarnation_id
 from rattanpier._internal.models.member import Member
 
 
@@ -69,5 +69,5 @@
             self.revision,
             in_force,
             frozenset(self.acked),
-            frozenset(member_id(member) for member in self.waiting()),
+            frozenset(incarnation_id(member) for member in self.waiting()),
         )
--- a/src/rattanpier/_internal/configuration/sightings.py
+++ b/src/rattanpier/_internal/configuration/sightings.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from rattanpier._internal.configuration.spread import member_id
+from rattanpier._internal.membership.records import incarnation_id
 from rattanpier._internal.models.member import Member
 
 CLOCK_MARGIN_S = 0.3  # For clocks that run at slightly unlike rates.
@@ -46,7 +46,7 @@
           now: Monotonic seconds.
         """
         for member in live:
-            self.by_id[member_id(member)] = Sighting(now, member)
+            self.by_id[incarnation_id(member)] = Sighting(now, member)
         kept_s = self.memory_s()
         self.by_id = {
             name: sighting
--- a/src/rattanpier/_internal/configuration/spread.py
+++ b/src/rattanpier/_internal/configuration/spread.py
@@ -16,6 +16,7 @@
 from rattanpier._internal.configuration.follow import Follower
 from rattanpier._internal.exceptions import PeerUnavailableError
 from rattanpier._internal.membership.members import Members
+from rattanpier._internal.membership.records import incarnation_id
 from rattanpier._internal.models.member import Member
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.proto import peer_pb2
@@ -25,11 +26,6 @@
 LEVEL_TIMEOUT_S = 0.5
 
 
-def member_id(member: Member) -> str:
-    """Returns the name of one start of a process."""
-    return f"{member.name}/{member.incarnation}"
-
-
 def branches(names: Sequence[str]) -> list[list[str]]:
     """Deals names out to at most `FAN_OUT` branches.
 
@@ -109,7 +105,7 @@
         targets = [live[name] for name in push.relay if name in live]
         acked = await self.spread(push.revision, push.text, targets)
         if self.follower.revision >= push.revision:
-            acked.add(member_id(self.members.me))
+            acked.add(incarnation_id(self.members.me))
         ack = peer_pb2.ConfigAck(
             revision=self.follower.revision, members=sorted(acked)
         )
--- a/src/rattanpier/_internal/orders/keeper.py
+++ b/src/rattanpier/_internal/orders/keeper.py
@@ -15,18 +15,18 @@
 
 from rattanpier._internal.configuration.follow import Follower
 from rattanpier._internal.kernel import Kernel
+from rattanpier._internal.membership.duties import control_for
 from rattanpier._internal.membership.members import Members
 from rattanpier._internal.models.configuration import (
     Upstream,
     UpstreamKind,
     Worker,
 )
-from rattanpier._internal.models.member import Member, Role
+from rattanpier._internal.models.member import Member
 from rattanpier._internal.orders.client import EngineOrders, HttpEngineOrders
 from rattanpier._internal.orders.lease import UNDER_WAY_S, Leases
 from rattanpier._internal.orders.records import Order
 from rattanpier._internal.utils.clock import Clock
-from rattanpier._internal.utils.hashing import rendezvous
 from rattanpier._internal.utils.metrics import Metrics
 
 log = structlog.get_logger(part="orders")
@@ -62,12 +62,8 @@
 
     def is_mine(self, upstream: str) -> bool:
         """Says whether this process is to give an upstream's orders."""
-        controls = [
-            name
-            for name, member in self.members.live.value.items()
-            if member.role is Role.CONTROL
-        ]
-        return rendezvous(f"orders/{upstream}", controls)[:1] == [self.me.name]
+        keeper = control_for(f"orders/{upstream}", self.members.live.value)
+        return keeper is not None and keeper.name == self.me.name
 
     async def repair(
         self, name: str, upstream: Upstream, worker: Worker
--- a/src/rattanpier/_internal/rollout/collect.py
+++ b/src/rattanpier/_internal/rollout/collect.py
@@ -10,20 +10,23 @@
     AttemptResult,
 )
 from rattanpier._internal.kernel import Kernel
+from rattanpier._internal.membership.duties import control_for
 from rattanpier._internal.membership.members import Members
+from rattanpier._internal.membership.records import incarnation_id
 from rattanpier._internal.models.configuration import (
     Configuration,
     Fleet,
     Rollout,
     RolloutState,
 )
-from rattanpier._internal.models.member import Member, Role
+from rattanpier._internal.models.member import Member
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.proto import peer_pb2
 from rattanpier._internal.rollout.evidence import (
     NO_LATENCY,
     NOTHING,
     Counts,
+    Pair,
     latency_bucket,
 )
 from rattanpier._internal.rollout.judge import Judge
@@ -32,7 +35,6 @@
 from rattanpier._internal.routing.brakes import Brakes
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.codec import encode
-from rattanpier._internal.utils.hashing import rendezvous
 from rattanpier._internal.utils.metrics import Metrics
 
 log = structlog.get_logger(part="rollout")
@@ -89,7 +91,7 @@
     @property
     def origin(self) -> str:
         """How this start of the entry is named in notices."""
-        return f"{self.me.name}/{self.me.incarnation}"
+        return incarnation_id(self.me)
 
     def take_attempt(self, result: AttemptResult) -> None:
         """Counts one attempt."""
@@ -150,8 +152,8 @@
         self.judges[name] = Judge()
         self.judges[name].adopt(self.pairs(rollout))
 
-    def pairs(self, rollout: Rollout) -> dict:
-        """Returns this entry's own sums for a roll-out."""
+    def pairs(self, rollout: Rollout) -> dict[str, Pair]:
+        """Returns this entry's own sums for a roll-out, by workspace."""
         return pair_up(self.sums, rollout.stable, rollout.candidate)
 
     async def run(self, kernel: Kernel) -> None:
@@ -238,10 +240,4 @@
 
 def find_driver(rollout: str, members: Members) -> Member | None:
     """Returns the control process that is to drive a roll-out."""
-    controls = {
-        name: member
-        for name, member in members.live.value.items()
-        if member.role is Role.CONTROL
-    }
-    names = rendezvous(rollout, controls)
-    return controls[names[0]] if names else None
+    return control_for(rollout, members.live.value)
--- a/src/rattanpier/_internal/rollout/driver.py
+++ b/src/rattanpier/_internal/rollout/driver.py
@@ -23,6 +23,7 @@
 from rattanpier._internal.exceptions import StoreUnavailableError
 from rattanpier._internal.kernel import Kernel
 from rattanpier._internal.membership.members import Members
+from rattanpier._internal.membership.records import incarnation_id
 from rattanpier._internal.models.configuration import Rollout, RolloutState
 from rattanpier._internal.models.member import Member
 from rattanpier._internal.peers.proto import peer_pb2
@@ -30,6 +31,7 @@
 from rattanpier._internal.rollout.changes import Change, Writer, halt, set_share
 from rattanpier._internal.rollout.collect import find_driver, same_versions
 from rattanpier._internal.rollout.course import Course
+from rattanpier._internal.rollout.evidence import Pair
 from rattanpier._internal.rollout.judge import (
     Decision,
     Halt,
@@ -183,12 +185,10 @@
         lifted = drive.braked and rollout.candidate not in self.brakes
         return lifted or not same_versions(rollout, drive.rollout)
 
-    def totals(self, drive: Drive) -> dict:
-        """Returns the sums of all entries."""
-        live = {
-            f"{member.name}/{member.incarnation}"
-            for member in self.members.live.value.values()
-        }
+    def totals(self, drive: Drive) -> dict[str, Pair]:
+        """Returns the sums of all entries, by workspace."""
+        members = self.members.live.value.values()
+        live = {incarnation_id(member) for member in members}
         drive.ledger.retire(live)
         return drive.ledger.totals(
             drive.rollout.stable, drive.rollout.candidate
