Share what models' and services' runners do alike

Cause: the two runners each spelt out how a claim goes before a dispatch, and how an attempt and its claim are made; the two retry loops each noted by hand what a failed try says of "may have run". The service runner lacked the comments that say why.

Ruled out: one retry loop for both. The model's streams and compares reruns, and asks whether it may dispatch before it picks a worker; the service's returns one whole answer and asks after. A shared loop would need a branch for each.

Change: ClaimKeeper.claim_first, make_attempt, Attempt.note_dispatch, Tries.note_failure and Tries.choose serve both. The edge imports `completion` from where it is defined. Behaviour is unchanged, no test was touched.

Run: unit tests of dispatch, keeper, bodies, attempts and placement, failure/test_not_run, test_non_idempotent, test_whole_answers, test_withdrawal, functional/test_path: all passed.

--- a/src/rattanpier/_internal/dispatch/attempt.py
+++ b/src/rattanpier/_internal/dispatch/attempt.py
@@ -40,6 +40,16 @@
         self.tries += 1
         return f"{self.ask.holder}/{self.tries}"
 
+    def note_dispatch(self) -> bool:
+        """Notes that an upstream may run the request from now on.
+
+        Returns:
+          True if one may have run it before.
+        """
+        ran_before = self.may_have_run
+        self.may_have_run = True
+        return ran_before
+
     @property
     def reply(self) -> ClaimReply | None:
         """What came of the claim, once it is known."""
@@ -68,6 +78,26 @@
         return reply is not None and reply.not_run
 
 
+def make_attempt(
+    request: RouteRequest, holder: str, request_id: str
+) -> Attempt:
+    """Returns a first attempt with its claim.
+
+    Args:
+      request: What is to be answered.
+      holder: Prefix of the process's claims, "name/incarnation".
+      request_id: Unique within the process.
+    """
+    ask = Ask(
+        request.workspace,
+        request.key,
+        f"{holder}/{request_id}",
+        request.idempotent,
+        request.digest,
+    )
+    return Attempt(request, ask)
+
+
 def is_granted(reply: ClaimReply) -> bool:
     """Says whether a claim was granted."""
     return reply.outcome is ClaimOutcome.GRANTED
--- a/src/rattanpier/_internal/dispatch/keeper.py
+++ b/src/rattanpier/_internal/dispatch/keeper.py
@@ -28,6 +28,7 @@
 
 CLAIM_TIMEOUT_S = 3.0
 SETTLE_TIMEOUT_S = 5.0
+CLAIM_HEAD_START_S = 0.1  # Before the dispatch of a keyed request.
 REFUSE_WAIT_S = 0.5  # A refusal waits no longer for its claim.
 JOIN_PAUSE_S = 0.1  # Between looks at a claim that another attempt runs.
 CONFIRM_MARGIN_S = 1.0  # A claim older than this is asked for again.
@@ -103,6 +104,22 @@
         if attempt.task is not None:
             await asyncio.wait({attempt.task}, timeout=seconds)
 
+    async def claim_first(self, attempt: Attempt) -> ClaimReply | None:
+        """Claims a request, as far as its first dispatch has to wait for it.
+
+        Returns:
+          What came of the claim; None if that is not known yet and the
+          dispatch may go ahead of it.
+        """
+        self.begin(attempt)
+        if not attempt.request.idempotent:
+            # At most one dispatch: the claim has to be certain first.
+            return await self.wait(attempt)
+        if attempt.request.keyed:
+            # A repeat of a key is mostly known before an engine is troubled.
+            await self.head_start(attempt, CLAIM_HEAD_START_S)
+        return attempt.reply
+
     async def confirm(self, attempt: Attempt) -> bool:
         """Says, right before a dispatch, whether the claim still holds.
 
--- a/src/rattanpier/_internal/dispatch/runner.py
+++ b/src/rattanpier/_internal/dispatch/runner.py
@@ -13,17 +13,16 @@
     CascadePolicy,
     fixed_threshold,
 )
-from rattanpier._internal.claims.book import Ask
 from rattanpier._internal.claims.records import Bill, ClaimResult
 from rattanpier._internal.claims.service import ClaimReply, Claims
 from rattanpier._internal.dispatch.admit import Admit, admit_all
-from rattanpier._internal.dispatch.attempt import Attempt, is_granted
-from rattanpier._internal.dispatch.attempts import Attempts
-from rattanpier._internal.dispatch.bills import (
-    completion,
-    make_answer,
-    make_bill,
+from rattanpier._internal.dispatch.attempt import (
+    Attempt,
+    is_granted,
+    make_attempt,
 )
+from rattanpier._internal.dispatch.attempts import Attempts
+from rattanpier._internal.dispatch.bills import make_answer, make_bill
 from rattanpier._internal.dispatch.detach import detached
 from rattanpier._internal.dispatch.engine import Chunk
 from rattanpier._internal.dispatch.failures import (
@@ -53,13 +52,9 @@
 
 log = structlog.get_logger(part="dispatch")
 
-CLAIM_HEAD_START_S = 0.1
 UNSETTLED_RETRY_S = 2.0
 INTERNAL_RETRY_S = 1.0
 
-__all__ = ["Runner", "completion"]
-
-
 Observe = Callable[[RouteRequest, Plan | Refusal, Collection[str]], None]
 
 
@@ -118,7 +113,7 @@
         self, request: RouteRequest, request_id: str
     ) -> AsyncIterator[Part]:
         """Yields the parts of an answer; ends the claim in any case."""
-        attempt = Attempt(request, self.make_ask(request, request_id))
+        attempt = make_attempt(request, self.holder, request_id)
         try:
             async with aclosing(self.admitted(attempt)) as parts:
                 async for part in parts:
@@ -131,16 +126,6 @@
         finally:
             self.keeper.abandon(attempt)
 
-    def make_ask(self, request: RouteRequest, request_id: str) -> Ask:
-        """Returns the claim of a request."""
-        return Ask(
-            request.workspace,
-            request.key,
-            f"{self.holder}/{request_id}",
-            request.idempotent,
-            request.digest,
-        )
-
     async def admitted(self, attempt: Attempt) -> AsyncIterator[Part]:
         """Plans a request and runs it once it is let through."""
         request = attempt.request
@@ -177,16 +162,8 @@
         self, attempt: Attempt, configuration: Configuration, plan: Plan
     ) -> AsyncIterator[Part]:
         """Runs a request unless its claim went to somebody else."""
-        request = attempt.request
-        self.keeper.begin(attempt)
-        if not request.idempotent:
-            # At most one dispatch: the claim has to be certain first.
-            await self.keeper.wait(attempt)
-        elif request.keyed:
-            # A repeat of a key is mostly known before an engine is troubled.
-            await self.keeper.head_start(attempt, CLAIM_HEAD_START_S)
-        reply = attempt.reply
-        if reply is not None and not may_dispatch(request, reply):
+        reply = await self.keeper.claim_first(attempt)
+        if reply is not None and not may_dispatch(attempt.request, reply):
             yield refuse_claim(attempt, reply)
             return
         try:
--- a/src/rattanpier/_internal/dispatch/service_runner.py
+++ b/src/rattanpier/_internal/dispatch/service_runner.py
@@ -9,10 +9,13 @@
 import attrs
 import structlog
 
-from rattanpier._internal.claims.book import Ask
 from rattanpier._internal.claims.records import Answer, Bill, ClaimResult
 from rattanpier._internal.dispatch.admit import Admit, admit_all
-from rattanpier._internal.dispatch.attempt import Attempt, is_granted
+from rattanpier._internal.dispatch.attempt import (
+    Attempt,
+    is_granted,
+    make_attempt,
+)
 from rattanpier._internal.dispatch.failures import (
     DispatchError,
     deadline_passed,
@@ -23,7 +26,6 @@
 from rattanpier._internal.dispatch.plain import ServiceAnswer, ServiceCall
 from rattanpier._internal.dispatch.repeatable import may_repeat
 from rattanpier._internal.dispatch.runner import (
-    CLAIM_HEAD_START_S,
     internal_failure,
     may_dispatch,
     settle_refusal,
@@ -111,14 +113,7 @@
         request_id: str,
     ) -> ServiceResult:
         """Runs one attempt and ends its claim in any case."""
-        ask = Ask(
-            request.workspace,
-            request.key,
-            f"{self.holder}/{request_id}",
-            request.idempotent,
-            request.digest,
-        )
-        attempt = Attempt(request, ask)
+        attempt = make_attempt(request, self.holder, request_id)
         try:
             if request.keyed:
                 # What became of an earlier attempt goes before any refusal.
@@ -134,7 +129,7 @@
         except AssertionError:
             raise
         except Exception:
-            log.exception("Call failed.", request=ask.holder)
+            log.exception("Call failed.", request=attempt.ask.holder)
             return Refused(internal_failure())
         finally:
             self.keeper.abandon(attempt)
@@ -143,12 +138,7 @@
         self, attempt: Attempt, service: str, call: ServiceCall
     ) -> ServiceResult:
         """Runs a call unless its claim went to somebody else."""
-        self.keeper.begin(attempt)
-        if not attempt.request.idempotent:
-            await self.keeper.wait(attempt)
-        elif attempt.request.keyed:
-            await self.keeper.head_start(attempt, CLAIM_HEAD_START_S)
-        reply = attempt.reply
+        reply = await self.keeper.claim_first(attempt)
         if reply is not None and not may_dispatch(attempt.request, reply):
             return refuse_claim(attempt, reply)
         answer = await try_service(self.tries, attempt, service, call)
--- a/src/rattanpier/_internal/dispatch/service_tries.py
+++ b/src/rattanpier/_internal/dispatch/service_tries.py
@@ -20,7 +20,7 @@
     UpstreamKind,
 )
 from rattanpier._internal.models.refusal import RefusalCode
-from rattanpier._internal.routing.placement import Target, two_choices
+from rattanpier._internal.routing.placement import Target
 
 
 async def try_service(
@@ -43,14 +43,11 @@
         ):
             raise not_allowed(service)
         tried.add(target.name)
-        ran_before = attempt.may_have_run
-        attempt.may_have_run = True
+        ran_before = attempt.note_dispatch()
         try:
             return await send_one(tries, attempt, target, call)
         except UpstreamError as error:
-            tries.on_failure(target.name, error)
-            if error.not_run:
-                attempt.may_have_run = ran_before
+            tries.note_failure(attempt, target, error, ran_before)
             tries.check_retry(attempt.request, error, tried)
             failed = error
 
@@ -77,7 +74,7 @@
     targets = tries.placement.of_service(
         tries.configuration(), service, tries.leaving, tried
     )
-    return two_choices(targets, tries.load, tries.domain, tries.rng)
+    return tries.choose(targets)
 
 
 def may_use(configuration: Configuration, workspace: str, service: str) -> bool:
--- a/src/rattanpier/_internal/dispatch/tries.py
+++ b/src/rattanpier/_internal/dispatch/tries.py
@@ -105,8 +105,7 @@
             if target is None:
                 raise upstream_failed(failed) if failed else no_worker()
             tried.add(target.name)
-            ran_before = attempt.may_have_run
-            attempt.may_have_run = True
+            ran_before = attempt.note_dispatch()
             try:
                 source = observe(
                     self.follow(target, attempt, version, may_serve),
@@ -122,9 +121,7 @@
                             yield chunk
                 return
             except UpstreamError as error:
-                self.on_failure(target.name, error)
-                if error.not_run:
-                    attempt.may_have_run = ran_before
+                self.note_failure(attempt, target, error, ran_before)
                 self.check_retry(attempt.request, error, tried)
                 failed = error
 
@@ -146,6 +143,29 @@
         if self.left_s(attempt.request) <= 0:
             raise deadline_passed()
 
+    def note_failure(
+        self,
+        attempt: Attempt,
+        target: Target,
+        error: UpstreamError,
+        ran_before: bool,
+    ) -> None:
+        """Notes that a try failed, and whether the request may have run.
+
+        Args:
+          attempt: The attempt that the try was part of.
+          target: The worker that was tried.
+          error: How it failed.
+          ran_before: What the attempt's `note_dispatch` returned.
+        """
+        self.on_failure(target.name, error)
+        if error.not_run:
+            attempt.may_have_run = ran_before
+
+    def choose(self, targets: list[Target]) -> Target | None:
+        """Returns the worker to use of some; None if there is none."""
+        return two_choices(targets, self.load, self.domain, self.rng)
+
     def check_retry(
         self, request: RouteRequest, error: UpstreamError, tried: set[str]
     ) -> None:
@@ -190,7 +210,7 @@
         targets = self.placement.of_version(
             self.configuration(), version, self.leaving, tried
         )
-        return two_choices(targets, self.load, self.domain, self.rng)
+        return self.choose(targets)
 
     def session_for(self, request: RouteRequest) -> aiohttp.ClientSession:
         """Returns the session whose connections suit a request."""
--- a/src/rattanpier/_internal/edge/chat.py
+++ b/src/rattanpier/_internal/edge/chat.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from rattanpier._internal.claims.records import Answer
+from rattanpier._internal.dispatch.bills import completion
 from rattanpier._internal.dispatch.engine import Chunk
 from rattanpier._internal.dispatch.parts import (
     Ended,
@@ -20,7 +21,7 @@
     Started,
     Waiting,
 )
-from rattanpier._internal.dispatch.runner import Runner, completion
+from rattanpier._internal.dispatch.runner import Runner
 from rattanpier._internal.edge.errors import error_event, refuse
 from rattanpier._internal.edge.intake import (
     IntakeError,
