--- a/benchmarks/slopes_figures.py
+++ b/benchmarks/slopes_figures.py
@@ -176,6 +176,7 @@
         "out_messages": out * told,
         "out_bytes": out * told * worker_notice_bytes(),
         "out_core": out * told * slopes["link_call"].value / 4 / MICRO,
+        "domain_requests": target.requests / target.domains,
         "domain_nodes": target.nodes / target.domains,
         "detect_s": detect,
         "detect_twice_s": 2 * detect,
