Split a shard's owner by job

Cause: claims/owner.py had 683 lines and four jobs: decisions, the queue and writing of batches, the single conditional write with its read-back, and how a process obtains a shard.

Ruled out: a writer as a part held by the owner. Each of the owner's callers and tests reads its lease, log position and queue; the part's state would have to be passed through by as many properties. The owner therefore extends the writer, and the writer the log; their fields and arguments are as before.

Change: claims/owner.py decides (159 lines), claims/writer.py queues, writes and compacts (just over 300), claims/shard_log.py makes one write and finds out what became of it, claims/takeover.py obtains a lease and recovers, claims/pending.py has waiting decisions and their replies in an outage, now a plain function. 0.5 s is named MIN_DRAIN_S.

Tests: only imports and the modules that are patched changed. The fence is now switched off in the writes of batches and of compaction, and no longer in `acquire` as well: test_without_the_fence_the_code_fails still fails as it has to.

Behaviour is unchanged.

--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -17,13 +17,14 @@
 from hdrh.histogram import HdrHistogram
 
 from rattanpier._internal.claims.book import Ask
-from rattanpier._internal.claims.owner import ShardOwner, acquire
+from rattanpier._internal.claims.owner import ShardOwner
 from rattanpier._internal.claims.records import (
     Answer,
     Bill,
     ClaimResult,
     SettleOp,
 )
+from rattanpier._internal.claims.takeover import acquire
 from rattanpier._internal.models.outcomes import WriteOutcome
 from rattanpier._internal.platform.table import Transaction
 from rattanpier._internal.standin.table import MemoryTable
--- a/benchmarks/slopes_claims.py
+++ b/benchmarks/slopes_claims.py
@@ -17,7 +17,7 @@
     describe_settle,
     encode_bill,
 )
-from rattanpier._internal.claims.owner import ShardOwner, acquire
+from rattanpier._internal.claims.owner import ShardOwner
 from rattanpier._internal.claims.records import (
     Answer,
     Bill,
@@ -26,6 +26,7 @@
     SettleOp,
 )
 from rattanpier._internal.claims.snapshot import read_claims, write_claims
+from rattanpier._internal.claims.takeover import acquire
 from rattanpier._internal.membership.members import new_incarnation
 from rattanpier._internal.models.outcomes import ClaimOutcome, SettleOutcome
 from rattanpier._internal.peers.link import Link
--- a/src/rattanpier/_internal/claims/ownership.py
+++ b/src/rattanpier/_internal/claims/ownership.py
@@ -12,13 +12,10 @@
 
 from rattanpier._internal.claims.compaction import Compactor
 from rattanpier._internal.claims.outage import Outage
-from rattanpier._internal.claims.owner import (
-    FlushResult,
-    ShardOwner,
-    acquire,
-    recover,
-)
+from rattanpier._internal.claims.owner import ShardOwner
 from rattanpier._internal.claims.records import ShardLease, lease_key
+from rattanpier._internal.claims.shard_log import FlushResult
+from rattanpier._internal.claims.takeover import acquire, recover
 from rattanpier._internal.exceptions import StoreUnavailableError
 from rattanpier._internal.kernel import Kernel
 from rattanpier._internal.membership.members import Members
--- a/src/rattanpier/_internal/claims/service.py
+++ b/src/rattanpier/_internal/claims/service.py
@@ -18,8 +18,8 @@
     Keeper,
     Outage,
 )
-from rattanpier._internal.claims.owner import OUTAGE_RETRY_S
 from rattanpier._internal.claims.ownership import Ownership
+from rattanpier._internal.claims.pending import OUTAGE_RETRY_S
 from rattanpier._internal.claims.records import (
     Answer,
     ClaimResult,
--- /dev/null
+++ b/src/rattanpier/_internal/claims/takeover.py
@@ -0,0 +1,103 @@
+"""How a process becomes the owner of a shard: its lease, then its log."""
+
+from __future__ import annotations
+
+import attrs
+
+from rattanpier._internal.claims.book import ClaimBook
+from rattanpier._internal.claims.records import (
+    Batch,
+    ShardLease,
+    lease_key,
+    log_key,
+    log_prefix,
+)
+from rattanpier._internal.claims.snapshot import read_claims
+from rattanpier._internal.exceptions import StoreUnavailableError
+from rattanpier._internal.models.outcomes import NotRun
+from rattanpier._internal.platform.objects import Objects, TableObjects
+from rattanpier._internal.platform.table import (
+    ABSENT,
+    Check,
+    Put,
+    Row,
+    Table,
+    Transaction,
+    scan_all,
+)
+from rattanpier._internal.utils.codec import decode, encode
+
+
+def next_lease(row: Row | None, owner: str, incarnation: str) -> ShardLease:
+    """Returns the lease with which a new owner follows the present one."""
+    if row is None:
+        return ShardLease(owner, incarnation, epoch=1)
+    present = decode(ShardLease, row.value)
+    return attrs.evolve(
+        present,
+        owner=owner,
+        incarnation=incarnation,
+        epoch=present.epoch + 1,
+    )
+
+
+async def acquire(
+    table: Table, shard: int, row: Row | None, owner: str, incarnation: str
+) -> tuple[ShardLease, int] | None:
+    """Takes a shard over from the owner seen in its lease row.
+
+    Returns:
+      The lease and its row's version, or None if it was not obtained.
+    """
+    lease = next_lease(row, owner, incarnation)
+    version = row.version if row else ABSENT
+    key = lease_key(shard)
+    outcome = await table.transact(
+        Transaction([Check(key, version)], [Put(key, encode(lease))])
+    )
+    if isinstance(outcome, NotRun):
+        return None
+    # The row's new version is read, also after a lost answer.
+    try:
+        present = await table.get(key)
+    except StoreUnavailableError:
+        return None
+    if present is None or decode(ShardLease, present.value) != lease:
+        return None
+    return lease, present.version
+
+
+async def recover(
+    table: Table, shard: int, objects: Objects | None = None
+) -> tuple[ClaimBook, int]:
+    """Reads a shard's snapshot and log.
+
+    Args:
+      table: The table service.
+      shard: The shard; its epoch must be the caller's already, so that no
+        earlier owner can add to the log.
+      objects: Where snapshots are; the table if None.
+
+    Returns:
+      The book and the next log position.
+
+    Raises:
+      StoreUnavailableError: The log or the snapshot can't be read.
+    """
+    row = await table.get(lease_key(shard))
+    first, snapshot = 1, ""
+    if row is not None:
+        lease = decode(ShardLease, row.value)
+        first, snapshot = lease.first, lease.snapshot
+    book = ClaimBook()
+    if snapshot:
+        book = await read_claims(objects or TableObjects(table), snapshot)
+    sequence = first - 1
+    behind = log_key(shard, sequence)
+    for found in await scan_all(table, log_prefix(shard), behind):
+        batch = decode(Batch, found.value)
+        if batch.sequence != sequence + 1:
+            raise StoreUnavailableError(f"log of shard {shard} has a gap")
+        book.apply_batch(batch)
+        sequence = batch.sequence
+    return book, sequence + 1
--- /dev/null
+++ b/src/rattanpier/_internal/claims/writer.py
@@ -0,0 +1,315 @@
+"""Group commit of one shard: what was decided becomes durable in batches.
+
+A write whose answer is lost is never abandoned: the same batch is written
+again at the same position until it is known to be there, or the epoch is known
+to be lost.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Callable, Coroutine, Mapping
+from typing import Any
+
+import attrs
+import structlog
+
+from rattanpier._internal.claims.book import Claim, ClaimBook, ClaimId, Decision
+from rattanpier._internal.claims.compaction import Compacted, Compactor
+from rattanpier._internal.claims.outage import Outage
+from rattanpier._internal.claims.pending import (
+    OpenBatch,
+    Waiter,
+    op_size,
+    outage_reply,
+    release_of,
+)
+from rattanpier._internal.claims.records import (
+    Batch,
+    ClaimOp,
+    ClaimResult,
+    SettleOp,
+    lease_key,
+)
+from rattanpier._internal.claims.shard_log import FlushResult, ShardLog
+from rattanpier._internal.exceptions import StoreUnavailableError
+from rattanpier._internal.models.outcomes import ClaimOutcome, SettleOutcome
+
+log = structlog.get_logger(part="claims")
+
+RETRY_PAUSE_S = 0.2  # Between tries of a batch while the store is down.
+BATCH_BYTES = 256 * 1024  # A row of the log is kept below about this size.
+CLOSE_PAUSE_S = 0.01
+CLOSE_LIMIT_S = 3.0  # Then the shard is given up as if the process died.
+
+
+@attrs.define
+class BatchWriter(ShardLog):
+    """Queues operations and writes them, while this process owns the shard.
+
+    Attributes:
+      alive: Says whether a holder, "name/incarnation/…", may still run.
+      interval_s: Seconds between two batches.
+      outage: What this process does while the store is down.
+      book: Claims, including those not yet durable.
+      next_sequence: Log position of the next batch.
+      durable_sequence: Log position of the last batch known to be written.
+      lost: True once another owner is known, or has to be assumed.
+      closing: True once this owner takes nothing more, to hand over.
+      store_down: True while the last write did not become known.
+      open: Batches not yet written; only the last takes operations.
+      in_flight: The batch being written.
+      compactor: Compacts the log, or None.
+      beside: Work of the compactor under way.
+      wake: Set when there is something to write.
+    """
+
+    alive: Callable[[str], bool]
+    interval_s: float
+    outage: Outage = attrs.Factory(Outage)
+    book: ClaimBook = attrs.Factory(ClaimBook)
+    next_sequence: int = 1
+    durable_sequence: int = attrs.field(
+        default=attrs.Factory(
+            lambda self: self.next_sequence - 1, takes_self=True
+        )
+    )
+    lost: bool = False
+    closing: bool = False
+    store_down: bool = False
+    open: collections.deque[OpenBatch] = attrs.Factory(collections.deque)
+    in_flight: OpenBatch | None = None
+    compactor: Compactor | None = None
+    beside: set[asyncio.Task] = attrs.Factory(set)
+    wake: asyncio.Event = attrs.Factory(asyncio.Event)
+
+    @property
+    def gone(self) -> bool:
+        """True if calls have to go to another owner."""
+        return self.lost or self.closing
+
+    @property
+    def down(self) -> bool:
+        """True if nothing can be made durable now."""
+        return self.store_down or self.outage.confirmed
+
+    # Queue.
+
+    def add(self, op: ClaimOp | SettleOp | None) -> OpenBatch:
+        """Queues an operation; returns the batch that it rests on."""
+        if not self.open or (op and self.open[-1].size >= BATCH_BYTES):
+            self.open.append(OpenBatch())
+        batch = self.open[-1]
+        if op is not None:
+            sequence = self.next_sequence + len(self.open) - 1
+            self.book.apply(op, sequence)
+            batch.ops.append(op)
+            batch.size += op_size(op)
+        self.wake.set()
+        return batch
+
+    async def submit(self, decision: Decision) -> Decision | None:
+        """Waits until a decision and all it rests on are durable."""
+        if self.gone:
+            return None
+        if self.is_final(decision):
+            return decision
+        waiter = Waiter(decision, asyncio.get_running_loop().create_future())
+        self.add(decision.op).waiters.append(waiter)
+        if self.down:
+            self.relieve(self.open[-1])
+        return await waiter.done
+
+    def is_final(self, decision: Decision) -> bool:
+        """Says whether a decision rests on nothing that may still change.
+
+        A book that is out of date may lack a later attempt, so the owner has
+        to be sure of its epoch before it grants or denies one.
+        """
+        if decision.op is not None or not self.is_durable(decision.claim):
+            return False
+        unsure = (ClaimOutcome.GRANTED, SettleOutcome.SUPERSEDED)
+        return decision.outcome not in unsure
+
+    def is_durable(self, claim: Claim | None) -> bool:
+        """Says whether a claim's last change is known to be written."""
+        return claim is not None and claim.sequence <= self.durable_sequence
+
+    # Writing.
+
+    async def run(self) -> None:
+        """Writes batches until the epoch is lost."""
+        while not self.lost:
+            if not self.store_down:
+                await self.wake.wait()
+            self.wake.clear()
+            await self.flush()
+            # The write budget sets the pace, not the number of requests.
+            await self.clock.sleep(self.interval_s)
+
+    async def flush(self) -> None:
+        """Writes the first open batch and answers its waiters."""
+        if not self.open and not self.store_down:
+            return
+        if not self.open:
+            self.open.append(OpenBatch())
+        batch = self.in_flight = self.open.popleft()
+        if self.open:
+            self.wake.set()
+        if batch.ops:
+            await self.write_and_compact(self.make_batch(batch.ops))
+        else:
+            await self.confirm()
+        self.in_flight = None
+        self.answer(batch)
+
+    async def write(self, batch: Batch) -> None:
+        """Writes a batch until it is durable or the epoch is lost."""
+        while not self.lost:
+            result = await self.write_once(batch)
+            self.note(result)
+            if result is FlushResult.DURABLE:
+                self.durable_sequence = batch.sequence
+                self.outage.release(batch.ops)
+                return
+            if result is FlushResult.EPOCH_LOST:
+                self.lose()
+                return
+            self.metrics.count("claims.retry.store_down")
+            await self.clock.sleep(RETRY_PAUSE_S)
+
+    def note(self, result: FlushResult) -> None:
+        """Notes whether the store is down, and answers who need not wait."""
+        self.store_down = result is FlushResult.STORE_DOWN
+        if not self.store_down:
+            return
+        self.wake.set()  # So that the store is tried again.
+        for batch in [self.in_flight, *self.open]:
+            if batch is not None:
+                self.relieve(batch)
+
+    def make_batch(self, ops: list[ClaimOp | SettleOp]) -> Batch:
+        """Returns the next batch of the log."""
+        batch = Batch(
+            self.lease.epoch,
+            self.next_sequence,
+            self.lease.incarnation,
+            ops,
+            self.clock.time(),
+        )
+        self.next_sequence += 1
+        return batch
+
+    async def confirm(self) -> None:
+        """Makes sure of the epoch, for decisions that write nothing.
+
+        An owner that was paused may decide from a book that is out of date.
+        """
+        try:
+            row = await self.table.get(lease_key(self.shard))
+        except StoreUnavailableError:
+            self.note(FlushResult.STORE_DOWN)
+            return
+        self.note(FlushResult.DURABLE)
+        if not self.still_holds(row):
+            self.lose()
+
+    async def close(self) -> bool:
+        """Takes nothing more and writes what is queued.
+
+        Returns:
+          True if the log has everything that was decided here.
+        """
+        self.closing = True
+        end = self.clock.monotonic() + CLOSE_LIMIT_S
+        while self.open or self.in_flight is not None:
+            if self.lost or self.clock.monotonic() > end:
+                return False
+            self.wake.set()
+            await self.clock.sleep(CLOSE_PAUSE_S)
+        return not self.lost
+
+    # Compaction.
+
+    async def write_and_compact(self, batch: Batch) -> None:
+        """Writes a batch, and compacts the log when it is time."""
+        image = None
+        if self.compactor is not None and not self.open:
+            # Nothing behind this batch is in the book yet.
+            image = self.compactor.capture(batch, self.lease, self.book.claims)
+        await self.write(batch)
+        if self.compactor is None or self.lost:
+            return
+        if image is not None:
+            self.spawn(self.compactor.prepare(image, self.lease))
+            self.end_abandoned(image.old)
+        elif self.compactor.ready is not None:
+            await self.take_effect(self.compactor.ready)
+
+    async def take_effect(self, compacted: Compacted) -> None:
+        """Moves the lease row on to a snapshot; forgets what it left out."""
+        await self.replace_lease(compacted.lease, compacted.puts)
+        await self.confirm()
+        if self.lease != compacted.lease:
+            return  # Not known yet; it is written again after a later batch.
+        for claim_id, claim in compacted.image.forgotten.items():
+            if self.book.claims.get(claim_id) is claim:
+                del self.book.claims[claim_id]
+        assert self.compactor is not None
+        self.spawn(self.compactor.finish(compacted))
+
+    def end_abandoned(self, old: Mapping[ClaimId, Claim]) -> None:
+        """Ends claims whose holder died and whose key nobody repeated."""
+        for (workspace, key), claim in old.items():
+            latest = self.book.claims.get((workspace, key))
+            if latest is not claim or self.alive(claim.holder):
+                continue
+            unknown = ClaimResult.UNKNOWN
+            self.add(SettleOp(workspace, key, claim.attempt, unknown))
+            self.metrics.count("claims.abandoned")
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs work beside the writing of batches."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.beside.add(task)
+        task.add_done_callback(self.beside.discard)
+
+    # Answers.
+
+    def relieve(self, batch: OpenBatch) -> None:
+        """Answers, in an outage, those who need not or must not wait."""
+        waiters, batch.waiters = batch.waiters, []
+        for waiter in waiters:
+            reply = outage_reply(
+                waiter.decision, self.outage.confirmed, self.metrics
+            )
+            if reply is None:
+                batch.waiters.append(waiter)
+            elif not waiter.done.done():
+                waiter.done.set_result(reply)
+            self.take_back(waiter.decision.op)
+
+    def take_back(self, op: ClaimOp | SettleOp | None) -> None:
+        """Ends an ask that was refused though it may become durable."""
+        if isinstance(op, ClaimOp) and not op.idempotent:
+            self.add(release_of(op))
+
+    def answer(self, batch: OpenBatch) -> None:
+        """Gives waiters their decisions, or None if the epoch was lost."""
+        for waiter in batch.waiters:
+            if not waiter.done.done():
+                waiter.done.set_result(None if self.lost else waiter.decision)
+
+    def lose(self) -> None:
+        """Gives up the shard; nothing more is granted or settled here."""
+        if self.lost:
+            return
+        self.lost = True
+        self.metrics.count("claims.epoch_lost")
+        log.warning("Epoch lost.", shard=self.shard, epoch=self.lease.epoch)
+        for batch in [self.in_flight, *self.open]:
+            if batch is not None:
+                self.answer(batch)
+        self.open.clear()
+        self.wake.set()
--- a/src/rattanpier/_internal/commands/bills.py
+++ b/src/rattanpier/_internal/commands/bills.py
@@ -11,7 +11,6 @@
 
 import attrs
 
-from rattanpier._internal.claims.owner import recover
 from rattanpier._internal.claims.records import ShardLease, lease_key
 from rattanpier._internal.claims.snapshot import (
     BilledClaim,
@@ -19,6 +18,7 @@
     bill_file_prefix,
     read_bills,
 )
+from rattanpier._internal.claims.takeover import recover
 from rattanpier._internal.exceptions import StoreUnavailableError
 from rattanpier._internal.platform.objects import Objects, TableObjects
 from rattanpier._internal.platform.table import Row, Table, scan_all
--- a/tests/failure/test_claims_outage.py
+++ b/tests/failure/test_claims_outage.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from rattanpier._internal.claims import outage, owner
+from rattanpier._internal.claims import outage, owner, pending
 from rattanpier._internal.claims.book import Ask
 from rattanpier._internal.models.outcomes import ClaimOutcome
 from tests.lib.fleet import FleetOfNodes
@@ -115,7 +115,7 @@
 
 
 def test_full_queue_refuses_at_once_and_recovers(monkeypatch):
-    monkeypatch.setattr(owner, "PENDING_BYTES", 5 * owner.OP_BYTES)
+    monkeypatch.setattr(owner, "PENDING_BYTES", 5 * pending.OP_BYTES)
 
     async def run():
         fleet = await down_fleet(shards=1)
--- a/tests/failure/test_claims_ownership.py
+++ b/tests/failure/test_claims_ownership.py
@@ -7,12 +7,12 @@
 
 from rattanpier._internal.claims import ownership
 from rattanpier._internal.claims.book import Ask
-from rattanpier._internal.claims.owner import acquire
 from rattanpier._internal.claims.records import (
     ShardLease,
     lease_key,
     log_prefix,
 )
+from rattanpier._internal.claims.takeover import acquire
 from rattanpier._internal.exceptions import StoreUnavailableError
 from rattanpier._internal.models.member import MemberState
 from rattanpier._internal.models.outcomes import ClaimOutcome, Uncertain
--- a/tests/failure/test_claims_switched_off.py
+++ b/tests/failure/test_claims_switched_off.py
@@ -5,9 +5,15 @@
 
 import pytest
 
-from rattanpier._internal.claims import outage, owner, ownership, service
-from rattanpier._internal.claims.owner import FlushResult
+from rattanpier._internal.claims import (
+    outage,
+    owner,
+    ownership,
+    service,
+    writer,
+)
 from rattanpier._internal.claims.records import ClaimResult, SettleOp, log_key
+from rattanpier._internal.claims.shard_log import FlushResult
 from rattanpier._internal.models.outcomes import Committed
 from rattanpier._internal.platform.table import Put, Transaction
 from rattanpier._internal.utils.codec import encode
@@ -89,7 +95,7 @@
     def release_of(op):
         return SettleOp(op.workspace, op.key, -1, ClaimResult.RELEASED)
 
-    patch.setattr(owner, "release_of", release_of)
+    patch.setattr(writer, "release_of", release_of)
 
 
 def no_confirming(patch):
--- a/tests/lib/claim_machine.py
+++ b/tests/lib/claim_machine.py
@@ -18,7 +18,7 @@
 )
 
 from rattanpier._internal.claims.book import Ask
-from rattanpier._internal.claims.owner import ShardOwner, acquire, recover
+from rattanpier._internal.claims.owner import ShardOwner
 from rattanpier._internal.claims.records import (
     Answer,
     Bill,
@@ -26,6 +26,7 @@
     SettleOp,
     lease_key,
 )
+from rattanpier._internal.claims.takeover import acquire, recover
 from rattanpier._internal.models.outcomes import (
     ClaimOutcome,
     NotRun,
--- a/tests/unit/test_claims_compaction.py
+++ b/tests/unit/test_claims_compaction.py
@@ -9,7 +9,7 @@
 
 from rattanpier._internal.claims.book import Ask
 from rattanpier._internal.claims.compaction import Compactor
-from rattanpier._internal.claims.owner import ShardOwner, acquire, recover
+from rattanpier._internal.claims.owner import ShardOwner
 from rattanpier._internal.claims.records import (
     Answer,
     Bill,
@@ -18,6 +18,7 @@
     lease_key,
     log_prefix,
 )
+from rattanpier._internal.claims.takeover import acquire, recover
 from rattanpier._internal.commands.bills import export_bills
 from rattanpier._internal.exceptions import StoreUnavailableError
 from rattanpier._internal.models.outcomes import ClaimOutcome, Uncertain
--- a/tests/unit/test_correspondence_claims.py
+++ b/tests/unit/test_correspondence_claims.py
@@ -4,8 +4,9 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from rattanpier._internal.claims import owner
-from rattanpier._internal.claims.owner import FlushResult, ShardOwner
+from rattanpier._internal.claims import shard_log
+from rattanpier._internal.claims.owner import ShardOwner
+from rattanpier._internal.claims.shard_log import FlushResult
 from rattanpier._internal.platform.table import Transaction
 from tests.lib.claim_machine import ClaimMachine
 
@@ -78,6 +79,6 @@
 
 
 def test_without_the_fence_the_code_fails(machine, monkeypatch):
-    monkeypatch.setattr(owner, "Transaction", blind)
+    monkeypatch.setattr(shard_log, "Transaction", blind)
     with pytest.raises(AssertionError, match="ran"):
         paused_owner_writes_late(machine)
