Call the bills kept for peers by their name

Cause: "keeper" stood for two things, dispatch's ClaimKeeper and the Keeper in claims/outage.py, whose module did two jobs: it had bills kept, and kept them. The service reached into the kept records to flush them.

Ruled out: renaming the counter claims.refused.keeper_full; operators watch it.

Change: claims/kept_bills.py has KeptBills, which also flushes itself; claims/outage.py only has bills kept by peers. `Claims.keeper` is `Claims.kept_bills`. Tests: the attribute's and the patched module's name, no assertion.

--- a/src/rattanpier/_internal/claims/outage.py
+++ b/src/rattanpier/_internal/claims/outage.py
@@ -1,4 +1,4 @@
-"""What an entry does while the store is down: bills kept by peers.
+"""What an entry does while the store is down: its bills are kept by peers.
 
 An answer may leave only once its bill is certain. While the table service is
 down, certain means: in the memory of the shard's owner and of a peer in
@@ -9,13 +9,13 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import itertools
 from collections.abc import Callable, Iterable
 
 import attrs
 import structlog
 
+from rattanpier._internal.claims.kept_bills import BillId, bill_id
 from rattanpier._internal.claims.records import (
     ClaimOp,
     PendingBill,
@@ -29,30 +29,20 @@
 from rattanpier._internal.peers.server import CallHandler
 from rattanpier._internal.utils.codec import decode, encode
 from rattanpier._internal.utils.hashing import rendezvous
-from rattanpier._internal.utils.metrics import Metrics
 
 log = structlog.get_logger(part="claims")
 
 KEEP_TIMEOUT_S = 1.0
 MAX_PEERS = 3  # Peers asked about the store, and tried for one bill.
-MAX_KEEPERS = 12  # Asked for what they keep when a shard's owner died.
-KEPT_BYTES = 32 * 2**20  # Bills that one process keeps for others.
-FLUSH_AFTER_S = 2.0  # The owner, if alive, writes its bills itself first.
-
-BillId = tuple[str, str]
-
-
-def bill_id(op: ClaimOp | SettleOp) -> BillId:
-    """Returns the claim that an operation belongs to."""
-    return op.workspace, op.key
+MAX_ASKED = 12  # Asked for what they keep when a shard's owner died.
 
 
 @attrs.define
 class Outage:
-    """The sender's side: has pending bills kept.
+    """Has pending bills kept by peers.
 
     Attributes:
-      own: Serves a call to this process's own keeper.
+      own: Serves a call to this process's own `KeptBills`.
       confirmed: True while peers can't reach the store either.
       sent: Who keeps which record, by claim.
     """
@@ -120,7 +110,7 @@
         order = rendezvous(f"keep-{dead}", list(entries))
         request = peer_pb2.HoldRequest(collect=True, shard=shard)
         replies = await asyncio.gather(
-            *(self.send(entries[name], request) for name in order[:MAX_KEEPERS])
+            *(self.send(entries[name], request) for name in order[:MAX_ASKED])
         )
         return [
             decode(PendingBill, record)
@@ -161,74 +151,3 @@
             )
             assert self.spawn is not None
             self.spawn(self.send(peer, request))
-
-
-@attrs.define
-class Keeper:
-    """The receiver's side: keeps others' bills, and flushes them.
-
-    Attributes:
-      reachable: Says whether this process can reach the store.
-      shard_of: Returns the shard of a workspace and key.
-      kept: Records by their id, oldest first.
-      size: Bytes of them.
-    """
-
-    reachable: Callable[[], bool]
-    shard_of: Callable[[str, str], int]
-    metrics: Metrics
-    kept: collections.OrderedDict[str, bytes] = attrs.Factory(
-        collections.OrderedDict
-    )
-    size: int = 0
-
-    async def serve(self, call: peer_pb2.Call) -> peer_pb2.Reply:
-        """Keeps or releases records for a peer."""
-        request = call.hold
-        records: list[bytes] = []
-        if request.collect:
-            records = self.of_shard(request.shard)
-            held = True
-        elif request.release:
-            for record_id in request.record_id.split("\n"):
-                self.drop(record_id)
-            held = True
-        else:
-            held = not self.reachable() and self.put(request)
-        return peer_pb2.Reply(
-            hold=peer_pb2.HoldReply(
-                held=held, queued=len(self.kept), records=records
-            )
-        )
-
-    def of_shard(self, shard: int) -> list[bytes]:
-        """Returns the records that belong to a shard."""
-        return [
-            encode(bill).encode()
-            for _, bill in self.records()
-            if self.shard_of(*bill_id(bill.settle)) == shard
-        ]
-
-    def put(self, request: peer_pb2.HoldRequest) -> bool:
-        """Keeps a record; False if there is no room."""
-        if not request.record:
-            return True  # A question about the store only.
-        if self.size + len(request.record) > KEPT_BYTES:
-            self.metrics.count("claims.refused.keeper_full")
-            return False
-        self.drop(request.record_id)
-        self.kept[request.record_id] = request.record
-        self.size += len(request.record)
-        self.metrics.count("claims.kept")
-        return True
-
-    def drop(self, record_id: str) -> None:
-        """Forgets a record."""
-        self.size -= len(self.kept.pop(record_id, b""))
-
-    def records(self) -> list[tuple[str, PendingBill]]:
-        """Returns what is kept, with its ids."""
-        return [
-            (record_id, decode(PendingBill, record))
-            for record_id, record in self.kept.items()
-        ]
--- a/src/rattanpier/_internal/claims/service.py
+++ b/src/rattanpier/_internal/claims/service.py
@@ -8,16 +8,13 @@
 import structlog
 
 from rattanpier._internal.claims.book import Ask
+from rattanpier._internal.claims.kept_bills import FLUSH_AFTER_S, KeptBills
 from rattanpier._internal.claims.messages import (
     ANY_ATTEMPT,
     encode_bill,
     serve,
 )
-from rattanpier._internal.claims.outage import (
-    FLUSH_AFTER_S,
-    Keeper,
-    Outage,
-)
+from rattanpier._internal.claims.outage import Outage
 from rattanpier._internal.claims.ownership import Ownership
 from rattanpier._internal.claims.pending import OUTAGE_RETRY_S
 from rattanpier._internal.claims.records import (
@@ -46,7 +43,7 @@
 RETRY_S = 0.05  # Between tries to reach a shard's owner.
 TRY_S = 1.0  # For one try; the owner may be frozen and replaced meanwhile.
 OUTAGE_TRIES = 2  # With the store down, no new owner will come.
-KEEPER_PAUSE_S = 0.5  # Between looks at the bills kept for peers.
+FLUSH_PAUSE_S = 0.5  # Between looks at the bills kept for peers.
 DISOWN_PAUSE_S = 1.0  # Between tries to end a claim in the background.
 DISOWN_LIMIT_S = 3600.0  # Then the claim is left to the owner's sweep.
 MAX_DISOWNING = 10_000  # Claims ended in the background at once.
@@ -87,7 +84,7 @@
       objects: Where snapshots and bills of compacted logs are kept.
       ownership: Which shards this process owns, and who the others.
       outage: What this process does while the store is down.
-      keeper: Bills that this process keeps for others meanwhile.
+      kept_bills: Bills that this process keeps for others meanwhile.
       disowning: Tasks that end claims in the background.
       flush_after_s: Seconds that owners have to write bills themselves.
     """
@@ -111,7 +108,7 @@
                 self.members,
                 self.links,
                 self.kernel.spawn,
-                lambda call: self.keeper.serve(call),
+                lambda call: self.kept_bills.serve(call),
             ),
             takes_self=True,
         )
@@ -132,9 +129,9 @@
             takes_self=True,
         )
     )
-    keeper: Keeper = attrs.field(
+    kept_bills: KeptBills = attrs.field(
         default=attrs.Factory(
-            lambda self: Keeper(
+            lambda self: KeptBills(
                 lambda: self.ownership.reachable, self.shard_of, self.metrics
             ),
             takes_self=True,
@@ -150,7 +147,7 @@
 
     async def run(self) -> None:
         """Looks after shards and kept bills until the end."""
-        self.kernel.spawn(self.run_keeper())
+        self.kernel.spawn(self.run_flush())
         await self.ownership.run()
 
     async def hand_over(self) -> None:
@@ -322,18 +319,18 @@
           PeerUnavailableError: The shard has another owner.
         """
         if not call.hold.flush:
-            return await self.keeper.serve(call)
+            return await self.kept_bills.serve(call)
         bill = decode(PendingBill, call.hold.record)
         shard = self.shard_of(bill.claim.workspace, bill.claim.key)
         return await self.serve_shard(shard, call)
 
     # Bills kept for peers.
 
-    async def run_keeper(self) -> None:
+    async def run_flush(self) -> None:
         """Flushes kept bills whenever the store is back."""
         while not self.kernel.stopping.is_set():
             await self.flush_kept()
-            await self.clock.sleep(KEEPER_PAUSE_S)
+            await self.clock.sleep(FLUSH_PAUSE_S)
 
     async def flush_kept(self) -> None:
         """Hands what is still kept to the owners of its shards.
@@ -345,14 +342,10 @@
         since = self.clock.monotonic() - self.ownership.reachable_since
         if not self.ownership.reachable or since < self.flush_after_s:
             return
-        for record_id, bill in self.keeper.records():
-            body = peer_pb2.HoldRequest(
-                flush=True, record=encode(bill).encode()
-            )
-            shard = self.shard_of(bill.claim.workspace, bill.claim.key)
-            reply = await self.reach(shard, peer_pb2.Call(hold=body), TRY_S)
-            if reply is None or not reply.settle.durable:
-                continue
-            if reply.settle.outcome == SettleOutcome.SETTLED:
-                self.keeper.drop(record_id)
-                self.metrics.count("claims.kept_flushed")
+        await self.kept_bills.flush(self.send_kept)
+
+    async def send_kept(self, bill: PendingBill) -> peer_pb2.Reply | None:
+        """Sends a kept bill to its shard's owner; None if there is none."""
+        body = peer_pb2.HoldRequest(flush=True, record=encode(bill).encode())
+        shard = self.shard_of(bill.claim.workspace, bill.claim.key)
+        return await self.reach(shard, peer_pb2.Call(hold=body), TRY_S)
--- a/tests/failure/test_claims_outage.py
+++ b/tests/failure/test_claims_outage.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from rattanpier._internal.claims import outage, owner, pending
+from rattanpier._internal.claims import kept_bills, owner, pending
 from rattanpier._internal.claims.book import Ask
 from rattanpier._internal.models.outcomes import ClaimOutcome
 from tests.lib.fleet import FleetOfNodes
@@ -136,7 +136,7 @@
 
 
 def test_full_keeper_holds_the_last_byte_back(monkeypatch):
-    monkeypatch.setattr(outage, "KEPT_BYTES", 1500)
+    monkeypatch.setattr(kept_bills, "KEPT_BYTES", 1500)
 
     async def run():
         fleet = await down_fleet()
@@ -145,11 +145,11 @@
         kept = [
             record
             for node in fleet.nodes.values()
-            for record in node.claims.keeper.kept
+            for record in node.claims.kept_bills.kept
         ]
         assert 0 < len(released) == len(kept) < len(KEYS)
         assert all(
-            node.claims.keeper.size <= 1500 for node in fleet.nodes.values()
+            node.claims.kept_bills.size <= 1500 for node in fleet.nodes.values()
         )
 
     run_virtual(run())
@@ -226,7 +226,9 @@
         )
         assert flushed == len(KEYS)
         assert fleet.bills() == dict.fromkeys(KEYS, 1)
-        assert all(not node.claims.keeper.kept for node in fleet.nodes.values())
+        assert all(
+            not node.claims.kept_bills.kept for node in fleet.nodes.values()
+        )
 
     run_virtual(run())
 
