--- a/tests/functional/test_cascade.py
+++ b/tests/functional/test_cascade.py
@@ -134,7 +134,7 @@
         return chat.count(SMALL) >= BATCH - 2
 
     await wait_for(learned, LEARNING_S)
-    # The other entry has seen no confidences yet, and takes them for even.
+    # At 0.9 the other entry stays strong: see docs/design/cascade.md.
     await in_force(cluster, caller, EASY_TARGET)
     rated = len(await cluster.runs("ratings"))
     other = Caller(cluster, "entry-2")
