Show no revision that nobody keeps

Cause: `rattanpier status` and `entries` showed revision 0 for every process; the field of the member's row was never set. Ruled out: setting it, since each change of configuration would then cost a write of every member's row. Change: the column and the field are gone; the line above the table says which revision is in force, and for whom it waits.

--- a/src/rattanpier/_internal/commands/cluster.py
+++ b/src/rattanpier/_internal/commands/cluster.py
@@ -20,7 +20,7 @@
     """
     members = connect(url).get("status")["members"]
     found = [one for one in members if one["role"] == Role.ENTRY]
-    names = ("name", "domain", "state", "revision", "caller_url")
+    names = ("name", "domain", "state", "caller_url")
     return Result(found, [table_of("Entries", names, found)])
 
 
@@ -41,7 +41,7 @@
     yield f"Revision {found['revision']}, in force {where}; the store {store}."
     if found["waiting"]:
         yield f"Waiting for: {', '.join(found['waiting'])}"
-    names = ("name", "role", "domain", "state", "revision")
+    names = ("name", "role", "domain", "state")
     yield table_of("Processes", names, found["members"])
     if found["brakes"]:
         names = ("version", "reason", "origin")
--- a/src/rattanpier/_internal/models/member.py
+++ b/src/rattanpier/_internal/models/member.py
@@ -35,7 +35,6 @@
       peer_host: IP number for peers.
       peer_port: Port for peers.
       state: Live or leaving.
-      revision: Configuration revision in force when it last refreshed.
       operator_url: Where operators connect; empty for an entry.
     """
 
@@ -48,7 +47,6 @@
     peer_host: str
     peer_port: int
     state: MemberState = MemberState.LIVE
-    revision: int = 0
     operator_url: str = ""
 
     @property
