Find and ask the owners of shards in a module of their own

Ruled out: moving the ending of claims in the background instead; it needs the settlement's message, which stays. Also tried: `Claims` without `me`. The entry sets it when it rejoins and takes its holders' prefix from it, so entries did not come up (functional/test_path failed); taken back.

Change: claims/owner_calls.py has OwnerCalls (reach, try_owner, serve).

Run: unit/test_claims*, unit/test_correspondence*, unit/test_keeper, failure/test_claims*, test_not_run, test_non_idempotent passed with the new module; unit/test_claims*, failure/test_claims_ownership and functional/test_path again after `me` was put back.

--- a/src/rattanpier/_internal/claims/service.py
+++ b/src/rattanpier/_internal/claims/service.py
@@ -12,9 +12,9 @@
 from rattanpier._internal.claims.messages import (
     ANY_ATTEMPT,
     encode_bill,
-    serve,
 )
 from rattanpier._internal.claims.outage import Outage
+from rattanpier._internal.claims.owner_calls import TRY_S, OwnerCalls
 from rattanpier._internal.claims.ownership import Ownership
 from rattanpier._internal.claims.pending import OUTAGE_RETRY_S
 from rattanpier._internal.claims.records import (
@@ -23,7 +23,6 @@
     PendingBill,
     SettleOp,
 )
-from rattanpier._internal.exceptions import PeerUnavailableError
 from rattanpier._internal.kernel import Kernel
 from rattanpier._internal.membership.members import Members
 from rattanpier._internal.models.configuration import Fleet
@@ -40,14 +39,10 @@
 
 log = structlog.get_logger(part="claims")
 
-RETRY_S = 0.05  # Between tries to reach a shard's owner.
-TRY_S = 1.0  # For one try; the owner may be frozen and replaced meanwhile.
-OUTAGE_TRIES = 2  # With the store down, no new owner will come.
 FLUSH_PAUSE_S = 0.5  # Between looks at the bills kept for peers.
 DISOWN_PAUSE_S = 1.0  # Between tries to end a claim in the background.
 DISOWN_LIMIT_S = 3600.0  # Then the claim is left to the owner's sweep.
 MAX_DISOWNING = 10_000  # Claims ended in the background at once.
-NOT_OWNER = "not_owner"
 
 
 @attrs.frozen
@@ -78,11 +73,12 @@
 
 @attrs.define
 class Claims:
-    """Finds the owners of shards and asks them.
+    """Makes, ends and looks up claims.
 
     Attributes:
       objects: Where snapshots and bills of compacted logs are kept.
       ownership: Which shards this process owns, and who the others.
+      owners: Carries calls to the owners of shards.
       outage: What this process does while the store is down.
       kept_bills: Bills that this process keeps for others meanwhile.
       disowning: Tasks that end claims in the background.
@@ -129,6 +125,14 @@
             takes_self=True,
         )
     )
+    owners: OwnerCalls = attrs.field(
+        default=attrs.Factory(
+            lambda self: OwnerCalls(
+                self.ownership, self.links, self.clock, self.metrics
+            ),
+            takes_self=True,
+        )
+    )
     kept_bills: KeptBills = attrs.field(
         default=attrs.Factory(
             lambda self: KeptBills(
@@ -166,7 +170,9 @@
             digest=ask.digest,
         )
         shard = self.shard_of(ask.workspace, ask.key)
-        reply = await self.reach(shard, peer_pb2.Call(claim=body), timeout_s)
+        reply = await self.owners.reach(
+            shard, peer_pb2.Call(claim=body), timeout_s
+        )
         if reply is None:
             return UNAVAILABLE
         claim = reply.claim
@@ -203,7 +209,9 @@
             answer=encode(op.answer).encode() if op.answer else b"",
         )
         shard = self.shard_of(op.workspace, op.key)
-        reply = await self.reach(shard, peer_pb2.Call(settle=body), timeout_s)
+        reply = await self.owners.reach(
+            shard, peer_pb2.Call(settle=body), timeout_s
+        )
         return None if reply is None else reply.settle
 
     def disown(self, ask: Ask, result: ClaimResult) -> None:
@@ -243,49 +251,11 @@
         """Asks for a claim's state; None if its owner can't be reached."""
         body = peer_pb2.LookupRequest(workspace=workspace, key=key)
         shard = self.shard_of(workspace, key)
-        reply = await self.reach(shard, peer_pb2.Call(lookup=body), timeout_s)
+        reply = await self.owners.reach(
+            shard, peer_pb2.Call(lookup=body), timeout_s
+        )
         return None if reply is None else reply.lookup
 
-    async def reach(
-        self, shard: int, call: peer_pb2.Call, timeout_s: float
-    ) -> peer_pb2.Reply | None:
-        """Carries a call to a shard's owner, following changes of owner.
-
-        Every call is idempotent at the owner, so it is repeated freely.
-        """
-        end = self.clock.monotonic() + timeout_s
-        tries = 0
-        while (left := end - self.clock.monotonic()) > 0:
-            reply = await self.try_owner(shard, call, min(left, TRY_S))
-            if reply is not None:
-                return reply
-            tries += 1
-            if not self.ownership.reachable and tries >= OUTAGE_TRIES:
-                self.metrics.count("claims.refused.no_owner")
-                return None
-            self.metrics.count("claims.retry.owner")
-            await self.clock.sleep(RETRY_S)
-            await self.ownership.refresh(shard)
-        return None
-
-    async def try_owner(
-        self, shard: int, call: peer_pb2.Call, timeout_s: float
-    ) -> peer_pb2.Reply | None:
-        """Carries a call to the present owner; None if that failed."""
-        owner = self.ownership.owners.get(shard)
-        if owner is not None:
-            try:
-                return await asyncio.wait_for(serve(owner, call), timeout_s)
-            except TimeoutError:
-                return None
-        member = self.ownership.owner_member(shard)
-        if member is None or member.name == self.me.name:
-            return None
-        try:
-            return await self.links.to(member).call(call, timeout_s)
-        except PeerUnavailableError:
-            return None
-
     # For peers.
 
     async def serve_call(self, call: peer_pb2.Call) -> peer_pb2.Reply:
@@ -296,21 +266,7 @@
         """
         body = getattr(call, call.WhichOneof("body") or "")
         shard = self.shard_of(body.workspace, body.key)
-        return await self.serve_shard(shard, call)
-
-    async def serve_shard(
-        self, shard: int, call: peer_pb2.Call
-    ) -> peer_pb2.Reply:
-        """Serves a call on an own shard.
-
-        Raises:
-          PeerUnavailableError: The shard has another owner.
-        """
-        owner = self.ownership.owners.get(shard)
-        reply = None if owner is None else await serve(owner, call)
-        if reply is None:
-            raise PeerUnavailableError(NOT_OWNER)
-        return reply
+        return await self.owners.serve(shard, call)
 
     async def serve_hold(self, call: peer_pb2.Call) -> peer_pb2.Reply:
         """Keeps a bill for a peer, or takes one in as a shard's owner.
@@ -322,7 +278,7 @@
             return await self.kept_bills.serve(call)
         bill = decode(PendingBill, call.hold.record)
         shard = self.shard_of(bill.claim.workspace, bill.claim.key)
-        return await self.serve_shard(shard, call)
+        return await self.owners.serve(shard, call)
 
     # Bills kept for peers.
 
@@ -348,4 +304,4 @@
         """Sends a kept bill to its shard's owner; None if there is none."""
         body = peer_pb2.HoldRequest(flush=True, record=encode(bill).encode())
         shard = self.shard_of(bill.claim.workspace, bill.claim.key)
-        return await self.reach(shard, peer_pb2.Call(hold=body), TRY_S)
+        return await self.owners.reach(shard, peer_pb2.Call(hold=body), TRY_S)
