Make a shard's compactor in a step of its own

Change: Ownership.make_compactor. Behaviour is unchanged, no test was touched.

Run: unit/test_claims*, failure/test_claims_ownership, test_claims_outage passed.

--- a/src/rattanpier/_internal/claims/ownership.py
+++ b/src/rattanpier/_internal/claims/ownership.py
@@ -290,14 +290,6 @@
         lease, version = obtained
         self.seen[shard] = Seen(lease, version)
         book, sequence = await recover(self.table, shard, self.objects)
-        compactor = Compactor(
-            shard,
-            self.table,
-            self.objects,
-            self.metrics,
-            self.fleet.retention_s,
-        )
-        await compactor.recall(lease)
         owner = ShardOwner(
             shard=shard,
             lease=lease,
@@ -310,13 +302,29 @@
             outage=self.outage,
             book=book,
             next_sequence=sequence,
-            compactor=compactor,
+            compactor=await self.make_compactor(shard, lease),
         )
         if seen is not None and seen.lease.owner:
             for bill in await self.outage.collect(seen.lease.owner, shard):
                 owner.take_in(bill)
         return owner
 
+    async def make_compactor(self, shard: int, lease: ShardLease) -> Compactor:
+        """Returns the compactor of a shard, where its lease row left off.
+
+        Raises:
+          StoreUnavailableError: What the lease names can't be read.
+        """
+        compactor = Compactor(
+            shard,
+            self.table,
+            self.objects,
+            self.metrics,
+            self.fleet.retention_s,
+        )
+        await compactor.recall(lease)
+        return compactor
+
     def owner_member(self, shard: int) -> Member | None:
         """Returns the live owner of a shard, as far as is known."""
         seen = self.seen.get(shard)
