--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,14 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+# Prints each benchmark's tables; plots go to out/. Takes some ten minutes.
+BENCHMARKS := fairness claims membership configuration sessions \
+  placement_cost rollout cascade overhead
+
+bench: $(VENV)/.ready
+	for name in $(BENCHMARKS); do \
+	  PYTHONPATH=. $(BIN)/python -m benchmarks.$$name || exit 1; done
+
 # Needs grpcio-tools; the generated code is committed.
 proto: $(VENV)/.ready
 	PATH="$(abspath $(BIN)):$$PATH" $(BIN)/python -m grpc_tools.protoc -Iproto \
