--- a/tests/failure/test_allowed.py
+++ b/tests/failure/test_allowed.py
@@ -9,15 +9,14 @@
 from rattanpier._internal.utils.hashing import sha256_hex
 from tests.lib.builders import DESK_KEY, LARGE, SMALL, configuration_text
 from tests.lib.cluster import Cluster, wait_for
-from tests.lib.operators import find_operator
 from tests.lib.version_load import (
     ENTRIES,
     Load,
     ask,
     has_answers,
     has_runs,
-    know_each_other,
     runs_of,
+    start_nodes,
 )
 
 OTHER_KEY = "other-key"
@@ -48,15 +47,7 @@
         text = configuration_text([url], fleet_size=3)
         text = text.replace("[fleet]", "[fleet]\nvalidity_s = 2.0")
         await cluster.apply(text[: text.index("[[rules]]")] + RULES + OTHER)
-        await asyncio.gather(
-            cluster.start_node("control-1", "control"),
-            *(
-                cluster.start_entry(name, domain=domain)
-                for name, domain in zip(ENTRIES, "abc", strict=True)
-            ),
-        )
-        await wait_for(lambda: know_each_other(cluster))
-        yield cluster, await find_operator(cluster)
+        yield cluster, await start_nodes(cluster)
 
 
 async def revoke(operator):
--- a/tests/failure/test_withdrawal.py
+++ b/tests/failure/test_withdrawal.py
@@ -8,15 +8,14 @@
 from rattanpier._internal.configuration.edit import set_fields
 from tests.lib.builders import DESK_KEY, LARGE, SMALL, configuration_text
 from tests.lib.cluster import Cluster, wait_for
-from tests.lib.operators import find_operator
 from tests.lib.version_load import (
     ENTRIES,
     Load,
     ask,
     has_answers,
     has_runs,
-    know_each_other,
     runs_of,
+    start_nodes,
 )
 
 FLEET = "[fleet]\nvalidity_s = 2.0"
@@ -32,15 +31,7 @@
         )
         text = configuration_text([url], fleet_size=3)
         await cluster.apply(text.replace("[fleet]", FLEET))
-        await asyncio.gather(
-            cluster.start_node("control-1", "control"),
-            *(
-                cluster.start_entry(name, domain=domain)
-                for name, domain in zip(ENTRIES, "abc", strict=True)
-            ),
-        )
-        await wait_for(lambda: know_each_other(cluster))
-        yield cluster, await find_operator(cluster)
+        yield cluster, await start_nodes(cluster)
 
 
 async def test_no_run_starts_after_in_force_was_reported(system):
--- a/tests/lib/version_load.py
+++ b/tests/lib/version_load.py
@@ -5,10 +5,25 @@
 import aiohttp
 
 from tests.lib.builders import DESK_KEY
+from tests.lib.cluster import wait_for
+from tests.lib.operators import find_operator
 
 ENTRIES = ("entry-1", "entry-2", "entry-3")
 
 
+async def start_nodes(cluster):
+    """Starts a control process and the entries; returns an operator."""
+    await asyncio.gather(
+        cluster.start_node("control-1", "control"),
+        *(
+            cluster.start_entry(name, domain=domain)
+            for name, domain in zip(ENTRIES, "abc", strict=True)
+        ),
+    )
+    await wait_for(lambda: know_each_other(cluster))
+    return await find_operator(cluster)
+
+
 async def know_each_other(cluster):
     """Whether each entry knows of all entries."""
     for entry in ENTRIES:
