Serve the users' platform: an entry that relays what registered workers answer

Cause: the users want the product on their platform; nothing spoke it. Ruled out: the chat path's tries (they decode chat bodies and need claims); aiohttp's client towards workers (takes a reset for an answer's end, and gives bytes behind an answer to the next request).

--- /dev/null
+++ b/src/rattanpier/_internal/cli/relay.py
@@ -0,0 +1,79 @@
+"""The program `rattanpier-relay`: an entry on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import structlog
+
+from rattanpier._internal.exceptions import SettingsError
+from rattanpier._internal.platform.settings import (
+    load_relay_settings,
+    settings_path,
+)
+from rattanpier._internal.programs.relay import RelayEntry, run_relay
+from rattanpier._internal.utils.log_sink import LogSink
+from rattanpier._internal.utils.logs import configure_sink
+
+log = structlog.get_logger(part="main")
+
+EXIT_BAD_SETTINGS = 2
+FLUSH_EVERY_S = 0.2  # A line is on its way to its reader within that time.
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Runs the program: `rattanpier-relay [SETTINGS] [--metrics-port=PORT]`."""
+    import fire  # Only here: an import that a start need not wait for.
+
+    fire.Fire(serve, command=argv, name="rattanpier-relay")
+
+
+def serve(settings: str = "", metrics_port: int = 0) -> None:
+    """Runs an entry until SIGTERM.
+
+    Args:
+      settings: Path of the settings file; the platform's own if empty.
+      metrics_port: Port of the metrics address; 0 serves none.
+    """
+    path = settings or settings_path()
+    try:
+        loaded = load_relay_settings(path, metrics_port)
+    except SettingsError as error:
+        print(f"rattanpier-relay: {error.message}", file=sys.stderr)
+        print(f"rattanpier-relay: hint: {error.hint}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    sink = LogSink()
+    configure_sink(sink, loaded.name)
+    try:
+        asyncio.run(run(loaded, path, metrics_port, sink))
+    finally:
+        sink.flush()
+
+
+async def run(
+    loaded: object, path: str, metrics_port: int, sink: LogSink
+) -> None:
+    """Runs an entry and writes its log lines out."""
+
+    def reload(entry: RelayEntry) -> None:
+        try:
+            found = load_relay_settings(path, metrics_port)
+        except SettingsError as error:
+            log.error("Settings not taken.", error=error.message)
+            return
+        changed = found != entry.settings
+        log.info("Settings read again.", changed=changed)
+
+    flusher = asyncio.create_task(flush_again(sink))
+    try:
+        await run_relay(loaded, reload)  # type: ignore[arg-type]
+    finally:
+        flusher.cancel()
+
+
+async def flush_again(sink: LogSink) -> None:
+    """Writes log lines out again and again."""
+    while True:
+        await asyncio.sleep(FLUSH_EVERY_S)
+        sink.flush()
--- a/src/rattanpier/_internal/platform/caller.py
+++ b/src/rattanpier/_internal/platform/caller.py
@@ -17,6 +17,7 @@
 SCHEME = "bearer"
 MODEL = "X-Model"
 ANY_MODEL = "*"
+MAX_ADDRESSES = 64  # More are not taken from a directory answer.
 TOKENS = "X-Token-Usage"
 # Despite its name a list of the prompt's parts: ID:TOKENS,...
 PARTS = "X-Prefix-Hash"
@@ -103,3 +104,13 @@
     if retry_after_s is not None:
         headers.append(("Retry-After", f"{retry_after_s:.2f}"))
     return headers
+
+
+def directory_body(addresses: list[str], ttl_s: float) -> dict[str, object]:
+    """Returns the answer that tells callers which entries to use.
+
+    Args:
+      addresses: As IP:PORT; callers take at most 64.
+      ttl_s: Seconds that they may keep it.
+    """
+    return {"addresses": addresses[:MAX_ADDRESSES], "ttlS": ttl_s}
--- /dev/null
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -0,0 +1,377 @@
+"""Puts an entry of the relay together."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+from collections.abc import Callable
+
+import aiohttp
+import attrs
+import structlog
+from aiohttp import web
+
+from rattanpier._internal.kernel import Kernel
+from rattanpier._internal.membership.records import new_incarnation
+from rattanpier._internal.models.member import Member, MemberState, Role
+from rattanpier._internal.models.relay_settings import Address, RelaySettings
+from rattanpier._internal.peers.links import Links
+from rattanpier._internal.peers.server import PeerServer
+from rattanpier._internal.platform import caller, feeds, rollouts, upstream
+from rattanpier._internal.platform.rows import (
+    KEPT_CONNECTIONS,
+    PlatformStore,
+)
+from rattanpier._internal.relay.budgets import Budgets
+from rattanpier._internal.relay.directory import WorkerDirectory
+from rattanpier._internal.relay.dispatch import Dispatcher
+from rattanpier._internal.relay.drain import DrainState
+from rattanpier._internal.relay.edge import CallerDialect, RelayEdge
+from rattanpier._internal.relay.exchange import Sender, WorkerDialect
+from rattanpier._internal.relay.exposition import render
+from rattanpier._internal.relay.fleet import Fleet, MemberNews
+from rattanpier._internal.relay.gossip import Gossip
+from rattanpier._internal.relay.health import Health
+from rattanpier._internal.relay.load import Loads
+from rattanpier._internal.relay.membership import EntryRows
+from rattanpier._internal.relay.placement import Chooser
+from rattanpier._internal.relay.pool import ConnectionPool
+from rattanpier._internal.relay.rollout_driver import RolloutDriver
+from rattanpier._internal.relay.rollouts import Rollouts
+from rattanpier._internal.relay.state import RelayState
+from rattanpier._internal.relay.store import (
+    StoreClock,
+    StoreHealth,
+    TableFollower,
+)
+from rattanpier._internal.utils.clock import SystemClock
+from rattanpier._internal.utils.metrics import Metrics
+
+log = structlog.get_logger(part="main")
+
+TICK_S = 0.1  # Of what has to be looked at again and again.
+DRIVE_EVERY_S = 0.25  # Roll-outs: a step late by that is nothing.
+# How long callers may keep the list. The shorter, the sooner they leave an
+# entry that is gone; asking costs an entry well under a millisecond.
+LIST_TTL_S = 1.0
+# Callers reuse connections for most of the operators' idle time, which may
+# change while they are open: they are kept for much longer than usual ones.
+KEEPALIVE_S = 90.0
+MAX_LINE_BYTES = 65536
+CLOSE_PAUSE_S = 0.05
+
+
+@attrs.define
+class RelayEntry:
+    """The parts of one entry that other parts need by name."""
+
+    kernel: Kernel
+    settings: RelaySettings
+    state: RelayState
+    fleet: Fleet
+    drain: DrainState
+    metrics: Metrics
+    edge: RelayEdge
+    gossip: Gossip
+    sites: list[web.TCPSite] = attrs.Factory(list)
+
+    def ready(self) -> bool:
+        """Says whether callers may come."""
+        return self.state.ready() and not self.drain.leaving
+
+
+async def build_relay(settings: RelaySettings) -> RelayEntry:
+    """Starts an entry."""
+    kernel = Kernel()
+    clock = kernel.add("clock", SystemClock())
+    metrics = kernel.add("metrics", Metrics())
+    bounds = settings.bounds
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=KEPT_CONNECTIONS)
+    )
+    kernel.add("http", session, stop=session.close)
+    store = kernel.add(
+        "store", PlatformStore(session, f"http://{settings.store.address}")
+    )
+    health = StoreHealth(clock)
+    store_clock = StoreClock(clock)
+    routes = Rollouts(bounds.exposure_ratio)
+    state = RelayState(
+        WorkerDirectory(clock),
+        routes,
+        health,
+        feeds.operator_news,
+        feeds.worker_news,
+    )
+    fleet = make_fleet(settings, clock, routes)
+    dispatcher = make_dispatcher(settings, state, fleet, clock, metrics)
+    drain = DrainState(clock, bounds.grace_s)
+    edge = RelayEdge(
+        dispatcher,
+        CallerDialect(
+            caller.decode_headers, caller.NOT_PASSED_ON, caller.refusal_headers
+        ),
+        lambda: state.table,
+        drain,
+        clock,
+        metrics,
+    )
+    gossip = await add_peers(kernel, settings, fleet, state, clock)
+    entry = RelayEntry(
+        kernel, settings, state, fleet, drain, metrics, edge, gossip
+    )
+    gossip.renew = renewal(entry)
+    driver = RolloutDriver(
+        store,
+        store_clock,
+        routes,
+        rollouts.status_row,
+        fleet.old_running,
+        fleet.drives,
+    )
+    rows = EntryRows(store, fleet, clock)
+    follow = {
+        rollouts.ORDERS: state.take_operator_page,
+        "servers": state.take_worker_page,
+    }
+    for table, take in follow.items():
+        follower = TableFollower(store, clock, health, store_clock, table, take)
+        kernel.spawn(follower.run())
+    kernel.spawn(gossip.run())
+    kernel.spawn(rows.run())
+    kernel.spawn(every(TICK_S, state.drop_missing))
+    kernel.spawn(drive(driver, health))
+    await listen(entry)
+    return entry
+
+
+def make_fleet(
+    settings: RelaySettings, clock: SystemClock, routes: Rollouts
+) -> Fleet:
+    """Returns the fleet as an entry knows it at its start."""
+    member = Member(
+        name=settings.name,
+        incarnation=new_incarnation(),
+        role=Role.ENTRY,
+        domain=settings.domain,
+        region=settings.region,
+        caller_url=str(settings.callers),
+        peer_host=settings.peers.host,
+        peer_port=settings.peers.port,
+    )
+    me = MemberNews(member, time.time(), 0, ready=False, store=False)
+    return Fleet(me, clock, routes, random.Random(member.incarnation))
+
+
+def make_dispatcher(
+    settings: RelaySettings,
+    state: RelayState,
+    fleet: Fleet,
+    clock: SystemClock,
+    metrics: Metrics,
+) -> Dispatcher:
+    """Returns what answers requests."""
+    loads = Loads(clock)
+    pool = ConnectionPool()
+    health = Health(clock)
+    dialect = WorkerDialect(upstream.encode_request, upstream.decode_answer)
+
+    def forget(worker: str) -> None:
+        loads.forget(worker)
+        pool.forget(worker)
+        health.forget(worker)
+
+    state.gone.subscribe(forget)
+    return Dispatcher(
+        clock=clock,
+        metrics=metrics,
+        directory=state.directory,
+        health=health,
+        loads=loads,
+        chooser=Chooser(loads, settings.domain, random.Random(settings.name)),
+        sender=Sender(pool, dialect, loads),
+        rollouts=state.rollouts,
+        budgets=Budgets(settings.bounds, fleet.size, clock),
+    )
+
+
+async def add_peers(
+    kernel: Kernel,
+    settings: RelaySettings,
+    fleet: Fleet,
+    state: RelayState,
+    clock: SystemClock,
+) -> Gossip:
+    """Listens for peers and returns what talks to them."""
+    server = kernel.add("peer_server", PeerServer())
+    kernel.services["peer_server"].stop = server.stop
+    links = kernel.add("links", Links(settings.name))
+    kernel.services["links"].stop = links.close
+    gossip = Gossip(
+        fleet,
+        links,
+        clock,
+        settings.seeds,
+        lambda: state.table_version,
+        lambda: state.health.available,
+        state.snapshot,
+        state.restore,
+        lambda: None,
+    )
+    server.on_call("gossip", gossip.serve_news)
+    server.on_call("snapshot", gossip.serve_snapshot)
+    await server.start(settings.peers.host, settings.peers.port)
+    return gossip
+
+
+def renewal(entry: RelayEntry) -> Callable[[], None]:
+    """Returns what raises the counter in an entry's own news."""
+
+    def renew() -> None:
+        me = entry.fleet.me
+        leaving = entry.drain.leaving
+        entry.fleet.me = attrs.evolve(
+            me,
+            member=attrs.evolve(
+                me.member,
+                state=MemberState.LEAVING if leaving else MemberState.LIVE,
+            ),
+            counter=me.counter + 1,
+            ready=entry.ready(),
+            store=entry.state.health.available,
+        )
+
+    return renew
+
+
+async def every(seconds: float, act: Callable[[], None]) -> None:
+    """Calls something again and again."""
+    while True:
+        act()
+        await asyncio.sleep(seconds)
+
+
+async def drive(driver: RolloutDriver, health: StoreHealth) -> None:
+    """Takes roll-outs further while the store is there."""
+    while True:
+        await asyncio.sleep(DRIVE_EVERY_S)
+        if not health.available:
+            continue
+        try:
+            await driver.step()
+        except Exception as error:  # noqa: BLE001 (one step must not end all)
+            log.warning("Roll-out step failed.", error=repr(error))
+
+
+async def listen(entry: RelayEntry) -> None:
+    """Opens the addresses that callers and the platform know."""
+    settings = entry.settings
+    await open_site(entry, settings.callers, entry.edge.handle)
+    await open_site(entry, settings.readiness, readiness_handler(entry))
+    await open_site(entry, settings.directory, directory_handler(entry))
+    if settings.metrics is not None:
+        await open_site(entry, settings.metrics, metrics_handler(entry))
+
+
+async def open_site(
+    entry: RelayEntry,
+    address: Address,
+    handler: Callable[[web.BaseRequest], object],
+) -> None:
+    """Listens on one address."""
+    server = web.Server(
+        handler,  # type: ignore[arg-type]
+        handler_cancellation=True,
+        keepalive_timeout=KEEPALIVE_S,
+        max_line_size=MAX_LINE_BYTES,
+        max_field_size=MAX_LINE_BYTES,
+        access_log=None,
+    )
+    runner = web.ServerRunner(server, shutdown_timeout=0.0)
+    await runner.setup()
+    site = web.TCPSite(runner, address.host, address.port, backlog=1024)
+    await site.start()
+    entry.sites.append(site)
+
+
+def readiness_handler(
+    entry: RelayEntry,
+) -> Callable[[web.BaseRequest], object]:
+    """Returns the handler of the platform's readiness check."""
+
+    async def handle(request: web.BaseRequest) -> web.Response:
+        return web.Response(status=200 if entry.ready() else 503)
+
+    return handle
+
+
+def directory_handler(
+    entry: RelayEntry,
+) -> Callable[[web.BaseRequest], object]:
+    """Returns the handler that tells callers which entries to use."""
+
+    async def handle(request: web.BaseRequest) -> web.Response:
+        answer = directory_answer(entry)
+        if answer is None:
+            return web.Response(status=503)
+        return web.json_response(answer)
+
+    return handle
+
+
+def directory_answer(entry: RelayEntry) -> dict[str, object] | None:
+    """Returns the entries to use, None if this one knows of none."""
+    addresses = [member.caller_url for member in entry.fleet.entries()]
+    if not addresses:
+        return None
+    ttl_s = min(LIST_TTL_S, entry.settings.bounds.address_ttl_s)
+    return caller.directory_body(addresses, ttl_s)
+
+
+def metrics_handler(entry: RelayEntry) -> Callable[[web.BaseRequest], object]:
+    """Returns the handler of the metrics address."""
+
+    async def handle(request: web.BaseRequest) -> web.Response:
+        entry.metrics.gauge("relay.running", entry.drain.running)
+        return web.Response(
+            body=render(entry.metrics), content_type="text/plain"
+        )
+
+    return handle
+
+
+async def run_relay(settings: RelaySettings, reload: Callable) -> None:
+    """Runs an entry until SIGTERM, then drains and stops it.
+
+    Args:
+      settings: Of the entry.
+      reload: Reads the settings again; called at SIGHUP.
+    """
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    entry = await build_relay(settings)
+    loop.add_signal_handler(signal.SIGHUP, reload, entry)
+    log.info(
+        "Started.",
+        incarnation=entry.fleet.me.member.incarnation,
+        callers=str(settings.callers),
+        store=str(settings.store.address),
+    )
+    await stop.wait()
+    await leave(entry)
+
+
+async def leave(entry: RelayEntry) -> None:
+    """Takes the entry out of the list, ends what runs, and stops."""
+    log.info("Stopping.", running=entry.drain.running)
+    entry.drain.begin()
+    await entry.gossip.round()
+    await entry.drain.finished()
+    for site in entry.sites:
+        await site.stop()
+    await asyncio.sleep(CLOSE_PAUSE_S)
+    log.info("Stopped.", running=entry.drain.running)
--- /dev/null
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -0,0 +1,526 @@
+"""Answers one request: choose, send, judge the answer, go on or give up."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import AsyncIterator, Mapping
+from contextlib import aclosing
+
+import attrs
+import structlog
+
+from rattanpier._internal.dispatch.budget import RetryBudget
+from rattanpier._internal.models.refusal import Refusal, RefusalCode
+from rattanpier._internal.models.relay_answer import (
+    AnswerBegun,
+    AnswerCut,
+    AnswerEnded,
+    AnswerPart,
+    AnswerPiece,
+    AnswerRefused,
+    WholeAnswer,
+)
+from rattanpier._internal.models.relay_request import RelayRequest
+from rattanpier._internal.models.sending import AnswerHead, Sending
+from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.relay.directory import WorkerDirectory
+from rattanpier._internal.relay.events import (
+    Event,
+    EventError,
+    EventOrder,
+    EventSplitter,
+)
+from rattanpier._internal.relay.exchange import (
+    FIRST_FAILURE,
+    OpenAnswer,
+    Sender,
+    SendError,
+    copied_headers,
+)
+from rattanpier._internal.relay.health import Health
+from rattanpier._internal.relay.load import Loads
+from rattanpier._internal.relay.model_choice import first_model, next_model
+from rattanpier._internal.relay.placement import Choice, Chooser
+from rattanpier._internal.relay.rollouts import Rollouts
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.metrics import Metrics
+
+log = structlog.get_logger(part="dispatch")
+
+MAX_WHOLE_BYTES = 16 * 2**20  # Of an answer that is not a stream.
+NO_WORKER_RETRY_S = 0.5  # Workers register again within a second or two.
+FULL_RETRY_S = 0.4  # A plain request lasts a tenth of a second.
+BUDGET_RETRY_S = 1.0
+LEAST_LEFT_S = 0.005  # With less no worker can answer.
+# Of the objective, after which a repeatable plain request is sent to a second
+# worker beside the first: later the answer would be late in any case.
+HEDGE_SHARE = 0.5
+
+
+@attrs.define
+class Course:
+    """How the answering of one request went so far.
+
+    Attributes:
+      request: The request.
+      loop_deadline: Loop time at which the caller or the route gives up.
+      sent: Workers that it was sent to.
+      tried: Their ids.
+      may_have_run: Some worker may have run it.
+      failure: A worker's own failure, to be passed on if nothing better
+        comes.
+      reason: Why the last send failed.
+      retry_after_s: When the last worker said to come back.
+      model: Model that is asked.
+      order: Events that came.
+      begun: The head of the answer was delivered.
+      granted: The next send was allowed already.
+      service: Its service.
+    """
+
+    request: RelayRequest
+    loop_deadline: float
+    service: str
+    sent: int = 0
+    tried: set[str] = attrs.Factory(set)
+    may_have_run: bool = False
+    failure: WholeAnswer | None = None
+    reason: str = ""
+    retry_after_s: float | None = None
+    model: str = ""
+    order: EventOrder = attrs.Factory(EventOrder)
+    begun: bool = False
+    granted: bool = False
+
+
+@attrs.define
+class Dispatcher:
+    """Answers requests from the workers that this entry knows.
+
+    Attributes:
+      budgets: Sends beyond the first of each request, by service.
+    """
+
+    clock: Clock
+    metrics: Metrics
+    directory: WorkerDirectory
+    health: Health
+    loads: Loads
+    chooser: Chooser
+    sender: Sender
+    rollouts: Rollouts
+    budgets: Mapping[str, RetryBudget]
+
+    async def answer(self, request: RelayRequest) -> AsyncIterator[AnswerPart]:
+        """Yields the parts of the answer to a request.
+
+        Closing the generator early means that the caller went away: what the
+        workers do for it is stopped.
+        """
+        course = Course(
+            request,
+            asyncio.get_running_loop().time()
+            + request.deadline
+            - self.clock.monotonic(),
+            self.pick_service(request),
+            model=first_model(request),
+        )
+        course.order.last = request.after_event
+        self.budgets[course.service].note_request()
+        if request.route.streaming:
+            async with aclosing(self.stream(course)) as parts:
+                async for part in parts:
+                    yield part
+        else:
+            yield await self.whole(course)
+
+    def pick_service(self, request: RelayRequest) -> str:
+        """Returns the service that a request goes to, by weight."""
+        shares = request.route.shares
+        if len(shares) == 1:
+            return shares[0].service
+        weights = [share.weight for share in shares]
+        names = [share.service for share in shares]
+        return self.chooser.rng.choices(names, weights)[0]
+
+    # Choosing.
+
+    def choose(self, course: Course) -> Choice | None:
+        """Returns the worker for the next send, or None."""
+        request = course.request
+        workers = self.directory.of_service(course.service)
+        split = self.rollouts.split(request, course.service, workers)
+        for group in (split.first, split.otherwise):
+            untried = [each for each in group if each.id not in course.tried]
+            usable = self.health.usable(untried)
+            choice = self.chooser.choose(request, usable, course.model)
+            if choice is not None:
+                return choice
+        return None
+
+    def may_send_again(self, course: Course) -> bool:
+        """Says whether a request may be sent to one more worker."""
+        request = course.request
+        if course.granted:
+            course.granted = False
+            return True
+        if course.sent >= request.route.max_workers:
+            return False
+        if course.may_have_run and not request.route.repeatable:
+            return False
+        if self.left_s(course) <= LEAST_LEFT_S:
+            return False
+        if course.sent and not self.budgets[course.service].take():
+            self.metrics.count("relay.budget_spent")
+            course.reason = course.reason or "retry budget spent"
+            return False
+        return True
+
+    def left_s(self, course: Course) -> float:
+        """Returns the seconds until the caller or the route gives up."""
+        return course.loop_deadline - asyncio.get_running_loop().time()
+
+    def note_send(self, course: Course, choice: Choice) -> Sending:
+        """Counts a send and returns what the worker is told."""
+        request = course.request
+        course.sent += 1
+        course.tried.add(choice.worker.id)
+        self.metrics.count("relay.sent")
+        log.info(
+            "Sent.",
+            request=request.id,
+            route=request.route.name,
+            worker=choice.worker.id,
+            version=choice.worker.version,
+            model=course.model,
+            send=course.sent,
+            cost=round(choice.cost, 2),
+            to_read=round(choice.to_read),
+            candidates=choice.candidates,
+            report_age_s=rounded(choice.report_age_s),
+            left_s=round(self.left_s(course), 3),
+        )
+        return Sending(
+            worker=choice.worker,
+            left_s=self.left_s(course),
+            model=course.model,
+            urgency=request.priority if request.route.streaming else None,
+            after_event=course.order.last,
+        )
+
+    # Judging.
+
+    def note_failed(
+        self, course: Course, worker: RegisteredWorker, error: SendError
+    ) -> None:
+        """Takes in that a send failed."""
+        course.reason = str(error)
+        course.retry_after_s = error.retry_after_s
+        if not error.not_run:
+            course.may_have_run = True
+            self.note_result(course, worker, bad=True, relative_s=None)
+        elif not error.connected:
+            self.health.note_unreachable(worker)
+        reason = "not_run" if error.not_run else "may_have_run"
+        self.metrics.count(f"relay.send_failed.{reason}")
+        log.info(
+            "Send failed.",
+            request=course.request.id,
+            worker=worker.id,
+            reason=course.reason,
+            not_run=error.not_run,
+            connected=error.connected,
+        )
+
+    def note_result(
+        self,
+        course: Course,
+        worker: RegisteredWorker,
+        bad: bool,
+        relative_s: float | None,
+    ) -> None:
+        """Lets health and roll-outs learn from an answer."""
+        peers = self.directory.of_service(worker.service)
+        self.health.note(worker, bad, peers)
+        self.rollouts.note(worker, course.request.route.name, bad, relative_s)
+
+    # Plain requests.
+
+    async def whole(self, course: Course) -> WholeAnswer | AnswerRefused:
+        """Returns the answer to a request that is no stream."""
+        while self.may_send_again(course):
+            choice = self.choose(course)
+            if choice is None:
+                break
+            answer = await self.first_of(course, choice)
+            if answer is not None:
+                return answer
+        return self.give_up(course)
+
+    async def first_of(
+        self, course: Course, choice: Choice
+    ) -> WholeAnswer | None:
+        """Returns an answer of one worker, or of a second one beside it.
+
+        A second send beside the first answers workers that hang or are slow;
+        only requests that may run twice get one.
+        """
+        first = asyncio.ensure_future(self.send_whole(course, choice))
+        running = {first}
+        try:
+            if course.request.route.idempotent:
+                hedge_s = HEDGE_SHARE * course.request.route.objective_s
+                done, _ = await asyncio.wait(running, timeout=hedge_s)
+                if not done and self.may_send_again(course):
+                    other = self.choose(course)
+                    if other is not None:
+                        self.metrics.count("relay.hedged")
+                        running.add(
+                            asyncio.ensure_future(
+                                self.send_whole(course, other)
+                            )
+                        )
+            while running:
+                done, running = await asyncio.wait(
+                    running, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    if (answer := task.result()) is not None:
+                        return answer
+            return None
+        finally:
+            for task in running:
+                task.cancel()
+
+    async def send_whole(
+        self, course: Course, choice: Choice
+    ) -> WholeAnswer | None:
+        """Returns a worker's whole answer, None if it failed."""
+        request = course.request
+        worker = choice.worker
+        sending = self.note_send(course, choice)
+        flight = self.loads.begin(worker.id, 0.0)
+        began = self.clock.monotonic()
+        try:
+            async with self.sender.send(
+                request, sending, course.loop_deadline
+            ) as answer:
+                body = await answer.read_all(MAX_WHOLE_BYTES)
+                head = answer.head
+        except SendError as error:
+            self.note_failed(course, worker, error)
+            return None
+        except TimeoutError:
+            self.note_late(course, worker)
+            return None
+        finally:
+            self.loads.end(worker.id, flight)
+        found = WholeAnswer(head.status, copied_headers(head), body)
+        bad = head.status >= FIRST_FAILURE
+        seconds = self.clock.monotonic() - began
+        self.note_result(course, worker, bad, None if bad else seconds)
+        self.metrics.timing("relay.worker_s", seconds)
+        if not bad:
+            return found
+        self.note_worker_failure(course, worker, found)
+        return None
+
+    def note_worker_failure(
+        self, course: Course, worker: RegisteredWorker, answer: WholeAnswer
+    ) -> None:
+        """Takes in that a worker ran a request and failed."""
+        course.may_have_run = True
+        course.failure = answer
+        course.reason = f"worker failed with {answer.status}"
+        self.metrics.count("relay.worker_failed")
+        log.info(
+            "Worker failed.",
+            request=course.request.id,
+            worker=worker.id,
+            status=answer.status,
+        )
+
+    def note_late(self, course: Course, worker: RegisteredWorker) -> None:
+        """Takes in that the time ran out at a worker."""
+        course.may_have_run = True
+        course.reason = "time ran out at the worker"
+        self.note_result(course, worker, bad=True, relative_s=None)
+        self.metrics.count("relay.late")
+
+    # Streams.
+
+    async def stream(self, course: Course) -> AsyncIterator[AnswerPart]:
+        """Yields the parts of an answer that is a series of events."""
+        while self.may_send_again(course):
+            choice = self.choose(course)
+            if choice is None:
+                break
+            async with aclosing(self.stream_one(course, choice)) as parts:
+                async for part in parts:
+                    yield part
+                    if isinstance(part, AnswerEnded | WholeAnswer):
+                        return
+        if course.begun:
+            self.metrics.count("relay.cut")
+            yield AnswerCut(course.reason)
+        else:
+            yield self.give_up(course)
+
+    async def stream_one(
+        self, course: Course, choice: Choice
+    ) -> AsyncIterator[AnswerPart]:
+        """Yields what one worker adds to an answer; nothing if it failed."""
+        request = course.request
+        worker = choice.worker
+        sending = self.note_send(course, choice)
+        flight = self.loads.begin(worker.id, choice.to_read)
+        began = self.clock.monotonic()
+        try:
+            async with self.sender.send(
+                request, sending, course.loop_deadline
+            ) as answer:
+                head = answer.head
+                if head.status >= 300:
+                    yield await self.pass_failure(course, worker, answer)
+                    return
+                flight.begun = True
+                self.loads.note_read(worker.id, course.model, request.prompt)
+                if not course.begun and self.goes_on(course, worker, head):
+                    return
+                async with aclosing(self.events(course, answer)) as events:
+                    async for event in events:
+                        if not course.begun:
+                            course.begun = True
+                            self.note_first(course, choice, began)
+                            yield AnswerBegun(head.status, copied_headers(head))
+                        yield AnswerPiece(event.data)
+                if not course.begun:
+                    course.begun = True
+                    yield AnswerBegun(head.status, copied_headers(head))
+            self.note_result(course, worker, bad=False, relative_s=None)
+            yield AnswerEnded()
+        except WorkerFailedError:
+            return
+        except SendError as error:
+            self.note_failed(course, worker, error)
+        except EventError as error:
+            self.note_failed(course, worker, SendError(str(error)))
+        except TimeoutError:
+            self.note_late(course, worker)
+        finally:
+            self.loads.end(worker.id, flight)
+
+    async def events(
+        self, course: Course, answer: OpenAnswer
+    ) -> AsyncIterator[Event]:
+        """Yields the events of an answer that the caller lacks."""
+        splitter = EventSplitter()
+        async with aclosing(answer.pieces()) as pieces:
+            async for piece in pieces:
+                for event in splitter.feed(piece):
+                    if course.order.take(event):
+                        yield event
+        if splitter.rest:
+            raise EventError("the stream ends within an event")
+
+    async def pass_failure(
+        self, course: Course, worker: RegisteredWorker, answer: OpenAnswer
+    ) -> WholeAnswer:
+        """Returns a worker's answer that is no stream, if it is final.
+
+        Raises:
+          WorkerFailedError: Another worker may do better.
+        """
+        head = answer.head
+        body = await answer.read_all(MAX_WHOLE_BYTES)
+        found = WholeAnswer(head.status, copied_headers(head), body)
+        if head.status < FIRST_FAILURE:
+            return found
+        self.note_result(course, worker, bad=True, relative_s=None)
+        self.note_worker_failure(course, worker, found)
+        raise WorkerFailedError
+
+    def goes_on(
+        self, course: Course, worker: RegisteredWorker, head: AnswerHead
+    ) -> bool:
+        """Says whether an answer is dropped for a larger model's."""
+        request = course.request
+        found = next_model(
+            request, course.model, head.confidence, self.clock.monotonic()
+        )
+        if found is None or not self.may_send_again(course):
+            return False
+        course.granted = True
+        self.metrics.count("relay.larger_model")
+        log.info(
+            "Asking a larger model.",
+            request=request.id,
+            worker=worker.id,
+            model=course.model,
+            confidence=head.confidence,
+            next=found.model,
+        )
+        # The same worker may well be the best: it is not ruled out.
+        course.tried.discard(worker.id)
+        course.model = found.model
+        course.may_have_run = True
+        self.note_result(course, worker, bad=False, relative_s=None)
+        return True
+
+    def note_first(self, course: Course, choice: Choice, began: float) -> None:
+        """Measures the time to a worker's first event."""
+        now = self.clock.monotonic()
+        self.metrics.timing("relay.first_event_s", now - began)
+        log.info(
+            "First event.",
+            request=course.request.id,
+            worker=choice.worker.id,
+            model=course.model,
+            to_read=round(choice.to_read),
+            worker_s=round(now - began, 3),
+            total_s=round(now - course.request.arrived, 3),
+        )
+
+    # Giving up.
+
+    def give_up(self, course: Course) -> WholeAnswer | AnswerRefused:
+        """Returns the final answer to a request that nobody answered."""
+        if course.failure is not None:
+            return course.failure
+        code, status = self.final_code(course)
+        retry_after_s = None
+        if not course.may_have_run:
+            retry_after_s = course.retry_after_s or FULL_RETRY_S
+            if not course.sent:
+                retry_after_s = NO_WORKER_RETRY_S
+        self.metrics.count(f"relay.refused.{code.value}")
+        reason = course.reason or "no worker takes work"
+        return AnswerRefused(
+            Refusal(code, reason, not course.may_have_run, retry_after_s),
+            status,
+        )
+
+    def final_code(self, course: Course) -> tuple[RefusalCode, int]:
+        """Returns the code and the HTTP status of a final answer."""
+        if not course.may_have_run:
+            code = (
+                RefusalCode.QUEUE_FULL if course.sent else RefusalCode.NO_WORKER
+            )
+            return code, 503
+        if self.left_s(course) <= LEAST_LEFT_S:
+            return RefusalCode.DEADLINE, 504
+        return RefusalCode.UPSTREAM_FAILED, 502
+
+
+class WorkerFailedError(Exception):
+    """A worker ran a request and failed; the failure is kept."""
+
+
+def rounded(value: float | None) -> float | None:
+    """Returns a number for a log line.
+
+    >>> rounded(1.23456), rounded(None)
+    (1.235, None)
+    """
+    return None if value is None or math.isinf(value) else round(value, 3)
--- /dev/null
+++ b/src/rattanpier/_internal/relay/drain.py
@@ -0,0 +1,80 @@
+"""The planned stop of an entry: callers are led away, nothing is cut.
+
+Load answered: SIGTERM under traffic. Callers keep the list of entries for a
+while and go on using this one, so it serves on as long as what it takes will
+surely end before the VM is killed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from rattanpier._internal.utils.clock import Clock
+
+# Shares of the time between SIGTERM and SIGKILL. Streams last some seconds,
+# plain requests at most one or two. The last part is left for the exit.
+STREAMS_FOR = 0.3
+PLAIN_FOR = 0.6
+FINISH_FOR = 0.92
+# Callers learn of the leave when they ask for the list again.
+LISTED_FOR = 0.4
+POLL_S = 0.05
+
+
+@attrs.define
+class DrainState:
+    """Whether an entry takes requests.
+
+    Attributes:
+      clock: Monotonic.
+      grace_s: From SIGTERM to SIGKILL.
+      running: Requests in flight.
+      left_at: When the planned stop began, None before.
+    """
+
+    clock: Clock
+    grace_s: float
+    running: int = 0
+    left_at: float | None = None
+
+    @property
+    def leaving(self) -> bool:
+        """Whether connections are not kept for another request."""
+        return self.left_at is not None
+
+    def enter(self) -> None:
+        """Counts a request in."""
+        self.running += 1
+
+    def leave(self) -> None:
+        """Counts a request out."""
+        self.running -= 1
+
+    def begin(self) -> None:
+        """Begins the planned stop."""
+        if self.left_at is None:
+            self.left_at = self.clock.monotonic()
+
+    def age(self) -> float:
+        """Returns the share of the time to SIGKILL that has passed."""
+        if self.left_at is None:
+            return 0.0
+        return (self.clock.monotonic() - self.left_at) / self.grace_s
+
+    def takes(self, streaming: bool) -> bool:
+        """Says whether a new request will surely end in time."""
+        return self.age() < (STREAMS_FOR if streaming else PLAIN_FOR)
+
+    def may_exit(self) -> bool:
+        """Says whether the process may end now."""
+        age = self.age()
+        if age >= FINISH_FOR:
+            return True
+        return age >= LISTED_FOR and self.running == 0
+
+    async def finished(self) -> None:
+        """Returns once the process may end."""
+        while not self.may_exit():
+            await asyncio.sleep(POLL_S)
--- a/src/rattanpier/_internal/relay/events.py
+++ b/src/rattanpier/_internal/relay/events.py
@@ -40,10 +40,10 @@
     rest: bytes = b""
 
     def feed(self, data: bytes) -> Iterator[Event]:
-        """Yields the events that are whole now.
+        r"""Yields the events that are whole now.
 
         >>> splitter = EventSplitter()
-        >>> [event.number for event in splitter.feed(b"id: 1\\ndata\\n\\nid: 2")]
+        >>> [event.number for event in splitter.feed(b"id: 1\n\nid: 2")]
         [1]
 
         Raises:
--- /dev/null
+++ b/src/rattanpier/_internal/relay/exposition.py
@@ -0,0 +1,64 @@
+"""Counters and latency histograms as text, for the metrics address."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)
+
+from rattanpier._internal.utils.metrics import TIMING_EDGES_S, Metrics
+
+PREFIX = "rattanpier_"
+
+
+@attrs.define
+class MetricsCollector:
+    """Hands the process's metrics to the client library."""
+
+    metrics: Metrics
+
+    def collect(self) -> Iterable[Metric]:
+        """Yields each counter, gauge and histogram."""
+        for name, count in sorted(self.metrics.counts.items()):
+            yield CounterMetricFamily(plain(name), name, value=count)
+        for name, value in sorted(self.metrics.gauges.items()):
+            yield GaugeMetricFamily(plain(name), name, value=value)
+        for name, timing in sorted(self.metrics.timings.items()):
+            yield HistogramMetricFamily(
+                plain(name),
+                name,
+                buckets=list(cumulated(timing.buckets)),
+                sum_value=timing.total_s,
+            )
+
+
+def plain(name: str) -> str:
+    """Returns a name as the exposition format allows it.
+
+    >>> plain("relay.first_event_s")
+    'rattanpier_relay_first_event_s'
+    """
+    return PREFIX + name.replace(".", "_").replace("-", "_")
+
+
+def cumulated(buckets: list[int]) -> Iterable[tuple[str, int]]:
+    """Yields each upper edge with the count of all up to it."""
+    total = 0
+    for edge, count in zip(TIMING_EDGES_S, buckets, strict=False):
+        total += count
+        yield f"{edge:g}", total
+    yield "+Inf", total + buckets[-1]
+
+
+def render(metrics: Metrics) -> bytes:
+    """Returns all metrics as text."""
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(MetricsCollector(metrics))
+    return generate_latest(registry)
--- /dev/null
+++ b/src/rattanpier/_internal/relay/membership.py
@@ -0,0 +1,74 @@
+"""Rows by which entries find each other.
+
+An entry writes its row at its start and reads those of the others; from then
+on they talk directly. The row outlives the entry: one that is stale costs the
+others a call now and then.
+"""
+
+from __future__ import annotations
+
+import attrs
+import structlog
+from cattrs.errors import BaseValidationError
+
+from rattanpier._internal.exceptions import (
+    HistoryGoneError,
+    StoreUnavailableError,
+)
+from rattanpier._internal.models.feed import RowCheck, RowPut, WrittenAt
+from rattanpier._internal.relay.fleet import Fleet, MemberNews
+from rattanpier._internal.relay.store import RelayStore
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.codec import decode, encode
+
+log = structlog.get_logger(part="fleet")
+
+TABLE = "entries"
+RETRY_S = 0.3  # Until the row is written: callers can't be led here before.
+# Entries that cannot hear of each other otherwise find each other by this.
+REREAD_S = 10.0
+STALE_S = 60.0  # Rows of entries not heard of for so long are removed.
+
+
+@attrs.define
+class EntryRows:
+    """Writes this entry's row and reads the others'."""
+
+    store: RelayStore
+    fleet: Fleet
+    clock: Clock
+
+    async def run(self) -> None:
+        """Writes the row, then reads all rows now and then."""
+        while not await self.write():
+            await self.clock.sleep(RETRY_S)
+        while True:
+            done = await self.read()
+            await self.clock.sleep(REREAD_S if done else RETRY_S)
+
+    async def write(self) -> bool:
+        """Writes this entry's row; says whether it surely stands."""
+        me = self.fleet.me
+        put = RowPut(TABLE, me.member.name, encode(me).encode())
+        outcome = await self.store.transact([], [put])
+        if isinstance(outcome, WrittenAt):
+            return True
+        log.info("Own row not written.", outcome=repr(outcome))
+        return False
+
+    async def read(self) -> bool:
+        """Reads all rows; says whether that worked."""
+        try:
+            page = await self.store.scan(TABLE)
+        except (StoreUnavailableError, HistoryGoneError) as error:
+            log.info("Entries not read.", error=str(error))
+            return False
+        for row in page.rows:
+            try:
+                self.fleet.take_member(decode(MemberNews, row.value))
+            except BaseValidationError as error:
+                log.warning(
+                    "Entry's row can't be read.", row=row.key, error=str(error)
+                )
+                await self.store.transact([], [], [RowCheck(TABLE, row.key)])
+        return True
--- /dev/null
+++ b/src/rattanpier/_internal/relay/state.py
@@ -0,0 +1,127 @@
+"""What an entry believes: the route table, the workers and the roll-outs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import attrs
+import structlog
+from reactivex.subject import Subject
+
+from rattanpier._internal.models.feed import FeedRow, Page
+from rattanpier._internal.models.rollout_order import RolloutOrder
+from rattanpier._internal.models.route_table import RouteTable
+from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.relay.directory import WorkerDirectory
+from rattanpier._internal.relay.gossip import Snapshot
+from rattanpier._internal.relay.rollouts import Rollouts
+from rattanpier._internal.relay.store import StoreHealth
+
+log = structlog.get_logger(part="state")
+
+
+@attrs.define
+class RelayState:
+    """The entry's beliefs and where they come from.
+
+    Attributes:
+      table: The route table in force, None before the first.
+      operator_news: Decodes the operators' rows.
+      worker_news: Decodes workers' registrations.
+      gone: Emits the id of each worker that is gone.
+    """
+
+    directory: WorkerDirectory
+    rollouts: Rollouts
+    health: StoreHealth
+    operator_news: Callable[[Page], Iterable[RouteTable | RolloutOrder]]
+    worker_news: Callable[[Page], Iterable[RegisteredWorker | FeedRow]]
+    table: RouteTable | None = None
+    gone: Subject[str] = attrs.Factory(Subject)
+
+    @property
+    def table_version(self) -> int:
+        """Version of the route table in force, -1 before the first."""
+        return -1 if self.table is None else self.table.version
+
+    def ready(self) -> bool:
+        """Says whether requests can be served."""
+        return self.table is not None and self.directory.known
+
+    def take_operator_page(self, page: Page, after_outage: bool) -> None:
+        """Takes in what operators wrote."""
+        for item in self.operator_news(page):
+            if isinstance(item, RouteTable):
+                self.take_table(item, "store")
+            else:
+                self.rollouts.take_order(item)
+
+    def take_table(self, table: RouteTable, source: str) -> None:
+        """Puts a route table in force unless it is older."""
+        if table.version <= self.table_version:
+            return
+        before = self.table_version
+        self.table = table
+        log.info(
+            "Routes in force.",
+            version=table.version,
+            before=before,
+            routes=len(table.routes),
+            source=source,
+        )
+
+    def take_worker_page(self, page: Page, after_outage: bool) -> None:
+        """Takes in registrations."""
+        news = list(self.worker_news(page))
+        if page.whole:
+            workers = [
+                item for item in news if isinstance(item, RegisteredWorker)
+            ]
+            self.forget(self.directory.replace(workers, after_outage))
+            return
+        for item in news:
+            if isinstance(item, RegisteredWorker):
+                self.directory.put(item)
+            elif self.directory.remove(item.key, after_outage):
+                self.forget([item.key])
+
+    def drop_missing(self) -> None:
+        """Drops workers whose registration did not come back."""
+        if self.health.available:
+            self.forget(self.directory.drop_missing())
+
+    def forget(self, ids: Iterable[str]) -> None:
+        """Tells that workers are gone."""
+        for id in ids:
+            self.gone.on_next(id)
+
+    def snapshot(self) -> Snapshot:
+        """Returns the beliefs, for a peer that does not reach the store."""
+        return Snapshot(
+            self.table,
+            list(self.directory.workers.values()),
+            list(self.rollouts.orders.values()),
+            list(self.rollouts.records.values()),
+            self.health.available,
+        )
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Takes a peer's beliefs while this entry does not reach the store.
+
+        A peer that reaches it knows the workers better; of one that does not,
+        workers are only added to an entry that knows none.
+        """
+        if snapshot.table is not None:
+            self.take_table(snapshot.table, "peer")
+        for order in snapshot.orders:
+            self.rollouts.take_order(order)
+        for record in snapshot.records:
+            self.rollouts.take_record(record)
+        if self.health.available:
+            return
+        if snapshot.from_store:
+            self.forget(
+                self.directory.replace(snapshot.workers, after_outage=False)
+            )
+        elif not self.directory.known and snapshot.workers:
+            self.directory.replace(snapshot.workers, after_outage=False)
--- a/src/rattanpier/_internal/utils/logs.py
+++ b/src/rattanpier/_internal/utils/logs.py
@@ -8,6 +8,8 @@
 
 import structlog
 
+from rattanpier._internal.utils.log_sink import LogSink
+
 
 def add_prefix(
     _logger: Any, _method: str, event: dict[str, Any]
@@ -43,3 +45,29 @@
         logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
         cache_logger_on_first_use=False,
     )
+
+
+def configure_sink(sink: LogSink, node: str, level: str = "info") -> None:
+    """Sends logs to a bounded sink, as JSON lines that name the node."""
+
+    def add_node(
+        _logger: Any, _method: str, event: dict[str, Any]
+    ) -> dict[str, Any]:
+        event["node"] = node
+        return event
+
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            add_prefix,
+            add_node,
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(separators=(",", ":")),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            getattr(logging, level.upper())
+        ),
+        logger_factory=lambda *args: sink,
+        cache_logger_on_first_use=True,
+    )
