Test the relay's path and decisions on a stand-in of the platform

Change: stand-ins of the platform's store and workers (rows, feeds with a history that can be dropped; answers that are cut, doubled, unframed, reset), tests of the path, of spoiled answers and of each decision. Found by them: a worker avoided within its first seconds got a pause of 0 s; a part never read counted as kept on a clock near 0. Conclusion: both mended here, each with the test that failed.

--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -26,8 +26,8 @@
 )
 from rattanpier._internal.claims.takeover import acquire
 from rattanpier._internal.models.outcomes import WriteOutcome
-from rattanpier._internal.store.table import Transaction
 from rattanpier._internal.standin.table import MemoryTable
+from rattanpier._internal.store.table import Transaction
 from rattanpier._internal.utils.clock import SystemClock
 from rattanpier._internal.utils.metrics import Metrics
 
--- a/benchmarks/slopes_claims.py
+++ b/benchmarks/slopes_claims.py
@@ -32,8 +32,8 @@
 from rattanpier._internal.peers.link import Link
 from rattanpier._internal.peers.proto import peer_pb2
 from rattanpier._internal.peers.server import PeerServer
-from rattanpier._internal.store.objects import TableObjects
 from rattanpier._internal.standin.table import MemoryTable
+from rattanpier._internal.store.objects import TableObjects
 from rattanpier._internal.utils.clock import SystemClock
 from rattanpier._internal.utils.codec import encode
 from rattanpier._internal.utils.hashing import short_digest
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -76,6 +76,7 @@
     edge: RelayEdge
     gossip: Gossip
     sites: list[web.TCPSite] = attrs.Factory(list)
+    runners: list[web.ServerRunner] = attrs.Factory(list)
 
     def ready(self) -> bool:
         """Says whether callers may come."""
@@ -294,6 +295,7 @@
     site = web.TCPSite(runner, address.host, address.port, backlog=1024)
     await site.start()
     entry.sites.append(site)
+    entry.runners.append(runner)
 
 
 def readiness_handler(
@@ -371,7 +373,16 @@
     entry.drain.begin()
     await entry.gossip.round()
     await entry.drain.finished()
+    await close(entry)
+    log.info("Stopped.", running=entry.drain.running)
+
+
+async def close(entry: RelayEntry) -> None:
+    """Stops listening, ends the connections, and stops all services."""
     for site in entry.sites:
         await site.stop()
+    # What reached the listener just before is answered or closed unread.
     await asyncio.sleep(CLOSE_PAUSE_S)
-    log.info("Stopped.", running=entry.drain.running)
+    for runner in entry.runners:
+        await runner.cleanup()
+    await entry.kernel.stop()
--- a/src/rattanpier/_internal/relay/exposition.py
+++ b/src/rattanpier/_internal/relay/exposition.py
@@ -18,7 +18,7 @@
 PREFIX = "rattanpier_"
 
 
-@attrs.define
+@attrs.define(eq=False)
 class MetricsCollector:
     """Hands the process's metrics to the client library."""
 
--- a/src/rattanpier/_internal/relay/health.py
+++ b/src/rattanpier/_internal/relay/health.py
@@ -132,7 +132,7 @@
         now = self.clock.monotonic()
         if now < record.avoided_until:
             return
-        again = now < record.avoided_until + MAX_PAUSE_S
+        again = record.pause_s and now < record.avoided_until + MAX_PAUSE_S
         record.pause_s = (
             min(MAX_PAUSE_S, 2 * record.pause_s) if again else first_pause_s
         )
--- a/src/rattanpier/_internal/relay/load.py
+++ b/src/rattanpier/_internal/relay/load.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import math
 
 import attrs
 
@@ -122,7 +123,7 @@
         oldest = self.clock.monotonic() - PART_KEPT_S
         kept = 0
         for part in prompt.parts:
-            if load.parts.get((model, part.id), 0.0) < oldest:
+            if load.parts.get((model, part.id), -math.inf) < oldest:
                 break
             kept += part.tokens
         return kept
--- /dev/null
+++ b/src/rattanpier/_internal/standin/platform_worker.py
@@ -0,0 +1,279 @@
+"""A stand-in for a worker of the users' platform, which can spoil answers.
+
+It writes its bytes itself, since what it has to get wrong no library does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+import socket
+import struct
+from collections.abc import AsyncIterator
+
+import attrs
+
+
+class WorkerFault(enum.StrEnum):
+    """What a worker gets wrong."""
+
+    NONE = "none"
+    FAIL = "fail"  # 500 with its receipt: it ran.
+    SHED = "shed"  # 503, did not run it.
+    RESET = "reset"  # Runs it, then resets the connection.
+    CUT = "cut"  # Resets in the middle of its answer.
+    EXTRA = "extra"  # Sends its answer twice.
+    EXTRA_LATE = "extra_late"  # The second one comes a little later.
+    UNFRAMED = "unframed"  # No length; ends with the connection.
+    UNFRAMED_RESET = "unframed_reset"  # The same, but reset before its end.
+    NO_RECEIPT = "no_receipt"
+    ENCODED = "encoded"
+    GIBBERISH = "gibberish"  # What comes is not HTTP.
+    HANG = "hang"  # Runs it and says nothing.
+
+
+@attrs.frozen
+class WorkerRun:
+    """A request as the worker ran it; header names in lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def id(self) -> str:
+        """The request's id."""
+        return self.headers.get("x-attempt-id", "")
+
+
+@attrs.define
+class PlatformWorkerServer:
+    """One worker.
+
+    Attributes:
+      id: Its name for this start.
+      fault: What it gets wrong, for `count` more requests; -1: all.
+      runs: What it ran.
+      stopped: Ids of the runs that ended because their caller left.
+      events: Events of a stream.
+      event_gap_s: Pause between them.
+      cut_after: Event after which the fault CUT strikes.
+      work_s: Time before an answer.
+      confidence: Told with streams, by model; None: none.
+      address: IP number and port, once started.
+    """
+
+    id: str
+    fault: WorkerFault = WorkerFault.NONE
+    count: int = -1
+    runs: list[WorkerRun] = attrs.Factory(list)
+    stopped: list[str] = attrs.Factory(list)
+    events: int = 5
+    event_gap_s: float = 0.0
+    cut_after: int = 2
+    work_s: float = 0.0
+    confidence: dict[str, float] = attrs.Factory(dict)
+    address: str = ""
+    server: asyncio.Server | None = None
+    connections: dict[asyncio.StreamWriter, asyncio.StreamReader] = (
+        attrs.Factory(dict)
+    )
+
+    async def start(self) -> None:
+        """Listens on a free port."""
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Ends all connections and listens no more."""
+        assert self.server is not None
+        self.server.close()
+        for writer in list(self.connections):
+            reset(writer)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection."""
+        self.connections[writer] = reader
+        try:
+            while (run := await read_request(reader)) is not None:
+                if not await self.answer(run, writer):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return  # The caller left; what ran for it is noted elsewhere.
+        finally:
+            self.connections.pop(writer, None)
+            reset(writer)
+
+    def take_fault(self) -> WorkerFault:
+        """Returns what goes wrong with this request."""
+        if self.count == 0:
+            return WorkerFault.NONE
+        if self.fault is not WorkerFault.NONE and self.count > 0:
+            self.count -= 1
+        return self.fault
+
+    async def answer(
+        self, run: WorkerRun, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answers one request; says whether the connection is kept."""
+        expected = run.headers.get("x-expected-instance", self.id)
+        if expected != self.id:
+            writer.write(head(421, [("X-Served-By", self.id)], 0))
+            return True
+        fault = self.take_fault()
+        if fault is WorkerFault.SHED:
+            writer.write(head(503, [("X-Not-Executed", "1")], 0))
+            return True
+        self.runs.append(run)
+        if self.work_s:
+            await self.work(run, writer)
+        match fault:
+            case WorkerFault.RESET:
+                return False
+            case WorkerFault.GIBBERISH:
+                writer.write(b"\x00\x01 no answer \r\n\r\n")
+                await writer.drain()
+                return False
+            case WorkerFault.HANG:
+                await self.work(run, writer, 3600.0)
+        if "x-model" in run.headers:
+            return await self.stream(run, writer, fault)
+        return await self.plain(run, writer, fault)
+
+    async def work(
+        self,
+        run: WorkerRun,
+        writer: asyncio.StreamWriter,
+        seconds: float | None = None,
+    ) -> None:
+        """Works, unless the caller leaves."""
+        until = self.work_s if seconds is None else seconds
+        loop = asyncio.get_running_loop()
+        end = loop.time() + until
+        while loop.time() < end:
+            if self.connections[writer].at_eof():
+                self.stopped.append(run.id)
+                raise ConnectionResetError
+            await asyncio.sleep(min(0.005, max(0.0, end - loop.time())))
+
+    async def plain(
+        self, run: WorkerRun, writer: asyncio.StreamWriter, fault: WorkerFault
+    ) -> bool:
+        """Answers a plain request."""
+        body = f"{self.id} ran {run.id}".encode()
+        headers = self.own_headers(run, fault)
+        status = 500 if fault is WorkerFault.FAIL else 200
+        if fault in (WorkerFault.UNFRAMED, WorkerFault.UNFRAMED_RESET):
+            writer.write(head(status, headers, None) + body)
+            await writer.drain()
+            if fault is WorkerFault.UNFRAMED:
+                writer.write_eof()
+                await asyncio.sleep(0.05)
+            else:
+                await asyncio.sleep(0.02)  # So that the bytes are read first.
+            return False
+        whole = head(status, headers, len(body)) + body
+        if fault is WorkerFault.CUT:
+            writer.write(whole[:-3])
+            await writer.drain()
+            return False
+        writer.write(whole)
+        if fault is WorkerFault.EXTRA:
+            writer.write(whole)
+        if fault is WorkerFault.EXTRA_LATE:
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            writer.write(whole)
+        await writer.drain()
+        return True
+
+    async def stream(
+        self, run: WorkerRun, writer: asyncio.StreamWriter, fault: WorkerFault
+    ) -> bool:
+        """Answers with a series of events."""
+        if fault is WorkerFault.FAIL:
+            return await self.plain(run, writer, fault)
+        headers = self.own_headers(run, fault)
+        headers.append(("Content-Type", "text/event-stream"))
+        confidence = self.confidence.get(run.headers["x-model"])
+        if confidence is not None:
+            headers.append(("X-Confidence", str(confidence)))
+        writer.write(head(200, [*headers, ("Transfer-Encoding", "chunked")]))
+        first = int(run.headers.get("last-event-id", "0")) + 1
+        async for number in self.numbers(run, writer, first):
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if fault is WorkerFault.CUT and number > self.cut_after:
+                # In the middle of an event, as a worker that crashes.
+                writer.write(chunk(event[:8]))
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                return False
+            writer.write(chunk(event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    async def numbers(
+        self, run: WorkerRun, writer: asyncio.StreamWriter, first: int
+    ) -> AsyncIterator[int]:
+        """Yields the events' numbers at their pace."""
+        for number in range(first, self.events + 1):
+            if self.event_gap_s:
+                await self.work(run, writer, self.event_gap_s)
+            yield number
+
+    def own_headers(
+        self, run: WorkerRun, fault: WorkerFault
+    ) -> list[tuple[str, str]]:
+        """Returns the headers of an answer."""
+        headers = [("X-Attempt-Id", run.id), ("X-Instance-Load", "1,0,8")]
+        if fault is not WorkerFault.NO_RECEIPT:
+            headers.append(("X-Response-Signature", f"{self.id}.{run.id}"))
+        if fault is WorkerFault.ENCODED:
+            headers.append(("Content-Encoding", "gzip"))
+        return headers
+
+
+async def read_request(reader: asyncio.StreamReader) -> WorkerRun | None:
+    """Returns the next request of a connection, None at its end."""
+    with contextlib.suppress(asyncio.IncompleteReadError):
+        text = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        first, *lines = text.rstrip().split("\r\n")
+        method, target, _ = first.split(" ", 2)
+        pairs = (line.partition(": ") for line in lines)
+        headers = {name.lower(): value for name, _, value in pairs}
+        length = int(headers.get("content-length", "0"))
+        body = await reader.readexactly(length)
+        return WorkerRun(method, target, headers, body)
+    return None
+
+
+def head(
+    status: int, headers: list[tuple[str, str]], length: int | None = None
+) -> bytes:
+    """Returns the head of an answer."""
+    lines = [f"HTTP/1.1 {status} X"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Ends a connection by a reset, not by an orderly end."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and not writer.transport.is_closing():
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+def chunk(data: bytes) -> bytes:
+    """Returns bytes as one chunk of a body."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
--- /dev/null
+++ b/tests/lib/platform_site.py
@@ -0,0 +1,255 @@
+"""A small site of the users' platform: store, workers and entries."""
+
+import asyncio
+import contextlib
+import json
+import random
+import socket
+
+import aiohttp
+import attrs
+from aiohttp import web
+
+from rattanpier._internal.models.relay_settings import RelaySettings
+from rattanpier._internal.platform.settings import decode_settings
+from rattanpier._internal.programs.relay import build_relay, close
+from rattanpier._internal.standin.platform_store import PlatformStoreServer
+from rattanpier._internal.standin.platform_worker import PlatformWorkerServer
+
+HOST = "site.example"
+KEY = "key-of-acme"
+SMALL, MIDDLE, LARGE = "small", "middle", "large"
+LISTENERS = ("frontend", "readiness", "admin", "registry")
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def settings_document(store, name="entry-1", seeds=(), **bounds):
+    """The platform's settings file of one entry."""
+    return {
+        "nodeName": name,
+        "role": "entry",
+        "ip": "127.0.0.1",
+        "zone": "zone-a",
+        "region": "region-a",
+        "listen": {key: f"127.0.0.1:{free_port()}" for key in LISTENERS},
+        "seeds": list(seeds),
+        "heartbeatMs": 1200,
+        "bounds": {
+            "drainMs": 2000,
+            "graceS": 4,
+            "contactMs": 3000,
+            "retryBudgetRatio": 0.9,
+            "budgetWindowS": 10,
+            "budgetSlack": 50,
+            "exposureRatio": 0.15,
+            "sessionTtlS": 5,
+            "ttl_max_s": 5,
+            **bounds,
+        },
+        "platform": {"address": store, "rowBytes": 65536},
+    }
+
+
+def route(name, kind, service, **more):
+    return {
+        "name": name,
+        "hostname": HOST,
+        "prefix": f"/{name}/",
+        "routeType": kind,
+        "timeoutMs": 3000,
+        "targetLatencyMs": 400,
+        "maxAttempts": 3,
+        "priority": 1,
+        "service": service,
+        **more,
+    }
+
+
+def manifest(version=1, **more):
+    """A manifest with a plain service and one of model engines."""
+    return {
+        "version": version,
+        "routes": [
+            route("safe", "safe", "plain"),
+            route("unsafe", "unsafe", "plain"),
+            route(
+                "chat",
+                "streaming",
+                "engine",
+                sizes=[SMALL, MIDDLE, LARGE],
+                resumable=True,
+                sticky=True,
+                timeoutMs=5000,
+                targetLatencyMs=4000,
+            ),
+        ],
+        "services": [
+            {"name": "plain", "healthPath": "/healthz", "maxConnections": 90},
+            {
+                "name": "engine",
+                "healthPath": "/healthz",
+                "maxConnections": 600,
+                "engine": {
+                    "slots": 8,
+                    "kvCapacity": 100000,
+                    "models": [{"name": SMALL, "cost": 0.02}],
+                },
+            },
+        ],
+        "limits": {"maxBodyBytes": 100000},
+        "tenants": [{"name": "acme", "apiKeys": [KEY], "priority": 2}],
+        **more,
+    }
+
+
+def changed_route(name, version=2, **more):
+    """A manifest in which one route has other fields."""
+    document = manifest(version)
+    for each in document["routes"]:
+        if each["name"] == name:
+            each.update(more)
+    return document
+
+
+@attrs.define
+class Answer:
+    """What a caller got; `whole` says whether it looked complete."""
+
+    status: int
+    headers: dict
+    body: bytes
+    whole: bool = True
+
+
+@attrs.define
+class PlatformSite:
+    """The site; entries run in the test's own loop."""
+
+    store: PlatformStoreServer
+    store_address: str
+    session: aiohttp.ClientSession
+    workers: dict = attrs.Factory(dict)
+    entries: dict = attrs.Factory(dict)
+    ids: random.Random = attrs.Factory(lambda: random.Random(1))
+
+    async def add_worker(self, name, service="plain", version="v1", **more):
+        worker = PlatformWorkerServer(name, **more)
+        await worker.start()
+        self.workers[name] = worker
+        self.register(name, service, version)
+        return worker
+
+    def register(self, name, service="plain", version="v1", state="ready"):
+        self.store.put(
+            "servers",
+            name,
+            {
+                "service": service,
+                "address": self.workers[name].address,
+                "zone": "zone-a",
+                "version": version,
+                "slots": 8,
+                "state": state,
+                "sequence": 1,
+            },
+        )
+
+    async def add_entry(self, name="entry-1", ready=True, seeds=(), **bounds):
+        document = settings_document(self.store_address, name, seeds, **bounds)
+        settings = decode_settings(document, "test")
+        entry = await build_relay(settings)
+        self.entries[name] = entry
+        if ready:
+            await until(entry.ready)
+        return entry
+
+    def new_id(self):
+        return f"{self.ids.getrandbits(64):016x}"
+
+    async def ask(self, path="/safe/x", entry="entry-1", **more):
+        """Sends a caller's request and returns what came."""
+        settings: RelaySettings = self.entries[entry].settings
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": self.new_id(),
+            "X-Deadline-Ms": "3000",
+            "Authorization": f"Bearer {KEY}",
+            **more.pop("headers", {}),
+        }
+        method = more.pop("method", "GET")
+        async with self.session.request(
+            method, f"http://{settings.callers}{path}", headers=headers, **more
+        ) as response:
+            body = b""
+            try:
+                async for piece in response.content.iter_any():
+                    body += piece
+            except aiohttp.ClientError:
+                return Answer(response.status, response.headers, body, False)
+            return Answer(response.status, response.headers, body)
+
+    async def chat(self, path="/chat/x", **more):
+        headers = {
+            "X-Model": "*",
+            "X-Token-Usage": "1000,50",
+            "X-Prefix-Hash": "a:400,b:400,c:200",
+            **more.pop("headers", {}),
+        }
+        return await self.ask(
+            path, method="POST", headers=headers, data=b"prompt", **more
+        )
+
+    def runs(self):
+        """How often each request ran, by its id."""
+        counts = {}
+        for worker in self.workers.values():
+            for run in worker.runs:
+                counts[run.id] = counts.get(run.id, 0) + 1
+        return counts
+
+
+@contextlib.asynccontextmanager
+async def platform_site(manifest_document=None):
+    """A site with a store and a manifest, and nothing else."""
+    store = PlatformStoreServer()
+    runner = web.AppRunner(store.app(), shutdown_timeout=0.1)
+    await runner.setup()
+    listener = web.TCPSite(runner, "127.0.0.1", 0)
+    await listener.start()
+    port = runner.addresses[0][1]
+    store.put("op", "config", manifest_document or manifest())
+    async with aiohttp.ClientSession() as session:
+        site = PlatformSite(store, f"127.0.0.1:{port}", session)
+        try:
+            yield site
+        finally:
+            for entry in site.entries.values():
+                await close(entry)
+            for worker in site.workers.values():
+                await worker.stop()
+            await runner.cleanup()
+
+
+async def until(true, seconds=10.0):
+    """Waits for something to hold; the limit counts as hung."""
+    async with asyncio.timeout(seconds):
+        while not true():
+            await asyncio.sleep(0.01)
+
+
+def events(body):
+    """The numbers of the events in a stream's body."""
+    return [
+        int(line[4:])
+        for line in body.decode().splitlines()
+        if line.startswith("id: ")
+    ]
+
+
+def dump(document):
+    return json.dumps(document).encode()
--- /dev/null
+++ b/tests/lib/relay_parts.py
@@ -0,0 +1,62 @@
+"""Requests, routes and workers as the relay's decisions see them."""
+
+from rattanpier._internal.models.relay_request import (
+    Prompt,
+    PromptPart,
+    RelayRequest,
+)
+from rattanpier._internal.models.route_table import Route, ServiceShare
+from rattanpier._internal.models.worker import RegisteredWorker
+
+MODELS = ("small", "middle", "large")
+
+
+def make_worker(id, service="s", version="v1", domain="a", **more):
+    return RegisteredWorker(id, service, "h", 1, domain, version, 8, **more)
+
+
+def make_workers(count, **more):
+    return [make_worker(f"w{number}", **more) for number in range(count)]
+
+
+def make_route(**more):
+    fields = {
+        "name": "r",
+        "host": "h",
+        "prefix": "/r/",
+        "shares": (ServiceShare("s", 1.0),),
+        "max_workers": 3,
+        "timeout_s": 10.0,
+        "objective_s": 4.0,
+        **more,
+    }
+    return Route(**fields)
+
+
+def make_request(id="1", **more):
+    fields = {
+        "method": "GET",
+        "target": "/r/",
+        "headers": (),
+        "body": b"",
+        "route": make_route(),
+        "workspace": None,
+        "arrived": 0.0,
+        "deadline": 10.0,
+        **more,
+    }
+    return RelayRequest(id, **fields)
+
+
+def make_prompt(*parts):
+    """A prompt of parts, each an id and its tokens."""
+    made = tuple(PromptPart(*part) for part in parts)
+    return Prompt(sum(part.tokens for part in made), 50, made)
+
+
+def make_chat(id="1", parts=(("a", 400), ("b", 400), ("own", 200)), **more):
+    """A request for any model of a route with three."""
+    route = make_route(streaming=True, resumable=True, models=MODELS)
+    return make_request(
+        id, route=route, prompt=make_prompt(*parts), any_model=True, **more
+    )
--- /dev/null
+++ b/tests/relay/test_spoiled_answers.py
@@ -0,0 +1,98 @@
+"""Workers that spoil answers: a caller gets one whole answer, or none."""
+
+import pytest
+
+from rattanpier._internal.standin.platform_worker import WorkerFault
+from tests.lib.platform_site import changed_route, events, platform_site
+
+SPOILED = [
+    WorkerFault.CUT,
+    WorkerFault.UNFRAMED_RESET,
+    WorkerFault.NO_RECEIPT,
+    WorkerFault.ENCODED,
+    WorkerFault.GIBBERISH,
+    WorkerFault.RESET,
+]
+
+
+@pytest.fixture
+async def site():
+    async with platform_site() as made:
+        yield made
+
+
+@pytest.mark.parametrize("fault", SPOILED)
+async def test_a_spoiled_answer_is_asked_for_elsewhere_if_it_may(site, fault):
+    await site.add_worker("bad", fault=fault)
+    await site.add_worker("good")
+    await site.add_entry()
+    for _ in range(6):
+        answer = await site.ask()
+        assert answer.status == 200
+        assert answer.body.startswith(b"good ran")
+
+
+@pytest.mark.parametrize("fault", SPOILED)
+async def test_a_spoiled_answer_to_what_may_run_once_is_no_success(site, fault):
+    worker = await site.add_worker("bad", fault=fault)
+    await site.add_worker("other", fault=fault)
+    await site.add_entry()
+    answer = await site.ask("/unsafe/x")
+    assert answer.status == 502
+    assert set(site.runs().values()) == {1}
+    assert worker
+
+
+@pytest.mark.parametrize("fault", [WorkerFault.EXTRA, WorkerFault.EXTRA_LATE])
+async def test_a_second_answer_goes_to_nobody(site, fault):
+    await site.add_worker("w1", fault=fault)
+    await site.add_entry()
+    for number in range(12):
+        request_id = f"{number:016x}"
+        answer = await site.ask(headers={"X-Attempt-Id": request_id})
+        assert answer.status == 200
+        assert answer.body == f"w1 ran {request_id}".encode()
+
+
+async def test_an_answer_that_ends_with_its_connection_is_whole(site):
+    await site.add_worker("w1", fault=WorkerFault.UNFRAMED)
+    await site.add_entry()
+    answer = await site.ask("/unsafe/x")
+    assert (answer.status, answer.whole) == (200, True)
+
+
+async def test_a_worker_s_failure_is_passed_back_as_it_is(site):
+    await site.add_worker("w1", fault=WorkerFault.FAIL)
+    await site.add_entry()
+    answer = await site.ask("/unsafe/x")
+    assert answer.status == 500
+    assert answer.headers["X-Response-Signature"].startswith("w1.")
+
+
+async def test_a_cut_stream_goes_on_at_another_worker(site):
+    await site.add_worker("e1", "engine", fault=WorkerFault.CUT)
+    await site.add_worker("e2", "engine")
+    await site.add_entry()
+    for _ in range(4):
+        answer = await site.chat()
+        assert answer.whole
+        assert events(answer.body) == [1, 2, 3, 4, 5]
+
+
+async def test_a_cut_stream_that_cannot_go_on_does_not_look_whole(site):
+    await site.add_worker("e1", "engine", fault=WorkerFault.CUT)
+    site.store.put("op", "config", changed_route("chat", resumable=False))
+    await site.add_entry()
+    answer = await site.chat()
+    assert not answer.whole
+    assert events(answer.body) == [1, 2]
+
+
+async def test_a_stream_that_may_run_once_is_not_sent_again(site):
+    for name in ("e1", "e2"):
+        await site.add_worker(name, "engine", fault=WorkerFault.RESET)
+    site.store.put("op", "config", changed_route("chat", resumable=False))
+    await site.add_entry()
+    answer = await site.chat()
+    assert answer.status == 502
+    assert set(site.runs().values()) == {1}
