Tell peers only what changed, and keep sessions where they are at an order

Ruled out: waiting a session's time after the order (those that go on are moved all the same). Change: each entry asks two neighbours whether they live and compares what both know; changes are told to all once; evidence goes to the driver. Tests: test_fleet.py, test_a_session_under_way_is_not_moved_while_an_order_is_tried.

--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -98,7 +98,7 @@
     )
     health = StoreHealth(clock)
     store_clock = StoreClock(clock)
-    routes = Rollouts(bounds.exposure_ratio)
+    routes = Rollouts(bounds.exposure_ratio, bounds.session_s, clock)
     state = RelayState(
         WorkerDirectory(clock),
         routes,
@@ -106,7 +106,7 @@
         feeds.operator_news,
         feeds.worker_news,
     )
-    fleet = make_fleet(settings, clock, routes)
+    fleet = make_fleet(settings, clock)
     dispatcher = make_dispatcher(settings, state, fleet, clock, metrics)
     drain = DrainState(clock, bounds.grace_s)
     edge = RelayEdge(
@@ -129,7 +129,9 @@
         store_clock,
         routes,
         rollouts.status_row,
-        fleet.old_running,
+        lambda order: routes.all_running_old(
+            order, [news.member.incarnation for news in fleet.live()]
+        ),
         fleet.drives,
     )
     rows = EntryRows(store, fleet, clock)
@@ -148,9 +150,7 @@
     return entry
 
 
-def make_fleet(
-    settings: RelaySettings, clock: SystemClock, routes: Rollouts
-) -> Fleet:
+def make_fleet(settings: RelaySettings, clock: SystemClock) -> Fleet:
     """Returns the fleet as an entry knows it at its start."""
     member = Member(
         name=settings.name,
@@ -162,8 +162,7 @@
         peer_host=settings.peers.host,
         peer_port=settings.peers.port,
     )
-    me = MemberNews(member, time.time(), 0, ready=False, store=False)
-    return Fleet(me, clock, routes, random.Random(member.incarnation))
+    return Fleet(MemberNews(member, time.time()), clock)
 
 
 def make_dispatcher(
@@ -211,35 +210,33 @@
     links = kernel.add("links", Links(settings.name))
     kernel.services["links"].stop = links.close
     gossip = Gossip(
-        fleet,
-        links,
-        clock,
-        settings.seeds,
-        lambda: state.table_version,
-        lambda: state.health.available,
-        state.snapshot,
-        state.restore,
-        lambda: None,
+        fleet=fleet,
+        rollouts=state.rollouts,
+        links=links,
+        clock=clock,
+        seeds=settings.seeds,
+        needs_snapshot=lambda: not state.health.available,
+        snapshot=state.snapshot,
+        restore=state.restore,
+        renew=lambda: False,
     )
-    server.on_call("gossip", gossip.serve_news)
+    server.on_call("beat", gossip.serve_beat)
+    server.on_call("rumors", gossip.serve_rumors)
+    server.on_call("report", gossip.serve_report)
     server.on_call("snapshot", gossip.serve_snapshot)
     await server.start(settings.peers.host, settings.peers.port)
     return gossip
 
 
-def renewal(entry: RelayEntry) -> Callable[[], None]:
-    """Returns what raises the counter in an entry's own news."""
+def renewal(entry: RelayEntry) -> Callable[[], bool]:
+    """Returns what brings an entry's own news up to date."""
 
-    def renew() -> None:
-        me = entry.fleet.me
+    def renew() -> bool:
         leaving = entry.drain.leaving
-        entry.fleet.me = attrs.evolve(
-            me,
-            member=attrs.evolve(
-                me.member,
-                state=MemberState.LEAVING if leaving else MemberState.LIVE,
-            ),
-            counter=me.counter + 1,
+        state = MemberState.LEAVING if leaving else MemberState.LIVE
+        me = entry.fleet.me
+        return entry.fleet.change_me(
+            member=attrs.evolve(me.member, state=state),
             ready=entry.ready(),
             store=entry.state.health.available,
         )
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -128,6 +128,7 @@
         )
         course.order.last = request.after_event
         self.budgets[course.service].note_request()
+        self.rollouts.note_session(course.service, request.session)
         if request.route.streaming:
             async with aclosing(self.stream(course)) as parts:
                 async for part in parts:
@@ -198,6 +199,7 @@
             cost=round(choice.cost, 2),
             to_read=round(choice.to_read),
             candidates=choice.candidates,
+            session=request.session,
             report_age_s=rounded(choice.report_age_s),
             left_s=round(self.left_s(course), 3),
         )
@@ -375,6 +377,7 @@
         worker = choice.worker
         sending = self.note_send(course, choice)
         flight = self.loads.begin(worker.id, choice.to_read)
+        self.rollouts.note_running(worker, 1)
         began = self.clock.monotonic()
         try:
             async with self.sender.send(
@@ -410,6 +413,7 @@
             self.note_late(course, worker)
         finally:
             self.loads.end(worker.id, flight)
+            self.rollouts.note_running(worker, -1)
 
     async def events(
         self, course: Course, answer: OpenAnswer
--- a/src/rattanpier/_internal/relay/fleet.py
+++ b/src/rattanpier/_internal/relay/fleet.py
@@ -1,103 +1,59 @@
-"""The entries that belong to the system, and what they tell each other.
+"""The entries that belong to the system, as one of them knows them.
 
-Each entry raises a counter of its own and passes on the newest counter of
-every other, so that an entry counts as live though this one does not talk to
-it directly. Nothing here is agreed on: what must be is in the store.
+Each entry has a state with a number that it raises when the state changes. The
+newest number counts, and "down" counts over the same number: an entry that
+hears itself called down raises its number. Nothing here is agreed on: what
+must be is in the store.
 """
 
 from __future__ import annotations
 
-import random
 from collections.abc import Iterable
 
 import attrs
 import structlog
 
 from rattanpier._internal.models.member import Member, MemberState
-from rattanpier._internal.models.rollout_order import RolloutRecord
-from rattanpier._internal.relay.rollouts import Rollouts, TallyKey
-from rattanpier._internal.relay.verdict import Tally
 from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.hashing import stable_hash
 
 log = structlog.get_logger(part="fleet")
 
-GOSSIP_EVERY_S = 0.5
-FANOUT = 3  # Peers told in each round; all of them where there are few.
-FEW = 9  # So many members are told directly: news arrive in one round.
-# Three rounds without a new counter; callers who pick a dead entry lose up to
-# a second, so it must not stay listed for long.
-SILENT_S = 1.8
-FORGET_S = 30.0  # After that a member is dropped; it announces itself anew.
+PROBED = 2  # Entries that each one asks: two losses in a row are noticed.
+CLOCK_STEP_S = 0.001  # Any step will do to count as the newer start.
+FORGET_S = 60.0  # An entry that was down so long is dropped.
 
 
 @attrs.frozen
 class MemberNews:
-    """What is known of one entry.
+    """The state of one entry.
 
     Attributes:
       member: Its addresses and incarnation.
       started: Wall time of its start; the newest incarnation counts.
-      counter: Raised in each round.
+      sequence: Raised with each change of the state.
       ready: It serves callers.
       store: It reaches the store.
+      down: It does not answer.
     """
 
     member: Member
     started: float
-    counter: int
-    ready: bool
-    store: bool
+    sequence: int = 0
+    ready: bool = False
+    store: bool = False
+    down: bool = False
 
+    @property
+    def order(self) -> tuple[float, int, bool]:
+        """The larger of two is the newer."""
+        return self.started, self.sequence, self.down
 
-@attrs.frozen
-class TallyNews:
-    """Answers that one entry saw, for one key."""
-
-    origin: str
-    key: TallyKey
-    tally: Tally
-
-
-@attrs.frozen
-class News:
-    """What one entry tells another.
-
-    Attributes:
-      members: All that it knows.
-      table_version: Version of the route table that it has in force.
-      records: How far roll-outs went.
-      tallies: Answers of versions that are rolled out.
-      running_old: Requests at old versions by order, in this entry.
-      stopped: Orders whose version was found to be worse.
-      incarnation: Of the sender.
-    """
-
-    incarnation: str
-    members: list[MemberNews]
-    table_version: int = -1
-    records: list[RolloutRecord] = attrs.Factory(list)
-    tallies: list[TallyNews] = attrs.Factory(list)
-    running_old: dict[int, int] = attrs.Factory(dict)
-    stopped: list[int] = attrs.Factory(list)
-
-
-@attrs.define
-class Seen:
-    """A member and when its counter rose last.
-
-    Attributes:
-      news: The newest.
-      heard_at: Monotonic seconds.
-      refused: No process listens there.
-      running_old: As it told last.
-      table_version: As it told last.
-    """
-
-    news: MemberNews
-    heard_at: float
-    refused: bool = False
-    running_old: dict[int, int] = attrs.Factory(dict)
-    table_version: int = -1
+    @property
+    def listed(self) -> bool:
+        """Whether callers may be sent there."""
+        live = self.member.state is MemberState.LIVE
+        return self.ready and live and not self.down
 
 
 @attrs.define
@@ -106,164 +62,141 @@
 
     Attributes:
       me: This entry.
-      seen: The others, by name.
-      rollouts: Where news of roll-outs go.
+      others: The newest state of each other, by name.
+      down_at: When each was found to be down, in monotonic seconds.
     """
 
     me: MemberNews
     clock: Clock
-    rollouts: Rollouts
-    rng: random.Random
-    seen: dict[str, Seen] = attrs.Factory(dict)
-
-    def take_member(self, news: MemberNews) -> None:
-        """Takes in what is told of a member."""
+    others: dict[str, MemberNews] = attrs.Factory(dict)
+    down_at: dict[str, float] = attrs.Factory(dict)
+
+    def change_me(self, **fields: object) -> bool:
+        """Sets this entry's state; says whether it changed."""
+        changed = attrs.evolve(self.me, **fields)
+        if changed == self.me:
+            return False
+        self.me = attrs.evolve(changed, sequence=self.me.sequence + 1)
+        return True
+
+    def take(self, news: MemberNews) -> bool:
+        """Takes in a state; says whether it was new here."""
         name = news.member.name
         if name == self.me.member.name:
-            return
+            return self.refute(news)
+        before = self.others.get(name)
+        if before is not None and news.order <= before.order:
+            return False
+        self.others[name] = news
+        if news.down:
+            self.down_at.setdefault(name, self.clock.monotonic())
+        else:
+            self.down_at.pop(name, None)
+        log.info(
+            "Entry changed.",
+            entry=name,
+            incarnation=news.member.incarnation,
+            sequence=news.sequence,
+            ready=news.ready,
+            state=news.member.state.value,
+            store=news.store,
+            down=news.down,
+        )
+        return True
+
+    def refute(self, news: MemberNews) -> bool:
+        """Answers a claim that this entry is down; says whether it had to."""
+        same = news.member.incarnation == self.me.member.incarnation
+        if not same and news.started >= self.me.started:
+            # The wall clock went back between two starts of this entry.
+            self.me = attrs.evolve(self.me, started=news.started + CLOCK_STEP_S)
+            return True
+        if not (same and news.down and news.sequence >= self.me.sequence):
+            return False
+        self.me = attrs.evolve(self.me, sequence=news.sequence + 1)
+        log.info("Called down, and is not.", sequence=self.me.sequence)
+        return True
+
+    def note_down(self, name: str, reason: str) -> MemberNews | None:
+        """Takes in that an entry does not answer; returns what is new."""
+        before = self.others.get(name)
+        if before is None or before.down:
+            return None
+        log.info("Entry does not answer.", entry=name, reason=reason)
+        news = attrs.evolve(before, down=True)
+        self.take(news)
+        return news
+
+    def forget_down(self) -> None:
+        """Drops entries that were down for long."""
         now = self.clock.monotonic()
-        before = self.seen.get(name)
-        if before is None or news.started > before.news.started:
-            self.seen[name] = Seen(news, now)
-            log.info(
-                "Entry known.",
-                entry=name,
-                incarnation=news.member.incarnation,
-                ready=news.ready,
-            )
-            return
-        if news.started < before.news.started:
-            return
-        if news.counter > before.news.counter:
-            self.note_change(before, news)
-            before.news = news
-            before.heard_at = now
-            before.refused = False
-
-    def note_change(self, before: Seen, news: MemberNews) -> None:
-        """Logs what callers will notice."""
-        if before.news.ready != news.ready or before.refused:
-            log.info(
-                "Entry changed.",
-                entry=news.member.name,
-                ready=news.ready,
-                state=news.member.state.value,
-            )
-
-    def note_refused(self, name: str) -> None:
-        """Takes in that no process listens at a member's address."""
-        seen = self.seen.get(name)
-        if seen is not None and not seen.refused:
-            seen.refused = True
-            log.info("Entry is down.", entry=name)
-
-    def is_live(self, seen: Seen) -> bool:
-        """Says whether a member was heard of lately."""
-        age = self.clock.monotonic() - seen.heard_at
-        return not seen.refused and age < SILENT_S
+        for name, since in list(self.down_at.items()):
+            if now - since > FORGET_S:
+                del self.down_at[name]
+                del self.others[name]
+                log.info("Entry forgotten.", entry=name)
 
     def live(self) -> list[MemberNews]:
-        """Returns the live members, this one too."""
-        others = [
-            seen.news for seen in self.seen.values() if self.is_live(seen)
-        ]
+        """Returns the entries that are not down, this one too."""
+        others = (news for news in self.others.values() if not news.down)
         return [self.me, *others]
 
     def entries(self) -> list[Member]:
         """Returns the entries that callers may use."""
-        return [
-            news.member
-            for news in self.live()
-            if news.ready and news.member.state is MemberState.LIVE
-        ]
+        return [news.member for news in self.live() if news.listed]
 
     def size(self) -> int:
-        """Returns how many entries there are, also silent ones."""
-        return len(self.seen) + 1
+        """Returns how many entries there are, also those that are down."""
+        return len(self.others) + 1
 
-    def drives(self) -> bool:
-        """Says whether this entry is to drive roll-outs now."""
+    def driver(self) -> str:
+        """Returns the name of the entry that drives roll-outs now.
+
+        The first by name of those that reach the store; empty if none does.
+        """
         able = [
             news.member.name
             for news in self.live()
             if news.store and news.member.state is MemberState.LIVE
         ]
-        return bool(able) and min(able) == self.me.member.name
-
-    def old_running(self, order: int) -> int:
-        """Returns the requests at an order's old version, in all entries."""
-        own = self.rollouts.running_old.get(order, 0)
-        return own + sum(
-            seen.running_old.get(order, 0)
-            for seen in self.seen.values()
-            if self.is_live(seen)
-        )
+        return min(able, default="")
 
-    def targets(self) -> list[Member]:
-        """Returns the members to tell in this round.
-
-        Beside live ones a silent one is tried: it may be back, or this entry
-        may have been cut off.
-        """
-        live = [each for each in self.seen.values() if self.is_live(each)]
-        silent = [each for each in self.seen.values() if not self.is_live(each)]
-        if len(live) > FEW:
-            live = self.rng.sample(live, FANOUT)
-        if silent:
-            live.append(self.rng.choice(silent))
-        return [seen.news.member for seen in live]
-
-    def forget_silent(self) -> None:
-        """Drops members that were silent for long."""
-        now = self.clock.monotonic()
-        for name, seen in list(self.seen.items()):
-            if now - seen.heard_at > FORGET_S:
-                del self.seen[name]
-                log.info("Entry forgotten.", entry=name)
+    def drives(self) -> bool:
+        """Says whether this entry is to drive roll-outs now."""
+        return self.driver() == self.me.member.name
 
-    def news(self, table_version: int) -> News:
-        """Returns what this entry tells."""
-        orders = {order.id for order in self.rollouts.orders.values()}
-        origin = self.me.member.incarnation
-        tallies = [
-            TallyNews(who, key, tally)
-            for who, source in (
-                (origin, self.rollouts.own),
-                *self.rollouts.others.items(),
-            )
-            for key, tally in source.items()
-            if key.order in orders
-        ]
-        return News(
-            incarnation=origin,
-            members=self.live(),
-            table_version=table_version,
-            records=list(self.rollouts.records.values()),
-            tallies=tallies,
-            running_old=dict(self.rollouts.running_old),
-            stopped=sorted(self.rollouts.stopped & orders),
-        )
+    def probed(self) -> list[MemberNews]:
+        """Returns the entries that this one asks.
 
-    def take(self, news: News) -> None:
-        """Takes in what another entry tells."""
-        for member in news.members:
-            self.take_member(member)
-        for record in news.records:
-            self.rollouts.take_record(record)
-        for order in news.stopped:
-            self.rollouts.stop(order, "told by a peer")
-        self.take_tallies(news.tallies)
-        for seen in self.seen.values():
-            if seen.news.member.incarnation == news.incarnation:
-                seen.running_old = news.running_old
-                seen.table_version = news.table_version
-
-    def take_tallies(self, tallies: Iterable[TallyNews]) -> None:
-        """Takes in counts; they only rise."""
-        for item in tallies:
-            if item.origin == self.me.member.incarnation:
-                continue
-            known = self.rollouts.others.setdefault(item.origin, {})
-            before = known.get(item.key)
-            if before is None or item.tally.total > before.total:
-                known[item.key] = item.tally
+        The next live ones in the order of names, and those before them that
+        are down: they may be back.
+        """
+        names = sorted(self.others)
+        me = self.me.member.name
+        ring = [name for name in names if name > me]
+        ring += [name for name in names if name < me]
+        found: list[MemberNews] = []
+        live = 0
+        for name in ring:
+            news = self.others[name]
+            found.append(news)
+            live += not news.down
+            if live == PROBED:
+                break
+        return found
+
+    def digest(self) -> int:
+        """Returns a number that tells this knowledge from another."""
+        total = 0
+        for news in (self.me, *self.others.values()):
+            text = f"{news.member.name}/{news.order}"
+            total ^= stable_hash(text)
+        return total
+
+    def all_news(self) -> list[MemberNews]:
+        """Returns all that is known."""
+        return [self.me, *self.others.values()]
+
+    def take_all(self, news: Iterable[MemberNews]) -> list[MemberNews]:
+        """Takes in several states; returns those that were new here."""
+        return [each for each in news if self.take(each)]
--- a/src/rattanpier/_internal/relay/membership.py
+++ b/src/rattanpier/_internal/relay/membership.py
@@ -65,7 +65,7 @@
             return False
         for row in page.rows:
             try:
-                self.fleet.take_member(decode(MemberNews, row.value))
+                self.fleet.take(decode(MemberNews, row.value))
             except BaseValidationError as error:
                 log.warning(
                     "Entry's row can't be read.", row=row.key, error=str(error)
--- a/src/rattanpier/_internal/relay/rollouts.py
+++ b/src/rattanpier/_internal/relay/rollouts.py
@@ -24,6 +24,7 @@
     Worse,
     find_worse,
 )
+from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.hashing import stable_hash
 
 log = structlog.get_logger(part="rollout")
@@ -33,6 +34,9 @@
 TRYING_PART = 0.6
 WIDENING_SHARE = 0.4
 HASH_RANGE = 2**64
+# After an order is known nothing goes to the new version for so long: entries
+# tell each other which sessions are under way, within two rounds of news.
+HOLD_S = 1.2
 
 
 @attrs.frozen
@@ -57,12 +61,50 @@
     candidate: bool
 
 
+@attrs.frozen
+class HeldSession:
+    """A session that is under way at the old version.
+
+    Attributes:
+      order: The order under which it would be moved.
+      point: Its place among all sessions.
+      age_s: Seconds since its last request.
+    """
+
+    order: int
+    point: int
+    age_s: float
+
+
+@attrs.frozen
+class Evidence:
+    """What one entry saw of versions that are rolled out.
+
+    Attributes:
+      origin: Its incarnation.
+      counts: Answers by key.
+      running_old: Requests at old versions, by order.
+    """
+
+    origin: str
+    counts: list[tuple[TallyKey, Tally]]
+    running_old: dict[int, int]
+
+
 @attrs.define
 class Rollouts:
     """Orders, how far they went, and the evidence.
 
     Attributes:
       exposure_ratio: Largest share of requests that a bad version may get.
+      session_s: Requests of a session follow each other within this time.
+      clock: Monotonic.
+      recent: When each session was last served, by service and id.
+      held: When each session that stays with the old version was last
+        served, by order and point.
+      held_changes: Keys of `held` that changed here.
+      known_at: When each order became known here, in monotonic seconds.
+      running_old_of: Requests at old versions that others reported.
       orders: The newest order of each service.
       records: How far each went, by service.
       own: Answers that this entry saw.
@@ -73,6 +115,13 @@
     """
 
     exposure_ratio: float
+    session_s: float
+    clock: Clock
+    recent: dict[tuple[str, str], float] = attrs.Factory(dict)
+    held: dict[tuple[int, int], float] = attrs.Factory(dict)
+    held_changes: set[tuple[int, int]] = attrs.Factory(set)
+    known_at: dict[int, float] = attrs.Factory(dict)
+    running_old_of: dict[str, dict[int, int]] = attrs.Factory(dict)
     orders: dict[str, RolloutOrder] = attrs.Factory(dict)
     records: dict[str, RolloutRecord] = attrs.Factory(dict)
     own: dict[TallyKey, Tally] = attrs.Factory(dict)
@@ -87,6 +136,8 @@
         if before is not None and before.id >= order.id:
             return
         self.orders[order.service] = order
+        self.known_at[order.id] = self.clock.monotonic()
+        self.hold_recent(order)
         log.info(
             "Roll-out ordered.",
             service=order.service,
@@ -145,7 +196,8 @@
             return Split(old)
         if self.goes_to_new(request, order, phase):
             return Split(new, old)
-        return Split(old, new)
+        # An old worker that can't be had is no reason for a wider exposure.
+        return Split(old, [] if phase is RolloutPhase.TRYING else new)
 
     def goes_to_new(
         self, request: RelayRequest, order: RolloutOrder, phase: RolloutPhase
@@ -153,11 +205,78 @@
         """Says whether a request is among those for the new version.
 
         It follows from its session alone, so that all entries answer alike
-        and a growing share moves a session only once.
+        and a growing share moves a session only once. A session that was
+        under way when the order came stays where it is while the order is
+        tried, until it has ended.
         """
-        share = self.share(phase)
-        point = stable_hash(f"{order.id}/{request.session or request.id}")
-        return point < share * HASH_RANGE
+        point = point_of(order.id, request.session or request.id)
+        if point >= self.share(phase) * HASH_RANGE:
+            return False
+        if phase is not RolloutPhase.TRYING or not request.session:
+            return True
+        now = self.clock.monotonic()
+        if now - self.known_at.get(order.id, now) < HOLD_S:
+            self.hold(order.id, point, now)
+            return False
+        served_at = self.held.get((order.id, point))
+        if served_at is None or now - served_at > self.session_s:
+            return True
+        self.hold(order.id, point, now)
+        return False
+
+    def hold(self, order: int, point: int, served_at: float) -> None:
+        """Keeps a session with the old version, and has others told."""
+        self.held[order, point] = served_at
+        self.held_changes.add((order, point))
+
+    def note_session(self, service: str, session: str) -> None:
+        """Notes that a session is under way, in case an order comes."""
+        if not session:
+            return
+        now = self.clock.monotonic()
+        self.recent.pop((service, session), None)
+        self.recent[service, session] = now
+        oldest = next(iter(self.recent))
+        while now - self.recent[oldest] > self.session_s:
+            del self.recent[oldest]
+            oldest = next(iter(self.recent))
+
+    def hold_recent(self, order: RolloutOrder) -> None:
+        """Holds the sessions under way that an order would move."""
+        limit = self.share(RolloutPhase.TRYING) * HASH_RANGE
+        now = self.clock.monotonic()
+        for (service, session), served_at in self.recent.items():
+            point = point_of(order.id, session)
+            live = now - served_at < self.session_s
+            if service == order.service and live and point < limit:
+                self.hold(order.id, point, served_at)
+
+    def take_held(self, sessions: Iterable[HeldSession]) -> None:
+        """Takes in which sessions others hold."""
+        now = self.clock.monotonic()
+        for session in sessions:
+            key = session.order, session.point
+            served_at = now - session.age_s
+            self.held[key] = max(self.held.get(key, served_at), served_at)
+
+    def take_held_news(self) -> list[HeldSession]:
+        """Returns the sessions that this entry holds since it was asked."""
+        changed, self.held_changes = self.held_changes, set()
+        return list(self.make_held(changed))
+
+    def held_news(self) -> list[HeldSession]:
+        """Returns all sessions that are held."""
+        return list(self.make_held(self.held))
+
+    def make_held(
+        self, keys: Iterable[tuple[int, int]]
+    ) -> Iterable[HeldSession]:
+        """Yields sessions with their age."""
+        now = self.clock.monotonic()
+        for order, point in keys:
+            age_s = now - self.held[order, point]
+            if age_s < self.session_s:
+                yield HeldSession(order, point, round(age_s, 3))
 
     def share(self, phase: RolloutPhase) -> float:
         """Returns the share of sessions for the new version."""
@@ -243,6 +362,46 @@
             self.stop(order.id, worse.reason)
         return worse
 
+    def evidence(self, origin: str) -> Evidence | None:
+        """Returns what this entry saw; None while nothing is rolled out."""
+        orders = {
+            order.id
+            for order in self.orders.values()
+            if not self.phase(order).final
+        }
+        if not orders:
+            return None
+        counts = [
+            (key, tally)
+            for key, tally in self.own.items()
+            if key.order in orders
+        ]
+        return Evidence(origin, counts, dict(self.running_old))
+
+    def take_evidence(self, evidence: Evidence) -> None:
+        """Takes in what another entry saw; its counts only rise."""
+        self.others[evidence.origin] = dict(evidence.counts)
+        self.running_old_of[evidence.origin] = evidence.running_old
+
+    def all_running_old(self, order: int, live: Iterable[str]) -> int:
+        """Returns the requests at an order's old version in all entries.
+
+        Args:
+          order: The order's id.
+          live: Incarnations of the entries that are not down.
+        """
+        reported = (
+            self.running_old_of.get(origin, {}).get(order, 0) for origin in live
+        )
+        return self.running_old.get(order, 0) + sum(reported)
+
+    def note_running(self, worker: RegisteredWorker, change: int) -> None:
+        """Counts requests that run at an old version."""
+        if self.is_new(worker.service, worker) is False:
+            order = self.orders[worker.service].id
+            running = self.running_old.get(order, 0) + change
+            self.running_old[order] = max(0, running)
+
     def tallies(self, order: int) -> Iterable[tuple[TallyKey, Tally]]:
         """Yields all answers to requests under an order."""
         for source in (self.own, *self.others.values()):
@@ -256,6 +415,11 @@
         return sum(tally.total for key, tally in found if key.candidate)
 
 
+def point_of(order: int, session: str) -> int:
+    """Returns a session's place among all, the same in each entry."""
+    return stable_hash(f"{order}/{session}")
+
+
 def is_later(record: RolloutRecord, before: RolloutRecord) -> bool:
     """Says whether a record is newer than another of the same service."""
     if record.order != before.order:
--- a/src/rattanpier/_internal/standin/platform_store.py
+++ b/src/rattanpier/_internal/standin/platform_store.py
@@ -27,6 +27,16 @@
     LOST = "lost"  # Writes are done and not answered.
 
 
+@attrs.define
+class Door:
+    """A listener of the store, which may turn its callers away."""
+
+    closed: bool = False
+
+
+DOOR = web.AppKey("door", Door)
+
+
 @attrs.define
 class StoredRow:
     """A row and the version of its last change."""
@@ -45,7 +55,6 @@
       version: Of the newest change.
       kept_from: Changes before this version are no longer told.
       fault: What is wrong now.
-      turned_away: IP numbers of callers that get no service.
       calls: Calls that came, by name.
     """
 
@@ -56,9 +65,10 @@
     calls: list[str] = attrs.Factory(list)
     changed: asyncio.Event = attrs.Factory(asyncio.Event)
 
-    def app(self) -> web.Application:
-        """Returns the application."""
+    def app(self, door: Door | None = None) -> web.Application:
+        """Returns the application behind one listener."""
         app = web.Application()
+        app[DOOR] = door or Door()
         app.router.add_post(f"{ROOT}/rows-tx", self.transact)
         app.router.add_get(f"{ROOT}/rows-get", self.scan)
         app.router.add_get(f"{ROOT}/rows-feed", self.feed)
@@ -98,10 +108,12 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def check(self, call: str) -> web.Response | None:
+    async def check(
+        self, request: web.Request, call: str
+    ) -> web.Response | None:
         """Notes a call; returns the answer of a store that is away."""
         self.calls.append(call)
-        if self.fault is StoreFault.BUSY:
+        if self.fault is StoreFault.BUSY or request.app[DOOR].closed:
             return web.Response(status=503)
         if self.fault is StoreFault.SILENT:
             await asyncio.Event().wait()
@@ -109,7 +121,7 @@
 
     async def transact(self, request: web.Request) -> web.Response:
         """Carries out a transaction."""
-        if (refused := await self.check("rows-tx")) is not None:
+        if (refused := await self.check(request, "rows-tx")) is not None:
             return refused
         body = await request.json()
         for check in body["expectedRevision"]:
@@ -132,7 +144,7 @@
 
     async def scan(self, request: web.Request) -> web.Response:
         """Returns the rows of a table."""
-        if (refused := await self.check("rows-get")) is not None:
+        if (refused := await self.check(request, "rows-get")) is not None:
             return refused
         table = request.query["table"]
         limit = int(request.query.get("limit", "500"))
@@ -148,7 +160,7 @@
 
     async def feed(self, request: web.Request) -> web.Response:
         """Waits for changes of a table."""
-        if (refused := await self.check("rows-feed")) is not None:
+        if (refused := await self.check(request, "rows-feed")) is not None:
             return refused
         table = request.query["table"]
         since = int(request.query["sinceRevision"])
@@ -170,7 +182,7 @@
                     await self.changed.wait()
             except TimeoutError:
                 continue
-            if self.fault is not StoreFault.NONE:
+            if self.fault is not StoreFault.NONE or request.app[DOOR].closed:
                 return web.Response(status=503)
 
     def encode(self, table: str, key: str) -> dict[str, Any]:
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -135,6 +135,7 @@
     session: aiohttp.ClientSession
     workers: dict = attrs.Factory(dict)
     entries: dict = attrs.Factory(dict)
+    doors: list = attrs.Factory(list)
     ids: random.Random = attrs.Factory(lambda: random.Random(1))
 
     async def add_worker(self, name, service="plain", version="v1", **more):
@@ -159,8 +160,19 @@
             },
         )
 
-    async def add_entry(self, name="entry-1", ready=True, seeds=(), **bounds):
-        document = settings_document(self.store_address, name, seeds, **bounds)
+    async def add_door(self, door):
+        """Another listener of the store; returns its address."""
+        runner = web.AppRunner(self.store.app(door), shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        self.doors.append(runner)
+        return f"127.0.0.1:{runner.addresses[0][1]}"
+
+    async def add_entry(
+        self, name="entry-1", ready=True, seeds=(), store=None, **bounds
+    ):
+        address = store or self.store_address
+        document = settings_document(address, name, seeds, **bounds)
         settings = decode_settings(document, "test")
         entry = await build_relay(settings)
         self.entries[name] = entry
@@ -232,7 +244,8 @@
                 await close(entry)
             for worker in site.workers.values():
                 await worker.stop()
-            await runner.cleanup()
+            for made in (runner, *site.doors):
+                await made.cleanup()
 
 
 async def until(true, seconds=10.0):
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -230,6 +230,16 @@
     return RolloutRecord(order, "s", "v2", phase, 0.0, 0.0)
 
 
+def make_rollouts(clock=None):
+    return Rollouts(0.15, 5.0, clock or ManualClock())
+
+
+def order(rollouts):
+    """Orders a roll-out whose first moments are over."""
+    rollouts.take_order(ORDER)
+    rollouts.known_at[ORDER.id] = -100.0
+
+
 def both_versions():
     old = make_workers(4)
     new = [make_worker(f"n{number}", version="v2") for number in range(4)]
@@ -246,7 +256,7 @@
 
 
 def test_a_version_that_nobody_ordered_gets_nothing():
-    rollouts = Rollouts(0.15)
+    rollouts = make_rollouts()
     old, new = both_versions()
     assert rollouts.split(make_request(), "s", old).first == old
     assert rollouts.split(make_request(), "s", old + new).first == old
@@ -254,8 +264,8 @@
 
 
 def test_the_share_grows_with_the_phases_and_never_moves_a_session_back():
-    rollouts = Rollouts(0.15)
-    rollouts.take_order(ORDER)
+    rollouts = make_rollouts()
+    order(rollouts)
     old, new = both_versions()
     shares = []
     moved = set()
@@ -276,9 +286,38 @@
     assert shares[0] < shares[1] < shares[2] == 1.0
 
 
+def moved_sessions(rollouts, names):
+    old, new = both_versions()
+    return {
+        name
+        for name in names
+        if rollouts.split(make_request(session=name), "s", old + new).first
+        == new
+    }
+
+
+async def test_a_session_under_way_is_not_moved_while_an_order_is_tried(clock):
+    names = [f"session-{number}" for number in range(400)]
+    here, there = make_rollouts(clock), make_rollouts(clock)
+    for name in names:
+        here.note_session("s", name)
+    for rollouts in (here, there):
+        rollouts.take_order(ORDER)
+        assert not moved_sessions(rollouts, names)
+    there.take_held(here.take_held_news())
+    await clock.advance(2.0)
+    # Half go on at the other entry, which heard of them from the first.
+    assert not moved_sessions(there, names[:200])
+    here.take_held(there.take_held_news())
+    await clock.advance(4.0)
+    # Those are under way yet, the rest have ended.
+    assert not moved_sessions(here, names[:200])
+    assert moved_sessions(here, names[200:])
+
+
 def test_a_rolled_back_version_gets_nothing_even_alone():
-    rollouts = Rollouts(0.15)
-    rollouts.take_order(ORDER)
+    rollouts = make_rollouts()
+    order(rollouts)
     rollouts.take_record(record(RolloutPhase.ROLLED_BACK))
     old, new = both_versions()
     assert rollouts.split(make_request(), "s", old + new).first == old
@@ -287,8 +326,8 @@
 
 
 def test_a_final_record_stays_and_an_older_one_is_not_taken():
-    rollouts = Rollouts(0.15)
-    rollouts.take_order(ORDER)
+    rollouts = make_rollouts()
+    order(rollouts)
     rollouts.take_record(record(RolloutPhase.ROLLED_BACK))
     rollouts.take_record(record(RolloutPhase.COMPLETED))
     assert rollouts.phase(ORDER) is RolloutPhase.ROLLED_BACK
@@ -297,8 +336,8 @@
 
 
 def test_bad_answers_stop_a_version_without_the_store():
-    rollouts = Rollouts(0.15)
-    rollouts.take_order(ORDER)
+    rollouts = make_rollouts()
+    order(rollouts)
     old, new = both_versions()
     for number in range(60):
         rollouts.note(old[0], "r", number % 30 == 0, None)
--- /dev/null
+++ b/tests/relay/test_fleet.py
@@ -0,0 +1,143 @@
+"""What entries know of each other, and how a change gets around."""
+
+import attrs
+import pytest
+
+from rattanpier._internal.models.member import Member, MemberState, Role
+from rattanpier._internal.programs.relay import close
+from rattanpier._internal.relay.fleet import Fleet, MemberNews
+from rattanpier._internal.standin.platform_store import Door, StoreFault
+from tests.lib.clock import ManualClock
+from tests.lib.platform_site import manifest, platform_site, until
+
+
+def make_news(name, started=1.0, incarnation="i", **more):
+    member = Member(name, incarnation, Role.ENTRY, "a", "r", name, "h", 1)
+    return MemberNews(member, started, **{"ready": True, **more})
+
+
+@pytest.fixture
+def fleet():
+    return Fleet(make_news("e1"), ManualClock())
+
+
+def test_the_newest_state_counts_in_any_order(fleet):
+    old = make_news("e2", sequence=1)
+    new = make_news("e2", sequence=2, ready=False)
+    assert fleet.take(new)
+    assert not fleet.take(old)
+    assert not fleet.others["e2"].ready
+
+
+def test_down_counts_over_the_same_number_and_not_over_a_later_one(fleet):
+    fleet.take(make_news("e2", sequence=1))
+    fleet.note_down("e2", "test")
+    assert [member.name for member in fleet.entries()] == ["e1"]
+    assert not fleet.take(make_news("e2", sequence=1))
+    assert fleet.take(make_news("e2", sequence=2))
+    assert len(fleet.entries()) == 2
+
+
+def test_an_entry_called_down_says_that_it_is_not(fleet):
+    assert fleet.take(make_news("e1", sequence=0, down=True))
+    assert fleet.me.sequence == 1
+    assert not fleet.me.down
+
+
+def test_a_new_start_counts_though_the_wall_clock_went_back(fleet):
+    fleet.take(make_news("e1", started=9.0, incarnation="before"))
+    assert fleet.me.started > 9.0
+
+
+def test_a_leaving_entry_is_not_listed(fleet):
+    news = make_news("e2")
+    member = attrs.evolve(news.member, state=MemberState.LEAVING)
+    fleet.take(attrs.evolve(news, member=member))
+    assert [member.name for member in fleet.entries()] == ["e1"]
+
+
+def test_each_entry_is_asked_by_two_others_however_many_there_are():
+    names = [f"e{number:02}" for number in range(40)]
+    asked = dict.fromkeys(names, 0)
+    for name in names:
+        fleet = Fleet(make_news(name), ManualClock())
+        fleet.take_all(make_news(other) for other in names if other != name)
+        probed = fleet.probed()
+        assert len(probed) == 2
+        for news in probed:
+            asked[news.member.name] += 1
+    assert set(asked.values()) == {2}
+
+
+def test_one_that_is_down_is_asked_beside_two_live_ones(fleet):
+    fleet.take_all(make_news(f"e{number}") for number in range(2, 6))
+    fleet.note_down("e2", "test")
+    names = [news.member.name for news in fleet.probed()]
+    assert names == ["e2", "e3", "e4"]
+
+
+def test_the_first_that_reaches_the_store_drives(fleet):
+    fleet.take(make_news("e0", store=False))
+    fleet.take(make_news("e2", store=True))
+    assert fleet.driver() == "e2"
+    fleet.change_me(store=True)
+    assert fleet.drives()
+
+
+@pytest.fixture
+async def site():
+    async with platform_site() as made:
+        await made.add_worker("w1")
+        yield made
+
+
+def listed(entry):
+    return sorted(member.name for member in entry.fleet.entries())
+
+
+async def test_entries_find_each_other_by_the_store(site):
+    for number in range(4):
+        await site.add_entry(f"entry-{number}")
+    names = sorted(site.entries)
+    for entry in site.entries.values():
+        await until(lambda entry=entry: listed(entry) == names)
+
+
+async def test_a_dead_entry_is_listed_by_none(site):
+    for number in range(4):
+        await site.add_entry(f"entry-{number}")
+    names = sorted(site.entries)
+    for entry in site.entries.values():
+        await until(lambda entry=entry: listed(entry) == names)
+    await close(site.entries.pop("entry-2"))
+    for entry in site.entries.values():
+        await until(lambda entry=entry: "entry-2" not in listed(entry))
+
+
+async def test_an_entry_that_starts_in_an_outage_learns_from_a_seed(site):
+    first = await site.add_entry("entry-1")
+    site.store.set_fault(StoreFault.BUSY)
+    second = await site.add_entry(
+        "entry-2", seeds=[str(first.settings.peers)], ready=True
+    )
+    assert second.state.table.version == first.state.table.version
+    assert (await site.ask(entry="entry-2")).status == 200
+
+
+async def test_a_change_reaches_an_entry_that_the_store_turns_away(site):
+    door = Door()
+    first = await site.add_entry("entry-1")
+    address = await site.add_door(door)
+    second = await site.add_entry("entry-2", store=address)
+    await until(lambda: len(listed(second)) == 2)
+    door.closed = True
+    site.store.tell()
+    await until(lambda: not second.state.health.available)
+    site.store.put("op", "config", manifest(version=9))
+    site.register("w1", state="draining")
+    for entry in (first, second):
+        await until(lambda entry=entry: entry.state.table_version == 9)
+        await until(
+            lambda entry=entry: not entry.state.directory.takes_work("w1")
+        )
+    assert not second.state.health.available
