--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -12,7 +12,12 @@
 import attrs
 import structlog
 from aiohttp import web
+from cattrs.errors import BaseValidationError
 
+from rattanpier._internal.exceptions import (
+    HistoryGoneError,
+    StoreUnavailableError,
+)
 from rattanpier._internal.kernel import Kernel
 from rattanpier._internal.membership.records import new_incarnation
 from rattanpier._internal.models.member import Member, MemberState, Role
@@ -30,7 +35,6 @@
 from rattanpier._internal.relay.drain import DrainState
 from rattanpier._internal.relay.edge import CallerDialect, RelayEdge
 from rattanpier._internal.relay.exchange import Sender, WorkerDialect
-from rattanpier._internal.relay.exposition import render
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.gossip import Gossip
 from rattanpier._internal.relay.health import Health
@@ -61,6 +65,8 @@
 KEEPALIVE_S = 90.0
 MAX_LINE_BYTES = 65536
 CLOSE_PAUSE_S = 0.05
+READY_WAIT_S = 0.5  # Some calls to the store; longer means that it is away.
+READY_POLL_S = 0.005
 
 
 @attrs.define
@@ -145,7 +151,7 @@
     kernel.spawn(gossip.run())
     kernel.spawn(rows.run())
     kernel.spawn(every(TICK_S, state.drop_missing))
-    kernel.spawn(drive(driver, health))
+    kernel.spawn(drive(driver))
     await listen(entry)
     return entry
 
@@ -251,26 +257,38 @@
         await asyncio.sleep(seconds)
 
 
-async def drive(driver: RolloutDriver, health: StoreHealth) -> None:
+async def drive(driver: RolloutDriver) -> None:
     """Takes roll-outs further while the store is there."""
     while True:
-        await asyncio.sleep(DRIVE_EVERY_S)
-        if not health.available:
-            continue
         try:
             await driver.step()
-        except Exception as error:  # noqa: BLE001 (one step must not end all)
-            log.warning("Roll-out step failed.", error=repr(error))
+        except (StoreUnavailableError, HistoryGoneError) as error:
+            log.info("Roll-outs can't be driven.", error=str(error))
+        except BaseValidationError as error:
+            log.error("Roll-out's record can't be read.", error=str(error))
+        await asyncio.sleep(DRIVE_EVERY_S)
 
 
 async def listen(entry: RelayEntry) -> None:
     """Opens the addresses that callers and the platform know."""
     settings = entry.settings
-    await open_site(entry, settings.callers, entry.edge.handle)
     await open_site(entry, settings.readiness, readiness_handler(entry))
     await open_site(entry, settings.directory, directory_handler(entry))
     if settings.metrics is not None:
         await open_site(entry, settings.metrics, metrics_handler(entry))
+    await wait_ready(entry)
+    await open_site(entry, settings.callers, entry.edge.handle)
+
+
+async def wait_ready(entry: RelayEntry) -> None:
+    """Waits until requests can be served, or the store seems to be away.
+
+    Callers that come within these milliseconds would only be refused.
+    """
+    until = time.monotonic() + READY_WAIT_S
+    while not entry.state.ready() and time.monotonic() < until:
+        await asyncio.sleep(READY_POLL_S)
+    entry.gossip.renew()
 
 
 async def open_site(
@@ -333,6 +351,9 @@
     """Returns the handler of the metrics address."""
 
     async def handle(request: web.BaseRequest) -> web.Response:
+        # Only here: an import that a start need not wait for.
+        from rattanpier._internal.relay.exposition import render
+
         entry.metrics.gauge("relay.running", entry.drain.running)
         return web.Response(
             body=render(entry.metrics), content_type="text/plain"
--- a/src/rattanpier/_internal/relay/rollout_driver.py
+++ b/src/rattanpier/_internal/relay/rollout_driver.py
@@ -91,6 +91,7 @@
       versions: Versions of the rows in the store, by service.
       old_running: Requests at old workers in all entries, by order.
       drives: Whether this entry is the one to drive.
+      loaded: All records that stood at the last reading are known.
     """
 
     store: RelayStore
@@ -112,6 +113,7 @@
         self.versions = {row.key: row.version for row in page.rows}
         for row in page.rows:
             self.rollouts.take_record(decode(RolloutRecord, row.value))
+        self.rollouts.known = True
         self.loaded = True
 
     async def step(self) -> None:
@@ -120,15 +122,17 @@
         Raises:
           StoreUnavailableError: The store does not answer.
         """
+        # An entry that starts late has to know where orders stand.
+        if not self.loaded:
+            await self.load()
         for order in list(self.rollouts.orders.values()):
-            if self.rollouts.phase(order).final or not self.drives():
-                continue
-            if not self.loaded:
-                await self.load()
-            await self.drive(order)
+            if self.loaded and not self.rollouts.phase(order).final:
+                await self.drive(order)
 
     async def drive(self, order: RolloutOrder) -> None:
         """Writes the first record of an order, or the next."""
+        if not self.drives():
+            return
         self.rollouts.judge(order)
         record = self.rollouts.records.get(order.service)
         now_ms = self.clock.now_ms()
--- a/src/rattanpier/_internal/relay/rollouts.py
+++ b/src/rattanpier/_internal/relay/rollouts.py
@@ -112,6 +112,7 @@
       stopped: Orders whose version this entry found, or was told, to be worse.
       running_old: Own requests at old versions, by order.
       in_service: Versions that served before an order named another.
+      known: It is known how far earlier orders went.
     """
 
     exposure_ratio: float
@@ -129,6 +130,7 @@
     stopped: set[int] = attrs.Factory(set)
     running_old: dict[int, int] = attrs.Factory(dict)
     in_service: dict[str, str] = attrs.Factory(dict)
+    known: bool = False
 
     def take_order(self, order: RolloutOrder) -> None:
         """Takes an order in; an older one is done with."""
@@ -196,8 +198,10 @@
             return Split(old)
         if self.goes_to_new(request, order, phase):
             return Split(new, old)
-        # An old worker that can't be had is no reason for a wider exposure.
-        return Split(old, [] if phase is RolloutPhase.TRYING else new)
+        if phase is RolloutPhase.TRYING and old:
+            # Old workers that fail are no reason for a wider exposure.
+            return Split(old)
+        return Split(old, new)
 
     def goes_to_new(
         self, request: RelayRequest, order: RolloutOrder, phase: RolloutPhase
--- a/src/rattanpier/_internal/relay/state.py
+++ b/src/rattanpier/_internal/relay/state.py
@@ -46,7 +46,11 @@
 
     def ready(self) -> bool:
         """Says whether requests can be served."""
-        return self.table is not None and self.directory.known
+        return (
+            self.table is not None
+            and self.directory.known
+            and self.rollouts.known
+        )
 
     def take_operator_page(self, page: Page, after_outage: bool) -> None:
         """Takes in what operators wrote."""
@@ -117,6 +121,7 @@
             self.rollouts.take_order(order)
         for record in snapshot.records:
             self.rollouts.take_record(record)
+        self.rollouts.known |= snapshot.from_store
         if self.health.available:
             return
         if snapshot.from_store:
@@ -125,3 +130,4 @@
             )
         elif not self.directory.known and snapshot.workers:
             self.directory.replace(snapshot.workers, after_outage=False)
+            self.rollouts.known = True
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -467,3 +467,11 @@
     assert not order.take(again)
     with pytest.raises(EventError):
         order.take(gap)
+
+
+def test_only_new_workers_serve_where_no_old_one_is_left():
+    rollouts = make_rollouts()
+    order(rollouts)
+    _, new = both_versions()
+    split = rollouts.split(make_request(), "s", new)
+    assert new in (split.first, split.otherwise)
--- /dev/null
+++ b/tests/relay/test_rollout_restart.py
@@ -0,0 +1,55 @@
+"""Entries that start when a roll-out was decided before."""
+
+from rattanpier._internal.models.rollout_order import (
+    RolloutPhase,
+    RolloutRecord,
+)
+from rattanpier._internal.utils.codec import converter
+from tests.lib.platform_site import platform_site, until
+
+
+async def site_with_record(site, phase):
+    """Two versions, an order for the second, and how far it went."""
+    await site.add_worker("old", version="v1")
+    await site.add_worker("new", version="v2")
+    site.store.put(
+        "op",
+        "rollout/plain",
+        {"service": "plain", "to": "v2", "deadlineS": 20},
+    )
+    order = site.store.version
+    record = RolloutRecord(order, "plain", "v2", phase, 0.0, 0.0)
+    site.store.put("rollouts", "plain", converter.unstructure(record))
+
+
+async def test_a_completed_one_is_known_before_callers_come():
+    async with platform_site() as site:
+        await site_with_record(site, RolloutPhase.COMPLETED)
+        await site.add_entry()
+        for _ in range(8):
+            answer = await site.ask()
+            assert answer.body.startswith(b"new ran")
+
+
+async def test_a_rolled_back_one_gets_nothing_after_a_restart():
+    async with platform_site() as site:
+        await site_with_record(site, RolloutPhase.ROLLED_BACK)
+        await site.add_entry()
+        for _ in range(8):
+            answer = await site.ask()
+            assert answer.body.startswith(b"old ran")
+
+
+async def test_an_order_is_tried_and_told_to_the_operators():
+    async with platform_site() as site:
+        await site.add_worker("old", version="v1")
+        await site.add_worker("new", version="v2")
+        await site.add_entry()
+        site.store.put(
+            "op",
+            "rollout/plain",
+            {"service": "plain", "to": "v2", "deadlineS": 4},
+        )
+        await until(lambda: site.store.value("status", "rollout/plain"))
+        status = site.store.value("status", "rollout/plain")
+        assert (status["state"], status["to"]) == ("in_progress", "v2")
