--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -68,6 +68,8 @@
 KEEPALIVE_S = 90.0
 MAX_LINE_BYTES = 65536
 CLOSE_PAUSE_S = 0.05
+# Closing is done with before SIGKILL: peers that are cut off answer no close.
+CLOSE_LIMIT_S = 0.4
 READY_WAIT_S = 0.5  # Some calls to the store; longer means that it is away.
 READY_POLL_S = 0.005
 
@@ -405,7 +407,11 @@
     entry.drain.begin()
     await entry.gossip.round()
     await entry.drain.finished()
-    await close(entry)
+    try:
+        async with asyncio.timeout(CLOSE_LIMIT_S):
+            await close(entry)
+    except TimeoutError:
+        log.info("Closing took too long.", limit_s=CLOSE_LIMIT_S)
     log.info("Stopped.", running=entry.drain.running)
 
 
--- a/src/rattanpier/_internal/relay/membership.py
+++ b/src/rattanpier/_internal/relay/membership.py
@@ -26,7 +26,7 @@
 TABLE = "entries"
 RETRY_S = 0.3  # Until the row is written: callers can't be led here before.
 # Entries that cannot hear of each other otherwise find each other by this.
-REREAD_S = 10.0
+REREAD_S = 30.0
 STALE_S = 60.0  # Rows of entries not heard of for so long are removed.
 
 
@@ -42,9 +42,11 @@
         """Writes the row, then reads all rows now and then."""
         while not await self.write():
             await self.clock.sleep(RETRY_S)
+        while not await self.read():
+            await self.clock.sleep(RETRY_S)
         while True:
-            done = await self.read()
-            await self.clock.sleep(REREAD_S if done else RETRY_S)
+            await self.clock.sleep(REREAD_S)
+            await self.read()
 
     async def write(self) -> bool:
         """Writes this entry's row; says whether it surely stands."""
@@ -61,7 +63,8 @@
         try:
             page = await self.store.scan(TABLE)
         except (StoreUnavailableError, HistoryGoneError) as error:
-            log.info("Entries not read.", error=str(error))
+            # The loss of the store is told once, where it is noticed.
+            log.debug("Entries not read.", error=str(error))
             return False
         for row in page.rows:
             try:
