--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -12,12 +12,7 @@
 import attrs
 import structlog
 from aiohttp import web
-from cattrs.errors import BaseValidationError
 
-from rattanpier._internal.exceptions import (
-    HistoryGoneError,
-    StoreUnavailableError,
-)
 from rattanpier._internal.kernel import Kernel
 from rattanpier._internal.membership.records import new_incarnation
 from rattanpier._internal.models.member import Member, MemberState, Role
@@ -59,7 +54,6 @@
 log = structlog.get_logger(part="main")
 
 TICK_S = 0.1  # Of what has to be looked at again and again.
-DRIVE_EVERY_S = 0.25  # Roll-outs: a step late by that is nothing.
 # How long callers may keep the list. The shorter, the sooner they leave an
 # entry that is gone; asking costs an entry well under a millisecond.
 LIST_TTL_S = 1.0
@@ -166,7 +160,7 @@
     kernel.spawn(gossip.run())
     kernel.spawn(rows.run())
     kernel.spawn(every(TICK_S, state.drop_missing))
-    kernel.spawn(drive(driver))
+    kernel.spawn(driver.run())
     await listen(entry)
     return entry
 
@@ -273,18 +267,6 @@
         await asyncio.sleep(seconds)
 
 
-async def drive(driver: RolloutDriver) -> None:
-    """Takes roll-outs further while the store is there."""
-    while True:
-        try:
-            await driver.step()
-        except (StoreUnavailableError, HistoryGoneError) as error:
-            log.info("Roll-outs can't be driven.", error=str(error))
-        except BaseValidationError as error:
-            log.error("Roll-out's record can't be read.", error=str(error))
-        await asyncio.sleep(DRIVE_EVERY_S)
-
-
 async def listen(entry: RelayEntry) -> None:
     """Opens the addresses that callers and the platform know."""
     settings = entry.settings
--- a/src/rattanpier/_internal/relay/rollout_driver.py
+++ b/src/rattanpier/_internal/relay/rollout_driver.py
@@ -7,12 +7,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Callable
 
 import attrs
 import structlog
+from cattrs.errors import BaseValidationError
 
+from rattanpier._internal.exceptions import (
+    HistoryGoneError,
+    StoreUnavailableError,
+)
 from rattanpier._internal.models.feed import (
     RowCheck,
     RowPut,
@@ -31,6 +37,7 @@
 log = structlog.get_logger(part="rollout")
 
 TABLE = "rollouts"
+DRIVE_EVERY_S = 0.25  # A step late by that is nothing to an order's time.
 # Shares of an order's time. Half of it is for trying, in which a session must
 # not be moved to the new version; a tenth shows it under load; what remains
 # has to do for the old workers' last requests and for a lost answer.
@@ -103,6 +110,17 @@
     versions: dict[str, int] = attrs.Factory(dict)
     loaded: bool = False
 
+    async def run(self) -> None:
+        """Takes roll-outs further, again and again, until cancelled."""
+        while True:
+            try:
+                await self.step()
+            except (StoreUnavailableError, HistoryGoneError) as error:
+                log.info("Roll-outs can't be driven.", error=str(error))
+            except BaseValidationError as error:
+                log.error("Roll-out's record can't be read.", error=str(error))
+            await asyncio.sleep(DRIVE_EVERY_S)
+
     async def load(self) -> None:
         """Reads all records.
 
