Add a fault soak of real entries, stand-ins and loopback proxies

Change: tests/soak: seeded faults in series and overlapping (paths delayed, reset, one way, silent; signals; store; workers; manifests; leaves), callers that keep connections, a judge of what callers and workers saw, with a test that it finds each kind of broken promise. make soak plays fresh seeds. Left: steps of the wall clock; runs of hundreds of processes.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 WORKERS ?= 4
 PYTEST_ARGS ?=
 
-.PHONY: run test lint format proto bench
+.PHONY: run test lint format proto bench soak
 
 $(VENV)/.ready: requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -36,6 +36,14 @@
 	for name in $(BENCHMARKS); do \
 	  PYTHONPATH=. $(BIN)/python -m benchmarks.$$name || exit 1; done
 
+# Real entries under faults; fresh seeds unless FIRST is given.
+FIRST ?= 0
+COUNT ?= 50
+
+soak: $(VENV)/.ready
+	PYTHONPATH=. $(BIN)/python -m tests.soak.run --first=$(FIRST) \
+	  --count=$(COUNT)
+
 # Needs grpcio-tools; the generated code is committed.
 proto: $(VENV)/.ready
 	PATH="$(abspath $(BIN)):$$PATH" $(BIN)/python -m grpc_tools.protoc -Iproto \
--- a/tests/lib/relay_process.py
+++ b/tests/lib/relay_process.py
@@ -42,6 +42,12 @@
                     pass
                 await asyncio.sleep(0.02)
 
+    async def again(self):
+        """Starts the entry once more, with its settings."""
+        entry = await start_process(self.settings, self.path)
+        entry.lines = self.lines
+        return entry
+
     async def end(self):
         if self.process.returncode is None:
             self.process.kill()
@@ -57,6 +63,11 @@
     document = settings_document(store, name, **more)
     path = folder / f"{name}.json"
     path.write_text(json.dumps(document))
+    settings = decode_settings(document, "test")
+    return await start_process(settings, path, silent_reader)
+
+
+async def start_process(settings, path, silent_reader=False):
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         str(ROOT / "deploy" / "relay.py"),
@@ -65,7 +76,7 @@
         env={**os.environ, "RATTANPIER_BOOT": str(path)},
         cwd=ROOT,
     )
-    entry = RelayProcess(process, decode_settings(document, "test"), path)
+    entry = RelayProcess(process, settings, path)
     if not silent_reader:
         entry.reader = asyncio.create_task(entry.read())
     return entry
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,104 @@
+"""Callers that take addresses from the entries and ask what they know."""
+
+import asyncio
+import random
+import time
+
+import aiohttp
+import attrs
+
+from tests.lib.platform_site import HOST, KEY
+
+PATHS = ("/safe/x", "/unsafe/x", "/chat/x")
+LIST_KEPT_S = 1.0
+DEADLINE_S = 3.0
+PAUSE_S = 0.03
+
+
+@attrs.define
+class Asked:
+    """One attempt and what came of it; status 0: no answer."""
+
+    id: str
+    path: str
+    at: float
+    entry: str
+    status: int = 0
+    body: bytes = b""
+    headers: dict = attrs.Factory(dict)
+    whole: bool = False
+    ended: float = 0.0
+
+
+@attrs.define
+class Caller:
+    """Asks again and again; keeps its connections until they break."""
+
+    seed: str
+    directories: list
+    session: aiohttp.ClientSession
+    asked: list = attrs.Factory(list)
+    known: list = attrs.Factory(list)
+    known_at: float = float("-inf")
+
+    async def run(self, until):
+        rng = random.Random(self.seed)
+        while time.monotonic() < until:
+            await self.look_up(rng)
+            if self.known:
+                await self.ask(rng)
+            await asyncio.sleep(PAUSE_S * rng.random())
+
+    async def look_up(self, rng):
+        if time.monotonic() - self.known_at < LIST_KEPT_S:
+            return
+        for directory in rng.sample(self.directories, len(self.directories)):
+            try:
+                async with self.session.get(
+                    f"http://{directory}/rattanpier/resolve",
+                    timeout=aiohttp.ClientTimeout(total=0.5),
+                ) as response:
+                    if response.status == 200:
+                        self.known = (await response.json())["addresses"]
+                        self.known_at = time.monotonic()
+                        return
+            except (aiohttp.ClientError, TimeoutError, OSError):
+                continue
+
+    async def ask(self, rng):
+        path = rng.choice(PATHS)
+        entry = rng.choice(self.known)
+        asked = Asked(
+            f"{rng.getrandbits(64):016x}", path, time.monotonic(), entry
+        )
+        self.asked.append(asked)
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": asked.id,
+            "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
+            "Authorization": f"Bearer {KEY}",
+        }
+        if path == "/chat/x":
+            headers |= {
+                "X-Model": "*",
+                "X-Token-Usage": "900,50",
+                "X-Prefix-Hash": f"a:400,b:400,{asked.id[:4]}:100",
+                "Session": f"session-{rng.randrange(40)}",
+            }
+        try:
+            async with self.session.post(
+                f"http://{entry}{path}",
+                data=b"body",
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(
+                    total=DEADLINE_S, sock_connect=0.5
+                ),
+            ) as response:
+                asked.status = response.status
+                asked.headers = response.headers.copy()
+                async for piece in response.content.iter_any():
+                    asked.body += piece
+                asked.whole = True
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            self.known = [each for each in self.known if each != entry]
+        asked.ended = time.monotonic()
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,77 @@
+"""What goes wrong in a run, drawn from its seed."""
+
+import enum
+import random
+
+import attrs
+
+from rattanpier._internal.standin.platform_store import StoreFault
+from rattanpier._internal.standin.platform_worker import WorkerFault
+from tests.soak.proxy import PathFault
+
+QUIET_S = 1.0  # At the start, so that all is up.
+FAULTS_S = 6.0
+LONGEST_S = 2.5
+
+
+class Kind(enum.StrEnum):
+    """What a fault is done to, and by what."""
+
+    STORE = "store"
+    STORE_PATH = "store_path"  # Of one entry.
+    WORKER_PATH = "worker_path"
+    WORKER = "worker"
+    COMPACT = "compact"
+    FREEZE = "freeze"
+    KILL = "kill"
+    STOP = "stop"  # A planned stop, and a new start.
+    RELOAD = "reload"
+    MANIFEST = "manifest"
+    DRAIN = "drain"  # A worker announces that it leaves.
+    LEAVE = "leave"  # A worker's registration goes without a word.
+
+
+DETAILS = {
+    Kind.STORE: [StoreFault.BUSY, StoreFault.SILENT, StoreFault.LOST],
+    Kind.STORE_PATH: list(PathFault)[1:],
+    Kind.WORKER_PATH: list(PathFault)[1:],
+    Kind.WORKER: [
+        fault for fault in WorkerFault if fault is not WorkerFault.NONE
+    ],
+}
+
+
+@attrs.frozen
+class Fault:
+    """One fault.
+
+    `target` numbers an entry or a worker; `detail` says what of its kind.
+    """
+
+    at: float
+    kind: Kind
+    target: int
+    for_s: float
+    detail: object = None
+
+
+def draw_faults(seed, entries, workers):
+    """The faults of a run: in series and overlapping."""
+    rng = random.Random(seed)
+    faults = []
+    for _ in range(rng.randint(3, 9)):
+        kind = rng.choice(list(Kind))
+        details = DETAILS.get(kind)
+        many = rng.randint(1, 3) if kind in (Kind.STOP, Kind.RELOAD) else 1
+        at = QUIET_S + rng.uniform(0.0, FAULTS_S)
+        for number in range(many):
+            faults.append(
+                Fault(
+                    at=at + 0.3 * number,
+                    kind=kind,
+                    target=rng.randrange(max(entries, workers)),
+                    for_s=rng.uniform(0.3, LONGEST_S),
+                    detail=rng.choice(details) if details else None,
+                )
+            )
+    return sorted(faults, key=lambda fault: fault.at)
--- /dev/null
+++ b/tests/soak/judge.py
@@ -0,0 +1,88 @@
+"""Whether the promises were kept, from what callers and workers saw."""
+
+from tests.lib.platform_site import KEY, events
+
+PROMISES = (408, 421, 429, 503)
+EVENTS = 5
+# After a stop or a drain is known everywhere, plus what a busy test machine
+# takes; the platform's own bound is two seconds.
+DRAIN_S = 3.5
+CALM_S = 3.5  # Before and after: no other fault may explain a miss.
+SERVED_SHARE = 0.9  # Of requests sent once all faults are over.
+
+
+def judge(run):
+    """Yields a sentence for each broken promise."""
+    yield from judge_runs(run)
+    yield from judge_answers(run)
+    yield from judge_drains(run)
+    yield from judge_stops(run)
+    yield from judge_end(run)
+
+
+def judge_runs(run):
+    asked = {each.id: each for each in run.asked}
+    counts = {}
+    for worker in run.workers:
+        for each in worker.runs:
+            counts[each.id] = counts.get(each.id, 0) + 1
+            if each.id not in asked:
+                yield f"{each.id} ran, and nobody asked"
+            if each.headers.get("x-tenant") != "acme":
+                yield f"{each.id} ran for {each.headers.get('x-tenant')!r}"
+            if KEY in str(each.headers):
+                yield f"{each.id} ran with the caller's key"
+    for id, count in counts.items():
+        if count > 1 and asked[id].path == "/unsafe/x":
+            yield f"{id} may run once and ran {count} times"
+        if asked[id].path == "/unsafe/x" and asked[id].status in PROMISES:
+            yield f"{id} was answered {asked[id].status} and ran"
+
+
+def judge_answers(run):
+    for each in run.asked:
+        if each.status != 200 or not each.whole:
+            continue
+        if each.path == "/chat/x":
+            found = events(each.body)
+            if found != list(range(1, EVENTS + 1)):
+                yield f"{each.id} got events {found} as a whole answer"
+        elif each.body.split(b" ran ")[-1].decode() != each.id:
+            yield f"{each.id} got {each.body!r}"
+        receipt = each.headers.get("X-Response-Signature", "")
+        if not receipt.endswith(each.id):
+            yield f"{each.id} got the receipt {receipt!r}"
+
+
+def judge_drains(run):
+    for worker, at in run.drained:
+        if run.troubled(at, at + DRAIN_S):
+            continue
+        late = [when for when in run.ran_at(worker) if when > at + DRAIN_S]
+        if late:
+            yield f"{worker} got {len(late)} requests after it left"
+
+
+def judge_stops(run):
+    """Planned stops alone cut nothing that was read in time."""
+    for entry, at in run.stopped:
+        if run.troubled(at - CALM_S, at + CALM_S):
+            continue
+        for each in run.asked:
+            cut = each.status == 200 and not each.whole
+            near = at - 1.0 < each.at < at + 1.0
+            if each.entry == entry and near and cut:
+                yield f"{each.id} was cut by a planned stop"
+
+
+def judge_end(run):
+    for name, code in run.ended_by_themselves:
+        yield f"{name} ended by itself with {code}"
+    last = [each for each in run.asked if each.at > run.calm_from]
+    served = sum(each.status == 200 and each.whole for each in last)
+    if not last or served < SERVED_SHARE * len(last):
+        statuses = sorted({each.status for each in last})
+        yield f"after the faults {served} of {len(last)} served: {statuses}"
+    for name, version in run.versions.items():
+        if version != run.version:
+            yield f"{name} has version {version}, not {run.version}"
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,68 @@
+"""Plays seeds: `python -m tests.soak.run FIRST COUNT [--jobs=4]`.
+
+Prints each broken promise with its seed; keeps the log lines of such a run.
+"""
+
+import asyncio
+import json
+import pathlib
+import random
+import sys
+import tempfile
+import time
+from concurrent.futures import ProcessPoolExecutor
+
+import fire
+
+from tests.soak.judge import judge
+from tests.soak.site import play
+
+KEPT = pathlib.Path("out/soak")
+
+
+def play_one(seed):
+    """Plays a seed; returns what was broken and how much was asked."""
+    with tempfile.TemporaryDirectory() as folder:
+        run = asyncio.run(play(seed, pathlib.Path(folder)))
+    broken = list(judge(run))
+    if broken:
+        keep(run, broken)
+    return seed, broken, len(run.asked)
+
+
+def keep(run, broken):
+    """Keeps what explains a broken promise."""
+    KEPT.mkdir(parents=True, exist_ok=True)
+    lines = sorted(
+        (line for entry in run.entries for line in entry.lines),
+        key=lambda line: line["timestamp"],
+    )
+    with (KEPT / f"{run.seed}.jsonl").open("w") as file:
+        for sentence in broken:
+            file.write(json.dumps({"broken": sentence}) + "\n")
+        for fault in run.faults:
+            file.write(json.dumps({"fault": str(fault)}) + "\n")
+        for line in lines:
+            file.write(json.dumps(line) + "\n")
+
+
+def main(first=0, count=10, jobs=4):
+    """Plays some seeds, fresh ones if `first` is 0."""
+    first = first or random.randrange(10**6, 10**7)
+    began = time.monotonic()
+    failed = 0
+    with ProcessPoolExecutor(jobs) as pool:
+        for seed, broken, asked in pool.map(
+            play_one, range(first, first + count)
+        ):
+            failed += bool(broken)
+            for sentence in broken:
+                print(f"seed {seed}: {sentence}")
+            print(f"seed {seed}: {asked} requests, {len(broken)} broken")
+    seconds = time.monotonic() - began
+    print(f"{count} seeds from {first}, {failed} failed, {seconds:.0f} s")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/tests/soak/site.py
@@ -0,0 +1,253 @@
+"""One run: real entries, a store and workers behind proxies, and faults."""
+
+import asyncio
+import contextlib
+import signal
+import time
+
+import aiohttp
+import attrs
+
+from rattanpier._internal.standin.platform_store import StoreFault
+from rattanpier._internal.standin.platform_worker import (
+    PlatformWorkerServer,
+    WorkerFault,
+)
+from tests.lib.platform_site import changed_route, platform_site
+from tests.lib.relay_process import start_entry
+from tests.soak.callers import Caller
+from tests.soak.faults import FAULTS_S, LONGEST_S, QUIET_S, Kind, draw_faults
+from tests.soak.proxy import PathFault, Proxy
+
+ENTRIES = 3
+WORKERS = 6  # Every second one is a model engine.
+CALLERS = 6
+# After the last fault: entries start again, avoided workers are tried again.
+HEAL_S = 6.0
+CALM_S = 2.0
+PLANNED = (Kind.STOP, Kind.RELOAD, Kind.MANIFEST, Kind.DRAIN, Kind.LEAVE)
+
+
+@attrs.define
+class TimedWorker(PlatformWorkerServer):
+    """A worker that notes when it ran what."""
+
+    times: list = attrs.Factory(list)
+
+    async def answer(self, run, writer):
+        before = len(self.runs)
+        try:
+            return await super().answer(run, writer)
+        finally:
+            if len(self.runs) > before:
+                self.times.append(time.monotonic())
+
+
+@attrs.define
+class Run:
+    """What a run did and saw, for the judge."""
+
+    seed: int
+    folder: object
+    faults: list
+    site: object = None
+    entries: list = attrs.Factory(list)
+    paths: list = attrs.Factory(list)  # From each entry to the store.
+    workers: list = attrs.Factory(list)
+    worker_paths: list = attrs.Factory(list)
+    asked: list = attrs.Factory(list)
+    drained: list = attrs.Factory(list)
+    stopped: list = attrs.Factory(list)
+    expected_ends: set = attrs.Factory(set)
+    ended_by_themselves: list = attrs.Factory(list)
+    versions: dict = attrs.Factory(dict)
+    version: int = 1
+    began: float = 0.0
+    calm_from: float = 0.0
+
+    def ran_at(self, worker):
+        return next(each for each in self.workers if each.id == worker).times
+
+    def troubled(self, since, until):
+        """Whether an unplanned fault was on between two times."""
+        return any(
+            fault.kind not in PLANNED
+            and self.began + fault.at < until + LONGEST_S
+            and self.began + fault.at + fault.for_s + LONGEST_S > since
+            for fault in self.faults
+        )
+
+
+async def play(seed, folder):
+    """Plays a seed and returns what happened."""
+    run = Run(seed, folder, draw_faults(seed, ENTRIES, WORKERS))
+    async with platform_site() as site, contextlib.AsyncExitStack() as stack:
+        run.site = site
+        await start_workers(run, stack)
+        await start_entries(run, stack)
+        await use(run)
+        for entry in run.entries:
+            lines = entry.said("state: Routes in force.")
+            run.versions[entry.settings.name] = lines[-1]["version"]
+    return run
+
+
+async def start_workers(run, stack):
+    for number in range(WORKERS):
+        engine = number % 2 == 1
+        worker = TimedWorker(f"w{number}", work_s=0.02, events=5)
+        worker.event_gap_s = 0.02 if engine else 0.0
+        await worker.start()
+        stack.push_async_callback(worker.stop)
+        host, port = worker.address.split(":")
+        path = Proxy(host, int(port))
+        await path.start()
+        stack.push_async_callback(path.stop)
+        run.workers.append(worker)
+        run.worker_paths.append(path)
+        run.site.workers[worker.id] = path  # Registered by the proxy.
+        run.site.register(worker.id, service_of(number))
+
+
+def service_of(number):
+    return "engine" if number % 2 else "plain"
+
+
+async def start_entries(run, stack):
+    host, port = run.site.store_address.split(":")
+    for number in range(ENTRIES):
+        path = Proxy(host, int(port))
+        await path.start()
+        stack.push_async_callback(path.stop)
+        run.paths.append(path)
+        entry = await start_entry(path.address, run.folder, f"entry-{number}")
+        run.entries.append(entry)
+    stack.push_async_callback(end_all, run)
+    for entry in run.entries:
+        await entry.ready(run.site.session)
+
+
+async def end_all(run):
+    for entry in run.entries:
+        await entry.end()
+
+
+async def use(run):
+    """Lets callers ask while the faults strike, and after them."""
+    run.began = time.monotonic()
+    heal = QUIET_S + FAULTS_S + LONGEST_S + HEAL_S
+    run.calm_from = run.began + heal
+    async with aiohttp.ClientSession() as session:
+        callers = [
+            Caller(
+                f"{run.seed}/{number}",
+                [str(entry.settings.directory) for entry in run.entries],
+                session,
+            )
+            for number in range(CALLERS)
+        ]
+        strikes = [
+            asyncio.create_task(strike(run, fault)) for fault in run.faults
+        ]
+        watch = asyncio.create_task(watch_ends(run))
+        end = run.calm_from + CALM_S
+        await asyncio.gather(*(caller.run(end) for caller in callers))
+        await asyncio.gather(*strikes)
+        watch.cancel()
+    run.asked = [each for caller in callers for each in caller.asked]
+
+
+async def watch_ends(run):
+    """Notes entries that end though nobody ended them."""
+    while True:
+        for entry in run.entries:
+            code = entry.process.returncode
+            if code is not None and entry.process.pid not in run.expected_ends:
+                run.expected_ends.add(entry.process.pid)
+                run.ended_by_themselves.append((entry.settings.name, code))
+        await asyncio.sleep(0.05)
+
+
+async def strike(run, fault):
+    """Does one fault and undoes it."""
+    await asyncio.sleep(max(0.0, run.began + fault.at - time.monotonic()))
+    entry = fault.target % ENTRIES
+    worker = fault.target % WORKERS
+    match fault.kind:
+        case Kind.STORE:
+            run.site.store.set_fault(fault.detail)
+            await asyncio.sleep(fault.for_s)
+            run.site.store.set_fault(StoreFault.NONE)
+        case Kind.STORE_PATH:
+            await spoil(run.paths[entry], fault)
+        case Kind.WORKER_PATH:
+            await spoil(run.worker_paths[worker], fault)
+        case Kind.WORKER:
+            run.workers[worker].fault = fault.detail
+            await asyncio.sleep(fault.for_s)
+            run.workers[worker].fault = WorkerFault.NONE
+        case Kind.COMPACT:
+            run.site.store.compact()
+        case Kind.FREEZE:
+            await freeze(run.entries[entry].process, fault.for_s)
+        case Kind.KILL:
+            await restart(run, entry, signal.SIGKILL, fault.for_s)
+        case Kind.STOP:
+            run.stopped.append(
+                (str(run.entries[entry].settings.callers), time.monotonic())
+            )
+            await restart(run, entry, signal.SIGTERM, 0.1)
+        case Kind.RELOAD:
+            with contextlib.suppress(ProcessLookupError):
+                run.entries[entry].process.send_signal(signal.SIGHUP)
+        case Kind.MANIFEST:
+            run.version += 1
+            timeout_ms = 2500 + 10 * run.version
+            document = changed_route(
+                "safe", version=run.version, timeoutMs=timeout_ms
+            )
+            run.site.store.put("op", "config", document)
+        case Kind.DRAIN | Kind.LEAVE:
+            await leave(run, worker, fault)
+
+
+async def spoil(path, fault):
+    path.set(fault.detail)
+    await asyncio.sleep(fault.for_s)
+    path.set(PathFault.NONE)
+
+
+async def freeze(process, seconds):
+    with contextlib.suppress(ProcessLookupError):
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        process.send_signal(signal.SIGCONT)
+
+
+async def restart(run, number, how, pause_s):
+    """Ends an entry by a signal and starts it again."""
+    old = run.entries[number]
+    if old.process.pid in run.expected_ends:
+        return  # Another fault ends it already.
+    run.expected_ends.add(old.process.pid)
+    with contextlib.suppress(ProcessLookupError):
+        old.process.send_signal(how)
+        old.process.send_signal(signal.SIGCONT)
+    async with asyncio.timeout(10):
+        await old.process.wait()
+    await asyncio.sleep(pause_s)
+    run.entries[number] = await old.again()
+
+
+async def leave(run, number, fault):
+    """A worker leaves, with notice or without, and a new one comes."""
+    worker = run.workers[number]
+    service = service_of(number)
+    # One of each service stays whatever leaves.
+    if number < 2:
+        return
+    if fault.kind is Kind.DRAIN:
+        run.site.register(worker.id, service, state="draining")
+    else:
+        run.site.store.remove("servers", worker.id)
+    run.drained.append((worker.id, time.monotonic()))
--- /dev/null
+++ b/tests/soak/test_judge.py
@@ -0,0 +1,121 @@
+"""The soak's judge finds each kind of broken promise."""
+
+import pytest
+
+from rattanpier._internal.standin.platform_worker import WorkerRun
+from tests.lib.platform_site import KEY
+from tests.soak.callers import Asked
+from tests.soak.faults import Fault, Kind, draw_faults
+from tests.soak.judge import judge
+from tests.soak.site import Run, TimedWorker
+
+SIGNED = {"X-Response-Signature": "w0.1"}
+
+
+def made_run(**more):
+    run = Run(1, None, more.pop("faults", []))
+    run.workers = [TimedWorker("w0"), TimedWorker("w1")]
+    run.asked = [
+        Asked("1", "/unsafe/x", 1.0, "e", 200, b"w0 ran 1", SIGNED, True)
+    ]
+    run.workers[0].runs.append(made("1"))
+    run.workers[0].times.append(1.0)
+    for name, value in more.items():
+        setattr(run, name, value)
+    return run
+
+
+def made(id, **headers):
+    found = {"x-attempt-id": id, "x-tenant": "acme", **headers}
+    return WorkerRun("POST", "/unsafe/x", found, b"")
+
+
+def test_a_clean_run_is_clean():
+    assert not list(judge(made_run()))
+
+
+def run_twice(run):
+    run.workers[1].runs.append(made("1"))
+
+
+def run_unasked(run):
+    run.workers[1].runs.append(made("9"))
+
+
+def run_with_key(run):
+    run.workers[0].runs = [made("1", authorization=KEY)]
+
+
+def run_for_another(run):
+    run.workers[0].runs = [made("1", **{"x-tenant": "other"})]
+
+
+def refuse_what_ran(run):
+    run.asked[0].status = 503
+
+
+def give_another_answer(run):
+    run.asked[0].body = b"w0 ran 2"
+
+
+def lose_an_event(run):
+    body = b"".join(b"id: %d\n\n" % number for number in (1, 2, 4, 5))
+    run.asked[0].path, run.asked[0].body = "/chat/x", body
+
+
+def use_one_that_left(run):
+    run.drained = [("w0", 1.0)]
+    run.workers[0].times.append(9.0)
+
+
+def cut_at_a_stop(run):
+    run.stopped = [("e", 1.0)]
+    run.asked[0].whole = False
+    run.asked.append(made_run().asked[0])
+
+
+def end_by_itself(run):
+    run.ended_by_themselves = [("entry-0", 1)]
+
+
+def stay_behind(run):
+    run.versions, run.version = {"entry-0": 1}, 2
+
+
+def serve_nobody_after(run):
+    run.asked[0].status = 502
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        run_twice,
+        run_unasked,
+        run_with_key,
+        run_for_another,
+        refuse_what_ran,
+        give_another_answer,
+        lose_an_event,
+        use_one_that_left,
+        cut_at_a_stop,
+        end_by_itself,
+        stay_behind,
+        serve_nobody_after,
+    ],
+)
+def test_each_broken_promise_is_found(spoil):
+    run = made_run()
+    spoil(run)
+    assert list(judge(run))
+
+
+def test_a_drain_beside_other_trouble_is_not_judged():
+    fault = Fault(1.0, Kind.KILL, 0, 1.0)
+    run = made_run(faults=[fault])
+    use_one_that_left(run)
+    assert not list(judge(run))
+
+
+def test_a_seed_draws_the_same_faults_again():
+    assert draw_faults(7, 3, 6) == draw_faults(7, 3, 6)
+    assert draw_faults(7, 3, 6) != draw_faults(8, 3, 6)
