Compress what watchers tell, and look for entries only while alone

Change: news are compressed, so that usual manifests are told; rows of entries are read again only by an entry that knows no other.

--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -38,7 +38,12 @@
     HeldSession,
     Rollouts,
 )
-from rattanpier._internal.relay.watch import TableFollower, TableNews
+from rattanpier._internal.relay.watch import (
+    TableFollower,
+    TableNews,
+    pack_news,
+    unpack_news,
+)
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.codec import decode, encode
 
@@ -318,7 +323,7 @@
     def tell_store_news(self, news: TableNews) -> None:
         """Tells everybody of an answer of a feed; it may get lost."""
         notice = peer_pb2.Notice(
-            store_news=peer_pb2.StoreNews(text=encode(news).encode())
+            store_news=peer_pb2.StoreNews(packed=pack_news(news))
         )
         for other in self.fleet.others.values():
             if not other.down:
@@ -326,7 +331,7 @@
 
     def take_store_news(self, notice: peer_pb2.Notice) -> None:
         """Takes in what a watcher read."""
-        news = decode(TableNews, notice.store_news.text)
+        news = unpack_news(notice.store_news.packed)
         follower = self.followers.get(news.table)
         if follower is not None:
             follower.hear(news)
--- a/src/rattanpier/_internal/relay/membership.py
+++ b/src/rattanpier/_internal/relay/membership.py
@@ -25,8 +25,8 @@
 
 TABLE = "entries"
 RETRY_S = 0.3  # Until the row is written: callers can't be led here before.
-# Entries that cannot hear of each other otherwise find each other by this.
-REREAD_S = 30.0
+# An entry that knows no other looks for them this often.
+REREAD_S = 5.0
 STALE_S = 60.0  # Rows of entries not heard of for so long are removed.
 
 
@@ -39,14 +39,15 @@
     clock: Clock
 
     async def run(self) -> None:
-        """Writes the row, then reads all rows now and then."""
+        """Writes the row and reads all; reads again while alone."""
         while not await self.write():
             await self.clock.sleep(RETRY_S)
         while not await self.read():
             await self.clock.sleep(RETRY_S)
         while True:
             await self.clock.sleep(REREAD_S)
-            await self.read()
+            if len(self.fleet.live()) == 1:
+                await self.read()
 
     async def write(self) -> bool:
         """Writes this entry's row; says whether it surely stands."""
--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import random
+import zlib
 from collections.abc import Callable
 
 import attrs
@@ -30,6 +31,7 @@
     StoreHealth,
 )
 from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.codec import decode, encode
 from rattanpier._internal.utils.hashing import rendezvous
 
 log = structlog.get_logger(part="store")
@@ -38,8 +40,9 @@
 # A feed answers at least every `FEED_WAIT_S`; half a second for the way.
 COVERED_S = FEED_WAIT_S + 0.5
 POLL_S = 0.05
-# Longer rows are fetched by each entry itself: the watchers' links are no
-# wider than the others', and a table of routes has some ten thousand bytes.
+# Longer news, compressed, are fetched by each entry itself: the watchers' links
+# are no wider than the others'. A table of some twenty routes fits, one of
+# hundreds does not.
 MAX_TOLD_BYTES = 4096
 # Entries that fetch a change do so within this time of each other, so that
 # changes in quick succession cost one call.
@@ -149,7 +152,16 @@
         settling = self.health.settling()
         self.accept(page, settling)
         if watching and before is not None and not page.whole:
-            self.tell(make_news(self.table, before, page, settling))
+            self.tell(
+                TableNews(
+                    self.table,
+                    before,
+                    page.version,
+                    page.now_ms,
+                    page.rows,
+                    settling,
+                )
+            )
 
     async def read(self, wait: bool) -> Page:
         """Returns the next page."""
@@ -181,8 +193,14 @@
         self.accept(page, news.settling)
 
 
-def make_news(table: str, since: int, page: Page, settling: bool) -> TableNews:
-    """Returns what the others are told of a page."""
-    size = sum(len(row.value) for row in page.rows)
-    rows = page.rows if size <= MAX_TOLD_BYTES else None
-    return TableNews(table, since, page.version, page.now_ms, rows, settling)
+def pack_news(news: TableNews) -> bytes:
+    """Returns news as they are sent; rows that are too long are left out."""
+    packed = zlib.compress(encode(news).encode())
+    if len(packed) > MAX_TOLD_BYTES:
+        return pack_news(attrs.evolve(news, rows=None))
+    return packed
+
+
+def unpack_news(packed: bytes) -> TableNews:
+    """Returns news as another entry packed them."""
+    return decode(TableNews, zlib.decompress(packed))
--- a/tests/relay/test_watch.py
+++ b/tests/relay/test_watch.py
@@ -2,7 +2,14 @@
 
 import pytest
 
-from rattanpier._internal.relay.watch import COVERED_S, WATCHERS
+from rattanpier._internal.models.feed import FeedRow
+from rattanpier._internal.relay.watch import (
+    COVERED_S,
+    WATCHERS,
+    TableNews,
+    pack_news,
+    unpack_news,
+)
 from rattanpier._internal.standin.platform_store import Door
 from tests.lib.platform_site import manifest, platform_site, until
 
@@ -51,14 +58,23 @@
     await all_covered(site)
     document = manifest(version=8)
     document["tenants"] += [
-        {"name": f"tenant-{number}", "apiKeys": [f"key-{number}"]}
-        for number in range(200)
+        {"name": site.new_id(), "apiKeys": [site.new_id()]} for _ in range(400)
     ]
     site.store.put("op", "config", document)
     for entry in site.entries.values():
         await until(lambda entry=entry: entry.state.table_version == 8)
 
 
+def test_news_that_are_too_long_say_so_without_their_rows():
+    text = "".join(f"{number * 7919:x}" for number in range(9000)).encode()
+    news = TableNews("t", 1, 2, 3.0, [FeedRow("k", text, 2)], False)
+    told = unpack_news(pack_news(news))
+    assert told.rows is None
+    assert (told.since, told.version) == (1, 2)
+    short = TableNews("t", 1, 2, 3.0, [FeedRow("k", b"v", 2)], False)
+    assert unpack_news(pack_news(short)) == short
+
+
 async def test_after_the_history_is_gone_all_know_what_is(site):
     await all_covered(site)
     site.store.put("op", "config", manifest(version=8))
