Let the watch tests wait until entries know each other

Cause: right after their start all entries watch, as each knows only itself; the tests looked before they had met (failed once, traced by told_at of all followers being unset).

--- a/tests/relay/test_watch.py
+++ b/tests/relay/test_watch.py
@@ -29,7 +29,15 @@
     return [entry.gossip.followers[table] for entry in site.entries.values()]
 
 
+def knows_all(entry, count):
+    live = entry.fleet.live()
+    return len(live) == count and all(news.store for news in live)
+
+
 async def all_covered(site):
+    count = len(site.entries)
+    for entry in site.entries.values():
+        await until(lambda entry=entry: knows_all(entry, count))
     for table in ("op", "servers"):
         for each in followers(site, table):
             await until(lambda each=each: each.watches() or each.covered())
