Give test entries ports that the kernel gives to no connection

Cause: one setup failed once with 'address already in use': a port found free below 61000 went to an outgoing connection of another test process. Change: ports from 10000 to 30000, from another start in each process.

--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
+import os
 import random
 import socket
 
@@ -22,10 +24,19 @@
 LISTENERS = ("frontend", "readiness", "admin", "registry")
 
 
+# Below the ports that the kernel gives to connections: one found free must
+# still be so when an entry starts. Each test process begins elsewhere.
+LOWEST_PORT, HIGHEST_PORT = 10000, 30000
+PORTS = itertools.count(os.getpid() * 97)
+
+
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    while True:
+        span = HIGHEST_PORT - LOWEST_PORT
+        port = LOWEST_PORT + next(PORTS) % span
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
 
 
 def settings_document(store, name="entry-1", seeds=(), **bounds):
