Let few entries look for a store that is away

Change: two look for its return and tell the others; the rest ask every 2 s; a start in an outage retries once a second. Test: test_in_an_outage_few_look_for_the_store.

--- a/src/rattanpier/_internal/relay/membership.py
+++ b/src/rattanpier/_internal/relay/membership.py
@@ -24,7 +24,9 @@
 log = structlog.get_logger(part="fleet")
 
 TABLE = "entries"
-RETRY_S = 0.3  # Until the row is written: callers can't be led here before.
+# Until the row is written; seeds lead to the others as well. Calls in an
+# outage are paid for, and all entries may start in one.
+RETRY_S = 1.0
 # An entry that knows no other looks for them this often.
 REREAD_S = 5.0
 STALE_S = 60.0  # Rows of entries not heard of for so long are removed.
--- a/src/rattanpier/_internal/relay/rollout_driver.py
+++ b/src/rattanpier/_internal/relay/rollout_driver.py
@@ -37,6 +37,7 @@
 log = structlog.get_logger(part="rollout")
 
 TABLE = "rollouts"
+AWAY_RETRY_S = 1.0  # All entries look for the store after a common start.
 DRIVE_EVERY_S = 0.25  # A step late by that is nothing to an order's time.
 # Shares of an order's time. Half of it is for trying, in which a session must
 # not be moved to the new version; a tenth shows it under load; what remains
@@ -117,6 +118,7 @@
                 await self.step()
             except (StoreUnavailableError, HistoryGoneError) as error:
                 log.info("Roll-outs can't be driven.", error=str(error))
+                await asyncio.sleep(AWAY_RETRY_S)
             except BaseValidationError as error:
                 log.error("Roll-out's record can't be read.", error=str(error))
             await asyncio.sleep(DRIVE_EVERY_S)
--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -47,7 +47,9 @@
 # Entries that fetch a change do so within this time of each other, so that
 # changes in quick succession cost one call.
 FETCH_SPREAD_S = 0.3
-RETRY_S = 1.0  # A covered entry asks so often whether the store is back.
+# An entry that does not watch asks this often whether the store is back: in an
+# outage of the whole store it hears of its return from those that watch.
+RETRY_S = 2.0
 
 
 @attrs.frozen
@@ -73,7 +75,10 @@
 
 def is_watcher(fleet: Fleet) -> bool:
     """Says whether an entry is one of those that watch the store."""
-    able = [news.member.name for news in fleet.live() if news.store]
+    live = fleet.live()
+    able = [news.member.name for news in live if news.store]
+    # While nobody reaches the store, as few look for its return.
+    able = able or [news.member.name for news in live]
     return fleet.me.member.name in rendezvous("watch", able)[:WATCHERS]
 
 
@@ -119,11 +124,11 @@
 
     def rests(self) -> bool:
         """Says whether there is no reason to ask the store now."""
-        if self.since is None or self.behind or not self.covered():
+        if self.since is None or self.watches():
             return False
         if not self.health.available:
             return self.clock.monotonic() - self.asked_at < RETRY_S
-        return not self.watches()
+        return self.covered() and not self.behind
 
     async def step(self) -> None:
         """Asks the store once."""
--- a/tests/relay/test_watch.py
+++ b/tests/relay/test_watch.py
@@ -1,5 +1,7 @@
 """Few entries watch the store, and all hear of every change."""
 
+import asyncio
+
 import pytest
 
 from rattanpier._internal.models.feed import FeedRow
@@ -10,7 +12,7 @@
     pack_news,
     unpack_news,
 )
-from rattanpier._internal.standin.platform_store import Door
+from rattanpier._internal.standin.platform_store import Door, StoreFault
 from tests.lib.platform_site import manifest, platform_site, until
 
 ENTRIES = 5
@@ -121,3 +123,19 @@
         site.store.put("op", "config", manifest(version=8))
         for other in site.entries.values():
             await until(lambda other=other: other.state.table_version == 8)
+
+
+async def test_in_an_outage_few_look_for_the_store(site):
+    await all_covered(site)
+    site.store.set_fault(StoreFault.BUSY)
+    for entry in site.entries.values():
+        await until(lambda entry=entry: not entry.state.health.available)
+    await asyncio.sleep(1.5)  # Until the entries know of each other's loss.
+    site.store.calls.clear()
+    await asyncio.sleep(2.0)
+    # Two that look for it at most ten times a second and table, and three
+    # that ask once in two seconds.
+    assert len(site.store.calls) < 2 * 2 * 20 + 3 * 2 * 2
+    site.store.set_fault(StoreFault.NONE)
+    for entry in site.entries.values():
+        await until(lambda entry=entry: entry.state.health.available)
