--- a/src/rattanpier/_internal/relay/placement.py
+++ b/src/rattanpier/_internal/relay/placement.py
@@ -25,9 +25,10 @@
 # Entries agree on the worker that a shared part belongs to. That it holds the
 # part is likely but not known, so it counts for less than a part seen there.
 HOME_TRUST = 0.7
-# Bytes between failure domains are paid for: worth a small detour.
-FAR_TOKENS = 100.0
-FAR_SHARE = 0.05
+# Bytes between failure domains are paid for: worth a detour. On two days of one
+# site 0.3 and 300 cost a third fewer such bytes than 0.05 and 100, at no loss.
+FAR_TOKENS = 300.0
+FAR_SHARE = 0.3
 FAR_SLOTS = 0.34  # For plain services: a third of a worker's slots.
 JITTER = 0.02  # Breaks ties, so that entries do not all choose alike.
 
