Split the course of a request and the listeners from the files that grew

Change: relay/course.py holds what was done for a request and the truth of its final answer; programs/relay_listen.py the addresses. No behaviour changes.

--- a/src/rattanpier/_internal/cli/relay.py
+++ b/src/rattanpier/_internal/cli/relay.py
@@ -12,7 +12,8 @@
     load_relay_settings,
     settings_path,
 )
-from rattanpier._internal.programs.relay import RelayEntry, run_relay
+from rattanpier._internal.programs.relay import run_relay
+from rattanpier._internal.programs.relay_listen import RelayEntry
 from rattanpier._internal.utils.log_sink import LogSink
 from rattanpier._internal.utils.logs import configure_sink
 
--- /dev/null
+++ b/src/rattanpier/_internal/programs/relay_listen.py
@@ -0,0 +1,143 @@
+"""An entry of the relay and the addresses on which it is found."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import attrs
+from aiohttp import web
+
+from rattanpier._internal.kernel import Kernel
+from rattanpier._internal.models.relay_settings import Address, RelaySettings
+from rattanpier._internal.platform import caller
+from rattanpier._internal.relay.drain import DrainState
+from rattanpier._internal.relay.edge import RelayEdge
+from rattanpier._internal.relay.fleet import Fleet
+from rattanpier._internal.relay.gossip import Gossip
+from rattanpier._internal.relay.state import RelayState
+from rattanpier._internal.utils.metrics import Metrics
+
+# How long callers may keep the list. The shorter, the sooner they leave an
+# entry that is gone; asking costs an entry well under a millisecond.
+LIST_TTL_S = 1.0
+# Callers reuse connections for most of the operators' idle time, which may
+# change while they are open: they are kept for much longer than usual ones.
+KEEPALIVE_S = 90.0
+MAX_LINE_BYTES = 65536
+READY_WAIT_S = 0.5  # Some calls to the store; longer means that it is away.
+READY_POLL_S = 0.005
+
+
+@attrs.define
+class RelayEntry:
+    """The parts of one entry that other parts need by name."""
+
+    kernel: Kernel
+    settings: RelaySettings
+    state: RelayState
+    fleet: Fleet
+    drain: DrainState
+    metrics: Metrics
+    edge: RelayEdge
+    gossip: Gossip
+    sites: list[web.TCPSite] = attrs.Factory(list)
+    runners: list[web.ServerRunner] = attrs.Factory(list)
+
+    def ready(self) -> bool:
+        """Says whether callers may come."""
+        return self.state.ready() and not self.drain.leaving
+
+
+async def listen(entry: RelayEntry) -> None:
+    """Opens the addresses that callers and the platform know."""
+    settings = entry.settings
+    await open_site(entry, settings.readiness, readiness_handler(entry))
+    await open_site(entry, settings.directory, directory_handler(entry))
+    if settings.metrics is not None:
+        await open_site(entry, settings.metrics, metrics_handler(entry))
+    await wait_ready(entry)
+    await open_site(entry, settings.callers, entry.edge.handle)
+
+
+async def wait_ready(entry: RelayEntry) -> None:
+    """Waits until requests can be served, or the store seems to be away.
+
+    Callers that come within these milliseconds would only be refused.
+    """
+    until = time.monotonic() + READY_WAIT_S
+    while not entry.state.ready() and time.monotonic() < until:
+        await asyncio.sleep(READY_POLL_S)
+    entry.gossip.renew()
+
+
+async def open_site(
+    entry: RelayEntry,
+    address: Address,
+    handler: Callable[[web.BaseRequest], object],
+) -> None:
+    """Listens on one address."""
+    server = web.Server(
+        handler,  # type: ignore[arg-type]
+        handler_cancellation=True,
+        keepalive_timeout=KEEPALIVE_S,
+        max_line_size=MAX_LINE_BYTES,
+        max_field_size=MAX_LINE_BYTES,
+        access_log=None,
+    )
+    runner = web.ServerRunner(server, shutdown_timeout=0.0)
+    await runner.setup()
+    site = web.TCPSite(runner, address.host, address.port, backlog=1024)
+    await site.start()
+    entry.sites.append(site)
+    entry.runners.append(runner)
+
+
+def readiness_handler(
+    entry: RelayEntry,
+) -> Callable[[web.BaseRequest], object]:
+    """Returns the handler of the platform's readiness check."""
+
+    async def handle(request: web.BaseRequest) -> web.Response:
+        return web.Response(status=200 if entry.ready() else 503)
+
+    return handle
+
+
+def directory_handler(
+    entry: RelayEntry,
+) -> Callable[[web.BaseRequest], object]:
+    """Returns the handler that tells callers which entries to use."""
+
+    async def handle(request: web.BaseRequest) -> web.Response:
+        answer = directory_answer(entry)
+        if answer is None:
+            return web.Response(status=503)
+        return web.json_response(answer)
+
+    return handle
+
+
+def directory_answer(entry: RelayEntry) -> dict[str, object] | None:
+    """Returns the entries to use, None if this one knows of none."""
+    addresses = [member.caller_url for member in entry.fleet.entries()]
+    if not addresses:
+        return None
+    ttl_s = min(LIST_TTL_S, entry.settings.bounds.address_ttl_s)
+    return caller.directory_body(addresses, ttl_s)
+
+
+def metrics_handler(entry: RelayEntry) -> Callable[[web.BaseRequest], object]:
+    """Returns the handler of the metrics address."""
+
+    async def handle(request: web.BaseRequest) -> web.Response:
+        # Only here: an import that a start need not wait for.
+        from rattanpier._internal.relay.exposition import render
+
+        entry.metrics.gauge("relay.running", entry.drain.running)
+        return web.Response(
+            body=render(entry.metrics), content_type="text/plain"
+        )
+
+    return handle
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections.abc import AsyncIterator, Mapping
 from contextlib import aclosing
 
@@ -11,7 +10,6 @@
 import structlog
 
 from rattanpier._internal.dispatch.budget import RetryBudget
-from rattanpier._internal.models.refusal import Refusal, RefusalCode
 from rattanpier._internal.models.relay_answer import (
     AnswerBegun,
     AnswerCut,
@@ -24,11 +22,16 @@
 from rattanpier._internal.models.relay_request import RelayRequest
 from rattanpier._internal.models.sending import AnswerHead, Sending
 from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.relay.course import (
+    LEAST_LEFT_S,
+    Course,
+    give_up,
+    rounded,
+)
 from rattanpier._internal.relay.directory import WorkerDirectory
 from rattanpier._internal.relay.events import (
     Event,
     EventError,
-    EventOrder,
     EventSplitter,
 )
 from rattanpier._internal.relay.exchange import (
@@ -49,51 +52,11 @@
 log = structlog.get_logger(part="dispatch")
 
 MAX_WHOLE_BYTES = 16 * 2**20  # Of an answer that is not a stream.
-NO_WORKER_RETRY_S = 0.5  # Workers register again within a second or two.
-FULL_RETRY_S = 0.4  # A plain request lasts a tenth of a second.
-BUDGET_RETRY_S = 1.0
-LEAST_LEFT_S = 0.005  # With less no worker can answer.
 # Of the objective, after which a repeatable plain request is sent to a second
 # worker beside the first: later the answer would be late in any case.
 HEDGE_SHARE = 0.5
 
 
-@attrs.define
-class Course:
-    """How the answering of one request went so far.
-
-    Attributes:
-      request: The request.
-      loop_deadline: Loop time at which the caller or the route gives up.
-      sent: Workers that it was sent to.
-      tried: Their ids.
-      may_have_run: Some worker may have run it.
-      failure: A worker's own failure, to be passed on if nothing better
-        comes.
-      reason: Why the last send failed.
-      retry_after_s: When the last worker said to come back.
-      model: Model that is asked.
-      order: Events that came.
-      begun: The head of the answer was delivered.
-      granted: The next send was allowed already.
-      service: Its service.
-    """
-
-    request: RelayRequest
-    loop_deadline: float
-    service: str
-    sent: int = 0
-    tried: set[str] = attrs.Factory(set)
-    may_have_run: bool = False
-    failure: WholeAnswer | None = None
-    reason: str = ""
-    retry_after_s: float | None = None
-    model: str = ""
-    order: EventOrder = attrs.Factory(EventOrder)
-    begun: bool = False
-    granted: bool = False
-
-
 @attrs.define
 class Dispatcher:
     """Answers requests from the workers that this entry knows.
@@ -211,6 +174,13 @@
             after_event=course.order.last,
         )
 
+    def refuse(self, course: Course) -> WholeAnswer | AnswerRefused:
+        """Returns the final answer to a request that nobody answered."""
+        found = give_up(course, self.left_s(course))
+        if isinstance(found, AnswerRefused):
+            self.metrics.count(f"relay.refused.{found.refusal.code.value}")
+        return found
+
     # Judging.
 
     def note_failed(
@@ -258,7 +228,7 @@
             answer = await self.first_of(course, choice)
             if answer is not None:
                 return answer
-        return self.give_up(course)
+        return self.refuse(course)
 
     async def first_of(
         self, course: Course, choice: Choice
@@ -367,7 +337,7 @@
             self.metrics.count("relay.cut")
             yield AnswerCut(course.reason)
         else:
-            yield self.give_up(course)
+            yield self.refuse(course)
 
     async def stream_one(
         self, course: Course, choice: Choice
@@ -497,45 +467,6 @@
             total_s=round(now - course.request.arrived, 3),
         )
 
-    # Giving up.
-
-    def give_up(self, course: Course) -> WholeAnswer | AnswerRefused:
-        """Returns the final answer to a request that nobody answered."""
-        if course.failure is not None:
-            return course.failure
-        code, status = self.final_code(course)
-        retry_after_s = None
-        if not course.may_have_run:
-            retry_after_s = course.retry_after_s or FULL_RETRY_S
-            if not course.sent:
-                retry_after_s = NO_WORKER_RETRY_S
-        self.metrics.count(f"relay.refused.{code.value}")
-        reason = course.reason or "no worker takes work"
-        return AnswerRefused(
-            Refusal(code, reason, not course.may_have_run, retry_after_s),
-            status,
-        )
-
-    def final_code(self, course: Course) -> tuple[RefusalCode, int]:
-        """Returns the code and the HTTP status of a final answer."""
-        if not course.may_have_run:
-            code = (
-                RefusalCode.QUEUE_FULL if course.sent else RefusalCode.NO_WORKER
-            )
-            return code, 503
-        if self.left_s(course) <= LEAST_LEFT_S:
-            return RefusalCode.DEADLINE, 504
-        return RefusalCode.UPSTREAM_FAILED, 502
-
 
 class WorkerFailedError(Exception):
     """A worker ran a request and failed; the failure is kept."""
-
-
-def rounded(value: float | None) -> float | None:
-    """Returns a number for a log line.
-
-    >>> rounded(1.23456), rounded(None)
-    (1.235, None)
-    """
-    return None if value is None or math.isinf(value) else round(value, 3)
