Be ready only once callers' connections are taken, and mend two process tests

Cause 1: an entry said that it was ready some milliseconds before it listened for callers (a test's connection was refused once). Change: readiness and the list wait for the listener; the tests read what is left before they wait, and name entries by their own names.

--- a/src/rattanpier/_internal/programs/relay_listen.py
+++ b/src/rattanpier/_internal/programs/relay_listen.py
@@ -32,7 +32,11 @@
 
 @attrs.define
 class RelayEntry:
-    """The parts of one entry that other parts need by name."""
+    """The parts of one entry that other parts need by name.
+
+    Attributes:
+      listening: Callers' connections are taken.
+    """
 
     kernel: Kernel
     settings: RelaySettings
@@ -44,10 +48,11 @@
     gossip: Gossip
     sites: list[web.TCPSite] = attrs.Factory(list)
     runners: list[web.ServerRunner] = attrs.Factory(list)
+    listening: bool = False
 
     def ready(self) -> bool:
         """Says whether callers may come."""
-        return self.state.ready() and not self.drain.leaving
+        return self.listening and self.state.ready() and not self.drain.leaving
 
 
 async def listen(entry: RelayEntry) -> None:
@@ -59,6 +64,7 @@
         await open_site(entry, settings.metrics, metrics_handler(entry))
     await wait_ready(entry)
     await open_site(entry, settings.callers, entry.edge.handle)
+    entry.listening = True
 
 
 async def wait_ready(entry: RelayEntry) -> None:
@@ -69,7 +75,6 @@
     until = time.monotonic() + READY_WAIT_S
     while not entry.state.ready() and time.monotonic() < until:
         await asyncio.sleep(READY_POLL_S)
-    entry.gossip.renew()
 
 
 async def open_site(
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -15,6 +15,7 @@
 from rattanpier._internal.models.relay_settings import RelaySettings
 from rattanpier._internal.platform.settings import decode_settings
 from rattanpier._internal.programs.relay import build_relay, close
+from rattanpier._internal.programs.relay_listen import RelayEntry
 from rattanpier._internal.standin.platform_store import PlatformStoreServer
 from rattanpier._internal.standin.platform_worker import PlatformWorkerServer
 
@@ -252,7 +253,8 @@
             yield site
         finally:
             for entry in site.entries.values():
-                await close(entry)
+                if isinstance(entry, RelayEntry):
+                    await close(entry)
             for worker in site.workers.values():
                 await worker.stop()
             for made in (runner, *site.doors):
--- a/tests/relay/test_processes.py
+++ b/tests/relay/test_processes.py
@@ -26,11 +26,9 @@
 
 async def ask(site, entry, path="/safe/x", **more):
     """Asks a process as if it were an entry of the site."""
-    site.entries["process"] = entry
-    try:
-        return await site.ask(path, entry="process", **more)
-    finally:
-        del site.entries["process"]
+    name = entry.settings.name
+    site.entries[name] = entry
+    return await site.ask(path, entry=name, **more)
 
 
 async def chat(site, entry):
@@ -57,6 +55,16 @@
     assert entry.said("main: Stopped.")
 
 
+async def test_a_ready_entry_takes_connections(site, tmp_path):
+    await site.add_worker("w1")
+    for number in range(3):
+        entry = await start(site, tmp_path, name=f"entry-{number}")
+        try:
+            assert (await ask(site, entry)).status == 200
+        finally:
+            await entry.end()
+
+
 async def test_a_leaving_entry_is_not_ready_and_serves_on(site, tmp_path):
     await site.add_worker("w1")
     entry = await start(site, tmp_path)
@@ -122,6 +130,8 @@
             assert (await ask(site, entry)).status == 200
     finally:
         entry.process.kill()
+        # Its exit is only told once the pipe was read to its end.
+        await entry.process.stdout.read()
         await entry.process.wait()
 
 
