Time the first events of versions that are rolled out

Cause: found in reading: streams gave no times to the verdict on a new version, so one that answers several times slower would have been completed. Ruled out: the judge (it compares times, tested). Change: the time to an answer's head against the prompt to be read, of the first model asked, counts for both versions. Test: test_rollout_slow.py, failed before (no times: timed=0).

--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -52,6 +52,10 @@
 log = structlog.get_logger(part="dispatch")
 
 MAX_WHOLE_BYTES = 16 * 2**20  # Of an answer that is not a stream.
+# What a small model's first token takes, roughly; only ratios of times between
+# two versions count, so that long and short prompts can be added up.
+LEAST_READ_S = 0.1
+READ_TOKENS_PER_S = 30000.0
 # Of the objective, after which a repeatable plain request is sent to a second
 # worker beside the first: later the answer would be late in any case.
 HEDGE_SHARE = 0.5
@@ -358,8 +362,12 @@
                     yield await self.pass_failure(course, worker, answer)
                     return
                 flight.begun = True
+                took = relative_time(
+                    course, choice, self.clock.monotonic() - began
+                )
                 self.loads.note_read(worker.id, course.model, request.prompt)
                 if not course.begun and self.goes_on(course, worker, head):
+                    self.note_result(course, worker, False, took)
                     return
                 async with aclosing(self.events(course, answer)) as events:
                     async for event in events:
@@ -371,7 +379,7 @@
                 if not course.begun:
                     course.begun = True
                     yield AnswerBegun(head.status, copied_headers(head))
-            self.note_result(course, worker, bad=False, relative_s=None)
+            self.note_result(course, worker, bad=False, relative_s=took)
             yield AnswerEnded()
         except WorkerFailedError:
             return
@@ -445,7 +453,6 @@
         course.tried.discard(worker.id)
         course.model = found.model
         course.may_have_run = True
-        self.note_result(course, worker, bad=False, relative_s=None)
         return True
 
     def waiting_tokens(self, course: Course) -> float:
@@ -468,5 +475,18 @@
         )
 
 
+def relative_time(
+    course: Course, choice: Choice, seconds: float
+) -> float | None:
+    """Returns the time to an answer's head against the work for it.
+
+    Only of the first model asked, since larger ones take longer at the same
+    work; None for others.
+    """
+    if course.model != first_model(course.request):
+        return None
+    return seconds / (LEAST_READ_S + choice.to_read / READ_TOKENS_PER_S)
+
+
 class WorkerFailedError(Exception):
     """A worker ran a request and failed; the failure is kept."""
