Let a new version take over only when its bound allows it without evidence

Ruled out: more load on a few of the new workers (tried before, same course). Change: the step to more than the tried share comes when what is left of the operators' bound allows all the rest of the order's time, by counts of all entries; tried with a quarter of the bound, not 0.6. Versions that fail visibly are stopped as before.

--- a/src/rattanpier/_internal/models/relay_settings.py
+++ b/src/rattanpier/_internal/models/relay_settings.py
@@ -33,6 +33,7 @@
       retry_window_s: Time over which that ratio is taken.
       retry_slack: Further sends beyond that ratio, in all entries together.
       exposure_ratio: Largest share of requests that a bad version may get.
+      exposure_slack: Requests that it may get beyond that share.
       session_s: Requests of a session follow each other within this time.
       address_ttl_s: Longest time that callers keep a list of entries.
     """
@@ -44,6 +45,7 @@
     retry_window_s: float = 10.0
     retry_slack: float = 10.0
     exposure_ratio: float = 0.1
+    exposure_slack: float = 0.0
     session_s: float = 5.0
     address_ttl_s: float = 5.0
 
--- a/src/rattanpier/_internal/platform/settings.py
+++ b/src/rattanpier/_internal/platform/settings.py
@@ -98,6 +98,9 @@
         exposure_ratio=read.number(
             usual.exposure_ratio, "bounds", "exposureRatio"
         ),
+        exposure_slack=read.number(
+            usual.exposure_slack, "bounds", "exposureTolerance"
+        ),
         session_s=read.number(usual.session_s, "bounds", "sessionTtlS"),
         address_ttl_s=read.number(usual.address_ttl_s, "bounds", "ttl_max_s"),
     )
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -36,6 +36,7 @@
 from rattanpier._internal.relay.drain import DrainState
 from rattanpier._internal.relay.edge import CallerDialect, RelayEdge
 from rattanpier._internal.relay.exchange import Sender, WorkerDialect
+from rattanpier._internal.relay.exposure import ExposureBound
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.gossip import Gossip
 from rattanpier._internal.relay.health import Health
@@ -74,7 +75,8 @@
     )
     health = StoreHealth(clock)
     store_clock = StoreClock(clock)
-    routes = Rollouts(bounds.exposure_ratio, bounds.session_s, clock)
+    exposure = ExposureBound(bounds.exposure_ratio, bounds.exposure_slack)
+    routes = Rollouts(exposure, bounds.session_s, clock)
     state = RelayState(
         WorkerDirectory(clock),
         routes,
--- a/src/rattanpier/_internal/relay/rollout_driver.py
+++ b/src/rattanpier/_internal/relay/rollout_driver.py
@@ -29,6 +29,12 @@
     RolloutPhase,
     RolloutRecord,
 )
+from rattanpier._internal.relay.exposure import (
+    WIDEN_FOR,
+    Exposure,
+    ExposureBound,
+    may_widen,
+)
 from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.relay.store import RelayStore, StoreClock
 from rattanpier._internal.relay.verdict import ENOUGH
@@ -39,13 +45,13 @@
 TABLE = "rollouts"
 AWAY_RETRY_S = 1.0  # All entries look for the store after a common start.
 DRIVE_EVERY_S = 0.25  # A step late by that is nothing to an order's time.
-# Shares of an order's time. Half of it is for trying, in which a session must
-# not be moved to the new version; a tenth shows it under load; what remains
-# has to do for the old workers' last requests and for a lost answer.
+# Shares of an order's time. In the first half of it no session may be moved to
+# the new version; when it takes over follows from what it may still get.
 TRY_UNTIL = 0.5
-WIDEN_FOR = 0.1
-FULL_FOR = 0.06
-GIVE_UP_AT = 0.92  # Old requests that last longer are cut by the operators.
+FULL_FOR = 0.04  # Two rounds of evidence with all traffic.
+# Then the old workers may be stopped: what they still do goes on elsewhere. The
+# rest of the time is for a write whose answer is lost.
+GIVE_UP_AT = 0.97
 
 StatusRow = Callable[[str, str, RolloutPhase], RowPut]
 
@@ -58,7 +64,7 @@
       phase: Where it stands.
       age: Share of its time that has passed.
       phase_age: Share of its time since it entered the phase.
-      answers: Answers that the new version gave.
+      exposure: What the new version got.
       worse: The new version was found to be worse.
       old_running: Requests that run at old workers, in all entries.
     """
@@ -66,12 +72,12 @@
     phase: RolloutPhase
     age: float
     phase_age: float
-    answers: int
+    exposure: Exposure
     worse: bool
     old_running: int
 
 
-def next_phase(progress: Progress) -> RolloutPhase:
+def next_phase(progress: Progress, bound: ExposureBound) -> RolloutPhase:
     """Returns the phase that an order should be in."""
     phase = progress.phase
     if phase.final:
@@ -79,14 +85,17 @@
     if progress.worse:
         return RolloutPhase.ROLLED_BACK
     if phase is RolloutPhase.TRYING:
-        ready = progress.age >= TRY_UNTIL and progress.answers >= ENOUGH
+        ready = (
+            progress.age >= TRY_UNTIL
+            and progress.exposure.exposed >= ENOUGH
+            and may_widen(bound, progress.exposure, progress.age)
+        )
         return RolloutPhase.WIDENING if ready else phase
     if phase is RolloutPhase.WIDENING:
         ready = progress.phase_age >= WIDEN_FOR
         return RolloutPhase.FULL if ready else phase
-    if progress.phase_age < FULL_FOR:
-        return phase
-    if progress.old_running == 0 or progress.age >= GIVE_UP_AT:
+    seen = progress.phase_age >= FULL_FOR and progress.old_running == 0
+    if seen or progress.age >= GIVE_UP_AT:
         return RolloutPhase.COMPLETED
     return phase
 
@@ -164,11 +173,11 @@
             phase=record.phase,
             age=(now_ms - record.begun_ms) / whole_ms,
             phase_age=(now_ms - record.since_ms) / whole_ms,
-            answers=self.rollouts.seen(order.id),
+            exposure=self.rollouts.exposure(order.id),
             worse=order.id in self.rollouts.stopped,
             old_running=self.old_running(order.id),
         )
-        phase = next_phase(progress)
+        phase = next_phase(progress, self.rollouts.bound)
         if phase is not record.phase:
             log.info(
                 "Roll-out step.",
@@ -177,7 +186,8 @@
                 order=order.id,
                 phase=phase.value,
                 age=round(progress.age, 2),
-                answers=progress.answers,
+                answers=progress.exposure.exposed,
+                of=progress.exposure.served,
                 worse=progress.worse,
                 old_running=progress.old_running,
             )
--- a/src/rattanpier/_internal/relay/rollouts.py
+++ b/src/rattanpier/_internal/relay/rollouts.py
@@ -18,6 +18,11 @@
     RolloutRecord,
 )
 from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.relay.exposure import (
+    WIDENING_SHARE,
+    Exposure,
+    ExposureBound,
+)
 from rattanpier._internal.relay.verdict import (
     NOTHING,
     Tally,
@@ -29,10 +34,6 @@
 
 log = structlog.get_logger(part="rollout")
 
-# Of the largest exposure that operators allow a bad version. The rest is for
-# the step in which the new version is seen under load.
-TRYING_PART = 0.6
-WIDENING_SHARE = 0.4
 HASH_RANGE = 2**64
 # After an order is known nothing goes to the new version for so long: entries
 # tell each other which sessions are under way, within two rounds of news.
@@ -96,7 +97,7 @@
     """Orders, how far they went, and the evidence.
 
     Attributes:
-      exposure_ratio: Largest share of requests that a bad version may get.
+      bound: What a bad version may get.
       session_s: Requests of a session follow each other within this time.
       clock: Monotonic.
       recent: When each session was last served, by service and id.
@@ -115,7 +116,7 @@
       known: It is known how far earlier orders went.
     """
 
-    exposure_ratio: float
+    bound: ExposureBound
     session_s: float
     clock: Clock
     recent: dict[tuple[str, str], float] = attrs.Factory(dict)
@@ -286,7 +287,7 @@
         """Returns the share of sessions for the new version."""
         match phase:
             case RolloutPhase.TRYING:
-                return TRYING_PART * self.exposure_ratio
+                return self.bound.trying_share
             case RolloutPhase.WIDENING:
                 return WIDENING_SHARE
             case RolloutPhase.ROLLED_BACK:
@@ -413,10 +414,12 @@
                 if key.order == order:
                     yield key, tally
 
-    def seen(self, order: int) -> int:
-        """Returns how many answers the new version gave."""
-        found = self.tallies(order)
-        return sum(tally.total for key, tally in found if key.candidate)
+    def exposure(self, order: int) -> Exposure:
+        """Returns what all entries saw of an order's version."""
+        found = list(self.tallies(order))
+        served = sum(tally.total for _, tally in found)
+        exposed = sum(tally.total for key, tally in found if key.candidate)
+        return Exposure(served, exposed)
 
 
 def point_of(order: int, session: str) -> int:
