Let a retry go to a worker that only seems silent

Cause: test_a_repeatable_call_is_retried_elsewhere failed once with 502 and no retry. Change: a retry asks such a worker before it is given up; one that the platform told to leave gets nothing, a first try is still refused at once. Tests: unit/test_dispatch_order, the first failed before (upstream_failed).

--- a/src/rattanpier/_internal/dispatch/service_tries.py
+++ b/src/rattanpier/_internal/dispatch/service_tries.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from rattanpier._internal.dispatch.attempt import Attempt
 from rattanpier._internal.dispatch.failures import (
     DispatchError,
@@ -71,10 +73,13 @@
 
 def pick(tries: Tries, service: str, tried: set[str]) -> Target | None:
     """Returns the worker for the next try."""
-    targets = tries.placement.of_service(
-        tries.configuration(), service, tries.leaving, tried
-    )
-    return tries.choose(targets)
+
+    def find(leaving: Collection[str]) -> list[Target]:
+        return tries.placement.of_service(
+            tries.configuration(), service, leaving, tried
+        )
+
+    return tries.choose_of(find, tried)
 
 
 def may_use(configuration: Configuration, workspace: str, service: str) -> bool:
--- a/src/rattanpier/_internal/dispatch/tries.py
+++ b/src/rattanpier/_internal/dispatch/tries.py
@@ -61,6 +61,8 @@
       confirm: Says right before a dispatch whether a claim still holds.
       placement: The workers that this entry uses.
       leaving: Workers that get nothing new.
+      announced: Returns those of them that the platform told to leave; the
+        others only seem silent.
       on_failure: Called with a worker's name and the error of a try.
       current: Says whether the node's configuration is in force now.
       attempts: Emits the result of each try.
@@ -79,6 +81,7 @@
     placement: Placement
     load: Load = attrs.Factory(Load)
     leaving: Collection[str] = ()
+    announced: Callable[[], Collection[str]] = tuple
     on_failure: Callable[[str, Exception], None] = lambda name, error: None
     current: Callable[[], bool] = lambda: True
     attempts: Attempts = attrs.Factory(Attempts)
@@ -207,10 +210,33 @@
 
     def pick(self, version: str, tried: set[str]) -> Target | None:
         """Returns the worker for the next try."""
-        targets = self.placement.of_version(
-            self.configuration(), version, self.leaving, tried
-        )
-        return self.choose(targets)
+
+        def find(leaving: Collection[str]) -> list[Target]:
+            return self.placement.of_version(
+                self.configuration(), version, leaving, tried
+            )
+
+        return self.choose_of(find, tried)
+
+    def choose_of(
+        self,
+        find: Callable[[Collection[str]], list[Target]],
+        tried: Collection[str],
+    ) -> Target | None:
+        """Returns the worker for a try.
+
+        A worker that seems silent may only have been late to answer a probe:
+        before a retry is given up for want of a worker it is asked as well. A
+        first try is refused at once instead.
+
+        Args:
+          find: Returns the workers that are not among those given to it.
+          tried: Workers that the request was sent to before.
+        """
+        target = self.choose(find(self.leaving))
+        if target is None and tried:
+            target = self.choose(find(self.announced()))
+        return target
 
     def session_for(self, request: RouteRequest) -> aiohttp.ClientSession:
         """Returns the session whose connections suit a request."""
--- a/src/rattanpier/_internal/membership/absences.py
+++ b/src/rattanpier/_internal/membership/absences.py
@@ -63,6 +63,15 @@
             return True
         return str(name) in self.left_out(self.pool_of(str(name)))
 
+    def is_leaving(self, name: str) -> bool:
+        """Says whether the platform told that a worker leaves."""
+        absence = self.absent.get(name)
+        return (
+            absence is not None
+            and absence.reason is Reason.LEAVING
+            and absence.url == self.url_of(name)
+        )
+
     def __iter__(self) -> Iterator[str]:
         """Iterates over the workers that get nothing new."""
         return (name for name in self.absent if name in self)
--- a/src/rattanpier/_internal/membership/workers.py
+++ b/src/rattanpier/_internal/membership/workers.py
@@ -80,6 +80,10 @@
         """Says whether a worker gets nothing new."""
         return name in self.absences
 
+    def announced(self) -> list[str]:
+        """Returns the workers that leave; not those that seem silent."""
+        return [name for name in self if self.absences.is_leaving(name)]
+
     def __iter__(self) -> Iterator[str]:
         """Iterates over the workers that get nothing new."""
         return iter(self.absences)
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -113,6 +113,7 @@
         read_vms=vms.read if vms_url else None,
     )
     tries.leaving = workers
+    tries.announced = workers.announced
     tries.on_failure = workers.note_failure
     kernel.find("peer_server").on_notice("worker", workers.take_notice)
     kernel.spawn(workers.run(kernel))
--- a/tests/unit/test_dispatch_order.py
+++ b/tests/unit/test_dispatch_order.py
@@ -153,6 +153,40 @@
         assert part.refusal.not_run is True
 
 
+async def test_a_retry_goes_to_a_worker_that_only_seems_silent():
+    async with (
+        RawUpstream("fail") as one,
+        RawUpstream() as two,
+        bench_over(one, two) as bench,
+    ):
+        bench.runner.tries.leaving = {"w1"}
+        part = await bench.ask(build_request())
+        assert isinstance(part, Ended)
+        assert (len(one.runs), len(two.runs)) == (1, 1)
+
+
+async def test_a_retry_never_goes_to_a_worker_that_leaves():
+    async with (
+        RawUpstream("fail") as one,
+        RawUpstream() as two,
+        bench_over(one, two) as bench,
+    ):
+        bench.runner.tries.leaving = {"w1"}
+        bench.runner.tries.announced = lambda: {"w1"}
+        part = await bench.ask(build_request())
+        assert part.refusal.code is RefusalCode.UPSTREAM_FAILED
+        assert two.runs == []
+
+
+async def test_a_first_try_is_refused_where_all_seem_silent():
+    async with RawUpstream() as up, bench_over(up) as bench:
+        bench.runner.tries.leaving = {"w0"}
+        part = await bench.ask(build_request())
+        assert part.refusal.code is RefusalCode.NO_WORKER
+        assert part.refusal.not_run is True
+        assert up.runs == []
+
+
 async def test_a_repeat_gets_its_answer_though_no_rule_matches_now():
     async with RawUpstream() as up, bench_over(up) as bench:
         request = build_request(keyed=True)
