Give the smallest model workers of its own, and weigh workers in seconds

Placement counted prompt tokens alike for all models, and a larger model was asked by a share of the objective, also where its answer could not end before the deadline. Change: workers in two groups that all entries find by a hash, sized by the work seen (reading, slots); seconds in place of tokens, with the pace of each model learned; a larger model is asked if it is expected in time. The estimate of a larger model's first event is off by more than 1.5 times for one in four, by 2.8 times for one in ten: entries do not see each other's sends.

--- a/src/rattanpier/_internal/models/relay_request.py
+++ b/src/rattanpier/_internal/models/relay_request.py
@@ -33,6 +33,11 @@
     parts: tuple[PromptPart, ...] = ()
     output_hint: int = 0
 
+    @property
+    def expected_output(self) -> int:
+        """Tokens that are likely generated; callers' hints are often off."""
+        return min(self.output_hint or self.max_output, self.max_output)
+
 
 @attrs.frozen
 class RelayRequest:
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -16,6 +16,7 @@
 from rattanpier._internal.membership.records import new_incarnation
 from rattanpier._internal.models.member import Member, MemberState, Role
 from rattanpier._internal.models.relay_settings import RelaySettings
+from rattanpier._internal.models.route_table import RouteTable
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.server import PeerServer
 from rattanpier._internal.platform import (
@@ -42,6 +43,8 @@
 from rattanpier._internal.relay.health import Health
 from rattanpier._internal.relay.load import Loads
 from rattanpier._internal.relay.membership import EntryRows
+from rattanpier._internal.relay.model_groups import ModelGroups
+from rattanpier._internal.relay.pace import Pace
 from rattanpier._internal.relay.placement import Chooser
 from rattanpier._internal.relay.pool import ConnectionPool
 from rattanpier._internal.relay.rollout_driver import RolloutDriver
@@ -162,6 +165,8 @@
 ) -> Dispatcher:
     """Returns what answers requests."""
     loads = Loads(clock)
+    pace = Pace(clock)
+    state.tables.subscribe(lambda table: take_prices(pace, table))
     pool = ConnectionPool()
     health = Health(clock)
     dialect = WorkerDialect(upstream.encode_request, upstream.decode_answer)
@@ -178,13 +183,26 @@
         directory=state.directory,
         health=health,
         loads=loads,
-        chooser=Chooser(loads, settings.domain, random.Random(settings.name)),
+        chooser=Chooser(
+            loads,
+            settings.domain,
+            random.Random(settings.name),
+            pace,
+            ModelGroups(clock),
+        ),
         sender=Sender(pool, dialect, loads),
         rollouts=state.rollouts,
         budgets=Budgets(settings.bounds, fleet.size, clock),
     )
 
 
+def take_prices(pace: Pace, table: RouteTable) -> None:
+    """Takes in what the models of a table cost."""
+    for service in table.services.values():
+        if service.engine is not None:
+            pace.take_prices(service.engine.models)
+
+
 async def add_peers(
     kernel: Kernel,
     settings: RelaySettings,
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import AsyncIterator, Mapping
 from contextlib import aclosing
 
@@ -43,7 +44,15 @@
 )
 from rattanpier._internal.relay.health import Health
 from rattanpier._internal.relay.load import Loads
-from rattanpier._internal.relay.model_choice import first_model, next_model
+from rattanpier._internal.relay.model_choice import (
+    ENOUGH_CONFIDENCE,
+    MARGIN,
+    Kept,
+    Outlook,
+    first_model,
+    judge_answer,
+    larger_model,
+)
 from rattanpier._internal.relay.placement import Choice, Chooser
 from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.utils.clock import Clock
@@ -114,15 +123,20 @@
 
     # Choosing.
 
-    def choose(self, course: Course) -> Choice | None:
-        """Returns the worker for the next send, or None."""
+    def choose(self, course: Course, model: str = "") -> Choice | None:
+        """Returns the worker for the next send, or None.
+
+        Args:
+          course: How the request went so far.
+          model: To be asked, if not the course's own.
+        """
         request = course.request
         workers = self.directory.of_service(course.service)
         split = self.rollouts.split(request, course.service, workers)
         for group in (split.first, split.otherwise):
             untried = [each for each in group if each.id not in course.tried]
             usable = self.health.usable(untried)
-            choice = self.chooser.choose(request, usable, course.model)
+            choice = self.chooser.choose(request, usable, model or course.model)
             if choice is not None:
                 return choice
         return None
@@ -350,7 +364,9 @@
         request = course.request
         worker = choice.worker
         sending = self.note_send(course, choice)
-        flight = self.loads.begin(worker.id, choice.to_read)
+        flight = self.loads.begin(worker.id, choice.read_s)
+        self.chooser.note_send(request, course.model, choice)
+        model = course.model
         self.rollouts.note_running(worker, 1)
         began = self.clock.monotonic()
         try:
@@ -365,7 +381,11 @@
                 took = relative_time(
                     course, choice, self.clock.monotonic() - began
                 )
-                self.loads.note_read(worker.id, course.model, request.prompt)
+                first_at = self.clock.monotonic()
+                self.chooser.pace.note_first(
+                    model, request.priority, choice.to_read, first_at - began
+                )
+                self.loads.note_read(worker.id, model, request.prompt)
                 if not course.begun and self.goes_on(course, worker, head):
                     self.note_result(course, worker, False, took)
                     return
@@ -380,6 +400,11 @@
                     course.begun = True
                     yield AnswerBegun(head.status, copied_headers(head))
             self.note_result(course, worker, bad=False, relative_s=took)
+            self.chooser.pace.note_stream(
+                model,
+                request.prompt.expected_output,
+                self.clock.monotonic() - first_at,
+            )
             yield AnswerEnded()
         except WorkerFailedError:
             return
@@ -388,10 +413,17 @@
         except EventError as error:
             self.note_failed(course, worker, SendError(str(error)))
         except TimeoutError:
+            waited_s = self.clock.monotonic() - began
+            if not flight.begun:
+                self.chooser.pace.note_wait(
+                    model, request.priority, choice.to_read, waited_s
+                )
             self.note_late(course, worker)
         finally:
             self.loads.end(worker.id, flight)
             self.rollouts.note_running(worker, -1)
+            ran_s = self.clock.monotonic() - began
+            self.chooser.note_run(request, model, ran_s, worker.slots)
 
     async def events(
         self, course: Course, answer: OpenAnswer
@@ -428,37 +460,54 @@
     ) -> bool:
         """Says whether an answer is dropped for a larger model's."""
         request = course.request
-        waiting = self.waiting_tokens(course)
-        found = next_model(
-            request,
-            course.model,
-            head.confidence,
-            self.clock.monotonic(),
-            waiting,
-        )
-        if found is None or not self.may_send_again(course):
+        larger = larger_model(request, course.model)
+        if not larger or head.confidence is None:
             return False
-        course.granted = True
-        self.metrics.count("relay.larger_model")
+        if head.confidence >= ENOUGH_CONFIDENCE:
+            return False
+        tried = course.tried
+        # The same worker may well be the best: it is not ruled out.
+        course.tried = tried - {worker.id}
+        choice = self.choose(course, larger)
+        outlook = self.outlook(request, larger, choice)
+        kept = judge_answer(
+            request, head.confidence, self.clock.monotonic(), outlook
+        )
+        if kept is None and not self.may_send_again(course):
+            kept = Kept.BUDGET
         log.info(
-            "Asking a larger model.",
+            "Answer judged.",
             request=request.id,
             worker=worker.id,
             model=course.model,
             confidence=head.confidence,
-            waiting_tokens=round(waiting),
-            next=found.model,
+            kept=None if kept is None else kept.value,
+            wait_s=rounded(outlook.wait_s),
+            first_s=rounded(outlook.first_s),
+            whole_s=rounded(outlook.whole_s),
+            larger=larger,
         )
-        # The same worker may well be the best: it is not ruled out.
-        course.tried.discard(worker.id)
-        course.model = found.model
+        if kept is not None:
+            course.tried = tried
+            self.metrics.count(f"relay.kept.{kept.value}")
+            return False
+        course.granted = True
+        self.metrics.count("relay.larger_model")
+        course.model = larger
         course.may_have_run = True
         return True
 
-    def waiting_tokens(self, course: Course) -> float:
-        """Returns what the least loaded worker has yet to read."""
-        workers = self.directory.of_service(course.service)
-        return self.chooser.least_waiting(self.health.usable(workers))
+    def outlook(
+        self, request: RelayRequest, model: str, choice: Choice | None
+    ) -> Outlook:
+        """Returns what is expected of a model at the worker chosen for it."""
+        if choice is None:
+            return Outlook(math.inf, math.inf, math.inf)
+        pace = self.chooser.pace
+        wait_s = max(choice.wait_s, pace.wait_s(model, request.priority))
+        stream_s = pace.stream_s(model, request.prompt.expected_output)
+        first_s = choice.read_s + MARGIN * wait_s
+        return Outlook(choice.wait_s, first_s, first_s + MARGIN * stream_s)
 
     def note_first(self, course: Course, choice: Choice, began: float) -> None:
         """Measures the time to a worker's first event."""
--- a/src/rattanpier/_internal/relay/load.py
+++ b/src/rattanpier/_internal/relay/load.py
@@ -27,11 +27,11 @@
     """One request at a worker.
 
     Attributes:
-      tokens: Prompt tokens that the worker has to read for it.
+      read_s: Seconds in which the worker reads its prompt.
       begun: Its first event came: the prompt is read.
     """
 
-    tokens: float = 0.0
+    read_s: float = 0.0
     begun: bool = False
 
 
@@ -57,9 +57,9 @@
         collections.OrderedDict
     )
 
-    def pending_tokens(self) -> float:
-        """Returns the prompt tokens of own requests not yet read."""
-        return sum(each.tokens for each in self.running if not each.begun)
+    def pending_s(self) -> float:
+        """Returns the seconds of reading that own requests wait for."""
+        return sum(each.read_s for each in self.running if not each.begun)
 
     def others(self, now: float) -> tuple[float, float]:
         """Returns the running and waiting requests of other entries."""
@@ -79,9 +79,9 @@
         lambda: collections.defaultdict(WorkerLoad)
     )
 
-    def begin(self, id: str, tokens: float) -> InFlight:
+    def begin(self, id: str, read_s: float) -> InFlight:
         """Counts a request in."""
-        flight = InFlight(tokens)
+        flight = InFlight(read_s)
         self.workers[id].running.add(flight)
         return flight
 
--- /dev/null
+++ b/src/rattanpier/_internal/relay/model_groups.py
@@ -0,0 +1,102 @@
+"""Which workers of a pool are for the smallest model, and which for larger.
+
+Load answered: long prompts for a large model hold up the tokens of all that
+run beside them. On one site's heaviest day the streams of the smallest model
+lasted 4.2 s in the median beside the largest one's prompts and 2.7 s apart;
+what is in flight when VMs fail is lost.
+
+All entries find the same groups without talk, by the workers' ids. How many
+workers each gets follows from the work that an entry sees, which is a sample
+of everybody's. Code without a network.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Sequence
+
+import attrs
+
+from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.hashing import rendezvous
+from rattanpier._internal.utils.samples import FadingSum
+from rattanpier._internal.utils.turns import in_turns
+
+LEAST_WORKERS = 4  # Of fewer each has to serve all models.
+# Share of a pool for the smallest model, until requests showed more: between
+# what two sites needed (0.15 to 0.35).
+USUAL_SHARE = 0.2
+LEAST_SHARE, MOST_SHARE = 0.1, 0.5
+USUAL_COUNTS = 20.0  # Requests that the usual share is worth.
+# The mix of a fleet's requests changes slowly, and one entry sees little of it.
+HALF_LIFE_S = 15.0
+
+
+@attrs.define
+class Work:
+    """What requests for some models take of workers.
+
+    Attributes:
+      reading: Seconds in which a worker reads their prompts.
+      running: Seconds of a worker's slots, against the slots that it has.
+    """
+
+    reading: FadingSum = attrs.Factory(lambda: FadingSum(HALF_LIFE_S))
+    running: FadingSum = attrs.Factory(lambda: FadingSum(HALF_LIFE_S))
+
+    def needed(self, now: float) -> float:
+        """Returns what is needed: reading and slots are used side by side."""
+        self.reading.fade(now)
+        self.running.fade(now)
+        return max(self.reading.total, self.running.total)
+
+
+@attrs.define
+class ModelGroups:
+    """The work of the smallest models against that of larger ones."""
+
+    clock: Clock
+    small: Work = attrs.Factory(Work)
+    large: Work = attrs.Factory(Work)
+
+    def note_send(self, small: bool, read_s: float) -> None:
+        """Takes in the reading that a send is."""
+        work = self.small if small else self.large
+        work.reading.add(read_s, self.clock.monotonic())
+
+    def note_run(self, small: bool, seconds: float, slots: int) -> None:
+        """Takes in how long a request had a slot."""
+        work = self.small if small else self.large
+        work.running.add(seconds / max(1, slots), self.clock.monotonic())
+
+    def share(self) -> float:
+        """Returns the share of a pool that is for the smallest model."""
+        now = self.clock.monotonic()
+        small, large = self.small.needed(now), self.large.needed(now)
+        if small + large <= 0.0:
+            return USUAL_SHARE
+        seen = self.small.reading.weight + self.large.reading.weight
+        trust = seen / (seen + USUAL_COUNTS)
+        found = small / (small + large)
+        share = trust * found + (1.0 - trust) * USUAL_SHARE
+        return min(MOST_SHARE, max(LEAST_SHARE, share))
+
+    def of(
+        self, workers: Sequence[RegisteredWorker], small: bool
+    ) -> Sequence[RegisteredWorker]:
+        """Returns the workers for the smallest model, or those for larger."""
+        if len(workers) < LEAST_WORKERS:
+            return workers
+        ordered = in_order(workers)
+        count = max(1, round(self.share() * len(ordered)))
+        return ordered[:count] if small else ordered[count:]
+
+
+def in_order(workers: Sequence[RegisteredWorker]) -> list[RegisteredWorker]:
+    """Returns workers in an order of their ids, each domain in turn."""
+    by_id = {worker.id: worker for worker in workers}
+    domains: dict[str, list[RegisteredWorker]] = collections.defaultdict(list)
+    for id in rendezvous("models", by_id):
+        domains[by_id[id].domain].append(by_id[id])
+    return list(in_turns(domains[name] for name in sorted(domains)))
--- /dev/null
+++ b/src/rattanpier/_internal/relay/pace.py
@@ -0,0 +1,131 @@
+"""How long each model takes, learned from the answers that an entry relays.
+
+The platform tells a model's price, not its speed. Larger models are dearer and
+slower, so prices serve until answers have shown more.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Sequence
+
+import attrs
+
+from rattanpier._internal.models.route_table import ModelCost
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.samples import FadingSum, RecentQuantile
+
+# Of a model of the mean price, until answers show more; only which of two
+# workers is better follows from it.
+USUAL_READ_S = 1 / 30000
+USUAL_TOKEN_S = 0.02  # Between two tokens of a stream, until streams show more.
+USUAL_WAIT_S = 0.05
+USUAL_TOKENS = 3000  # Of a prompt, until requests came.
+# Waits only add to the time that reading takes: a low quantile of what was
+# seen is near the time at a worker that was free.
+FREE_SHARE = 0.3
+LEAST_SAMPLES = 4
+LEAST_TOKENS = 1000  # Shorter prompts tell little of the time for a token.
+HALF_LIFE_S = 5.0  # Bursts and faults last about that long.
+
+
+@attrs.define
+class ModelPace:
+    """What one model's answers showed.
+
+    Attributes:
+      read: Seconds for each token of a prompt at a free worker.
+      first: Seconds to the first event of short prompts.
+      usual: Seconds of reading that one request is.
+      waits: Seconds to the first event beyond reading, by priority: workers
+        read the prompts of more urgent requests first.
+      token: Seconds of a stream for each token that was expected of it.
+    """
+
+    read: RecentQuantile = attrs.Factory(lambda: RecentQuantile(FREE_SHARE))
+    first: RecentQuantile = attrs.Factory(lambda: RecentQuantile(0.0))
+    usual: FadingSum = attrs.Factory(lambda: FadingSum(HALF_LIFE_S))
+    waits: dict[int, FadingSum] = attrs.Factory(
+        lambda: collections.defaultdict(lambda: FadingSum(HALF_LIFE_S))
+    )
+    token: FadingSum = attrs.Factory(lambda: FadingSum(HALF_LIFE_S))
+
+
+@attrs.define
+class Pace:
+    """The pace of each model, by name.
+
+    Attributes:
+      models: What answers showed.
+      prices: Against their mean; what is assumed before answers came.
+    """
+
+    clock: Clock
+    models: dict[str, ModelPace] = attrs.Factory(
+        lambda: collections.defaultdict(ModelPace)
+    )
+    prices: dict[str, float] = attrs.Factory(dict)
+
+    def take_prices(self, models: Sequence[ModelCost]) -> None:
+        """Takes in what the operators charge for a service's models."""
+        mean = sum(model.cost for model in models) / max(1, len(models))
+        if mean > 0:
+            self.prices |= {model.name: model.cost / mean for model in models}
+
+    def note_first(
+        self, model: str, priority: int, tokens: float, seconds: float
+    ) -> None:
+        """Takes in the time to the first event of an answer.
+
+        Args:
+          model: What answered.
+          priority: Of the request.
+          tokens: Prompt tokens that it probably had to read.
+          seconds: From the send.
+        """
+        pace = self.models[model]
+        pace.first.add(seconds)
+        self.note_wait(model, priority, tokens, seconds)
+        if tokens >= LEAST_TOKENS:
+            least = pace.first.value(0.0, LEAST_SAMPLES)
+            pace.read.add(max(0.0, seconds - least) / tokens)
+
+    def note_wait(
+        self, model: str, priority: int, tokens: float, seconds: float
+    ) -> None:
+        """Takes in a time to a first event, or one that passed without it."""
+        wait = max(0.0, seconds - self.read_s(model, tokens))
+        waits = self.models[model].waits[priority]
+        waits.add(wait, self.clock.monotonic())
+
+    def note_stream(self, model: str, tokens: int, seconds: float) -> None:
+        """Takes in how long a stream lasted from its first event on."""
+        pace = self.models[model]
+        pace.token.add(seconds / max(1, tokens), self.clock.monotonic())
+
+    def read_s(self, model: str, tokens: float) -> float:
+        """Returns the seconds in which a free worker reads so many tokens."""
+        usual = USUAL_READ_S * self.prices.get(model, 1.0)
+        return tokens * self.models[model].read.value(usual, LEAST_SAMPLES)
+
+    def note_send(self, model: str, read_s: float) -> None:
+        """Takes in the reading that a send is."""
+        self.models[model].usual.add(read_s, self.clock.monotonic())
+
+    def usual_read_s(self, model: str) -> float:
+        """Returns the seconds of reading that a request for a model is."""
+        usual = self.models[model].usual
+        usual.fade(self.clock.monotonic())
+        return usual.mean(self.read_s(model, USUAL_TOKENS))
+
+    def wait_s(self, model: str, priority: int) -> float:
+        """Returns the seconds that such requests waited lately."""
+        wait = self.models[model].waits[priority]
+        wait.fade(self.clock.monotonic())
+        return wait.mean(USUAL_WAIT_S)
+
+    def stream_s(self, model: str, tokens: int) -> float:
+        """Returns the seconds that a stream of so many tokens lasts."""
+        token = self.models[model].token
+        token.fade(self.clock.monotonic())
+        return tokens * token.mean(USUAL_TOKEN_S)
--- a/src/rattanpier/_internal/relay/placement.py
+++ b/src/rattanpier/_internal/relay/placement.py
@@ -1,8 +1,8 @@
 """Which worker gets a request: the one where it is likely answered first.
 
-Code without a network: it weighs what `Loads` knows. For model engines the
-unit is prompt tokens to be read before this request's first token, since that
-is what a worker does one after another; running requests share each step and
+Code without a network: it weighs what `Loads` and `Pace` know. For model
+engines the unit is seconds until this request's first event, most of which go
+into reading prompts, one after another; running requests share each step and
 add little. For plain services it is the share of a worker's slots in use.
 """
 
@@ -16,20 +16,27 @@
 from rattanpier._internal.models.relay_request import Prompt, RelayRequest
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.relay.load import Loads
+from rattanpier._internal.relay.model_groups import ModelGroups
+from rattanpier._internal.relay.pace import Pace
 from rattanpier._internal.utils.hashing import rendezvous
 
-# A request that another entry has running slows each step a little, and may
-# still have its prompt to be read; one that waits surely has.
-RUNNING_TOKENS = 250.0
-WAITING_TOKENS = 3000.0
+# A request that another entry has running slows each step a little.
+RUNNING_S = 0.008
 # Entries agree on the worker that a shared part belongs to. That it holds the
 # part is likely but not known, so it counts for less than a part seen there.
 HOME_TRUST = 0.7
-# Bytes between failure domains are paid for: worth a detour. On two days of one
-# site 0.3 and 300 cost a third fewer such bytes than 0.05 and 100, at no loss.
-FAR_TOKENS = 300.0
-FAR_SHARE = 0.3
+# Bytes between failure domains are paid for: worth a detour of so many seconds,
+# and for each token of the prompt. On two days of one site a third fewer such
+# bytes than at a sixth of these figures, at no loss.
+FAR_S = 0.01
+FAR_TOKEN_S = 1e-5
 FAR_SLOTS = 0.34  # For plain services: a third of a worker's slots.
+# What a worker of the other group has to be better by. A large model's prompt
+# among the smallest one's streams holds them all up, the reverse only itself.
+# On two sites' heaviest days as good as 2.0 and 0.5, or better (0.57 against
+# 0.54 in the mean of four days of one site).
+LARGE_AMONG_SMALL_S = 0.8
+SMALL_AMONG_LARGE_S = 0.25
 JITTER = 0.02  # Breaks ties, so that entries do not all choose alike.
 
 
@@ -39,8 +46,11 @@
 
     Attributes:
       worker: The worker.
-      cost: In prompt tokens, or slots in use for plain services.
+      cost: Seconds to the first event and what stands for prices, or slots in
+        use for plain services.
       to_read: Prompt tokens that it has to read for the request.
+      read_s: Seconds in which it reads them.
+      wait_s: Seconds that other requests are read before.
       candidates: Workers that were weighed.
       report_age_s: Age of its last load report, or None.
     """
@@ -50,6 +60,8 @@
     to_read: float
     candidates: int
     report_age_s: float | None
+    read_s: float = 0.0
+    wait_s: float = 0.0
 
 
 @attrs.define
@@ -60,11 +72,15 @@
       loads: What is known of them.
       domain: This entry's failure domain.
       rng: Breaks ties.
+      pace: How long each model takes.
+      groups: Which workers are for which models.
     """
 
     loads: Loads
     domain: str
     rng: random.Random
+    pace: Pace
+    groups: ModelGroups
 
     def choose(
         self,
@@ -93,20 +109,17 @@
 
         return min(map(weigh, workers), key=lambda choice: choice.cost)
 
-    def least_waiting(self, workers: Sequence[RegisteredWorker]) -> float:
-        """Returns the tokens that the least loaded worker has yet to read."""
-        now = self.loads.clock.monotonic()
-        waiting = (self.waiting_at(worker, now) for worker in workers)
-        return min(waiting, default=0.0)
-
-    def waiting_at(self, worker: RegisteredWorker, now: float) -> float:
-        """Returns the tokens that a worker reads before a new request's."""
+    def waiting_s(
+        self, worker: RegisteredWorker, model: str, now: float
+    ) -> float:
+        """Returns the seconds for which others are read before a request."""
         load = self.loads.workers[worker.id]
         running, waiting = load.others(now)
+        # What others have waiting there is taken to be such as was seen here.
         return (
-            load.pending_tokens()
-            + RUNNING_TOKENS * (len(load.running) + running)
-            + WAITING_TOKENS * waiting
+            load.pending_s()
+            + RUNNING_S * (len(load.running) + running)
+            + waiting * self.pace.usual_read_s(model)
         )
 
     def choose_engine(
@@ -115,20 +128,48 @@
         workers: Sequence[RegisteredWorker],
         model: str,
     ) -> Choice:
-        """Returns the worker where the prompt is likely read first."""
+        """Returns the worker where the request is likely answered first."""
         now = self.loads.clock.monotonic()
-        home = home_of(request.prompt, workers)
+        small = is_smallest(request, model)
+        group = workers
+        if small is not None:
+            group = self.groups.of(workers, small)
+        members = {worker.id for worker in group}
+        home = home_of(request.prompt, group)
+        apart_s = SMALL_AMONG_LARGE_S if small else LARGE_AMONG_SMALL_S
 
         def weigh(worker: RegisteredWorker) -> Choice:
             to_read = self.to_read(worker, model, request.prompt, home)
-            cost = to_read + self.waiting_at(worker, now)
+            read_s = self.pace.read_s(model, to_read)
+            wait_s = self.waiting_s(worker, model, now)
+            cost = read_s + wait_s
             if worker.domain != self.domain:
-                cost += FAR_TOKENS + FAR_SHARE * request.prompt.tokens
+                cost += FAR_S + FAR_TOKEN_S * request.prompt.tokens
+            if worker.id not in members:
+                cost += apart_s
             cost *= 1.0 + JITTER * self.rng.random()
-            return self.make(worker, cost, to_read, len(workers), now)
+            made = self.make(worker, cost, to_read, len(workers), now)
+            return attrs.evolve(made, read_s=read_s, wait_s=wait_s)
 
         return min(map(weigh, workers), key=lambda choice: choice.cost)
 
+    def note_send(
+        self, request: RelayRequest, model: str, choice: Choice
+    ) -> None:
+        """Takes in the work that a send is."""
+        self.pace.note_send(model, choice.read_s)
+        small = is_smallest(request, model)
+        if small is not None:
+            self.groups.note_send(small, choice.read_s)
+
+    def note_run(
+        self, request: RelayRequest, model: str, seconds: float, slots: int
+    ) -> None:
+        """Takes in how long a request ran, or waited, at a worker."""
+        small = is_smallest(request, model)
+        if small is not None:
+            self.groups.note_run(small, seconds, slots)
+
     def to_read(
         self,
         worker: RegisteredWorker,
@@ -157,6 +198,14 @@
         return Choice(worker, cost, to_read, candidates, age)
 
 
+def is_smallest(request: RelayRequest, model: str) -> bool | None:
+    """Says whether a model is the smallest of its route; None: no choice."""
+    models = request.route.models
+    if len(models) < 2 or model not in models:
+        return None
+    return model == models[0]
+
+
 def home_of(prompt: Prompt, workers: Sequence[RegisteredWorker]) -> str:
     """Returns the worker that a prompt's shared parts belong to, or nothing.
 
--- a/src/rattanpier/_internal/relay/state.py
+++ b/src/rattanpier/_internal/relay/state.py
@@ -29,6 +29,7 @@
       operator_news: Decodes the operators' rows.
       worker_news: Decodes workers' registrations.
       gone: Emits the id of each worker that is gone.
+      tables: Emits each route table that comes into force.
     """
 
     directory: WorkerDirectory
@@ -38,6 +39,7 @@
     worker_news: Callable[[Page], Iterable[RegisteredWorker | FeedRow]]
     table: RouteTable | None = None
     gone: Subject[str] = attrs.Factory(Subject)
+    tables: Subject[RouteTable] = attrs.Factory(Subject)
 
     @property
     def table_version(self) -> int:
@@ -66,6 +68,7 @@
             return
         before = self.table_version
         self.table = table
+        self.tables.on_next(table)
         log.info(
             "Routes in force.",
             version=table.version,
--- a/src/rattanpier/_internal/routing/placement.py
+++ b/src/rattanpier/_internal/routing/placement.py
@@ -20,6 +20,7 @@
     Worker,
 )
 from rattanpier._internal.utils.hashing import rendezvous
+from rattanpier._internal.utils.turns import in_turns
 
 SUBSET = 64  # Workers of a version that an entry uses, if there are more.
 ENTRIES_PER_WORKER = 32  # At least so many on average; fewer load unevenly.
@@ -168,11 +169,7 @@
     for name in rendezvous(entry, by_name):
         target = by_name[name]
         domains.setdefault(target.worker.domain, []).append(target)
-    turns = itertools.chain.from_iterable(
-        itertools.zip_longest(*domains.values())
-    )
-    found = (target for target in turns if target is not None)
-    return list(itertools.islice(found, size))
+    return list(itertools.islice(in_turns(domains.values()), size))
 
 
 def usable_of(
--- /dev/null
+++ b/src/rattanpier/_internal/utils/turns.py
@@ -0,0 +1,22 @@
+"""Taking from several lists in turn."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterable, Iterator, Sequence
+from typing import TypeVar
+
+T = TypeVar("T")
+
+
+def in_turns(lists: Iterable[Sequence[T]]) -> Iterator[T]:
+    """Yields the first of each list, then the second of each, and so on.
+
+    >>> "".join(in_turns(["ad", "be", "c"]))
+    'abcde'
+    """
+    missing = object()
+    rounds = itertools.zip_longest(*lists, fillvalue=missing)
+    for item in itertools.chain.from_iterable(rounds):
+        if item is not missing:
+            yield item  # type: ignore[misc]
--- /dev/null
+++ b/tests/lib/engines.py
@@ -0,0 +1,87 @@
+"""Model engines that read prompts one after another, without a network.
+
+A small model of what the placement decides about: a worker reads the prompts
+that it got in the order in which they came, and nothing else takes time.
+"""
+
+import heapq
+import itertools
+import random
+
+import attrs
+
+from rattanpier._internal.models.route_table import ModelCost
+from rattanpier._internal.relay.load import Loads
+from rattanpier._internal.relay.model_groups import ModelGroups
+from rattanpier._internal.relay.pace import Pace
+from rattanpier._internal.relay.placement import Chooser
+from tests.lib.clock import ManualClock
+from tests.lib.relay_parts import MODELS, make_chat, make_workers
+
+READ_S = {"small": 1e-5, "large": 1e-4}  # Seconds a token.
+COSTS = (ModelCost("small", 0.02), ModelCost("large", 0.3))
+
+
+@attrs.define
+class Played:
+    """Seconds from arrival to first event, by model."""
+
+    first_s: dict = attrs.Factory(lambda: {"small": [], "large": []})
+
+    def quantile(self, model, share):
+        ordered = sorted(self.first_s[model])
+        return ordered[int(share * (len(ordered) - 1))]
+
+
+def make_entry(clock, seed):
+    """What one entry decides by."""
+    pace = Pace(clock)
+    pace.take_prices(COSTS)
+    loads = Loads(clock)
+    return Chooser(loads, "a", random.Random(seed), pace, ModelGroups(clock))
+
+
+def play_engines(
+    workers=9, entries=6, per_s=30.0, seconds=40.0, large=0.4, apart=True
+):
+    """Plays requests of which a share goes to the large model."""
+    rng = random.Random(11)
+    clock = ManualClock()
+    pool = make_workers(workers)
+    choosers = [make_entry(clock, seed) for seed in range(entries)]
+    free_at = dict.fromkeys((worker.id for worker in pool), 0.0)
+    due, played, serial = [], Played(), itertools.count()
+    while clock.now < seconds:
+        clock.now += rng.expovariate(per_s)
+        while due and due[0][0] <= clock.now:
+            _, _, end = heapq.heappop(due)
+            end()
+        model = "large" if rng.random() < large else "small"
+        tokens = int(rng.lognormvariate(7.5, 1.0))
+        request = make_chat(parts=((f"p{next(serial)}", tokens),))
+        if not apart:
+            # A route with one model has no groups.
+            route = attrs.evolve(request.route, models=MODELS[:1])
+            request = attrs.evolve(request, route=route)
+        chooser = rng.choice(choosers)
+        choice = chooser.choose(request, pool, model)
+        chooser.note_send(request, model, choice)
+        id, sent = choice.worker.id, clock.now
+        flight = chooser.loads.begin(id, choice.read_s)
+        first_at = max(sent, free_at[id]) + READ_S[model] * tokens
+        free_at[id] = first_at
+        played.first_s[model].append(first_at - sent)
+
+        def end(
+            chooser=chooser,
+            id=id,
+            flight=flight,
+            model=model,
+            sent=sent,
+            tokens=choice.to_read,
+        ):
+            chooser.loads.end(id, flight)
+            chooser.pace.note_first(model, 0, tokens, clock.now - sent)
+
+        heapq.heappush(due, (first_at, next(serial), end))
+    return played
--- /dev/null
+++ b/tests/relay/test_model_groups.py
@@ -0,0 +1,130 @@
+"""Workers for small and for large models, and how long each model takes."""
+
+import random
+
+import pytest
+
+from rattanpier._internal.models.route_table import ModelCost
+from rattanpier._internal.relay.model_groups import (
+    LEAST_SHARE,
+    MOST_SHARE,
+    USUAL_SHARE,
+    ModelGroups,
+    in_order,
+)
+from rattanpier._internal.relay.pace import LEAST_SAMPLES, Pace
+from tests.lib.clock import ManualClock
+from tests.lib.engines import make_entry, play_engines
+from tests.lib.relay_parts import make_chat, make_worker, make_workers
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+def test_entries_find_the_same_groups_in_any_order_of_the_workers(clock):
+    workers = make_workers(20)
+    shuffled = random.Random(2).sample(workers, 20)
+    one, other = ModelGroups(clock), ModelGroups(clock)
+    for small in (True, False):
+        assert one.of(workers, small) == other.of(shuffled, small)
+    small, large = one.of(workers, True), one.of(workers, False)
+    assert {w.id for w in small}.isdisjoint(w.id for w in large)
+    assert len(small) + len(large) == 20
+
+
+def test_each_domain_has_its_turn():
+    workers = [
+        make_worker(f"w{number}", domain="abc"[number % 3])
+        for number in range(12)
+    ]
+    domains = [worker.domain for worker in in_order(workers)]
+    assert domains == ["a", "b", "c"] * 4
+
+
+def test_a_worker_that_goes_moves_no_other_across_by_more_than_its_place(clock):
+    workers = make_workers(20)
+    groups = ModelGroups(clock)
+    before = {worker.id for worker in groups.of(workers, True)}
+    after = {worker.id for worker in groups.of(workers[1:], True)}
+    assert len(before ^ after) <= 2
+
+
+def test_few_workers_serve_all_models(clock):
+    workers = make_workers(3)
+    groups = ModelGroups(clock)
+    assert groups.of(workers, True) == groups.of(workers, False) == workers
+
+
+def test_the_share_follows_the_work(clock):
+    groups = ModelGroups(clock)
+    assert groups.share() == USUAL_SHARE
+    for _ in range(400):
+        groups.note_send(True, 0.04)
+        groups.note_send(False, 0.06)
+    assert groups.share() == pytest.approx(0.4, abs=0.02)
+    for _ in range(2000):
+        groups.note_send(False, 1.0)
+    assert groups.share() == LEAST_SHARE
+
+
+def test_slots_count_where_they_are_scarcer_than_reading(clock):
+    groups = ModelGroups(clock)
+    for _ in range(400):
+        groups.note_send(True, 0.001)
+        groups.note_send(False, 0.1)
+        groups.note_run(True, 4.0, slots=16)
+        groups.note_run(False, 1.0, slots=16)
+    assert groups.share() == MOST_SHARE
+
+
+def test_a_large_prompt_leaves_the_small_ones_workers_alone(clock):
+    entry = make_entry(clock, 1)
+    workers = make_workers(9)
+    small = {worker.id for worker in entry.groups.of(workers, True)}
+    assert entry.choose(make_chat(), workers, "small").worker.id in small
+    assert entry.choose(make_chat(), workers, "large").worker.id not in small
+    for worker in entry.groups.of(workers, False):
+        entry.loads.begin(worker.id, 3.0)
+    assert entry.choose(make_chat(), workers, "large").worker.id in small
+
+
+def test_small_answers_begin_sooner_apart_from_large_ones():
+    together = play_engines(per_s=45.0, apart=False)
+    apart = play_engines(per_s=45.0, apart=True)
+    for share in (0.75, 0.9):
+        mixed_s = together.quantile("small", share)
+        assert apart.quantile("small", share) < 0.5 * mixed_s
+    # Large ones pay less for it than small ones gain.
+    for share in (0.5, 0.9):
+        mixed_s = together.quantile("large", share)
+        assert apart.quantile("large", share) < 1.3 * mixed_s
+
+
+def test_prices_stand_for_speeds_until_answers_came(clock):
+    pace = Pace(clock)
+    pace.take_prices([ModelCost("small", 0.1), ModelCost("large", 1.0)])
+    assert pace.read_s("large", 3000) > 5 * pace.read_s("small", 3000)
+
+
+def test_the_time_to_read_is_learned_from_workers_that_were_free(clock):
+    pace = Pace(clock)
+    rng = random.Random(4)
+    for _ in range(LEAST_SAMPLES):
+        pace.note_first("m", 0, 100.0, 0.06)
+    for number in range(30):
+        waited = rng.expovariate(1.0) if number % 2 else 0.0
+        pace.note_first("m", 0, 4000.0, 0.06 + 4000 * 1e-4 + waited)
+    assert pace.read_s("m", 1000) == pytest.approx(0.1, rel=0.1)
+
+
+async def test_waits_are_known_by_priority_and_forgotten(clock):
+    pace = Pace(clock)
+    for _ in range(20):
+        pace.note_wait("m", 2, 0.0, 3.0)
+        pace.note_wait("m", 0, 0.0, 0.1)
+    assert pace.wait_s("m", 2) > 2.0
+    assert pace.wait_s("m", 0) < 0.2
+    await clock.advance(60.0)
+    assert pace.wait_s("m", 2) < 0.2
