Let one watcher tell, changes gather, and few entries ask a store that is away

Ruled out: longer waits of the feeds (few of the calls are empty ones). Change: after a change a watcher lets more gather for 0.3 s; the second watcher tells only what the first did not; an entry that does not watch asks a store that is away every 2 s, or 5 s while it hears of changes; its row and the roll-outs' records wait until the store answers.

--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -51,7 +51,7 @@
 from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.relay.state import RelayState
 from rattanpier._internal.relay.store import StoreClock, StoreHealth
-from rattanpier._internal.relay.watch import TableFollower, is_watcher
+from rattanpier._internal.relay.watch import TableFollower, watch_rank
 from rattanpier._internal.utils.clock import SystemClock
 from rattanpier._internal.utils.metrics import Metrics
 
@@ -114,8 +114,9 @@
             order, [news.member.incarnation for news in fleet.live()]
         ),
         fleet.drives,
+        lambda: health.available,
     )
-    rows = EntryRows(store, fleet, clock)
+    rows = EntryRows(store, fleet, clock, lambda: health.available)
     follow = {
         rollouts.ORDERS: state.take_operator_page,
         registrations.TABLE: state.take_worker_page,
@@ -128,7 +129,7 @@
             store_clock=store_clock,
             table=table,
             take=take,
-            watches=lambda: is_watcher(fleet),
+            rank=lambda: watch_rank(fleet),
             tell=gossip.tell_store_news,
         )
         gossip.followers[table] = follower
--- a/src/rattanpier/_internal/relay/membership.py
+++ b/src/rattanpier/_internal/relay/membership.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 import structlog
 from cattrs.errors import BaseValidationError
@@ -24,9 +26,9 @@
 log = structlog.get_logger(part="fleet")
 
 TABLE = "entries"
-# Until the row is written; seeds lead to the others as well. Calls in an
-# outage are paid for, and all entries may start in one.
+# Until the row is written; seeds lead to the others as well.
 RETRY_S = 1.0
+POLL_S = 0.1  # Between looks at whether the store is back.
 # An entry that knows no other looks for them this often.
 REREAD_S = 5.0
 STALE_S = 60.0  # Rows of entries not heard of for so long are removed.
@@ -34,23 +36,37 @@
 
 @attrs.define
 class EntryRows:
-    """Writes this entry's row and reads the others'."""
+    """Writes this entry's row and reads the others'.
+
+    Attributes:
+      available: Whether this entry reaches the store. Calls in an outage are
+        paid for, and all entries may start in one.
+    """
 
     store: RelayStore
     fleet: Fleet
     clock: Clock
+    available: Callable[[], bool]
 
     async def run(self) -> None:
         """Writes the row and reads all; reads again while alone."""
+        await self.store_is_there()
         while not await self.write():
             await self.clock.sleep(RETRY_S)
+            await self.store_is_there()
         while not await self.read():
             await self.clock.sleep(RETRY_S)
+            await self.store_is_there()
         while True:
             await self.clock.sleep(REREAD_S)
             if len(self.fleet.live()) == 1:
                 await self.read()
 
+    async def store_is_there(self) -> None:
+        """Waits until those who follow the store were answered."""
+        while not self.available():
+            await self.clock.sleep(POLL_S)
+
     async def write(self) -> bool:
         """Writes this entry's row; says whether it surely stands."""
         me = self.fleet.me
--- a/src/rattanpier/_internal/relay/rollout_driver.py
+++ b/src/rattanpier/_internal/relay/rollout_driver.py
@@ -108,6 +108,7 @@
       versions: Versions of the rows in the store, by service.
       old_running: Requests at old workers in all entries, by order.
       drives: Whether this entry is the one to drive.
+      available: Whether this entry reaches the store.
       loaded: All records that stood at the last reading are known.
     """
 
@@ -117,6 +118,7 @@
     status_row: StatusRow
     old_running: Callable[[int], int]
     drives: Callable[[], bool]
+    available: Callable[[], bool]
     versions: dict[str, int] = attrs.Factory(dict)
     loaded: bool = False
 
@@ -124,7 +126,9 @@
         """Takes roll-outs further, again and again, until cancelled."""
         while True:
             try:
-                await self.step()
+                # Those who follow the store look whether it is back.
+                if self.available():
+                    await self.step()
             except (StoreUnavailableError, HistoryGoneError) as error:
                 log.info("Roll-outs can't be driven.", error=str(error))
                 await asyncio.sleep(AWAY_RETRY_S)
--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -2,9 +2,10 @@
 
 Calls to the store are paid for, so that not every entry watches every table.
 A few watch; each answer of a feed goes on to all others at once, empty ones
-too: they show that nothing was missed. An entry that hears nothing for a while
-watches for itself, so that the watchers save calls and no promise rests on
-them alone.
+too: they show that nothing was missed. The first watcher tells, the second one
+tells what it did not hear from the first. An entry that hears nothing for a
+while watches for itself, so that the watchers save calls and no promise rests
+on them alone.
 """
 
 from __future__ import annotations
@@ -47,8 +48,17 @@
 # changes in quick succession cost one call.
 FETCH_SPREAD_S = 0.3
 # An entry that does not watch asks this often whether the store is back: in an
-# outage of the whole store it hears of its return from those that watch.
+# outage of the whole store it hears of its return from those that watch, and
+# one that the store turns away hears all changes from them.
 RETRY_S = 2.0
+COVERED_RETRY_S = 5.0
+# After a change a watcher lets more gather before it asks again: calls and what
+# is told cost the same for one change or for many. A sixth of the shortest time
+# within which operators want a change in force.
+GATHER_S = 0.3
+# The second watcher waits so long for the first one's news, which may just let
+# changes gather, and the way between two entries.
+BACKUP_S = GATHER_S + 0.1
 
 
 @attrs.frozen
@@ -72,9 +82,11 @@
     settling: bool
 
 
-def is_watcher(fleet: Fleet) -> bool:
-    """Says whether an entry is one of those that watch the store."""
-    return fleet.me.member.name in fleet.preferred("watch", WATCHERS)
+def watch_rank(fleet: Fleet) -> int | None:
+    """Returns an entry's place among those that watch the store, or None."""
+    watchers = fleet.preferred("watch", WATCHERS)
+    name = fleet.me.member.name
+    return watchers.index(name) if name in watchers else None
 
 
 @attrs.define
@@ -84,10 +96,11 @@
     Attributes:
       table: Its name.
       take: Called with each page, and whether the store was away before it.
-      watches: Whether this entry is one that watches.
+      rank: This entry's place among those that watch, or None.
       tell: Tells the others of an answer of the feed.
       since: Version up to which all is known, None before the first scan.
       told_at: When a watcher's news came last, in monotonic seconds.
+      told_version: Up to which version they told.
       behind: A change was told of that has to be fetched.
     """
 
@@ -97,11 +110,12 @@
     store_clock: StoreClock
     table: str
     take: Callable[[Page, bool], None]
-    watches: Callable[[], bool]
+    rank: Callable[[], int | None]
     tell: Callable[[TableNews], None]
     since: int | None = None
     backoff_s: float = 0.0
     told_at: float = float("-inf")
+    told_version: int = -1
     behind: bool = False
     asked_at: float = float("-inf")
 
@@ -113,17 +127,22 @@
             else:
                 await self.step()
 
+    def watches(self) -> bool:
+        """Says whether this entry is one that watches."""
+        return self.rank() is not None
+
     def covered(self) -> bool:
         """Says whether watchers tell this entry what changes."""
         return self.clock.monotonic() - self.told_at < COVERED_S
 
     def rests(self) -> bool:
         """Says whether there is no reason to ask the store now."""
-        if self.since is None or self.watches():
+        if self.watches():
             return False
         if not self.health.available:
-            return self.clock.monotonic() - self.asked_at < RETRY_S
-        return self.covered() and not self.behind
+            retry_s = COVERED_RETRY_S if self.covered() else RETRY_S
+            return self.clock.monotonic() - self.asked_at < retry_s
+        return self.since is not None and self.covered() and not self.behind
 
     async def step(self) -> None:
         """Asks the store once."""
@@ -152,16 +171,26 @@
         settling = self.health.settling()
         self.accept(page, settling)
         if watching and before is not None and not page.whole:
-            self.tell(
-                TableNews(
-                    self.table,
-                    before,
-                    page.version,
-                    page.now_ms,
-                    page.rows,
-                    settling,
-                )
+            news = TableNews(
+                self.table,
+                before,
+                page.version,
+                page.now_ms,
+                page.rows,
+                settling,
             )
+            await self.pass_on(news)
+            if page.rows:
+                await self.clock.sleep(GATHER_S)
+
+    async def pass_on(self, news: TableNews) -> None:
+        """Tells the others of an answer, unless the first watcher did."""
+        if self.rank() != 0:
+            await self.clock.sleep(BACKUP_S)
+            told = self.told_at >= self.asked_at
+            if told and self.told_version >= news.version:
+                return
+        self.tell(news)
 
     async def read(self, wait: bool) -> Page:
         """Returns the next page."""
@@ -183,6 +212,7 @@
         if self.since is None:
             return
         self.told_at = self.clock.monotonic()
+        self.told_version = max(self.told_version, news.version)
         if news.version <= self.since:
             return
         if news.since > self.since or news.rows is None:
