Tell from the log lines what decided a request's end

Cause: on-call engineers had to find a request's lines by grep and read them by the page. Change: rattanpier trace-request ID FILES puts the lines of all VMs in order and says in a sentence what decided; rattanpier why FILES counts failed requests by cause over a window, with the first id of each.

--- a/src/rattanpier/_internal/cli/operator.py
+++ b/src/rattanpier/_internal/cli/operator.py
@@ -18,6 +18,7 @@
 from rattanpier._internal.commands.explain import explain
 from rattanpier._internal.commands.replay import replay
 from rattanpier._internal.commands.result import ExitCode, Result
+from rattanpier._internal.commands.trace_request import trace_request, why
 
 JSON_HELP = "  json: Print JSON for programs.\n"
 
@@ -81,6 +82,8 @@
     "entries": printed(cluster.entries),
     "status": printed(cluster.status),
     "bills": printed(bills),
+    "trace-request": printed(trace_request),
+    "why": printed(why),
     "demo": demo,
 }
 
--- /dev/null
+++ b/src/rattanpier/_internal/commands/trace_request.py
@@ -0,0 +1,106 @@
+"""`rattanpier trace-request` and `rattanpier why`: causes from log lines."""
+
+from __future__ import annotations
+
+import collections
+import json
+
+import attrs
+
+from rattanpier._internal.commands.result import ExitCode, Result, make_table
+from rattanpier._internal.exceptions import CommandError
+from rattanpier._internal.trace.causes import (
+    Cause,
+    Starts,
+    by_request,
+    find_cause,
+)
+from rattanpier._internal.trace.log_lines import LogLine, read_lines
+
+LAST_TIME = "9999"  # After any time in a line.
+
+
+def trace_request(id: str, *files: str) -> Result:
+    """Shows the log lines of one request, and what decided its end.
+
+    Args:
+      id: Of the request, as the caller sent it.
+      files: With the lines of all entries; standard input if there are none.
+    """
+    starts = Starts()
+    found = by_request(read_lines(files or ("-",)), starts)
+    # An id of digits alone arrives as a number.
+    lines = found.get(str(id))
+    if not lines:
+        raise CommandError(
+            f"no line is about request {id!r}",
+            "give the lines of all entries, of the time in question",
+        )
+    cause = find_cause(lines, starts)
+    table = make_table(f"Request {id}", ("at", "node", "event", "fields"))
+    for line in lines:
+        table.add_row(line.at, line.node, line.event, show_fields(line))
+    data = {
+        "request": str(id),
+        "cause": attrs.asdict(cause),
+        "lines": [attrs.asdict(line) for line in lines],
+    }
+    return Result(data, [table, cause.sentence])
+
+
+def why(*files: str, since: str = "", until: str = "") -> Result:
+    """Counts failed requests by cause, with the first id of each.
+
+    Args:
+      files: With the lines of all entries; standard input if there are none.
+      since: Requests whose first line is at least this late, as in the lines.
+      until: Requests whose first line is earlier than this.
+    """
+    starts = Starts()
+    found = by_request(read_lines(files or ("-",)), starts)
+    counted: dict[str, list[tuple[str, str, Cause]]] = collections.defaultdict(
+        list
+    )
+    total = 0
+    for id, lines in found.items():
+        if not since <= lines[0].at < (until or LAST_TIME):
+            continue
+        total += 1
+        cause = find_cause(lines, starts)
+        if cause.failed:
+            counted[cause.code].append((lines[0].at, id, cause))
+    rows = sorted(counted.items(), key=lambda item: -len(item[1]))
+    table = make_table(
+        "Failed requests", ("cause", "requests", "first at", "first id")
+    )
+    data = []
+    for code, failed in rows:
+        at, id, cause = min(failed, key=lambda each: each[:2])
+        table.add_row(code, str(len(failed)), at, id)
+        data.append(
+            {
+                "cause": code,
+                "requests": len(failed),
+                "first_at": at,
+                "first_id": id,
+                "first_sentence": cause.sentence,
+            }
+        )
+    failed_count = sum(len(failed) for _, failed in rows)
+    sentence = f"{failed_count} of {total} requests failed."
+    code = ExitCode.FAILED if rows else ExitCode.DONE
+    return Result(
+        {"requests": total, "failed": failed_count, "causes": data},
+        [table, sentence],
+        code,
+    )
+
+
+def show_fields(line: LogLine) -> str:
+    """Returns a line's own fields in short."""
+    hidden = ("level",)
+    return " ".join(
+        f"{name}={json.dumps(value)}"
+        for name, value in line.fields.items()
+        if name not in hidden
+    )
--- /dev/null
+++ b/src/rattanpier/_internal/trace/causes.py
@@ -0,0 +1,208 @@
+"""What decided a request's end, found from its log lines."""
+
+from __future__ import annotations
+
+import bisect
+import collections
+from collections.abc import Callable, Iterable, Iterator, Sequence
+
+import attrs
+
+from rattanpier._internal.trace.log_lines import LogLine
+
+SENT = "dispatch: Sent."
+FAILED = "dispatch: Send failed."
+WORKER_FAILED = "dispatch: Worker failed."
+STARTED = "main: Started."
+STOPPING = "main: Stopping."
+FIRST_FAILURE = 500
+
+
+@attrs.frozen
+class Cause:
+    """Why a request ended as it did.
+
+    Attributes:
+      code: Stable name, to count by.
+      sentence: For people.
+      failed: The caller got no whole answer of a worker.
+    """
+
+    code: str
+    sentence: str
+    failed: bool
+
+
+@attrs.define
+class Starts:
+    """When each VM's process started, and when it was told to stop.
+
+    Attributes:
+      started: Sorted times by node.
+      stopping: The same of planned stops.
+    """
+
+    started: dict[str, list[str]] = attrs.Factory(
+        lambda: collections.defaultdict(list)
+    )
+    stopping: dict[str, list[str]] = attrs.Factory(
+        lambda: collections.defaultdict(list)
+    )
+
+    def take(self, line: LogLine) -> None:
+        """Takes a line in, whatever it says."""
+        if line.event == STARTED:
+            bisect.insort(self.started[line.node], line.at)
+        elif line.event == STOPPING:
+            bisect.insort(self.stopping[line.node], line.at)
+
+    def next_start(self, node: str, at: str) -> str:
+        """Returns when a node started next after a time, or nothing."""
+        times = self.started[node]
+        index = bisect.bisect_right(times, at)
+        return times[index] if index < len(times) else ""
+
+    def was_planned(self, node: str, until: str) -> bool:
+        """Says whether the last stop before a start was a planned one."""
+        stops = self.stopping[node]
+        index = bisect.bisect_right(stops, until)
+        if index == 0:
+            return False
+        began = bisect.bisect_left(self.started[node], until)
+        before = self.started[node][began - 1] if began else ""
+        return stops[index - 1] > before
+
+
+def by_request(
+    lines: Iterable[LogLine], starts: Starts
+) -> dict[str, list[LogLine]]:
+    """Returns the lines of each request in the order of their times."""
+    found: dict[str, list[LogLine]] = collections.defaultdict(list)
+    for line in lines:
+        starts.take(line)
+        if line.request:
+            found[line.request].append(line)
+    for of_one in found.values():
+        of_one.sort(key=lambda line: line.at)
+    return found
+
+
+def find_cause(lines: Sequence[LogLine], starts: Starts) -> Cause:
+    """Returns what decided a request's end.
+
+    Args:
+      lines: All of the request, in order; at least one.
+      starts: Of all VMs.
+    """
+    for line in reversed(lines):
+        judge = ENDS.get(line.event)
+        if judge is not None:
+            return judge(line, lines)
+    return unfinished(lines[-1], starts)
+
+
+def left(line: LogLine, lines: Sequence[LogLine]) -> Cause:
+    """Returns the cause where the caller did not wait."""
+    return Cause(
+        "caller left",
+        f"The caller left after {line.fields.get('total_s')} s; "
+        f"{tell_sends(lines)}.",
+        True,
+    )
+
+
+def refused(line: LogLine, lines: Sequence[LogLine]) -> Cause:
+    """Returns the cause of a refusal."""
+    code = str(line.fields.get("code"))
+    ran = "has not run" if line.fields.get("not_run") else "may have run"
+    return Cause(
+        f"refused: {code}",
+        f"Refused with {line.fields.get('status')} ({code}), since "
+        f"{line.fields.get('reason')!r}; it {ran}; {tell_sends(lines)}.",
+        True,
+    )
+
+
+def answered(line: LogLine, lines: Sequence[LogLine]) -> Cause:
+    """Returns the cause of an answer, which may be a worker's failure."""
+    outcome = str(line.fields.get("outcome"))
+    took = f"after {line.fields.get('total_s')} s"
+    if outcome.startswith("cut"):
+        return Cause(
+            "cut",
+            f"The answer broke off {took} ({outcome}); {tell_sends(lines)}.",
+            True,
+        )
+    if outcome.isdecimal() and int(outcome) >= FIRST_FAILURE:
+        workers = [each for each in lines if each.event == WORKER_FAILED]
+        return Cause(
+            "worker failed",
+            f"{len(workers)} workers ran it and failed, the last with "
+            f"{outcome}; {tell_sends(lines)}.",
+            True,
+        )
+    return Cause(
+        "answered", f"Answered {took} ({outcome}); {tell_sends(lines)}.", False
+    )
+
+
+# The lines that tell a request's end.
+ENDS: dict[str, Callable[[LogLine, Sequence[LogLine]], Cause]] = {
+    "edge: Refused.": refused,
+    "edge: Answered.": answered,
+    "edge: Caller left.": left,
+}
+
+
+def unfinished(last: LogLine, starts: Starts) -> Cause:
+    """Returns the cause where no line tells the end."""
+    start = starts.next_start(last.node, last.at)
+    if not start:
+        return Cause(
+            "no end",
+            f"No line of {last.node} tells its end, nor that it started anew: "
+            "the lines end here, were dropped, or it still runs.",
+            True,
+        )
+    if starts.was_planned(last.node, start):
+        return Cause(
+            "cut by a planned stop",
+            f"{last.node} was told to stop and ended before the answer did.",
+            True,
+        )
+    return Cause(
+        "process ended",
+        f"The process on {last.node} ended without a planned stop (killed, or "
+        f"its VM lost power); it started anew at {start}.",
+        True,
+    )
+
+
+def tell_sends(lines: Sequence[LogLine]) -> str:
+    """Returns in words to whom a request was sent and what failed."""
+    parts = list(send_words(lines))
+    return ", then ".join(parts) if parts else "it was sent to no worker"
+
+
+def send_words(lines: Sequence[LogLine]) -> Iterator[str]:
+    """Yields a phrase for each send."""
+    for index, line in enumerate(lines):
+        if line.event != SENT:
+            continue
+        worker = line.fields.get("worker")
+        model = line.fields.get("model")
+        named = f"{worker} ({model})" if model else str(worker)
+        failure = next(
+            (
+                each
+                for each in lines[index + 1 :]
+                if each.fields.get("worker") == worker
+                and each.event in (FAILED, WORKER_FAILED)
+            ),
+            None,
+        )
+        if failure is None:
+            yield f"sent to {named}"
+        else:
+            why = failure.fields.get("reason") or failure.fields.get("status")
+            yield f"sent to {named}, which failed ({why})"
--- /dev/null
+++ b/tests/unit/test_causes.py
@@ -0,0 +1,149 @@
+"""From the lines of a failed request to what decided its end."""
+
+import itertools
+import json
+
+import pytest
+
+from rattanpier._internal.commands.result import ExitCode
+from rattanpier._internal.commands.trace_request import trace_request, why
+from rattanpier._internal.exceptions import CommandError
+
+TIMES = itertools.count(1)
+
+
+def line(event, node="e1", **fields):
+    at = f"2026-12-02T10:00:{next(TIMES):05.2f}Z"
+    return json.dumps({"event": event, "node": node, "timestamp": at, **fields})
+
+
+def sent(id, worker="w1", **more):
+    return line("dispatch: Sent.", request=id, worker=worker, **more)
+
+
+@pytest.fixture
+def written(tmp_path):
+    def write(*lines):
+        path = tmp_path / "lines"
+        path.write_text("\n".join(lines) + "\n")
+        return str(path)
+
+    return write
+
+
+def test_a_refusal_says_why_and_whether_it_ran(written):
+    path = written(
+        sent("r1"),
+        line(
+            "dispatch: Send failed.",
+            request="r1",
+            worker="w1",
+            reason="reset",
+            not_run=False,
+        ),
+        line(
+            "edge: Refused.",
+            request="r1",
+            code="upstream_failed",
+            status=502,
+            reason="reset",
+            not_run=False,
+        ),
+    )
+    data = trace_request("r1", path).data
+    assert data["cause"]["code"] == "refused: upstream_failed"
+    assert "may have run" in data["cause"]["sentence"]
+    assert "w1, which failed (reset)" in data["cause"]["sentence"]
+    assert len(data["lines"]) == 3
+
+
+def test_workers_failures_are_counted(written):
+    path = written(
+        sent("r1"),
+        line("dispatch: Worker failed.", request="r1", worker="w1", status=500),
+        sent("r1", "w2"),
+        line("dispatch: Worker failed.", request="r1", worker="w2", status=500),
+        line("edge: Answered.", request="r1", outcome="500", total_s=0.1),
+    )
+    cause = trace_request("r1", path).data["cause"]
+    assert cause["code"] == "worker failed"
+    assert cause["sentence"].startswith("2 workers ran it")
+
+
+@pytest.mark.parametrize(
+    ("after", "code"),
+    [
+        ([], "no end"),
+        ([("main: Started.", "e2")], "no end"),
+        ([("main: Started.", "e1")], "process ended"),
+        (
+            [("main: Stopping.", "e1"), ("main: Started.", "e1")],
+            "cut by a planned stop",
+        ),
+    ],
+)
+def test_a_request_without_an_end_is_told_by_its_process(written, after, code):
+    path = written(
+        line("main: Started."),
+        sent("r1"),
+        *(line(event, node) for event, node in after),
+    )
+    assert trace_request("r1", path).data["cause"]["code"] == code
+
+
+def test_an_earlier_planned_stop_is_not_blamed(written):
+    path = written(
+        line("main: Started."),
+        line("main: Stopping."),
+        line("main: Started."),
+        sent("r1"),
+        line("main: Started."),
+    )
+    cause = trace_request("r1", path).data["cause"]
+    assert cause["code"] == "process ended"
+
+
+def test_lines_of_several_files_are_put_in_order(written, tmp_path):
+    first, second = sent("r1"), sent("r1", "w2")
+    end = line("edge: Answered.", request="r1", outcome="ended", total_s=1.0)
+    other = tmp_path / "other"
+    other.write_text(f"  12.5 e2 {second}\nno line at all\n")
+    data = trace_request("r1", written(end, first), str(other)).data
+    workers = [each["fields"].get("worker") for each in data["lines"]]
+    assert workers == ["w1", "w2", None]
+    assert data["cause"]["failed"] is False
+
+
+def test_causes_are_counted_with_the_first_id_of_each(written):
+    lines = [
+        line(
+            "edge: Refused.", request=f"r{number}", code="no_worker", status=503
+        )
+        for number in range(3)
+    ]
+    lines.append(line("edge: Caller left.", request="r9", total_s=2.0))
+    lines.append(line("edge: Answered.", request="ok", outcome="200"))
+    result = why(written(*lines))
+    assert result.code is ExitCode.FAILED
+    assert result.data["requests"] == 5
+    counts = [
+        (each["cause"], each["requests"], each["first_id"])
+        for each in result.data["causes"]
+    ]
+    assert counts == [("refused: no_worker", 3, "r0"), ("caller left", 1, "r9")]
+
+
+def test_a_window_of_time_leaves_the_rest_out(written):
+    early = line("edge: Caller left.", request="r1", total_s=2.0)
+    late = line("edge: Caller left.", request="r2", total_s=2.0)
+    since = json.loads(late)["timestamp"]
+    path = written(early, late)
+    assert why(path, since=since).data["failed"] == 1
+    assert why(path, until=since).data["causes"][0]["first_id"] == "r1"
+
+
+def test_what_can_not_be_found_is_told(written):
+    with pytest.raises(CommandError, match="no line is about request"):
+        trace_request("r1", written(sent("r2")))
+    with pytest.raises(CommandError, match="can't be read"):
+        why("/no/such/file")
