Let one entry read the engines' queues for all, and avoid a worker that is gone

Change: one entry asks all engines twice a second, unless an answer told just now, and tells the others which have requests waiting. What is expected of a larger model comes from a high quantile of what was seen, not from a mean.

--- a/src/rattanpier/_internal/models/sending.py
+++ b/src/rattanpier/_internal/models/sending.py
@@ -46,6 +46,8 @@
       request_id: The request it belongs to, or None.
       receipt: The worker's proof of the answer, or None.
       not_run: The worker promises that it did not run the request.
+      misdirected: What answered is not the worker that was asked for, or does
+        not serve what was asked for.
       encoded: The body is not as the worker made it.
       load: Its load, or None.
       confidence: The model's opinion of its answer, 0 to 100, or None.
@@ -58,6 +60,7 @@
     request_id: str | None = None
     receipt: str | None = None
     not_run: bool = False
+    misdirected: bool = False
     encoded: bool = False
     load: ReportedLoad | None = None
     confidence: float | None = None
--- a/src/rattanpier/_internal/platform/upstream.py
+++ b/src/rattanpier/_internal/platform/upstream.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 from rattanpier._internal.models.relay_request import Header, RelayRequest
 from rattanpier._internal.models.sending import (
     AnswerHead,
@@ -18,7 +20,7 @@
 MODEL = "x-model"
 LAST_EVENT_ID = "last-event-id"
 HIGHEST_PRIORITY_VALUE = 9
-PROMISES_NOT_RUN = frozenset({421})
+MISDIRECTED = 421  # It promises as well that nothing was run.
 
 
 def encode_request(request: RelayRequest, sending: Sending) -> WireRequest:
@@ -57,9 +59,8 @@
         headers=head.headers,
         request_id=head.get(ATTEMPT_ID),
         receipt=head.get(RECEIPT),
-        not_run=(
-            head.get(NOT_RUN) is not None or head.status in PROMISES_NOT_RUN
-        ),
+        not_run=(head.get(NOT_RUN) is not None or head.status == MISDIRECTED),
+        misdirected=head.status == MISDIRECTED,
         encoded=head.get("content-encoding") is not None,
         load=decode_load(head.get(LOAD)),
         confidence=decode_number(head.get(CONFIDENCE)),
@@ -80,6 +81,19 @@
     return ReportedLoad(*map(int, parts))
 
 
+def decode_report(body: bytes) -> ReportedLoad | None:
+    """Returns the load that a worker reports, None if it can't be read.
+
+    >>> decode_report(b'{"queued": 2, "active": 5}')
+    ReportedLoad(running=5, waiting=2, slots=0)
+    """
+    try:
+        report = json.loads(body)
+        return ReportedLoad(int(report["active"]), int(report["queued"]), 0)
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
 def decode_number(text: str | None) -> float | None:
     """Returns a number, or None."""
     try:
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -23,6 +23,7 @@
     caller,
     feeds,
     registrations,
+    reports,
     rollouts,
     upstream,
 )
@@ -47,6 +48,7 @@
 from rattanpier._internal.relay.pace import Pace
 from rattanpier._internal.relay.placement import Chooser
 from rattanpier._internal.relay.pool import ConnectionPool
+from rattanpier._internal.relay.queue_watch import QueueWatch
 from rattanpier._internal.relay.rollout_driver import RolloutDriver
 from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.relay.state import RelayState
@@ -134,6 +136,17 @@
         )
         gossip.followers[table] = follower
         kernel.spawn(follower.run())
+    queues = QueueWatch(
+        fleet=fleet,
+        directory=state.directory,
+        loads=dispatcher.loads,
+        links=kernel.find("links"),
+        clock=clock,
+        engines=state.engines,
+        read=reports.report_reader(add_report_session(kernel)),
+    )
+    kernel.find("peer_server").on_notice("queue_news", queues.take_notice)
+    kernel.spawn(queues.run())
     kernel.spawn(gossip.run())
     kernel.spawn(rows.run())
     kernel.spawn(every(TICK_S, state.drop_missing))
@@ -142,6 +155,13 @@
     return entry
 
 
+def add_report_session(kernel: Kernel) -> aiohttp.ClientSession:
+    """Adds a session of its own: questions to workers hold up no store call."""
+    connector = aiohttp.TCPConnector(limit=0)  # One connection a worker.
+    session = aiohttp.ClientSession(connector=connector)
+    return kernel.add("reports", session, stop=session.close)
+
+
 def make_fleet(settings: RelaySettings, clock: SystemClock) -> Fleet:
     """Returns the fleet as an entry knows it at its start."""
     member = Member(
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -46,7 +46,6 @@
 from rattanpier._internal.relay.load import Loads
 from rattanpier._internal.relay.model_choice import (
     ENOUGH_CONFIDENCE,
-    MARGIN,
     Kept,
     Outlook,
     first_model,
@@ -210,7 +209,9 @@
         if not error.not_run:
             course.may_have_run = True
             self.note_result(course, worker, bad=True, relative_s=None)
-        elif not error.connected:
+        elif error.misdirected or not error.connected:
+            # A worker that started anew at the same address has another id:
+            # the one that was asked for is gone, though still registered.
             self.health.note_unreachable(worker)
         reason = "not_run" if error.not_run else "may_have_run"
         self.metrics.count(f"relay.send_failed.{reason}")
@@ -506,8 +507,8 @@
         pace = self.chooser.pace
         wait_s = max(choice.wait_s, pace.wait_s(model, request.priority))
         stream_s = pace.stream_s(model, request.prompt.expected_output)
-        first_s = choice.read_s + MARGIN * wait_s
-        return Outlook(choice.wait_s, first_s, first_s + MARGIN * stream_s)
+        first_s = choice.read_s + wait_s
+        return Outlook(choice.wait_s, first_s, first_s + stream_s)
 
     def note_first(self, course: Course, choice: Choice, began: float) -> None:
         """Measures the time to a worker's first event."""
--- a/src/rattanpier/_internal/relay/exchange.py
+++ b/src/rattanpier/_internal/relay/exchange.py
@@ -45,6 +45,7 @@
     Attributes:
       not_run: It is certain that the worker did not run the request.
       connected: A connection was open: the worker, not the path, failed.
+      misdirected: Another worker answered, or one without what was asked for.
       retry_after_s: When the worker said to come back, or None.
     """
 
@@ -54,11 +55,13 @@
         not_run: bool = False,
         connected: bool = True,
         retry_after_s: float | None = None,
+        misdirected: bool = False,
     ) -> None:
         super().__init__(message)
         self.not_run = not_run
         self.connected = connected
         self.retry_after_s = retry_after_s
+        self.misdirected = misdirected
 
 
 @attrs.frozen
@@ -210,6 +213,7 @@
                 f"worker refused with {head.status}",
                 not_run=True,
                 retry_after_s=head.retry_after_s,
+                misdirected=head.misdirected,
             )
         check_success(head)
         return OpenAnswer(head, connection, deadline, heard)
--- a/src/rattanpier/_internal/relay/load.py
+++ b/src/rattanpier/_internal/relay/load.py
@@ -44,6 +44,8 @@
       report: Its last report, None before the first.
       report_at: Monotonic seconds.
       own_at_report: Own requests there when the report came.
+      waiting: Requests of others that waited when it was last told.
+      waiting_at: When that was, in monotonic seconds.
       heard_at: When its last byte came, in monotonic seconds.
       parts: When each part of a prompt was last used, by model and id.
     """
@@ -52,6 +54,8 @@
     report: ReportedLoad | None = None
     report_at: float = 0.0
     own_at_report: int = 0
+    waiting: float = 0.0
+    waiting_at: float = float("-inf")
     heard_at: float = 0.0
     parts: collections.OrderedDict[tuple[str, str], float] = attrs.Factory(
         collections.OrderedDict
@@ -63,11 +67,31 @@
 
     def others(self, now: float) -> tuple[float, float]:
         """Returns the running and waiting requests of other entries."""
+        waiting = self.waiting * trust_of(now - self.waiting_at)
         if self.report is None:
-            return 0.0, 0.0
-        trust = 0.5 ** ((now - self.report_at) / REPORT_HALF_LIFE_S)
+            return 0.0, waiting
         running = max(0, self.report.running - self.own_at_report)
-        return trust * running, trust * self.report.waiting
+        return running * trust_of(now - self.report_at), waiting
+
+    def note_waiting(self, waiting: int, at: float) -> None:
+        """Takes in how many requests wait, own ones among them.
+
+        Args:
+          waiting: Requests.
+          at: When that was, in monotonic seconds.
+        """
+        own = sum(not each.begun for each in self.running)
+        self.waiting = max(0.0, waiting - own)
+        self.waiting_at = at
+
+
+def trust_of(age_s: float) -> float:
+    """Returns what a report of some age counts for, 0 to 1.
+
+    >>> trust_of(0.0), trust_of(2 * REPORT_HALF_LIFE_S)
+    (1.0, 0.25)
+    """
+    return 0.5 ** (age_s / REPORT_HALF_LIFE_S)
 
 
 @attrs.define
@@ -101,6 +125,7 @@
         load.report = report
         load.report_at = self.clock.monotonic()
         load.own_at_report = len(load.running)
+        load.note_waiting(report.waiting, load.report_at)
 
     def note_read(self, id: str, model: str, prompt: Prompt) -> None:
         """Notes that a worker read a prompt and keeps its parts."""
--- a/src/rattanpier/_internal/relay/pace.py
+++ b/src/rattanpier/_internal/relay/pace.py
@@ -20,6 +20,9 @@
 USUAL_READ_S = 1 / 30000
 USUAL_TOKEN_S = 0.02  # Between two tokens of a stream, until streams show more.
 USUAL_WAIT_S = 0.05
+# Of the waits and of the times between tokens lately: an answer that comes too
+# late is worth less than one of a smaller model in time, so most have to fit.
+MOST = 0.8
 USUAL_TOKENS = 3000  # Of a prompt, until requests came.
 # Waits only add to the time that reading takes: a low quantile of what was
 # seen is near the time at a worker that was free.
@@ -45,10 +48,10 @@
     read: RecentQuantile = attrs.Factory(lambda: RecentQuantile(FREE_SHARE))
     first: RecentQuantile = attrs.Factory(lambda: RecentQuantile(0.0))
     usual: FadingSum = attrs.Factory(lambda: FadingSum(HALF_LIFE_S))
-    waits: dict[int, FadingSum] = attrs.Factory(
-        lambda: collections.defaultdict(lambda: FadingSum(HALF_LIFE_S))
+    waits: dict[int, RecentQuantile] = attrs.Factory(
+        lambda: collections.defaultdict(lambda: RecentQuantile(MOST))
     )
-    token: FadingSum = attrs.Factory(lambda: FadingSum(HALF_LIFE_S))
+    token: RecentQuantile = attrs.Factory(lambda: RecentQuantile(MOST))
 
 
 @attrs.define
@@ -84,24 +87,23 @@
           seconds: From the send.
         """
         pace = self.models[model]
-        pace.first.add(seconds)
         self.note_wait(model, priority, tokens, seconds)
-        if tokens >= LEAST_TOKENS:
-            least = pace.first.value(0.0, LEAST_SAMPLES)
-            pace.read.add(max(0.0, seconds - least) / tokens)
+        if tokens < LEAST_TOKENS:
+            pace.first.add(seconds)
+            return
+        least = pace.first.value(0.0, LEAST_SAMPLES)
+        pace.read.add(max(0.0, seconds - least) / tokens)
 
     def note_wait(
         self, model: str, priority: int, tokens: float, seconds: float
     ) -> None:
         """Takes in a time to a first event, or one that passed without it."""
         wait = max(0.0, seconds - self.read_s(model, tokens))
-        waits = self.models[model].waits[priority]
-        waits.add(wait, self.clock.monotonic())
+        self.models[model].waits[priority].add(wait)
 
     def note_stream(self, model: str, tokens: int, seconds: float) -> None:
         """Takes in how long a stream lasted from its first event on."""
-        pace = self.models[model]
-        pace.token.add(seconds / max(1, tokens), self.clock.monotonic())
+        self.models[model].token.add(seconds / max(1, tokens))
 
     def read_s(self, model: str, tokens: float) -> float:
         """Returns the seconds in which a free worker reads so many tokens."""
@@ -119,13 +121,11 @@
         return usual.mean(self.read_s(model, USUAL_TOKENS))
 
     def wait_s(self, model: str, priority: int) -> float:
-        """Returns the seconds that such requests waited lately."""
-        wait = self.models[model].waits[priority]
-        wait.fade(self.clock.monotonic())
-        return wait.mean(USUAL_WAIT_S)
+        """Returns the seconds within which most such requests began."""
+        waits = self.models[model].waits[priority]
+        return waits.value(USUAL_WAIT_S, LEAST_SAMPLES)
 
     def stream_s(self, model: str, tokens: int) -> float:
-        """Returns the seconds that a stream of so many tokens lasts."""
+        """Returns the seconds within which most such streams end."""
         token = self.models[model].token
-        token.fade(self.clock.monotonic())
-        return tokens * token.mean(USUAL_TOKEN_S)
+        return tokens * token.value(USUAL_TOKEN_S, LEAST_SAMPLES)
--- /dev/null
+++ b/src/rattanpier/_internal/relay/queue_watch.py
@@ -0,0 +1,117 @@
+"""How many requests wait at each model engine, read by one entry for all.
+
+Load answered: many entries before many engines. Each hears from a given engine
+once in many seconds, so that prompts pile up at some while others are free. One
+entry asks all engines and tells the others which have requests waiting; a
+worker that is not named has none. It is a hint: what it tells fades within
+seconds, and without it entries weigh what they know themselves.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import zlib
+from collections.abc import Awaitable, Callable, Collection
+
+import attrs
+
+from rattanpier._internal.models.sending import ReportedLoad
+from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.peers.links import Links
+from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.relay.directory import WorkerDirectory
+from rattanpier._internal.relay.fleet import Fleet
+from rattanpier._internal.relay.load import Loads
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.codec import decode, encode
+
+# A prompt for a large model is read in about that time; a question costs a
+# hundredth of a call to the store.
+ASK_EVERY_S = 0.5
+ASK_TIMEOUT_S = 0.4  # Engines answer within some ms.
+FRESH_S = 0.5  # What an answer told so lately need not be asked for.
+REPORT_LAG_S = 0.1  # Reports are as of about that long ago.
+
+
+@attrs.frozen
+class QueueNews:
+    """Which workers have requests waiting.
+
+    Attributes:
+      asked: How many answered; with none nothing is known.
+      waiting: Requests by worker; workers that are not named have none.
+    """
+
+    asked: int
+    waiting: dict[str, int]
+
+
+@attrs.define
+class QueueWatch:
+    """Asks engines, tells the others, and takes in what is told.
+
+    Attributes:
+      engines: Returns the services whose workers are model engines.
+      read: Asks one worker within some seconds; None if it does not answer.
+    """
+
+    fleet: Fleet
+    directory: WorkerDirectory
+    loads: Loads
+    links: Links
+    clock: Clock
+    engines: Callable[[], Collection[str]]
+    read: Callable[[RegisteredWorker, float], Awaitable[ReportedLoad | None]]
+
+    async def run(self) -> None:
+        """Asks again and again while it is this entry's turn."""
+        while True:
+            await self.clock.sleep(ASK_EVERY_S)
+            if self.fleet.preferred("queues", 1) == [self.fleet.me.member.name]:
+                await self.round()
+
+    async def round(self) -> None:
+        """Asks all engines once and tells everybody."""
+        workers = [
+            worker
+            for service in self.engines()
+            for worker in self.directory.of_service(service)
+        ]
+        if not workers:
+            return
+        reports = await asyncio.gather(*map(self.learn, workers))
+        waiting = {
+            worker.id: report.waiting
+            for worker, report in zip(workers, reports, strict=True)
+            if report is not None and report.waiting
+        }
+        answered = sum(report is not None for report in reports)
+        news = QueueNews(answered, waiting)
+        self.take(news)
+        packed = zlib.compress(encode(news).encode())
+        notice = peer_pb2.Notice(queue_news=peer_pb2.QueueNews(packed=packed))
+        for other in self.fleet.others.values():
+            if not other.down:
+                self.links.to(other.member).notify(notice)
+
+    async def learn(self, worker: RegisteredWorker) -> ReportedLoad | None:
+        """Returns a worker's load, from its last answer if that is new."""
+        load = self.loads.workers[worker.id]
+        if self.clock.monotonic() - load.report_at < FRESH_S:
+            return load.report
+        return await self.read(worker, ASK_TIMEOUT_S)
+
+    def take_notice(self, notice: peer_pb2.Notice) -> None:
+        """Takes in what another entry tells."""
+        text = zlib.decompress(notice.queue_news.packed)
+        self.take(decode(QueueNews, text))
+
+    def take(self, news: QueueNews) -> None:
+        """Takes in which workers have requests waiting."""
+        if not news.asked:
+            return
+        at = self.clock.monotonic() - REPORT_LAG_S
+        for service in self.engines():
+            for worker in self.directory.of_service(service):
+                waiting = news.waiting.get(worker.id, 0)
+                self.loads.workers[worker.id].note_waiting(waiting, at)
--- a/src/rattanpier/_internal/relay/state.py
+++ b/src/rattanpier/_internal/relay/state.py
@@ -62,6 +62,13 @@
             else:
                 self.rollouts.take_order(item)
 
+    def engines(self) -> list[str]:
+        """Returns the services whose workers are model engines."""
+        if self.table is None:
+            return []
+        services = self.table.services.values()
+        return [each.name for each in services if each.engine is not None]
+
     def take_table(self, table: RouteTable, source: str) -> None:
         """Puts a route table in force unless it is older."""
         if table.version <= self.table_version:
--- a/src/rattanpier/_internal/standin/platform_worker.py
+++ b/src/rattanpier/_internal/standin/platform_worker.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import enum
+import json
 import socket
 import struct
 from collections.abc import AsyncIterator
@@ -48,6 +49,9 @@
         return self.headers.get("x-attempt-id", "")
 
 
+REPORT = "/rattanpier/report"
+
+
 @attrs.define
 class PlatformWorkerServer:
     """One worker.
@@ -109,6 +113,10 @@
             self.connections.pop(writer, None)
             reset(writer)
 
+    def report(self) -> dict[str, int]:
+        """Returns its load; it has no queue of its own."""
+        return {"queued": 0, "active": len(self.connections)}
+
     def take_fault(self) -> WorkerFault:
         """Returns what goes wrong with this request."""
         if self.count == 0:
@@ -125,6 +133,10 @@
         if expected != self.id:
             writer.write(head(421, [("X-Served-By", self.id)], 0))
             return True
+        if run.target == REPORT:
+            body = json.dumps(self.report()).encode()
+            writer.write(head(200, [], len(body)) + body)
+            return True
         fault = self.take_fault()
         if fault is WorkerFault.SHED:
             writer.write(head(503, [("X-Not-Executed", "1")], 0))
--- a/src/rattanpier/_internal/utils/samples.py
+++ b/src/rattanpier/_internal/utils/samples.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-KEPT = 32  # Samples of a quantile: some seconds of an entry's requests.
+KEPT = 16  # Samples of a quantile: some seconds of an entry's requests.
 
 
 @attrs.define
--- a/tests/relay/test_path.py
+++ b/tests/relay/test_path.py
@@ -209,3 +209,18 @@
     await site.add_entry()
     await site.ask(headers={"Authorization": f"bearer {KEY}"})
     assert KEY not in str(worker.runs[0].headers)
+
+
+async def test_a_worker_whose_place_another_took_is_asked_once():
+    async with platform_site() as site:
+        taken = await site.add_worker("taken", "engine")
+        other = await site.add_worker("other", "engine")
+        await site.add_entry()
+        taken.id = "started-anew"
+        answers = [await site.chat() for _ in range(12)]
+        assert all(answer.whole for answer in answers)
+        assert {answer.status for answer in answers} == {200}
+        assert len(other.runs) >= 12
+        dispatcher = site.entries["entry-1"].edge.dispatcher
+        sent = dispatcher.metrics.counts["relay.send_failed.not_run"]
+        assert sent == 1
--- /dev/null
+++ b/tests/relay/test_queue_watch.py
@@ -0,0 +1,121 @@
+"""One entry reads how many requests wait at each engine, for all entries."""
+
+import pytest
+
+from rattanpier._internal.models.sending import ReportedLoad
+from rattanpier._internal.relay.directory import WorkerDirectory
+from rattanpier._internal.relay.fleet import Fleet
+from rattanpier._internal.relay.load import Loads
+from rattanpier._internal.relay.queue_watch import (
+    FRESH_S,
+    QueueNews,
+    QueueWatch,
+)
+from tests.lib.clock import ManualClock
+from tests.lib.platform_site import platform_site, until
+from tests.lib.relay_parts import make_worker
+from tests.relay.test_fleet import make_news
+
+
+class Links:
+    """Takes the place of the connections to peers."""
+
+    def __init__(self):
+        self.told = []
+
+    def to(self, member):
+        self.member = member
+        return self
+
+    def notify(self, notice):
+        self.told.append((self.member.name, notice))
+
+
+def make_watch(clock, reports, others=("e2", "e3")):
+    """A watch over engines that answer with these numbers, or not at all."""
+    fleet = Fleet(make_news("e1", store=True), clock)
+    for name in others:
+        fleet.take(make_news(name, sequence=1))
+    directory = WorkerDirectory(clock)
+    for id in reports:
+        directory.put(make_worker(id, service="engine"))
+    asked = []
+
+    async def read(worker, _limit_s):
+        asked.append(worker.id)
+        waiting = reports[worker.id]
+        return None if waiting is None else ReportedLoad(1, waiting, 0)
+
+    links = Links()
+    watch = QueueWatch(
+        fleet, directory, Loads(clock), links, clock, lambda: ["engine"], read
+    )
+    return watch, asked
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+async def test_all_are_told_who_has_requests_waiting(clock):
+    watch, _ = make_watch(clock, {"w1": 3, "w2": 0, "w3": None})
+    clock.now = 10.0
+    await watch.round()
+    assert [name for name, _ in watch.links.told] == ["e2", "e3"]
+    other, _ = make_watch(clock, {"w1": 0, "w2": 0, "w3": 0})
+    other.take_notice(watch.links.told[0][1])
+    now = clock.monotonic()
+    for each in (watch, other):
+        assert each.loads.workers["w1"].others(now)[1] == pytest.approx(3, 0.1)
+        assert each.loads.workers["w2"].others(now)[1] == 0.0
+
+
+async def test_what_is_told_fades(clock):
+    watch, _ = make_watch(clock, {"w1": 4})
+    clock.now = 10.0
+    watch.take(QueueNews(1, {"w1": 4}))
+    assert watch.loads.workers["w1"].others(clock.now + 8.0)[1] < 0.1
+
+
+async def test_own_requests_that_wait_are_not_counted_twice(clock):
+    watch, _ = make_watch(clock, {"w1": 0})
+    clock.now = 10.0
+    for _ in range(2):
+        watch.loads.begin("w1", 0.1)
+    watch.take(QueueNews(1, {"w1": 3}))
+    waiting = watch.loads.workers["w1"].others(clock.now)[1]
+    assert waiting == pytest.approx(1, 0.1)
+
+
+async def test_an_engine_that_answered_just_now_is_not_asked(clock):
+    watch, asked = make_watch(clock, {"w1": 0, "w2": 0})
+    clock.now = 10.0
+    watch.loads.note_report("w1", ReportedLoad(2, 1, 8))
+    await watch.round()
+    assert asked == ["w2"]
+    clock.now += FRESH_S + 0.1
+    await watch.round()
+    assert asked == ["w2", "w1", "w2"]
+
+
+async def test_where_none_answers_nothing_is_taken_in(clock):
+    watch, _ = make_watch(clock, {"w1": None})
+    watch.take(QueueNews(1, {"w1": 5}))
+    await watch.round()
+    assert watch.loads.workers["w1"].others(clock.now)[1] > 1.0
+
+
+async def test_one_entry_asks_and_another_hears():
+    async with platform_site() as site:
+        await site.add_worker("engine", "engine")
+        for name in ("entry-1", "entry-2"):
+            await site.add_entry(name)
+        for entry in site.entries.values():
+            await until(lambda entry=entry: len(entry.fleet.live()) == 2)
+        loads = [
+            entry.edge.dispatcher.loads.workers["engine"]
+            for entry in site.entries.values()
+        ]
+        for load in loads:
+            await until(lambda load=load: load.waiting_at > 0.0)
