--- a/tests/relay/test_path.py
+++ b/tests/relay/test_path.py
@@ -217,7 +217,10 @@
         other = await site.add_worker("other", "engine")
         await site.add_entry()
         taken.id = "started-anew"
-        answers = [await site.chat() for _ in range(12)]
+        answers = [
+            await site.chat(headers={"X-Prefix-Hash": f"a{number}:900,b:100"})
+            for number in range(12)
+        ]
         assert all(answer.whole for answer in answers)
         assert {answer.status for answer in answers} == {200}
         assert len(other.runs) >= 12
