Let an entry that hears of more than it knows ask the store at once

Ruled out: the gathering of changes (others were in force within 0.5 s). Change: covered is who knows what watchers told; who hears of more asks at once. Test: relay/test_watch::test_one_that_hears_of_more_than_it_knows_asks_at_once, failed before. Also: two unused constants, an unused setting and a twin of the store's HTTP call are gone.

--- a/src/rattanpier/_internal/models/relay_settings.py
+++ b/src/rattanpier/_internal/models/relay_settings.py
@@ -56,11 +56,9 @@
 
     Attributes:
       address: Where it listens.
-      row_bytes: Longest value of a row.
     """
 
     address: Address
-    row_bytes: int = 65536
 
 
 @attrs.frozen
--- a/src/rattanpier/_internal/platform/rows.py
+++ b/src/rattanpier/_internal/platform/rows.py
@@ -5,6 +5,7 @@
 import base64
 import json
 from collections.abc import Sequence
+from contextlib import AbstractAsyncContextManager
 from typing import Any
 
 import aiohttp
@@ -83,6 +84,19 @@
         rows = [decode_row(row) for row in page["rows"]]
         return Page(rows, page["ver"], page["nowMs"], whole=False)
 
+    def call(
+        self, method: str, name: str, timeout_s: float, **content: Any
+    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        """Begins a call; its answer has to come within some seconds."""
+        return self.session.request(
+            method,
+            f"{self.base}{PATH}/{name}",
+            timeout=aiohttp.ClientTimeout(
+                total=timeout_s, sock_connect=CALL_TIMEOUT_S
+            ),
+            **content,
+        )
+
     async def read(
         self, call: str, query: dict[str, str], timeout_s: float
     ) -> dict[str, Any]:
@@ -93,12 +107,8 @@
           StoreUnavailableError: No answer, or a refusal.
         """
         try:
-            async with self.session.get(
-                f"{self.base}{PATH}/{call}",
-                params=query,
-                timeout=aiohttp.ClientTimeout(
-                    total=timeout_s, sock_connect=CALL_TIMEOUT_S
-                ),
+            async with self.call(
+                "GET", call, timeout_s, params=query
             ) as response:
                 if response.status == STATUS_GONE:
                     raise HistoryGoneError(f"history of {query} is gone")
@@ -129,12 +139,8 @@
             ],
         }
         try:
-            async with self.session.post(
-                f"{self.base}{PATH}/rows-tx",
-                json=body,
-                timeout=aiohttp.ClientTimeout(
-                    total=SLOW_CALL_TIMEOUT_S, sock_connect=CALL_TIMEOUT_S
-                ),
+            async with self.call(
+                "POST", "rows-tx", SLOW_CALL_TIMEOUT_S, json=body
             ) as response:
                 return await decode_outcome(response)
         except aiohttp.ClientConnectorError as error:
--- a/src/rattanpier/_internal/platform/settings.py
+++ b/src/rattanpier/_internal/platform/settings.py
@@ -71,10 +71,7 @@
             parse_address(seed, path, "seeds")
             for seed in document.get("seeds") or []
         ),
-        store=StoreSettings(
-            read.address("platform", "address"),
-            int(read.number(65536, "platform", "rowBytes")),
-        ),
+        store=StoreSettings(read.address("platform", "address")),
         metrics=Address(host, metrics_port) if metrics_port else None,
         heartbeat_s=read.number(1200, "heartbeatMs") / MS,
         bounds=decode_bounds(read),
--- a/src/rattanpier/_internal/relay/edge.py
+++ b/src/rattanpier/_internal/relay/edge.py
@@ -35,8 +35,6 @@
 
 NOT_READY_RETRY_S = 0.5  # A start takes about a second.
 LEAVING_RETRY_S = 0.05  # Another entry takes the request at once.
-FORCED_END_RETRY_S = 0.5
-SERVER_CLOSE = "close"
 
 
 @attrs.frozen
--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -132,17 +132,25 @@
         return self.rank() is not None
 
     def covered(self) -> bool:
-        """Says whether watchers tell this entry what changes."""
-        return self.clock.monotonic() - self.told_at < COVERED_S
+        """Says whether this entry knows all, by what watchers tell."""
+        fresh = self.clock.monotonic() - self.told_at < COVERED_S
+        return fresh and self.knows(self.told_version)
+
+    def knows(self, version: int) -> bool:
+        """Says whether all is known up to a version."""
+        return self.since is not None and self.since >= version
 
     def rests(self) -> bool:
         """Says whether there is no reason to ask the store now."""
         if self.watches():
             return False
+        if self.behind:
+            # A watcher told of more: it reaches the store.
+            return False
         if not self.health.available:
             retry_s = COVERED_RETRY_S if self.covered() else RETRY_S
             return self.clock.monotonic() - self.asked_at < retry_s
-        return self.since is not None and self.covered() and not self.behind
+        return self.covered()
 
     async def step(self) -> None:
         """Asks the store once."""
@@ -210,6 +218,7 @@
     def hear(self, news: TableNews) -> None:
         """Takes in what a watcher tells."""
         if self.since is None:
+            self.behind = True
             return
         self.told_at = self.clock.monotonic()
         self.told_version = max(self.told_version, news.version)
--- a/tests/relay/test_watch.py
+++ b/tests/relay/test_watch.py
@@ -101,6 +101,22 @@
     assert not deaf.rests()
 
 
+async def test_one_that_hears_of_more_than_it_knows_asks_at_once(site):
+    await all_covered(site)
+    for each in followers(site):
+        if each.watches():
+            continue
+        # It lost the store, missed a change, and hears that there was one.
+        each.health.available = False
+        each.asked_at = each.clock.monotonic()
+        assert each.rests()
+        each.hear(
+            TableNews("op", each.since + 5, each.since + 6, 1.0, [], False)
+        )
+        assert not each.rests()
+        assert not each.covered()
+
+
 async def test_one_that_the_store_turns_away_does_not_watch():
     async with platform_site() as site:
         await site.add_worker("w1")
