Take a store that turned one entry away for one that was there

The others took the removal of a worker's registration for one that ran out in an outage and waited 2 s; the other watcher, which had reached the store all along, did not. Ruled out: late news (all heard within 210 ms). Change: an outage is a silence of the store towards everybody that is long enough for registrations to run out, by what an entry saw and heard itself; who hears of a removal waits only if it saw one too. Tests: relay/test_watch, two of the three failed before.

--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -78,7 +78,7 @@
     store = kernel.add(
         "store", PlatformStore(session, f"http://{settings.store.address}")
     )
-    health = StoreHealth(clock)
+    health = StoreHealth(clock, settings.heartbeat_s)
     store_clock = StoreClock(clock)
     exposure = ExposureBound(bounds.exposure_ratio, bounds.exposure_slack)
     routes = Rollouts(exposure, bounds.session_s, clock)
--- a/src/rattanpier/_internal/relay/store.py
+++ b/src/rattanpier/_internal/relay/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -26,6 +27,9 @@
 MAX_BACKOFF_S = 0.5  # A store that is back is to be seen soon.
 # After the store's return, registrations that ran out come back.
 SETTLE_S = 2.0
+# Registrations last for three heartbeats; in a silence shorter than nearly that
+# none runs out. Feeds' answers come every `FEED_WAIT_S` or a little later.
+LASTING_HEARTBEATS = 2.7
 
 
 class RelayStore(Protocol):
@@ -51,32 +55,50 @@
 
 @attrs.define
 class StoreHealth:
-    """Whether this entry reaches the store.
+    """Whether this entry reaches the store, and whether anybody did.
 
     Attributes:
       clock: Monotonic.
+      heartbeat_s: Workers renew their registrations this often.
       available: The last call was answered.
       lost_at: When it was lost last.
-      back_at: When it came back last; minus infinity before any loss.
+      answered_at: When it last answered, as far as known here: this entry, or
+        one that told of it. Minus infinity before.
+      back_at: When it came back from an outage for all; minus infinity before
+        any.
     """
 
     clock: Clock
+    heartbeat_s: float = 1.2
     available: bool = False
     lost_at: float = 0.0
+    answered_at: float = float("-inf")
     back_at: float = float("-inf")
 
     def note_answer(self) -> None:
-        """Takes in that the store answered."""
+        """Takes in that the store answered this entry."""
+        self.note_alive()
         if self.available:
             return
         self.available = True
         if self.lost_at:
-            self.back_at = self.clock.monotonic()
-            away_s = round(self.back_at - self.lost_at, 2)
-            log.info("Store is back.", away_s=away_s)
+            away_s = round(self.clock.monotonic() - self.lost_at, 2)
+            log.info("Store is back.", away_s=away_s, settling=self.settling())
         else:
             log.info("Store answers.")
 
+    def note_alive(self) -> None:
+        """Takes in that the store answered somebody.
+
+        One that turns some VMs away is there for the workers: only after a
+        silence for all may registrations be missing that come back.
+        """
+        now = self.clock.monotonic()
+        lasting_s = LASTING_HEARTBEATS * self.heartbeat_s
+        if lasting_s < now - self.answered_at < math.inf:
+            self.back_at = now
+        self.answered_at = now
+
     def note_silence(self, error: Exception) -> None:
         """Takes in that the store did not answer, or refused."""
         if self.available:
--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -217,6 +217,7 @@
 
     def hear(self, news: TableNews) -> None:
         """Takes in what a watcher tells."""
+        self.health.note_alive()
         if self.since is None:
             self.behind = True
             return
@@ -229,7 +230,7 @@
             return
         rows = [row for row in news.rows if row.version > self.since]
         page = Page(rows, news.version, news.now_ms, whole=False)
-        self.accept(page, news.settling)
+        self.accept(page, news.settling and self.health.settling())
 
 
 def pack_news(news: TableNews) -> bytes:
--- a/tests/relay/test_watch.py
+++ b/tests/relay/test_watch.py
@@ -5,6 +5,7 @@
 import pytest
 
 from rattanpier._internal.models.feed import FeedRow
+from rattanpier._internal.relay.store import SETTLE_S, StoreHealth
 from rattanpier._internal.relay.watch import (
     COVERED_S,
     WATCHERS,
@@ -13,11 +14,17 @@
     unpack_news,
 )
 from rattanpier._internal.standin.platform_store import Door, StoreFault
+from tests.lib.clock import ManualClock
 from tests.lib.platform_site import manifest, platform_site, until
 
 ENTRIES = 5
 
 
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
 @pytest.fixture
 async def site():
     async with platform_site() as made:
@@ -117,6 +124,48 @@
         assert not each.covered()
 
 
+async def test_a_store_that_turned_one_entry_away_was_not_away(clock):
+    health = StoreHealth(clock)
+    health.note_answer()
+    health.note_silence(TimeoutError())
+    for _ in range(5):
+        # Watchers' news go on coming.
+        await clock.advance(2.0)
+        health.note_alive()
+    health.note_answer()
+    assert not health.settling()
+
+
+async def test_after_an_outage_for_all_registrations_may_come_back(clock):
+    health = StoreHealth(clock)
+    health.note_answer()
+    health.note_silence(TimeoutError())
+    await clock.advance(4.0)
+    # Another entry sees it first, and tells.
+    health.note_alive()
+    await clock.advance(0.3)
+    health.note_answer()
+    assert health.settling()
+    await clock.advance(SETTLE_S)
+    assert not health.settling()
+
+
+async def test_a_removal_is_believed_though_its_teller_was_turned_away(site):
+    await all_covered(site)
+    hearer = next(
+        entry
+        for entry in site.entries.values()
+        if not entry.gossip.followers["servers"].watches()
+    )
+    follower = hearer.gossip.followers["servers"]
+    version = follower.since
+    gone = FeedRow("w1", b"", version + 1, deleted=True)
+    follower.hear(
+        TableNews("servers", version, version + 1, 1.0, [gone], settling=True)
+    )
+    assert not hearer.state.directory.workers
+
+
 async def test_one_that_the_store_turns_away_does_not_watch():
     async with platform_site() as site:
         await site.add_worker("w1")
