Count an order's time from the order, and end it a little sooner

Change: the time counts from when the order became known, and old workers may be stopped from 0.955 of it on. Test: relay/test_rollout_restart::test_an_orders_time_counts_from_the_order, failed before.

--- a/src/rattanpier/_internal/relay/rollout_driver.py
+++ b/src/rattanpier/_internal/relay/rollout_driver.py
@@ -51,7 +51,7 @@
 FULL_FOR = 0.04  # Two rounds of evidence with all traffic.
 # Then the old workers may be stopped: what they still do goes on elsewhere. The
 # rest of the time is for a write whose answer is lost.
-GIVE_UP_AT = 0.97
+GIVE_UP_AT = 0.955
 
 StatusRow = Callable[[str, str, RolloutPhase], RowPut]
 
@@ -170,7 +170,9 @@
         record = self.rollouts.records.get(order.service)
         now_ms = self.clock.now_ms()
         if record is None or record.order != order.id:
-            await self.write(order, RolloutPhase.TRYING, now_ms, now_ms)
+            # The deadline counts from the order, not from its first record.
+            begun_ms = now_ms - 1000 * self.rollouts.known_for_s(order)
+            await self.write(order, RolloutPhase.TRYING, begun_ms, now_ms)
             return
         whole_ms = order.deadline_s * 1000
         progress = Progress(
--- a/src/rattanpier/_internal/relay/rollouts.py
+++ b/src/rattanpier/_internal/relay/rollouts.py
@@ -165,6 +165,11 @@
             phase=record.phase.value,
         )
 
+    def known_for_s(self, order: RolloutOrder) -> float:
+        """Returns the seconds since an order became known here."""
+        now = self.clock.monotonic()
+        return now - self.known_at.get(order.id, now)
+
     def phase(self, order: RolloutOrder) -> RolloutPhase:
         """Returns how far an order went."""
         record = self.records.get(order.service)
--- a/tests/relay/test_rollout_restart.py
+++ b/tests/relay/test_rollout_restart.py
@@ -1,5 +1,7 @@
 """Entries that start when a roll-out was decided before."""
 
+import time
+
 from rattanpier._internal.models.rollout_order import (
     RolloutPhase,
     RolloutRecord,
@@ -53,3 +55,23 @@
         await until(lambda: site.store.value("status", "rollout/plain"))
         status = site.store.value("status", "rollout/plain")
         assert (status["state"], status["to"]) == ("in_progress", "v2")
+
+
+async def test_an_orders_time_counts_from_the_order():
+    async with platform_site() as site:
+        await site.add_worker("old", version="v1")
+        await site.add_worker("new", version="v2")
+        entry = await site.add_entry()
+        rollouts = entry.state.rollouts
+        site.store.put(
+            "op",
+            "rollout/plain",
+            {"service": "plain", "to": "v2", "deadlineS": 20},
+        )
+        await until(lambda: rollouts.orders)
+        told_ms = time.monotonic() * 1000  # The stand-in's steady clock.
+        order = rollouts.orders["plain"]
+        rollouts.known_at[order.id] -= 3.0
+        await until(lambda: "plain" in rollouts.records)
+        begun_ms = rollouts.records["plain"].begun_ms
+        assert told_ms - 4000 < begun_ms < told_ms - 2000
