--- a/src/rattanpier/_internal/relay/model_choice.py
+++ b/src/rattanpier/_internal/relay/model_choice.py
@@ -21,7 +21,7 @@
 ENOUGH_CONFIDENCE = 45.0
 # Under load a doubtful answer now is better than a better one for fewer: the
 # limit falls by this much as the wait at the best worker for the larger model
-# rises to the given time. At 0.5 s it fell too late on three of five days.
+# rises to the given time: the 6,000 tokens tried before, at their usual pace.
 LOAD_DISCOUNT = 20.0
 FULL_LOAD_S = 0.2
 
--- a/src/rattanpier/_internal/relay/model_groups.py
+++ b/src/rattanpier/_internal/relay/model_groups.py
@@ -25,8 +25,8 @@
 from rattanpier._internal.utils.turns import in_turns
 
 LEAST_WORKERS = 4  # Of fewer each has to serve all models.
-# Share of a pool for the smallest model, until requests showed more: between
-# what two sites needed (0.15 to 0.35).
+# Share of a pool for the smallest model, until requests showed more: worked out
+# from the mixes of two sites (0.15 to 0.35), not tuned by runs.
 USUAL_SHARE = 0.2
 LEAST_SHARE, MOST_SHARE = 0.1, 0.5
 KEPT_ORDERS = 64  # Sets of workers differ by those that are avoided just now.
--- a/src/rattanpier/_internal/relay/placement.py
+++ b/src/rattanpier/_internal/relay/placement.py
@@ -34,7 +34,7 @@
 # What a worker of the other group has to be better by. A large model's prompt
 # among the smallest one's streams holds them all up, the reverse only itself.
 # On two sites' heaviest days as good as 2.0 and 0.5, or better (0.57 against
-# 0.54 in the mean of four days of one site).
+# 0.55 in the mean of four plays of two days).
 LARGE_AMONG_SMALL_S = 0.8
 SMALL_AMONG_LARGE_S = 0.25
 JITTER = 0.02  # Breaks ties, so that entries do not all choose alike.
