--- a/src/rattanpier/_internal/relay/queue_watch.py
+++ b/src/rattanpier/_internal/relay/queue_watch.py
@@ -25,8 +25,8 @@
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.codec import decode, encode
 
-# A prompt for a large model is read in about that time. On four sites a question
-# cost a ninth to a sixtieth of a call to the store.
+# A prompt for a large model is read in about that time. On four sites asking
+# once cost a ninth to a sixtieth of a call to the store.
 ASK_EVERY_S = 0.5
 ASK_TIMEOUT_S = 0.4  # Engines answer within some ms.
 FRESH_S = 0.5  # What an answer told so lately need not be asked for.
