Tell peers of long prompts, count losses by cause, and switch mechanisms off

Ruled out: asking workers for their queues more often (a report is 0.2 s old and priced); following their cache events (a hundred a second to be told on).

Change: an entry tells the others of each prompt whose reading takes 0.1 s or more: worker, seconds, model and parts. What was told counts as a queue that drains, and as parts that are kept; where a model's prompts are told, a home is no longer taken to hold parts that nobody told of.

Also: the command `losses`, and a policy file that switches a mechanism off; a process reads it at its start. Both have their page and tests.

--- a/deploy/relay.py
+++ b/deploy/relay.py
@@ -19,4 +19,7 @@
 
 gc.enable()
 gc.freeze()
-serve(metrics_port=int(sys.argv[1]))
+serve(
+    metrics_port=int(sys.argv[1]),
+    policy=sys.argv[2] if len(sys.argv) > 2 else "",
+)
--- a/src/rattanpier/_internal/cli/operator.py
+++ b/src/rattanpier/_internal/cli/operator.py
@@ -16,6 +16,7 @@
 from rattanpier._internal.commands.billing import bills
 from rattanpier._internal.commands.demo import demo
 from rattanpier._internal.commands.explain import explain
+from rattanpier._internal.commands.losses import losses
 from rattanpier._internal.commands.replay import replay
 from rattanpier._internal.commands.result import ExitCode, Result
 from rattanpier._internal.commands.trace_request import trace_request, why
@@ -84,6 +85,7 @@
     "bills": printed(bills),
     "trace-request": printed(trace_request),
     "why": printed(why),
+    "losses": printed(losses),
     "demo": demo,
 }
 
--- a/src/rattanpier/_internal/cli/relay.py
+++ b/src/rattanpier/_internal/cli/relay.py
@@ -4,10 +4,14 @@
 
 import asyncio
 import sys
+from collections.abc import Callable
 
+import attrs
 import structlog
 
 from rattanpier._internal.exceptions import SettingsError
+from rattanpier._internal.models.policy import Policy
+from rattanpier._internal.models.relay_settings import RelaySettings
 from rattanpier._internal.platform.settings import (
     load_relay_settings,
     settings_path,
@@ -24,22 +28,30 @@
 
 
 def main(argv: list[str] | None = None) -> None:
-    """Runs the program: `rattanpier-relay [SETTINGS] [--metrics-port=PORT]`."""
+    """Runs the program `rattanpier-relay`, see `serve`."""
     import fire  # Only here: an import that a start need not wait for.
 
     fire.Fire(serve, command=argv, name="rattanpier-relay")
 
 
-def serve(settings: str = "", metrics_port: int = 0) -> None:
+def serve(settings: str = "", metrics_port: int = 0, policy: str = "") -> None:
     """Runs an entry until SIGTERM.
 
     Args:
       settings: Path of the settings file; the platform's own if empty.
       metrics_port: Port of the metrics address; 0 serves none.
+      policy: TOML file with what the entry decides by; the usual if empty.
     """
     path = settings or settings_path()
-    try:
+
+    def load() -> RelaySettings:
         loaded = load_relay_settings(path, metrics_port)
+        if not policy:
+            return loaded
+        return attrs.evolve(loaded, policy=load_policy(policy))
+
+    try:
+        loaded = load()
     except SettingsError as error:
         print(f"rattanpier-relay: {error.message}", file=sys.stderr)
         print(f"rattanpier-relay: hint: {error.hint}", file=sys.stderr)
@@ -47,19 +59,31 @@
     sink = LogSink()
     configure_sink(sink, loaded.name)
     try:
-        asyncio.run(run(loaded, path, metrics_port, sink))
+        asyncio.run(run(loaded, load, sink))
     finally:
         sink.flush()
 
 
+def load_policy(path: str) -> Policy:
+    """Returns the policy in a TOML file; what it leaves out is as usual.
+
+    Raises:
+      SettingsError: The file can't be read, or has unknown or wrong fields.
+    """
+    # Only here: most entries have no such file, and a start is short of time.
+    from rattanpier._internal.configuration.parse import parse, read_text
+
+    return parse(Policy, read_text(path, SettingsError), path, SettingsError)
+
+
 async def run(
-    loaded: object, path: str, metrics_port: int, sink: LogSink
+    loaded: RelaySettings, load: Callable[[], RelaySettings], sink: LogSink
 ) -> None:
     """Runs an entry and writes its log lines out."""
 
     def reload(entry: RelayEntry) -> None:
         try:
-            found = load_relay_settings(path, metrics_port)
+            found = load()
         except SettingsError as error:
             log.error("Settings not taken.", error=error.message)
             return
@@ -68,7 +92,7 @@
 
     flusher = asyncio.create_task(flush_again(sink))
     try:
-        await run_relay(loaded, reload)  # type: ignore[arg-type]
+        await run_relay(loaded, reload)
     finally:
         flusher.cancel()
 
--- a/src/rattanpier/_internal/models/relay_settings.py
+++ b/src/rattanpier/_internal/models/relay_settings.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from rattanpier._internal.models.policy import USUAL, Policy
+
 
 @attrs.frozen
 class Address:
@@ -79,6 +81,7 @@
       heartbeat_s: Workers renew their registration this often.
       store: The platform's store.
       bounds: Promises.
+      policy: What the entry decides by.
     """
 
     name: str
@@ -94,3 +97,4 @@
     metrics: Address | None = None
     heartbeat_s: float = 1.2
     bounds: Bounds = attrs.Factory(Bounds)
+    policy: Policy = USUAL
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -48,6 +48,7 @@
 from rattanpier._internal.relay.pace import Pace
 from rattanpier._internal.relay.placement import Chooser
 from rattanpier._internal.relay.pool import ConnectionPool
+from rattanpier._internal.relay.prompt_news import PromptNews
 from rattanpier._internal.relay.queue_watch import QueueWatch
 from rattanpier._internal.relay.rollout_driver import RolloutDriver
 from rattanpier._internal.relay.rollouts import Rollouts
@@ -81,7 +82,8 @@
     health = StoreHealth(clock, settings.heartbeat_s)
     store_clock = StoreClock(clock)
     exposure = ExposureBound(bounds.exposure_ratio, bounds.exposure_slack)
-    routes = Rollouts(exposure, bounds.session_s, clock)
+    policy = settings.policy
+    routes = Rollouts(exposure, bounds.session_s, clock, policy)
     state = RelayState(
         WorkerDirectory(clock),
         routes,
@@ -148,7 +150,14 @@
     )
     state.gone.subscribe(lambda worker: queues.born.pop(worker, None))
     kernel.find("peer_server").on_notice("queue_news", queues.take_notice)
-    kernel.spawn(queues.run())
+    prompts = PromptNews(
+        fleet, state.directory, dispatcher.loads, kernel.find("links")
+    )
+    kernel.find("peer_server").on_notice("prompt_sent", prompts.take_notice)
+    if policy.prompt_news:
+        dispatcher.tell_prompt = prompts.tell
+    if policy.queue_reading:
+        kernel.spawn(queues.run())
     kernel.spawn(gossip.run())
     kernel.spawn(rows.run())
     kernel.spawn(every(TICK_S, state.drop_missing))
@@ -191,7 +200,7 @@
     pace = Pace(clock)
     state.tables.subscribe(lambda table: take_prices(pace, table))
     pool = ConnectionPool()
-    health = Health(clock)
+    health = Health(clock, settings.policy)
     dialect = WorkerDialect(upstream.encode_request, upstream.decode_answer)
 
     def forget(worker: str) -> None:
@@ -212,10 +221,12 @@
             random.Random(settings.name),
             pace,
             ModelGroups(clock),
+            settings.policy,
         ),
         sender=Sender(pool, dialect, loads),
         rollouts=state.rollouts,
         budgets=Budgets(settings.bounds, fleet.size, clock),
+        policy=settings.policy,
     )
 
 
--- a/src/rattanpier/_internal/relay/course.py
+++ b/src/rattanpier/_internal/relay/course.py
@@ -35,6 +35,7 @@
       reason: Why the last send failed.
       retry_after_s: When the last worker said to come back.
       model: Model that is asked.
+      first_model: Model that was asked first.
       order: Events that came.
       begun: The head of the answer was delivered.
       granted: The next send was allowed already.
@@ -51,6 +52,7 @@
     reason: str = ""
     retry_after_s: float | None = None
     model: str = ""
+    first_model: str = ""
     order: EventOrder = attrs.Factory(EventOrder)
     begun: bool = False
     granted: bool = False
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import math
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import aclosing
 
 import attrs
 import structlog
 
 from rattanpier._internal.dispatch.budget import RetryBudget
+from rattanpier._internal.models.policy import USUAL, Policy
 from rattanpier._internal.models.relay_answer import (
     AnswerBegun,
     AnswerCut,
@@ -20,7 +21,7 @@
     AnswerRefused,
     WholeAnswer,
 )
-from rattanpier._internal.models.relay_request import RelayRequest
+from rattanpier._internal.models.relay_request import Prompt, RelayRequest
 from rattanpier._internal.models.sending import AnswerHead, Sending
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.relay.course import (
@@ -75,6 +76,9 @@
 
     Attributes:
       budgets: Sends beyond the first of each request, by service.
+      policy: Mechanisms that are on.
+      tell_prompt: Told of each prompt that is sent: the worker's id, the
+        model, the prompt and the seconds in which it is likely read.
     """
 
     clock: Clock
@@ -86,6 +90,10 @@
     sender: Sender
     rollouts: Rollouts
     budgets: Mapping[str, RetryBudget]
+    policy: Policy = USUAL
+    tell_prompt: Callable[[str, str, Prompt, float], None] = attrs.field(
+        default=lambda _worker, _model, _prompt, _read_s: None
+    )
 
     async def answer(self, request: RelayRequest) -> AsyncIterator[AnswerPart]:
         """Yields the parts of the answer to a request.
@@ -99,8 +107,9 @@
             + request.deadline
             - self.clock.monotonic(),
             self.pick_service(request),
-            model=first_model(request),
+            model=first_model(request, self.policy),
         )
+        course.first_model = course.model
         course.order.last = request.after_event
         self.budgets[course.service].note_request()
         self.rollouts.note_session(course.service, request.session)
@@ -260,7 +269,7 @@
         first = asyncio.ensure_future(self.send_whole(course, choice))
         running = {first}
         try:
-            if course.request.route.idempotent:
+            if course.request.route.idempotent and self.policy.hedges:
                 hedge_s = HEDGE_SHARE * course.request.route.objective_s
                 done, _ = await asyncio.wait(running, timeout=hedge_s)
                 if not done and self.may_send_again(course):
@@ -367,6 +376,7 @@
         sending = self.note_send(course, choice)
         flight = self.loads.begin(worker.id, choice.read_s)
         self.chooser.note_send(request, course.model, choice)
+        self.tell_prompt(worker.id, course.model, request.prompt, choice.read_s)
         model = course.model
         self.rollouts.note_running(worker, 1)
         began = self.clock.monotonic()
@@ -462,7 +472,7 @@
         """Says whether an answer is dropped for a larger model's."""
         request = course.request
         larger = larger_model(request, course.model)
-        if not larger or head.confidence is None:
+        if not self.policy.cascade or not larger or head.confidence is None:
             return False
         if head.confidence >= ENOUGH_CONFIDENCE:
             return False
@@ -472,7 +482,11 @@
         choice = self.choose(course, larger)
         outlook = self.outlook(request, larger, choice)
         kept = judge_answer(
-            request, head.confidence, self.clock.monotonic(), outlook
+            request,
+            head.confidence,
+            self.clock.monotonic(),
+            outlook,
+            self.policy,
         )
         if kept is None and not self.may_send_again(course):
             kept = Kept.BUDGET
@@ -533,7 +547,7 @@
     Only of the first model asked, since larger ones take longer at the same
     work; None for others.
     """
-    if course.model != first_model(course.request):
+    if course.model != course.first_model:
         return None
     return seconds / (LEAST_READ_S + choice.to_read / READ_TOKENS_PER_S)
 
--- a/src/rattanpier/_internal/relay/edge.py
+++ b/src/rattanpier/_internal/relay/edge.py
@@ -26,6 +26,7 @@
     RelayRequest,
 )
 from rattanpier._internal.models.route_table import RouteTable
+from rattanpier._internal.relay.course import rounded
 from rattanpier._internal.relay.dispatch import Dispatcher
 from rattanpier._internal.relay.drain import DrainState
 from rattanpier._internal.utils.clock import Clock
@@ -185,12 +186,12 @@
     ) -> web.StreamResponse:
         """Writes the parts of an answer as they come."""
         response: web.StreamResponse | None = None
-        pieces = 0
+        times = PieceTimes(taken.arrived)
         async with aclosing(self.dispatcher.answer(taken)) as parts:
             async for part in parts:
                 match part:
                     case WholeAnswer():
-                        self.note_end(taken, str(part.status), 0)
+                        self.note_end(taken, str(part.status), times)
                         return self.make_whole(part)
                     case AnswerRefused(refusal, status):
                         return self.refuse(
@@ -200,13 +201,13 @@
                         response = self.make_stream(status, headers)
                         await response.prepare(request)
                     case AnswerPiece(data):
-                        pieces += 1
+                        times.note(self.clock.monotonic())
                         await response.write(data)  # type: ignore[union-attr]
                     case AnswerEnded():
-                        self.note_end(taken, "ended", pieces)
+                        self.note_end(taken, "ended", times)
                         await response.write_eof()  # type: ignore[union-attr]
                     case AnswerCut(reason):
-                        self.note_end(taken, f"cut: {reason}", pieces)
+                        self.note_end(taken, f"cut: {reason}", times)
                         # Without its end the answer does not look whole.
                         request.protocol.force_close()
         assert response is not None
@@ -266,7 +267,9 @@
             response.force_close()
         return response
 
-    def note_end(self, taken: RelayRequest, outcome: str, pieces: int) -> None:
+    def note_end(
+        self, taken: RelayRequest, outcome: str, times: PieceTimes
+    ) -> None:
         """Logs and measures how a request ended."""
         seconds = self.clock.monotonic() - taken.arrived
         self.metrics.count("relay.answered")
@@ -276,11 +279,43 @@
             request=taken.id,
             route=taken.route.name,
             outcome=outcome,
-            pieces=pieces,
+            pieces=times.pieces,
+            first_s=rounded(times.first_s),
+            objective_s=taken.route.objective_s,
+            longest_gap_s=round(times.longest_gap_s, 3),
+            allowed_gap_s=taken.route.event_gap_s,
             total_s=round(seconds, 3),
         )
 
 
+@attrs.define
+class PieceTimes:
+    """When the pieces of an answer came.
+
+    Attributes:
+      arrived: The request, in monotonic seconds.
+      pieces: So far.
+      first_s: From the request to the first piece, None before it.
+      last_at: The newest piece, in monotonic seconds.
+      longest_gap_s: Between two pieces.
+    """
+
+    arrived: float
+    pieces: int = 0
+    first_s: float | None = None
+    last_at: float = 0.0
+    longest_gap_s: float = 0.0
+
+    def note(self, now: float) -> None:
+        """Takes in that a piece came."""
+        if self.first_s is None:
+            self.first_s = now - self.arrived
+        else:
+            self.longest_gap_s = max(self.longest_gap_s, now - self.last_at)
+        self.pieces += 1
+        self.last_at = now
+
+
 def refused(code: RefusalCode, message: str, status: int) -> IntakeRefusedError:
     """Returns the error for a request that was not sent anywhere."""
     return IntakeRefusedError(Refusal(code, message, True), status)
--- a/src/rattanpier/_internal/relay/health.py
+++ b/src/rattanpier/_internal/relay/health.py
@@ -14,6 +14,7 @@
 import attrs
 import structlog
 
+from rattanpier._internal.models.policy import USUAL, Policy
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.utils.clock import Clock
 
@@ -59,9 +60,14 @@
 
 @attrs.define
 class Health:
-    """Records by worker id."""
+    """Records by worker id.
+
+    Attributes:
+      policy: Mechanisms that are on.
+    """
 
     clock: Clock
+    policy: Policy = USUAL
     records: dict[str, Record] = attrs.Factory(dict)
 
     def note(
@@ -155,6 +161,8 @@
         Where more than half would be avoided, those whose pause ends first
         are taken again: the judgement must not empty a pool.
         """
+        if not self.policy.avoidance:
+            return list(workers)
         now = self.clock.monotonic()
         good: list[RegisteredWorker] = []
         avoided: list[tuple[float, RegisteredWorker]] = []
--- a/src/rattanpier/_internal/relay/load.py
+++ b/src/rattanpier/_internal/relay/load.py
@@ -8,6 +8,7 @@
 
 import collections
 import math
+from collections.abc import Iterable
 
 import attrs
 
@@ -46,6 +47,8 @@
       own_at_report: Own requests there when the report came.
       waiting: Requests of others that waited when it was last told.
       waiting_at: When that was, in monotonic seconds.
+      others_until: Until when it is busy with prompts that other entries told
+        of, in monotonic seconds.
       heard_at: When its last byte came, in monotonic seconds.
       parts: When each part of a prompt was last used, by model and id.
     """
@@ -56,6 +59,7 @@
     own_at_report: int = 0
     waiting: float = 0.0
     waiting_at: float = float("-inf")
+    others_until: float = float("-inf")
     heard_at: float = 0.0
     parts: collections.OrderedDict[tuple[str, str], float] = attrs.Factory(
         collections.OrderedDict
@@ -127,13 +131,29 @@
         load.own_at_report = len(load.running)
         load.note_waiting(report.waiting, load.report_at)
 
+    def note_others_prompt(self, id: str, read_s: float) -> None:
+        """Takes in that another entry sends a prompt to a worker.
+
+        Args:
+          id: Of the worker.
+          read_s: Seconds in which it likely reads the prompt, one after
+            another.
+        """
+        load = self.workers[id]
+        now = self.clock.monotonic()
+        load.others_until = max(now, load.others_until) + read_s
+
     def note_read(self, id: str, model: str, prompt: Prompt) -> None:
         """Notes that a worker read a prompt and keeps its parts."""
+        self.note_parts(id, model, [part.id for part in prompt.parts])
+
+    def note_parts(self, id: str, model: str, read: Iterable[str]) -> None:
+        """Notes the parts of prompts that a worker keeps for a model."""
         parts = self.workers[id].parts
         now = self.clock.monotonic()
-        for part in prompt.parts:
-            parts[model, part.id] = now
-            parts.move_to_end((model, part.id))
+        for part in read:
+            parts[model, part] = now
+            parts.move_to_end((model, part))
         while len(parts) > MAX_PARTS:
             parts.popitem(last=False)
 
--- a/src/rattanpier/_internal/relay/model_choice.py
+++ b/src/rattanpier/_internal/relay/model_choice.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from rattanpier._internal.models.policy import USUAL, Policy
 from rattanpier._internal.models.relay_request import RelayRequest
 
 # An answer is kept from this confidence on while workers are free. On the calm
@@ -50,11 +51,11 @@
     BUDGET = "budget"
 
 
-def first_model(request: RelayRequest) -> str:
+def first_model(request: RelayRequest, policy: Policy = USUAL) -> str:
     """Returns the model to start with; empty if the caller names it."""
     if not request.any_model or not request.route.models:
         return ""
-    return request.route.models[0]
+    return request.route.models[0 if policy.start_small else -1]
 
 
 def larger_model(request: RelayRequest, model: str) -> str:
@@ -66,7 +67,11 @@
 
 
 def judge_answer(
-    request: RelayRequest, confidence: float, now: float, outlook: Outlook
+    request: RelayRequest,
+    confidence: float,
+    now: float,
+    outlook: Outlook,
+    policy: Policy = USUAL,
 ) -> Kept | None:
     """Says why an answer is kept; None if a larger model is to be asked.
 
@@ -75,11 +80,14 @@
       confidence: The model's opinion of its answer, 0 to 100.
       now: Monotonic seconds.
       outlook: What is expected of the larger model.
+      policy: Which of these reasons count.
     """
     if confidence >= ENOUGH_CONFIDENCE:
         return Kept.CONFIDENT
-    if confidence >= enough_confidence(outlook.wait_s):
+    if policy.load_line and confidence >= enough_confidence(outlook.wait_s):
         return Kept.LOAD
+    if not policy.outlook:
+        return None
     objective_left = request.arrived + request.route.objective_s - now
     if outlook.first_s > objective_left:
         return Kept.TIME
--- a/src/rattanpier/_internal/relay/placement.py
+++ b/src/rattanpier/_internal/relay/placement.py
@@ -13,11 +13,13 @@
 
 import attrs
 
+from rattanpier._internal.models.policy import USUAL, Policy
 from rattanpier._internal.models.relay_request import Prompt, RelayRequest
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.relay.load import Loads
 from rattanpier._internal.relay.model_groups import ModelGroups
 from rattanpier._internal.relay.pace import Pace
+from rattanpier._internal.relay.prompt_news import LEAST_TOLD_S
 from rattanpier._internal.utils.hashing import most_preferred
 
 # A request that another entry has running slows each step a little.
@@ -74,6 +76,7 @@
       rng: Breaks ties.
       pace: How long each model takes.
       groups: Which workers are for which models.
+      policy: Mechanisms that are on.
     """
 
     loads: Loads
@@ -81,6 +84,7 @@
     rng: random.Random
     pace: Pace
     groups: ModelGroups
+    policy: Policy = USUAL
 
     def choose(
         self,
@@ -95,6 +99,10 @@
             return self.choose_engine(request, workers, model)
         return self.choose_plain(workers)
 
+    def is_far(self, worker: RegisteredWorker) -> bool:
+        """Says whether bytes to a worker cross failure domains, and count."""
+        return self.policy.domain_cost and worker.domain != self.domain
+
     def choose_plain(self, workers: Sequence[RegisteredWorker]) -> Choice:
         """Returns the worker with most free slots."""
         now = self.loads.clock.monotonic()
@@ -103,7 +111,7 @@
             load = self.loads.workers[worker.id]
             running, waiting = load.others(now)
             used = (len(load.running) + running + waiting) / worker.slots
-            far = 0.0 if worker.domain == self.domain else FAR_SLOTS
+            far = FAR_SLOTS if self.is_far(worker) else 0.0
             cost = used + far + JITTER * self.rng.random()
             return self.make(worker, cost, 0.0, len(workers), now)
 
@@ -115,11 +123,14 @@
         """Returns the seconds for which others are read before a request."""
         load = self.loads.workers[worker.id]
         running, waiting = load.others(now)
-        # What others have waiting there is taken to be such as was seen here.
+        # What others have waiting there is taken to be such as was seen here,
+        # unless they told of more.
+        counted_s = waiting * self.pace.usual_read_s(model)
+        told_s = max(0.0, load.others_until - now)
         return (
             load.pending_s()
             + RUNNING_S * (len(load.running) + running)
-            + waiting * self.pace.usual_read_s(model)
+            + max(counted_s, told_s)
         )
 
     def choose_engine(
@@ -132,10 +143,10 @@
         now = self.loads.clock.monotonic()
         small = is_smallest(request, model)
         group = workers
-        if small is not None:
+        if small is not None and self.policy.groups:
             group = self.groups.of(workers, small)
         members = {worker.id for worker in group}
-        home = home_of(request.prompt, group)
+        home = home_of(request.prompt, group) if self.policy.homes else ""
         apart_s = SMALL_AMONG_LARGE_S if small else LARGE_AMONG_SMALL_S
 
         def weigh(worker: RegisteredWorker) -> Choice:
@@ -143,7 +154,7 @@
             read_s = self.pace.read_s(model, to_read)
             wait_s = self.waiting_s(worker, model, now)
             cost = read_s + wait_s
-            if worker.domain != self.domain:
+            if self.is_far(worker):
                 cost += FAR_S + FAR_TOKEN_S * request.prompt.tokens
             if worker.id not in members:
                 cost += apart_s
@@ -181,9 +192,21 @@
         kept: float = self.loads.kept_tokens(worker.id, model, prompt)
         if worker.id == home:
             shared = sum(part.tokens for part in prompt.parts[:-1])
-            kept = max(kept, HOME_TRUST * shared)
+            kept = max(kept, self.home_trust(model, shared) * shared)
         return max(0.0, prompt.tokens - kept)
 
+    def home_trust(self, model: str, shared: int) -> float:
+        """Returns how likely a home holds shared parts nobody told of.
+
+        Args:
+          model: To read them.
+          shared: Their tokens.
+        """
+        told = self.policy.prompt_news and (
+            self.pace.read_s(model, shared) >= LEAST_TOLD_S
+        )
+        return 0.0 if told else HOME_TRUST
+
     def make(
         self,
         worker: RegisteredWorker,
--- a/src/rattanpier/_internal/relay/rollouts.py
+++ b/src/rattanpier/_internal/relay/rollouts.py
@@ -11,6 +11,7 @@
 import attrs
 import structlog
 
+from rattanpier._internal.models.policy import USUAL, Policy
 from rattanpier._internal.models.relay_request import RelayRequest
 from rattanpier._internal.models.rollout_order import (
     RolloutOrder,
@@ -100,6 +101,7 @@
       bound: What a bad version may get.
       session_s: Requests of a session follow each other within this time.
       clock: Monotonic.
+      policy: Mechanisms that are on.
       recent: When each session was last served, by service and id.
       held: When each session that stays with the old version was last
         served, by order and point.
@@ -119,6 +121,7 @@
     bound: ExposureBound
     session_s: float
     clock: Clock
+    policy: Policy = USUAL
     recent: dict[tuple[str, str], float] = attrs.Factory(dict)
     held: dict[tuple[int, int], float] = attrs.Factory(dict)
     held_changes: set[tuple[int, int]] = attrs.Factory(set)
@@ -224,6 +227,8 @@
             return False
         if phase is not RolloutPhase.TRYING or not request.session:
             return True
+        if not self.policy.hold_sessions:
+            return True
         now = self.clock.monotonic()
         if now - self.known_at.get(order.id, now) < HOLD_S:
             self.hold(order.id, point, now)
--- /dev/null
+++ b/src/rattanpier/_internal/trace/losses.py
@@ -0,0 +1,199 @@
+"""Where requests lost worth, found from the log lines of all entries.
+
+Each request's course is read back from its lines and put under one heading:
+why it failed, why it was late, or why a doubtful answer was kept.
+"""
+
+from __future__ import annotations
+
+import collections
+import datetime
+import statistics
+from collections.abc import Iterable, Iterator, Sequence
+
+import attrs
+
+from rattanpier._internal.trace.causes import (
+    FAILED,
+    WORKER_FAILED,
+    Starts,
+    find_cause,
+)
+from rattanpier._internal.trace.log_lines import LogLine
+
+ANSWERED = "edge: Answered."
+FIRST_EVENT = "dispatch: First event."
+JUDGED = "dispatch: Answer judged."
+# A first answer that is late by more than this share of its objective at the
+# smaller model is blamed on it, not on the larger one asked after it.
+HALF = 0.5
+
+
+@attrs.frozen
+class Ended:
+    """How one request ended.
+
+    Attributes:
+      at: Its first line's time.
+      route: Empty where no line names one.
+      heading: What it lost by; empty where it lost nothing.
+      first_s: Until the first piece, None where none came.
+    """
+
+    at: str
+    route: str
+    heading: str
+    first_s: float | None
+
+
+@attrs.frozen
+class RouteLosses:
+    """The requests of one route.
+
+    Attributes:
+      route: Its name.
+      requests: All of them.
+      headings: How many lost worth, by what they lost it by.
+      median_s: Half of the first pieces came within it.
+      most_s: Nineteen of twenty did.
+    """
+
+    route: str
+    requests: int
+    headings: dict[str, int]
+    median_s: float
+    most_s: float
+
+
+def read_end(lines: Sequence[LogLine], starts: Starts) -> Ended:
+    """Returns how a request ended.
+
+    Args:
+      lines: All of the request, in order; at least one.
+      starts: Of all VMs.
+    """
+    last = find_last(lines, ANSWERED)
+    route = next(
+        (str(line.fields["route"]) for line in lines if "route" in line.fields),
+        "",
+    )
+    first_s = None if last is None else last.fields.get("first_s")
+    cause = find_cause(lines, starts)
+    if cause.failed:
+        heading = f"failed: {cause.code}"
+    elif last is None:
+        heading = ""
+    else:
+        heading = find_lateness(last, lines) or find_doubt(lines)
+    return Ended(lines[0].at, route, heading, first_s)
+
+
+def find_last(lines: Sequence[LogLine], event: str) -> LogLine | None:
+    """Returns a request's last line of an event, or None."""
+    return next((line for line in reversed(lines) if line.event == event), None)
+
+
+def find_lateness(end: LogLine, lines: Sequence[LogLine]) -> str:
+    """Returns what made an answer late, or nothing if it was in time."""
+    objective_s = end.fields.get("objective_s") or 0.0
+    gap_s = end.fields.get("longest_gap_s") or 0.0
+    allowed_s = end.fields.get("allowed_gap_s") or 0.0
+    taken_s = end.fields.get("first_s")
+    if taken_s is None:
+        taken_s = end.fields.get("total_s") or 0.0
+    if taken_s > objective_s > 0.0:
+        return f"late: {blame(lines, objective_s)}"
+    if gap_s > allowed_s > 0.0:
+        failed = any(line.event == FAILED for line in lines)
+        return "late: pause, worker failed" if failed else "late: pause"
+    return ""
+
+
+def blame(lines: Sequence[LogLine], objective_s: float) -> str:
+    """Returns what took the time until an answer's first piece."""
+    failures = [line for line in lines if line.event in (FAILED, WORKER_FAILED)]
+    if failures:
+        return "a worker failed first"
+    judged = find_last(lines, JUDGED)
+    first = find_last(lines, FIRST_EVENT)
+    if judged is not None and judged.fields.get("kept") is None:
+        at_larger_s = 0.0 if first is None else first.fields.get("worker_s", 0)
+        if at_larger_s < HALF * objective_s:
+            return "the first answer came late, then a larger model's"
+        return f"a larger model began late{predicted(judged, at_larger_s)}"
+    return "the worker began late"
+
+
+def predicted(judged: LogLine, took_s: float) -> str:
+    """Says whether that was foreseen when the larger model was asked."""
+    foreseen_s = judged.fields.get("first_s") or 0.0
+    return ", unforeseen" if took_s > 2 * foreseen_s else ""
+
+
+def find_doubt(lines: Sequence[LogLine]) -> str:
+    """Returns why an answer of little confidence was kept, or nothing."""
+    judged = find_last(lines, JUDGED)
+    if judged is None or judged.fields.get("kept") is None:
+        return ""
+    return f"doubtful, kept for {judged.fields['kept']}"
+
+
+def by_route(ends: Iterable[Ended]) -> Iterator[RouteLosses]:
+    """Yields each route's losses, the route with most requests first."""
+    found: dict[str, list[Ended]] = collections.defaultdict(list)
+    for end in ends:
+        found[end.route].append(end)
+    for route, of_one in sorted(found.items(), key=lambda item: -len(item[1])):
+        headings = collections.Counter(
+            end.heading for end in of_one if end.heading
+        )
+        firsts = [end.first_s for end in of_one if end.first_s is not None]
+        median_s, most_s = middle_and_most(firsts)
+        yield RouteLosses(
+            route, len(of_one), dict(headings.most_common()), median_s, most_s
+        )
+
+
+def middle_and_most(samples: Sequence[float]) -> tuple[float, float]:
+    """Returns the median and the 95th of 100; zeros for none.
+
+    >>> middle_and_most([1.0, 2.0, 3.0])[0]
+    2.0
+    """
+    if len(samples) < 2:
+        return (samples[0], samples[0]) if samples else (0.0, 0.0)
+    parts = statistics.quantiles(samples, n=20, method="inclusive")
+    return parts[9], parts[18]
+
+
+def by_moment(
+    ends: Iterable[Ended], step_s: float
+) -> Iterator[tuple[float, int, dict[str, int]]]:
+    """Yields for each step of time its start, requests and headings.
+
+    Starts are in seconds since the first request.
+    """
+    timed = sorted(ends, key=lambda end: end.at)
+    if not timed:
+        return
+    began = seconds_of(timed[0].at)
+    steps: dict[int, list[Ended]] = collections.defaultdict(list)
+    for end in timed:
+        steps[int((seconds_of(end.at) - began) / step_s)].append(end)
+    for step, of_one in sorted(steps.items()):
+        headings = collections.Counter(
+            end.heading for end in of_one if end.heading
+        )
+        yield step * step_s, len(of_one), dict(headings.most_common())
+
+
+def seconds_of(at: str) -> float:
+    """Returns a line's time in Unix seconds; 0 where it can't be read.
+
+    >>> seconds_of("1970-01-01T00:00:01.5Z")
+    1.5
+    """
+    try:
+        return datetime.datetime.fromisoformat(at).timestamp()
+    except ValueError:
+        return 0.0
--- a/tests/lib/engines.py
+++ b/tests/lib/engines.py
@@ -15,6 +15,7 @@
 from rattanpier._internal.relay.model_groups import ModelGroups
 from rattanpier._internal.relay.pace import Pace
 from rattanpier._internal.relay.placement import Chooser
+from rattanpier._internal.relay.prompt_news import LEAST_TOLD_S
 from tests.lib.clock import ManualClock
 from tests.lib.relay_parts import MODELS, make_chat, make_workers
 
@@ -42,9 +43,18 @@
 
 
 def play_engines(
-    workers=9, entries=6, per_s=30.0, seconds=40.0, large=0.4, apart=True
+    workers=9,
+    entries=6,
+    per_s=30.0,
+    seconds=40.0,
+    large=0.4,
+    apart=True,
+    told=False,
 ):
-    """Plays requests of which a share goes to the large model."""
+    """Plays requests of which a share goes to the large model.
+
+    Entries that are `told` hear of the prompts that the others send.
+    """
     rng = random.Random(11)
     clock = ManualClock()
     pool = make_workers(workers)
@@ -68,6 +78,9 @@
         chooser.note_send(request, model, choice)
         id, sent = choice.worker.id, clock.now
         flight = chooser.loads.begin(id, choice.read_s)
+        for other in choosers if told else ():
+            if other is not chooser and choice.read_s >= LEAST_TOLD_S:
+                other.loads.note_others_prompt(id, choice.read_s)
         first_at = max(sent, free_at[id]) + READ_S[model] * tokens
         free_at[id] = first_at
         played.first_s[model].append(first_at - sent)
--- /dev/null
+++ b/tests/relay/test_policy.py
@@ -0,0 +1,108 @@
+"""Mechanisms that operators switch off."""
+
+import attrs
+import pytest
+
+from rattanpier._internal.cli.relay import load_policy
+from rattanpier._internal.exceptions import SettingsError
+from rattanpier._internal.models.policy import USUAL, Policy
+from rattanpier._internal.relay.health import Health
+from rattanpier._internal.relay.model_choice import (
+    Kept,
+    Outlook,
+    first_model,
+    judge_answer,
+)
+from tests.lib.clock import ManualClock
+from tests.lib.counters import ROOT
+from tests.lib.engines import make_entry
+from tests.lib.platform_site import (
+    LARGE,
+    SMALL,
+    platform_site,
+)
+from tests.lib.relay_parts import make_chat, make_worker, make_workers
+
+
+def without(**off):
+    return attrs.evolve(USUAL, **off)
+
+
+def test_all_is_on_where_nothing_is_said(tmp_path):
+    path = tmp_path / "policy.toml"
+    path.write_text("")
+    assert load_policy(str(path)) == USUAL
+    assert all(attrs.astuple(USUAL))
+
+
+def test_a_mechanism_is_switched_off_by_its_name(tmp_path):
+    path = tmp_path / "policy.toml"
+    path.write_text("cascade = false\n")
+    assert load_policy(str(path)) == without(cascade=False)
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("cascades = false", "unknown key 'cascades'"),
+        ('cascade = "off"', "true or false"),
+        ("cascade = 0", "true or false"),
+        ("cascade =", "Invalid value"),
+    ],
+)
+def test_a_file_that_is_wrong_is_refused_with_its_line(tmp_path, text, said):
+    path = tmp_path / "policy.toml"
+    path.write_text(f"\n{text}\n")
+    with pytest.raises(SettingsError, match=said) as caught:
+        load_policy(str(path))
+    assert "policy.toml:2" in caught.value.message
+
+
+def test_operators_find_each_switch_on_their_page():
+    page = (ROOT / "docs" / "operators" / "policy.md").read_text()
+    for field in attrs.fields(Policy):
+        assert f"`{field.name}`" in page
+
+
+def test_the_largest_model_may_be_asked_first():
+    assert first_model(make_chat(), without(start_small=False)) == "large"
+
+
+def test_reasons_to_keep_an_answer_can_be_left_out():
+    busy, late = Outlook(9.0, 0.5, 1.0), Outlook(0.0, 99.0, 99.0)
+    request = make_chat()
+    assert judge_answer(request, 40.0, 0.1, busy) is Kept.LOAD
+    off = without(load_line=False)
+    assert judge_answer(request, 40.0, 0.1, busy, off) is None
+    assert judge_answer(request, 10.0, 0.1, late) is Kept.TIME
+    off = without(outlook=False)
+    assert judge_answer(request, 10.0, 0.1, late, off) is None
+
+
+def test_workers_that_fail_may_be_used_on():
+    health = Health(ManualClock(), without(avoidance=False))
+    workers = make_workers(4)
+    for _ in range(4):
+        health.note_unreachable(workers[0])
+    assert health.usable(workers) == workers
+
+
+def test_another_domain_may_count_as_near():
+    entry = make_entry(ManualClock(), 1)
+    far = make_worker("w", domain="b")
+    assert entry.is_far(far)
+    entry.policy = without(domain_cost=False)
+    assert not entry.is_far(far)
+
+
+async def test_without_the_cascade_the_first_answer_is_kept():
+    async with platform_site() as site:
+        worker = await site.add_worker(
+            "w", "engine", confidence={SMALL: 1, LARGE: 90}
+        )
+        entry = await site.add_entry()
+        assert (await site.chat()).whole
+        assert [run.headers["x-model"] for run in worker.runs] == [SMALL, LARGE]
+        entry.edge.dispatcher.policy = without(cascade=False)
+        assert (await site.chat()).whole
+        assert worker.runs[-1].headers["x-model"] == SMALL
--- /dev/null
+++ b/tests/relay/test_prompt_news.py
@@ -0,0 +1,114 @@
+"""Entries that tell each other of the long prompts that they send."""
+
+import pytest
+
+from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.relay.directory import WorkerDirectory
+from rattanpier._internal.relay.fleet import Fleet
+from rattanpier._internal.relay.load import Loads
+from rattanpier._internal.relay.placement import HOME_TRUST
+from rattanpier._internal.relay.prompt_news import (
+    LEAST_TOLD_S,
+    MOST_TOLD_S,
+    PromptNews,
+)
+from tests.lib.clock import ManualClock
+from tests.lib.engines import make_entry, play_engines
+from tests.lib.relay_parts import make_chat, make_prompt, make_workers
+from tests.relay.test_fleet import make_news
+from tests.relay.test_queue_watch import Links
+
+PROMPT = make_prompt(("a", 4000), ("own", 2000))
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+def make_prompt_news(clock, name, others):
+    """What one entry of several tells, and takes in."""
+    fleet = Fleet(make_news(name, store=True), clock)
+    for other in others:
+        fleet.take(make_news(other, sequence=1))
+    directory = WorkerDirectory(clock)
+    for worker in make_workers(3):
+        directory.put(worker)
+    return PromptNews(fleet, directory, Loads(clock), Links())
+
+
+def test_all_others_know_what_a_worker_reads_and_keeps(clock):
+    one = make_prompt_news(clock, "e1", ("e2", "e3"))
+    one.tell("w1", "large", PROMPT, 0.8)
+    assert [name for name, _ in one.links.told] == ["e2", "e3"]
+    other = make_prompt_news(clock, "e2", ("e1", "e3"))
+    other.take_notice(one.links.told[0][1])
+    load = other.loads.workers["w1"]
+    assert load.others_until == pytest.approx(clock.now + 0.8)
+    assert other.loads.kept_tokens("w1", "large", PROMPT) == PROMPT.tokens
+    assert other.loads.kept_tokens("w1", "small", PROMPT) == 0
+
+
+def test_one_prompt_is_read_after_another(clock):
+    news = make_prompt_news(clock, "e2", ("e1",))
+    for _ in range(2):
+        news.loads.note_others_prompt("w1", 0.5)
+    clock.now += 0.75
+    assert news.loads.workers["w1"].others_until == pytest.approx(
+        clock.now + 0.25
+    )
+
+
+def test_short_prompts_are_not_told(clock):
+    news = make_prompt_news(clock, "e1", ("e2",))
+    news.tell("w1", "small", PROMPT, 0.9 * LEAST_TOLD_S)
+    assert news.links.told == []
+
+
+@pytest.mark.parametrize(
+    ("worker", "read_s"),
+    [
+        ("gone", 0.5),
+        ("", 0.5),
+        ("w1", float("nan")),
+        ("w1", float("inf")),
+        ("w1", -1.0),
+    ],
+)
+def test_what_names_no_worker_or_time_is_left_out(clock, worker, read_s):
+    news = make_prompt_news(clock, "e2", ("e1",))
+    told = peer_pb2.PromptSent(worker=worker, read_s=read_s)
+    news.take_notice(peer_pb2.Notice(prompt_sent=told))
+    assert not news.loads.workers
+
+
+def test_no_estimate_closes_a_worker_for_long(clock):
+    news = make_prompt_news(clock, "e2", ("e1",))
+    told = peer_pb2.PromptSent(worker="w1", read_s=1e6)
+    news.take_notice(peer_pb2.Notice(prompt_sent=told))
+    load = news.loads.workers["w1"]
+    assert load.others_until <= clock.now + MOST_TOLD_S
+
+
+def test_a_worker_that_reads_for_others_is_passed_by(clock):
+    entry = make_entry(clock, 1)
+    workers = make_workers(9)
+    chosen = entry.choose(make_chat(), workers, "large").worker
+    entry.loads.note_others_prompt(chosen.id, 0.6)
+    assert entry.choose(make_chat(), workers, "large").worker != chosen
+
+
+def test_a_home_nobody_told_of_is_not_taken_to_hold_a_long_prompt(clock):
+    entry = make_entry(clock, 1)
+    shared = 40000
+    assert entry.pace.read_s("large", shared) > LEAST_TOLD_S
+    assert entry.home_trust("large", shared) == 0.0
+    assert entry.home_trust("small", 10) == HOME_TRUST
+
+
+def test_large_answers_begin_sooner_where_entries_tell_each_other():
+    alone = play_engines(entries=8, per_s=30.0)
+    told = play_engines(entries=8, per_s=30.0, told=True)
+    assert told.quantile("large", 0.9) < 0.7 * alone.quantile("large", 0.9)
+    assert told.quantile("large", 0.97) < 0.7 * alone.quantile("large", 0.97)
+    assert told.quantile("small", 0.9) < 1.1 * alone.quantile("small", 0.9)
