Let other entries take an overdue last step of a roll-out

Ruled out: completing by evidence alone earlier (what a bad version may get is bounded by when it takes over).

Change: a refused write says at once that the store is lost; an entry that has to read the rows anew writes again at once; for each 0.3 s that the last step is overdue one more entry may take it (conditional writes, so once); it is due at 0.93 of the order's time, not 0.955. The test of the steps names the limit now in place of the figures on both sides of it.

--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -118,7 +118,7 @@
             order, [news.member.incarnation for news in fleet.live()]
         ),
         fleet.drives,
-        lambda: health.available,
+        health,
     )
     rows = EntryRows(store, fleet, clock, lambda: health.available)
     follow = {
--- a/src/rattanpier/_internal/relay/fleet.py
+++ b/src/rattanpier/_internal/relay/fleet.py
@@ -188,21 +188,28 @@
         """Returns how many entries there are, also those that are down."""
         return len(self.others) + 1
 
-    def driver(self) -> str:
-        """Returns the name of the entry that drives roll-outs now.
+    def drivers(self) -> list[str]:
+        """Returns the entries that may drive roll-outs, the first one first.
 
-        The first by name of those that reach the store; empty if none does.
+        By name, those that reach the store; none if none does.
         """
-        able = [
+        return sorted(
             news.member.name
             for news in self.live()
             if news.store and news.member.state is MemberState.LIVE
-        ]
-        return min(able, default="")
+        )
+
+    def driver(self) -> str:
+        """Returns the name of the entry that drives roll-outs now."""
+        return next(iter(self.drivers()), "")
+
+    def drives(self, stand_ins: int = 0) -> bool:
+        """Says whether this entry is to drive roll-outs now.
 
-    def drives(self) -> bool:
-        """Says whether this entry is to drive roll-outs now."""
-        return self.driver() == self.me.member.name
+        Args:
+          stand_ins: Entries behind the first one that may act as well.
+        """
+        return self.me.member.name in self.drivers()[: 1 + stand_ins]
 
     def probed(self) -> list[MemberNews]:
         """Returns the entries that this one asks.
--- a/src/rattanpier/_internal/relay/rollout_driver.py
+++ b/src/rattanpier/_internal/relay/rollout_driver.py
@@ -24,6 +24,7 @@
     RowPut,
     WrittenAt,
 )
+from rattanpier._internal.models.outcomes import NotRun
 from rattanpier._internal.models.rollout_order import (
     RolloutOrder,
     RolloutPhase,
@@ -36,7 +37,7 @@
     may_widen,
 )
 from rattanpier._internal.relay.rollouts import Rollouts
-from rattanpier._internal.relay.store import RelayStore, StoreClock
+from rattanpier._internal.relay.store import RelayStore, StoreClock, StoreHealth
 from rattanpier._internal.relay.verdict import ENOUGH
 from rattanpier._internal.utils.codec import decode, encode
 
@@ -50,8 +51,13 @@
 TRY_UNTIL = 0.5
 FULL_FOR = 0.04  # Two rounds of evidence with all traffic.
 # Then the old workers may be stopped: what they still do goes on elsewhere. The
-# rest of the time is for a write whose answer is lost.
-GIVE_UP_AT = 0.955
+# rest of the time is for a write whose answer is lost, and for another entry to
+# notice that the driving one lost the store: 1.3 s of 24 where the store turned
+# it away just before, and operators see it a little after the write.
+GIVE_UP_AT = 0.93
+# For each such time that the last step is overdue, one more entry may take it:
+# the writes are conditional. A step that was taken is known everywhere sooner.
+STAND_IN_AFTER_S = 0.3
 
 StatusRow = Callable[[str, str, RolloutPhase], RowPut]
 
@@ -100,6 +106,22 @@
     return phase
 
 
+def stand_ins(phase: RolloutPhase, age: float, deadline_s: float) -> int:
+    """Returns how many entries behind the first may take an order's next step.
+
+    Only the last step needs no evidence, which goes to the first one alone.
+
+    >>> stand_ins(RolloutPhase.FULL, GIVE_UP_AT + 0.03, 24.0)
+    2
+    >>> stand_ins(RolloutPhase.TRYING, GIVE_UP_AT + 0.03, 24.0)
+    0
+    """
+    if phase is not RolloutPhase.FULL:
+        return 0
+    overdue_s = (age - GIVE_UP_AT) * deadline_s
+    return max(0, int(overdue_s / STAND_IN_AFTER_S))
+
+
 @attrs.define
 class RolloutDriver:
     """Writes the records of orders.
@@ -107,8 +129,9 @@
     Attributes:
       versions: Versions of the rows in the store, by service.
       old_running: Requests at old workers in all entries, by order.
-      drives: Whether this entry is the one to drive.
-      available: Whether this entry reaches the store.
+      drives: Whether this entry is the one to drive, or among so many more
+        that may.
+      health: Whether this entry reaches the store.
       loaded: All records that stood at the last reading are known.
     """
 
@@ -117,8 +140,8 @@
     rollouts: Rollouts
     status_row: StatusRow
     old_running: Callable[[int], int]
-    drives: Callable[[], bool]
-    available: Callable[[], bool]
+    drives: Callable[[int], bool]
+    health: StoreHealth
     versions: dict[str, int] = attrs.Factory(dict)
     loaded: bool = False
 
@@ -127,10 +150,11 @@
         while True:
             try:
                 # Those who follow the store look whether it is back.
-                if self.available():
+                if self.health.available:
                     await self.step()
             except (StoreUnavailableError, HistoryGoneError) as error:
                 log.info("Roll-outs can't be driven.", error=str(error))
+                self.health.note_silence(error)
                 await asyncio.sleep(AWAY_RETRY_S)
             await asyncio.sleep(DRIVE_EVERY_S)
 
@@ -167,25 +191,33 @@
         if not self.loaded:
             await self.load()
         for order in list(self.rollouts.orders.values()):
-            if self.loaded and not self.rollouts.phase(order).final:
+            if self.rollouts.phase(order).final:
+                continue
+            await self.drive(order)
+            if not self.loaded:
+                # An entry that just took over knows no row's version yet: it
+                # tries once more at once, since an order may be all but late.
+                await self.load()
                 await self.drive(order)
 
     async def drive(self, order: RolloutOrder) -> None:
         """Writes the first record of an order, or the next."""
-        if not self.drives():
-            return
-        self.rollouts.judge(order)
         record = self.rollouts.records.get(order.service)
         now_ms = self.clock.now_ms()
         if record is None or record.order != order.id:
-            # The deadline counts from the order, not from its first record.
-            begun_ms = now_ms - 1000 * self.rollouts.known_for_s(order)
-            await self.write(order, RolloutPhase.TRYING, begun_ms, now_ms)
+            if self.drives(0):
+                # The deadline counts from the order, not from its first record.
+                begun_ms = now_ms - 1000 * self.rollouts.known_for_s(order)
+                await self.write(order, RolloutPhase.TRYING, begun_ms, now_ms)
             return
         whole_ms = order.deadline_s * 1000
+        age = (now_ms - record.begun_ms) / whole_ms
+        if not self.drives(stand_ins(record.phase, age, order.deadline_s)):
+            return
+        self.rollouts.judge(order)
         progress = Progress(
             phase=record.phase,
-            age=(now_ms - record.begun_ms) / whole_ms,
+            age=age,
             phase_age=(now_ms - record.since_ms) / whole_ms,
             exposure=self.rollouts.exposure(order.id),
             worse=order.id in self.rollouts.stopped,
@@ -236,5 +268,8 @@
             order=order.id,
             outcome=json.dumps(repr(outcome)),
         )
+        if isinstance(outcome, NotRun):
+            # Others are to know at once that this entry can't drive.
+            self.health.note_silence(StoreUnavailableError(outcome.reason))
         # Someone else wrote, or it is not known: read before anything else.
         self.loaded = False
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -34,7 +34,11 @@
 from rattanpier._internal.relay.model_groups import ModelGroups
 from rattanpier._internal.relay.pace import Pace
 from rattanpier._internal.relay.placement import Chooser, home_of
-from rattanpier._internal.relay.rollout_driver import Progress, next_phase
+from rattanpier._internal.relay.rollout_driver import (
+    GIVE_UP_AT,
+    Progress,
+    next_phase,
+)
 from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.relay.verdict import Tally, find_worse
 from tests.lib.clock import ManualClock
@@ -421,11 +425,20 @@
         (Progress("trying", 0.1, 0.1, LITTLE, True, 5), "rolled_back"),
         (Progress("widening", 0.92, 0.01, MUCH, False, 5), "widening"),
         (Progress("widening", 0.92, 0.03, MUCH, False, 5), "full"),
-        (Progress("full", 0.95, 0.01, MUCH, False, 0), "full"),
-        (Progress("full", 0.95, 0.05, MUCH, False, 5), "full"),
-        (Progress("full", 0.95, 0.05, MUCH, False, 0), "completed"),
-        (Progress("full", 0.96, 0.05, MUCH, False, 5), "completed"),
-        (Progress("full", 0.95, 0.05, MUCH, True, 0), "rolled_back"),
+        (Progress("full", GIVE_UP_AT - 0.005, 0.01, MUCH, False, 0), "full"),
+        (Progress("full", GIVE_UP_AT - 0.005, 0.05, MUCH, False, 5), "full"),
+        (
+            Progress("full", GIVE_UP_AT - 0.005, 0.05, MUCH, False, 0),
+            "completed",
+        ),
+        (
+            Progress("full", GIVE_UP_AT + 0.005, 0.05, MUCH, False, 5),
+            "completed",
+        ),
+        (
+            Progress("full", GIVE_UP_AT - 0.005, 0.05, MUCH, True, 0),
+            "rolled_back",
+        ),
         (Progress("completed", 0.97, 0.05, MUCH, True, 0), "completed"),
     ],
 )
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -84,6 +84,17 @@
     assert fleet.drives()
 
 
+def test_as_many_more_as_told_may_drive(fleet):
+    fleet.change_me(store=True)
+    fleet.take(make_news("e0", store=True))
+    fleet.take(make_news("e2", store=True))
+    assert not fleet.drives()
+    assert fleet.drives(stand_ins=1)
+    fleet.take(make_news("e00", store=True))
+    assert not fleet.drives(stand_ins=1)
+    assert fleet.drives(stand_ins=2)
+
+
 @pytest.fixture
 async def site():
     async with platform_site() as made:
--- /dev/null
+++ b/tests/relay/test_rollout_driver.py
@@ -0,0 +1,109 @@
+"""Who takes a roll-out further when the entry that drives can't."""
+
+import pytest
+
+from rattanpier._internal.models.feed import Page, WrittenAt
+from rattanpier._internal.models.outcomes import Conflict, NotRun, Uncertain
+from rattanpier._internal.models.rollout_order import (
+    RolloutOrder,
+    RolloutPhase,
+    RolloutRecord,
+)
+from rattanpier._internal.platform.rollouts import status_row
+from rattanpier._internal.relay.exposure import ExposureBound
+from rattanpier._internal.relay.rollout_driver import (
+    GIVE_UP_AT,
+    STAND_IN_AFTER_S,
+    RolloutDriver,
+)
+from rattanpier._internal.relay.rollouts import Rollouts
+from rattanpier._internal.relay.store import StoreClock, StoreHealth
+from tests.lib.clock import ManualClock
+
+DEADLINE_S = 20.0
+OVERDUE_AT = GIVE_UP_AT + STAND_IN_AFTER_S / DEADLINE_S
+ORDER = RolloutOrder(7, "s", "v2", DEADLINE_S)
+
+
+class Store:
+    """A store that answers writes as it is told to."""
+
+    def __init__(self):
+        self.outcomes = [WrittenAt(9, 0.0)]
+        self.writes = 0
+
+    async def scan(self, _table):
+        return Page([], 1, 0.0, whole=True)
+
+    async def transact(self, _checks, _puts):
+        self.writes += 1
+        return self.outcomes.pop(0)
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+def make_driver(clock, rank, phase, age):
+    """An entry's driver; `rank` 0 is the first of those that may drive."""
+    rollouts = Rollouts(ExposureBound(0.15), 5.0, clock)
+    rollouts.take_order(ORDER)
+    begun_ms = 1000 * (clock.now - age * DEADLINE_S)
+    rollouts.take_record(RolloutRecord(7, "s", "v2", phase, begun_ms, begun_ms))
+    health = StoreHealth(clock)
+    health.note_answer()
+    return RolloutDriver(
+        Store(),
+        StoreClock(clock),
+        rollouts,
+        status_row,
+        lambda _order: 3,
+        lambda stand_ins: rank <= stand_ins,
+        health,
+    )
+
+
+@pytest.mark.parametrize(
+    ("rank", "phase", "age", "writes"),
+    [
+        (0, RolloutPhase.FULL, GIVE_UP_AT + 0.001, 1),
+        (0, RolloutPhase.FULL, GIVE_UP_AT - 0.01, 0),
+        (1, RolloutPhase.FULL, GIVE_UP_AT + 0.001, 0),
+        (1, RolloutPhase.FULL, OVERDUE_AT + 0.001, 1),
+        (2, RolloutPhase.FULL, OVERDUE_AT + 0.001, 0),
+        # Steps that rest on evidence are the first one's alone.
+        (1, RolloutPhase.WIDENING, OVERDUE_AT + 0.001, 0),
+        (1, RolloutPhase.TRYING, OVERDUE_AT + 0.001, 0),
+    ],
+)
+async def test_a_second_entry_ends_what_is_overdue(
+    clock, rank, phase, age, writes
+):
+    driver = make_driver(clock, rank, phase, age)
+    await driver.step()
+    assert driver.store.writes == writes
+    if writes:
+        assert driver.rollouts.phase(ORDER) is RolloutPhase.COMPLETED
+
+
+async def test_one_that_the_store_turns_away_says_so_at_once(clock):
+    driver = make_driver(clock, 0, RolloutPhase.FULL, OVERDUE_AT)
+    driver.store.outcomes = [NotRun("store answered 429")] * 2
+    await driver.step()
+    assert not driver.health.available
+
+
+async def test_an_answer_that_is_lost_does_not_mean_that_the_store_is(clock):
+    driver = make_driver(clock, 0, RolloutPhase.FULL, OVERDUE_AT)
+    driver.store.outcomes = [Uncertain("timeout")] * 2
+    await driver.step()
+    assert driver.health.available
+    assert not driver.loaded
+
+
+async def test_one_that_took_over_reads_the_rows_and_writes_at_once(clock):
+    driver = make_driver(clock, 0, RolloutPhase.FULL, OVERDUE_AT)
+    driver.store.outcomes = [Conflict("s"), WrittenAt(9, 0.0)]
+    await driver.step()
+    assert driver.rollouts.phase(ORDER) is RolloutPhase.COMPLETED
