Let an entry tell what it read though it began to watch during the call

Change: whether an entry watches is looked at again when the answer is there; a table that was read whole is told of as well, without its rows.

Test first: failed for both kinds of answer without the change.

--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -88,6 +88,30 @@
     return watchers.index(name) if name in watchers else None
 
 
+def make_news(
+    table: str, before: int | None, page: Page, settling: bool
+) -> TableNews:
+    """Returns what is told of an answer.
+
+    Of a whole table others only hear that there may be more than they know.
+
+    Args:
+      table: Its name.
+      before: The version up to which all was known before, or None.
+      page: The answer.
+      settling: The store was away until just now.
+    """
+    known = not page.whole and before is not None
+    return TableNews(
+        table=table,
+        since=before if known else page.version,
+        version=page.version,
+        now_ms=page.now_ms,
+        rows=page.rows if known else None,
+        settling=settling,
+    )
+
+
 @attrs.define
 class TableFollower:
     """Keeps up with one table, by its feed or by what watchers tell.
@@ -177,18 +201,14 @@
         before = self.since
         settling = self.health.settling()
         self.accept(page, settling)
-        if watching and before is not None and not page.whole:
-            news = TableNews(
-                self.table,
-                before,
-                page.version,
-                page.now_ms,
-                page.rows,
-                settling,
-            )
-            await self.pass_on(news)
-            if page.rows:
-                await self.clock.sleep(GATHER_S)
+        # While entries come back from an outage the places of those that watch
+        # change. One that got its place during the call tells as well: the one
+        # before may have rested, and nobody else heard of a change for 2.5 s.
+        if not (watching or self.watches()):
+            return
+        await self.pass_on(make_news(self.table, before, page, settling))
+        if page.rows and not page.whole:
+            await self.clock.sleep(GATHER_S)
 
     async def pass_on(self, news: TableNews) -> None:
         """Tells the others of an answer, unless the first watcher did."""
--- a/tests/relay/test_watch.py
+++ b/tests/relay/test_watch.py
@@ -4,11 +4,16 @@
 
 import pytest
 
-from rattanpier._internal.models.feed import FeedRow
-from rattanpier._internal.relay.store import SETTLE_S, StoreHealth
+from rattanpier._internal.models.feed import FeedRow, Page
+from rattanpier._internal.relay.store import (
+    SETTLE_S,
+    StoreClock,
+    StoreHealth,
+)
 from rattanpier._internal.relay.watch import (
     COVERED_S,
     WATCHERS,
+    TableFollower,
     TableNews,
     pack_news,
 )
@@ -108,6 +113,71 @@
     assert not deaf.rests()
 
 
+class SlowStore:
+    """Answers one call when it is told to."""
+
+    def __init__(self, page):
+        self.page = page
+        self.asked = asyncio.Event()
+        self.answer = asyncio.Event()
+
+    async def changes(self, _table, _since, _wait_s):
+        self.asked.set()
+        await self.answer.wait()
+        return self.page
+
+    async def scan(self, _table):
+        return await self.changes(_table, 0, 0.0)
+
+
+def make_follower(clock, page, rank, since):
+    """A follower, and what it tells."""
+    told = []
+    follower = TableFollower(
+        store=SlowStore(page),
+        clock=clock,
+        health=StoreHealth(clock),
+        store_clock=StoreClock(clock),
+        table="op",
+        take=lambda _page, _settling: None,
+        rank=rank,
+        tell=told.append,
+        since=since,
+    )
+    return follower, told
+
+
+@pytest.mark.parametrize(
+    ("whole", "since", "told_since"), [(False, 5, 5), (True, None, 9)]
+)
+async def test_one_that_watches_from_the_middle_of_a_call_tells_what_it_got(
+    clock, whole, since, told_since
+):
+    rows = [FeedRow("config", b"v", 9)]
+    ranks = [None]
+    follower, told = make_follower(
+        clock, Page(rows, 9, 1.0, whole), lambda: ranks[-1], since
+    )
+    step = asyncio.create_task(follower.step())
+    await follower.store.asked.wait()
+    ranks.append(0)
+    follower.store.answer.set()
+    await until(lambda: told)
+    (news,) = told
+    assert (news.since, news.version) == (told_since, 9)
+    assert news.rows == (None if whole else rows)
+    step.cancel()
+
+
+async def test_one_that_does_not_watch_tells_nothing(clock):
+    follower, told = make_follower(
+        clock, Page([], 9, 1.0, False), lambda: None, 5
+    )
+    follower.store.answer.set()
+    await follower.step()
+    assert told == []
+
+
 async def test_one_that_hears_of_more_than_it_knows_asks_at_once(site):
     await all_covered(site)
     for each in followers(site):
