Count further sends over a sliding window, whatever the fleet's size

Cause: an entry's bucket held its part of the slack, at least two sends. From 216 entries on the parts add up to more than operators allow, and the part was taken once, from the entries known at the first request (one, right after a start).

Ruled out: that the bucket keeps back sends which the sum allows in steady state.

Change: in each window an entry may send again for its share of the requests of that window, and its part of the slack, by the entries known now.

Before: 420 entries with one request each make 840 further sends where 808 are allowed (test_the_sum_keeps_the_bound_when_each_entry_has_had_one_request). After: within the bound at 8, 80, 195 and 420.

--- a/src/rattanpier/_internal/relay/budgets.py
+++ b/src/rattanpier/_internal/relay/budgets.py
@@ -1,7 +1,10 @@
 """Budgets of further sends, one for each service.
 
-An entry takes its part of the operators' slack, and the ratio of the requests
-that it sees itself, so that the sum over all entries holds without talk.
+Load answered: many entries that each see a few requests a second, of which
+nearly half are asked again of a larger model. In each window an entry may send
+again for a share of the requests that it saw in that window, and its part of
+the operators' slack beyond them, so that the sum over all entries holds
+without talk, however many there are.
 """
 
 from __future__ import annotations
@@ -9,17 +12,62 @@
 import collections
 from collections.abc import Callable
 
-from rattanpier._internal.dispatch.budget import RetryBudget
+import attrs
+
 from rattanpier._internal.models.relay_settings import Bounds
 from rattanpier._internal.utils.clock import Clock
 
 # Of what operators allow: requests may end in one window and their further
 # sends fall into the next.
 USED_PART = 0.9
-LEAST_SAVED = 2.0  # A bucket that holds less than one send lets none through.
 
 
-class Budgets(collections.UserDict[str, RetryBudget]):
+@attrs.define
+class SendBudget:
+    """Further sends for one service, over a sliding window.
+
+    A part of less than one send is saved up rather than rounded up: 420 entries
+    that each took two whole sends at their first request would pass the bound
+    of such a fleet by 32 sends (test_budgets).
+
+    Attributes:
+      share: Further sends for each request.
+      window_s: Time over which requests and sends are counted, in seconds.
+      slack: Returns this entry's part of the sends beyond that share.
+      requests: When each request of the window came, in monotonic seconds.
+      sends: When each further send of the window was made.
+    """
+
+    clock: Clock
+    share: float
+    window_s: float
+    slack: Callable[[], float]
+    requests: collections.deque[float] = attrs.Factory(collections.deque)
+    sends: collections.deque[float] = attrs.Factory(collections.deque)
+
+    def note_request(self) -> None:
+        """Counts a request that came in."""
+        self.forget_old()
+        self.requests.append(self.clock.monotonic())
+
+    def take(self) -> bool:
+        """Says whether one more further send is allowed, and counts it."""
+        self.forget_old()
+        most = self.share * len(self.requests) + self.slack()
+        if len(self.sends) + 1 > most:
+            return False
+        self.sends.append(self.clock.monotonic())
+        return True
+
+    def forget_old(self) -> None:
+        """Drops what is older than the window."""
+        oldest = self.clock.monotonic() - self.window_s
+        for times in (self.requests, self.sends):
+            while times and times[0] < oldest:
+                times.popleft()
+
+
+class Budgets(collections.UserDict[str, SendBudget]):
     """The budget of each service, made when it is first asked for."""
 
     def __init__(
@@ -30,15 +78,17 @@
         self.entries = entries
         self.clock = clock
 
-    def __missing__(self, service: str) -> RetryBudget:
+    def __missing__(self, service: str) -> SendBudget:
         """Returns the budget of a service that was not asked for before."""
-        saved = USED_PART * self.bounds.retry_slack / max(1, self.entries())
-        budget = RetryBudget(
+        budget = SendBudget(
             self.clock,
             share=USED_PART * self.bounds.retry_ratio,
-            floor_per_s=0.0,
-            most=max(LEAST_SAVED, saved),
-            tokens=max(LEAST_SAVED, saved),
+            window_s=self.bounds.retry_window_s,
+            slack=self.slack,
         )
         self.data[service] = budget
         return budget
+
+    def slack(self) -> float:
+        """Returns one entry's part of the slack: the same for each service."""
+        return USED_PART * self.bounds.retry_slack / max(1, self.entries())
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -10,7 +10,6 @@
 import attrs
 import structlog
 
-from rattanpier._internal.dispatch.budget import RetryBudget
 from rattanpier._internal.models.policy import USUAL, Policy
 from rattanpier._internal.models.relay_answer import (
     AnswerBegun,
@@ -24,6 +23,7 @@
 from rattanpier._internal.models.relay_request import Prompt, RelayRequest
 from rattanpier._internal.models.sending import AnswerHead, Sending
 from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.relay.budgets import SendBudget
 from rattanpier._internal.relay.course import (
     LEAST_LEFT_S,
     Course,
@@ -89,7 +89,7 @@
     chooser: Chooser
     sender: Sender
     rollouts: Rollouts
-    budgets: Mapping[str, RetryBudget]
+    budgets: Mapping[str, SendBudget]
     policy: Policy = USUAL
     tell_prompt: Callable[[str, str, Prompt, float], None] = attrs.field(
         default=lambda _worker, _model, _prompt, _read_s: None
--- /dev/null
+++ b/tests/relay/test_budgets.py
@@ -0,0 +1,123 @@
+"""Further sends of many entries that each see few requests."""
+
+import heapq
+import random
+
+import pytest
+
+from rattanpier._internal.models.relay_settings import Bounds
+from rattanpier._internal.relay.budgets import Budgets
+from tests.lib.clock import ManualClock
+
+BOUNDS = Bounds(retry_ratio=0.9, retry_slack=430, retry_window_s=10.0)
+DOUBTFUL = 0.45  # Of first answers, which are asked again of another model.
+
+
+def arrivals(rng, entries, per_s, seconds):
+    """Random times of requests and the entry that gets each."""
+    times = [
+        (rng.uniform(0.0, seconds), rng.randrange(entries))
+        for _ in range(int(entries * per_s * seconds))
+    ]
+    heapq.heapify(times)
+    while times:
+        yield heapq.heappop(times)
+
+
+def play(entries, per_s, seconds, wanted, seed=1):
+    """Returns when requests came, and which further sends were allowed."""
+    rng = random.Random(seed)
+    clock = ManualClock()
+    budgets = [Budgets(BOUNDS, lambda: entries, clock) for _ in range(entries)]
+    requests, sends, refused = [], [], 0
+    for at, entry in arrivals(rng, entries, per_s, seconds):
+        clock.now = at
+        budget = budgets[entry]["s"]
+        budget.note_request()
+        requests.append(at)
+        for _ in range(wanted(rng)):
+            if budget.take():
+                sends.append(at)
+            else:
+                refused += 1
+    return requests, sends, refused
+
+
+def most_beyond(requests, sends, window_s):
+    """Further sends beyond the ratio in the worst window."""
+    worst = 0.0
+    for end in sends:
+        window = [at for at in sends if end - window_s <= at <= end]
+        began = [at for at in requests if end - window_s <= at <= end]
+        worst = max(worst, len(window) - BOUNDS.retry_ratio * len(began))
+    return worst
+
+
+def one_in_two(rng):
+    return int(rng.random() < DOUBTFUL)
+
+
+def always_three(_rng):
+    return 3
+
+
+@pytest.mark.parametrize("entries", [8, 80, 195, 420])
+def test_doubtful_answers_are_asked_again_while_the_sum_allows_it(entries):
+    requests, sends, refused = play(entries, 3.0, 20.0, one_in_two)
+    # Only an entry with one or two requests so far has less than one send.
+    assert refused <= 0.01 * len(requests)
+
+
+@pytest.mark.parametrize("entries", [8, 80, 195, 420])
+def test_the_sum_of_all_entries_keeps_the_bound_when_every_send_fails(entries):
+    requests, sends, _ = play(entries, 100.0 / entries, 20.0, always_three)
+    assert most_beyond(requests, sends, BOUNDS.retry_window_s) <= (
+        BOUNDS.retry_slack
+    )
+    assert len(sends) > 0.7 * BOUNDS.retry_ratio * len(requests)
+
+
+def test_the_sum_keeps_the_bound_when_each_entry_has_had_one_request():
+    clock = ManualClock()
+    entries = [Budgets(BOUNDS, lambda: 420, clock) for _ in range(420)]
+    sends = 0
+    for entry in entries:
+        entry["s"].note_request()
+        while entry["s"].take():
+            sends += 1
+    assert sends <= BOUNDS.retry_ratio * len(entries) + BOUNDS.retry_slack
+    assert sends > 0
+
+
+def test_slack_that_is_less_than_one_send_is_saved_up():
+    clock = ManualClock()
+    budget = Budgets(BOUNDS, lambda: 4000, clock)["s"]
+    assert not budget.take()
+    budget.note_request()
+    assert not budget.take()
+    budget.note_request()
+    assert budget.take()
+
+
+def test_an_entry_that_learns_of_more_entries_takes_a_smaller_part():
+    clock = ManualClock()
+    known = 1
+    budget = Budgets(BOUNDS, lambda: known, clock)["s"]
+    assert all(budget.take() for _ in range(100))
+    known = 10
+    assert not budget.take()
+
+
+def test_sends_count_until_the_window_has_passed():
+    clock = ManualClock()
+    budget = Budgets(BOUNDS, lambda: 430, clock)["s"]
+    for _ in range(10):
+        budget.note_request()
+    while budget.take():
+        pass
+    clock.now = BOUNDS.retry_window_s
+    assert not budget.take()
+    clock.now += 0.1
+    for _ in range(10):
+        budget.note_request()
+    assert budget.take()
