Tell whole tables, and let an entry that starts wait for watchers

Tests: a lost history costs the watchers' calls alone (ten reads of five entries before, at most four after).

--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 
@@ -41,8 +42,13 @@
 POLL_S = 0.2  # Between looks at whether to watch; a tenth of what is allowed.
 # Longer news, compressed, are fetched by each entry itself. An entry passes
 # news on to eight others: so many bytes take a fifth of a second on a link of
-# 5 Mbit/s.
+# 5 Mbit/s. A manifest of some 25 routes and 40 workspaces fits, and a table of
+# a hundred workers, which all entries need when the store loses its history.
 MAX_TOLD_BYTES = 16384
+# An entry that has just started knows of no other that reaches the store, and
+# would watch. Within this time, two rounds of heartbeats, it hears of those
+# that do.
+SETTLED_S = 1.0
 # Entries that fetch a change do so within this time of each other, so that
 # changes in quick succession cost one call.
 FETCH_SPREAD_S = 0.3
@@ -71,6 +77,7 @@
       now_ms: The store's steady clock, in ms.
       rows: The changes, None if they are too long to be told.
       settling: The store was away until just now.
+      whole: The rows are all of the table, not only what changed.
     """
 
     table: str
@@ -79,6 +86,7 @@
     now_ms: float
     rows: list[FeedRow] | None
     settling: bool
+    whole: bool = False
 
 
 def watch_rank(fleet: Fleet) -> int | None:
@@ -93,22 +101,20 @@
 ) -> TableNews:
     """Returns what is told of an answer.
 
-    Of a whole table others only hear that there may be more than they know.
-
     Args:
       table: Its name.
       before: The version up to which all was known before, or None.
       page: The answer.
       settling: The store was away until just now.
     """
-    known = not page.whole and before is not None
     return TableNews(
         table=table,
-        since=before if known else page.version,
+        since=page.version if before is None else before,
         version=page.version,
         now_ms=page.now_ms,
-        rows=page.rows if known else None,
+        rows=page.rows,
         settling=settling,
+        whole=page.whole,
     )
 
 
@@ -125,6 +131,8 @@
       told_at: When a watcher's news came last, in monotonic seconds.
       told_version: Up to which version they told.
       behind: A change was told of that has to be fetched.
+      asked_at: When the store was asked last, in monotonic seconds.
+      first_read_at: When the whole table was read first.
     """
 
     store: RelayStore
@@ -141,6 +149,7 @@
     told_version: int = -1
     behind: bool = False
     asked_at: float = float("-inf")
+    first_read_at: float = float("-inf")
 
     async def run(self) -> None:
         """Follows the table until cancelled."""
@@ -165,11 +174,13 @@
 
     def rests(self) -> bool:
         """Says whether there is no reason to ask the store now."""
-        if self.watches():
-            return False
         if self.behind:
             # A watcher told of more: it reaches the store.
             return False
+        if self.clock.monotonic() - self.first_read_at < SETTLED_S:
+            return True
+        if self.watches():
+            return False
         if not self.health.available:
             retry_s = COVERED_RETRY_S if self.covered() else RETRY_S
             return self.clock.monotonic() - self.asked_at < retry_s
@@ -199,6 +210,11 @@
         self.backoff_s = 0.0
         self.health.note_answer()
         before = self.since
+        if page.whole:
+            # All is known as of now, as if a watcher had told it.
+            self.told_at = self.clock.monotonic()
+            if math.isinf(self.first_read_at):
+                self.first_read_at = self.told_at
         settling = self.health.settling()
         self.accept(page, settling)
         # While entries come back from an outage the places of those that watch
@@ -237,18 +253,20 @@
     def hear(self, news: TableNews) -> None:
         """Takes in what a watcher tells."""
         self.health.note_alive()
-        if self.since is None:
+        if self.since is None and not news.whole:
             self.behind = True
             return
         self.told_at = self.clock.monotonic()
         self.told_version = max(self.told_version, news.version)
-        if news.version <= self.since:
+        if self.knows(news.version):
             return
-        if news.since > self.since or news.rows is None:
+        if news.rows is None or not (news.whole or self.knows(news.since)):
             self.behind = True
             return
-        rows = [row for row in news.rows if row.version > self.since]
-        page = Page(rows, news.version, news.now_ms, whole=False)
+        rows = news.rows
+        if not news.whole:
+            rows = [row for row in rows if not self.knows(row.version)]
+        page = Page(rows, news.version, news.now_ms, news.whole)
         self.accept(page, news.settling and self.health.settling())
 
 
