Find once for a choice what is the same for all workers

Cause: each of 156 workers of a choice asked for quantiles and means that are the same for all of them, and made two objects; a choice took 3.06 ms of processor time (mean of 300, a process by itself), two for each doubtful answer.

Change: read pace, usual reading and the parts' keys are found before workers are weighed; one choice is made, of the best. Same costs, same draws.

After: 1.04 ms.

--- a/src/rattanpier/_internal/relay/load.py
+++ b/src/rattanpier/_internal/relay/load.py
@@ -8,7 +8,7 @@
 
 import collections
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import attrs
 
@@ -109,6 +109,11 @@
     return [part_key(model, part) for part in prompt.parts]
 
 
+def weighed_parts(model: str, prompt: Prompt) -> list[tuple[int, int]]:
+    """Returns the key and the tokens of each part of a prompt, in order."""
+    return [(part_key(model, part), part.tokens) for part in prompt.parts]
+
+
 @attrs.define
 class Loads:
     """The load of each worker by id."""
@@ -168,21 +173,27 @@
         while len(parts) > MAX_PARTS:
             parts.popitem(last=False)
 
-    def kept_tokens(self, id: str, model: str, prompt: Prompt) -> int:
+    def kept_tokens(
+        self, id: str, parts: Sequence[tuple[int, int]], now: float
+    ) -> int:
         """Returns the tokens of a prompt that a worker has read already.
 
         A part only counts if all parts before it are kept too.
+
+        Args:
+          id: Of the worker.
+          parts: Key and tokens of each part, see `weighed_parts`.
+          now: Monotonic seconds.
         """
         load = self.workers.get(id)
         if load is None:
             return 0
-        oldest = self.clock.monotonic() - PART_KEPT_S
+        oldest = now - PART_KEPT_S
         kept = 0
-        for part in prompt.parts:
-            key = part_key(model, part)
+        for key, tokens in parts:
             if load.parts.get(key, -math.inf) < oldest:
                 break
-            kept += part.tokens
+            kept += tokens
         return kept
 
     def forget(self, id: str) -> None:
--- a/src/rattanpier/_internal/relay/pace.py
+++ b/src/rattanpier/_internal/relay/pace.py
@@ -107,8 +107,12 @@
 
     def read_s(self, model: str, tokens: float) -> float:
         """Returns the seconds in which a free worker reads so many tokens."""
+        return tokens * self.token_read_s(model)
+
+    def token_read_s(self, model: str) -> float:
+        """Returns the seconds in which a free worker reads one token."""
         usual = USUAL_READ_S * self.prices.get(model, 1.0)
-        return tokens * self.models[model].read.value(usual, LEAST_SAMPLES)
+        return self.models[model].read.value(usual, LEAST_SAMPLES)
 
     def note_send(self, model: str, read_s: float) -> None:
         """Takes in the reading that a send is."""
--- a/src/rattanpier/_internal/relay/placement.py
+++ b/src/rattanpier/_internal/relay/placement.py
@@ -9,14 +9,14 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 
 from rattanpier._internal.models.policy import USUAL, Policy
 from rattanpier._internal.models.relay_request import Prompt, RelayRequest
 from rattanpier._internal.models.worker import RegisteredWorker
-from rattanpier._internal.relay.load import Loads
+from rattanpier._internal.relay.load import Loads, weighed_parts
 from rattanpier._internal.relay.model_groups import ModelGroups
 from rattanpier._internal.relay.pace import Pace
 from rattanpier._internal.relay.prompt_news import LEAST_TOLD_S
@@ -107,30 +107,44 @@
         """Returns the worker with most free slots."""
         now = self.loads.clock.monotonic()
 
-        def weigh(worker: RegisteredWorker) -> Choice:
+        def weigh(worker: RegisteredWorker) -> float:
             load = self.loads.workers[worker.id]
             running, waiting = load.others(now)
             used = (len(load.running) + running + waiting) / worker.slots
             far = FAR_SLOTS if self.is_far(worker) else 0.0
-            cost = used + far + JITTER * self.rng.random()
-            return self.make(worker, cost, 0.0, len(workers), now)
+            return used + far + JITTER * self.rng.random()
 
-        return min(map(weigh, workers), key=lambda choice: choice.cost)
+        cost, worker = self.least(workers, weigh)
+        return self.make(worker, cost, 0.0, len(workers), now)
+
+    def least(
+        self,
+        workers: Sequence[RegisteredWorker],
+        weigh: Callable[[RegisteredWorker], float],
+    ) -> tuple[float, RegisteredWorker]:
+        """Returns the least cost and the worker that has it."""
+        costs = [weigh(worker) for worker in workers]
+        cost = min(costs)
+        return cost, workers[costs.index(cost)]
 
     def waiting_s(
-        self, worker: RegisteredWorker, model: str, now: float
+        self, worker: RegisteredWorker, usual_read_s: float, now: float
     ) -> float:
-        """Returns the seconds for which others are read before a request."""
+        """Returns the seconds for which others are read before a request.
+
+        Args:
+          worker: Where it would wait.
+          usual_read_s: What others have waiting there is taken to be such as
+            was seen here, unless they told of more.
+          now: Monotonic seconds.
+        """
         load = self.loads.workers[worker.id]
         running, waiting = load.others(now)
-        # What others have waiting there is taken to be such as was seen here,
-        # unless they told of more.
-        counted_s = waiting * self.pace.usual_read_s(model)
         told_s = max(0.0, load.others_until - now)
         return (
             load.pending_s()
             + RUNNING_S * (len(load.running) + running)
-            + max(counted_s, told_s)
+            + max(waiting * usual_read_s, told_s)
         )
 
     def choose_engine(
@@ -139,30 +153,54 @@
         workers: Sequence[RegisteredWorker],
         model: str,
     ) -> Choice:
-        """Returns the worker where the request is likely answered first."""
+        """Returns the worker where the request is likely answered first.
+
+        What is the same for all workers is found once, and callers wait less on
+        a slow VM: a choice among 156 workers took 3.1 ms of processor time when
+        it was not, and takes 1.0 ms (mean of 300 choices).
+        """
         now = self.loads.clock.monotonic()
         small = is_smallest(request, model)
         group = workers
         if small is not None and self.policy.groups:
             group = self.groups.of(workers, small)
         members = {worker.id for worker in group}
-        home = home_of(request.prompt, group) if self.policy.homes else ""
+        prompt = request.prompt
+        home = home_of(prompt, group) if self.policy.homes else ""
+        parts = weighed_parts(model, prompt)
+        token_s = self.pace.token_read_s(model)
+        usual_read_s = self.pace.usual_read_s(model)
+        far_s = FAR_S + FAR_TOKEN_S * prompt.tokens
         apart_s = SMALL_AMONG_LARGE_S if small else LARGE_AMONG_SMALL_S
 
-        def weigh(worker: RegisteredWorker) -> Choice:
-            to_read = self.to_read(worker, model, request.prompt, home)
-            read_s = self.pace.read_s(model, to_read)
-            wait_s = self.waiting_s(worker, model, now)
-            cost = read_s + wait_s
+        def to_read(worker: RegisteredWorker) -> float:
+            kept: float = self.loads.kept_tokens(worker.id, parts, now)
+            if worker.id == home:
+                shared = sum(part.tokens for part in prompt.parts[:-1])
+                trust = self.home_trust(token_s * shared)
+                kept = max(kept, trust * shared)
+            return max(0.0, prompt.tokens - kept)
+
+        def weigh(worker: RegisteredWorker) -> float:
+            cost = token_s * to_read(worker)
+            cost += self.waiting_s(worker, usual_read_s, now)
             if self.is_far(worker):
-                cost += FAR_S + FAR_TOKEN_S * request.prompt.tokens
+                cost += far_s
             if worker.id not in members:
                 cost += apart_s
-            cost *= 1.0 + JITTER * self.rng.random()
-            made = self.make(worker, cost, to_read, len(workers), now)
-            return attrs.evolve(made, read_s=read_s, wait_s=wait_s)
-
-        return min(map(weigh, workers), key=lambda choice: choice.cost)
+            return cost * (1.0 + JITTER * self.rng.random())
+
+        cost, worker = self.least(workers, weigh)
+        tokens = to_read(worker)
+        return self.make(
+            worker,
+            cost,
+            tokens,
+            len(workers),
+            now,
+            read_s=token_s * tokens,
+            wait_s=self.waiting_s(worker, usual_read_s, now),
+        )
 
     def note_send(
         self, request: RelayRequest, model: str, choice: Choice
@@ -181,30 +219,13 @@
         if small is not None:
             self.groups.note_run(small, seconds, slots)
 
-    def to_read(
-        self,
-        worker: RegisteredWorker,
-        model: str,
-        prompt: Prompt,
-        home: str,
-    ) -> float:
-        """Returns the prompt tokens that a worker would have to read."""
-        kept: float = self.loads.kept_tokens(worker.id, model, prompt)
-        if worker.id == home:
-            shared = sum(part.tokens for part in prompt.parts[:-1])
-            kept = max(kept, self.home_trust(model, shared) * shared)
-        return max(0.0, prompt.tokens - kept)
-
-    def home_trust(self, model: str, shared: int) -> float:
+    def home_trust(self, read_s: float) -> float:
         """Returns how likely a home holds shared parts nobody told of.
 
         Args:
-          model: To read them.
-          shared: Their tokens.
+          read_s: Seconds in which they are read.
         """
-        told = self.policy.prompt_news and (
-            self.pace.read_s(model, shared) >= LEAST_TOLD_S
-        )
+        told = self.policy.prompt_news and read_s >= LEAST_TOLD_S
         return 0.0 if told else HOME_TRUST
 
     def make(
@@ -214,11 +235,12 @@
         to_read: float,
         candidates: int,
         now: float,
+        **times: float,
     ) -> Choice:
         """Returns a choice with what it was made from."""
         load = self.loads.workers[worker.id]
         age = None if load.report is None else now - load.report_at
-        return Choice(worker, cost, to_read, candidates, age)
+        return Choice(worker, cost, to_read, candidates, age, **times)
 
 
 def is_smallest(request: RelayRequest, model: str) -> bool | None:
--- a/tests/lib/relay_parts.py
+++ b/tests/lib/relay_parts.py
@@ -7,6 +7,7 @@
 )
 from rattanpier._internal.models.route_table import Route, ServiceShare
 from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.relay.load import weighed_parts
 
 MODELS = ("small", "middle", "large")
 
@@ -60,3 +61,9 @@
     return make_request(
         id, route=route, prompt=make_prompt(*parts), any_model=True, **more
     )
+
+
+def kept_tokens(loads, worker, model, prompt):
+    """What a worker keeps of a prompt, as the placement asks for it."""
+    now = loads.clock.monotonic()
+    return loads.kept_tokens(worker, weighed_parts(model, prompt), now)
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -43,6 +43,7 @@
 from rattanpier._internal.relay.verdict import Tally, find_worse
 from tests.lib.clock import ManualClock
 from tests.lib.relay_parts import (
+    kept_tokens,
     make_chat,
     make_prompt,
     make_request,
@@ -216,8 +217,8 @@
     loads = Loads(clock)
     loads.note_read("w", "m", make_prompt(("b", 400)))
     both = make_prompt(("a", 400), ("b", 400))
-    assert loads.kept_tokens("w", "m", both) == 0
-    assert loads.kept_tokens("w", "other", make_prompt(("b", 400))) == 0
+    assert kept_tokens(loads, "w", "m", both) == 0
+    assert kept_tokens(loads, "w", "other", make_prompt(("b", 400))) == 0
 
 
 # Which model.
--- a/tests/relay/test_prompt_news.py
+++ b/tests/relay/test_prompt_news.py
@@ -18,7 +18,12 @@
 from rattanpier._internal.utils.hashing import short_hash
 from tests.lib.clock import ManualClock
 from tests.lib.engines import make_entry, play_engines
-from tests.lib.relay_parts import make_chat, make_prompt, make_workers
+from tests.lib.relay_parts import (
+    kept_tokens,
+    make_chat,
+    make_prompt,
+    make_workers,
+)
 from tests.relay.test_fleet import make_news
 
 PROMPT = make_prompt(("a", 4000), ("own", 2000))
@@ -58,8 +63,8 @@
     other.take_notice(notice)
     load = other.loads.workers["w1"]
     assert load.others_until == pytest.approx(clock.now + 0.8)
-    assert other.loads.kept_tokens("w1", "large", PROMPT) == PROMPT.tokens
-    assert other.loads.kept_tokens("w1", "small", PROMPT) == 0
+    assert kept_tokens(other.loads, "w1", "large", PROMPT) == PROMPT.tokens
+    assert kept_tokens(other.loads, "w1", "small", PROMPT) == 0
 
 
 def test_one_prompt_is_read_after_another(clock):
@@ -142,10 +147,10 @@
 
 def test_a_home_nobody_told_of_is_not_taken_to_hold_a_long_prompt(clock):
     entry = make_entry(clock, 1)
-    shared = 40000
-    assert entry.pace.read_s("large", shared) > LEAST_TOLD_S
-    assert entry.home_trust("large", shared) == 0.0
-    assert entry.home_trust("small", 10) == HOME_TRUST
+    long_s = entry.pace.read_s("large", 40000)
+    assert long_s > LEAST_TOLD_S
+    assert entry.home_trust(long_s) == 0.0
+    assert entry.home_trust(entry.pace.read_s("small", 10)) == HOME_TRUST
 
 
 def test_large_answers_begin_sooner_where_entries_tell_each_other():
