Split the dispatcher by what it answers

What every answer needs stays there; plain answers, streams, and whether a larger model is asked are modules of functions of their own. Hints that are dropped are counted by reason (peers.hint_dropped).

--- a/benchmarks/hints.py
+++ b/benchmarks/hints.py
@@ -19,6 +19,7 @@
 from rattanpier._internal.peers.link import Link
 from rattanpier._internal.peers.proto import peer_pb2
 from rattanpier._internal.peers.server import PeerServer
+from rattanpier._internal.utils.metrics import Metrics
 
 HOST = "127.0.0.1"
 HINTS = 500
@@ -49,7 +50,7 @@
     server.on_notice("prompt_sent", taken.append)
     await server.start(HOST, 0)
     link = Link(HOST, server.port, "bench")
-    hints = Hints(server.take_notice)
+    hints = Hints(server.take_notice, Metrics())
     await hints.start(HOST, server.port)
     member = Member("e", "i", Role.ENTRY, "a", "r", "u", HOST, server.port)
     link.notify(make_notice())
--- a/src/rattanpier/_internal/peers/hints.py
+++ b/src/rattanpier/_internal/peers/hints.py
@@ -17,6 +17,7 @@
 
 from rattanpier._internal.models.member import Member
 from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.utils.metrics import Metrics
 
 log = structlog.get_logger(part="peers")
 
@@ -32,14 +33,16 @@
 
     Attributes:
       take: Handles a notice.
+      metrics: Counts hints that were not sent or could not be read.
       transport: None until it is open.
-      dropped: Hints not sent or not read so far.
     """
 
-    def __init__(self, take: Callable[[peer_pb2.Notice], None]) -> None:
+    def __init__(
+        self, take: Callable[[peer_pb2.Notice], None], metrics: Metrics
+    ) -> None:
         self.take = take
+        self.metrics = metrics
         self.transport: asyncio.DatagramTransport | None = None
-        self.dropped = 0
 
     async def start(self, host: str, port: int) -> None:
         """Listens."""
@@ -56,11 +59,11 @@
         """Sends a hint to some peers."""
         packed = notice.SerializeToString()
         if self.transport is None or len(packed) > MOST_BYTES:
-            self.dropped += 1
+            self.note_dropped("long")
             return
         for member in members:
             if self.transport.get_write_buffer_size() > MOST_WAITING_BYTES:
-                self.dropped += 1
+                self.note_dropped("full")
                 return
             address = (member.peer_host, member.peer_port)
             self.transport.sendto(packed, address)
@@ -70,16 +73,20 @@
         try:
             notice = peer_pb2.Notice.FromString(data)
         except DecodeError as error:
-            self.dropped += 1
+            self.note_dropped("unreadable")
             log.warning("Hint left out.", peer=addr[0], error=str(error))
             return
         self.take(notice)
 
     def error_received(self, exc: OSError) -> None:
         """Counts a hint that a peer's VM refused: no process listens there."""
-        self.dropped += 1
+        self.note_dropped("refused")
         log.debug("Hint refused.", error=repr(exc))
 
+    def note_dropped(self, reason: str) -> None:
+        """Counts a hint that reaches nobody, or that nobody can read."""
+        self.metrics.count(f"peers.hint_dropped.{reason}")
+
     async def stop(self) -> None:
         """Stops listening."""
         if self.transport is not None:
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -278,7 +278,9 @@
     spread.takers["rumors"] = gossip.take_rumors
     spread.takers["store_news"] = gossip.take_store_news
     await server.start(settings.peers.host, settings.peers.port)
-    hints = kernel.add("hints", Hints(server.take_notice))
+    hints = kernel.add(
+        "hints", Hints(server.take_notice, kernel.find("metrics"))
+    )
     kernel.services["hints"].stop = hints.stop
     await hints.start(settings.peers.host, settings.peers.port)
     return gossip
--- /dev/null
+++ b/src/rattanpier/_internal/relay/answering.py
@@ -0,0 +1,43 @@
+"""Answers one request: as a whole, or as a stream of events."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import aclosing
+
+from rattanpier._internal.models.relay_answer import AnswerPart
+from rattanpier._internal.models.relay_request import RelayRequest
+from rattanpier._internal.relay.course import Course
+from rattanpier._internal.relay.dispatch import Dispatcher
+from rattanpier._internal.relay.model_choice import first_model
+from rattanpier._internal.relay.plain_answers import whole
+from rattanpier._internal.relay.stream_answers import stream
+
+
+async def answer(
+    dispatcher: Dispatcher, request: RelayRequest
+) -> AsyncIterator[AnswerPart]:
+    """Yields the parts of the answer to a request.
+
+    Closing the generator early means that the caller went away: what the
+    workers do for it is stopped.
+    """
+    course = Course(
+        request,
+        asyncio.get_running_loop().time()
+        + request.deadline
+        - dispatcher.clock.monotonic(),
+        dispatcher.pick_service(request),
+        model=first_model(request, dispatcher.policy),
+    )
+    course.first_model = course.model
+    course.order.last = request.after_event
+    dispatcher.budgets[course.service].note_request()
+    dispatcher.rollouts.note_session(course.service, request.session)
+    if request.route.streaming:
+        async with aclosing(stream(dispatcher, course)) as parts:
+            async for part in parts:
+                yield part
+    else:
+        yield await whole(dispatcher, course)
--- a/src/rattanpier/_internal/relay/edge.py
+++ b/src/rattanpier/_internal/relay/edge.py
@@ -26,6 +26,7 @@
     RelayRequest,
 )
 from rattanpier._internal.models.route_table import RouteTable
+from rattanpier._internal.relay.answering import answer
 from rattanpier._internal.relay.course import rounded
 from rattanpier._internal.relay.dispatch import Dispatcher
 from rattanpier._internal.relay.drain import DrainState
@@ -187,7 +188,7 @@
         """Writes the parts of an answer as they come."""
         response: web.StreamResponse | None = None
         times = PieceTimes(taken.arrived)
-        async with aclosing(self.dispatcher.answer(taken)) as parts:
+        async with aclosing(answer(self.dispatcher, taken)) as parts:
             async for part in parts:
                 match part:
                     case WholeAnswer():
--- /dev/null
+++ b/src/rattanpier/_internal/relay/escalation.py
@@ -0,0 +1,89 @@
+"""Whether a doubtful answer is dropped, and a larger model asked."""
+
+from __future__ import annotations
+
+import math
+
+import structlog
+
+from rattanpier._internal.models.relay_request import RelayRequest
+from rattanpier._internal.models.sending import AnswerHead
+from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.relay.course import Course, rounded
+from rattanpier._internal.relay.dispatch import Dispatcher
+from rattanpier._internal.relay.model_choice import (
+    ENOUGH_CONFIDENCE,
+    Kept,
+    Outlook,
+    judge_answer,
+    larger_model,
+)
+from rattanpier._internal.relay.placement import Choice
+
+log = structlog.get_logger(part="dispatch")
+
+
+def goes_on(
+    dispatcher: Dispatcher,
+    course: Course,
+    worker: RegisteredWorker,
+    head: AnswerHead,
+) -> bool:
+    """Says whether an answer is dropped for a larger model's."""
+    request = course.request
+    larger = larger_model(request, course.model)
+    if not dispatcher.policy.cascade or not larger or head.confidence is None:
+        return False
+    if head.confidence >= ENOUGH_CONFIDENCE:
+        return False
+    tried = course.tried
+    # The same worker may well be the best: it is not ruled out.
+    course.tried = tried - {worker.id}
+    choice = dispatcher.choose(course, larger)
+    outlook = expect_larger(dispatcher, request, larger, choice)
+    kept = judge_answer(
+        request,
+        head.confidence,
+        dispatcher.clock.monotonic(),
+        outlook,
+        dispatcher.policy,
+    )
+    if kept is None and not dispatcher.may_send_again(course):
+        kept = Kept.BUDGET
+    log.info(
+        "Answer judged.",
+        request=request.id,
+        worker=worker.id,
+        model=course.model,
+        confidence=head.confidence,
+        kept=None if kept is None else kept.value,
+        wait_s=rounded(outlook.wait_s),
+        first_s=rounded(outlook.first_s),
+        whole_s=rounded(outlook.whole_s),
+        larger=larger,
+    )
+    if kept is not None:
+        course.tried = tried
+        dispatcher.metrics.count(f"relay.kept.{kept.value}")
+        return False
+    course.granted = True
+    dispatcher.metrics.count("relay.larger_model")
+    course.model = larger
+    course.may_have_run = True
+    return True
+
+
+def expect_larger(
+    dispatcher: Dispatcher,
+    request: RelayRequest,
+    model: str,
+    choice: Choice | None,
+) -> Outlook:
+    """Returns what is expected of a model at the worker chosen for it."""
+    if choice is None:
+        return Outlook(math.inf, math.inf, math.inf)
+    pace = dispatcher.chooser.pace
+    wait_s = max(choice.wait_s, pace.wait_s(model, request.priority))
+    stream_s = pace.stream_s(model, request.prompt.expected_output)
+    first_s = choice.read_s + wait_s
+    return Outlook(choice.wait_s, first_s, first_s + stream_s)
--- a/tests/unit/test_hints.py
+++ b/tests/unit/test_hints.py
@@ -7,6 +7,7 @@
 from rattanpier._internal.models.member import Member, Role
 from rattanpier._internal.peers.hints import MOST_BYTES, Hints
 from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.utils.metrics import Metrics
 from tests.lib.platform_site import free_port, until
 
 
@@ -19,10 +20,14 @@
     return peer_pb2.Notice(prompt_sent=told)
 
 
+def dropped(hints, reason):
+    return hints.metrics.counts[f"peers.hint_dropped.{reason}"]
+
+
 @pytest.fixture
 async def peer():
     taken = []
-    hints = Hints(taken.append)
+    hints = Hints(taken.append, Metrics())
     port = free_port()
     await hints.start("127.0.0.1", port)
     yield hints, make_member(port), taken
@@ -49,7 +54,7 @@
     hints, member, taken = peer
     long = make_notice(parts=range(MOST_BYTES))
     hints.send([member], long)
-    assert hints.dropped == 1
+    assert dropped(hints, "long") == 1
     hints.send([member], make_notice())
     await until(lambda: taken)
     assert taken == [make_notice()]
@@ -67,4 +72,4 @@
     hints, member, _ = peer
     hints.transport.get_write_buffer_size = lambda: 10**6
     hints.send([member] * 400, make_notice())
-    assert hints.dropped == 1
+    assert dropped(hints, "full") == 1
