Send hints on the ports that are free between nodes

Cause: hints went to the number of the peers' port, where only connections pass.

Change: an entry listens for hints on the first port of the range that the settings give for traffic between nodes, and tells its number with its state. Hints that come are counted, so that silence shows.

--- a/benchmarks/hints.py
+++ b/benchmarks/hints.py
@@ -52,7 +52,10 @@
     link = Link(HOST, server.port, "bench")
     hints = Hints(server.take_notice, Metrics())
     await hints.start(HOST, server.port)
-    member = Member("e", "i", Role.ENTRY, "a", "r", "u", HOST, server.port)
+    port = server.port
+    member = Member(
+        "e", "i", Role.ENTRY, "a", "r", "u", HOST, port, hint_port=port
+    )
     link.notify(make_notice())
     await asyncio.sleep(0.2)
     pauses = await cost_ms(None)
--- a/src/rattanpier/_internal/models/member.py
+++ b/src/rattanpier/_internal/models/member.py
@@ -36,6 +36,7 @@
       peer_port: Port for peers.
       state: Live or leaving.
       operator_url: Where operators connect; empty for an entry.
+      hint_port: Port for datagrams from peers; 0 where it takes none.
     """
 
     name: str
@@ -48,6 +49,7 @@
     peer_port: int
     state: MemberState = MemberState.LIVE
     operator_url: str = ""
+    hint_port: int = 0
 
     @property
     def is_reachable(self) -> bool:
--- a/src/rattanpier/_internal/models/relay_settings.py
+++ b/src/rattanpier/_internal/models/relay_settings.py
@@ -76,6 +76,7 @@
       readiness: Where the platform asks whether the entry is ready.
       directory: Where callers ask for entries' addresses.
       peers: Where other entries connect.
+      hints: Where other entries send datagrams.
       seeds: Peers to ask while the store is away; may be stale.
       metrics: Where metrics are served, or None.
       heartbeat_s: Workers renew their registration this often.
@@ -92,6 +93,7 @@
     readiness: Address
     directory: Address
     peers: Address
+    hints: Address
     seeds: tuple[Address, ...]
     store: StoreSettings
     metrics: Address | None = None
--- a/src/rattanpier/_internal/peers/hints.py
+++ b/src/rattanpier/_internal/peers/hints.py
@@ -65,8 +65,9 @@
             if self.transport.get_write_buffer_size() > MOST_WAITING_BYTES:
                 self.note_dropped("full")
                 return
-            address = (member.peer_host, member.peer_port)
-            self.transport.sendto(packed, address)
+            if member.hint_port:
+                address = (member.peer_host, member.hint_port)
+                self.transport.sendto(packed, address)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Takes a hint in; one that can't be read is left out."""
@@ -76,6 +77,7 @@
             self.note_dropped("unreadable")
             log.warning("Hint left out.", peer=addr[0], error=str(error))
             return
+        self.metrics.count("peers.hint_taken")
         self.take(notice)
 
     def error_received(self, exc: OSError) -> None:
--- a/src/rattanpier/_internal/platform/settings.py
+++ b/src/rattanpier/_internal/platform/settings.py
@@ -57,6 +57,7 @@
     """
     read = Reader(document, path)
     host = read.text("ip")
+    peers = read.address("listen", "admin")
     return RelaySettings(
         name=read.text("nodeName"),
         host=host,
@@ -66,7 +67,9 @@
         callers=read.address("listen", "frontend"),
         readiness=read.address("listen", "readiness"),
         directory=read.address("listen", "registry"),
-        peers=read.address("listen", "admin"),
+        peers=peers,
+        # Datagrams pass on the ports between the system's own nodes only.
+        hints=Address(host, read.first_port(peers.port, "portRange")),
         seeds=tuple(
             parse_address(seed, path, "seeds")
             for seed in document.get("seeds") or []
@@ -144,6 +147,19 @@
             )
         return float(value)
 
+    def first_port(self, default: int, *names: str) -> int:
+        """Returns the first of a range of ports, or a default without one."""
+        value = self.find(*names)
+        if value is None or value == []:
+            return default
+        ports = value if isinstance(value, list) else [value]
+        if not all(type(port) is int and 0 < port < 2**16 for port in ports):
+            raise SettingsError(
+                f"{self.path}: {'.'.join(names)} is {value!r}",
+                "it has to be the first and the last of some ports",
+            )
+        return ports[0]
+
     def address(self, *names: str) -> Address:
         """Returns an address that has to be there."""
         return parse_address(self.text(*names), self.path, ".".join(names))
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -191,6 +191,7 @@
         caller_url=str(settings.callers),
         peer_host=settings.peers.host,
         peer_port=settings.peers.port,
+        hint_port=settings.hints.port,
     )
     return Fleet(MemberNews(member, time.time()), clock)
 
@@ -282,7 +283,7 @@
         "hints", Hints(server.take_notice, kernel.find("metrics"))
     )
     kernel.services["hints"].stop = hints.stop
-    await hints.start(settings.peers.host, settings.peers.port)
+    await hints.start(settings.hints.host, settings.hints.port)
     return gossip
 
 
--- a/tests/unit/test_hints.py
+++ b/tests/unit/test_hints.py
@@ -4,15 +4,19 @@
 
 import pytest
 
+from rattanpier._internal.exceptions import SettingsError
 from rattanpier._internal.models.member import Member, Role
 from rattanpier._internal.peers.hints import MOST_BYTES, Hints
 from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.platform.settings import decode_settings
 from rattanpier._internal.utils.metrics import Metrics
-from tests.lib.platform_site import free_port, until
+from tests.lib.platform_site import free_port, settings_document, until
 
 
 def make_member(port):
-    return Member("e", "i", Role.ENTRY, "a", "r", "u", "127.0.0.1", port)
+    return Member(
+        "e", "i", Role.ENTRY, "a", "r", "u", "127.0.0.1", 1, hint_port=port
+    )
 
 
 def make_notice(worker=7, **more):
@@ -41,6 +45,13 @@
     assert taken[0] == make_notice()
 
 
+async def test_one_that_takes_no_hints_is_left_out(peer):
+    hints, member, taken = peer
+    hints.send([make_member(0), member], make_notice())
+    await until(lambda: taken)
+    assert taken == [make_notice()]
+
+
 async def test_a_peer_that_is_gone_costs_the_others_nothing(peer):
     hints, member, taken = peer
     gone = make_member(free_port())
@@ -73,3 +84,21 @@
     hints.transport.get_write_buffer_size = lambda: 10**6
     hints.send([member] * 400, make_notice())
     assert dropped(hints, "full") == 1
+
+
+def make_settings(**more):
+    return decode_settings(settings_document("127.0.0.1:1") | more, "f")
+
+
+def test_datagrams_pass_on_the_ports_between_nodes():
+    assert make_settings(portRange=[7340, 7355]).hints.port == 7340
+    settings = make_settings()
+    assert settings.hints.port == settings.peers.port
+
+
+@pytest.mark.parametrize(
+    "ports", [["a", "b"], [0, 5], [70000], "7340", [True], {"first": 1}]
+)
+def test_ports_that_are_none_are_named(ports):
+    with pytest.raises(SettingsError, match="portRange"):
+        make_settings(portRange=ports)
