Tell of a start once, and compare at most once a second

Change: an entry tells of itself when its state changes, as later on; it asks a neighbour for what it lacks at its first heartbeat, then at most once a second where digests go on differing.

--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable
 
 import attrs
@@ -64,10 +65,9 @@
 # In every second round one entry that stands apart is asked for its digest, so
 # that what an entry missed it has within some two seconds.
 ROUNDS_A_TURN = 2
-# An entry that starts is known only to those that were there when it looked:
-# while it is that young it tells of itself again whenever it learns of more.
-YOUNG_S = 3.0
-ANNOUNCE_EVERY_S = 1.0
+# Where all start or change at once digests differ for seconds. A comparison
+# among 195 entries costs its two ends some 20 ms of processor time.
+COMPARE_EVERY_S = 1.0
 
 
 @attrs.frozen
@@ -147,9 +147,8 @@
         changed.
       followers: Of the store's tables, by name; hear what watchers tell.
       told: What was told last, so that only changes are.
-      announced_to: Incarnations that were known when all were told last.
-      announced_at: When that was, in monotonic seconds.
-      began: When this entry began to talk, in monotonic seconds.
+      compared_at: When this entry asked for what it lacks last, in monotonic
+        seconds.
       differences: Digests in a row that differed from this entry's.
       turn: Counts the rounds.
     """
@@ -166,9 +165,7 @@
     renew: Callable[[], bool]
     followers: dict[str, TableFollower] = attrs.Factory(dict)
     told: News = attrs.Factory(News)
-    announced_to: frozenset[str] = frozenset()
-    announced_at: float = float("-inf")
-    began: float = float("inf")
+    compared_at: float = float("-inf")
     differences: int = 0
     turn: int = 0
     reported: Evidence | None = None
@@ -187,7 +184,6 @@
           Whether one was found lost: those behind it may be lost too, and are
           to be asked at once.
         """
-        self.began = min(self.began, self.clock.monotonic())
         self.fleet.forget_down()
         self.fleet.log_changes()
         self.tell_changes()
@@ -234,10 +230,20 @@
             self.differences = 0
             return
         self.differences += 1
-        if self.is_young() or self.differences >= DIFFERENCES_TO_COMPARE:
+        if self.is_to_compare():
             self.differences = 0
+            self.compared_at = self.clock.monotonic()
             await self.compare(news.member)
 
+    def is_to_compare(self) -> bool:
+        """Says whether a digest that differs is a reason to compare now."""
+        since_s = self.clock.monotonic() - self.compared_at
+        if math.isinf(since_s):
+            # It has just started, and knows the others by old rows.
+            return True
+        lasts = self.differences >= DIFFERENCES_TO_COMPARE
+        return lasts and since_s >= COMPARE_EVERY_S
+
     def beat(self, believed_down: bool) -> peer_pb2.Beat:
         """Returns what is told with each question."""
         me = self.fleet.me
@@ -264,10 +270,6 @@
         self.tell_all(News(members=[news]))
         return True
 
-    def is_young(self) -> bool:
-        """Says whether others may not know of this entry's start yet."""
-        return self.clock.monotonic() - self.began < YOUNG_S
-
     # What changed.
 
     def tell_changes(self) -> None:
@@ -282,25 +284,9 @@
             held=rollouts.take_held_news(),
         )
         before, self.told = self.told, attrs.evolve(now, held=[])
-        if self.told != before or now.held or self.is_news():
-            self.announced_to = self.incarnations()
-            self.announced_at = self.clock.monotonic()
+        if self.told != before or now.held:
             self.tell_all(now)
 
-    def is_news(self) -> bool:
-        """Says whether there are others who may not know of this entry."""
-        if not self.is_young():
-            return False
-        since_s = self.clock.monotonic() - self.announced_at
-        if since_s < ANNOUNCE_EVERY_S:
-            return False
-        return not self.incarnations() <= self.announced_to
-
-    def incarnations(self) -> frozenset[str]:
-        """Returns the incarnations of the others that are known."""
-        others = self.fleet.others.values()
-        return frozenset(other.member.incarnation for other in others)
-
     def tell_all(self, news: News) -> None:
         """Begins to tell everybody; some may not answer for a while."""
         rumors = peer_pb2.Rumors(text=encode(news).encode())
--- a/tests/lib/ring.py
+++ b/tests/lib/ring.py
@@ -215,7 +215,7 @@
             entry.fleet.take_all(
                 each for each in news if each is not entry.fleet.me
             )
-            entry.gossip.began = -60.0
+            entry.gossip.compared_at = 0.0
             entry.gossip.told = entry.gossip.news_of([entry.fleet.me])
     return ring
 
--- a/tests/relay/test_spread.py
+++ b/tests/relay/test_spread.py
@@ -132,13 +132,10 @@
     for entry in ring.entries.values():
         written.append(entry.fleet.me)
         entry.fleet.take_all(news for news in written[:-1])
-    await ring.rounds(4)
-    known = [len(entry.fleet.others) for entry in ring.live()]
-    assert min(known) >= 0.99 * (size - 1)
-    await ring.rounds(3)
+    await ring.rounds(6)
     assert all(len(e.fleet.others) == size - 1 for e in ring.live())
     _, mean = ring.most_and_mean("messages")
-    assert mean <= 6 * size + 100
+    assert mean <= 1.5 * size + 100
     ring.forget_sent()
     await ring.rounds(4)
     assert ring.connections() <= 3 * WIDTH
