--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -53,6 +53,7 @@
 from rattanpier._internal.relay.queue_watch import QueueWatch
 from rattanpier._internal.relay.rollout_driver import RolloutDriver
 from rattanpier._internal.relay.rollouts import Rollouts
+from rattanpier._internal.relay.snapshots import Snapshots
 from rattanpier._internal.relay.spread import Spread
 from rattanpier._internal.relay.state import RelayState
 from rattanpier._internal.relay.store import StoreClock, StoreHealth
@@ -258,6 +259,14 @@
     links = kernel.add("links", Links(settings.name))
     kernel.services["links"].stop = links.close
     spread = Spread(fleet, links)
+    snapshots = Snapshots(
+        fleet=fleet,
+        links=links,
+        clock=clock,
+        needed=lambda: not state.health.available,
+        make=state.snapshot,
+        restore=state.restore,
+    )
     gossip = Gossip(
         fleet=fleet,
         rollouts=state.rollouts,
@@ -265,9 +274,7 @@
         spread=spread,
         clock=clock,
         seeds=settings.seeds,
-        needs_snapshot=lambda: not state.health.available,
-        snapshot=state.snapshot,
-        restore=state.restore,
+        snapshots=snapshots,
         renew=lambda: False,
     )
     server.on_call("beat", gossip.serve_beat)
@@ -275,7 +282,7 @@
     server.on_call("spread", spread.serve)
     server.on_notice("spread", spread.take_hint)
     server.on_call("report", gossip.serve_report)
-    server.on_call("snapshot", gossip.serve_snapshot)
+    server.on_call("snapshot", snapshots.serve)
     spread.takers["rumors"] = gossip.take_rumors
     spread.takers["store_news"] = gossip.take_store_news
     await server.start(settings.peers.host, settings.peers.port)
--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -5,9 +5,6 @@
 gets lost is made good between two entries: each asks a few others in turn for
 a digest of what they know and, where it goes on differing, for what it lacks.
 Evidence on new versions goes to the one entry that drives roll-outs.
-
-A peer's snapshot stands in for the store while this entry does not reach it:
-after a restart in an outage, or when the store turns this VM away.
 """
 
 from __future__ import annotations
@@ -28,11 +25,8 @@
 from rattanpier._internal.models.member import Member, Role
 from rattanpier._internal.models.relay_settings import Address
 from rattanpier._internal.models.rollout_order import (
-    RolloutOrder,
     RolloutRecord,
 )
-from rattanpier._internal.models.route_table import RouteTable
-from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.proto import peer_pb2
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
@@ -41,6 +35,7 @@
     HeldSession,
     Rollouts,
 )
+from rattanpier._internal.relay.snapshots import Snapshots
 from rattanpier._internal.relay.spread import Spread, split
 from rattanpier._internal.relay.watch import (
     TableFollower,
@@ -57,8 +52,6 @@
 # One call may be lost or its entry be busy for a moment.
 TIMEOUTS_TO_DOWN = 2
 COMPARE_TIMEOUT_S = 1.0  # States of hundreds of entries over a slow link.
-SNAPSHOT_TIMEOUT_S = 2.0  # Tables of many routes over a slow link.
-SNAPSHOT_EVERY_S = 1.0
 # While something changes anywhere, digests differ for as long as news take to
 # get round, some ten ms: only a difference that lasts is worth its bytes.
 DIFFERENCES_TO_COMPARE = 2
@@ -70,25 +63,6 @@
 COMPARE_EVERY_S = 1.0
 
 
-@attrs.frozen
-class Snapshot:
-    """All that an entry needs to serve.
-
-    Attributes:
-      table: The route table, None if the sender has none.
-      workers: Registered workers.
-      orders: Roll-out orders.
-      records: How far they went.
-      from_store: The sender reaches the store now.
-    """
-
-    table: RouteTable | None
-    workers: list[RegisteredWorker]
-    orders: list[RolloutOrder]
-    records: list[RolloutRecord]
-    from_store: bool
-
-
 @attrs.frozen
 class News:
     """What changed.
@@ -140,9 +114,7 @@
       links: Connections to the others.
       spread: Tells all of them.
       seeds: Addresses to ask while nobody is known.
-      needs_snapshot: Whether this entry lacks what the store would tell.
-      snapshot: Returns this entry's state.
-      restore: Takes a peer's state.
+      snapshots: What peers know stands in for the store.
       renew: Brings this entry's own news up to date; says whether they
         changed.
       followers: Of the store's tables, by name; hear what watchers tell.
@@ -159,9 +131,7 @@
     spread: Spread
     clock: Clock
     seeds: tuple[Address, ...]
-    needs_snapshot: Callable[[], bool]
-    snapshot: Callable[[], Snapshot]
-    restore: Callable[[Snapshot], None]
+    snapshots: Snapshots
     renew: Callable[[], bool]
     followers: dict[str, TableFollower] = attrs.Factory(dict)
     told: News = attrs.Factory(News)
@@ -169,7 +139,6 @@
     differences: int = 0
     turn: int = 0
     reported: Evidence | None = None
-    snapshot_at: float = float("-inf")
 
     async def run(self) -> None:
         """Asks and tells the others, round after round."""
@@ -196,8 +165,8 @@
         if len(self.fleet.live()) == 1:
             await self.join()
         covered = all(each.covered() for each in self.followers.values())
-        if self.needs_snapshot() and not covered:
-            await self.ask_snapshot()
+        if not covered:
+            await self.snapshots.ask_if_needed()
         return any(lost)
 
     # Who lives.
@@ -428,36 +397,6 @@
         if follower is not None:
             follower.hear(news)
 
-    # What stands in for the store.
-
-    async def serve_snapshot(self, call: peer_pb2.Call) -> peer_pb2.Reply:
-        """Answers with this entry's state."""
-        text = encode(self.snapshot()).encode()
-        return peer_pb2.Reply(snapshot=peer_pb2.SnapshotReply(text=text))
-
-    async def ask_snapshot(self) -> None:
-        """Takes the state of an entry that reaches the store, or any."""
-        if self.clock.monotonic() - self.snapshot_at < SNAPSHOT_EVERY_S:
-            return
-        self.snapshot_at = self.clock.monotonic()
-        others = [news for news in self.fleet.live() if news != self.fleet.me]
-        others.sort(key=lambda news: not news.store)
-        for news in others[:2]:
-            call = peer_pb2.Call(snapshot=peer_pb2.SnapshotRequest())
-            try:
-                reply = await self.links.to(news.member).call(
-                    call, SNAPSHOT_TIMEOUT_S
-                )
-                self.restore(decode(Snapshot, reply.snapshot.text))
-            except (PeerUnavailableError, UnreadableError) as error:
-                log.info(
-                    "No snapshot from a peer.",
-                    entry=news.member.name,
-                    error=str(error),
-                )
-                continue
-            return
-
 
 def seed_member(seed: Address) -> Member:
     """Returns a stand-in for a peer of which only the address is known."""
--- /dev/null
+++ b/src/rattanpier/_internal/relay/snapshots.py
@@ -0,0 +1,101 @@
+"""What peers know stands in for the store.
+
+An entry that does not reach the store, after a start in an outage or since the
+store turns its VM away, takes the beliefs of a peer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+import structlog
+
+from rattanpier._internal.exceptions import (
+    PeerUnavailableError,
+    UnreadableError,
+)
+from rattanpier._internal.models.rollout_order import (
+    RolloutOrder,
+    RolloutRecord,
+)
+from rattanpier._internal.models.route_table import RouteTable
+from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.peers.links import Links
+from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.relay.fleet import Fleet
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.codec import decode, encode
+
+log = structlog.get_logger(part="fleet")
+
+SNAPSHOT_TIMEOUT_S = 2.0  # Tables of many routes over a slow link.
+SNAPSHOT_EVERY_S = 1.0
+
+
+@attrs.frozen
+class Snapshot:
+    """All that an entry needs to serve.
+
+    Attributes:
+      table: The route table, None if the sender has none.
+      workers: Registered workers.
+      orders: Roll-out orders.
+      records: How far they went.
+      from_store: The sender reaches the store now.
+    """
+
+    table: RouteTable | None
+    workers: list[RegisteredWorker]
+    orders: list[RolloutOrder]
+    records: list[RolloutRecord]
+    from_store: bool
+
+
+@attrs.define
+class Snapshots:
+    """Gives this entry's beliefs to peers, and takes theirs.
+
+    Attributes:
+      needed: Whether this entry lacks what the store would tell.
+      make: Returns this entry's beliefs.
+      restore: Takes a peer's beliefs.
+      asked_at: When peers were asked last, in monotonic seconds.
+    """
+
+    fleet: Fleet
+    links: Links
+    clock: Clock
+    needed: Callable[[], bool]
+    make: Callable[[], Snapshot]
+    restore: Callable[[Snapshot], None]
+    asked_at: float = float("-inf")
+
+    async def serve(self, call: peer_pb2.Call) -> peer_pb2.Reply:
+        """Answers with this entry's state."""
+        text = encode(self.make()).encode()
+        return peer_pb2.Reply(snapshot=peer_pb2.SnapshotReply(text=text))
+
+    async def ask_if_needed(self) -> None:
+        """Takes the beliefs of an entry that reaches the store, or of any."""
+        since_s = self.clock.monotonic() - self.asked_at
+        if not self.needed() or since_s < SNAPSHOT_EVERY_S:
+            return
+        self.asked_at = self.clock.monotonic()
+        others = [news for news in self.fleet.live() if news != self.fleet.me]
+        others.sort(key=lambda news: not news.store)
+        for news in others[:2]:
+            call = peer_pb2.Call(snapshot=peer_pb2.SnapshotRequest())
+            try:
+                reply = await self.links.to(news.member).call(
+                    call, SNAPSHOT_TIMEOUT_S
+                )
+                self.restore(decode(Snapshot, reply.snapshot.text))
+            except (PeerUnavailableError, UnreadableError) as error:
+                log.info(
+                    "No snapshot from a peer.",
+                    entry=news.member.name,
+                    error=str(error),
+                )
+                continue
+            return
--- a/src/rattanpier/_internal/relay/state.py
+++ b/src/rattanpier/_internal/relay/state.py
@@ -13,8 +13,8 @@
 from rattanpier._internal.models.route_table import RouteTable
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.relay.directory import WorkerDirectory
-from rattanpier._internal.relay.gossip import Snapshot
 from rattanpier._internal.relay.rollouts import Rollouts
+from rattanpier._internal.relay.snapshots import Snapshot
 from rattanpier._internal.relay.store import StoreHealth
 
 log = structlog.get_logger(part="state")
--- a/tests/lib/ring.py
+++ b/tests/lib/ring.py
@@ -20,6 +20,7 @@
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.gossip import BEAT_EVERY_S, Gossip
 from rattanpier._internal.relay.rollouts import Rollouts
+from rattanpier._internal.relay.snapshots import Snapshots
 from rattanpier._internal.relay.spread import Spread
 from tests.lib.virtual import LoopClock
 
@@ -128,9 +129,14 @@
             spread=spread,
             clock=self.clock,
             seeds=(),
-            needs_snapshot=lambda: False,
-            snapshot=lambda: None,
-            restore=lambda _snapshot: None,
+            snapshots=Snapshots(
+                fleet=fleet,
+                links=links,
+                clock=self.clock,
+                needed=lambda: False,
+                make=lambda: None,
+                restore=lambda _snapshot: None,
+            ),
             renew=lambda: False,
         )
         entry = Entry(fleet, spread, gossip)
--- a/tests/relay/test_rows.py
+++ b/tests/relay/test_rows.py
@@ -18,9 +18,10 @@
 from rattanpier._internal.relay.directory import WorkerDirectory
 from rattanpier._internal.relay.exposure import ExposureBound
 from rattanpier._internal.relay.fleet import MemberNews
-from rattanpier._internal.relay.gossip import News, Snapshot
+from rattanpier._internal.relay.gossip import News
 from rattanpier._internal.relay.queue_watch import QueueNews
 from rattanpier._internal.relay.rollouts import Evidence, Rollouts
+from rattanpier._internal.relay.snapshots import Snapshot
 from rattanpier._internal.relay.state import RelayState
 from rattanpier._internal.relay.store import StoreHealth
 from rattanpier._internal.relay.watch import TableNews
