Let only the first reading of a table stand in for watchers' news

Cause, found in reading: an entry that reads a whole table again, after the store lost its history, counted as told of now and rested for 2.5 s, also when no watcher is left to tell it; operators want a change in force within 2 s.

Change: only the first reading, at a start, counts. Its test fails before.

--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -211,11 +211,9 @@
         self.backoff_s = 0.0
         self.health.note_answer()
         before = self.since
-        if page.whole:
+        if math.isinf(self.first_read_at):
             # All is known as of now, as if a watcher had told it.
-            self.told_at = self.clock.monotonic()
-            if math.isinf(self.first_read_at):
-                self.first_read_at = self.told_at
+            self.first_read_at = self.told_at = self.clock.monotonic()
         settling = self.health.settling()
         self.accept(page, settling)
         # While entries come back from an outage the places of those that watch
--- a/tests/relay/test_watch.py
+++ b/tests/relay/test_watch.py
@@ -146,6 +146,19 @@
     assert not follower.rests()
 
 
+async def test_one_that_reads_all_again_does_not_wait_for_watchers(clock):
+    page = Page([FeedRow("w1", b"v", 9)], 9, 1.0, whole=True)
+    follower, _ = make_follower(clock, page, lambda: None, None)
+    follower.health.note_answer()
+    follower.store.answer.set()
+    await follower.step()
+    clock.now += COVERED_S
+    # The store lost its history, and nobody tells anything.
+    follower.since = None
+    await follower.step()
+    assert not follower.rests()
+
+
 async def test_one_that_starts_does_not_watch_before_it_knows_the_others(clock):
     page = Page([FeedRow("w1", b"v", 9)], 9, 1.0, whole=True)
     # It knows of no other that reaches the store.
