--- a/src/rattanpier/_internal/relay/answering.py
+++ b/src/rattanpier/_internal/relay/answering.py
@@ -1,4 +1,4 @@
-"""Answers one request: as a whole, or as a stream of events."""
+"""Answers one request: choose, send, judge the answer, go on or give up."""
 
 from __future__ import annotations
 
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -42,7 +42,10 @@
 
 @attrs.define
 class Dispatcher:
-    """Answers requests from the workers that this entry knows.
+    """What answers need of this entry, and where they leave what they show.
+
+    `answering.answer` begins one; `plain_answers`, `stream_answers` and
+    `escalation` carry it out.
 
     Attributes:
       budgets: Sends beyond the first of each request, by service.
