Tell requests apart by content, and a worker's end from a broken answer

Lines of sends carry a digest of caller, host, method, path and body; after a broken answer one connection shows whether the worker's process still listens.

Ruled out: the session as identity (a session has many contents), the registration running out (three heartbeats, 3.6 s; the logs show five more ends in that time).

No decision changes.

--- a/src/rattanpier/_internal/models/relay_request.py
+++ b/src/rattanpier/_internal/models/relay_request.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import functools
+
 import attrs
 
 from rattanpier._internal.models.route_table import Route, Workspace
+from rattanpier._internal.utils.hashing import short_digest
 
 Header = tuple[str, str]
 
@@ -80,6 +83,19 @@
             return self.workspace.priority
         return self.route.priority
 
+    @functools.cached_property
+    def content(self) -> str:
+        """A digest of what the caller asks, the same for each attempt.
+
+        Ids, deadlines and sessions differ from attempt to attempt; caller,
+        path and body stay.
+        """
+        caller = "" if self.workspace is None else self.workspace.name
+        named = "\0".join(
+            (caller, self.route.host, self.method, self.target, "")
+        )
+        return short_digest(named.encode() + self.body)
+
 
 @attrs.frozen
 class CallerHeaders:
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -58,6 +58,7 @@
 from rattanpier._internal.relay.state import RelayState
 from rattanpier._internal.relay.store import StoreClock, StoreHealth
 from rattanpier._internal.relay.watch import TableFollower, watch_rank
+from rattanpier._internal.relay.worker_ends import WorkerEnds
 from rattanpier._internal.utils.clock import SystemClock
 from rattanpier._internal.utils.metrics import Metrics
 
@@ -211,8 +212,10 @@
     pool = ConnectionPool()
     health = Health(clock, settings.policy)
     dialect = WorkerDialect(upstream.encode_request, upstream.decode_answer)
+    ends = WorkerEnds(pool)
 
     def forget(worker: str) -> None:
+        ends.forget(worker)
         loads.forget(worker)
         pool.forget(worker)
         health.forget(worker)
@@ -233,6 +236,7 @@
             settings.policy,
         ),
         sender=Sender(pool, dialect, loads),
+        ends=ends,
         rollouts=state.rollouts,
         budgets=Budgets(settings.bounds, fleet.size, clock),
         policy=settings.policy,
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -32,6 +32,7 @@
 from rattanpier._internal.relay.load import Loads
 from rattanpier._internal.relay.placement import Choice, Chooser
 from rattanpier._internal.relay.rollouts import Rollouts
+from rattanpier._internal.relay.worker_ends import WorkerEnds
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.metrics import Metrics
 
@@ -61,6 +62,7 @@
     loads: Loads
     chooser: Chooser
     sender: Sender
+    ends: WorkerEnds
     rollouts: Rollouts
     budgets: Mapping[str, SendBudget]
     policy: Policy = USUAL
@@ -128,6 +130,7 @@
         log.info(
             "Sent.",
             request=request.id,
+            content=request.content,
             route=request.route.name,
             worker=choice.worker.id,
             version=choice.worker.version,
@@ -175,12 +178,28 @@
         log.info(
             "Send failed.",
             request=course.request.id,
+            content=course.request.content,
             worker=worker.id,
             reason=course.reason,
             not_run=error.not_run,
             connected=error.connected,
         )
 
+    async def note_broken(
+        self, course: Course, worker: RegisteredWorker, error: SendError
+    ) -> None:
+        """Takes in that a send failed, and looks whether its worker ended."""
+        self.note_failed(course, worker, error)
+        if error.not_run or not await self.ends.has_ended(worker):
+            return
+        self.metrics.count("relay.worker_ended")
+        log.info(
+            "Worker ended under a request.",
+            request=course.request.id,
+            content=course.request.content,
+            worker=worker.id,
+        )
+
     def note_result(
         self,
         course: Course,
--- a/src/rattanpier/_internal/relay/plain_answers.py
+++ b/src/rattanpier/_internal/relay/plain_answers.py
@@ -85,7 +85,7 @@
             body = await answer.read_all(MAX_WHOLE_BYTES)
             head = answer.head
     except SendError as error:
-        dispatcher.note_failed(course, worker, error)
+        await dispatcher.note_broken(course, worker, error)
         return None
     except TimeoutError:
         dispatcher.note_late(course, worker)
--- a/src/rattanpier/_internal/relay/stream_answers.py
+++ b/src/rattanpier/_internal/relay/stream_answers.py
@@ -121,9 +121,9 @@
     except WorkerFailedError:
         return
     except SendError as error:
-        dispatcher.note_failed(course, worker, error)
+        await dispatcher.note_broken(course, worker, error)
     except EventError as error:
-        dispatcher.note_failed(course, worker, SendError(str(error)))
+        await dispatcher.note_broken(course, worker, SendError(str(error)))
     except TimeoutError:
         waited_s = dispatcher.clock.monotonic() - began
         if not flight.begun:
--- a/tests/lib/relay_parts.py
+++ b/tests/lib/relay_parts.py
@@ -13,7 +13,10 @@
 
 
 def make_worker(id, service="s", version="v1", domain="a", **more):
-    return RegisteredWorker(id, service, "h", 1, domain, version, 8, **more)
+    fields = {"host": "h", "port": 1, "slots": 8, **more}
+    return RegisteredWorker(
+        id, service, domain=domain, version=version, **fields
+    )
 
 
 def make_workers(count, **more):
