Keep requests held when all entries are lost at once

Cause: what entries know of a held request is in their memory; where all lose power together it is gone, and the request may end three workers more. Each entry reads the entries' table at its start anyway: one entry of all writes a row there for each held request, and removes one that is old, spoiled or cleared.

Test: test_it_stays_held_when_all_entries_are_lost.

--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -43,7 +43,9 @@
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.gossip import Gossip
 from rattanpier._internal.relay.health import Health
+from rattanpier._internal.relay.held_rows import HeldRows
 from rattanpier._internal.relay.load import Loads
+from rattanpier._internal.relay.membership import TABLE as ENTRY_TABLE
 from rattanpier._internal.relay.membership import EntryRows
 from rattanpier._internal.relay.model_groups import ModelGroups
 from rattanpier._internal.relay.pace import Pace
@@ -133,7 +135,17 @@
         fleet.drives,
         health,
     )
-    rows = EntryRows(store, fleet, clock, lambda: health.available)
+    held = HeldRows(
+        ENTRY_TABLE,
+        store,
+        quarantine,
+        fleet,
+        store_clock,
+        clock,
+        lambda: health.available,
+    )
+    quarantine.changed = held.changed.put_nowait
+    rows = EntryRows(store, fleet, clock, lambda: health.available, held.take)
     follow = {
         rollouts.ORDERS: state.take_operator_page,
         registrations.TABLE: state.take_worker_page,
@@ -178,6 +190,7 @@
         kernel.spawn(queues.run())
     kernel.spawn(gossip.run())
     kernel.spawn(rows.run())
+    kernel.spawn(held.run())
     kernel.spawn(every(TICK_S, state.drop_missing))
     kernel.spawn(driver.run())
     await listen(entry)
--- /dev/null
+++ b/src/rattanpier/_internal/relay/held_rows.py
@@ -0,0 +1,126 @@
+"""Rows by which a request stays held when all entries are lost at once.
+
+Entries keep what they know in memory and ask each other when they start. That
+is gone where all lose power together; the request would end three workers more.
+So one entry writes a row for each request that is held. Each entry reads its
+table at its start anyway, so that this costs one call for each held request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+import structlog
+
+from rattanpier._internal.exceptions import UnreadableError
+from rattanpier._internal.models.feed import (
+    FeedRow,
+    RowCheck,
+    RowPut,
+    WrittenAt,
+)
+from rattanpier._internal.models.worker_end import QuarantineNews, WorkerEnd
+from rattanpier._internal.relay.fleet import Fleet
+from rattanpier._internal.relay.quarantine import HOLD_S, Quarantine
+from rattanpier._internal.relay.store import RelayStore, StoreClock
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.codec import decode, encode
+
+log = structlog.get_logger(part="quarantine")
+
+PREFIX = "held/"  # Of the rows' keys.
+RETRY_S = 1.0  # Until a row is written; entries know it meanwhile.
+MS = 1000.0
+
+
+@attrs.frozen
+class HeldRow:
+    """A held request.
+
+    Attributes:
+      workers: Incarnations that ended under it.
+      ended_ms: When the last one did, on the store's steady clock.
+    """
+
+    workers: list[str]
+    ended_ms: float
+
+
+@attrs.define
+class HeldRows:
+    """Writes the rows that fall to this entry, and takes all in.
+
+    Attributes:
+      table: Of the rows.
+      available: Whether this entry reaches the store.
+      changed: Contents that are held, or no longer.
+    """
+
+    table: str
+    store: RelayStore
+    quarantine: Quarantine
+    fleet: Fleet
+    store_clock: StoreClock
+    clock: Clock
+    available: Callable[[], bool]
+    changed: asyncio.Queue[str] = attrs.Factory(asyncio.Queue)
+
+    async def run(self) -> None:
+        """Writes or removes the row of each content that changed."""
+        while True:
+            content = await self.changed.get()
+            while not await self.bring_up_to_date(content):
+                await self.clock.sleep(RETRY_S)
+
+    async def bring_up_to_date(self, content: str) -> bool:
+        """Writes or removes a row; says whether that is done with."""
+        if not self.is_mine(content):
+            return True
+        if not self.available():
+            return False
+        held_s = self.quarantine.held_s(content)
+        if not held_s:
+            return await self.remove(content)
+        row = HeldRow(
+            sorted(self.quarantine.ends[content]),
+            self.store_clock.now_ms() - MS * (HOLD_S - held_s),
+        )
+        put = RowPut(self.table, PREFIX + content, encode(row).encode())
+        return isinstance(await self.store.transact([], [put]), WrittenAt)
+
+    def is_mine(self, content: str) -> bool:
+        """Says whether a row falls to this entry, by what all know."""
+        me = self.fleet.me.member.name
+        return self.fleet.preferred(PREFIX + content, 1) == [me]
+
+    async def remove(self, content: str) -> bool:
+        """Removes a row; says whether it surely is no longer there."""
+        check = RowCheck(self.table, PREFIX + content)
+        outcome = await self.store.transact([], [], [check])
+        return isinstance(outcome, WrittenAt)
+
+    def take(self, row: FeedRow, now_ms: float) -> None:
+        """Takes in a row that was read.
+
+        Args:
+          row: Its key begins with the prefix.
+          now_ms: The store's steady clock.
+        """
+        content = row.key.removeprefix(PREFIX)
+        try:
+            held = decode(HeldRow, row.value)
+        except UnreadableError as error:
+            log.warning(
+                "Held request's row can't be read.",
+                row=row.key,
+                error=str(error),
+            )
+            self.changed.put_nowait(content)
+            return
+        age_s = max(0.0, (now_ms - held.ended_ms) / MS)
+        ends = [WorkerEnd(content, worker, age_s) for worker in held.workers]
+        self.quarantine.take(QuarantineNews(ends))
+        if age_s >= HOLD_S:
+            self.changed.put_nowait(content)
--- a/src/rattanpier/_internal/relay/membership.py
+++ b/src/rattanpier/_internal/relay/membership.py
@@ -17,7 +17,13 @@
     StoreUnavailableError,
     UnreadableError,
 )
-from rattanpier._internal.models.feed import RowCheck, RowPut, WrittenAt
+from rattanpier._internal.models.feed import (
+    FeedRow,
+    RowCheck,
+    RowPut,
+    WrittenAt,
+)
+from rattanpier._internal.relay import held_rows
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.store import RelayStore
 from rattanpier._internal.utils.clock import Clock
@@ -41,12 +47,15 @@
     Attributes:
       available: Whether this entry reaches the store. Calls in an outage are
         paid for, and all entries may start in one.
+      take_held: Takes in the row of a held request, and the store's clock in
+        ms: one call reads both kinds of rows.
     """
 
     store: RelayStore
     fleet: Fleet
     clock: Clock
     available: Callable[[], bool]
+    take_held: Callable[[FeedRow, float], None]
 
     async def run(self) -> None:
         """Writes the row and reads all; reads again while alone."""
@@ -86,6 +95,9 @@
             log.debug("Entries not read.", error=str(error))
             return False
         for row in page.rows:
+            if row.key.startswith(held_rows.PREFIX):
+                self.take_held(row, page.now_ms)
+                continue
             try:
                 self.fleet.take(decode(MemberNews, row.value))
             except UnreadableError as error:
--- a/src/rattanpier/_internal/relay/quarantine.py
+++ b/src/rattanpier/_internal/relay/quarantine.py
@@ -52,12 +52,14 @@
       trusted: When each content was answered whole last.
       untold: What the others have to be told.
       tell: Called when there is something to tell.
+      changed: Called with each content that is held now, or no longer.
       heard: Called with the incarnation of each worker of which others tell
         that it ended.
     """
 
     clock: Clock
     tell: Callable[[], None] = lambda: None
+    changed: Callable[[str], None] = lambda _content: None
     heard: Callable[[str], None] = lambda _worker: None
     ends: dict[str, dict[str, float]] = attrs.Factory(dict)
     trusted: collections.OrderedDict[str, float] = attrs.Factory(
@@ -166,6 +168,7 @@
                 workers=sorted(ends),
                 hold_s=HOLD_S,
             )
+            self.changed(end.content)
         return True
 
     def clear(self, content: str) -> None:
@@ -173,6 +176,8 @@
         ends = self.ends.pop(content, None)
         if ends is not None:
             log.info("Request cleared.", content=content, workers=len(ends))
+            if len(ends) >= ENDS_TO_HOLD:
+                self.changed(content)
 
     def tell_cleared(self, content: str) -> None:
         """Has the others told that a content's ends are not its own."""
--- a/tests/relay/test_crashing_requests.py
+++ b/tests/relay/test_crashing_requests.py
@@ -23,6 +23,9 @@
 import pytest
 
 from rattanpier._internal.models.sending import ReportedLoad
+from rattanpier._internal.programs.relay import close
+from rattanpier._internal.relay.held_rows import PREFIX
+from rattanpier._internal.relay.quarantine import HOLD_S
 from tests.lib.crashes import DEADLY, make_pool
 from tests.lib.platform_site import events, platform_site, until
 
@@ -141,3 +144,24 @@
 
 async def test_what_ran_beside_such_a_request_is_answered_elsewhere(site):
     assert await play_beside(site) == BESIDE
+
+
+async def test_it_stays_held_when_all_entries_are_lost(site):
+    pool = await make_pool(site, "plain", WORKERS)
+    entry = await site.add_entry()
+    for _ in range(3):
+        await ask_plain(site, "/unsafe/x", "entry-1", DEADLY)
+    assert len(pool.ends) == 3
+    await until(lambda: has_held_row(site))
+    await close(entry)
+    del site.entries["entry-1"]
+    entry = await site.add_entry()
+    await until(lambda: entry.edge.dispatcher.quarantine.ends)
+    answer = await ask_plain(site, "/unsafe/x", "entry-1", DEADLY)
+    assert answer.status == 503
+    assert 500.0 < float(answer.headers["Retry-After"]) <= HOLD_S
+    assert len(pool.ends) == 3
+
+
+def has_held_row(site):
+    return any(PREFIX in key for _, key in site.store.rows)
--- /dev/null
+++ b/tests/relay/test_held_rows.py
@@ -0,0 +1,126 @@
+"""Held requests in the store: who writes them, and what is made of them."""
+
+import attrs
+import pytest
+
+from rattanpier._internal.models.feed import FeedRow, WrittenAt
+from rattanpier._internal.models.outcomes import NotRun
+from rattanpier._internal.relay.fleet import Fleet, MemberNews
+from rattanpier._internal.relay.held_rows import PREFIX, HeldRow, HeldRows
+from rattanpier._internal.relay.quarantine import HOLD_S, Quarantine
+from rattanpier._internal.relay.store import StoreClock
+from rattanpier._internal.utils.codec import decode, encode
+from tests.lib.clock import ManualClock
+from tests.lib.relay_parts import make_workers
+from tests.lib.ring import make_member
+
+TABLE = "t"
+DEADLY = "deadly"
+NOW_MS = 5_000_000.0
+
+
+@attrs.define
+class FakeStore:
+    """Takes writes, or refuses so many first."""
+
+    refused: int = 0
+    calls: int = 0
+    rows: dict = attrs.Factory(dict)
+
+    async def transact(self, checks, puts, removed=()):
+        self.calls += 1
+        if self.refused:
+            self.refused -= 1
+            return NotRun("away")
+        for put in puts:
+            self.rows[put.key] = put.value
+        for check in removed:
+            self.rows.pop(check.key, None)
+        return WrittenAt(1, NOW_MS)
+
+
+def make_rows(store, number=0, of=1):
+    clock = ManualClock()
+    fleet = Fleet(MemberNews(make_member(number), 1.0, store=True), clock)
+    fleet.take_all(
+        MemberNews(make_member(other), 1.0, store=True)
+        for other in range(of)
+        if other != number
+    )
+    store_clock = StoreClock(clock, NOW_MS)
+    rows = HeldRows(
+        TABLE,
+        store,
+        Quarantine(clock),
+        fleet,
+        store_clock,
+        clock,
+        lambda: True,
+    )
+    rows.quarantine.changed = rows.changed.put_nowait
+    return rows
+
+
+def hold(rows):
+    for worker in make_workers(3):
+        rows.quarantine.note_end(DEADLY, worker)
+
+
+async def bring_up_to_date(rows):
+    while not rows.changed.empty():
+        assert await rows.bring_up_to_date(rows.changed.get_nowait())
+
+
+async def test_one_entry_of_many_writes_a_held_request_once():
+    store = FakeStore()
+    for number in range(8):
+        rows = make_rows(store, number, of=8)
+        hold(rows)
+        await bring_up_to_date(rows)
+    assert store.calls == 1
+    assert list(store.rows) == [PREFIX + DEADLY]
+    row = decode(HeldRow, store.rows[PREFIX + DEADLY])
+    assert row == HeldRow(["w0", "w1", "w2"], NOW_MS)
+
+
+async def test_a_row_that_is_not_written_is_tried_again():
+    store = FakeStore(refused=1)
+    rows = make_rows(store)
+    hold(rows)
+    assert not await rows.bring_up_to_date(DEADLY)
+    assert await rows.bring_up_to_date(DEADLY)
+    assert store.rows
+
+
+async def test_a_request_that_is_cleared_has_no_row_any_more():
+    store = FakeStore()
+    rows = make_rows(store)
+    hold(rows)
+    await bring_up_to_date(rows)
+    rows.quarantine.note_answered(DEADLY)
+    await bring_up_to_date(rows)
+    assert store.rows == {}
+
+
+def make_row(age_s):
+    held = HeldRow(["w0", "w1", "w2"], NOW_MS - 1000.0 * age_s)
+    return FeedRow(PREFIX + DEADLY, encode(held).encode(), 1)
+
+
+@pytest.mark.parametrize(("age_s", "held_s"), [(100.0, 500.0), (-5.0, 600.0)])
+def test_a_row_holds_for_what_is_left(age_s, held_s):
+    rows = make_rows(FakeStore())
+    rows.take(make_row(age_s), NOW_MS)
+    assert rows.quarantine.held_s(DEADLY) == held_s
+
+
+@pytest.mark.parametrize(
+    "row", [make_row(HOLD_S), FeedRow(PREFIX + DEADLY, b"no row", 1)]
+)
+async def test_a_row_that_is_old_or_spoiled_is_removed(row):
+    store = FakeStore(rows={row.key: row.value})
+    rows = make_rows(store)
+    rows.take(row, NOW_MS)
+    assert rows.quarantine.held_s(DEADLY) == 0.0
+    await bring_up_to_date(rows)
+    assert store.rows == {}
