--- a/tests/lib/raw.py
+++ b/tests/lib/raw.py
@@ -11,7 +11,8 @@
 
     Modes: ok, cut_on_accept, cut_in_headers, cut_in_body, cut_after, refuse,
     refuse_busy, fail, stall, half, cut_reused, short_body, no_length, hold
-    (answers once `gate` is set), redirect (to `elsewhere`).
+    (answers once `gate` is set), redirect (to `elsewhere`), crash (listens no
+    more from the first request on).
     """
 
     elsewhere = ""
@@ -92,6 +93,9 @@
             await respond(writer, status, "{}")
         elif self.mode == "cut_after":
             return False
+        elif self.mode == "crash":
+            self.server.close()
+            return False
         elif self.mode == "cut_reused":
             if served > 1:
                 return False
