Keep chats that end their engines from further ones as well

The same cause elsewhere: the chat interface put failures down to engines alone, like the relay. The decision moves to retries/quarantine.py and serves both; how an end is seen and told is each path's own: here a connection to the engine after a broken try, and notices along the ring that go on while they are new to somebody.

Left: an engine keeps its name over restarts, so that its ends under one request count once; a pool of fewer than three engines is not spared. Lost notices cost one engine more, and nothing outlives the loss of all entries on this path.

--- a/src/rattanpier/_internal/dispatch/service_tries.py
+++ b/src/rattanpier/_internal/dispatch/service_tries.py
@@ -16,6 +16,7 @@
     ServiceCall,
     send_call,
 )
+from rattanpier._internal.dispatch.quarantining import content_of
 from rattanpier._internal.dispatch.tries import Tries
 from rattanpier._internal.models.configuration import (
     Configuration,
@@ -47,9 +48,11 @@
         tried.add(target.name)
         ran_before = attempt.note_dispatch()
         try:
-            return await send_one(tries, attempt, target, call)
+            answer = await send_one(tries, attempt, target, call)
+            tries.quarantine.note_answered(content_of(attempt.request))
+            return answer
         except UpstreamError as error:
-            tries.note_failure(attempt, target, error, ran_before)
+            await tries.note_failure(attempt, target, error, ran_before)
             tries.check_retry(attempt.request, error, tried)
             failed = error
 
--- a/src/rattanpier/_internal/dispatch/tries.py
+++ b/src/rattanpier/_internal/dispatch/tries.py
@@ -30,8 +30,14 @@
     upstream_failed,
     version_stopped,
 )
+from rattanpier._internal.dispatch.quarantining import (
+    content_of,
+    has_ended,
+    held,
+)
 from rattanpier._internal.models.configuration import Configuration
 from rattanpier._internal.models.request import RouteRequest
+from rattanpier._internal.retries.quarantine import Quarantine
 from rattanpier._internal.routing.placement import (
     Load,
     Placement,
@@ -64,6 +70,7 @@
       announced: Returns those of them that the platform told to leave; the
         others only seem silent.
       on_failure: Called with a worker's name and the error of a try.
+      quarantine: Requests under which workers ended.
       current: Says whether the node's configuration is in force now.
       attempts: Emits the result of each try.
     """
@@ -79,6 +86,7 @@
     confirm: Confirm
     budget: RetryBudget
     placement: Placement
+    quarantine: Quarantine
     load: Load = attrs.Factory(Load)
     leaving: Collection[str] = ()
     announced: Callable[[], Collection[str]] = tuple
@@ -122,9 +130,10 @@
                         if not is_repeat(chunk, seen):
                             seen.append(chunk)
                             yield chunk
+                self.quarantine.note_answered(content_of(attempt.request))
                 return
             except UpstreamError as error:
-                self.note_failure(attempt, target, error, ran_before)
+                await self.note_failure(attempt, target, error, ran_before)
                 self.check_retry(attempt.request, error, tried)
                 failed = error
 
@@ -139,6 +148,10 @@
 
     async def check_claim(self, attempt: Attempt) -> None:
         """Raises DispatchError if an attempt may dispatch nothing more."""
+        held_s = self.quarantine.held_s(content_of(attempt.request))
+        if held_s:
+            self.metrics.count("dispatch.held")
+            raise held(held_s)
         if not self.current():
             raise not_current()
         if not attempt.request.idempotent and not await self.confirm(attempt):
@@ -146,7 +159,7 @@
         if self.left_s(attempt.request) <= 0:
             raise deadline_passed()
 
-    def note_failure(
+    async def note_failure(
         self,
         attempt: Attempt,
         target: Target,
@@ -164,6 +177,9 @@
         self.on_failure(target.name, error)
         if error.not_run:
             attempt.may_have_run = ran_before
+        elif await has_ended(target):
+            self.metrics.count("dispatch.worker_ended")
+            self.quarantine.note_end(content_of(attempt.request), target.name)
 
     def choose(self, targets: list[Target]) -> Target | None:
         """Returns the worker to use of some; None if there is none."""
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -9,10 +9,12 @@
 
 from rattanpier._internal.cascade.ratings import RatingNews
 from rattanpier._internal.cascade.services import add_cascade
+from rattanpier._internal.cascade.sharing import ring_spread
 from rattanpier._internal.claims.service import Claims
 from rattanpier._internal.dispatch.budget import RetryBudget
 from rattanpier._internal.dispatch.gates import Gates
 from rattanpier._internal.dispatch.keeper import ClaimKeeper
+from rattanpier._internal.dispatch.quarantining import QuarantineSharing
 from rattanpier._internal.dispatch.runner import Runner
 from rattanpier._internal.dispatch.service_runner import ServiceRunner
 from rattanpier._internal.dispatch.tries import Tries
@@ -32,6 +34,7 @@
 from rattanpier._internal.models.member import Member, Role
 from rattanpier._internal.models.settings import Settings
 from rattanpier._internal.programs.common import add_base, add_membership
+from rattanpier._internal.retries.quarantine import Quarantine
 from rattanpier._internal.rollout.collect import Collector
 from rattanpier._internal.rollout.services import add_collector
 from rattanpier._internal.routing.placement import Placement
@@ -207,6 +210,7 @@
         confirm=keeper.confirm,
         budget=RetryBudget(clock),
         placement=Placement(settings.node.name),
+        quarantine=add_quarantine(kernel, settings),
         current=kernel.find("currency").is_current,
     )
     runner = Runner(
@@ -231,6 +235,19 @@
     return ChatHandler(runner, tokens, pins, settings.edge, clock, metrics)
 
 
+def add_quarantine(kernel: Kernel, settings: Settings) -> Quarantine:
+    """Adds what keeps requests that end their workers from further ones."""
+    quarantine = Quarantine(kernel.find("clock"))
+    entries = kernel.find("members").entries
+    links = kernel.find("links")
+    sharing = QuarantineSharing(
+        quarantine, ring_spread(settings.node.name, entries, links)
+    )
+    quarantine.tell = sharing.tell_soon
+    kernel.find("peer_server").on_notice("spread", sharing.receive)
+    return quarantine
+
+
 def add_gates(kernel: Kernel, runner: Runner) -> None:
     """Adds admission and lets it learn from the runner's attempts."""
     members = kernel.find("members")
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -52,7 +52,6 @@
 from rattanpier._internal.relay.placement import Chooser
 from rattanpier._internal.relay.pool import ConnectionPool
 from rattanpier._internal.relay.prompt_news import PromptNews
-from rattanpier._internal.relay.quarantine import Quarantine
 from rattanpier._internal.relay.queue_watch import QueueWatch
 from rattanpier._internal.relay.rollout_driver import RolloutDriver
 from rattanpier._internal.relay.rollouts import Rollouts
@@ -65,6 +64,7 @@
     HEARTBEATS_TO_EXPIRY,
     WorkerEnds,
 )
+from rattanpier._internal.retries.quarantine import Quarantine
 from rattanpier._internal.utils.clock import SystemClock
 from rattanpier._internal.utils.metrics import Metrics
 
@@ -238,7 +238,7 @@
     pool = ConnectionPool()
     health = Health(clock, settings.policy)
     dialect = WorkerDialect(upstream.encode_request, upstream.decode_answer)
-    ends = WorkerEnds(pool, clock, HEARTBEATS_TO_EXPIRY * settings.heartbeat_s)
+    ends = WorkerEnds(clock, HEARTBEATS_TO_EXPIRY * settings.heartbeat_s)
 
     def forget(worker: str) -> None:
         loads.forget(worker)
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -31,9 +31,9 @@
 from rattanpier._internal.relay.health import Health
 from rattanpier._internal.relay.load import InFlight, Loads
 from rattanpier._internal.relay.placement import Choice, Chooser
-from rattanpier._internal.relay.quarantine import Quarantine
 from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.relay.worker_ends import WorkerEnds
+from rattanpier._internal.retries.quarantine import Quarantine
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.metrics import Metrics
 
@@ -234,7 +234,7 @@
                 content=content,
                 worker=worker.id,
             )
-            self.quarantine.note_end(content, worker)
+            self.quarantine.note_end(content, worker.incarnation)
         self.note_failed(course, worker, error)
 
     def note_result(
@@ -247,7 +247,7 @@
         """Lets health and roll-outs learn from an answer."""
         peers = self.directory.of_service(worker.service)
         self.health.note(worker, bad, peers)
-        if bad and self.quarantine.explains(worker):
+        if bad and self.quarantine.explains(worker.incarnation):
             # A version is not worse for a request that ends all workers.
             return
         self.rollouts.note(worker, course.request.route.name, bad, relative_s)
--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -31,7 +31,6 @@
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.proto import peer_pb2
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
-from rattanpier._internal.relay.quarantine import Quarantine
 from rattanpier._internal.relay.rollouts import (
     Evidence,
     HeldSession,
@@ -44,6 +43,7 @@
     TableNews,
     pack_news,
 )
+from rattanpier._internal.retries.quarantine import Quarantine
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.codec import decode, encode, pack, unpack
 
--- a/src/rattanpier/_internal/relay/held_rows.py
+++ b/src/rattanpier/_internal/relay/held_rows.py
@@ -23,8 +23,8 @@
 )
 from rattanpier._internal.models.worker_end import QuarantineNews, WorkerEnd
 from rattanpier._internal.relay.fleet import Fleet
-from rattanpier._internal.relay.quarantine import HOLD_S, Quarantine
 from rattanpier._internal.relay.store import RelayStore, StoreClock
+from rattanpier._internal.retries.quarantine import HOLD_S, Quarantine
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.codec import decode, encode
 
--- a/src/rattanpier/_internal/relay/pool.py
+++ b/src/rattanpier/_internal/relay/pool.py
@@ -50,43 +50,19 @@
         kept = None if fresh else self.take_kept(worker.id)
         if kept is not None:
             return kept
+        loop = asyncio.get_running_loop()
         try:
-            return await self.open(worker, min(CONNECT_TIMEOUT_S, timeout_s))
+            async with asyncio.timeout(min(CONNECT_TIMEOUT_S, timeout_s)):
+                _, connection = await loop.create_connection(
+                    WorkerConnection, worker.host, worker.port
+                )
         except (OSError, TimeoutError) as error:
             raise ConnectionBrokenError(
                 f"can't connect: {error!r}", sent=False
             ) from error
-
-    async def open(
-        self, worker: RegisteredWorker, timeout_s: float
-    ) -> WorkerConnection:
-        """Opens a connection.
-
-        Raises:
-          OSError: The worker's VM refused it, or can't be reached.
-          TimeoutError: Nothing answered.
-        """
-        loop = asyncio.get_running_loop()
-        async with asyncio.timeout(timeout_s):
-            _, connection = await loop.create_connection(
-                WorkerConnection, worker.host, worker.port
-            )
         self.opened += 1
         return connection
 
-    async def listens(
-        self, worker: RegisteredWorker, timeout_s: float
-    ) -> bool | None:
-        """Says whether a process listens for a worker; None if unknown."""
-        try:
-            connection = await self.open(worker, timeout_s)
-        except ConnectionRefusedError:
-            return False
-        except (OSError, TimeoutError):
-            return None
-        connection.abort()
-        return True
-
     def take_kept(self, worker: str) -> WorkerConnection | None:
         """Returns a kept connection that is surely open yet, or None."""
         kept = self.idle.get(worker, [])
--- a/src/rattanpier/_internal/relay/worker_ends.py
+++ b/src/rattanpier/_internal/relay/worker_ends.py
@@ -16,8 +16,8 @@
 import structlog
 
 from rattanpier._internal.models.worker import RegisteredWorker
-from rattanpier._internal.relay.pool import ConnectionPool
 from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.ports import listens
 
 log = structlog.get_logger(part="health")
 
@@ -35,14 +35,12 @@
     """Checks workers, each once at a time, and keeps which ended.
 
     Attributes:
-      pool: Opens the connections.
       expiry_s: Time after which a registration runs out.
       ended: When each was found to have ended, in monotonic seconds, by
         incarnation.
       checks: Those that are being made, by incarnation.
     """
 
-    pool: ConnectionPool
     clock: Clock
     expiry_s: float
     ended: dict[str, float] = attrs.Factory(dict)
@@ -96,10 +94,10 @@
 
     async def check(self, worker: RegisteredWorker) -> bool:
         """Looks whether a process listens at a worker's address."""
-        listens = await self.pool.listens(worker, CHECK_TIMEOUT_S)
-        if listens is False:
+        found = await listens(worker.host, worker.port, CHECK_TIMEOUT_S)
+        if found is False:
             self.note_ended(worker.incarnation)
-        return listens is False
+        return found is False
 
     def note_ended(self, worker: str) -> None:
         """Takes in that the process of an incarnation ended."""
--- a/src/rattanpier/_internal/relay/quarantine.py
+++ b/src/rattanpier/_internal/retries/quarantine.py
@@ -21,7 +21,6 @@
 import attrs
 import structlog
 
-from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.models.worker_end import QuarantineNews, WorkerEnd
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.hashing import stable_hash
@@ -81,18 +80,26 @@
         """Says whether a worker ended under a content."""
         return content in self.ends
 
-    def explains(self, worker: RegisteredWorker) -> bool:
-        """Says whether a worker ended under a content that ended another."""
+    def explains(self, worker: str) -> bool:
+        """Says whether a worker ended under a content that ended another.
+
+        Args:
+          worker: Its incarnation.
+        """
         return any(
-            worker.incarnation in ends and len(ends) > 1
-            for ends in self.ends.values()
+            worker in ends and len(ends) > 1 for ends in self.ends.values()
         )
 
     # What entries see.
 
-    def note_end(self, content: str, worker: RegisteredWorker) -> None:
-        """Takes in that a worker ended while a content was under way there."""
-        end = WorkerEnd(content, worker.incarnation)
+    def note_end(self, content: str, worker: str) -> None:
+        """Takes in that a worker ended while a content was under way there.
+
+        Args:
+          content: Digest of what the caller asks.
+          worker: Its incarnation.
+        """
+        end = WorkerEnd(content, worker)
         if self.add(end):
             self.untold.ends.append(end)
             self.tell()
@@ -126,18 +133,20 @@
             ]
         )
 
-    def take(self, news: QuarantineNews) -> None:
-        """Takes in what another entry tells."""
-        new: set[str] = set()
+    def take(self, news: QuarantineNews) -> QuarantineNews:
+        """Takes in what another entry tells; returns what was new of it."""
+        new = QuarantineNews()
         for end in news.ends:
             if self.is_trusted(end.content):
                 self.tell_cleared(end.content)
             elif 0.0 <= end.age_s < HOLD_S and self.add(end):
-                new.add(end.worker)
-        for worker in new:
+                new.ends.append(end)
+        for worker in {end.worker for end in new.ends}:
             self.heard(worker)
         for content in news.cleared:
-            self.clear(content)
+            if self.clear(content):
+                new.cleared.append(content)
+        return new
 
     def digest(self) -> int:
         """Returns what two entries that know the same have in common."""
@@ -173,13 +182,15 @@
             self.changed(end.content)
         return True
 
-    def clear(self, content: str) -> None:
-        """Forgets the ends of a content."""
+    def clear(self, content: str) -> bool:
+        """Forgets the ends of a content; says whether there were any."""
         ends = self.ends.pop(content, None)
-        if ends is not None:
-            log.info("Request cleared.", content=content, workers=len(ends))
-            if len(ends) >= ENDS_TO_HOLD:
-                self.changed(content)
+        if ends is None:
+            return False
+        log.info("Request cleared.", content=content, workers=len(ends))
+        if len(ends) >= ENDS_TO_HOLD:
+            self.changed(content)
+        return True
 
     def tell_cleared(self, content: str) -> None:
         """Has the others told that a content's ends are not its own."""
--- a/tests/lib/dispatch.py
+++ b/tests/lib/dispatch.py
@@ -19,6 +19,7 @@
     Worker,
 )
 from rattanpier._internal.models.outcomes import ClaimOutcome, SettleOutcome
+from rattanpier._internal.retries.quarantine import Quarantine
 from rattanpier._internal.routing.placement import Placement
 from rattanpier._internal.utils.metrics import Metrics
 from tests.lib.builders import LARGE, SMALL, build_configuration
@@ -98,6 +99,7 @@
             self.claims, self.clock, self.metrics, self.spawn
         )
         tries = Tries(
+            quarantine=Quarantine(self.clock),
             session=self.session,
             fresh=self.session,
             configuration=lambda: self.configuration,
--- a/tests/lib/ring.py
+++ b/tests/lib/ring.py
@@ -19,10 +19,10 @@
 from rattanpier._internal.relay.exposure import ExposureBound
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.gossip import BEAT_EVERY_S, Gossip
-from rattanpier._internal.relay.quarantine import Quarantine
 from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.relay.snapshots import Snapshots
 from rattanpier._internal.relay.spread import Spread
+from rattanpier._internal.retries.quarantine import Quarantine
 from tests.lib.virtual import LoopClock
 
 DOMAINS = 6
--- a/tests/relay/test_crashing_requests.py
+++ b/tests/relay/test_crashing_requests.py
@@ -25,7 +25,7 @@
 from rattanpier._internal.models.sending import ReportedLoad
 from rattanpier._internal.programs.relay import close
 from rattanpier._internal.relay.held_rows import PREFIX
-from rattanpier._internal.relay.quarantine import HOLD_S
+from rattanpier._internal.retries.quarantine import HOLD_S
 from tests.lib.crashes import DEADLY, make_pool
 from tests.lib.platform_site import events, platform_site, until
 
--- a/tests/relay/test_held_rows.py
+++ b/tests/relay/test_held_rows.py
@@ -7,11 +7,10 @@
 from rattanpier._internal.models.outcomes import NotRun
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.held_rows import PREFIX, HeldRow, HeldRows
-from rattanpier._internal.relay.quarantine import HOLD_S, Quarantine
 from rattanpier._internal.relay.store import StoreClock
+from rattanpier._internal.retries.quarantine import HOLD_S, Quarantine
 from rattanpier._internal.utils.codec import decode, encode
 from tests.lib.clock import ManualClock
-from tests.lib.relay_parts import make_workers
 from tests.lib.ring import make_member
 
 TABLE = "t"
@@ -62,8 +61,8 @@
 
 
 def hold(rows):
-    for worker in make_workers(3):
-        rows.quarantine.note_end(DEADLY, worker)
+    for number in range(3):
+        rows.quarantine.note_end(DEADLY, f"w{number}")
 
 
 async def bring_up_to_date(rows):
--- a/tests/relay/test_spread.py
+++ b/tests/relay/test_spread.py
@@ -9,7 +9,6 @@
 from rattanpier._internal.peers.proto import peer_pb2
 from rattanpier._internal.relay.gossip import CALL_TIMEOUT_S, TIMEOUTS_TO_DOWN
 from rattanpier._internal.relay.spread import WIDTH
-from tests.lib.relay_parts import make_worker
 from tests.lib.ring import ORDER, make_ring
 from tests.lib.virtual import run_virtual
 
@@ -236,7 +235,7 @@
     ring = make_ring(size)
     for number in range(3):
         entry = ring.entries[f"e{number:03}"]
-        worker = make_worker(f"w{number}")
+        worker = f"w{number}"
         for content in ("deadly", f"beside {number}"):
             entry.gossip.quarantine.note_end(content, worker)
     # A request that ends workers goes on to the next within 0.2 s.
@@ -252,9 +251,7 @@
     cut = {f"e{number:03}" for number in range(1, 80, 8)}
     ring.silent = cut
     for number in range(3):
-        ring.entries["e000"].gossip.quarantine.note_end(
-            "deadly", make_worker(f"w{number}")
-        )
+        ring.entries["e000"].gossip.quarantine.note_end("deadly", f"w{number}")
     await ring.clock.sleep(1.0)
     assert count_holding(ring, "deadly") == 80 - len(cut)
     ring.silent = set()
--- a/tests/relay/test_worker_ends.py
+++ b/tests/relay/test_worker_ends.py
@@ -6,7 +6,7 @@
 import pytest
 
 from rattanpier._internal.models.route_table import Workspace
-from rattanpier._internal.relay.pool import ConnectionPool
+from rattanpier._internal.relay import worker_ends as module
 from rattanpier._internal.relay.worker_ends import WorkerEnds
 from rattanpier._internal.standin.platform_worker import PlatformWorkerServer
 from tests.lib.clock import ManualClock
@@ -15,8 +15,8 @@
 EXPIRY_S = 3.6  # Three heartbeats.
 
 
-def make_ends(pool=None):
-    return WorkerEnds(pool or ConnectionPool(), ManualClock(), EXPIRY_S)
+def make_ends():
+    return WorkerEnds(ManualClock(), EXPIRY_S)
 
 
 async def make_listener():
@@ -36,22 +36,27 @@
     assert await ends.has_ended(worker)
 
 
-async def test_answers_that_break_together_share_one_check():
-    server, worker = await make_listener()
+async def test_answers_that_break_together_share_one_check(monkeypatch):
+    asked = []
+
+    async def listens(host, port, timeout_s):
+        asked.append(port)
+        await asyncio.sleep(0)
+        return True
+
+    monkeypatch.setattr(module, "listens", listens)
     ends = make_ends()
-    asked = [ends.has_ended(worker) for _ in range(12)]
-    assert await asyncio.gather(*asked) == [False] * 12
-    assert ends.pool.opened == 1
-    await server.stop()
+    checks = [ends.has_ended(make_worker("w1")) for _ in range(12)]
+    assert await asyncio.gather(*checks) == [False] * 12
+    assert asked == [1]
 
 
-async def test_a_worker_that_cannot_be_reached_may_live():
-    class CutPool(ConnectionPool):
-        async def open(self, worker, timeout_s):
-            raise TimeoutError
+async def test_a_worker_that_cannot_be_reached_may_live(monkeypatch):
+    async def listens(host, port, timeout_s):
+        return None
 
-    ends = make_ends(CutPool())
-    assert not await ends.has_ended(make_worker("w1"))
+    monkeypatch.setattr(module, "listens", listens)
+    assert not await make_ends().has_ended(make_worker("w1"))
 
 
 async def test_a_caller_that_leaves_does_not_end_the_check_of_others():
--- a/tests/relay/test_quarantine.py
+++ b/tests/retries/test_quarantine.py
@@ -6,9 +6,9 @@
 from rattanpier._internal.models.refusal import RefusalCode
 from rattanpier._internal.models.relay_answer import AnswerRefused, WholeAnswer
 from rattanpier._internal.models.worker_end import QuarantineNews, WorkerEnd
-from rattanpier._internal.relay import quarantine as module
 from rattanpier._internal.relay.course import Course, give_up
-from rattanpier._internal.relay.quarantine import (
+from rattanpier._internal.retries import quarantine as module
+from rattanpier._internal.retries.quarantine import (
     ENDS_TO_HOLD,
     HOLD_S,
     TRUSTED_S,
@@ -16,7 +16,7 @@
 )
 from rattanpier._internal.utils.codec import decode, encode
 from tests.lib.clock import ManualClock
-from tests.lib.relay_parts import make_request, make_worker, make_workers
+from tests.lib.relay_parts import make_request, make_worker
 
 DEADLY, USUAL = "deadly", "usual"
 
@@ -27,7 +27,7 @@
 
 def end_some(quarantine, content, count, first=0):
     for number in range(first, first + count):
-        quarantine.note_end(content, make_worker(f"w{number}"))
+        quarantine.note_end(content, f"w{number}")
 
 
 def tell(sender, receiver):
@@ -55,7 +55,7 @@
 def test_starts_under_one_id_count_each():
     quarantine = make_quarantine()
     for born in range(ENDS_TO_HOLD):
-        quarantine.note_end(DEADLY, make_worker("w", born=born))
+        quarantine.note_end(DEADLY, make_worker("w", born=born).incarnation)
     assert quarantine.held_s(DEADLY) == HOLD_S
 
 
@@ -149,14 +149,13 @@
 
 def test_a_worker_s_end_is_put_down_to_a_content_that_ended_another():
     quarantine = make_quarantine()
-    first, second = make_workers(2)
-    quarantine.note_end(USUAL, first)
-    quarantine.note_end(DEADLY, first)
-    assert not quarantine.explains(first)
-    quarantine.note_end(DEADLY, second)
-    assert quarantine.explains(first)
-    assert quarantine.explains(second)
-    assert not quarantine.explains(make_worker("w3"))
+    quarantine.note_end(USUAL, "w1")
+    quarantine.note_end(DEADLY, "w1")
+    assert not quarantine.explains("w1")
+    quarantine.note_end(DEADLY, "w2")
+    assert quarantine.explains("w1")
+    assert quarantine.explains("w2")
+    assert not quarantine.explains("w3")
 
 
 def make_course(**more):
--- /dev/null
+++ b/tests/retries/test_quarantining.py
@@ -0,0 +1,81 @@
+"""How entries of the chat interface tell each other of ends."""
+
+import asyncio
+import collections
+
+import pytest
+
+from rattanpier._internal.dispatch.quarantining import (
+    QuarantineSharing,
+    content_of,
+)
+from rattanpier._internal.membership.ring import neighbours
+from rattanpier._internal.models.request import RouteRequest
+from rattanpier._internal.models.worker_end import QuarantineNews
+from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.retries.quarantine import ENDS_TO_HOLD, Quarantine
+from tests.lib.clock import ManualClock
+
+DEADLY = "deadly"
+
+
+class Ring:
+    """Entries whose notices reach each other at once."""
+
+    def __init__(self, count):
+        self.clock = ManualClock()
+        self.sent = collections.Counter()
+        self.entries = {}
+        for number in range(count):
+            self.add(f"e{number}")
+
+    def add(self, name):
+        def spread(notice):
+            self.sent[name] += 1
+            for other in neighbours(self.entries, name):
+                heard = peer_pb2.Notice.FromString(notice.SerializeToString())
+                self.entries[other].receive(heard)
+
+        sharing = QuarantineSharing(Quarantine(self.clock), spread)
+        sharing.quarantine.tell = sharing.tell_soon
+        self.entries[name] = sharing
+
+    def holding(self):
+        return sum(
+            entry.quarantine.held_s(DEADLY) > 0.0
+            for entry in self.entries.values()
+        )
+
+
+@pytest.mark.parametrize("size", [2, 8, 80, 420])
+async def test_all_entries_hold_what_ended_workers_under_some(size):
+    ring = Ring(size)
+    for number in range(ENDS_TO_HOLD):
+        entry = ring.entries[f"e{number % size}"]
+        entry.quarantine.note_end(DEADLY, f"w{number}")
+    await asyncio.sleep(0)
+    assert ring.holding() == size
+    # Each passes each end on once.
+    assert max(ring.sent.values()) <= ENDS_TO_HOLD
+
+
+async def test_a_notice_that_cannot_be_read_changes_nothing():
+    ring = Ring(2)
+    rumors = peer_pb2.Rumors(text=b"no news")
+    notice = peer_pb2.Notice(spread=peer_pb2.Spread(rumors=rumors))
+    ring.entries["e0"].receive(notice)
+    assert ring.entries["e0"].quarantine.all_news() == QuarantineNews()
+    assert not ring.sent
+
+
+def test_the_content_of_a_chat_outlives_its_attempt():
+    first = RouteRequest("desk", "k1", digest="d")
+    assert content_of(first) == content_of(
+        RouteRequest("desk", "k2", digest="d")
+    )
+    assert content_of(first) != content_of(
+        RouteRequest("shop", "k1", digest="d")
+    )
+    assert content_of(first) != content_of(
+        RouteRequest("desk", "k1", digest="e")
+    )
--- a/tests/unit/test_logs_page.py
+++ b/tests/unit/test_logs_page.py
@@ -9,6 +9,7 @@
 SOURCES = [
     *(ROOT / "src/rattanpier/_internal/relay").glob("*.py"),
     *(ROOT / "src/rattanpier/_internal/platform").glob("*.py"),
+    *(ROOT / "src/rattanpier/_internal/retries").glob("*.py"),
     *(ROOT / "src/rattanpier/_internal/programs").glob("relay*.py"),
     ROOT / "src/rattanpier/_internal/cli/relay.py",
 ]
