Load nothing of the chat interface's dispatch in an entry of the relay

Cause: an entry loaded dispatch.plain, and with it the engine's client, its errors and bodies, for one function on headers. A constant that nothing used is gone.

--- a/src/rattanpier/_internal/dispatch/plain.py
+++ b/src/rattanpier/_internal/dispatch/plain.py
@@ -16,6 +16,7 @@
     refusal_of,
 )
 from rattanpier._internal.dispatch.failures import UpstreamError
+from rattanpier._internal.utils.headers import Header, pass_on
 
 MAX_ANSWER_BYTES = 16 * 2**20
 READ_BYTES = 2**16
@@ -23,22 +24,8 @@
 NO_BODY = frozenset({204, 304})
 # The service ran nothing to keep: a repeat of the key may ask again.
 BUSY = frozenset({408, 429})
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 
 Send = Callable[[aiohttp.ClientRequest], Awaitable[aiohttp.ClientResponse]]
-Header = tuple[str, str]
 
 
 @attrs.frozen
@@ -198,26 +185,3 @@
             raise UpstreamError("the answer is too large", False, final=True)
         parts.append(part)
     return b"".join(parts)
-
-
-def pass_on(
-    headers: object, dropped: frozenset[str] = frozenset()
-) -> tuple[Header, ...]:
-    """Returns the headers that go to the other side.
-
-    Args:
-      headers: Pairs of names and values.
-      dropped: Further names, in lower case.
-
-    >>> pass_on([("Connection", "x-a"), ("X-A", "1"), ("ETag", "2")])
-    (('ETag', '2'),)
-    """
-    pairs = [(str(name), str(value)) for name, value in headers]  # type: ignore[attr-defined]
-    listed = {
-        part.strip().lower()
-        for name, value in pairs
-        if name.lower() == "connection"
-        for part in value.split(",")
-    }
-    unwanted = HOP_BY_HOP | listed | dropped | {"content-length"}
-    return tuple(pair for pair in pairs if pair[0].lower() not in unwanted)
--- a/src/rattanpier/_internal/edge/services.py
+++ b/src/rattanpier/_internal/edge/services.py
@@ -12,7 +12,6 @@
 from rattanpier._internal.dispatch.plain import (
     ServiceAnswer,
     ServiceCall,
-    pass_on,
 )
 from rattanpier._internal.dispatch.repeatable import has_dot_segments
 from rattanpier._internal.dispatch.service_runner import ServiceRunner
@@ -32,6 +31,7 @@
 from rattanpier._internal.models.settings import EdgeSettings
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.hashing import short_digest
+from rattanpier._internal.utils.headers import pass_on
 from rattanpier._internal.utils.ids import new_request_id
 from rattanpier._internal.utils.metrics import Metrics
 
--- a/src/rattanpier/_internal/relay/edge.py
+++ b/src/rattanpier/_internal/relay/edge.py
@@ -10,7 +10,6 @@
 import structlog
 from aiohttp import web
 
-from rattanpier._internal.dispatch.plain import pass_on
 from rattanpier._internal.models.refusal import Refusal, RefusalCode
 from rattanpier._internal.models.relay_answer import (
     AnswerBegun,
@@ -31,6 +30,7 @@
 from rattanpier._internal.relay.dispatch import Dispatcher
 from rattanpier._internal.relay.drain import DrainState
 from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.headers import pass_on
 from rattanpier._internal.utils.metrics import Metrics
 
 log = structlog.get_logger(part="edge")
--- a/src/rattanpier/_internal/relay/exchange.py
+++ b/src/rattanpier/_internal/relay/exchange.py
@@ -22,21 +22,10 @@
 )
 from rattanpier._internal.relay.load import Loads
 from rattanpier._internal.relay.pool import ConnectionPool
+from rattanpier._internal.utils.headers import HOP_BY_HOP
 
 FIRST_FAILURE = 500
-NOT_COPIED = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-    }
-)
+NOT_COPIED = HOP_BY_HOP | {"content-length"}
 
 
 class SendError(Exception):
--- a/src/rattanpier/_internal/relay/membership.py
+++ b/src/rattanpier/_internal/relay/membership.py
@@ -37,7 +37,6 @@
 POLL_S = 0.1  # Between looks at whether the store is back.
 # An entry that knows no other looks for them this often.
 REREAD_S = 5.0
-STALE_S = 60.0  # Rows of entries not heard of for so long are removed.
 
 
 @attrs.define
