--- a/tests/relay/test_crashing_requests.py
+++ b/tests/relay/test_crashing_requests.py
@@ -25,6 +25,7 @@
 from rattanpier._internal.models.sending import ReportedLoad
 from rattanpier._internal.programs.relay import close
 from rattanpier._internal.relay.held_rows import PREFIX
+from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.retries.quarantine import HOLD_S
 from tests.lib.crashes import DEADLY, make_pool
 from tests.lib.platform_site import events, platform_site, until
@@ -183,3 +184,18 @@
     assert [
         entry.metrics.counts["relay.send_failed.not_run"] for entry in entries
     ] == [0] * ENTRIES
+
+
+async def test_a_version_is_not_worse_for_such_a_request(site, monkeypatch):
+    judged = []
+
+    def note(self, worker, route, bad, relative_s):
+        judged.append((worker.id, bad))
+
+    monkeypatch.setattr(Rollouts, "note", note)
+    pool = await make_pool(site, "engine", 4)
+    await site.add_entry()
+    await ask_engine(site, "/chat/x", "entry-1", DEADLY)
+    assert len(pool.ends) == 3
+    # Only its first end may be its worker's own doing.
+    assert len(judged) == 1
