--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -24,18 +24,11 @@
 )
 from rattanpier._internal.models.member import Member, Role
 from rattanpier._internal.models.relay_settings import Address
-from rattanpier._internal.models.rollout_order import (
-    RolloutRecord,
-)
-from rattanpier._internal.models.worker_end import QuarantineNews
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.proto import peer_pb2
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
-from rattanpier._internal.relay.rollouts import (
-    Evidence,
-    HeldSession,
-    Rollouts,
-)
+from rattanpier._internal.relay.news import Compared, Knowledge, News
+from rattanpier._internal.relay.rollouts import Evidence, Rollouts
 from rattanpier._internal.relay.snapshots import Snapshots
 from rattanpier._internal.relay.spread import Spread, split
 from rattanpier._internal.relay.watch import (
@@ -69,49 +62,6 @@
 GATHER_S = 0.01
 
 
-@attrs.frozen
-class News:
-    """What changed.
-
-    Attributes:
-      members: States of entries.
-      records: How far roll-outs went.
-      stopped: Orders whose version was found to be worse.
-      held: Sessions that stay with the old version.
-      quarantine: Requests under which workers ended.
-    """
-
-    members: list[MemberNews] = attrs.Factory(list)
-    records: list[RolloutRecord] = attrs.Factory(list)
-    stopped: list[int] = attrs.Factory(list)
-    held: list[HeldSession] = attrs.Factory(list)
-    quarantine: QuarantineNews = attrs.Factory(QuarantineNews)
-
-
-@attrs.frozen
-class Knowledge:
-    """Which state of each entry is known.
-
-    Attributes:
-      orders: What tells an entry's newer state from an older one, by name.
-    """
-
-    orders: dict[str, tuple[float, int, bool]]
-
-
-@attrs.frozen
-class Compared:
-    """One entry's knowledge against another's.
-
-    Attributes:
-      news: What the other lacks.
-      wanted: Names of entries of which the other knows more.
-    """
-
-    news: News
-    wanted: list[str]
-
-
 @attrs.define
 class Gossip:
     """Sends and takes news.
@@ -266,7 +216,7 @@
             members=[self.fleet.me],
             records=list(rollouts.records.values()),
             stopped=stopped,
-            held=rollouts.take_held_news(),
+            held=rollouts.sessions.take_news(),
         )
         before, self.told = self.told, attrs.evolve(now, held=[])
         if self.told != before or now.held:
@@ -303,7 +253,7 @@
             self.rollouts.take_record(record)
         for order in news.stopped:
             self.rollouts.stop(order, "told by a peer")
-        self.rollouts.take_held(news.held)
+        self.rollouts.sessions.take(news.held)
         self.quarantine.take(news.quarantine)
 
     def news_of(self, members: list[MemberNews]) -> News:
@@ -312,7 +262,7 @@
             members=members,
             records=list(self.rollouts.records.values()),
             stopped=sorted(self.rollouts.stopped),
-            held=self.rollouts.held_news(),
+            held=self.rollouts.sessions.all_news(),
             quarantine=self.quarantine.all_news(),
         )
 
--- /dev/null
+++ b/src/rattanpier/_internal/relay/news.py
@@ -0,0 +1,53 @@
+"""What entries tell each other of themselves and of what they saw."""
+
+from __future__ import annotations
+
+import attrs
+
+from rattanpier._internal.models.rollout_order import RolloutRecord
+from rattanpier._internal.models.worker_end import QuarantineNews
+from rattanpier._internal.relay.fleet import MemberNews
+from rattanpier._internal.relay.held_sessions import HeldSession
+
+
+@attrs.frozen
+class News:
+    """What changed.
+
+    Attributes:
+      members: States of entries.
+      records: How far roll-outs went.
+      stopped: Orders whose version was found to be worse.
+      held: Sessions that stay with the old version.
+      quarantine: Requests under which workers ended.
+    """
+
+    members: list[MemberNews] = attrs.Factory(list)
+    records: list[RolloutRecord] = attrs.Factory(list)
+    stopped: list[int] = attrs.Factory(list)
+    held: list[HeldSession] = attrs.Factory(list)
+    quarantine: QuarantineNews = attrs.Factory(QuarantineNews)
+
+
+@attrs.frozen
+class Knowledge:
+    """Which state of each entry is known.
+
+    Attributes:
+      orders: What tells an entry's newer state from an older one, by name.
+    """
+
+    orders: dict[str, tuple[float, int, bool]]
+
+
+@attrs.frozen
+class Compared:
+    """One entry's knowledge against another's.
+
+    Attributes:
+      news: What the other lacks.
+      wanted: Names of entries of which the other knows more.
+    """
+
+    news: News
+    wanted: list[str]
--- a/src/rattanpier/_internal/relay/rollouts.py
+++ b/src/rattanpier/_internal/relay/rollouts.py
@@ -24,6 +24,11 @@
     Exposure,
     ExposureBound,
 )
+from rattanpier._internal.relay.held_sessions import (
+    HASH_RANGE,
+    HeldSessions,
+    point_of,
+)
 from rattanpier._internal.relay.verdict import (
     NOTHING,
     Tally,
@@ -31,11 +36,9 @@
     find_worse,
 )
 from rattanpier._internal.utils.clock import Clock
-from rattanpier._internal.utils.hashing import stable_hash
 
 log = structlog.get_logger(part="rollout")
 
-HASH_RANGE = 2**64
 # After an order is known nothing goes to the new version for so long: entries
 # tell each other which sessions are under way, within two rounds of news.
 HOLD_S = 1.2
@@ -63,21 +66,6 @@
     candidate: bool
 
 
-@attrs.frozen
-class HeldSession:
-    """A session that is under way at the old version.
-
-    Attributes:
-      order: The order under which it would be moved.
-      point: Its place among all sessions.
-      age_s: Seconds since its last request.
-    """
-
-    order: int
-    point: int
-    age_s: float
-
-
 @attrs.frozen
 class Evidence:
     """What one entry saw of versions that are rolled out.
@@ -102,10 +90,7 @@
       session_s: Requests of a session follow each other within this time.
       clock: Monotonic.
       policy: Mechanisms that are on.
-      recent: When each session was last served, by service and id.
-      held: When each session that stays with the old version was last
-        served, by order and point.
-      held_changes: Keys of `held` that changed here.
+      sessions: Those under way, and those that stay with the old version.
       known_at: When each order became known here, in monotonic seconds.
       running_old_of: Requests at old versions that others reported.
       orders: The newest order of each service.
@@ -122,9 +107,12 @@
     session_s: float
     clock: Clock
     policy: Policy = USUAL
-    recent: dict[tuple[str, str], float] = attrs.Factory(dict)
-    held: dict[tuple[int, int], float] = attrs.Factory(dict)
-    held_changes: set[tuple[int, int]] = attrs.Factory(set)
+    sessions: HeldSessions = attrs.field(
+        default=attrs.Factory(
+            lambda self: HeldSessions(self.session_s, self.clock),
+            takes_self=True,
+        )
+    )
     known_at: dict[int, float] = attrs.Factory(dict)
     running_old_of: dict[str, dict[int, int]] = attrs.Factory(dict)
     orders: dict[str, RolloutOrder] = attrs.Factory(dict)
@@ -143,7 +131,8 @@
             return
         self.orders[order.service] = order
         self.known_at[order.id] = self.clock.monotonic()
-        self.hold_recent(order)
+        share = self.share(RolloutPhase.TRYING)
+        self.sessions.hold_recent(order.id, order.service, share)
         log.info(
             "Roll-out ordered.",
             service=order.service,
@@ -231,67 +220,9 @@
             return True
         now = self.clock.monotonic()
         if now - self.known_at.get(order.id, now) < HOLD_S:
-            self.hold(order.id, point, now)
+            self.sessions.hold(order.id, point, now)
             return False
-        served_at = self.held.get((order.id, point))
-        if served_at is None or now - served_at > self.session_s:
-            return True
-        self.hold(order.id, point, now)
-        return False
-
-    def hold(self, order: int, point: int, served_at: float) -> None:
-        """Keeps a session with the old version, and has others told."""
-        self.held[order, point] = served_at
-        self.held_changes.add((order, point))
-
-    def note_session(self, service: str, session: str) -> None:
-        """Notes that a session is under way, in case an order comes."""
-        if not session:
-            return
-        now = self.clock.monotonic()
-        self.recent.pop((service, session), None)
-        self.recent[service, session] = now
-        oldest = next(iter(self.recent))
-        while now - self.recent[oldest] > self.session_s:
-            del self.recent[oldest]
-            oldest = next(iter(self.recent))
-
-    def hold_recent(self, order: RolloutOrder) -> None:
-        """Holds the sessions under way that an order would move."""
-        limit = self.share(RolloutPhase.TRYING) * HASH_RANGE
-        now = self.clock.monotonic()
-        for (service, session), served_at in self.recent.items():
-            point = point_of(order.id, session)
-            live = now - served_at < self.session_s
-            if service == order.service and live and point < limit:
-                self.hold(order.id, point, served_at)
-
-    def take_held(self, sessions: Iterable[HeldSession]) -> None:
-        """Takes in which sessions others hold."""
-        now = self.clock.monotonic()
-        for session in sessions:
-            key = session.order, session.point
-            served_at = now - session.age_s
-            self.held[key] = max(self.held.get(key, served_at), served_at)
-
-    def take_held_news(self) -> list[HeldSession]:
-        """Returns the sessions that this entry holds since it was asked."""
-        changed, self.held_changes = self.held_changes, set()
-        return list(self.make_held(changed))
-
-    def held_news(self) -> list[HeldSession]:
-        """Returns all sessions that are held."""
-        return list(self.make_held(self.held))
-
-    def make_held(
-        self, keys: Iterable[tuple[int, int]]
-    ) -> Iterable[HeldSession]:
-        """Yields sessions with their age."""
-        now = self.clock.monotonic()
-        for order, point in keys:
-            age_s = now - self.held[order, point]
-            if age_s < self.session_s:
-                yield HeldSession(order, point, round(age_s, 3))
+        return not self.sessions.stays(order.id, point)
 
     def share(self, phase: RolloutPhase) -> float:
         """Returns the share of sessions for the new version."""
@@ -432,11 +363,6 @@
         return Exposure(served, exposed)
 
 
-def point_of(order: int, session: str) -> int:
-    """Returns a session's place among all, the same in each entry."""
-    return stable_hash(f"{order}/{session}")
-
-
 def is_later(record: RolloutRecord, before: RolloutRecord) -> bool:
     """Says whether a record is newer than another of the same service."""
     if record.order != before.order:
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -337,15 +337,15 @@
     names = [f"session-{number}" for number in range(400)]
     here, there = make_rollouts(clock), make_rollouts(clock)
     for name in names:
-        here.note_session("s", name)
+        here.sessions.note("s", name)
     for rollouts in (here, there):
         rollouts.take_order(ORDER)
         assert not moved_sessions(rollouts, names)
-    there.take_held(here.take_held_news())
+    there.sessions.take(here.sessions.take_news())
     await clock.advance(2.0)
     # Half go on at the other entry, which heard of them from the first.
     assert not moved_sessions(there, names[:200])
-    here.take_held(there.take_held_news())
+    here.sessions.take(there.sessions.take_news())
     await clock.advance(4.0)
     # Those are under way yet, the rest have ended.
     assert not moved_sessions(here, names[:200])
