Count a worker's end though the caller leaves while it is looked for

Cause: found in reading. The look for a worker's end was part of answering its request, so that a caller that left within those ms took the end with it, and the request ended one worker more. Test: test_an_end_counts_though_the_caller_leaves_ meanwhile fails without the change.

--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -225,18 +225,26 @@
         self, course: Course, worker: RegisteredWorker, error: SendError
     ) -> None:
         """Takes in that a send failed, and looks whether its worker ended."""
-        if not error.not_run and await self.ends.has_ended(worker):
-            content = course.request.content
-            self.metrics.count("relay.worker_ended")
-            log.info(
-                "Worker ended under a request.",
-                request=course.request.id,
-                content=content,
-                worker=worker.id,
-            )
-            self.quarantine.note_end(content, worker.incarnation)
+        if not error.not_run:
+            # A caller that leaves meanwhile does not undo the end.
+            await asyncio.shield(self.look_for_end(course.request, worker))
         self.note_failed(course, worker, error)
 
+    async def look_for_end(
+        self, request: RelayRequest, worker: RegisteredWorker
+    ) -> None:
+        """Counts a worker's end against a request, if it ended."""
+        if not await self.ends.has_ended(worker):
+            return
+        self.metrics.count("relay.worker_ended")
+        log.info(
+            "Worker ended under a request.",
+            request=request.id,
+            content=request.content,
+            worker=worker.id,
+        )
+        self.quarantine.note_end(request.content, worker.incarnation)
+
     def note_result(
         self,
         course: Course,
--- a/tests/relay/test_crashing_requests.py
+++ b/tests/relay/test_crashing_requests.py
@@ -24,6 +24,7 @@
 
 from rattanpier._internal.models.sending import ReportedLoad
 from rattanpier._internal.programs.relay import close
+from rattanpier._internal.relay import worker_ends
 from rattanpier._internal.relay.held_rows import PREFIX
 from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.retries.quarantine import HOLD_S
@@ -199,3 +200,26 @@
     assert len(pool.ends) == 3
     # Only its first end may be its worker's own doing.
     assert len(judged) == 1
+
+
+async def test_an_end_counts_though_the_caller_leaves_meanwhile(
+    site, monkeypatch
+):
+    looking = asyncio.Event()
+
+    async def look_slowly(host, port, timeout_s):
+        looking.set()
+        await asyncio.sleep(0.1)
+        return False
+
+    monkeypatch.setattr(worker_ends, "listens", look_slowly)
+    await make_pool(site, "plain", 2)
+    entry = await site.add_entry()
+    leaving = asyncio.ensure_future(
+        ask_plain(site, "/unsafe/x", "entry-1", DEADLY)
+    )
+    await looking.wait()
+    leaving.cancel()
+    quarantine = entry.edge.dispatcher.quarantine
+    await until(lambda: quarantine.ends)
+    assert [len(ends) for ends in quarantine.ends.values()] == [1]
