Trust a request that was answered for two seconds, not ten

Cause: found in reading. Ends do not count against a request that was answered whole a moment ago, so that workers that crash by themselves hold no sound one. Ten seconds let a request that begins to end workers (another version, a fault that comes later) end one each time it comes for so long: at the pace logged, five a second. While some workers are left a sound request is answered again and again, so that two seconds spare it as well.

--- a/src/rattanpier/_internal/retries/quarantine.py
+++ b/src/rattanpier/_internal/retries/quarantine.py
@@ -33,13 +33,14 @@
 # Since the last end. Long against the pauses after which callers come again;
 # short enough that a mended worker serves the request within the hour.
 HOLD_S = 600.0
-# After a whole answer, ends count against something else: workers that all
-# crash at once take seconds to do so.
-TRUSTED_S = 10.0
+# After a whole answer, ends count against something else. While workers crash
+# one after the other, a request that is sound goes on being answered by those
+# that are left; one that was answered and ends workers since counts after this.
+TRUSTED_S = 2.0
 # Contents with ended workers that are remembered: a failure domain of 26
 # workers that run 16 requests each has 416. 0.3 KB each.
 MOST_SUSPECTS = 1024
-MOST_TRUSTED = 2048  # Some ten seconds of an entry's answers; 0.2 KB each.
+MOST_TRUSTED = 512  # An entry answers some ten a second; 0.2 KB each.
 
 
 @attrs.define
