--- a/src/rattanpier/_internal/retries/quarantine.py
+++ b/src/rattanpier/_internal/retries/quarantine.py
@@ -3,7 +3,7 @@
 Load answered: a request that crashes each worker that begins to run it, and
 that comes again, from its caller or another, at any entry. Put down to workers
 alone, each crash sends it on to the next worker, along with all that ran beside
-it: one such request ended 16 workers of a pool of nine, which came back, in 50 s.
+it: one such request ended 16 workers in 50 s, of a pool of nine that came back.
 
 A worker's end counts against all contents that were under way there. One that
 three workers ended under is refused until its last end is old enough, by all
