Keep news of ends and of answers from going round without end

Cause: what cleared a request was told without its time, and forgotten at once. News of an end that came later brought the end back, which was new and went on, as was the next clearing. In the chat interface's ring both went round for ever, where the same chat is asked again and again and one of its engines is killed; entries had no time left for claims. Among the relay's entries each that trusted the request would have told all of it at each end.

Change: the newest answer of a content with ends is kept for as long as ends are, and told with its age; the larger counts, older ends are not taken. An entry that answered a request lately keeps its ends and does not count them; its next answer clears them for all. So what is known only grows, and news die out.

--- a/src/rattanpier/_internal/models/worker_end.py
+++ b/src/rattanpier/_internal/models/worker_end.py
@@ -20,14 +20,27 @@
     age_s: float = 0.0
 
 
+@attrs.frozen
+class Cleared:
+    """A content was answered whole: ends up to then are not its doing.
+
+    Attributes:
+      content: Digest of what the caller asked.
+      age_s: Seconds since.
+    """
+
+    content: str
+    age_s: float = 0.0
+
+
 @attrs.frozen
 class QuarantineNews:
     """What is told of requests that may end their workers.
 
     Attributes:
       ends: Workers that ended.
-      cleared: Contents that were answered whole, whose ends were not theirs.
+      cleared: Contents with ends that were answered whole since.
     """
 
     ends: list[WorkerEnd] = attrs.Factory(list)
-    cleared: list[str] = attrs.Factory(list)
+    cleared: list[Cleared] = attrs.Factory(list)
--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -307,7 +307,7 @@
             learned=len(compared.news.members),
             told=len(members),
         )
-        if members or self.quarantine.ends:
+        if members or self.quarantine.ends or self.quarantine.cleared:
             await self.tell_one(peer, self.news_of(members))
 
     async def serve_summary(self, call: peer_pb2.Call) -> peer_pb2.Reply:
--- a/src/rattanpier/_internal/retries/quarantine.py
+++ b/src/rattanpier/_internal/retries/quarantine.py
@@ -21,7 +21,11 @@
 import attrs
 import structlog
 
-from rattanpier._internal.models.worker_end import QuarantineNews, WorkerEnd
+from rattanpier._internal.models.worker_end import (
+    Cleared,
+    QuarantineNews,
+    WorkerEnd,
+)
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.hashing import stable_hash
 
@@ -40,7 +44,10 @@
 # Contents with ended workers that are remembered: a failure domain of 26
 # workers that run 16 requests each has 416. 0.3 KB each.
 MOST_SUSPECTS = 1024
-MOST_TRUSTED = 512  # An entry answers some ten a second; 0.2 KB each.
+MOST_ANSWERED = 512  # An entry answers some ten a second; 0.2 KB each.
+# Two entries' times of one answer differ by the way of the news.
+SAME_S = 0.5
+NEVER = float("-inf")
 
 
 @attrs.define
@@ -49,7 +56,8 @@
 
     Attributes:
       ends: When each worker ended, in monotonic seconds, by content.
-      trusted: When each content was answered whole last.
+      answered: When each content was answered whole here last.
+      cleared: When each content that had ends was answered whole, anywhere.
       untold: What the others have to be told.
       tell: Called when there is something to tell.
       changed: Called with each content that is held now, or no longer.
@@ -62,7 +70,10 @@
     changed: Callable[[str], None] = lambda _content: None
     heard: Callable[[str], None] = lambda _worker: None
     ends: dict[str, dict[str, float]] = attrs.Factory(dict)
-    trusted: collections.OrderedDict[str, float] = attrs.Factory(
+    answered: collections.OrderedDict[str, float] = attrs.Factory(
+        collections.OrderedDict
+    )
+    cleared: collections.OrderedDict[str, float] = attrs.Factory(
         collections.OrderedDict
     )
     untold: QuarantineNews = attrs.Factory(QuarantineNews)
@@ -71,10 +82,15 @@
 
     def held_s(self, content: str) -> float:
         """Returns the seconds for which a content is refused, 0 if it isn't."""
-        ends = self.ends.get(content, {})
+        trusted_until = self.answered.get(content, NEVER) + TRUSTED_S
+        ends = [
+            at
+            for at in self.ends.get(content, {}).values()
+            if at >= trusted_until
+        ]
         if len(ends) < ENDS_TO_HOLD:
             return 0.0
-        age_s = self.clock.monotonic() - max(ends.values())
+        age_s = self.clock.monotonic() - max(ends)
         return max(0.0, HOLD_S - age_s)
 
     def suspects(self, content: str) -> bool:
@@ -107,13 +123,15 @@
 
     def note_answered(self, content: str) -> None:
         """Takes in that a content was answered whole."""
-        self.trusted[content] = self.clock.monotonic()
-        self.trusted.move_to_end(content)
-        while len(self.trusted) > MOST_TRUSTED:
-            self.trusted.popitem(last=False)
+        now = self.clock.monotonic()
+        self.answered[content] = now
+        self.answered.move_to_end(content)
+        while len(self.answered) > MOST_ANSWERED:
+            self.answered.popitem(last=False)
         if content in self.ends:
-            self.clear(content)
-            self.tell_cleared(content)
+            self.clear(content, now)
+            self.untold.cleared.append(Cleared(content))
+            self.tell()
 
     # What entries tell each other.
 
@@ -131,22 +149,28 @@
                 WorkerEnd(content, worker, now - at)
                 for content, ends in self.ends.items()
                 for worker, at in ends.items()
-            ]
+            ],
+            [
+                Cleared(content, now - at)
+                for content, at in self.cleared.items()
+            ],
         )
 
     def take(self, news: QuarantineNews) -> QuarantineNews:
         """Takes in what another entry tells; returns what was new of it."""
         new = QuarantineNews()
+        now = self.clock.monotonic()
+        for cleared in news.cleared:
+            known = self.cleared.get(cleared.content, NEVER)
+            at = now - cleared.age_s
+            if 0.0 <= cleared.age_s < HOLD_S and at > known + SAME_S:
+                self.clear(cleared.content, at)
+                new.cleared.append(cleared)
         for end in news.ends:
-            if self.is_trusted(end.content):
-                self.tell_cleared(end.content)
-            elif 0.0 <= end.age_s < HOLD_S and self.add(end):
+            if 0.0 <= end.age_s < HOLD_S and self.add(end):
                 new.ends.append(end)
         for worker in {end.worker for end in new.ends}:
             self.heard(worker)
-        for content in news.cleared:
-            if self.clear(content):
-                new.cleared.append(content)
         return new
 
     def digest(self) -> int:
@@ -160,20 +184,18 @@
 
     # Keeping.
 
-    def is_trusted(self, content: str) -> bool:
-        """Says whether a content was answered whole lately."""
-        at = self.trusted.get(content, float("-inf"))
-        return self.clock.monotonic() - at < TRUSTED_S
-
     def add(self, end: WorkerEnd) -> bool:
         """Keeps an end; says whether it is new and counts."""
+        at = self.clock.monotonic() - end.age_s
+        if at < self.cleared.get(end.content, NEVER) + TRUSTED_S:
+            return False
         ends = self.ends.get(end.content, {})
-        if end.worker in ends or self.is_trusted(end.content):
+        if end.worker in ends:
             return False
-        ends[end.worker] = self.clock.monotonic() - end.age_s
+        ends[end.worker] = at
         self.ends[end.content] = ends
         self.drop_beyond(MOST_SUSPECTS)
-        if len(ends) == ENDS_TO_HOLD:
+        if len(ends) == ENDS_TO_HOLD and self.held_s(end.content):
             log.warning(
                 "Request held.",
                 content=end.content,
@@ -183,20 +205,29 @@
             self.changed(end.content)
         return True
 
-    def clear(self, content: str) -> bool:
-        """Forgets the ends of a content; says whether there were any."""
+    def clear(self, content: str, at: float) -> None:
+        """Forgets the ends of a content up to its whole answer and just after.
+
+        What was cleared stays known for as long as ends do: news of an end that
+        come after it, from entries that heard of it later, don't bring it back.
+        """
+        self.cleared[content] = at
+        self.cleared.move_to_end(content)
+        while len(self.cleared) > MOST_SUSPECTS:
+            self.cleared.popitem(last=False)
         ends = self.ends.pop(content, None)
         if ends is None:
-            return False
+            return
+        later = {
+            worker: ended_at
+            for worker, ended_at in ends.items()
+            if ended_at >= at + TRUSTED_S
+        }
+        if later:
+            self.ends[content] = later
         log.info("Request cleared.", content=content, workers=len(ends))
         if len(ends) >= ENDS_TO_HOLD:
             self.changed(content)
-        return True
-
-    def tell_cleared(self, content: str) -> None:
-        """Has the others told that a content's ends are not its own."""
-        self.untold.cleared.append(content)
-        self.tell()
 
     def forget_old(self) -> None:
         """Drops contents whose last end is too old to count."""
@@ -206,6 +237,9 @@
             for content, ends in self.ends.items()
             if max(ends.values()) <= oldest
         )
+        for content, at in list(self.cleared.items()):
+            if at <= oldest:
+                del self.cleared[content]
 
     def drop_beyond(self, most: int) -> None:
         """Keeps the contents that tell most, by their ends and their age."""
--- a/tests/retries/test_quarantining.py
+++ b/tests/retries/test_quarantining.py
@@ -79,3 +79,23 @@
     assert first == content("desk", "k2", "d")
     assert first != content("shop", "k1", "d")
     assert first != content("desk", "k1", "e")
+
+
+@pytest.mark.parametrize("size", [3, 80])
+async def test_news_of_a_request_that_goes_on_being_answered_die_out(size):
+    ring = Ring(size)
+    first, *others = ring.entries.values()
+    for entry in others:
+        entry.quarantine.note_answered(DEADLY)
+    first.quarantine.note_end(DEADLY, "w0")
+    for _ in range(20):
+        await asyncio.sleep(0)
+    for entry in others[:2]:
+        entry.quarantine.note_answered(DEADLY)
+    for _ in range(200):
+        await asyncio.sleep(0)
+    # Each passes the end and the answers on once.
+    assert max(ring.sent.values()) <= 4
+    assert ring.holding() == 0
+    digests = {entry.quarantine.digest() for entry in ring.entries.values()}
+    assert digests == {0}
