Drain failure domains, and bound what workers that warm up get

Change: conditions of a worker stand in one pipeline (placement/eligibility.py) which each send passes, first, further or a larger model's. A worker that warms up is sent to by two entries, drawn by a hash of the worker from four of all known, live or not, each with a pause. What appears, and what comes back from a drained domain, counts as warming up. A version whose workers all warm up gets no session. Regions that routes and workspaces allow are decoded and kept.

Ruled out: filtering before the version is chosen, since a version without a usable worker would have widened a trial's exposure.

--- a/src/rattanpier/_internal/models/relay_settings.py
+++ b/src/rattanpier/_internal/models/relay_settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import attrs
 
 from rattanpier._internal.models.policy import USUAL, Policy
@@ -36,6 +38,9 @@
       retry_slack: Further sends beyond that ratio, in all entries together.
       exposure_ratio: Largest share of requests that a bad version may get.
       exposure_slack: Requests that it may get beyond that share.
+      warm_up_ratio: Times the rate that a worker bears while it warms up which
+        may reach it in any one second.
+      warm_up_slack: Requests that may reach it beyond that.
       session_s: Requests of a session follow each other within this time.
       address_ttl_s: Longest time that callers keep a list of entries.
     """
@@ -48,6 +53,8 @@
     retry_slack: float = 10.0
     exposure_ratio: float = 0.1
     exposure_slack: float = 0.0
+    warm_up_ratio: float = 1.0
+    warm_up_slack: float = 0.0
     session_s: float = 5.0
     address_ttl_s: float = 5.0
 
@@ -72,6 +79,7 @@
       host: Its IP number.
       domain: Its failure domain.
       region: Its region.
+      regions: Region of each failure domain.
       callers: Where callers' requests come in.
       readiness: Where the platform asks whether the entry is ready.
       directory: Where callers ask for entries' addresses.
@@ -99,4 +107,5 @@
     metrics: Address | None = None
     heartbeat_s: float = 1.2
     bounds: Bounds = attrs.Factory(Bounds)
+    regions: Mapping[str, str] = attrs.Factory(dict)
     policy: Policy = USUAL
--- a/src/rattanpier/_internal/models/route_table.py
+++ b/src/rattanpier/_internal/models/route_table.py
@@ -46,6 +46,7 @@
       public: Needs no key.
       models: Models that may answer, smallest first; empty where the caller
         names the model.
+      regions: Where it may be answered; empty: anywhere.
     """
 
     name: str
@@ -62,6 +63,7 @@
     priority: int = 5
     public: bool = False
     models: tuple[str, ...] = ()
+    regions: frozenset[str] = frozenset()
 
     @property
     def repeatable(self) -> bool:
@@ -92,6 +94,19 @@
     models: tuple[ModelCost, ...] = ()
 
 
+@attrs.frozen
+class WarmUp:
+    """What a worker bears after its start.
+
+    Attributes:
+      start_s: Seconds for which it warms up.
+      rate_per_s: Requests a second that it bears meanwhile.
+    """
+
+    start_s: float
+    rate_per_s: float
+
+
 @attrs.frozen
 class Service:
     """A pool of workers.
@@ -100,11 +115,13 @@
       name: Unique in its table.
       max_connections: Connections that a worker takes from all callers.
       engine: Given for model engines, None for plain services.
+      warm_up: What its workers bear after a start; None: as much as ever.
     """
 
     name: str
     max_connections: int = 0
     engine: EngineSpec | None = None
+    warm_up: WarmUp | None = None
 
 
 @attrs.frozen
@@ -114,10 +131,12 @@
     Attributes:
       name: Told to the workers.
       priority: Goes before the route's, if given.
+      regions: Where its requests may be answered; empty: anywhere.
     """
 
     name: str
     priority: int | None = None
+    regions: frozenset[str] = frozenset()
 
 
 @attrs.frozen
--- a/src/rattanpier/_internal/models/worker.py
+++ b/src/rattanpier/_internal/models/worker.py
@@ -21,6 +21,7 @@
       born: When it started, in Unix ms, or None where it does not tell.
         Another value under the same id is another incarnation, which holds
         nothing of what the one before held.
+      warm_in_s: Seconds for which it still warms up, as of its registration.
       revision: Version of its registration in the store; the larger of two
         registrations is the newer, whatever the workers' clocks say.
     """
@@ -34,6 +35,7 @@
     slots: int = 1
     draining: bool = False
     born: int | None = None
+    warm_in_s: float = 0.0
     revision: int = 0
 
     @property
--- /dev/null
+++ b/src/rattanpier/_internal/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which workers a request may go to."""
--- a/src/rattanpier/_internal/platform/feeds.py
+++ b/src/rattanpier/_internal/platform/feeds.py
@@ -7,11 +7,13 @@
 import structlog
 
 from rattanpier._internal.exceptions import UnreadableError
+from rattanpier._internal.models.domain_order import DomainOrder
 from rattanpier._internal.models.feed import FeedRow, Page, UnreadableRow
 from rattanpier._internal.models.rollout_order import RolloutOrder
 from rattanpier._internal.models.route_table import RouteTable
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.platform import (
+    drained_domains,
     manifest,
     registrations,
     rollouts,
@@ -20,7 +22,8 @@
 
 log = structlog.get_logger(part="platform")
 
-OperatorNews = Callable[[Page], Iterator[RouteTable | RolloutOrder]]
+OperatorItem = RouteTable | RolloutOrder | DomainOrder
+OperatorNews = Callable[[Page], Iterator[OperatorItem]]
 WorkerNews = Callable[
     [Page], Iterator[RegisteredWorker | FeedRow | UnreadableRow]
 ]
@@ -29,12 +32,14 @@
 def operator_news(metrics: Metrics) -> OperatorNews:
     """Returns what decodes operators' rows; unreadable ones are left out."""
 
-    def decode(page: Page) -> Iterator[RouteTable | RolloutOrder]:
+    def decode(page: Page) -> Iterator[OperatorItem]:
         for row in page.rows:
-            if row.deleted:
-                continue
             try:
-                if row.key == manifest.KEY:
+                if drained_domains.is_order(row):
+                    yield drained_domains.decode_order(row)
+                elif row.deleted:
+                    continue
+                elif row.key == manifest.KEY:
                     yield manifest.decode_manifest(row.value)
                 elif rollouts.is_order(row):
                     yield rollouts.decode_order(row)
--- a/src/rattanpier/_internal/platform/manifest.py
+++ b/src/rattanpier/_internal/platform/manifest.py
@@ -14,6 +14,7 @@
     RouteTable,
     Service,
     ServiceShare,
+    WarmUp,
     Workspace,
 )
 from rattanpier._internal.utils.codec import parse_json, structure
@@ -44,6 +45,7 @@
       kind: What may be repeated: `safe`, `unsafe` or `streaming`.
       shares: Given in place of `service` where there are several.
       sizes: Models that may answer, smallest first.
+      regions: Where it may be answered.
     """
 
     name: str
@@ -64,6 +66,9 @@
     priority: int | None = None
     public: bool | None = None
     sizes: list[str] | None = None
+    regions: list[str] | None = attrs.field(
+        default=None, alias="allowedRegions"
+    )
 
 
 @attrs.frozen
@@ -85,13 +90,20 @@
 
 @attrs.frozen
 class ManifestService:
-    """A service."""
+    """A service.
+
+    Attributes:
+      cold_start_s: Seconds for which a worker bears less after its start.
+      cold_per_s: Requests a second that it bears meanwhile; 0: as many as ever.
+    """
 
     name: str
     max_connections: int | None = attrs.field(
         default=None, alias="maxConnections"
     )
     engine: ManifestEngine | None = None
+    cold_start_s: float | None = attrs.field(default=None, alias="coldStartS")
+    cold_per_s: float | None = attrs.field(default=None, alias="coldPerS")
 
 
 @attrs.frozen
@@ -111,6 +123,9 @@
     name: str
     keys: list[str] | None = attrs.field(default=None, alias="apiKeys")
     priority: int | None = None
+    regions: list[str] | None = attrs.field(
+        default=None, alias="allowedRegions"
+    )
 
 
 @attrs.frozen
@@ -162,6 +177,7 @@
         priority=number(route.priority, DEFAULT_PRIORITY),
         public=bool(route.public),
         models=tuple(route.sizes or ()),
+        regions=frozenset(route.regions or ()),
     )
 
 
@@ -181,9 +197,17 @@
         name=service.name,
         max_connections=service.max_connections or 0,
         engine=None if engine is None else to_engine(engine),
+        warm_up=to_warm_up(service),
     )
 
 
+def to_warm_up(service: ManifestService) -> WarmUp | None:
+    """Returns what workers bear after a start, None if as much as ever."""
+    if not service.cold_per_s:
+        return None
+    return WarmUp(service.cold_start_s or 0.0, service.cold_per_s)
+
+
 def to_engine(engine: ManifestEngine) -> EngineSpec:
     """Returns what a service's model engines have in common."""
     return EngineSpec(
@@ -199,7 +223,9 @@
 def to_keys(tenants: Iterable[ManifestTenant]) -> dict[str, Workspace]:
     """Returns the workspace that each key belongs to."""
     return {
-        key: Workspace(tenant.name, tenant.priority)
+        key: Workspace(
+            tenant.name, tenant.priority, frozenset(tenant.regions or ())
+        )
         for tenant in tenants
         for key in tenant.keys or []
     }
--- a/src/rattanpier/_internal/platform/registrations.py
+++ b/src/rattanpier/_internal/platform/registrations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+import math
 
 import attrs
 
@@ -15,6 +16,7 @@
 TABLE = "servers"
 READY, DRAINING = "ready", "draining"
 MOST_PORT = 65535
+MS = 1000.0
 
 # Workers may tell more than an entry needs.
 converter = exact_converter(forbid_extra_keys=False)
@@ -27,7 +29,7 @@
     Attributes:
       address: IP number and port.
       version: Of its software.
-      cold_remaining_ms: How much longer it works slowly after its start.
+      cold_remaining_ms: How much longer it bears less than usual.
       sequence: Raised with each renewal; anew from each start.
       born: When it started, in Unix ms; older workers do not tell it.
     """
@@ -61,6 +63,10 @@
         raise UnreadableError(f"slots is {entry.slots!r}")
     if not entry.service:
         raise UnreadableError("service is empty")
+    if not (
+        math.isfinite(entry.cold_remaining_ms) and entry.cold_remaining_ms >= 0
+    ):
+        raise UnreadableError(f"coldRemainingMs is {entry.cold_remaining_ms!r}")
     return RegisteredWorker(
         id=row.key,
         service=entry.service,
@@ -71,6 +77,7 @@
         slots=entry.slots,
         draining=entry.state == DRAINING,
         born=entry.born,
+        warm_in_s=entry.cold_remaining_ms / MS,
         revision=row.version,
     )
 
--- a/src/rattanpier/_internal/platform/settings.py
+++ b/src/rattanpier/_internal/platform/settings.py
@@ -63,6 +63,7 @@
         host=host,
         domain=read.text("zone"),
         region=read.text("region"),
+        regions=read.texts("zones"),
         # The platform's names for what an entry listens on.
         callers=read.address("listen", "frontend"),
         readiness=read.address("listen", "readiness"),
@@ -101,6 +102,12 @@
         exposure_slack=read.number(
             usual.exposure_slack, "bounds", "exposureTolerance"
         ),
+        warm_up_ratio=read.number(
+            usual.warm_up_ratio, "bounds", "coldOvershoot"
+        ),
+        warm_up_slack=read.number(
+            usual.warm_up_slack, "bounds", "coldTolerance"
+        ),
         session_s=read.number(usual.session_s, "bounds", "sessionTtlS"),
         address_ttl_s=read.number(usual.address_ttl_s, "bounds", "ttl_max_s"),
     )
@@ -147,6 +154,21 @@
             )
         return float(value)
 
+    def texts(self, *names: str) -> dict[str, str]:
+        """Returns a table of texts, empty where it is missing."""
+        value = self.find(*names)
+        if value is None:
+            return {}
+        valid = isinstance(value, dict) and all(
+            isinstance(text, str) for text in value.values()
+        )
+        if not valid:
+            raise SettingsError(
+                f"{self.path}: {'.'.join(names)} is {value!r}",
+                "it has to be an object whose values are texts",
+            )
+        return dict(value)
+
     def first_port(self, default: int, *names: str) -> int:
         """Returns the first of a range of ports, or a default without one."""
         value = self.find(*names)
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 import signal
 import time
@@ -20,6 +21,9 @@
 from rattanpier._internal.peers.hints import Hints
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.server import PeerServer
+from rattanpier._internal.placement import eligibility
+from rattanpier._internal.placement.eligibility import Condition
+from rattanpier._internal.placement.warm_up import WarmUps
 from rattanpier._internal.platform import (
     caller,
     feeds,
@@ -176,6 +180,7 @@
         engines=state.engines,
         read=reports.report_reader(add_report_session(kernel)),
         restarted=lambda worker: state.forget([worker]),
+        open=state.domains.open,
     )
     state.gone.subscribe(lambda worker: queues.born.pop(worker, None))
     gossip.spread.takers["queue_news"] = queues.take_told
@@ -239,6 +244,8 @@
     health = Health(clock, settings.policy)
     dialect = WorkerDialect(upstream.encode_request, upstream.decode_answer)
     ends = WorkerEnds(clock, HEARTBEATS_TO_EXPIRY * settings.heartbeat_s)
+    quarantine = Quarantine(clock)
+    warm_ups = make_warm_ups(settings, state, fleet, clock)
 
     def forget(worker: str) -> None:
         loads.forget(worker)
@@ -262,13 +269,59 @@
         ),
         sender=Sender(pool, dialect, loads),
         ends=ends,
-        quarantine=Quarantine(clock),
+        conditions=(
+            Condition(eligibility.ENDED, lambda _, some: ends.living(some)),
+            Condition(
+                eligibility.DRAINED_DOMAIN,
+                lambda _, some: state.domains.open(some),
+            ),
+            Condition(
+                eligibility.OTHER_REGION,
+                functools.partial(eligibility.in_regions, settings.regions),
+            ),
+            Condition(eligibility.TRIED, eligibility.untried),
+            Condition(
+                eligibility.WARMING_UP, lambda _, some: warm_ups.open(some)
+            ),
+            # Behind those that must hold: it leaves half of what they left.
+            Condition(eligibility.AVOIDED, lambda _, some: health.usable(some)),
+            Condition(
+                eligibility.KEPT_APART,
+                functools.partial(
+                    eligibility.apart, quarantine.suspects, loads.suspects
+                ),
+            ),
+        ),
+        warm_ups=warm_ups,
+        quarantine=quarantine,
         rollouts=state.rollouts,
         budgets=Budgets(settings.bounds, fleet.size, clock),
         policy=settings.policy,
     )
 
 
+def make_warm_ups(
+    settings: RelaySettings, state: RelayState, fleet: Fleet, clock: SystemClock
+) -> WarmUps:
+    """Returns what bounds the sends to workers that warm up."""
+    bounds = settings.bounds
+    warm_ups = WarmUps(
+        fleet,
+        clock,
+        state.warm_up_of,
+        overshoot=bounds.warm_up_ratio,
+        slack=bounds.warm_up_slack,
+        heartbeat_s=settings.heartbeat_s,
+    )
+    directory = state.directory
+    directory.registered = warm_ups.note_registered
+    state.domains.returned = lambda domain: warm_ups.presume(
+        directory.of_domain(domain)
+    )
+    state.rollouts.warms_up = warm_ups.warms_up
+    return warm_ups
+
+
 def take_prices(pace: Pace, table: RouteTable) -> None:
     """Takes in what the models of a table cost."""
     for service in table.services.values():
@@ -302,6 +355,7 @@
         fleet=fleet,
         rollouts=state.rollouts,
         quarantine=quarantine,
+        domains=state.domains,
         links=links,
         spread=spread,
         clock=clock,
--- a/src/rattanpier/_internal/relay/course.py
+++ b/src/rattanpier/_internal/relay/course.py
@@ -41,6 +41,8 @@
       granted: The next send was allowed already.
       held_s: Seconds for which what it asks reaches no worker; 0: it may.
       service: Its service.
+      left_out: Workers that each condition kept from the last choice.
+      opens_in_s: When one of them may take the request, None if unknown.
     """
 
     request: RelayRequest
@@ -58,6 +60,8 @@
     begun: bool = False
     granted: bool = False
     held_s: float = 0.0
+    left_out: dict[str, int] = attrs.Factory(dict)
+    opens_in_s: float | None = None
 
 
 def give_up(course: Course, left_s: float) -> WholeAnswer | AnswerRefused:
@@ -74,15 +78,26 @@
     if not course.may_have_run:
         retry_after_s = course.retry_after_s or FULL_RETRY_S
         if not course.sent:
-            retry_after_s = NO_WORKER_RETRY_S
+            retry_after_s = course.opens_in_s or NO_WORKER_RETRY_S
         if course.held_s:
             retry_after_s = course.held_s
-    reason = course.reason or "no worker takes work"
+    reason = course.reason or no_worker_reason(course)
     return AnswerRefused(
         Refusal(code, reason, not course.may_have_run, retry_after_s), status
     )
 
 
+def no_worker_reason(course: Course) -> str:
+    """Says why no worker was chosen.
+
+    >>> course = Course(None, 0.0, "s", left_out={"drained_domain": 3})
+    >>> no_worker_reason(course)
+    'no worker takes work: drained_domain 3'
+    """
+    counts = (f"{name} {count}" for name, count in course.left_out.items())
+    return ": ".join(filter(None, ("no worker takes work", ", ".join(counts))))
+
+
 def final_code(course: Course, left_s: float) -> tuple[RefusalCode, int]:
     """Returns the code and the HTTP status of a final answer.
 
--- a/src/rattanpier/_internal/relay/directory.py
+++ b/src/rattanpier/_internal/relay/directory.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import collections
+from collections.abc import Callable, Iterable
 
 import attrs
 import structlog
@@ -16,6 +17,7 @@
 # two seconds of its return, as the platform promises; what is missing after
 # that is gone.
 RETURN_S = 2.0
+MOST_SEEN = 4096  # Incarnations that are told from new ones.
 
 
 @attrs.define
@@ -28,6 +30,10 @@
       missing: When a worker whose registration ran out during an outage is
         dropped, by id, in monotonic seconds.
       known: The table was read once.
+      seen: Incarnations that were registered here, the newest last. One that
+        is back after its registration ran out has not started anew.
+      registered: Called with each registration, and whether its incarnation
+        has just appeared.
     """
 
     clock: Clock
@@ -35,6 +41,12 @@
     missing: dict[str, float] = attrs.Factory(dict)
     known: bool = False
     by_service: dict[str, list[RegisteredWorker]] = attrs.Factory(dict)
+    seen: collections.OrderedDict[str, None] = attrs.Factory(
+        collections.OrderedDict
+    )
+    registered: Callable[[RegisteredWorker, bool], None] = attrs.field(
+        default=lambda _worker, _appeared: None
+    )
 
     def replace(
         self, workers: Iterable[RegisteredWorker], after_outage: bool
@@ -61,6 +73,7 @@
         self.workers[worker.id] = worker
         self.missing.pop(worker.id, None)
         self.by_service.clear()
+        self.registered(worker, self.is_new(worker))
         if before is None or before.draining != worker.draining:
             log.info(
                 "Worker registered.",
@@ -81,6 +94,18 @@
         )
         return True
 
+    def is_new(self, worker: RegisteredWorker) -> bool:
+        """Says whether an incarnation has just appeared, and remembers it.
+
+        Those that stand in the table when it is read first were there before.
+        """
+        seen = worker.incarnation in self.seen
+        self.seen[worker.incarnation] = None
+        self.seen.move_to_end(worker.incarnation)
+        if len(self.seen) > MOST_SEEN:
+            self.seen.popitem(last=False)
+        return self.known and not seen
+
     def remove(self, id: str, after_outage: bool) -> bool:
         """Takes in that a registration is gone; says whether the worker is.
 
@@ -133,6 +158,10 @@
             self.by_service[service] = found
         return found
 
+    def of_domain(self, domain: str) -> list[RegisteredWorker]:
+        """Returns the workers of a failure domain, also those that leave."""
+        return [each for each in self.workers.values() if each.domain == domain]
+
     def takes_work(self, id: str) -> bool:
         """Says whether a worker may get new work now."""
         worker = self.workers.get(id)
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -16,6 +16,14 @@
 from rattanpier._internal.models.relay_request import Prompt, RelayRequest
 from rattanpier._internal.models.sending import Sending
 from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.placement.eligibility import (
+    DRAINED_DOMAIN,
+    WARMING_UP,
+    Condition,
+    Eligible,
+    eligible,
+)
+from rattanpier._internal.placement.warm_up import WarmUps
 from rattanpier._internal.relay.budgets import SendBudget
 from rattanpier._internal.relay.course import (
     LEAST_LEFT_S,
@@ -39,6 +47,9 @@
 
 log = structlog.get_logger(part="dispatch")
 
+# Nobody knows when operators take a failure domain back. Those who come again
+# within a second or two are served if it was for a moment.
+DRAINED_RETRY_S = 2.0
 MAX_WHOLE_BYTES = 16 * 2**20  # Of an answer that is not a stream.
 
 
@@ -50,6 +61,8 @@
     `escalation` carry it out.
 
     Attributes:
+      conditions: What keeps requests from workers, one after the other.
+      warm_ups: What workers get while they warm up.
       budgets: Sends beyond the first of each request, by service.
       policy: Mechanisms that are on.
       tell_prompt: Told of each prompt that is sent: the worker's id, the
@@ -64,6 +77,8 @@
     chooser: Chooser
     sender: Sender
     ends: WorkerEnds
+    conditions: Sequence[Condition]
+    warm_ups: WarmUps
     quarantine: Quarantine
     rollouts: Rollouts
     budgets: Mapping[str, SendBudget]
@@ -83,45 +98,42 @@
 
     # Choosing.
 
-    def choose(self, course: Course, model: str = "") -> Choice | None:
-        """Returns the worker for the next send, or None.
+    def choose(self, course: Course) -> Choice | None:
+        """Returns the worker for the next send, which begins now, or None."""
+        choice = self.expect(course, course.model)
+        if choice is not None:
+            self.warm_ups.note_send(choice.worker)
+        return choice
+
+    def expect(self, course: Course, model: str) -> Choice | None:
+        """Returns the worker that a model would be asked of now, or None.
 
-        Args:
-          course: How the request went so far.
-          model: To be asked, if not the course's own.
+        The version goes before all else: that its workers are left out is no
+        reason for a wider exposure, or to move a session.
         """
         request = course.request
-        workers = self.ends.living(self.directory.of_service(course.service))
+        workers = self.directory.of_service(course.service)
         split = self.rollouts.split(request, course.service, workers)
+        course.left_out = {}
         for group in (split.first, split.otherwise):
-            untried = [each for each in group if each.id not in course.tried]
-            usable = self.health.usable(untried)
-            if self.quarantine.suspects(request.content):
-                usable = self.apart(usable)
-            choice = self.chooser.choose(request, usable, model or course.model)
+            found = eligible(self.conditions, course, group)
+            self.note_left_out(course, group, found)
+            choice = self.chooser.choose(request, found.workers, model)
             if choice is not None:
                 return choice
         return None
 
-    def apart(
-        self, workers: Sequence[RegisteredWorker]
-    ) -> list[RegisteredWorker]:
-        """Returns the workers with fewest requests that may end them.
-
-        All that ran at a worker that ended are sent on at the same moment, and
-        would go to the same next worker: kept apart, those that ran beside the
-        one that ended it are answered there, and only that one ends another.
-        Of twelve streams beside one such request all are answered whole, and
-        2, 2 and 10 in three plays when they are sent on together
-        (test_crashing_requests).
-        """
-        counts = [self.loads.suspects(worker.id) for worker in workers]
-        least = min(counts, default=0)
-        return [
-            worker
-            for worker, count in zip(workers, counts, strict=True)
-            if count == least
-        ]
+    def note_left_out(
+        self, course: Course, group: Sequence[RegisteredWorker], found: Eligible
+    ) -> None:
+        """Takes in what kept a request from the workers of a version."""
+        for name, count in found.left_out.items():
+            self.metrics.count(f"relay.left_out.{name}")
+            course.left_out[name] = course.left_out.get(name, 0) + count
+        if WARMING_UP in found.left_out:
+            course.opens_in_s = self.warm_ups.soonest_s(group)
+        elif DRAINED_DOMAIN in found.left_out:
+            course.opens_in_s = DRAINED_RETRY_S
 
     def begin_flight(
         self, course: Course, worker: RegisteredWorker, read_s: float
@@ -175,6 +187,7 @@
             cost=round(choice.cost, 2),
             to_read=round(choice.to_read),
             candidates=choice.candidates,
+            left_out=course.left_out,
             session=request.session,
             report_age_s=rounded(choice.report_age_s),
             left_s=round(self.left_s(course), 3),
--- a/src/rattanpier/_internal/relay/escalation.py
+++ b/src/rattanpier/_internal/relay/escalation.py
@@ -39,7 +39,7 @@
     tried = course.tried
     # The same worker may well be the best: it is not ruled out.
     course.tried = tried - {worker.id}
-    choice = dispatcher.choose(course, larger)
+    choice = dispatcher.expect(course, larger)
     outlook = expect_larger(dispatcher, request, larger, choice)
     kept = judge_answer(
         request,
--- a/src/rattanpier/_internal/relay/fleet.py
+++ b/src/rattanpier/_internal/relay/fleet.py
@@ -85,6 +85,7 @@
       down_at: When each was found to be down, in monotonic seconds.
       derived: What follows from the states, by name, until one changes: it is
         asked for many times a second.
+      roster: Raised when an entry becomes known, or is forgotten.
       changed: Names of others that changed since that was last logged.
       places: Of the others that live, in order.
       standing: Names of the others that live, by place.
@@ -95,6 +96,7 @@
     others: dict[str, MemberNews] = attrs.Factory(dict)
     down_at: dict[str, float] = attrs.Factory(dict)
     derived: dict[str, Any] = attrs.Factory(dict)
+    roster: int = 0
     changed: set[str] = attrs.Factory(set)
     places: list[str] = attrs.Factory(list)
     standing: dict[str, str] = attrs.Factory(dict)
@@ -126,6 +128,7 @@
         before = self.others.get(name)
         if before is not None and news.order <= before.order:
             return False
+        self.roster += before is None
         self.others[name] = news
         self.stand(news)
         self.derived.clear()
@@ -186,6 +189,7 @@
             if now - since > FORGET_S:
                 del self.down_at[name]
                 del self.others[name]
+                self.roster += 1
                 self.derived.clear()
                 log.info("Entry forgotten.", entry=name)
 
@@ -193,6 +197,11 @@
         """Returns the entries that are not down, this one too."""
         return self.derive("live", self.find_live)
 
+    def lives(self, name: str) -> bool:
+        """Says whether another entry is known and not down."""
+        news = self.others.get(name)
+        return news is not None and not news.down
+
     def find_live(self) -> list[MemberNews]:
         """Finds the entries that are not down."""
         others = (news for news in self.others.values() if not news.down)
--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -26,6 +26,7 @@
 from rattanpier._internal.models.relay_settings import Address
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.placement.drained_domains import DrainedDomains
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.news import Compared, Knowledge, News
 from rattanpier._internal.relay.rollouts import Evidence, Rollouts
@@ -70,6 +71,7 @@
       fleet: What is known of the others.
       rollouts: What is known of roll-outs.
       quarantine: What is known of requests under which workers ended.
+      domains: Failure domains that get nothing new.
       links: Connections to the others.
       spread: Tells all of them.
       seeds: Addresses to ask while nobody is known.
@@ -88,6 +90,7 @@
     fleet: Fleet
     rollouts: Rollouts
     quarantine: Quarantine
+    domains: DrainedDomains
     links: Links
     spread: Spread
     clock: Clock
@@ -188,7 +191,8 @@
 
     def digest(self) -> int:
         """Returns what two entries that know the same have in common."""
-        return self.fleet.digest() ^ self.quarantine.digest()
+        known = self.fleet.digest() ^ self.quarantine.digest()
+        return known ^ self.domains.digest()
 
     async def serve_beat(self, call: peer_pb2.Call) -> peer_pb2.Reply:
         """Answers an entry that asks."""
@@ -255,6 +259,7 @@
             self.rollouts.stop(order, "told by a peer")
         self.rollouts.sessions.take(news.held)
         self.quarantine.take(news.quarantine)
+        self.domains.take_standing(news.drained)
 
     def news_of(self, members: list[MemberNews]) -> News:
         """Returns the states of some entries, and all that is told besides."""
@@ -264,6 +269,7 @@
             stopped=sorted(self.rollouts.stopped),
             held=self.rollouts.sessions.all_news(),
             quarantine=self.quarantine.all_news(),
+            drained=self.domains.standing(),
         )
 
     # What was missed.
@@ -307,9 +313,14 @@
             learned=len(compared.news.members),
             told=len(members),
         )
-        if members or self.quarantine.ends or self.quarantine.cleared:
+        if members or self.has_more_to_tell():
             await self.tell_one(peer, self.news_of(members))
 
+    def has_more_to_tell(self) -> bool:
+        """Says whether a peer may lack something that summaries don't name."""
+        held = self.quarantine.ends or self.quarantine.cleared
+        return bool(held or self.domains.drained)
+
     async def serve_summary(self, call: peer_pb2.Call) -> peer_pb2.Reply:
         """Answers with what the asker lacks, and names what it knows better."""
         known = unpack(Knowledge, call.summary.packed).orders
--- a/src/rattanpier/_internal/relay/news.py
+++ b/src/rattanpier/_internal/relay/news.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from rattanpier._internal.models.domain_order import DomainOrder
 from rattanpier._internal.models.rollout_order import RolloutRecord
 from rattanpier._internal.models.worker_end import QuarantineNews
 from rattanpier._internal.relay.fleet import MemberNews
@@ -20,6 +21,7 @@
       stopped: Orders whose version was found to be worse.
       held: Sessions that stay with the old version.
       quarantine: Requests under which workers ended.
+      drained: Orders that keep failure domains empty.
     """
 
     members: list[MemberNews] = attrs.Factory(list)
@@ -27,6 +29,7 @@
     stopped: list[int] = attrs.Factory(list)
     held: list[HeldSession] = attrs.Factory(list)
     quarantine: QuarantineNews = attrs.Factory(QuarantineNews)
+    drained: list[DomainOrder] = attrs.Factory(list)
 
 
 @attrs.frozen
--- a/src/rattanpier/_internal/relay/queue_watch.py
+++ b/src/rattanpier/_internal/relay/queue_watch.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Collection
+from collections.abc import Awaitable, Callable, Collection, Sequence
 
 import attrs
 import structlog
@@ -57,6 +57,7 @@
       read: Asks one worker within some seconds; None if it does not answer.
       restarted: Told of a worker that says it started anew, before its new
         registration came.
+      open: Returns the workers that may be asked.
       born: What workers said of their start, by id.
     """
 
@@ -68,6 +69,9 @@
     engines: Callable[[], Collection[str]]
     read: Callable[[RegisteredWorker, float], Awaitable[ReportedLoad | None]]
     restarted: Callable[[str], None]
+    open: Callable[[Sequence[RegisteredWorker]], Sequence[RegisteredWorker]] = (
+        lambda workers: workers
+    )
     born: dict[str, int] = attrs.Factory(dict)
 
     async def run(self) -> None:
@@ -82,7 +86,7 @@
         workers = [
             worker
             for service in self.engines()
-            for worker in self.directory.of_service(service)
+            for worker in self.open(self.directory.of_service(service))
         ]
         if not workers:
             return
--- a/src/rattanpier/_internal/relay/rollouts.py
+++ b/src/rattanpier/_internal/relay/rollouts.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 import structlog
@@ -101,6 +101,7 @@
       running_old: Own requests at old versions, by order.
       in_service: Versions that served before an order named another.
       known: It is known how far earlier orders went.
+      warms_up: Says whether a worker bears less than usual yet.
     """
 
     bound: ExposureBound
@@ -123,6 +124,9 @@
     running_old: dict[int, int] = attrs.Factory(dict)
     in_service: dict[str, str] = attrs.Factory(dict)
     known: bool = False
+    warms_up: Callable[[RegisteredWorker], bool] = attrs.field(
+        default=lambda _worker: False
+    )
 
     def take_order(self, order: RolloutOrder) -> None:
         """Takes an order in; an older one is done with."""
@@ -194,7 +198,7 @@
             return Split(new, old)
         if order.id in self.stopped:
             return Split(old)
-        if self.goes_to_new(request, order, phase):
+        if self.goes_to_new(request, order, phase, new):
             return Split(new, old)
         if phase is RolloutPhase.TRYING and old:
             # Old workers that fail are no reason for a wider exposure.
@@ -202,14 +206,20 @@
         return Split(old, new)
 
     def goes_to_new(
-        self, request: RelayRequest, order: RolloutOrder, phase: RolloutPhase
+        self,
+        request: RelayRequest,
+        order: RolloutOrder,
+        phase: RolloutPhase,
+        new: Sequence[RegisteredWorker],
     ) -> bool:
         """Says whether a request is among those for the new version.
 
         It follows from its session alone, so that all entries answer alike
         and a growing share moves a session only once. A session that was
         under way when the order came stays where it is while the order is
-        tried, until it has ended.
+        tried, until it has ended. While all new workers warm up few of its
+        requests could go there, and it would go back and forth: none begins
+        there before.
         """
         point = point_of(order.id, request.session or request.id)
         if point >= self.share(phase) * HASH_RANGE:
@@ -219,7 +229,8 @@
         if not self.policy.hold_sessions:
             return True
         now = self.clock.monotonic()
-        if now - self.known_at.get(order.id, now) < HOLD_S:
+        held = now - self.known_at.get(order.id, now) < HOLD_S
+        if held or all(map(self.warms_up, new)):
             self.sessions.hold(order.id, point, now)
             return False
         return not self.sessions.stays(order.id, point)
--- a/src/rattanpier/_internal/relay/snapshots.py
+++ b/src/rattanpier/_internal/relay/snapshots.py
@@ -15,6 +15,7 @@
     PeerUnavailableError,
     UnreadableError,
 )
+from rattanpier._internal.models.domain_order import DomainOrder
 from rattanpier._internal.models.rollout_order import (
     RolloutOrder,
     RolloutRecord,
@@ -42,6 +43,8 @@
       workers: Registered workers.
       orders: Roll-out orders.
       records: How far they went.
+      domain_orders: Failure domains that get nothing new, and those that do
+        again.
       from_store: The sender reaches the store now.
     """
 
@@ -49,6 +52,7 @@
     workers: list[RegisteredWorker]
     orders: list[RolloutOrder]
     records: list[RolloutRecord]
+    domain_orders: list[DomainOrder]
     from_store: bool
 
 
--- a/src/rattanpier/_internal/relay/state.py
+++ b/src/rattanpier/_internal/relay/state.py
@@ -8,10 +8,12 @@
 import structlog
 from reactivex.subject import Subject
 
+from rattanpier._internal.models.domain_order import DomainOrder
 from rattanpier._internal.models.feed import FeedRow, Page, UnreadableRow
 from rattanpier._internal.models.rollout_order import RolloutOrder
-from rattanpier._internal.models.route_table import RouteTable
+from rattanpier._internal.models.route_table import RouteTable, WarmUp
 from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.placement.drained_domains import DrainedDomains
 from rattanpier._internal.relay.directory import WorkerDirectory
 from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.relay.snapshots import Snapshot
@@ -25,6 +27,7 @@
     """The entry's beliefs and where they come from.
 
     Attributes:
+      domains: Failure domains that get nothing new.
       table: The route table in force, None before the first.
       operator_news: Decodes the operators' rows.
       worker_news: Decodes workers' registrations.
@@ -36,10 +39,13 @@
     directory: WorkerDirectory
     rollouts: Rollouts
     health: StoreHealth
-    operator_news: Callable[[Page], Iterable[RouteTable | RolloutOrder]]
+    operator_news: Callable[
+        [Page], Iterable[RouteTable | RolloutOrder | DomainOrder]
+    ]
     worker_news: Callable[
         [Page], Iterable[RegisteredWorker | FeedRow | UnreadableRow]
     ]
+    domains: DrainedDomains = attrs.Factory(DrainedDomains)
     table: RouteTable | None = None
     gone: Subject[str] = attrs.Factory(Subject)
     tables: Subject[RouteTable] = attrs.Factory(Subject)
@@ -59,11 +65,20 @@
 
     def take_operator_page(self, page: Page, after_outage: bool) -> None:
         """Takes in what operators wrote."""
+        domain_orders: list[DomainOrder] = []
         for item in self.operator_news(page):
-            if isinstance(item, RouteTable):
-                self.take_table(item, "store")
-            else:
-                self.rollouts.take_order(item)
+            match item:
+                case RouteTable():
+                    self.take_table(item, "store")
+                case RolloutOrder():
+                    self.rollouts.take_order(item)
+                case DomainOrder():
+                    domain_orders.append(item)
+        if page.whole:
+            self.domains.replace(domain_orders, page.version)
+            return
+        for order in domain_orders:
+            self.domains.take(order, "store")
 
     def engines(self) -> list[str]:
         """Returns the services whose workers are model engines."""
@@ -72,6 +87,11 @@
         services = self.table.services.values()
         return [each.name for each in services if each.engine is not None]
 
+    def warm_up_of(self, service: str) -> WarmUp | None:
+        """Returns what a service's workers bear after a start, if less."""
+        known = None if self.table is None else self.table.services.get(service)
+        return None if known is None else known.warm_up
+
     def take_table(self, table: RouteTable, source: str) -> None:
         """Puts a route table in force unless it is older."""
         if table.version <= self.table_version:
@@ -130,6 +150,7 @@
             list(self.directory.workers.values()),
             list(self.rollouts.orders.values()),
             list(self.rollouts.records.values()),
+            list(self.domains.orders.values()),
             self.health.available,
         )
 
@@ -139,6 +160,8 @@
         A peer that reaches it knows the workers better; of one that does not,
         workers are only added to an entry that knows none.
         """
+        for order in snapshot.domain_orders:
+            self.domains.take(order, "snapshot")
         if snapshot.table is not None:
             self.take_table(snapshot.table, "peer")
         for order in snapshot.orders:
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -40,7 +40,7 @@
             return port
 
 
-def settings_document(store, name="entry-1", seeds=(), **bounds):
+def settings_document(store, name="entry-1", seeds=(), zones=None, **bounds):
     """The platform's settings file of one entry."""
     return {
         "nodeName": name,
@@ -48,6 +48,7 @@
         "ip": "127.0.0.1",
         "zone": "zone-a",
         "region": "region-a",
+        "zones": zones or {"zone-a": "region-a"},
         "listen": {key: f"127.0.0.1:{free_port()}" for key in LISTENERS},
         "seeds": list(seeds),
         "heartbeatMs": 1200,
@@ -185,10 +186,10 @@
         return f"127.0.0.1:{runner.addresses[0][1]}"
 
     async def add_entry(
-        self, name="entry-1", ready=True, seeds=(), store=None, **bounds
+        self, name="entry-1", ready=True, seeds=(), store=None, **more
     ):
         address = store or self.store_address
-        document = settings_document(address, name, seeds, **bounds)
+        document = settings_document(address, name, seeds, **more)
         settings = decode_settings(document, "test")
         entry = await build_relay(settings)
         self.entries[name] = entry
--- a/tests/lib/ring.py
+++ b/tests/lib/ring.py
@@ -16,6 +16,7 @@
 from rattanpier._internal.models.member import Member, Role
 from rattanpier._internal.models.rollout_order import RolloutOrder
 from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.placement.drained_domains import DrainedDomains
 from rattanpier._internal.relay.exposure import ExposureBound
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.gossip import BEAT_EVERY_S, Gossip
@@ -127,6 +128,7 @@
             fleet=fleet,
             rollouts=Rollouts(ExposureBound(0.1, 30.0), 5.0, self.clock),
             quarantine=Quarantine(self.clock),
+            domains=DrainedDomains(),
             links=links,
             spread=spread,
             clock=self.clock,
--- /dev/null
+++ b/tests/placement/test_eligibility.py
@@ -0,0 +1,147 @@
+"""One way from all workers of a version to those that may get a request."""
+
+import functools
+
+import pytest
+
+from rattanpier._internal.models.relay_settings import Bounds
+from rattanpier._internal.models.rollout_order import RolloutOrder, RolloutPhase
+from rattanpier._internal.models.route_table import Workspace
+from rattanpier._internal.placement.eligibility import (
+    Condition,
+    apart,
+    eligible,
+    in_regions,
+)
+from rattanpier._internal.relay.course import Course, give_up
+from rattanpier._internal.relay.exposure import ExposureBound
+from rattanpier._internal.relay.rollouts import HOLD_S, Rollouts
+from tests.lib.clock import ManualClock
+from tests.lib.platform_site import changed_route, manifest, platform_site
+from tests.lib.relay_parts import make_request, make_route, make_worker
+
+REGIONS = {"a": "north", "b": "south"}
+WORKERS = [
+    make_worker("w1", domain="a"),
+    make_worker("w2", domain="b"),
+    make_worker("w3", domain="unknown"),
+]
+
+
+def make_course(route=(), workspace=None):
+    request = make_request(
+        route=make_route(regions=frozenset(route)),
+        workspace=None
+        if workspace is None
+        else Workspace("acme", regions=frozenset(workspace)),
+    )
+    return Course(request, 0.0, "s")
+
+
+def ids(workers):
+    return [worker.id for worker in workers]
+
+
+@pytest.mark.parametrize(
+    ("route", "workspace", "allowed"),
+    [
+        ((), None, ["w1", "w2", "w3"]),
+        (["north"], None, ["w1"]),
+        ((), ["south"], ["w2"]),
+        (["north", "south"], ["south"], ["w2"]),
+        (["north"], ["south"], []),
+        (["nowhere"], None, []),
+    ],
+)
+def test_regions_of_route_and_workspace_both_bind(route, workspace, allowed):
+    course = make_course(route, workspace)
+    assert ids(in_regions(REGIONS, course, WORKERS)) == allowed
+
+
+def test_each_condition_tells_how_many_it_left_out():
+    conditions = [
+        Condition("first", lambda _course, workers: workers[1:]),
+        Condition("second", lambda _course, workers: workers),
+        Condition("third", lambda _course, workers: workers[:0]),
+    ]
+    found = eligible(conditions, make_course(), WORKERS)
+    assert found.workers == []
+    assert found.left_out == {"first": 1, "third": 2}
+
+
+def test_what_may_end_workers_is_kept_apart():
+    counts = {"w1": 1, "w2": 0, "w3": 0}
+    keep = functools.partial(apart, lambda _content: True, counts.get)
+    assert ids(keep(make_course(), WORKERS)) == ["w2", "w3"]
+    keep = functools.partial(apart, lambda _content: False, counts.get)
+    assert ids(keep(make_course(), WORKERS)) == ["w1", "w2", "w3"]
+
+
+def test_a_refusal_says_which_conditions_left_no_worker():
+    course = make_course()
+    course.left_out = {"drained_domain": 2, "warming_up": 1}
+    course.opens_in_s = 0.2
+    refusal = give_up(course, 1.0).refusal
+    assert refusal.not_run
+    assert refusal.retry_after_s == 0.2
+    assert "drained_domain 2, warming_up 1" in refusal.message
+
+
+# Versions go before conditions.
+
+ORDER = RolloutOrder(7, "s", "v2", 24.0)
+
+
+async def test_no_session_begins_at_a_version_that_warms_up_yet():
+    clock = ManualClock()
+    rollouts = Rollouts(ExposureBound(0.15, 30.0), Bounds().session_s, clock)
+    cold = True
+    rollouts.warms_up = lambda worker: cold and worker.version == "v2"
+    rollouts.take_order(ORDER)
+    await clock.advance(HOLD_S + 0.1)
+    workers = [make_worker("old"), make_worker("new", version="v2")]
+
+    def new_ones(names):
+        splits = [
+            rollouts.split(make_request(session=name), "s", workers)
+            for name in names
+        ]
+        return [split for split in splits if split.first[0].id == "new"]
+
+    names = [f"session-{number}" for number in range(400)]
+    assert rollouts.phase(ORDER) is RolloutPhase.TRYING
+    assert new_ones(names) == []
+    cold = False
+    # Those that began at the old version stay there.
+    assert new_ones(names) == []
+    assert new_ones([f"later-{number}" for number in range(400)])
+
+
+# Real entries.
+
+
+async def test_a_route_is_answered_in_its_regions_only():
+    document = changed_route("safe", allowedRegions=["region-b"])
+    async with platform_site(document) as site:
+        for name, domain in (("w1", "zone-a"), ("w2", "zone-b")):
+            await site.add_worker(name)
+            site.register(name, zone=domain)
+        await site.add_entry(zones={"zone-a": "region-a", "zone-b": "region-b"})
+        for _ in range(6):
+            assert (await site.ask()).status == 200
+        assert not site.workers["w1"].runs
+        for _ in range(6):
+            assert (await site.ask("/unsafe/x")).status == 200
+        assert site.workers["w1"].runs
+
+
+async def test_a_workspace_is_answered_in_its_regions_only():
+    document = manifest()
+    document["tenants"][0]["allowedRegions"] = ["region-a"]
+    async with platform_site(document) as site:
+        await site.add_worker("w2")
+        site.register("w2", zone="zone-b")
+        await site.add_entry(zones={"zone-a": "region-a", "zone-b": "region-b"})
+        answer = await site.ask()
+        assert answer.status == 503
+        assert site.workers["w2"].runs == []
--- /dev/null
+++ b/tests/placement/test_warm_up.py
@@ -0,0 +1,202 @@
+"""Workers that warm up get no more than they bear, over all entries together.
+
+What was seen: of 60 engines 15 came back cold at once. They looked empty, 77
+entries with views of their own chose them at the same moment, and one got 22
+requests in a second where 18 are borne.
+"""
+
+import math
+
+import attrs
+import pytest
+
+from rattanpier._internal.models.route_table import WarmUp
+from rattanpier._internal.placement.warm_up import (
+    NEWS_S,
+    SETTLED_S,
+    limit_for,
+)
+from tests.lib.clock import ManualClock
+from tests.lib.relay_parts import make_worker, make_workers
+from tests.lib.warm_fleet import (
+    HEARTBEAT_S,
+    OVERSHOOT,
+    SLACK,
+    WARM_UP,
+    WarmFleet,
+    make_fleet,
+    make_warm_ups,
+)
+
+BOUND = math.floor(WARM_UP.rate_per_s * OVERSHOOT + SLACK)
+SIZES = [8, 77, 200, 420]
+ENGINE_REQUESTS_PER_S = 5.0  # At one entry; with larger models' answers.
+PLAY_S = 2.5  # Shorter than a warm-up.
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+def cold(number=0, warm_in_s=3.0):
+    return make_worker(f"w{number}", warm_in_s=warm_in_s)
+
+
+# The bound, over all entries.
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_the_bound_holds_over_all_entries(size):
+    workers = make_workers(2 + size // 30)
+    fleet = WarmFleet()
+    for number in range(size):
+        fleet.add(number, range(size))
+    fleet.play(workers, 4 * ENGINE_REQUESTS_PER_S, PLAY_S)
+    assert fleet.most_in_a_second() <= BOUND
+    # Requests that go elsewhere are paid for by the warm workers: at this load
+    # half of what the workers bear is used at least.
+    assert fleet.rate_per_s(workers, PLAY_S) >= 0.5 * WARM_UP.rate_per_s
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_the_bound_holds_while_half_restart_and_views_differ(size):
+    workers = make_workers(2 + size // 30)
+    fleet = WarmFleet()
+    everybody = range(size)
+    for number in everybody:
+        # Each takes another half of the others to be down.
+        down = {other for other in everybody if (other * 7 + number) % 2}
+        fleet.add(number, everybody, down - {number})
+    fleet.play(workers, 8 * ENGINE_REQUESTS_PER_S, PLAY_S)
+    assert fleet.most_in_a_second() <= BOUND
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_the_bound_holds_with_entries_that_are_cut_off(size):
+    workers = make_workers(2 + size // 30)
+    fleet = WarmFleet()
+    everybody = range(size)
+    cut_off = range(0, size, 6)
+    for number in everybody:
+        alone = set(everybody) - {number} if number in cut_off else ()
+        fleet.add(number, everybody, alone)
+    fleet.play(workers, 8 * ENGINE_REQUESTS_PER_S, PLAY_S)
+    assert fleet.most_in_a_second() <= BOUND
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_the_bound_holds_beside_newcomers_that_not_all_know(size):
+    workers = make_workers(2 + size // 30)
+    fleet = WarmFleet()
+    newcomers = max(1, size // 8)
+    for number in range(size):
+        fleet.add(number, range(size))
+    for number in range(size, size + newcomers):
+        fleet.add(number, range(size + newcomers))
+    fleet.play(workers, 8 * ENGINE_REQUESTS_PER_S, PLAY_S)
+    assert fleet.most_in_a_second() <= BOUND
+
+
+def test_one_that_has_just_started_and_knows_nobody_sends_nothing(clock):
+    worker = cold()
+    fleet = make_fleet(0, [], clock)
+    entry = make_warm_ups(fleet, clock)
+    entry.started_at = 0.0
+    entry.note_registered(worker, appeared=True)
+    assert entry.open([worker]) == []
+    clock.now = SETTLED_S
+    # By now it would know of others: it is the only one.
+    assert entry.open([worker]) == [worker]
+
+
+def test_an_entry_pauses_between_its_sends(clock):
+    worker = cold()
+    entry = make_warm_ups(make_fleet(0, [], clock), clock)
+    entry.note_registered(worker, appeared=False)
+    entry.note_send(worker)
+    assert entry.open([worker]) == []
+    wait_s = entry.soonest_s([worker])
+    clock.now += wait_s
+    assert entry.open([worker]) == [worker]
+
+
+def test_a_worker_that_bears_nothing_gets_nothing(clock):
+    assert limit_for(WarmUp(3.0, 0.2), 1.5, 0.0, entries=8) is None
+    entry = make_warm_ups(
+        make_fleet(0, [], clock), clock, warm_up=WarmUp(3.0, 0.01)
+    )
+    entry.slack = 0.0
+    entry.note_registered(cold(), appeared=False)
+    assert entry.open([cold()]) == []
+
+
+@pytest.mark.parametrize("rate_per_s", [0.5, 1.0, 3.0, 9.0, 40.0])
+@pytest.mark.parametrize("entries", [1, 2, 3, 8, 420])
+def test_the_parts_of_all_senders_are_within_the_bound(rate_per_s, entries):
+    most = rate_per_s * OVERSHOOT + SLACK
+    limit = limit_for(WarmUp(3.0, rate_per_s), OVERSHOOT, SLACK, entries)
+    each = math.floor(1.0 / limit.pause_s) + 1
+    assert limit.senders * each <= most
+    assert limit.live_senders / limit.pause_s <= rate_per_s
+
+
+# Who warms up.
+
+
+def test_a_worker_that_appears_warms_up_whatever_it_says(clock):
+    entry = make_warm_ups(make_fleet(0, [], clock), clock)
+    worker = make_worker("w0", warm_in_s=0.0)
+    entry.note_registered(worker, appeared=True)
+    assert entry.warms_up(worker)
+    clock.now += WARM_UP.start_s + HEARTBEAT_S
+    assert not entry.warms_up(worker)
+
+
+def test_a_worker_that_stood_in_the_table_is_taken_at_its_word(clock):
+    entry = make_warm_ups(make_fleet(0, [], clock), clock)
+    entry.note_registered(make_worker("w0"), appeared=False)
+    assert not entry.warms_up(make_worker("w0"))
+    entry.note_registered(cold(), appeared=False)
+    assert entry.warms_up(cold())
+
+
+def test_a_worker_turns_cold_at_any_moment(clock):
+    entry = make_warm_ups(make_fleet(0, [], clock), clock)
+    entry.note_registered(cold(warm_in_s=1.0), appeared=False)
+    clock.now += 1.0
+    # The news is as old as the way that it came.
+    assert entry.warms_up(cold())
+    clock.now += NEWS_S
+    assert not entry.warms_up(cold())
+    entry.note_registered(cold(warm_in_s=2.0), appeared=False)
+    assert entry.warms_up(cold())
+    entry.note_registered(cold(warm_in_s=0.0), appeared=False)
+    assert not entry.warms_up(cold())
+
+
+def test_another_incarnation_under_the_same_id_warms_up(clock):
+    entry = make_warm_ups(make_fleet(0, [], clock), clock)
+    before = make_worker("w0", born=1)
+    entry.note_registered(before, appeared=False)
+    after = attrs.evolve(before, born=2)
+    entry.note_registered(after, appeared=True)
+    assert entry.warms_up(after)
+    assert not entry.warms_up(before)
+
+
+def test_workers_of_a_service_that_bears_all_are_open(clock):
+    entry = make_warm_ups(make_fleet(0, [], clock), clock)
+    plain = make_worker("w0", service="plain", warm_in_s=3.0)
+    entry.note_registered(plain, appeared=True)
+    assert entry.open([plain]) == [plain]
+
+
+def test_what_was_known_of_old_workers_is_dropped(clock):
+    entry = make_warm_ups(make_fleet(0, [], clock), clock)
+    for number in range(50):
+        entry.note_registered(cold(number), appeared=True)
+        entry.note_send(cold(number))
+        clock.now += 10.0
+    assert len(entry.presumed_at) < 10
+    assert len(entry.sent_at) < 10
