--- a/src/rattanpier/_internal/placement/drained_domains.py
+++ b/src/rattanpier/_internal/placement/drained_domains.py
@@ -50,7 +50,7 @@
             return
         self.drained = self.drained ^ {order.domain}
         log.info(
-            "Failure domain drained." if order.drained else "Domain is back.",
+            "Drained domains changed.",
             domain=order.domain,
             revision=order.revision,
             source=source,
