--- a/tests/unit/test_logs_page.py
+++ b/tests/unit/test_logs_page.py
@@ -10,6 +10,7 @@
     *(ROOT / "src/rattanpier/_internal/relay").glob("*.py"),
     *(ROOT / "src/rattanpier/_internal/platform").glob("*.py"),
     *(ROOT / "src/rattanpier/_internal/retries").glob("*.py"),
+    *(ROOT / "src/rattanpier/_internal/placement").glob("*.py"),
     *(ROOT / "src/rattanpier/_internal/programs").glob("relay*.py"),
     ROOT / "src/rattanpier/_internal/cli/relay.py",
 ]
