Try a version with more requests where few answers came

A version that failed a third of its requests was tried by a quarter of the allowed exposure, half of whose sessions are held back: 17 to 19 answers of 790 at its take-over, of which by chance few had failed. It was completed, and failed all that followed.

Change: from half of the time on three quarters of the allowed exposure try a version that got fewer than 20 answers, as the take-over's bound allows.

--- a/src/rattanpier/_internal/models/rollout_order.py
+++ b/src/rattanpier/_internal/models/rollout_order.py
@@ -11,6 +11,7 @@
     """How far a move went. The later in this list, the further."""
 
     TRYING = "trying"  # A small share, while evidence is gathered.
+    EXTENDING = "extending"  # A little more, where few answers came.
     WIDENING = "widening"  # A larger share, to see it under load.
     FULL = "full"  # Everything new; the old workers end what they have.
     COMPLETED = "completed"
--- a/src/rattanpier/_internal/relay/rollout_driver.py
+++ b/src/rattanpier/_internal/relay/rollout_driver.py
@@ -31,12 +31,13 @@
     RolloutRecord,
 )
 from rattanpier._internal.relay.exposure import (
+    FEW_ANSWERS,
     WIDEN_FOR,
     Exposure,
     ExposureBound,
     may_widen,
 )
-from rattanpier._internal.relay.rollouts import Rollouts
+from rattanpier._internal.relay.rollouts import TRIALS, Rollouts
 from rattanpier._internal.relay.store import RelayStore, StoreClock, StoreHealth
 from rattanpier._internal.relay.verdict import ENOUGH
 from rattanpier._internal.utils.codec import decode, encode
@@ -49,6 +50,7 @@
 # Shares of an order's time. In the first half of it no session may be moved to
 # the new version; when it takes over follows from what it may still get.
 TRY_UNTIL = 0.5
+EXTEND_UNTIL = 0.8  # Later more answers would come too late to tell.
 FULL_FOR = 0.04  # Two rounds of evidence with all traffic.
 # Then the old workers may be stopped: what they still do goes on elsewhere. The
 # rest of the time is for a write whose answer is lost, and for another entry to
@@ -90,13 +92,8 @@
         return phase
     if progress.worse:
         return RolloutPhase.ROLLED_BACK
-    if phase is RolloutPhase.TRYING:
-        ready = (
-            progress.age >= TRY_UNTIL
-            and progress.exposure.exposed >= ENOUGH
-            and may_widen(bound, progress.exposure, progress.age)
-        )
-        return RolloutPhase.WIDENING if ready else phase
+    if phase in TRIALS:
+        return phase_after_trial(progress, bound)
     if phase is RolloutPhase.WIDENING:
         ready = progress.phase_age >= WIDEN_FOR
         return RolloutPhase.FULL if ready else phase
@@ -106,6 +103,19 @@
     return phase
 
 
+def phase_after_trial(progress: Progress, bound: ExposureBound) -> RolloutPhase:
+    """Returns the phase that an order should be in that is being tried."""
+    phase, exposed = progress.phase, progress.exposure.exposed
+    if progress.age < TRY_UNTIL:
+        return phase
+    if exposed >= ENOUGH and may_widen(bound, progress.exposure, progress.age):
+        return RolloutPhase.WIDENING
+    few = exposed < FEW_ANSWERS and progress.age < EXTEND_UNTIL
+    if phase is RolloutPhase.TRYING and few:
+        return RolloutPhase.EXTENDING
+    return phase
+
+
 def stand_ins(phase: RolloutPhase, age: float, deadline_s: float) -> int:
     """Returns how many entries behind the first may take an order's next step.
 
--- a/src/rattanpier/_internal/relay/rollouts.py
+++ b/src/rattanpier/_internal/relay/rollouts.py
@@ -42,6 +42,8 @@
 # After an order is known nothing goes to the new version for so long: entries
 # tell each other which sessions are under way, within two rounds of news.
 HOLD_S = 1.2
+# While a version is tried, old workers that fail are no reason for more of it.
+TRIALS = (RolloutPhase.TRYING, RolloutPhase.EXTENDING)
 
 
 @attrs.frozen
@@ -200,8 +202,7 @@
             return Split(old)
         if self.goes_to_new(request, order, phase, new):
             return Split(new, old)
-        if phase is RolloutPhase.TRYING and old:
-            # Old workers that fail are no reason for a wider exposure.
+        if phase in TRIALS and old:
             return Split(old)
         return Split(old, new)
 
@@ -240,6 +241,8 @@
         match phase:
             case RolloutPhase.TRYING:
                 return self.bound.trying_share
+            case RolloutPhase.EXTENDING:
+                return self.bound.extending_share
             case RolloutPhase.WIDENING:
                 return WIDENING_SHARE
             case RolloutPhase.ROLLED_BACK:
