Name entries in a caller's regions only, and compare ways to warm up

The directory names, for a host all of whose routes are bound to regions, the entries there or in the caller's own region.

--- /dev/null
+++ b/benchmarks/warm_up.py
@@ -0,0 +1,149 @@
+"""Ways to divide what a worker bears while it warms up over all entries.
+
+Plays entries, each with its own view of who lives, before cold workers that
+all would use. Prints, for each way and size, the most requests that reached one
+worker within a second (18 are borne), and the share of the steady rate that was
+used: what is left unused goes to warm workers, which are slower for it.
+
+    PYTHONPATH=. python -m benchmarks.warm_up
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+import random
+from collections.abc import Callable
+
+import attrs
+import structlog
+
+from tests.lib.relay_parts import make_workers
+from tests.lib.warm_fleet import OVERSHOOT, SLACK, WARM_UP, WarmFleet
+
+SIZES = (8, 77, 200, 420)
+REQUESTS_PER_S = 5.0  # At one entry, with larger models' answers.
+PLAY_S = 2.5
+
+
+@attrs.define
+class Bucket:
+    """Way 2: each entry has an even part of the rate, and saves it up.
+
+    Attributes:
+      saved: Parts of a request by worker, and when that was, in seconds.
+    """
+
+    warm_ups: object
+    rng: random.Random
+    saved: dict = attrs.Factory(dict)
+
+    def level(self, worker: str) -> float:
+        """Returns what is saved up for a worker."""
+        now = self.warm_ups.clock.now
+        # Entries begin anywhere, so that they do not all send at once.
+        part, since = self.saved.get(worker, (self.rng.random(), now))
+        rate = WARM_UP.rate_per_s / self.warm_ups.fleet.size()
+        return min(1.0, part + rate * (now - since))
+
+    def open(self, workers: list) -> list:
+        """Returns the workers that this entry may send to."""
+        return [each for each in workers if self.touch(each.id) >= 1.0]
+
+    def touch(self, worker: str) -> float:
+        """Brings what is saved up to date and returns it."""
+        level = self.level(worker)
+        self.saved[worker] = level, self.warm_ups.clock.now
+        return level
+
+    def note_send(self, worker: object) -> None:
+        """Takes in a send."""
+        self.saved[worker.id] = 0.0, self.warm_ups.clock.now
+
+
+@attrs.define
+class Thinned:
+    """Way 3: each entry takes a worker into account by chance.
+
+    The chance is the worker's rate against what all entries would send, taking
+    the others to get as many requests as this one.
+    """
+
+    warm_ups: object
+    rng: random.Random
+    workers: int
+
+    def open(self, workers: list) -> list:
+        """Returns the workers that this entry considers."""
+        demand = REQUESTS_PER_S * self.warm_ups.fleet.size()
+        allowed = WARM_UP.rate_per_s * len(workers)
+        if self.rng.random() >= min(1.0, allowed / demand):
+            return []
+        return workers
+
+    def note_send(self, worker: object) -> None:
+        """Takes in a send."""
+
+
+def few_senders(warm_ups: object, _rng: random.Random, _count: int) -> object:
+    """Way 1, the product's: a few entries, drawn by a hash of the worker."""
+    return warm_ups
+
+
+WAYS: dict[str, Callable] = {
+    "few senders": few_senders,
+    "parts saved up": lambda warm_ups, rng, _count: Bucket(warm_ups, rng),
+    "by chance": Thinned,
+}
+
+
+def view_of_half(number: int, everybody: range) -> set[int]:
+    """Returns whom an entry takes to be down while half restart."""
+    return {other for other in everybody if (other * 7 + number) % 2} - {number}
+
+
+def play(way: str, size: int, views_differ: bool) -> tuple[int, float]:
+    """Returns the most in a second and the share of the rate that was used."""
+    fleet = WarmFleet()
+    workers = make_workers(2 + size // 30)
+    rng = random.Random(size)
+    for number in range(size):
+        down = view_of_half(number, range(size)) if views_differ else ()
+        fleet.add(number, range(size), down)
+        entry = fleet.entries[number]
+        for worker in workers:
+            entry.note_registered(worker, appeared=True)
+        fleet.entries[number] = WAYS[way](entry, rng, len(workers))
+    ask_all(fleet, workers)
+    used = fleet.rate_per_s(workers, PLAY_S) / WARM_UP.rate_per_s
+    return fleet.most_in_a_second(), used
+
+
+def ask_all(fleet: WarmFleet, workers: list) -> None:
+    """Lets every entry ask at random for a while."""
+    step_s = 0.01
+    for _ in range(round(PLAY_S / step_s)):
+        fleet.clock.now += step_s
+        for entry in fleet.entries.values():
+            if fleet.rng.random() < REQUESTS_PER_S * step_s:
+                fleet.ask(entry, workers)
+
+
+def main() -> None:
+    """Prints the table."""
+    quiet = structlog.make_filtering_bound_logger(logging.ERROR)
+    structlog.configure(wrapper_class=quiet)
+    bound = math.floor(WARM_UP.rate_per_s * OVERSHOOT + SLACK)
+    print(f"bound {bound} in a second, steady rate {WARM_UP.rate_per_s:.0f}/s")
+    print("| way | entries | views | most in 1 s | rate used |")
+    print("|---|---|---|---|---|")
+    for way in WAYS:
+        for size in SIZES:
+            for differ in (False, True):
+                most, used = play(way, size, differ)
+                views = "differ" if differ else "alike"
+                print(f"| {way} | {size} | {views} | {most} | {used:.2f} |")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/rattanpier/_internal/models/route_table.py
+++ b/src/rattanpier/_internal/models/route_table.py
@@ -216,6 +216,16 @@
                 return route
         return None
 
+    def regions_of(self, host: str) -> frozenset[str]:
+        """Returns the regions that routes of a host are bound to.
+
+        Empty if none is bound, or one may be answered anywhere.
+        """
+        routes = self.index.get(host.lower(), {}).values()
+        if not all(route.regions for route in routes):
+            return frozenset()
+        return frozenset().union(*(route.regions for route in routes))
+
     @functools.cached_property
     def model_costs(self) -> dict[str, float]:
         """Price of each model for 1,000 generated tokens."""
--- a/src/rattanpier/_internal/programs/relay_listen.py
+++ b/src/rattanpier/_internal/programs/relay_listen.py
@@ -5,12 +5,14 @@
 import asyncio
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import attrs
 from aiohttp import web
 
 from rattanpier._internal.kernel import Kernel
+from rattanpier._internal.models.directory_question import DirectoryQuestion
+from rattanpier._internal.models.member import Member
 from rattanpier._internal.models.relay_settings import Address, RelaySettings
 from rattanpier._internal.platform import caller
 from rattanpier._internal.platform.early_listener import BACKLOG
@@ -130,7 +132,8 @@
     """Returns the handler that tells callers which entries to use."""
 
     async def handle(request: web.BaseRequest) -> web.Response:
-        answer = directory_answer(entry)
+        question = caller.decode_question(request.query)
+        answer = directory_answer(entry, question)
         if answer is None:
             return web.Response(status=503)
         return web.json_response(answer)
@@ -138,15 +141,34 @@
     return handle
 
 
-def directory_answer(entry: RelayEntry) -> dict[str, object] | None:
+def directory_answer(
+    entry: RelayEntry, question: DirectoryQuestion
+) -> dict[str, object] | None:
     """Returns the entries to use, None if this one knows of none."""
-    addresses = [member.caller_url for member in entry.fleet.entries()]
+    members = entry.fleet.entries()
+    table = entry.state.table
+    regions = frozenset() if table is None else table.regions_of(question.host)
+    if regions:
+        members = in_reach(members, regions | {question.region})
+    addresses = [member.caller_url for member in members]
     if not addresses:
         return None
     ttl_s = min(LIST_TTL_S, entry.settings.bounds.address_ttl_s)
     return caller.directory_body(addresses, ttl_s)
 
 
+def in_reach(
+    members: Sequence[Member], regions: frozenset[str]
+) -> Sequence[Member]:
+    """Returns the entries in some regions, or all where there is none.
+
+    A request whose body may not leave its regions is sent to an entry there, or
+    in the caller's own region.
+    """
+    near = [member for member in members if member.region in regions]
+    return near or members
+
+
 def metrics_handler(entry: RelayEntry) -> Callable[[web.BaseRequest], object]:
     """Returns the handler of the metrics address."""
 
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -40,14 +40,16 @@
             return port
 
 
-def settings_document(store, name="entry-1", seeds=(), zones=None, **bounds):
+def settings_document(
+    store, name="entry-1", seeds=(), zones=None, region="region-a", **bounds
+):
     """The platform's settings file of one entry."""
     return {
         "nodeName": name,
         "role": "entry",
         "ip": "127.0.0.1",
         "zone": "zone-a",
-        "region": "region-a",
+        "region": region,
         "zones": zones or {"zone-a": "region-a"},
         "listen": {key: f"127.0.0.1:{free_port()}" for key in LISTENERS},
         "seeds": list(seeds),
--- a/tests/placement/test_eligibility.py
+++ b/tests/placement/test_eligibility.py
@@ -17,7 +17,13 @@
 from rattanpier._internal.relay.exposure import ExposureBound
 from rattanpier._internal.relay.rollouts import HOLD_S, Rollouts
 from tests.lib.clock import ManualClock
-from tests.lib.platform_site import changed_route, manifest, platform_site
+from tests.lib.platform_site import (
+    HOST,
+    changed_route,
+    manifest,
+    platform_site,
+    until,
+)
 from tests.lib.relay_parts import make_request, make_route, make_worker
 
 REGIONS = {"a": "north", "b": "south"}
@@ -135,6 +141,34 @@
         assert site.workers["w1"].runs
 
 
+@pytest.mark.parametrize(
+    ("regions", "region", "names"),
+    [
+        ([], "region-a", {"entry-1", "entry-2"}),
+        (["region-b"], "region-a", {"entry-1", "entry-2"}),
+        (["region-b"], "region-b", {"entry-2"}),
+        (["region-a"], "", {"entry-1"}),
+        (["elsewhere"], "nowhere", {"entry-1", "entry-2"}),
+    ],
+)
+async def test_the_directory_names_entries_in_reach(regions, region, names):
+    document = manifest()
+    for each in document["routes"]:
+        each["allowedRegions"] = regions
+    async with platform_site(document) as site:
+        for number, home in enumerate(("region-a", "region-b"), start=1):
+            await site.add_entry(f"entry-{number}", region=home)
+        asked = site.entries["entry-1"]
+        await until(lambda: len(asked.fleet.entries()) == 2)
+        url = f"http://{asked.settings.directory}/rattanpier/resolve"
+        query = {"name": HOST, "region": region, "zone": "zone-a"}
+        async with site.session.get(url, params=query) as response:
+            told = (await response.json())["addresses"]
+        assert set(told) == {
+            str(site.entries[name].settings.callers) for name in names
+        }
+
+
 async def test_a_workspace_is_answered_in_its_regions_only():
     document = manifest()
     document["tenants"][0]["allowedRegions"] = ["region-a"]
