--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -348,9 +348,15 @@
             log.info("Peer is silent.", entry=peer.name, error=str(error))
 
     async def join(self) -> None:
-        """Asks the seeds while no other entry is known to live."""
+        """Asks the seeds until another entry is known to live.
+
+        One answer names all others. Each further one takes a start a tenth of a
+        second, while its link carries the route table.
+        """
         me = self.fleet.me.member
         for seed in self.seeds:
+            if len(self.fleet.live()) > 1:
+                return
             if (seed.host, seed.port) != (me.peer_host, me.peer_port):
                 await self.compare(seed_member(seed))
 
--- a/tests/relay/test_early_callers.py
+++ b/tests/relay/test_early_callers.py
@@ -16,6 +16,7 @@
 from rattanpier._internal.platform.early_listener import open_early
 from rattanpier._internal.programs.relay_listen import START_WAIT_S
 from rattanpier._internal.relay.fleet import Fleet
+from rattanpier._internal.relay.gossip import Gossip
 from rattanpier._internal.relay.snapshots import ASKED, Snapshot, Snapshots
 from rattanpier._internal.standin.platform_store import Door, StoreFault
 from rattanpier._internal.utils.codec import decode
@@ -27,6 +28,7 @@
     manifest,
     platform_site,
     route,
+    until,
 )
 from tests.lib.relay_process import start_entry
 from tests.relay.test_fleet import make_news
@@ -124,6 +126,30 @@
     assert second.state.table == first.state.table
 
 
+async def test_a_start_asks_no_more_seeds_than_it_needs(site, monkeypatch):
+    asked = []
+    compare = Gossip.compare
+
+    async def note(gossip, peer):
+        asked.append(peer.name)
+        await compare(gossip, peer)
+
+    seeds = [
+        str((await site.add_entry(f"entry-{number}")).settings.peers)
+        for number in range(3)
+    ]
+    door = Door(slow_s={"entries": 8.0})
+    later = await site.add_entry(
+        "entry-9",
+        ready=False,
+        store=await site.add_door(door),
+        seeds=["127.0.0.1:9", *seeds],
+    )
+    monkeypatch.setattr(Gossip, "compare", note)
+    await until(lambda: len(later.fleet.live()) == 4)
+    assert [name for name in asked if name in seeds[1:]] == []
+
+
 @pytest.mark.parametrize(
     ("ready", "reaches_store", "asked"),
     [
