--- a/deploy/relay.py
+++ b/deploy/relay.py
@@ -7,14 +7,15 @@
 
 import gc
 import os
-import pathlib
 import sys
 
 gc.disable()
 # Entries speak plain HTTP here; aiohttp reads all root certificates as soon as
 # it is imported, which takes a seventh of a start.
 os.environ["SSL_CERT_FILE"] = os.devnull
-sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / "src"))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path.insert(0, os.path.join(ROOT, "src"))
+sys.path.append(os.path.join(ROOT, "target", "deps"))
 
 from rattanpier._internal.platform.early_listener import (  # noqa: E402
     open_early,
--- a/src/rattanpier/_internal/programs/relay_listen.py
+++ b/src/rattanpier/_internal/programs/relay_listen.py
@@ -8,7 +8,10 @@
 from collections.abc import Callable, Sequence
 
 import attrs
-from aiohttp import web
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import Response, json_response
+from aiohttp.web_runner import BaseSite, ServerRunner, SockSite, TCPSite
+from aiohttp.web_server import Server
 
 from rattanpier._internal.kernel import Kernel
 from rattanpier._internal.models.directory_question import DirectoryQuestion
@@ -52,8 +55,8 @@
     metrics: Metrics
     edge: RelayEdge
     gossip: Gossip
-    sites: list[web.BaseSite] = attrs.Factory(list)
-    runners: list[web.ServerRunner] = attrs.Factory(list)
+    sites: list[BaseSite] = attrs.Factory(list)
+    runners: list[ServerRunner] = attrs.Factory(list)
     listening: bool = False
 
     def ready(self) -> bool:
@@ -91,11 +94,11 @@
 async def open_site(
     entry: RelayEntry,
     address: Address,
-    handler: Callable[[web.BaseRequest], object],
+    handler: Callable[[BaseRequest], object],
     listener: socket.socket | None = None,
 ) -> None:
     """Listens on one address, unless something does already."""
-    server = web.Server(
+    server = Server(
         handler,  # type: ignore[arg-type]
         handler_cancellation=True,
         keepalive_timeout=KEEPALIVE_S,
@@ -103,13 +106,13 @@
         max_field_size=MAX_LINE_BYTES,
         access_log=None,
     )
-    runner = web.ServerRunner(server, shutdown_timeout=0.0)
+    runner = ServerRunner(server, shutdown_timeout=0.0)
     await runner.setup()
-    site: web.BaseSite
+    site: BaseSite
     if listener is None:
-        site = web.TCPSite(runner, address.host, address.port, backlog=BACKLOG)
+        site = TCPSite(runner, address.host, address.port, backlog=BACKLOG)
     else:
-        site = web.SockSite(runner, listener, backlog=BACKLOG)
+        site = SockSite(runner, listener, backlog=BACKLOG)
     await site.start()
     entry.sites.append(site)
     entry.runners.append(runner)
@@ -117,26 +120,26 @@
 
 def readiness_handler(
     entry: RelayEntry,
-) -> Callable[[web.BaseRequest], object]:
+) -> Callable[[BaseRequest], object]:
     """Returns the handler of the platform's readiness check."""
 
-    async def handle(request: web.BaseRequest) -> web.Response:
-        return web.Response(status=200 if entry.ready() else 503)
+    async def handle(request: BaseRequest) -> Response:
+        return Response(status=200 if entry.ready() else 503)
 
     return handle
 
 
 def directory_handler(
     entry: RelayEntry,
-) -> Callable[[web.BaseRequest], object]:
+) -> Callable[[BaseRequest], object]:
     """Returns the handler that tells callers which entries to use."""
 
-    async def handle(request: web.BaseRequest) -> web.Response:
+    async def handle(request: BaseRequest) -> Response:
         question = caller.decode_question(request.query)
         answer = directory_answer(entry, question)
         if answer is None:
-            return web.Response(status=503)
-        return web.json_response(answer)
+            return Response(status=503)
+        return json_response(answer)
 
     return handle
 
@@ -169,16 +172,14 @@
     return near or members
 
 
-def metrics_handler(entry: RelayEntry) -> Callable[[web.BaseRequest], object]:
+def metrics_handler(entry: RelayEntry) -> Callable[[BaseRequest], object]:
     """Returns the handler of the metrics address."""
 
-    async def handle(request: web.BaseRequest) -> web.Response:
+    async def handle(request: BaseRequest) -> Response:
         # Only here: an import that a start need not wait for.
         from rattanpier._internal.relay.exposition import render
 
         entry.metrics.gauge("relay.running", entry.drain.running)
-        return web.Response(
-            body=render(entry.metrics), content_type="text/plain"
-        )
+        return Response(body=render(entry.metrics), content_type="text/plain")
 
     return handle
--- a/src/rattanpier/_internal/relay/edge.py
+++ b/src/rattanpier/_internal/relay/edge.py
@@ -8,7 +8,8 @@
 
 import attrs
 import structlog
-from aiohttp import web
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import Response, StreamResponse, json_response
 
 from rattanpier._internal.models.refusal import Refusal, RefusalCode
 from rattanpier._internal.models.relay_answer import (
@@ -82,7 +83,7 @@
     metrics: Metrics
     begun: asyncio.Event = attrs.Factory(asyncio.Event)
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def handle(self, request: BaseRequest) -> StreamResponse:
         """Answers one request."""
         self.drain.enter()
         arrived = self.clock.monotonic()
@@ -109,7 +110,7 @@
 
     async def take_in(
         self,
-        request: web.BaseRequest,
+        request: BaseRequest,
         headers: CallerHeaders,
         arrived: float,
     ) -> RelayRequest:
@@ -165,7 +166,7 @@
             after_event=headers.after_event,
         )
 
-    async def read_body(self, request: web.BaseRequest, most: int) -> bytes:
+    async def read_body(self, request: BaseRequest, most: int) -> bytes:
         """Returns the whole body.
 
         Raises:
@@ -187,10 +188,10 @@
         return bytes(data)
 
     async def answer(
-        self, request: web.BaseRequest, taken: RelayRequest
-    ) -> web.StreamResponse:
+        self, request: BaseRequest, taken: RelayRequest
+    ) -> StreamResponse:
         """Writes the parts of an answer as they come."""
-        response: web.StreamResponse | None = None
+        response: StreamResponse | None = None
         times = PieceTimes(taken.arrived)
         async with aclosing(answer(self.dispatcher, taken)) as parts:
             async for part in parts:
@@ -218,22 +219,22 @@
         assert response is not None
         return response
 
-    def make_whole(self, answer: WholeAnswer) -> web.Response:
+    def make_whole(self, answer: WholeAnswer) -> Response:
         """Returns the response for a worker's whole answer."""
-        response = web.Response(status=answer.status, body=answer.body)
+        response = Response(status=answer.status, body=answer.body)
         self.copy_headers(response, answer.headers)
         return self.let_go(response)
 
     def make_stream(
         self, status: int, headers: tuple[Header, ...]
-    ) -> web.StreamResponse:
+    ) -> StreamResponse:
         """Returns the response for an answer that comes piece by piece."""
-        response = web.StreamResponse(status=status)
+        response = StreamResponse(status=status)
         self.copy_headers(response, headers)
         return self.let_go(response)
 
     def copy_headers(
-        self, response: web.StreamResponse, headers: tuple[Header, ...]
+        self, response: StreamResponse, headers: tuple[Header, ...]
     ) -> None:
         """Sets a worker's headers."""
         for name in {name for name, _ in headers}:
@@ -243,7 +244,7 @@
 
     def refuse(
         self, request_id: str, refusal: Refusal, status: int, arrived: float
-    ) -> web.Response:
+    ) -> Response:
         """Returns a refusal and logs why."""
         self.metrics.count(f"relay.answered.{status}")
         log.info(
@@ -256,7 +257,7 @@
             retry_after_s=refusal.retry_after_s,
             total_s=round(self.clock.monotonic() - arrived, 3),
         )
-        response = web.json_response(
+        response = json_response(
             {"error": refusal.code.value, "message": refusal.message},
             status=status,
         )
@@ -266,7 +267,7 @@
             response.headers[name] = value
         return self.let_go(response)
 
-    def let_go(self, response: web.StreamResponse) -> web.StreamResponse:
+    def let_go(self, response: StreamResponse) -> StreamResponse:
         """Ends the connection behind a response once the entry leaves."""
         if self.drain.leaving:
             response.force_close()
--- a/tests/relay/test_footprint.py
+++ b/tests/relay/test_footprint.py
@@ -2,9 +2,12 @@
 
 import subprocess
 import sys
+import tomllib
 
 import pytest
 
+from tests.lib.counters import ROOT
+
 LIST = "import sys, rattanpier._internal.cli.relay; print(*sorted(sys.modules))"
 OTHER_PATHS = (
     "cascade",
@@ -31,6 +34,10 @@
 )
 
 
+# Of aiohttp's server the path of a request uses the lower half.
+NOT_USED_MODULES = ("aiohttp.web", "aiohttp.web_ws")
+
+
 @pytest.fixture(scope="module")
 def loaded():
     """The modules that an entry has loaded when it begins to start."""
@@ -52,3 +59,34 @@
 @pytest.mark.parametrize("package", NOT_USED)
 def test_libraries_of_other_paths_are_not_loaded(loaded, package):
     assert [name for name in loaded if name.split(".")[0] == package] == []
+
+
+@pytest.mark.parametrize("module", NOT_USED_MODULES)
+def test_modules_of_other_paths_are_not_loaded(loaded, module):
+    assert module not in loaded
+
+
+def test_a_start_loads_nothing_that_a_vm_has_installed_besides():
+    deployed = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    assert deployed["roles"]["entry"]["run"].split()[:2] == ["python3", "-S"]
+
+
+def test_callers_are_let_wait_before_libraries_are_loaded():
+    lines = (ROOT / "deploy" / "relay.py").read_text().splitlines()
+    loads = [number for number, line in enumerate(lines) if "cli.relay" in line]
+    opens = [
+        number for number, line in enumerate(lines) if "open_early(" in line
+    ]
+    assert max(opens) < min(loads)
+    made = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            "import sys, rattanpier._internal.platform.early_listener;"
+            "print(len([m for m in sys.modules if m.startswith('attr')]))",
+        ],
+        check=True,
+        capture_output=True,
+        text=True,
+    )
+    assert made.stdout.split() == ["0"]
