Drain failure domains and turn workers cold in the soak

The soak draws two more faults: a failure domain is drained for a while, and a worker says that it bears little. The judge looks whether anything ran in the drained domain, and how many requests in a second reached the cold worker.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -29,6 +29,8 @@
     MANIFEST = "manifest"
     DRAIN = "drain"  # A worker announces that it leaves.
     LEAVE = "leave"  # A worker's registration goes without a word.
+    DRAIN_DOMAIN = "drain_domain"  # Operators drain a failure domain.
+    COLD = "cold"  # A worker bears little for a while.
 
 
 DETAILS = {
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -1,6 +1,7 @@
 """Whether the promises were kept, from what callers and workers saw."""
 
 from tests.lib.platform_site import KEY, events
+from tests.lib.warm_fleet import most_within
 
 PROMISES = (408, 421, 429, 503)
 EVENTS = 5
@@ -8,6 +9,9 @@
 # takes; the platform's own bound is two seconds.
 DRAIN_S = 3.5
 CALM_S = 3.5  # Before and after: no other fault may explain a miss.
+# Of what a cold worker bears in any second: the rate, its overshoot, the slack.
+COLD_PER_S, COLD_OVERSHOOT, COLD_TOLERANCE = 2, 1.5, 2
+COLD_BOUND = COLD_PER_S * COLD_OVERSHOOT + COLD_TOLERANCE
 SERVED_SHARE = 0.9  # Of requests sent once all faults are over.
 
 
@@ -16,6 +20,8 @@
     yield from judge_runs(run)
     yield from judge_answers(run)
     yield from judge_drains(run)
+    yield from judge_drained_domains(run)
+    yield from judge_cold_workers(run)
     yield from judge_stops(run)
     yield from judge_end(run)
 
@@ -64,6 +70,29 @@
             yield f"{worker} got {len(late)} requests after it left"
 
 
+def judge_drained_domains(run):
+    for domain, since, until in run.drained_domains:
+        if run.troubled(since, until):
+            continue
+        for worker in run.workers_of(domain):
+            times = run.ran_at(worker)
+            late = [when for when in times if since + DRAIN_S < when < until]
+            if late:
+                yield f"{worker} got {len(late)} requests in drained {domain}"
+
+
+def judge_cold_workers(run):
+    """Entries know of it within a second, whatever else is wrong with them."""
+    for worker, since, until in run.cold:
+        if run.troubled(since, until):
+            continue
+        times = run.ran_at(worker)
+        known = [when for when in times if since + 1.0 < when < until]
+        most = most_within(known)
+        if most > COLD_BOUND:
+            yield f"{worker} got {most} requests in a second while cold"
+
+
 def judge_stops(run):
     """Planned stops alone cut nothing that was read in time."""
     for entry, at in run.stopped:
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -13,10 +13,16 @@
     PlatformWorkerServer,
     WorkerFault,
 )
-from tests.lib.platform_site import changed_route, platform_site
+from tests.lib.platform_site import changed_route, manifest, platform_site
 from tests.lib.relay_process import start_entry
 from tests.soak.callers import Caller
 from tests.soak.faults import FAULTS_S, LONGEST_S, QUIET_S, Kind, draw_faults
+from tests.soak.judge import (
+    COLD_OVERSHOOT,
+    COLD_PER_S,
+    COLD_TOLERANCE,
+    DRAIN_S,
+)
 from tests.soak.proxy import PathFault, Proxy
 
 ENTRIES = 3
@@ -25,7 +31,18 @@
 # After the last fault: entries start again, avoided workers are tried again.
 HEAL_S = 6.0
 CALM_S = 2.0
-PLANNED = (Kind.STOP, Kind.RELOAD, Kind.MANIFEST, Kind.DRAIN, Kind.LEAVE)
+PLANNED = (
+    Kind.STOP,
+    Kind.RELOAD,
+    Kind.MANIFEST,
+    Kind.DRAIN,
+    Kind.LEAVE,
+    Kind.DRAIN_DOMAIN,
+    Kind.COLD,
+)
+# Two workers each; the entries stand in the first, which is never drained.
+DOMAINS = ("zone-a", "zone-b", "zone-c")
+COLD_S = 3.0
 
 
 @attrs.define
@@ -57,6 +74,8 @@
     worker_paths: list = attrs.Factory(list)
     asked: list = attrs.Factory(list)
     drained: list = attrs.Factory(list)
+    drained_domains: list = attrs.Factory(list)  # Name, since, until.
+    cold: list = attrs.Factory(list)  # Id, since, until.
     stopped: list = attrs.Factory(list)
     expected_ends: set = attrs.Factory(set)
     ended_by_themselves: list = attrs.Factory(list)
@@ -68,6 +87,16 @@
     def ran_at(self, worker):
         return next(each for each in self.workers if each.id == worker).times
 
+    def workers_of(self, domain):
+        return [
+            worker.id
+            for number, worker in enumerate(self.workers)
+            if domain_of(number) == domain
+        ]
+
+    def has_left(self, worker):
+        return worker in {id for id, _ in self.drained}
+
     def troubled(self, since, until):
         """Whether an unplanned fault was on between two times."""
         return any(
@@ -81,7 +110,10 @@
 async def play(seed, folder):
     """Plays a seed and returns what happened."""
     run = Run(seed, folder, draw_faults(seed, ENTRIES, WORKERS))
-    async with platform_site() as site, contextlib.AsyncExitStack() as stack:
+    async with (
+        platform_site(cold_manifest()) as site,
+        contextlib.AsyncExitStack() as stack,
+    ):
         run.site = site
         await start_workers(run, stack)
         await start_entries(run, stack)
@@ -108,13 +140,34 @@
         run.workers.append(worker)
         run.worker_paths.append(path)
         run.site.workers[worker.id] = path  # Registered by the proxy.
-        run.site.register(worker.id, service_of(number))
+        register(run, number)
 
 
 def service_of(number):
     return "engine" if number % 2 else "plain"
 
 
+def domain_of(number):
+    return DOMAINS[number // 2]
+
+
+def register(run, number, **more):
+    run.site.register(
+        run.workers[number].id,
+        service_of(number),
+        zone=domain_of(number),
+        **more,
+    )
+
+
+def cold_manifest(**more):
+    """A manifest in which workers bear little after a start."""
+    document = manifest(**more)
+    for service in document["services"]:
+        service |= {"coldStartS": COLD_S, "coldPerS": COLD_PER_S}
+    return document
+
+
 async def start_entries(run, stack):
     host, port = run.site.store_address.split(":")
     for number in range(ENTRIES):
@@ -122,7 +175,13 @@
         await path.start()
         stack.push_async_callback(path.stop)
         run.paths.append(path)
-        entry = await start_entry(path.address, run.folder, f"entry-{number}")
+        entry = await start_entry(
+            path.address,
+            run.folder,
+            f"entry-{number}",
+            coldOvershoot=COLD_OVERSHOOT,
+            coldTolerance=COLD_TOLERANCE,
+        )
         run.entries.append(entry)
     stack.push_async_callback(end_all, run)
     for entry in run.entries:
@@ -208,9 +267,14 @@
             document = changed_route(
                 "safe", version=run.version, timeoutMs=timeout_ms
             )
+            document["services"] = cold_manifest()["services"]
             run.site.store.put("op", "config", document)
         case Kind.DRAIN | Kind.LEAVE:
             await leave(run, worker, fault)
+        case Kind.DRAIN_DOMAIN:
+            await drain_domain(run, DOMAINS[1 + fault.target % 2], fault)
+        case Kind.COLD:
+            await turn_cold(run, worker)
 
 
 async def spoil(path, fault):
@@ -244,12 +308,36 @@
 async def leave(run, number, fault):
     """A worker leaves, with notice or without, and a new one comes."""
     worker = run.workers[number]
-    service = service_of(number)
     # One of each service stays whatever leaves.
     if number < 2:
         return
     if fault.kind is Kind.DRAIN:
-        run.site.register(worker.id, service, state="draining")
+        register(run, number, state="draining")
     else:
         run.site.store.remove("servers", worker.id)
     run.drained.append((worker.id, time.monotonic()))
+
+
+async def drain_domain(run, domain, fault):
+    """Operators drain a failure domain, and take it back."""
+    row = f"evacuate/{domain}"
+    if run.site.store.value("op", row) is not None:
+        return
+    run.site.store.put("op", row, {})
+    since = time.monotonic()
+    await asyncio.sleep(DRAIN_S + fault.for_s)
+    run.drained_domains.append((domain, since, time.monotonic()))
+    run.site.store.remove("op", row)
+
+
+async def turn_cold(run, number):
+    """A worker says that it bears little, and later that it is warm."""
+    worker = run.workers[number].id
+    if run.has_left(worker):
+        return
+    register(run, number, coldRemainingMs=COLD_S * 1000)
+    since = time.monotonic()
+    await asyncio.sleep(COLD_S)
+    run.cold.append((worker, since, time.monotonic()))
+    if not run.has_left(worker):
+        register(run, number)
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -68,6 +68,16 @@
     run.workers[0].times.append(9.0)
 
 
+def use_one_in_a_drained_domain(run):
+    run.drained_domains = [("zone-a", 1.0, 9.5)]
+    run.workers[0].times.append(9.0)
+
+
+def hurry_a_cold_one(run):
+    run.cold = [("w0", 1.0, 9.0)]
+    run.workers[0].times += [5.0 + 0.1 * number for number in range(6)]
+
+
 def cut_at_a_stop(run):
     run.stopped = [("e", 1.0)]
     run.asked[0].whole = False
@@ -97,6 +107,8 @@
         give_another_answer,
         lose_an_event,
         use_one_that_left,
+        use_one_in_a_drained_domain,
+        hurry_a_cold_one,
         cut_at_a_stop,
         end_by_itself,
         stay_behind,
