Write down what a cut that looks like ends does, as known-red tests

Not mended: a check of the port can't tell a worker that lives from one that started anew at its address, which is what ends look like a second later.

--- /dev/null
+++ b/tests/relay/test_cut_off_ends.py
@@ -0,0 +1,53 @@
+"""A cut that looks like the end of workers holds no request that is sound.
+
+What is feared: an entry is cut off so that its connections to workers are
+refused. Answers break off, no process seems to listen, and each such worker
+counts as ended under what was under way there. Three of them hold a request
+that ends nobody, at all entries and for ten minutes, though the others see that
+the workers live.
+"""
+
+import pytest
+
+from tests.lib.platform_site import platform_site, until
+
+CONTENT = "a request that ends nobody"
+WORKERS = ("w1", "w2", "w3")
+LOOKED_S = 2.0  # For the others to look at the workers, and to say so.
+
+
+@pytest.fixture
+async def site():
+    async with platform_site() as made:
+        for name in WORKERS:
+            await made.add_worker(name)
+        for number in range(2):
+            await made.add_entry(f"entry-{number}")
+        for entry in made.entries.values():
+            await until(lambda entry=entry: len(entry.fleet.live()) == 2)
+        yield made
+
+
+def quarantine_of(site, name):
+    return site.entries[name].edge.dispatcher.quarantine
+
+
+async def cut_off(site, name):
+    """Lets an entry find that all workers ended."""
+    directory = site.entries[name].state.directory
+    for worker in directory.workers.values():
+        quarantine_of(site, name).note_end(CONTENT, worker.incarnation)
+
+
+async def test_others_that_reach_the_workers_hold_nothing(site):
+    await cut_off(site, "entry-0")
+    other = quarantine_of(site, "entry-1")
+    await until(lambda: CONTENT in other.ends)
+    await until(lambda: not other.held_s(CONTENT), LOOKED_S)
+
+
+async def test_an_entry_whose_cut_is_over_holds_nothing(site):
+    await cut_off(site, "entry-0")
+    first = quarantine_of(site, "entry-0")
+    assert first.held_s(CONTENT)
+    await until(lambda: not first.held_s(CONTENT), LOOKED_S)
