--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -54,12 +54,11 @@
 # In every second round one entry that stands apart is asked for its digest, so
 # that what an entry missed it has within some two seconds.
 ROUNDS_A_TURN = 2
-# Where all start or change at once digests differ for seconds. Among 195
-# entries a comparison takes its two ends 35 ms of processor time where one
-# lacks the states of all, and 2 ms where it lacks none.
+# Where all start or change at once digests differ for seconds, and a comparison
+# in which one lacks the states of all takes both ends some ten ms.
 COMPARE_EVERY_S = 1.0
-# News of workers that ended wait so long for each other. A request that crashes
-# workers went on from one to the next in 0.14 s at the fastest, as logged.
+# News of workers that ended wait so long for each other: much less than a
+# request takes that goes on from one worker to the next.
 GATHER_S = 0.01
 
 
--- a/src/rattanpier/_internal/relay/model_choice.py
+++ b/src/rattanpier/_internal/relay/model_choice.py
@@ -14,11 +14,9 @@
 from rattanpier._internal.models.policy import USUAL, Policy
 from rattanpier._internal.models.relay_request import RelayRequest
 
-# An answer is kept from this confidence on while workers are free. On the calm
-# day higher limits are better still (in trials on one site 0.74 at 30, 0.79 at
-# 40, 0.81 at 60); on days with faults and bursts they cost more than they
-# bring, since larger models' answers last longer and take the workers' time.
-# The sum over six days of two sites was 3.92 at 60, 3.95 at 50 and 4.01 at 45.
+# An answer is kept from this confidence on while workers are free. With a
+# higher limit calm hours give better answers, but under faults and bursts
+# larger models' answers last too long and take the time of others.
 ENOUGH_CONFIDENCE = 45.0
 # Under load a doubtful answer now is better than a better one for fewer: the
 # limit falls by this much as the wait at the best worker for the larger model
--- a/src/rattanpier/_internal/relay/placement.py
+++ b/src/rattanpier/_internal/relay/placement.py
@@ -28,15 +28,12 @@
 # part is likely but not known, so it counts for less than a part seen there.
 HOME_TRUST = 0.7
 # Bytes between failure domains are paid for: worth a detour of so many seconds,
-# and for each token of the prompt. On two days of one site a third fewer such
-# bytes than at a sixth of these figures, at no loss.
+# and for each token of the prompt.
 FAR_S = 0.01
 FAR_TOKEN_S = 1e-5
 FAR_SLOTS = 0.34  # For plain services: a third of a worker's slots.
 # What a worker of the other group has to be better by. A large model's prompt
 # among the smallest one's streams holds them all up, the reverse only itself.
-# On two sites' heaviest days as good as 2.0 and 0.5, or better (0.57 against
-# 0.55 in the mean of four plays of two days).
 LARGE_AMONG_SMALL_S = 0.8
 SMALL_AMONG_LARGE_S = 0.25
 JITTER = 0.02  # Breaks ties, so that entries do not all choose alike.
@@ -155,9 +152,8 @@
     ) -> Choice:
         """Returns the worker where the request is likely answered first.
 
-        What is the same for all workers is found once, and callers wait less on
-        a slow VM: a choice among 156 workers took 3.1 ms of processor time when
-        it was not, and takes 1.0 ms (mean of 300 choices).
+        What is the same for all workers is found once, so that callers wait
+        less on a slow VM.
         """
         now = self.loads.clock.monotonic()
         small = is_smallest(request, model)
--- a/src/rattanpier/_internal/relay/prompt_news.py
+++ b/src/rattanpier/_internal/relay/prompt_news.py
@@ -4,12 +4,8 @@
 after another, and a prompt that another entry sent there a moment ago is in no
 report yet. Each entry tells the others of the long prompts that it sends. It
 is a hint: what is told counts for as long as the reading likely takes, and may
-be lost.
-
-Over six days of one site with two seeds each the mean worth rose from 0.583 to
-0.607. On a calm day 44 of 342 sends for the larger model took over twice what
-was foreseen and over 1.5 s; 38 of 341 where only the queue was told, and 5 of
-355 where the parts of the prompts were told as well.
+be lost. Without it sends for a larger model often take much longer than was
+foreseen.
 """
 
 from __future__ import annotations
@@ -34,10 +30,7 @@
 # prompts: those for the smallest model and those that are kept in memory.
 LEAST_TOLD_S = 0.1
 # What an entry hears in a second at most, on average; where the fleet sends
-# more long prompts, some are not told of, whatever its size. 195 entries before
-# 78 engines send some 110 a second. In a play of such a load nine in ten first
-# events of the large model come within 1.16 s where 55 of 100 are told of, and
-# within 0.76 s where all are.
+# more long prompts, some are not told of, whatever its size.
 MOST_HEARD_PER_S = 200.0
 RATE_HALF_LIFE_S = 5.0  # Of the count of own prompts.
 # Taken where fewer were sent: after a start the count says little, and all
--- a/src/rattanpier/_internal/relay/queue_watch.py
+++ b/src/rattanpier/_internal/relay/queue_watch.py
@@ -26,8 +26,7 @@
 
 log = structlog.get_logger(part="queues")
 
-# A prompt for a large model is read in about that time. On four sites asking
-# once cost a ninth to a sixtieth of a call to the store.
+# A prompt for a large model is read in about that time.
 ASK_EVERY_S = 0.5
 ASK_TIMEOUT_S = 0.4  # Engines answer within some ms.
 FRESH_S = 0.5  # What an answer told so lately need not be asked for.
--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -42,9 +42,8 @@
 POLL_S = 0.2  # Between looks at whether to watch; a tenth of what is allowed.
 # Longer news, compressed, are fetched by each entry itself. An entry passes
 # news on to eight others: so many bytes take a fifth of a second on a link of
-# 5 Mbit/s. Of made-up rows a manifest of 25 routes and 40 workspaces takes
-# 4.1 KB, and a table of 162 workers, which all entries need when the store
-# loses its history, 5.5 KB.
+# 5 Mbit/s. A table of a few hundred workers, which all entries need when the
+# store loses its history, is shorter.
 MAX_TOLD_BYTES = 16384
 # An entry that has just started knows of no other that reaches the store, and
 # would watch. Within this time, two rounds of heartbeats, it hears of those
--- a/src/rattanpier/_internal/relay/worker_ends.py
+++ b/src/rattanpier/_internal/relay/worker_ends.py
@@ -4,7 +4,7 @@
 that one connection. Only the first says something of the requests that ran
 there, and it shows at once: no process listens any more. The registration of a
 worker that crashed runs out only after three heartbeats, by when a request that
-crashed it may have crashed five more (one attempt in 0.2 s each, as logged).
+crashed it may have crashed several more.
 """
 
 from __future__ import annotations
