Take callers only once the owners of the claim shards are known

Its logs: an entry says "Started." and is ready, the test takes the store away, and 37 ms after "Started." the entry says "Lease rows can't be read.": it had not once read who owns the shards, and nobody else tells of it. All requests need a claim, so it refused what came for the whole outage though the owner lived and all other entries served.

Ruled out: a lapsed vote of the currency (all three entries log that they are current, none that it stopped).

Change: an entry is ready once a live owner of each shard was known.

Both new tests fail before the change.

--- a/src/rattanpier/_internal/claims/ownership.py
+++ b/src/rattanpier/_internal/claims/ownership.py
@@ -70,6 +70,9 @@
       better_since: When an owned shard was first seen to belong elsewhere.
       reachable: False while the lease rows can't be read.
       reachable_since: When they could be read again.
+      acquainted: Whether a live owner of each shard was known at some time.
+        Without one a request can't be claimed, and while the store is away
+        nobody tells of owners: an entry takes callers only from then on.
       wake: Set to look at the rows at once.
     """
 
@@ -89,6 +92,7 @@
     read_at: dict[int, float] = attrs.Factory(dict)
     reachable: bool = True
     reachable_since: float = 0.0
+    acquainted: bool = False
     wake: asyncio.Event = attrs.Factory(asyncio.Event)
 
     @property
@@ -135,6 +139,7 @@
             if self.should_hand_over(shard):
                 await self.hand_over(shard)
         await self.free_left_over()
+        self.acquainted = self.acquainted or self.knows_owners()
 
     # The store.
 
@@ -337,6 +342,13 @@
             return None
         return member
 
+    def knows_owners(self) -> bool:
+        """Says whether each shard has a live owner, as far as is known."""
+        return all(
+            shard in self.owners or self.owner_member(shard) is not None
+            for shard in range(self.fleet.claim_shards)
+        )
+
     # Giving up.
 
     def should_hand_over(self, shard: int) -> bool:
--- a/src/rattanpier/_internal/edge/app.py
+++ b/src/rattanpier/_internal/edge/app.py
@@ -117,6 +117,7 @@
         """`GET /readyz`: the entry takes new callers."""
         ready = (
             self.chat.runner.tries.current()
+            and self.chat.runner.claims.ownership.acquainted
             and self.members.me.state is MemberState.LIVE
         )
         return web.json_response(
--- a/tests/failure/test_claims_ownership.py
+++ b/tests/failure/test_claims_ownership.py
@@ -1,6 +1,7 @@
 """Who owns a shard, when owners come, go and fail; in virtual time."""
 
 import asyncio
+from types import SimpleNamespace
 
 import attrs
 import pytest
@@ -13,9 +14,12 @@
     log_prefix,
 )
 from rattanpier._internal.claims.takeover import acquire
+from rattanpier._internal.configuration.follow import Follower
+from rattanpier._internal.edge.app import Edge
 from rattanpier._internal.exceptions import StoreUnavailableError
 from rattanpier._internal.models.member import MemberState
 from rattanpier._internal.models.outcomes import ClaimOutcome, Uncertain
+from rattanpier._internal.models.settings import EdgeSettings
 from rattanpier._internal.standin.table import MemoryTable
 from rattanpier._internal.store.table import Row
 from rattanpier._internal.utils.codec import decode
@@ -266,3 +270,48 @@
 
     lease, version = run_virtual(run())
     assert (lease.owner, lease.epoch, version) == ("n", 1, 1)
+
+
+def test_an_entry_that_never_read_who_owns_the_shards_takes_no_callers():
+    """An entry started, and the store went away before its first look.
+
+    It was ready, and refused all that came for as long as the store was away:
+    its log had "Lease rows can't be read." 37 ms after "Started.".
+    """
+
+    async def run():
+        fleet = FleetOfNodes(count=2)
+        await fleet.settled()
+        fleet.faults.down = True
+        late = fleet.start("entry-late")
+        await asyncio.sleep(4.0)
+        assert not late.claims.ownership.acquainted
+        fleet.faults.down = False
+        await asyncio.sleep(4.0)
+        assert late.claims.ownership.acquainted
+        fleet.faults.down = True
+        await asyncio.sleep(4.0)
+        assert late.claims.ownership.acquainted
+        assert isinstance(await late.answer("k"), str)
+
+    run_virtual(run())
+
+
+@pytest.mark.parametrize("acquainted", [False, True])
+async def test_an_entry_is_ready_once_it_knows_the_owners(acquainted):
+    ownership = SimpleNamespace(acquainted=acquainted)
+    runner = SimpleNamespace(
+        claims=SimpleNamespace(ownership=ownership),
+        tries=SimpleNamespace(current=lambda: True),
+    )
+    edge = Edge(
+        chat=SimpleNamespace(runner=runner),
+        services=None,
+        follower=Follower(table=None, clock=None),
+        members=SimpleNamespace(
+            me=SimpleNamespace(state=MemberState.LIVE),
+        ),
+        settings=EdgeSettings(),
+    )
+    answer = await edge.ready(None)
+    assert answer.status == (200 if acquainted else 503)
