Keep test processes side by side from taking each other's ports

A seed that can't be played is that seed's failure, with what its processes wrote; the others go on.

--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -2,11 +2,8 @@
 
 import asyncio
 import contextlib
-import itertools
 import json
-import os
 import random
-import socket
 
 import aiohttp
 import attrs
@@ -18,6 +15,7 @@
 from rattanpier._internal.programs.relay_listen import RelayEntry
 from rattanpier._internal.standin.platform_store import PlatformStoreServer
 from rattanpier._internal.standin.platform_worker import PlatformWorkerServer
+from tests.lib.ports import free_port
 
 HOST = "site.example"
 KEY = "key-of-acme"
@@ -25,21 +23,6 @@
 LISTENERS = ("frontend", "readiness", "admin", "registry")
 
 
-# Below the ports that the kernel gives to connections: one found free must
-# still be so when an entry starts. Each test process begins elsewhere.
-LOWEST_PORT, HIGHEST_PORT = 10000, 30000
-PORTS = itertools.count(os.getpid() * 97)
-
-
-def free_port():
-    while True:
-        span = HIGHEST_PORT - LOWEST_PORT
-        port = LOWEST_PORT + next(PORTS) % span
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            return port
-
-
 def settings_document(
     store, name="entry-1", seeds=(), zones=None, region="region-a", **bounds
 ):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,6 +7,7 @@
 import json
 import pathlib
 import random
+import shutil
 import sys
 import tempfile
 import time
@@ -21,15 +22,28 @@
 
 
 def play_one(seed):
-    """Plays a seed; returns what was broken and how much was asked."""
+    """Plays a seed; returns what was broken and how much was asked.
+
+    A seed that can't be played is a failure of its own: the others go on.
+    """
     with tempfile.TemporaryDirectory() as folder:
-        run = asyncio.run(play(seed, pathlib.Path(folder)))
+        try:
+            run = asyncio.run(play(seed, pathlib.Path(folder)))
+        except Exception as error:
+            keep_output(seed, pathlib.Path(folder))
+            return seed, [f"not played: {error!r}"], 0
     broken = list(judge(run))
     if broken:
         keep(run, broken)
     return seed, broken, len(run.asked)
 
 
+def keep_output(seed, folder):
+    """Keeps what the processes of a seed that was not played wrote."""
+    KEPT.mkdir(parents=True, exist_ok=True)
+    shutil.copytree(folder, KEPT / str(seed), dirs_exist_ok=True)
+
+
 def keep(run, broken):
     """Keeps what explains a broken promise."""
     KEPT.mkdir(parents=True, exist_ok=True)
--- a/tests/unit/test_hints.py
+++ b/tests/unit/test_hints.py
@@ -10,7 +10,8 @@
 from rattanpier._internal.peers.proto import peer_pb2
 from rattanpier._internal.platform.settings import decode_settings
 from rattanpier._internal.utils.metrics import Metrics
-from tests.lib.platform_site import free_port, settings_document, until
+from tests.lib.platform_site import settings_document, until
+from tests.lib.ports import free_port
 
 
 def make_member(port):
