Ask workers that are said to have ended who they are

Cause: an entry that is cut off so that connections are refused takes each worker that it tries for ended. Three such ends hold a sound request at all entries for ten minutes; nothing that others see took an end back.

Ruled out: a connection that opens as proof of life (a successor listens at the same address); the registration that does not run out (3.6 s and more, and rows change only when more than their count does); every entry asking (420 questions for an end).

Change: three entries, drawn by a hash of the worker, ask one that is said to have ended and is still registered for its id, and for its start where it tells one. What they find is told as ends are, wins over all ends of that incarnation up to then, and is kept as long.

--- a/src/rattanpier/_internal/models/route_table.py
+++ b/src/rattanpier/_internal/models/route_table.py
@@ -116,12 +116,14 @@
       max_connections: Connections that a worker takes from all callers.
       engine: Given for model engines, None for plain services.
       warm_up: What its workers bear after a start; None: as much as ever.
+      health_path: Where its workers answer who they are; empty: nowhere.
     """
 
     name: str
     max_connections: int = 0
     engine: EngineSpec | None = None
     warm_up: WarmUp | None = None
+    health_path: str = ""
 
 
 @attrs.frozen
--- a/src/rattanpier/_internal/models/worker_end.py
+++ b/src/rattanpier/_internal/models/worker_end.py
@@ -33,6 +33,19 @@
     age_s: float = 0.0
 
 
+@attrs.frozen
+class SeenAlive:
+    """A worker answered under its own name: up to then it had not ended.
+
+    Attributes:
+      worker: Its incarnation.
+      age_s: Seconds since.
+    """
+
+    worker: str
+    age_s: float = 0.0
+
+
 @attrs.frozen
 class QuarantineNews:
     """What is told of requests that may end their workers.
@@ -40,7 +53,9 @@
     Attributes:
       ends: Workers that ended.
       cleared: Contents with ends that were answered whole since.
+      alive: Workers said to have ended that were found to live.
     """
 
     ends: list[WorkerEnd] = attrs.Factory(list)
     cleared: list[Cleared] = attrs.Factory(list)
+    alive: list[SeenAlive] = attrs.Factory(list)
--- a/src/rattanpier/_internal/platform/manifest.py
+++ b/src/rattanpier/_internal/platform/manifest.py
@@ -105,6 +105,7 @@
     engine: ManifestEngine | None = None
     cold_start_s: float | None = attrs.field(default=None, alias="coldStartS")
     cold_per_s: float | None = attrs.field(default=None, alias="coldPerS")
+    health_path: str | None = attrs.field(default=None, alias="healthPath")
 
 
 @attrs.frozen
@@ -219,6 +220,7 @@
         max_connections=service.max_connections or 0,
         engine=None if engine is None else to_engine(engine),
         warm_up=to_warm_up(service),
+        health_path=service.health_path or "",
     )
 
 
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -27,6 +27,7 @@
     reports,
     rollouts,
 )
+from rattanpier._internal.platform.identity import identifier
 from rattanpier._internal.platform.rows import (
     KEPT_CONNECTIONS,
     PlatformStore,
@@ -52,6 +53,7 @@
 from rattanpier._internal.relay.store import StoreClock, StoreHealth
 from rattanpier._internal.relay.watch import TableFollower, watch_rank
 from rattanpier._internal.retries.quarantine import Quarantine
+from rattanpier._internal.retries.second_looks import SecondLooks
 from rattanpier._internal.utils.clock import SystemClock
 from rattanpier._internal.utils.metrics import Metrics
 
@@ -161,6 +163,15 @@
         )
         gossip.followers[table] = follower
         kernel.spawn(follower.run())
+    read_report = reports.report_reader(add_report_session(kernel))
+    looks = SecondLooks(
+        quarantine,
+        state.directory,
+        fleet,
+        clock,
+        identifier(kernel.find("reports"), state.health_path_of, read_report),
+        dispatcher.ends.note_alive,
+    )
     queues = QueueWatch(
         fleet=fleet,
         directory=state.directory,
@@ -168,7 +179,7 @@
         hint_all=gossip.spread.hint_all,
         clock=clock,
         engines=state.engines,
-        read=reports.report_reader(add_report_session(kernel)),
+        read=read_report,
         restarted=lambda worker: state.forget([worker]),
         open=state.domains.open,
     )
@@ -190,6 +201,7 @@
     kernel.spawn(gossip.run())
     kernel.spawn(rows.run())
     kernel.spawn(held.run())
+    kernel.spawn(looks.run())
     kernel.spawn(every(TICK_S, state.drop_missing))
     kernel.spawn(driver.run())
     await listen(entry, listener)
--- a/src/rattanpier/_internal/relay/state.py
+++ b/src/rattanpier/_internal/relay/state.py
@@ -95,6 +95,11 @@
         known = None if self.table is None else self.table.services.get(service)
         return None if known is None else known.warm_up
 
+    def health_path_of(self, service: str) -> str:
+        """Returns where a service's workers say who they are, or nothing."""
+        known = None if self.table is None else self.table.services.get(service)
+        return "" if known is None else known.health_path
+
     def take_table(self, table: RouteTable, source: str) -> None:
         """Puts a route table in force unless it is older."""
         if table.version <= self.table_version:
--- a/src/rattanpier/_internal/relay/worker_ends.py
+++ b/src/rattanpier/_internal/relay/worker_ends.py
@@ -106,3 +106,9 @@
         self.ended = {id: at for id, at in self.ended.items() if at > oldest}
         self.ended[worker] = now
         log.info("Worker ended.", worker=worker)
+
+    def note_alive(self, worker: str, at: float) -> None:
+        """Takes in that an incarnation lived at some monotonic time."""
+        if self.ended.get(worker, at) < at:
+            del self.ended[worker]
+            log.info("Worker lives.", worker=worker)
--- a/src/rattanpier/_internal/retries/quarantine.py
+++ b/src/rattanpier/_internal/retries/quarantine.py
@@ -8,7 +8,9 @@
 A worker's end counts against all contents that were under way there. One that
 three workers ended under is refused until its last end is old enough, by all
 entries: they tell each other of each end. What restricts needs no store. A
-content that is answered whole is no such request: its ends are forgotten.
+content that is answered whole is no such request: its ends are forgotten. So is
+the end of a worker that is found to live: an entry that is cut off takes each
+worker that it does not reach for one that ended.
 
 Code without a network: ends and answers go in, a verdict comes out.
 """
@@ -16,6 +18,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -24,6 +27,7 @@
 from rattanpier._internal.models.worker_end import (
     Cleared,
     QuarantineNews,
+    SeenAlive,
     WorkerEnd,
 )
 from rattanpier._internal.utils.clock import Clock
@@ -45,7 +49,7 @@
 # workers that run 16 requests each has 416. 0.3 KB each.
 MOST_SUSPECTS = 1024
 MOST_ANSWERED = 512  # An entry answers some ten a second; 0.2 KB each.
-# Two entries' times of one answer differ by the way of the news.
+# Two entries' times of one event differ by the way of the news.
 SAME_S = 0.5
 NEVER = float("-inf")
 
@@ -58,6 +62,7 @@
       ends: When each worker ended, in monotonic seconds, by content.
       answered: When each content was answered whole here last.
       cleared: When each content that had ends was answered whole, anywhere.
+      alive: When each worker that was said to have ended was found to live.
       untold: What the others have to be told.
       tell: Called when there is something to tell.
       changed: Called with each content that is held now, or no longer.
@@ -76,6 +81,9 @@
     cleared: collections.OrderedDict[str, float] = attrs.Factory(
         collections.OrderedDict
     )
+    alive: collections.OrderedDict[str, float] = attrs.Factory(
+        collections.OrderedDict
+    )
     untold: QuarantineNews = attrs.Factory(QuarantineNews)
 
     # Verdicts.
@@ -133,6 +141,26 @@
             self.untold.cleared.append(Cleared(content))
             self.tell()
 
+    def note_alive(self, worker: str, at: float) -> None:
+        """Takes in that a worker that was said to have ended lives.
+
+        Args:
+          worker: Its incarnation.
+          at: When it surely lived, in monotonic seconds.
+        """
+        if self.refute(worker, at):
+            age_s = self.clock.monotonic() - at
+            self.untold.alive.append(SeenAlive(worker, age_s))
+            self.tell()
+
+    def told_ends(self) -> dict[str, float]:
+        """Returns the incarnations that are said to have ended, and when."""
+        told: dict[str, float] = {}
+        for ends in self.ends.values():
+            for worker, at in ends.items():
+                told[worker] = max(at, told.get(worker, NEVER))
+        return told
+
     # What entries tell each other.
 
     def take_untold(self) -> QuarantineNews:
@@ -154,6 +182,7 @@
                 Cleared(content, now - at)
                 for content, at in self.cleared.items()
             ],
+            [SeenAlive(worker, now - at) for worker, at in self.alive.items()],
         )
 
     def take(self, news: QuarantineNews) -> QuarantineNews:
@@ -166,6 +195,11 @@
             if 0.0 <= cleared.age_s < HOLD_S and at > known + SAME_S:
                 self.clear(cleared.content, at)
                 new.cleared.append(cleared)
+        for seen in news.alive:
+            if 0.0 <= seen.age_s < HOLD_S and self.refute(
+                seen.worker, now - seen.age_s
+            ):
+                new.alive.append(seen)
         for end in news.ends:
             if 0.0 <= end.age_s < HOLD_S and self.add(end):
                 new.ends.append(end)
@@ -189,6 +223,8 @@
         at = self.clock.monotonic() - end.age_s
         if at < self.cleared.get(end.content, NEVER) + TRUSTED_S:
             return False
+        if at < self.alive.get(end.worker, NEVER) - SAME_S:
+            return False
         ends = self.ends.get(end.content, {})
         if end.worker in ends:
             return False
@@ -229,6 +265,34 @@
         if len(ends) >= ENDS_TO_HOLD:
             self.changed(content)
 
+    def refute(self, worker: str, at: float) -> bool:
+        """Forgets the ends of a worker that lived later; says if that is news.
+
+        An incarnation that ended does not come back, so that each end of it up
+        to then was none. What was refuted stays known for as long as ends do.
+        """
+        if at <= self.alive.get(worker, NEVER) + SAME_S:
+            return False
+        self.alive[worker] = at
+        self.alive.move_to_end(worker)
+        while len(self.alive) > MOST_SUSPECTS:
+            self.alive.popitem(last=False)
+        for content, ends in list(self.ends.items()):
+            if ends.get(worker, math.inf) < at - SAME_S:
+                self.drop_end(content, worker)
+        return True
+
+    def drop_end(self, content: str, worker: str) -> None:
+        """Drops one end of a content."""
+        ends = self.ends[content]
+        was_held = len(ends) >= ENDS_TO_HOLD
+        del ends[worker]
+        if not ends:
+            del self.ends[content]
+        log.info("End refuted.", content=content, worker=worker, left=len(ends))
+        if was_held and len(ends) < ENDS_TO_HOLD:
+            self.changed(content)
+
     def forget_old(self) -> None:
         """Drops contents whose last end is too old to count."""
         oldest = self.clock.monotonic() - HOLD_S
@@ -240,6 +304,9 @@
         for content, at in list(self.cleared.items()):
             if at <= oldest:
                 del self.cleared[content]
+        for worker, at in list(self.alive.items()):
+            if at <= oldest:
+                del self.alive[worker]
 
     def drop_beyond(self, most: int) -> None:
         """Keeps the contents that tell most, by their ends and their age."""
--- a/src/rattanpier/_internal/standin/platform_worker.py
+++ b/src/rattanpier/_internal/standin/platform_worker.py
@@ -50,6 +50,7 @@
 
 
 REPORT = "/rattanpier/report"
+HEALTH = "/healthz"
 CRASH_S = 0.05  # From a run's start to the end of its worker, as logged.
 
 
@@ -71,6 +72,7 @@
         empty.
       crash_s: From such a run's start to that end.
       ended: Called at such an end.
+      born: When it says that it started, in Unix ms; None: it does not tell.
       address: IP number and port, once started.
     """
 
@@ -87,6 +89,7 @@
     deadly: bytes = b""
     crash_s: float = CRASH_S
     ended: Callable[[], None] = lambda: None
+    born: int | None = None
     address: str = ""
     server: asyncio.Server | None = None
     connections: dict[asyncio.StreamWriter, asyncio.StreamReader] = (
@@ -123,7 +126,8 @@
 
     def report(self) -> dict[str, int]:
         """Returns its load; it has no queue of its own."""
-        return {"queued": 0, "active": len(self.connections)}
+        load = {"queued": 0, "active": len(self.connections)}
+        return load if self.born is None else {**load, "born": self.born}
 
     def take_fault(self) -> WorkerFault:
         """Returns what goes wrong with this request."""
@@ -141,6 +145,9 @@
         if expected != self.id:
             writer.write(head(421, [("X-Served-By", self.id)], 0))
             return True
+        if run.target == HEALTH:
+            writer.write(head(200, [("X-Served-By", self.id)], 0))
+            return True
         if run.target == REPORT:
             body = json.dumps(self.report()).encode()
             writer.write(head(200, [], len(body)) + body)
