Settle claims at a shard's new owner just after an outage

Then OwnerCalls.reach asked the lost owner of the same process again, though the lease row that was read in between named the new one, and gave up after two tries, since the entry's own look at the rows, up to half a second away, had still to show that the store was back. The caller's stream ended with "could not be settled".

Ruled out: a claim granted without the store (the log holds no confirmed outage of that entry).

Change: a lost owner is passed over, and a lease row that could be read shows that the store answers.

--- a/src/rattanpier/_internal/claims/owner_calls.py
+++ b/src/rattanpier/_internal/claims/owner_calls.py
@@ -61,7 +61,8 @@
     ) -> peer_pb2.Reply | None:
         """Carries a call to the present owner; None if that failed."""
         owner = self.ownership.owners.get(shard)
-        if owner is not None:
+        # One whose epoch is lost stays listed until the next look at the rows.
+        if owner is not None and not owner.gone:
             try:
                 return await asyncio.wait_for(
                     serve_call(owner, call), timeout_s
--- a/src/rattanpier/_internal/claims/ownership.py
+++ b/src/rattanpier/_internal/claims/ownership.py
@@ -206,6 +206,7 @@
         self.read_at[shard] = now
         with contextlib.suppress(StoreUnavailableError):
             row = await self.table.get(lease_key(shard))
+            self.note_reachable()
             if row is not None:
                 self.see(shard, row)
 
--- a/tests/failure/test_claims_ownership.py
+++ b/tests/failure/test_claims_ownership.py
@@ -297,6 +297,31 @@
     run_virtual(run())
 
 
+def test_a_claim_is_settled_at_a_new_owner_just_after_an_outage():
+    """A stream ended with an error event where its shard had a new owner.
+
+    An entry was declared gone while it was frozen, thawed, and answered just as
+    the store came back. Another took its shard. Its own look at the lease rows
+    was still to come, so that it took the store to be away, and asked only the
+    owner that it had been itself.
+    """
+
+    async def run():
+        fleet = FleetOfNodes(count=3)
+        await fleet.settled()
+        before = fleet.owner_of("k")
+        after = next(n for n in fleet.nodes.values() if n is not before)
+        answer = fleet.spawn(before.answer("k"))
+        while not fleet.runs["k"]:
+            await asyncio.sleep(0.001)
+        before.claims.ownership.reachable = False
+        await after.claims.ownership.take(after.claims.shard_of("desk", "k"))
+        assert isinstance(await answer, str)
+        assert fleet.runs["k"] == 1
+
+    run_virtual(run())
+
+
 @pytest.mark.parametrize("acquainted", [False, True])
 async def test_an_entry_is_ready_once_it_knows_the_owners(acquainted):
     ownership = SimpleNamespace(acquainted=acquainted)
