Listen with the lower half of aiohttp's server alone

Cause: of a start's modules those of aiohttp's applications and their routes are loaded for the runner that opens an address, and read the system's list of file types.

Change: an address is opened with the event loop and aiohttp's low-level server.

--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -371,10 +371,10 @@
 
 async def close(entry: RelayEntry) -> None:
     """Stops listening, ends the connections, and stops all services."""
-    for site in entry.sites:
-        await site.stop()
+    for listener in entry.listeners:
+        listener.stop_accepting()
     # What reached the listener just before is answered or closed unread.
     await asyncio.sleep(CLOSE_PAUSE_S)
-    for runner in entry.runners:
-        await runner.cleanup()
+    for listener in entry.listeners:
+        await listener.close()
     await entry.kernel.stop()
--- a/src/rattanpier/_internal/programs/relay_listen.py
+++ b/src/rattanpier/_internal/programs/relay_listen.py
@@ -5,13 +5,11 @@
 import asyncio
 import socket
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 import attrs
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, json_response
-from aiohttp.web_runner import BaseSite, ServerRunner, SockSite, TCPSite
-from aiohttp.web_server import Server
 
 from rattanpier._internal.kernel import Kernel
 from rattanpier._internal.models.directory_question import DirectoryQuestion
@@ -24,6 +22,8 @@
 from rattanpier._internal.relay.fleet import Fleet
 from rattanpier._internal.relay.gossip import Gossip
 from rattanpier._internal.relay.state import RelayState
+from rattanpier._internal.utils import http_listener
+from rattanpier._internal.utils.http_listener import Handler, HttpListener
 from rattanpier._internal.utils.metrics import Metrics
 
 # How long callers may keep the list. The shorter, the sooner they leave an
@@ -55,8 +55,7 @@
     metrics: Metrics
     edge: RelayEdge
     gossip: Gossip
-    sites: list[BaseSite] = attrs.Factory(list)
-    runners: list[ServerRunner] = attrs.Factory(list)
+    listeners: list[HttpListener] = attrs.Factory(list)
     listening: bool = False
 
     def ready(self) -> bool:
@@ -74,12 +73,12 @@
       listener: Listens for callers already; None: it is to be opened.
     """
     settings = entry.settings
-    await open_site(entry, settings.callers, entry.edge.handle, listener)
+    await open_address(entry, settings.callers, entry.edge.handle, listener)
     entry.kernel.spawn(begin(entry))
-    await open_site(entry, settings.readiness, readiness_handler(entry))
-    await open_site(entry, settings.directory, directory_handler(entry))
+    await open_address(entry, settings.readiness, readiness_handler(entry))
+    await open_address(entry, settings.directory, directory_handler(entry))
     if settings.metrics is not None:
-        await open_site(entry, settings.metrics, metrics_handler(entry))
+        await open_address(entry, settings.metrics, metrics_handler(entry))
     entry.listening = True
 
 
@@ -91,36 +90,28 @@
     entry.edge.begun.set()
 
 
-async def open_site(
+async def open_address(
     entry: RelayEntry,
     address: Address,
-    handler: Callable[[BaseRequest], object],
+    handler: Handler,
     listener: socket.socket | None = None,
 ) -> None:
     """Listens on one address, unless something does already."""
-    server = Server(
-        handler,  # type: ignore[arg-type]
+    opened = await http_listener.listen(
+        handler,
+        address,
+        BACKLOG,
+        listener,
         handler_cancellation=True,
         keepalive_timeout=KEEPALIVE_S,
         max_line_size=MAX_LINE_BYTES,
         max_field_size=MAX_LINE_BYTES,
         access_log=None,
     )
-    runner = ServerRunner(server, shutdown_timeout=0.0)
-    await runner.setup()
-    site: BaseSite
-    if listener is None:
-        site = TCPSite(runner, address.host, address.port, backlog=BACKLOG)
-    else:
-        site = SockSite(runner, listener, backlog=BACKLOG)
-    await site.start()
-    entry.sites.append(site)
-    entry.runners.append(runner)
-
-
-def readiness_handler(
-    entry: RelayEntry,
-) -> Callable[[BaseRequest], object]:
+    entry.listeners.append(opened)
+
+
+def readiness_handler(entry: RelayEntry) -> Handler:
     """Returns the handler of the platform's readiness check."""
 
     async def handle(request: BaseRequest) -> Response:
@@ -129,9 +120,7 @@
     return handle
 
 
-def directory_handler(
-    entry: RelayEntry,
-) -> Callable[[BaseRequest], object]:
+def directory_handler(entry: RelayEntry) -> Handler:
     """Returns the handler that tells callers which entries to use."""
 
     async def handle(request: BaseRequest) -> Response:
@@ -172,7 +161,7 @@
     return near or members
 
 
-def metrics_handler(entry: RelayEntry) -> Callable[[BaseRequest], object]:
+def metrics_handler(entry: RelayEntry) -> Handler:
     """Returns the handler of the metrics address."""
 
     async def handle(request: BaseRequest) -> Response:
--- a/tests/relay/test_footprint.py
+++ b/tests/relay/test_footprint.py
@@ -35,7 +35,13 @@
 
 
 # Of aiohttp's server the path of a request uses the lower half.
-NOT_USED_MODULES = ("aiohttp.web", "aiohttp.web_ws")
+NOT_USED_MODULES = (
+    "aiohttp.web",
+    "aiohttp.web_app",
+    "aiohttp.web_runner",
+    "aiohttp.web_urldispatcher",
+    "aiohttp.web_ws",
+)
 
 
 @pytest.fixture(scope="module")
