Make no methods for the classes of state that nobody calls

Cause: attrs writes and compiles the methods of each class anew at each start. 50 classes of state that a start loads had a comparison and a text made so, though they have identity.

Change: classes of state are defined without either; a test names any that is not.

--- a/src/rattanpier/_internal/kernel.py
+++ b/src/rattanpier/_internal/kernel.py
@@ -21,7 +21,7 @@
 T = TypeVar("T")
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Service:
     """One named service and its hooks.
 
--- a/src/rattanpier/_internal/peers/links.py
+++ b/src/rattanpier/_internal/peers/links.py
@@ -10,7 +10,7 @@
 from rattanpier._internal.peers.link import Link
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Links:
     """Opens links when they are first used.
 
--- a/src/rattanpier/_internal/placement/drained_domains.py
+++ b/src/rattanpier/_internal/placement/drained_domains.py
@@ -20,7 +20,7 @@
 log = structlog.get_logger(part="domains")
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class DrainedDomains:
     """The newest order of each failure domain.
 
--- a/src/rattanpier/_internal/placement/warm_up.py
+++ b/src/rattanpier/_internal/placement/warm_up.py
@@ -87,7 +87,7 @@
     return WarmUpLimit(senders, live, pause_s)
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class WarmUps:
     """Workers that warm up, and what this entry may send them.
 
--- a/src/rattanpier/_internal/platform/rows.py
+++ b/src/rattanpier/_internal/platform/rows.py
@@ -38,7 +38,7 @@
 REFUSED = frozenset({429, 503})  # Nothing was done.
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class PlatformStore:
     """Calls the store.
 
--- a/src/rattanpier/_internal/programs/relay_listen.py
+++ b/src/rattanpier/_internal/programs/relay_listen.py
@@ -39,7 +39,7 @@
 READY_POLL_S = 0.005
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class RelayEntry:
     """The parts of one entry that other parts need by name.
 
--- a/src/rattanpier/_internal/relay/budgets.py
+++ b/src/rattanpier/_internal/relay/budgets.py
@@ -22,7 +22,7 @@
 USED_PART = 0.9
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class SendBudget:
     """Further sends for one service, over a sliding window.
 
--- a/src/rattanpier/_internal/relay/checkpoints.py
+++ b/src/rattanpier/_internal/relay/checkpoints.py
@@ -73,7 +73,7 @@
         return None
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class CheckpointedStore:
     """A store of which one table is first read by its checkpoint.
 
@@ -132,7 +132,7 @@
         return await self.store.transact(checks, puts, removed)
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class CheckpointWriter:
     """Keeps a table's checkpoint, where that falls to this entry.
 
--- a/src/rattanpier/_internal/relay/course.py
+++ b/src/rattanpier/_internal/relay/course.py
@@ -20,7 +20,7 @@
 LEAST_LEFT_S = 0.005  # With less no worker can answer.
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Course:
     """How the answering of one request went so far.
 
--- a/src/rattanpier/_internal/relay/directory.py
+++ b/src/rattanpier/_internal/relay/directory.py
@@ -20,7 +20,7 @@
 MOST_SEEN = 4096  # Incarnations that are told from new ones.
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class WorkerDirectory:
     """Registered workers by id.
 
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -53,7 +53,7 @@
 MAX_WHOLE_BYTES = 16 * 2**20  # Of an answer that is not a stream.
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Dispatcher:
     """What answers need of this entry, and where they leave what they show.
 
--- a/src/rattanpier/_internal/relay/drain.py
+++ b/src/rattanpier/_internal/relay/drain.py
@@ -23,7 +23,7 @@
 POLL_S = 0.05
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class DrainState:
     """Whether an entry takes requests.
 
--- a/src/rattanpier/_internal/relay/edge.py
+++ b/src/rattanpier/_internal/relay/edge.py
@@ -64,7 +64,7 @@
         self.status = status
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class RelayEdge:
     """Serves callers.
 
@@ -294,7 +294,7 @@
         )
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class PieceTimes:
     """When the pieces of an answer came.
 
--- a/src/rattanpier/_internal/relay/events.py
+++ b/src/rattanpier/_internal/relay/events.py
@@ -29,7 +29,7 @@
     number: int | None
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class EventSplitter:
     """Cuts a stream into events.
 
@@ -66,7 +66,7 @@
     return None if found is None else int(found.group(1))
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class EventOrder:
     """Checks that the events of one answer follow each other.
 
--- a/src/rattanpier/_internal/relay/exchange.py
+++ b/src/rattanpier/_internal/relay/exchange.py
@@ -66,7 +66,7 @@
     decode: Callable[[WireHead], AnswerHead]
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class OpenAnswer:
     """An answer whose head came.
 
@@ -118,7 +118,7 @@
         return bytes(data)
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Sender:
     """Sends requests to workers.
 
--- a/src/rattanpier/_internal/relay/fleet.py
+++ b/src/rattanpier/_internal/relay/fleet.py
@@ -75,7 +75,7 @@
         return self.ready and live and not self.down
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Fleet:
     """The entries as this one knows them.
 
--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -62,7 +62,7 @@
 GATHER_S = 0.01
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Gossip:
     """Sends and takes news.
 
--- a/src/rattanpier/_internal/relay/health.py
+++ b/src/rattanpier/_internal/relay/health.py
@@ -30,7 +30,7 @@
 MAX_AVOIDED_SHARE = 0.5  # Of a service's workers.
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Record:
     """What one worker did lately.
 
@@ -58,7 +58,7 @@
         self.at = now
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Health:
     """Records by worker id.
 
--- a/src/rattanpier/_internal/relay/held_rows.py
+++ b/src/rattanpier/_internal/relay/held_rows.py
@@ -48,7 +48,7 @@
     ended_ms: float
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class HeldRows:
     """Writes the rows that fall to this entry, and takes all in.
 
--- a/src/rattanpier/_internal/relay/held_sessions.py
+++ b/src/rattanpier/_internal/relay/held_sessions.py
@@ -37,7 +37,7 @@
     return stable_hash(f"{order}/{session}")
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class HeldSessions:
     """Which sessions are under way, and which are held.
 
--- a/src/rattanpier/_internal/relay/load.py
+++ b/src/rattanpier/_internal/relay/load.py
@@ -24,7 +24,7 @@
 MAX_PARTS = 512  # Remembered parts a worker.
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class InFlight:
     """One request at a worker.
 
@@ -39,7 +39,7 @@
     suspect: bool = False
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class WorkerLoad:
     """One worker.
 
@@ -116,7 +116,7 @@
     return [(part_key(model, part), part.tokens) for part in prompt.parts]
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Loads:
     """The load of each worker by id."""
 
--- a/src/rattanpier/_internal/relay/membership.py
+++ b/src/rattanpier/_internal/relay/membership.py
@@ -39,7 +39,7 @@
 REREAD_S = 5.0
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class EntryRows:
     """Writes this entry's row and reads the others'.
 
--- a/src/rattanpier/_internal/relay/model_groups.py
+++ b/src/rattanpier/_internal/relay/model_groups.py
@@ -35,7 +35,7 @@
 HALF_LIFE_S = 15.0
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Work:
     """What requests for some models take of workers.
 
@@ -54,7 +54,7 @@
         return max(self.reading.total, self.running.total)
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class ModelGroups:
     """The work of the smallest models against that of larger ones."""
 
--- a/src/rattanpier/_internal/relay/pace.py
+++ b/src/rattanpier/_internal/relay/pace.py
@@ -32,7 +32,7 @@
 HALF_LIFE_S = 5.0  # Bursts and faults last about that long.
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class ModelPace:
     """What one model's answers showed.
 
@@ -54,7 +54,7 @@
     token: RecentQuantile = attrs.Factory(lambda: RecentQuantile(MOST))
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Pace:
     """The pace of each model, by name.
 
--- a/src/rattanpier/_internal/relay/placement.py
+++ b/src/rattanpier/_internal/relay/placement.py
@@ -63,7 +63,7 @@
     wait_s: float = 0.0
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Chooser:
     """Weighs workers.
 
--- a/src/rattanpier/_internal/relay/pool.py
+++ b/src/rattanpier/_internal/relay/pool.py
@@ -21,7 +21,7 @@
 UNTOLD_IDLE_S = 2.0  # Idle time where the worker tells none.
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class ConnectionPool:
     """Keeps idle connections by worker.
 
--- a/src/rattanpier/_internal/relay/prompt_news.py
+++ b/src/rattanpier/_internal/relay/prompt_news.py
@@ -41,7 +41,7 @@
 MOST_TOLD_S = 5.0
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class PromptNews:
     """Tells the others of prompts, and takes in what they tell.
 
--- a/src/rattanpier/_internal/relay/queue_watch.py
+++ b/src/rattanpier/_internal/relay/queue_watch.py
@@ -46,7 +46,7 @@
     waiting: dict[str, int]
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class QueueWatch:
     """Asks engines, tells the others, and takes in what is told.
 
--- a/src/rattanpier/_internal/relay/rollout_driver.py
+++ b/src/rattanpier/_internal/relay/rollout_driver.py
@@ -132,7 +132,7 @@
     return max(0, int(overdue_s / STAND_IN_AFTER_S))
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class RolloutDriver:
     """Writes the records of orders.
 
--- a/src/rattanpier/_internal/relay/rollouts.py
+++ b/src/rattanpier/_internal/relay/rollouts.py
@@ -83,7 +83,7 @@
     running_old: dict[int, int]
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Rollouts:
     """Orders, how far they went, and the evidence.
 
--- a/src/rattanpier/_internal/relay/snapshots.py
+++ b/src/rattanpier/_internal/relay/snapshots.py
@@ -71,7 +71,7 @@
         return unpack(RouteTable, self.packed_table)
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Snapshots:
     """Gives this entry's beliefs to peers, and takes theirs.
 
--- a/src/rattanpier/_internal/relay/spread.py
+++ b/src/rattanpier/_internal/relay/spread.py
@@ -52,7 +52,7 @@
         start += size
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Spread:
     """Tells all others, and passes on what others tell.
 
--- a/src/rattanpier/_internal/relay/state.py
+++ b/src/rattanpier/_internal/relay/state.py
@@ -23,7 +23,7 @@
 log = structlog.get_logger(part="state")
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class RelayState:
     """The entry's beliefs and where they come from.
 
--- a/src/rattanpier/_internal/relay/store.py
+++ b/src/rattanpier/_internal/relay/store.py
@@ -53,7 +53,7 @@
         ...
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class StoreHealth:
     """Whether this entry reaches the store, and whether anybody did.
 
@@ -111,7 +111,7 @@
         return self.clock.monotonic() - self.back_at < SETTLE_S
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class StoreClock:
     """The store's steady clock, as it was told last.
 
--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -118,7 +118,7 @@
     )
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class TableFollower:
     """Keeps up with one table, by its feed or by what watchers tell.
 
--- a/src/rattanpier/_internal/relay/worker_ends.py
+++ b/src/rattanpier/_internal/relay/worker_ends.py
@@ -30,7 +30,7 @@
 CHECK_TIMEOUT_S = 0.3
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class WorkerEnds:
     """Checks workers, each once at a time, and keeps which ended.
 
--- a/src/rattanpier/_internal/retries/quarantine.py
+++ b/src/rattanpier/_internal/retries/quarantine.py
@@ -54,7 +54,7 @@
 NEVER = float("-inf")
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Quarantine:
     """What is known of requests under which workers ended.
 
--- a/src/rattanpier/_internal/retries/second_looks.py
+++ b/src/rattanpier/_internal/retries/second_looks.py
@@ -28,7 +28,7 @@
 LOOKERS = 3
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class SecondLooks:
     """Which workers this entry looks at again, and when.
 
--- a/src/rattanpier/_internal/utils/http_listener.py
+++ b/src/rattanpier/_internal/utils/http_listener.py
@@ -21,7 +21,7 @@
 Handler = Callable[[BaseRequest], Awaitable[StreamResponse]]
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class HttpListener:
     """One address.
 
--- a/src/rattanpier/_internal/utils/metrics.py
+++ b/src/rattanpier/_internal/utils/metrics.py
@@ -15,7 +15,7 @@
 TIMING_EDGES_S = tuple(0.005 * 2**step for step in range(13))
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Timing:
     """A histogram of durations.
 
--- a/src/rattanpier/_internal/utils/samples.py
+++ b/src/rattanpier/_internal/utils/samples.py
@@ -9,7 +9,7 @@
 KEPT = 16  # Samples of a quantile: some seconds of an entry's requests.
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class FadingSum:
     """A sum, and mean, in which a sample's weight halves again and again.
 
@@ -47,7 +47,7 @@
         return (self.total + default) / (self.weight + 1.0)
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class RecentQuantile:
     """A quantile of the newest samples.
 
--- a/tests/relay/test_footprint.py
+++ b/tests/relay/test_footprint.py
@@ -9,6 +9,21 @@
 from tests.lib.counters import ROOT
 
 LIST = "import sys, rattanpier._internal.cli.relay; print(*sorted(sys.modules))"
+# Names the classes of state, which have identity, for which methods are made
+# that they have no use for.
+MADE_FOR_STATE = """
+import sys, attrs, rattanpier._internal.cli.relay
+for module in [m for n, m in sys.modules.items() if n.startswith("rattanpier")]:
+    for made in vars(module).values():
+        if not (isinstance(made, type) and made.__module__ == module.__name__):
+            continue
+        if not attrs.has(made) or issubclass(made, Exception):
+            continue
+        frozen = "frozen" in made.__setattr__.__name__
+        methods = {"__eq__", "__repr__"} & set(vars(made))
+        if not frozen and methods:
+            print(module.__name__, made.__name__)
+"""
 OTHER_PATHS = (
     "cascade",
     "claims",
@@ -72,6 +87,16 @@
     assert module not in loaded
 
 
+def test_state_has_no_methods_that_are_made_anew_at_each_start():
+    made = subprocess.run(
+        [sys.executable, "-c", MADE_FOR_STATE],
+        check=True,
+        capture_output=True,
+        text=True,
+    )
+    assert made.stdout.split() == []
+
+
 def test_a_start_loads_nothing_that_a_vm_has_installed_besides():
     deployed = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
     assert deployed["roles"]["entry"]["run"].split()[:2] == ["python3", "-S"]
