Read all of the system's own rows with one call in a start

Change: entries' rows, held requests, roll-outs' records and the checkpoint stand in one table, which a start reads once for all of them. An entry whose row leads to it already writes none: who goes by it hears of its new start from itself.

--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -46,8 +46,8 @@
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.gossip import Gossip
 from rattanpier._internal.relay.held_rows import HeldRows
-from rattanpier._internal.relay.membership import TABLE as ENTRY_TABLE
 from rattanpier._internal.relay.membership import EntryRows
+from rattanpier._internal.relay.own_table import OwnTable
 from rattanpier._internal.relay.prompt_news import PromptNews
 from rattanpier._internal.relay.queue_watch import QueueWatch
 from rattanpier._internal.relay.rollout_driver import RolloutDriver
@@ -129,8 +129,10 @@
         kernel, settings, state, fleet, drain, metrics, edge, gossip
     )
     gossip.renew = renewal(entry)
+    own_table = OwnTable(store, clock)
     driver = RolloutDriver(
         store,
+        own_table,
         store_clock,
         routes,
         rollouts.status_row,
@@ -141,7 +143,6 @@
         health,
     )
     held = HeldRows(
-        ENTRY_TABLE,
         store,
         quarantine,
         fleet,
@@ -150,9 +151,15 @@
         lambda: health.available,
     )
     quarantine.changed = held.changed.put_nowait
-    rows = EntryRows(store, fleet, clock, lambda: health.available, held.take)
+    rows = EntryRows(
+        store,
+        own_table,
+        fleet,
+        clock,
+        lambda: health.available,
+        held.take,
+    )
     writer = CheckpointWriter(
-        ENTRY_TABLE,
         rollouts.ORDERS,
         store,
         fleet,
@@ -171,9 +178,7 @@
     }
     for table, take in follow.items():
         follower = TableFollower(
-            store=CheckpointedStore(
-                store, rollouts.ORDERS, rows.read_checkpoint
-            ),
+            store=CheckpointedStore(store, rollouts.ORDERS, own_table),
             clock=clock,
             health=health,
             store_clock=store_clock,
--- a/src/rattanpier/_internal/relay/checkpoints.py
+++ b/src/rattanpier/_internal/relay/checkpoints.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 import structlog
@@ -29,13 +29,18 @@
 from rattanpier._internal.models.outcomes import Conflict, NotRun, Uncertain
 from rattanpier._internal.models.relay_settings import StoreSettings
 from rattanpier._internal.relay.fleet import Fleet
+from rattanpier._internal.relay.own_table import (
+    CHECKPOINT,
+    TABLE,
+    OwnTable,
+    rows_of,
+)
 from rattanpier._internal.relay.store import RelayStore
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.codec import pack, unpack
 
 log = structlog.get_logger(part="store")
 
-PREFIX = "checkpoint/"  # Of the rows' keys; the table's name follows.
 LOOK_EVERY_S = 0.5
 # An entry that has just started may know of no other, and all would write.
 SETTLED_S = 3.0
@@ -64,13 +69,23 @@
     packed: bytes
 
 
-def read_checkpoint(row: FeedRow) -> Checkpoint | None:
-    """Returns the checkpoint in a row; None if it can't be read."""
-    try:
-        return unpack(Checkpoint, row.value)
-    except UnreadableError as error:
-        log.warning("Checkpoint can't be read.", row=row.key, error=str(error))
-        return None
+def find_checkpoint(page: Page, table: str) -> Checkpoint | None:
+    """Returns a table's checkpoint, None if there is none that can be read.
+
+    Args:
+      page: Of the system's own table.
+      table: The table that is copied.
+    """
+    for row in rows_of(page, CHECKPOINT):
+        if row.key != table:
+            continue
+        try:
+            return unpack(Checkpoint, row.value)
+        except UnreadableError as error:
+            log.warning(
+                "Checkpoint can't be read.", table=table, error=str(error)
+            )
+    return None
 
 
 @attrs.define(eq=False, repr=False)
@@ -79,20 +94,19 @@
 
     Attributes:
       table: That table.
-      kept: Returns the table's checkpoint, None without one. Raises
-        StoreUnavailableError where the store does not answer.
+      own_table: Holds the checkpoint.
       used: The checkpoint was asked for.
     """
 
     store: RelayStore
     table: str
-    kept: Callable[[], Awaitable[Checkpoint | None]]
+    own_table: OwnTable
     used: bool = False
 
     async def scan(self, table: str) -> Page:
         """Returns all rows of a table and the version that they are as of."""
         if table == self.table and not self.used:
-            kept = await self.kept()
+            kept = find_checkpoint(await self.own_table.first(), table)
             self.used = True
             page = None if kept is None else await self.go_on(kept)
             if page is not None:
@@ -137,7 +151,6 @@
     """Keeps a table's checkpoint, where that falls to this entry.
 
     Attributes:
-      own_table: Of the checkpoint's row.
       table: The table that is copied.
       settings: How long the store's history and a row may be.
       available: Whether this entry reaches the store.
@@ -149,7 +162,6 @@
       too_long: The rows do not fit into one row.
     """
 
-    own_table: str
     table: str
     store: RelayStore
     fleet: Fleet
@@ -195,7 +207,7 @@
         if self.clock.monotonic() - self.started_at < SETTLED_S:
             return False
         me = self.fleet.me.member.name
-        return self.fleet.preferred(f"{PREFIX}{self.table}", 1) == [me]
+        return self.fleet.preferred(CHECKPOINT + self.table, 1) == [me]
 
     def note(self, page: Page) -> None:
         """Takes in what was read of the table, here or by the others.
@@ -230,7 +242,7 @@
         if self.too_long:
             log.info("Table too long for a checkpoint.", bytes=len(value))
             return
-        put = RowPut(self.own_table, PREFIX + self.table, value)
+        put = RowPut(TABLE, CHECKPOINT + self.table, value)
         self.written_at = self.clock.monotonic()
         outcome = await self.store.transact([], [put])
         if not isinstance(outcome, WrittenAt):
--- a/src/rattanpier/_internal/relay/held_rows.py
+++ b/src/rattanpier/_internal/relay/held_rows.py
@@ -23,6 +23,7 @@
 )
 from rattanpier._internal.models.worker_end import QuarantineNews, WorkerEnd
 from rattanpier._internal.relay.fleet import Fleet
+from rattanpier._internal.relay.own_table import HELD, TABLE
 from rattanpier._internal.relay.store import RelayStore, StoreClock
 from rattanpier._internal.retries.quarantine import HOLD_S, Quarantine
 from rattanpier._internal.utils.clock import Clock
@@ -30,7 +31,6 @@
 
 log = structlog.get_logger(part="quarantine")
 
-PREFIX = "held/"  # Of the rows' keys.
 RETRY_S = 1.0  # Until a row is written; entries know it meanwhile.
 MS = 1000.0
 
@@ -53,12 +53,10 @@
     """Writes the rows that fall to this entry, and takes all in.
 
     Attributes:
-      table: Of the rows.
       available: Whether this entry reaches the store.
       changed: Contents that are held, or no longer.
     """
 
-    table: str
     store: RelayStore
     quarantine: Quarantine
     fleet: Fleet
@@ -87,17 +85,17 @@
             sorted(self.quarantine.ends[content]),
             self.store_clock.now_ms() - MS * (HOLD_S - held_s),
         )
-        put = RowPut(self.table, PREFIX + content, encode(row).encode())
+        put = RowPut(TABLE, HELD + content, encode(row).encode())
         return isinstance(await self.store.transact([], [put]), WrittenAt)
 
     def is_mine(self, content: str) -> bool:
         """Says whether a row falls to this entry, by what all know."""
         me = self.fleet.me.member.name
-        return self.fleet.preferred(PREFIX + content, 1) == [me]
+        return self.fleet.preferred(HELD + content, 1) == [me]
 
     async def remove(self, content: str) -> bool:
         """Removes a row; says whether it surely is no longer there."""
-        check = RowCheck(self.table, PREFIX + content)
+        check = RowCheck(TABLE, HELD + content)
         outcome = await self.store.transact([], [], [check])
         return isinstance(outcome, WrittenAt)
 
@@ -105,10 +103,10 @@
         """Takes in a row that was read.
 
         Args:
-          row: Its key begins with the prefix.
+          row: Its key is the content.
           now_ms: The store's steady clock.
         """
-        content = row.key.removeprefix(PREFIX)
+        content = row.key
         try:
             held = decode(HeldRow, row.value)
         except UnreadableError as error:
--- a/src/rattanpier/_internal/relay/membership.py
+++ b/src/rattanpier/_internal/relay/membership.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 import structlog
@@ -18,20 +18,21 @@
 )
 from rattanpier._internal.models.feed import (
     FeedRow,
+    Page,
     RowCheck,
     RowPut,
     WrittenAt,
 )
-from rattanpier._internal.relay import checkpoints, held_rows
-from rattanpier._internal.relay.checkpoints import Checkpoint
+from rattanpier._internal.models.member import Member
+from rattanpier._internal.relay import own_table
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
+from rattanpier._internal.relay.own_table import OwnTable, rows_of
 from rattanpier._internal.relay.store import RelayStore
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.codec import decode, encode
 
 log = structlog.get_logger(part="fleet")
 
-TABLE = "entries"
 # Until the row is written; seeds lead to the others as well.
 RETRY_S = 1.0
 POLL_S = 0.1  # Between looks at whether the store is back.
@@ -43,41 +44,46 @@
 class EntryRows:
     """Writes this entry's row and reads the others'.
 
-    One call reads what else is kept beside them.
-
     Attributes:
+      own_table: Holds the rows.
       available: Whether this entry reaches the store. Calls in an outage are
         paid for, and all entries may start in one.
       take_held: Takes in the row of a held request, and the store's clock in
         ms.
-      checkpoint: The newest one that was read.
+      stands: A row that leads others here stands already.
     """
 
     store: RelayStore
+    own_table: OwnTable
     fleet: Fleet
     clock: Clock
     available: Callable[[], bool]
     take_held: Callable[[FeedRow, float], None]
-    checkpoint: Checkpoint | None = None
+    stands: bool = False
 
     async def run(self) -> None:
-        """Writes the row; reads all again while no other entry is known.
+        """Reads all rows and writes this entry's, if none leads here yet.
 
-        Of two that start at once one sees the other's row so, if neither saw
-        any at its first reading.
+        Then reads again while no other entry is known: of two that start at
+        once, one sees the other's row so, if neither saw any at first.
         """
-        await self.store_is_there()
-        while not await self.write():
-            await self.clock.sleep(RETRY_S)
-            await self.store_is_there()
-        while self.is_alone() and not await self.read_again():
-            await self.clock.sleep(RETRY_S)
-            await self.store_is_there()
+        await self.until_done(self.read_first)
+        if not self.stands:
+            await self.until_done(self.write)
+            if self.is_alone():
+                await self.until_done(self.read_again)
         while True:
             await self.clock.sleep(REREAD_S)
             if self.is_alone():
                 await self.read_again()
 
+    async def until_done(self, step: Callable[[], Awaitable[bool]]) -> None:
+        """Takes a step again and again until it worked."""
+        await self.store_is_there()
+        while not await step():
+            await self.clock.sleep(RETRY_S)
+            await self.store_is_there()
+
     def is_alone(self) -> bool:
         """Says whether no other entry is known to live."""
         return len(self.fleet.live()) == 1
@@ -90,50 +96,55 @@
     async def write(self) -> bool:
         """Writes this entry's row; says whether it surely stands."""
         me = self.fleet.me
-        put = RowPut(TABLE, me.member.name, encode(me).encode())
+        put = RowPut(own_table.TABLE, me.member.name, encode(me).encode())
         outcome = await self.store.transact([], [put])
         if isinstance(outcome, WrittenAt):
             return True
         log.info("Own row not written.", outcome=repr(outcome))
         return False
 
+    async def read_first(self) -> bool:
+        """Takes in what the start reads; says whether that worked."""
+        return await self.take_from(self.own_table.first)
+
     async def read_again(self) -> bool:
-        """Reads all rows; says whether that worked."""
+        """Reads all rows anew; says whether that worked."""
+        return await self.take_from(self.own_table.read)
+
+    async def take_from(self, read: Callable[[], Awaitable[Page]]) -> bool:
+        """Takes in what a reading shows; says whether it worked."""
         try:
-            await self.read()
+            page = await read()
         except StoreUnavailableError as error:
             # The loss of the store is told once, where it is noticed.
             log.debug("Entries not read.", error=str(error))
             return False
+        for row in rows_of(page, own_table.HELD):
+            self.take_held(row, page.now_ms)
+        for row in filter(own_table.is_entry, page.rows):
+            await self.take(row)
         return True
 
-    async def read_checkpoint(self) -> Checkpoint | None:
-        """Reads all rows, and returns the checkpoint among them.
-
-        Raises:
-          StoreUnavailableError: No answer in time.
-        """
-        await self.read()
-        return self.checkpoint
-
-    async def read(self) -> None:
-        """Reads all rows.
-
-        Raises:
-          StoreUnavailableError: No answer in time.
+    async def take(self, row: FeedRow) -> None:
+        """Takes in the row of an entry; one that can't be read is removed."""
+        try:
+            news = decode(MemberNews, row.value)
+        except UnreadableError as error:
+            log.warning(
+                "Entry's row can't be read.", row=row.key, error=str(error)
+            )
+            gone = RowCheck(own_table.TABLE, row.key)
+            await self.store.transact([], [], [gone])
+            return
+        if news.member.name == self.fleet.me.member.name:
+            self.stands = self.leads_here(news.member)
+        self.fleet.take(news)
+
+    def leads_here(self, member: Member) -> bool:
+        """Says whether an earlier row of this entry's name leads here.
+
+        Who goes by it asks this entry, which tells of its new start: it need
+        not be written anew at each.
         """
-        page = await self.store.scan(TABLE)
-        for row in page.rows:
-            if row.key.startswith(held_rows.PREFIX):
-                self.take_held(row, page.now_ms)
-                continue
-            if row.key.startswith(checkpoints.PREFIX):
-                self.checkpoint = checkpoints.read_checkpoint(row)
-                continue
-            try:
-                self.fleet.take(decode(MemberNews, row.value))
-            except UnreadableError as error:
-                log.warning(
-                    "Entry's row can't be read.", row=row.key, error=str(error)
-                )
-                await self.store.transact([], [], [RowCheck(TABLE, row.key)])
+        me = self.fleet.me.member
+        return attrs.evolve(member, incarnation=me.incarnation) == me
--- a/src/rattanpier/_internal/relay/rollout_driver.py
+++ b/src/rattanpier/_internal/relay/rollout_driver.py
@@ -37,6 +37,12 @@
     ExposureBound,
     may_widen,
 )
+from rattanpier._internal.relay.own_table import (
+    ROLLOUT,
+    TABLE,
+    OwnTable,
+    rows_of,
+)
 from rattanpier._internal.relay.rollouts import TRIALS, Rollouts
 from rattanpier._internal.relay.store import RelayStore, StoreClock, StoreHealth
 from rattanpier._internal.relay.verdict import ENOUGH
@@ -44,7 +50,6 @@
 
 log = structlog.get_logger(part="rollout")
 
-TABLE = "rollouts"
 AWAY_RETRY_S = 1.0  # All entries look for the store after a common start.
 DRIVE_EVERY_S = 0.25  # A step late by that is nothing to an order's time.
 # Shares of an order's time. In the first half of it no session may be moved to
@@ -137,15 +142,18 @@
     """Writes the records of orders.
 
     Attributes:
+      own_table: Holds the records.
       versions: Versions of the rows in the store, by service.
       old_running: Requests at old workers in all entries, by order.
       drives: Whether this entry is the one to drive, or among so many more
         that may.
       health: Whether this entry reaches the store.
       loaded: All records that stood at the last reading are known.
+      read_before: There was one.
     """
 
     store: RelayStore
+    own_table: OwnTable
     clock: StoreClock
     rollouts: Rollouts
     status_row: StatusRow
@@ -154,6 +162,7 @@
     health: StoreHealth
     versions: dict[str, int] = attrs.Factory(dict)
     loaded: bool = False
+    read_before: bool = False
 
     async def run(self) -> None:
         """Takes roll-outs further, again and again, until cancelled."""
@@ -174,9 +183,13 @@
         Raises:
           StoreUnavailableError: The store does not answer.
         """
-        page = await self.store.scan(TABLE)
-        self.versions = {row.key: row.version for row in page.rows}
-        for row in page.rows:
+        # After a write of another only a new reading tells where orders stand.
+        read = self.own_table.read if self.read_before else self.own_table.first
+        page = await read()
+        self.read_before = True
+        rows = rows_of(page, ROLLOUT)
+        self.versions = {row.key: row.version for row in rows}
+        for row in rows:
             try:
                 record = decode(RolloutRecord, row.value)
             except UnreadableError as error:
@@ -260,11 +273,12 @@
         record = RolloutRecord(
             order.id, order.service, order.version, phase, begun_ms, since_ms
         )
+        key = ROLLOUT + order.service
         version = self.versions.get(order.service, 0)
         outcome = await self.store.transact(
-            [RowCheck(TABLE, order.service, version)],
+            [RowCheck(TABLE, key, version)],
             [
-                RowPut(TABLE, order.service, encode(record).encode()),
+                RowPut(TABLE, key, encode(record).encode()),
                 self.status_row(order.service, order.version, phase),
             ],
         )
--- a/tests/relay/test_checkpoints.py
+++ b/tests/relay/test_checkpoints.py
@@ -18,20 +18,19 @@
 from rattanpier._internal.programs.relay import close
 from rattanpier._internal.relay import checkpoints as module
 from rattanpier._internal.relay.checkpoints import (
-    PREFIX,
     CheckpointedStore,
     CheckpointWriter,
+    find_checkpoint,
     merged,
-    read_checkpoint,
 )
-from rattanpier._internal.relay.membership import TABLE
+from rattanpier._internal.relay.own_table import CHECKPOINT, TABLE, OwnTable
 from rattanpier._internal.standin.platform_store import Door
 from tests.lib.clock import ManualClock
 from tests.lib.platform_site import dump, manifest, platform_site, route, until
 from tests.lib.warm_fleet import make_fleet
 
 OPERATORS = "op"
-ROW = PREFIX + OPERATORS
+ROW = CHECKPOINT + OPERATORS
 SLOW_S = 4.0  # A whole manifest over a slow link.
 ROUTES = 1600
 STORE = StoreSettings(Address("10.0.0.1", 1), history_s=20.0)
@@ -133,6 +132,8 @@
     async def scan(self, table):
         if self.away:
             raise StoreUnavailableError("away")
+        if table == TABLE:
+            return self.own_page()
         self.scans += 1
         rows = [row for row in self.rows.values() if not row.deleted]
         return Page(rows, self.version, 0.0, whole=True)
@@ -148,15 +149,17 @@
         return WrittenAt(self.version, 0.0)
 
     def checkpoint(self):
-        value = self.kept.get(ROW)
-        return value and read_checkpoint(FeedRow(ROW, value, 1))
+        return find_checkpoint(self.own_page(), OPERATORS)
+
+    def own_page(self):
+        rows = [FeedRow(key, value, 1) for key, value in self.kept.items()]
+        return Page(rows, self.version, 0.0, whole=True)
 
 
 def make_writer(store, entries=1, settings=STORE):
     clock = ManualClock()
     fleet = make_fleet(0, range(entries), clock)
     return CheckpointWriter(
-        TABLE,
         OPERATORS,
         store,
         fleet,
@@ -168,12 +171,8 @@
 
 
 def reader_of(store):
-    async def kept():
-        if store.away:
-            raise StoreUnavailableError("away")
-        return store.checkpoint()
-
-    return CheckpointedStore(store, OPERATORS, kept)
+    own_table = OwnTable(store, ManualClock())
+    return CheckpointedStore(store, OPERATORS, own_table)
 
 
 @pytest.mark.parametrize("seed", range(20))
--- a/tests/relay/test_held_rows.py
+++ b/tests/relay/test_held_rows.py
@@ -6,14 +6,14 @@
 from rattanpier._internal.models.feed import FeedRow, WrittenAt
 from rattanpier._internal.models.outcomes import NotRun
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
-from rattanpier._internal.relay.held_rows import PREFIX, HeldRow, HeldRows
+from rattanpier._internal.relay.held_rows import HeldRow, HeldRows
+from rattanpier._internal.relay.own_table import HELD
 from rattanpier._internal.relay.store import StoreClock
 from rattanpier._internal.retries.quarantine import HOLD_S, Quarantine
 from rattanpier._internal.utils.codec import decode, encode
 from tests.lib.clock import ManualClock
 from tests.lib.ring import make_member
 
-TABLE = "t"
 DEADLY = "deadly"
 NOW_MS = 5_000_000.0
 
@@ -48,7 +48,6 @@
     )
     store_clock = StoreClock(clock, NOW_MS)
     rows = HeldRows(
-        TABLE,
         store,
         Quarantine(clock),
         fleet,
@@ -77,8 +76,8 @@
         hold(rows)
         await bring_up_to_date(rows)
     assert store.calls == 1
-    assert list(store.rows) == [PREFIX + DEADLY]
-    row = decode(HeldRow, store.rows[PREFIX + DEADLY])
+    assert list(store.rows) == [HELD + DEADLY]
+    row = decode(HeldRow, store.rows[HELD + DEADLY])
     assert row == HeldRow(["w0", "w1", "w2"], NOW_MS)
 
 
@@ -103,7 +102,7 @@
 
 def make_row(age_s):
     held = HeldRow(["w0", "w1", "w2"], NOW_MS - 1000.0 * age_s)
-    return FeedRow(PREFIX + DEADLY, encode(held).encode(), 1)
+    return FeedRow(DEADLY, encode(held).encode(), 1)
 
 
 @pytest.mark.parametrize(("age_s", "held_s"), [(100.0, 500.0), (-5.0, 600.0)])
@@ -114,10 +113,10 @@
 
 
 @pytest.mark.parametrize(
-    "row", [make_row(HOLD_S), FeedRow(PREFIX + DEADLY, b"no row", 1)]
+    "row", [make_row(HOLD_S), FeedRow(DEADLY, b"no row", 1)]
 )
 async def test_a_row_that_is_old_or_spoiled_is_removed(row):
-    store = FakeStore(rows={row.key: row.value})
+    store = FakeStore(rows={HELD + row.key: row.value})
     rows = make_rows(store)
     rows.take(row, NOW_MS)
     assert rows.quarantine.held_s(DEADLY) == 0.0
--- /dev/null
+++ b/tests/relay/test_own_table.py
@@ -0,0 +1,128 @@
+"""What a start asks the store for: calls are paid for, and starts make most."""
+
+import asyncio
+import collections
+
+import attrs
+import pytest
+
+from rattanpier._internal.exceptions import StoreUnavailableError
+from rattanpier._internal.models.feed import FeedRow, Page
+from rattanpier._internal.models.rollout_order import (
+    RolloutPhase,
+    RolloutRecord,
+)
+from rattanpier._internal.programs.relay import build_relay, close
+from rattanpier._internal.relay import checkpoints
+from rattanpier._internal.relay.own_table import (
+    FRESH_S,
+    ROLLOUT,
+    TABLE,
+    OwnTable,
+)
+from tests.lib.clock import ManualClock
+from tests.lib.platform_site import platform_site, until
+
+SETTLED_S = 1.5  # Longer than a start asks for what it lacks.
+
+
+@pytest.fixture
+async def site():
+    async with platform_site() as made:
+        yield made
+
+
+async def start_again(site, name):
+    """Starts an entry at the addresses that it had."""
+    settings = site.entries[name].settings
+    await close(site.entries[name])
+    before = len(site.store.calls)
+    site.entries[name] = await build_relay(settings)
+    await until(site.entries[name].ready)
+    await asyncio.sleep(SETTLED_S)
+    return collections.Counter(site.store.calls[before:])
+
+
+async def test_an_entry_that_starts_again_writes_nothing(site, monkeypatch):
+    monkeypatch.setattr(checkpoints, "SETTLED_S", float("inf"))
+    await site.add_entry("entry-1")
+    await site.add_entry("entry-2")
+    for entry in site.entries.values():
+        await until(lambda entry=entry: len(entry.fleet.live()) == 2)
+    calls = await start_again(site, "entry-2")
+    assert calls["rows-tx"] == 0
+    # The system's own table, workers and, without a checkpoint, operators.
+    assert calls["rows-get"] <= 3
+
+
+async def test_an_entry_that_lost_all_others_finds_them_by_its_first_reading(
+    site,
+):
+    await site.add_entry("entry-1")
+    await site.add_entry("entry-2")
+    await until(lambda: len(site.entries["entry-1"].fleet.live()) == 2)
+    names = list(site.entries)
+    settings = [site.entries[name].settings for name in names]
+    for name in names:
+        await close(site.entries[name])
+    for name, each in zip(names, settings, strict=True):
+        site.entries[name] = await build_relay(each)
+    for entry in site.entries.values():
+        await until(lambda entry=entry: len(entry.fleet.live()) == 2)
+        await until(lambda entry=entry: len(entry.fleet.entries()) == 2)
+
+
+async def test_an_entry_at_another_address_writes_its_row(site):
+    first = await site.add_entry("entry-1")
+    await until(lambda: (TABLE, "entry-1") in site.store.rows)
+    before = site.store.value(TABLE, "entry-1")
+    await close(first)
+    await site.add_entry("entry-1")
+    await until(lambda: site.store.value(TABLE, "entry-1") != before)
+
+
+async def test_a_start_knows_how_far_orders_went_by_the_same_reading(site):
+    await site.add_worker("old", version="v1")
+    await site.add_worker("new", version="v2")
+    order = {"service": "plain", "to": "v2", "deadlineS": 20}
+    site.store.put("op", "rollout/plain", order)
+    record = RolloutRecord(
+        site.store.version, "plain", "v2", RolloutPhase.COMPLETED, 0.0, 0.0
+    )
+    site.store.put(TABLE, f"{ROLLOUT}plain", attrs.asdict(record))
+    entry = await site.add_entry()
+    assert entry.state.rollouts.records["plain"].phase.final
+
+
+class CountingStore:
+    """Counts readings; away for the first of them."""
+
+    def __init__(self, away=0):
+        self.away = away
+        self.scans = 0
+
+    async def scan(self, _table):
+        self.scans += 1
+        await asyncio.sleep(0)
+        if self.scans <= self.away:
+            raise StoreUnavailableError("away")
+        return Page([FeedRow("e", b"", 1)], self.scans, 0.0, whole=True)
+
+
+async def test_all_that_start_share_one_reading():
+    store = CountingStore()
+    table = OwnTable(store, ManualClock())
+    pages = await asyncio.gather(*(table.first() for _ in range(5)))
+    assert store.scans == 1
+    assert all(page is pages[0] for page in pages)
+    assert (await table.read()).version == 2
+    table.clock.now += 2 * FRESH_S
+    assert (await table.first()).version == 3
+
+
+async def test_a_reading_that_failed_is_made_again():
+    store = CountingStore(away=1)
+    table = OwnTable(store, ManualClock())
+    with pytest.raises(StoreUnavailableError):
+        await table.first()
+    assert (await table.first()).rows
--- a/tests/relay/test_rollout_driver.py
+++ b/tests/relay/test_rollout_driver.py
@@ -11,6 +11,7 @@
 )
 from rattanpier._internal.platform.rollouts import status_row
 from rattanpier._internal.relay.exposure import ExposureBound
+from rattanpier._internal.relay.own_table import OwnTable
 from rattanpier._internal.relay.rollout_driver import (
     GIVE_UP_AT,
     STAND_IN_AFTER_S,
@@ -53,8 +54,10 @@
     rollouts.take_record(RolloutRecord(7, "s", "v2", phase, begun_ms, begun_ms))
     health = StoreHealth(clock)
     health.note_answer()
+    store = Store()
     return RolloutDriver(
-        Store(),
+        store,
+        OwnTable(store, clock),
         StoreClock(clock),
         rollouts,
         status_row,
