Split what puts an entry together by subject

Moves only: the store and what is read and kept there, peers, and what is learned of workers have modules of their own and find shared services in the kernel by name. tests/relay, tests/unit, tests/placement, tests/retries pass.

--- /dev/null
+++ b/src/rattanpier/_internal/programs/relay_peers.py
@@ -0,0 +1,87 @@
+"""Puts together how the entries of the relay talk to each other."""
+
+from __future__ import annotations
+
+import time
+
+from rattanpier._internal.kernel import Kernel
+from rattanpier._internal.membership.records import new_incarnation
+from rattanpier._internal.models.member import Member, Role
+from rattanpier._internal.models.relay_settings import RelaySettings
+from rattanpier._internal.peers.hints import Hints
+from rattanpier._internal.peers.links import Links
+from rattanpier._internal.peers.server import PeerServer
+from rattanpier._internal.relay.fleet import Fleet, MemberNews
+from rattanpier._internal.relay.gossip import Gossip
+from rattanpier._internal.relay.snapshots import Snapshots
+from rattanpier._internal.relay.spread import Spread
+from rattanpier._internal.relay.state import RelayState
+from rattanpier._internal.retries.quarantine import Quarantine
+from rattanpier._internal.utils.clock import SystemClock
+
+
+def make_fleet(settings: RelaySettings, clock: SystemClock) -> Fleet:
+    """Returns the fleet as an entry knows it at its start."""
+    member = Member(
+        name=settings.name,
+        incarnation=new_incarnation(),
+        role=Role.ENTRY,
+        domain=settings.domain,
+        region=settings.region,
+        caller_url=str(settings.callers),
+        peer_host=settings.peers.host,
+        peer_port=settings.peers.port,
+        hint_port=settings.hints.port,
+    )
+    return Fleet(MemberNews(member, time.time()), clock)
+
+
+async def add_peers(
+    kernel: Kernel,
+    settings: RelaySettings,
+    fleet: Fleet,
+    state: RelayState,
+    quarantine: Quarantine,
+    clock: SystemClock,
+) -> Gossip:
+    """Listens for peers and returns what talks to them."""
+    server = kernel.add("peer_server", PeerServer())
+    kernel.services["peer_server"].stop = server.stop
+    links = kernel.add("links", Links(settings.name))
+    kernel.services["links"].stop = links.close
+    spread = Spread(fleet, links)
+    snapshots = Snapshots(
+        fleet=fleet,
+        links=links,
+        clock=clock,
+        needed=lambda: not state.health.available or state.table is None,
+        make=state.snapshot,
+        restore=state.restore,
+    )
+    gossip = Gossip(
+        fleet=fleet,
+        rollouts=state.rollouts,
+        quarantine=quarantine,
+        domains=state.domains,
+        links=links,
+        spread=spread,
+        clock=clock,
+        seeds=settings.seeds,
+        snapshots=snapshots,
+        renew=lambda: False,
+    )
+    server.on_call("beat", gossip.serve_beat)
+    server.on_call("summary", gossip.serve_summary)
+    server.on_call("spread", spread.serve)
+    server.on_notice("spread", spread.take_hint)
+    server.on_call("report", gossip.serve_report)
+    server.on_call("snapshot", snapshots.serve)
+    spread.takers["rumors"] = gossip.take_rumors
+    spread.takers["store_news"] = gossip.take_store_news
+    await server.start(settings.peers.host, settings.peers.port)
+    hints = kernel.add(
+        "hints", Hints(server.take_notice, kernel.find("metrics"))
+    )
+    kernel.services["hints"].stop = hints.stop
+    await hints.start(settings.hints.host, settings.hints.port)
+    return gossip
--- /dev/null
+++ b/src/rattanpier/_internal/programs/relay_store.py
@@ -0,0 +1,142 @@
+"""Puts together what an entry reads from the platform's store, and writes."""
+
+from __future__ import annotations
+
+import aiohttp
+
+from rattanpier._internal.kernel import Kernel
+from rattanpier._internal.models.feed import Page
+from rattanpier._internal.models.relay_settings import RelaySettings
+from rattanpier._internal.platform import feeds, registrations, rollouts
+from rattanpier._internal.platform.rows import (
+    KEPT_CONNECTIONS,
+    PlatformStore,
+)
+from rattanpier._internal.programs.relay_listen import RelayEntry
+from rattanpier._internal.relay.checkpoints import (
+    CheckpointedStore,
+    CheckpointWriter,
+)
+from rattanpier._internal.relay.directory import WorkerDirectory
+from rattanpier._internal.relay.exposure import ExposureBound
+from rattanpier._internal.relay.held_rows import HeldRows
+from rattanpier._internal.relay.membership import EntryRows
+from rattanpier._internal.relay.own_table import OwnTable
+from rattanpier._internal.relay.rollout_driver import RolloutDriver
+from rattanpier._internal.relay.rollouts import Rollouts
+from rattanpier._internal.relay.state import RelayState
+from rattanpier._internal.relay.store import StoreClock, StoreHealth
+from rattanpier._internal.relay.watch import TableFollower, watch_rank
+
+
+def add_store(kernel: Kernel, settings: RelaySettings) -> None:
+    """Adds the store, and what is known of it."""
+    clock = kernel.find("clock")
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=KEPT_CONNECTIONS)
+    )
+    kernel.add("http", session, stop=session.close)
+    store = PlatformStore(session, f"http://{settings.store.address}")
+    kernel.add("store", store)
+    kernel.add("store_health", StoreHealth(clock, settings.heartbeat_s))
+    kernel.add("store_clock", StoreClock(clock))
+    kernel.add("own_table", OwnTable(store, clock))
+
+
+def make_state(kernel: Kernel, settings: RelaySettings) -> RelayState:
+    """Returns an entry's beliefs before it has read anything."""
+    clock = kernel.find("clock")
+    metrics = kernel.find("metrics")
+    bounds = settings.bounds
+    exposure = ExposureBound(bounds.exposure_ratio, bounds.exposure_slack)
+    state = RelayState(
+        WorkerDirectory(clock),
+        Rollouts(exposure, bounds.session_s, clock, settings.policy),
+        kernel.find("store_health"),
+        feeds.operator_news(metrics, lambda: state.table_version),
+        feeds.worker_news(metrics),
+    )
+    return state
+
+
+def add_own_rows(entry: RelayEntry) -> None:
+    """Adds what keeps rows in the system's own table, but the checkpoint."""
+    kernel = entry.kernel
+    health = entry.state.health
+    quarantine = entry.edge.dispatcher.quarantine
+    held = HeldRows(
+        kernel.find("store"),
+        quarantine,
+        entry.fleet,
+        kernel.find("store_clock"),
+        kernel.find("clock"),
+        lambda: health.available,
+    )
+    quarantine.changed = held.changed.put_nowait
+    rows = EntryRows(
+        kernel.find("store"),
+        kernel.find("own_table"),
+        entry.fleet,
+        kernel.find("clock"),
+        lambda: health.available,
+        held.take,
+    )
+    kernel.spawn(rows.run())
+    kernel.spawn(held.run())
+    kernel.spawn(make_driver(entry).run())
+
+
+def make_driver(entry: RelayEntry) -> RolloutDriver:
+    """Returns what takes roll-outs further."""
+    kernel, fleet, routes = entry.kernel, entry.fleet, entry.state.rollouts
+    return RolloutDriver(
+        kernel.find("store"),
+        kernel.find("own_table"),
+        kernel.find("store_clock"),
+        routes,
+        rollouts.status_row,
+        lambda order: routes.all_running_old(
+            order, [news.member.incarnation for news in fleet.live()]
+        ),
+        fleet.drives,
+        entry.state.health,
+    )
+
+
+def add_followers(entry: RelayEntry) -> None:
+    """Adds what follows the operators' table, and the workers'."""
+    kernel, state = entry.kernel, entry.state
+    writer = CheckpointWriter(
+        rollouts.ORDERS,
+        kernel.find("store"),
+        entry.fleet,
+        kernel.find("clock"),
+        entry.settings.store,
+        lambda: state.health.available,
+    )
+
+    def take_operator_page(page: Page, after_outage: bool) -> None:
+        writer.note(page)
+        state.take_operator_page(page, after_outage)
+
+    follow = {
+        rollouts.ORDERS: take_operator_page,
+        registrations.TABLE: state.take_worker_page,
+    }
+    store = CheckpointedStore(
+        kernel.find("store"), rollouts.ORDERS, kernel.find("own_table")
+    )
+    for table, take in follow.items():
+        follower = TableFollower(
+            store=store,
+            clock=kernel.find("clock"),
+            health=state.health,
+            store_clock=kernel.find("store_clock"),
+            table=table,
+            take=take,
+            rank=lambda: watch_rank(entry.fleet),
+            tell=entry.gossip.tell_store_news,
+        )
+        entry.gossip.followers[table] = follower
+        kernel.spawn(follower.run())
+    kernel.spawn(writer.run())
--- /dev/null
+++ b/src/rattanpier/_internal/programs/relay_workers.py
@@ -0,0 +1,92 @@
+"""Puts together what an entry learns of workers beside its own requests."""
+
+from __future__ import annotations
+
+import random
+
+import aiohttp
+
+from rattanpier._internal.kernel import Kernel
+from rattanpier._internal.platform import reports
+from rattanpier._internal.platform.identity import identifier
+from rattanpier._internal.platform.reports import ReadReport
+from rattanpier._internal.programs.relay_listen import RelayEntry
+from rattanpier._internal.relay.prompt_news import PromptNews
+from rattanpier._internal.relay.queue_watch import QueueWatch
+from rattanpier._internal.retries.second_looks import SecondLooks
+
+
+def add_worker_news(entry: RelayEntry) -> None:
+    """Adds what asks workers, and what entries tell each other of them."""
+    session = add_report_session(entry.kernel)
+    read_report = reports.report_reader(session)
+    add_second_looks(entry, session, read_report)
+    add_queue_watch(entry, read_report)
+    add_prompt_news(entry)
+
+
+def add_report_session(kernel: Kernel) -> aiohttp.ClientSession:
+    """Adds a session of its own: questions to workers hold up no store call."""
+    connector = aiohttp.TCPConnector(limit=0)  # One connection a worker.
+    session = aiohttp.ClientSession(connector=connector)
+    return kernel.add("reports", session, stop=session.close)
+
+
+def add_second_looks(
+    entry: RelayEntry, session: aiohttp.ClientSession, read_report: ReadReport
+) -> None:
+    """Adds the looks at workers that are said to have ended."""
+    dispatcher = entry.edge.dispatcher
+
+    def look_at(incarnation: str) -> None:
+        for worker in entry.state.directory.workers.values():
+            if worker.incarnation == incarnation:
+                dispatcher.ends.begin_check(worker)
+
+    dispatcher.quarantine.heard = look_at
+    looks = SecondLooks(
+        dispatcher.quarantine,
+        entry.state.directory,
+        entry.fleet,
+        dispatcher.clock,
+        identifier(session, entry.state.health_path_of, read_report),
+        dispatcher.ends.note_alive,
+    )
+    entry.kernel.spawn(looks.run())
+
+
+def add_queue_watch(entry: RelayEntry, read_report: ReadReport) -> None:
+    """Adds what reads the engines' queues, and hears of them."""
+    state = entry.state
+    queues = QueueWatch(
+        fleet=entry.fleet,
+        directory=state.directory,
+        loads=entry.edge.dispatcher.loads,
+        hint_all=entry.gossip.spread.hint_all,
+        clock=entry.edge.dispatcher.clock,
+        engines=state.engines,
+        read=read_report,
+        restarted=lambda worker: state.forget([worker]),
+        open=state.domains.open,
+    )
+    state.gone.subscribe(lambda worker: queues.born.pop(worker, None))
+    entry.gossip.spread.takers["queue_news"] = queues.take_told
+    if entry.settings.policy.queue_reading:
+        entry.kernel.spawn(queues.run())
+
+
+def add_prompt_news(entry: RelayEntry) -> None:
+    """Adds what tells of long prompts, and hears of them."""
+    dispatcher = entry.edge.dispatcher
+    prompts = PromptNews(
+        fleet=entry.fleet,
+        directory=entry.state.directory,
+        loads=dispatcher.loads,
+        send=entry.kernel.find("hints").send,
+        clock=dispatcher.clock,
+        rng=random.Random(entry.settings.name),
+    )
+    server = entry.kernel.find("peer_server")
+    server.on_notice("prompt_sent", prompts.take_notice)
+    if entry.settings.policy.prompt_news:
+        dispatcher.tell_prompt = prompts.tell
