Divide the reading of engines' queues among entries

Change: an entry asks sixteen engines at most; entries that ask tell one of them, which tells all, as before once each half second.

Tests: each engine is asked once a round and no entry asks more than its part, at 8 to 420 entries.

--- a/src/rattanpier/_internal/models/policy.py
+++ b/src/rattanpier/_internal/models/policy.py
@@ -23,7 +23,7 @@
       homes: Shared parts of prompts belong to a worker that all entries find.
       domain_cost: Workers in other failure domains have to be better.
       hedges: A slow repeatable request goes to a second worker as well.
-      queue_reading: One entry asks all engines how many requests wait there.
+      queue_reading: A few entries ask engines how many requests wait there.
       prompt_news: Entries tell each other of long prompts that they send.
       avoidance: Workers that fail or are not reached are avoided for a while.
       hold_sessions: Sessions under way stay where they are at an order.
--- a/src/rattanpier/_internal/programs/relay_workers.py
+++ b/src/rattanpier/_internal/programs/relay_workers.py
@@ -63,6 +63,7 @@
         directory=state.directory,
         loads=entry.edge.dispatcher.loads,
         hint_all=entry.gossip.spread.hint_all,
+        hint_one=entry.gossip.spread.hint_one,
         clock=entry.edge.dispatcher.clock,
         engines=state.engines,
         read=read_report,
@@ -71,6 +72,7 @@
     )
     state.gone.subscribe(lambda worker: queues.born.pop(worker, None))
     entry.gossip.spread.takers["queue_news"] = queues.take_told
+    entry.gossip.spread.takers["queue_part"] = queues.hear_part
     if entry.settings.policy.queue_reading:
         entry.kernel.spawn(queues.run())
 
--- a/src/rattanpier/_internal/relay/queue_watch.py
+++ b/src/rattanpier/_internal/relay/queue_watch.py
@@ -1,15 +1,18 @@
-"""How many requests wait at each model engine, read by one entry for all.
+"""How many requests wait at each model engine, read by a few entries for all.
 
 Load answered: many entries before many engines. Each hears from a given engine
-once in many seconds, so that prompts pile up at some while others are free. One
-entry asks all engines and tells the others which have requests waiting; a
-worker that is not named has none. It is a hint: what it tells fades within
-seconds, and without it entries weigh what they know themselves.
+once in many seconds, so that prompts pile up at some while others are free. A
+few entries ask a part of the engines each, so that none spends more on it where
+there are more engines. One of them gathers what they find and tells all others
+which engines have requests waiting; one that is not named has none. It is a
+hint: what it tells fades within seconds, and without it entries weigh what they
+know themselves.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable, Collection, Sequence
 
 import attrs
@@ -31,6 +34,10 @@
 ASK_TIMEOUT_S = 0.4  # Engines answer within some ms.
 FRESH_S = 0.5  # What an answer told so lately need not be asked for.
 REPORT_LAG_S = 0.1  # Reports are as of about that long ago.
+# Of one entry's part: asking so many takes it about a hundredth of a core.
+MOST_ASKED = 16
+# A part that was not heard again by then tells nothing any more.
+PART_KEPT_S = 1.5
 
 
 @attrs.frozen
@@ -40,10 +47,12 @@
     Attributes:
       asked: How many answered; with none nothing is known.
       waiting: Requests by worker; workers that are not named have none.
+      part: Number of the part that was asked.
     """
 
     asked: int
     waiting: dict[str, int]
+    part: int = 0
 
 
 @attrs.define(eq=False, repr=False)
@@ -52,18 +61,21 @@
 
     Attributes:
       hint_all: Tells all others what may be lost on the way.
+      hint_one: Tells one entry, by its name.
       engines: Returns the services whose workers are model engines.
       read: Asks one worker within some seconds; None if it does not answer.
       restarted: Told of a worker that says it started anew, before its new
         registration came.
       open: Returns the workers that may be asked.
       born: What workers said of their start, by id.
+      parts: What was found of each part, and when, in monotonic seconds.
     """
 
     fleet: Fleet
     directory: WorkerDirectory
     loads: Loads
     hint_all: Callable[[peer_pb2.Spread], None]
+    hint_one: Callable[[peer_pb2.Spread, str], None]
     clock: Clock
     engines: Callable[[], Collection[str]]
     read: Callable[[RegisteredWorker, float], Awaitable[ReportedLoad | None]]
@@ -72,23 +84,53 @@
         lambda workers: workers
     )
     born: dict[str, int] = attrs.Factory(dict)
+    parts: dict[int, tuple[float, QueueNews]] = attrs.Factory(dict)
 
     async def run(self) -> None:
-        """Asks again and again while it is this entry's turn."""
+        """Asks again and again while a part falls to this entry."""
         while True:
             await self.clock.sleep(ASK_EVERY_S)
-            if self.fleet.preferred("queues", 1) == [self.fleet.me.member.name]:
-                await self.round()
+            await self.round()
 
     async def round(self) -> None:
-        """Asks all engines once and tells everybody."""
-        workers = [
+        """Asks this entry's part of the engines once, and tells what it found.
+
+        All entries that know the same find the same parts. Where they differ
+        an engine is asked twice, or its part is not heard of for a moment.
+        """
+        engines = self.open_engines()
+        readers = self.readers(len(engines))
+        me = self.fleet.me.member.name
+        if not engines or me not in readers:
+            self.parts.clear()
+            return
+        part = readers.index(me)
+        news = await self.ask(engines[part :: len(readers)], part)
+        if part == 0:
+            self.take_part(news)
+            self.tell_all()
+            return
+        told = peer_pb2.QueueNews(packed=pack(news))
+        self.hint_one(peer_pb2.Spread(queue_part=told), readers[0])
+
+    def open_engines(self) -> list[RegisteredWorker]:
+        """Returns the engines that may be asked, in the order of their ids."""
+        engines = (
             worker
             for service in self.engines()
             for worker in self.open(self.directory.of_service(service))
-        ]
-        if not workers:
-            return
+        )
+        return sorted(engines, key=lambda worker: worker.id)
+
+    def readers(self, engines: int) -> list[str]:
+        """Returns the names of the entries that ask; the first one tells."""
+        count = max(1, math.ceil(engines / MOST_ASKED))
+        return self.fleet.preferred("queues", count)
+
+    async def ask(
+        self, workers: Sequence[RegisteredWorker], part: int
+    ) -> QueueNews:
+        """Asks some engines and returns which have requests waiting."""
         reports = await asyncio.gather(*map(self.learn, workers))
         waiting = {
             worker.id: report.waiting
@@ -96,9 +138,28 @@
             if report is not None and report.waiting
         }
         answered = sum(report is not None for report in reports)
-        news = QueueNews(answered, waiting)
-        self.take(news)
-        told = peer_pb2.QueueNews(packed=pack(news))
+        return QueueNews(answered, waiting, part)
+
+    def take_part(self, news: QueueNews) -> None:
+        """Keeps what was found of a part."""
+        self.parts[news.part] = (self.clock.monotonic(), news)
+
+    def hear_part(self, told: peer_pb2.QueueNews) -> None:
+        """Keeps what another entry found of its part."""
+        self.take_part(unpack(QueueNews, told.packed))
+
+    def tell_all(self) -> None:
+        """Tells everybody what was found of all parts."""
+        oldest = self.clock.monotonic() - PART_KEPT_S
+        asked = 0
+        waiting: dict[str, int] = {}
+        for at, news in self.parts.values():
+            if at >= oldest:
+                asked += news.asked
+                waiting |= news.waiting
+        merged = QueueNews(asked, waiting)
+        self.take(merged)
+        told = peer_pb2.QueueNews(packed=pack(merged))
         self.hint_all(peer_pb2.Spread(queue_news=told))
 
     async def learn(self, worker: RegisteredWorker) -> ReportedLoad | None:
--- a/src/rattanpier/_internal/relay/spread.py
+++ b/src/rattanpier/_internal/relay/spread.py
@@ -72,6 +72,13 @@
         """Tells all others what may be lost on the way to some."""
         self.hint_run(news, self.fleet.ring())
 
+    def hint_one(self, news: peer_pb2.Spread, name: str) -> None:
+        """Tells one entry what may be lost, if it is known."""
+        known = self.fleet.others.get(name)
+        if known is not None:
+            notice = peer_pb2.Notice(spread=addressed(news, []))
+            self.links.to(known.member).notify(notice)
+
     # Down the tree, each step acknowledged.
 
     async def tell_run(
--- a/tests/relay/test_queue_watch.py
+++ b/tests/relay/test_queue_watch.py
@@ -1,4 +1,6 @@
-"""One entry reads how many requests wait at each engine, for all entries."""
+"""A few entries read how many requests wait at each engine, for all."""
+
+import collections
 
 import pytest
 
@@ -8,20 +10,24 @@
 from rattanpier._internal.relay.load import Loads
 from rattanpier._internal.relay.queue_watch import (
     FRESH_S,
+    MOST_ASKED,
+    PART_KEPT_S,
     QueueNews,
     QueueWatch,
 )
+from rattanpier._internal.utils.codec import unpack
 from tests.lib.clock import ManualClock
 from tests.lib.platform_site import platform_site, until
 from tests.lib.relay_parts import make_worker
 from tests.relay.test_fleet import make_news
 
 
-def make_watch(clock, reports, others=("e2", "e3")):
+def make_watch(clock, reports, others=("e2", "e3"), name="e1", sent=None):
     """A watch over engines that answer with these numbers, or not at all."""
-    fleet = Fleet(make_news("e1", store=True), clock)
-    for name in others:
-        fleet.take(make_news(name, sequence=1))
+    sent = [] if sent is None else sent
+    fleet = Fleet(make_news(name, store=True), clock)
+    for other in others:
+        fleet.take(make_news(other, sequence=1, store=len(others) > 2))
     directory = WorkerDirectory(clock)
     for id in reports:
         directory.put(make_worker(id, service="engine"))
@@ -38,6 +44,7 @@
         directory=directory,
         loads=Loads(clock),
         hint_all=told.append,
+        hint_one=lambda news, name: sent.append((name, news)),
         clock=clock,
         engines=lambda: ["engine"],
         read=read,
@@ -99,6 +106,65 @@
     assert watch.loads.workers["w1"].others(clock.now)[1] > 1.0
 
 
+def make_fleet_of_watches(clock, entries, reports):
+    """Watches of entries that know each other; who asked what, and told."""
+    names = [f"e{number}" for number in range(entries)]
+    asked = collections.defaultdict(list)
+    told = []
+    watches = {}
+    for name in names:
+        others = [other for other in names if other != name]
+        watch, asked[name], _ = make_watch(clock, reports, others, name)
+        watch.hint_all = lambda news, name=name: told.append((name, news))
+        watch.hint_one = lambda news, to: watches[to].hear_part(news.queue_part)
+        watches[name] = watch
+    return watches, asked, told
+
+
+@pytest.mark.parametrize(
+    ("entries", "engines"), [(8, 9), (77, 60), (195, 156), (420, 600)]
+)
+async def test_engines_are_divided_however_many_there_are(
+    clock, entries, engines
+):
+    reports = {f"w{number:03}": number % 3 for number in range(engines)}
+    watches, asked, told = make_fleet_of_watches(clock, entries, reports)
+    clock.now = 10.0
+    for _ in range(2):
+        for watch in watches.values():
+            await watch.round()
+        clock.now += FRESH_S + 0.1
+    counts = collections.Counter(id for ids in asked.values() for id in ids)
+    assert set(counts) == set(reports)
+    # Each is asked once a round, and nobody asks more than its part.
+    assert set(counts.values()) == {2}
+    assert max(map(len, asked.values())) <= 2 * MOST_ASKED
+    assert len(told) == 2
+    assert len({name for name, _ in told}) == 1
+    hearing = next(iter(watches.values()))
+    hearing.take_told(told[-1][1].queue_news)
+    for id, waiting in reports.items():
+        found = hearing.loads.workers[id].others(clock.now)[1]
+        assert (found > 0.0) == (waiting > 0)
+
+
+async def test_a_part_that_is_no_longer_heard_of_tells_nothing(clock):
+    reports = dict.fromkeys((f"w{number:03}" for number in range(20)), 4)
+    watches, _, told = make_fleet_of_watches(clock, 8, reports)
+    clock.now = 10.0
+    for watch in watches.values():
+        await watch.round()
+    first, second = next(iter(watches.values())).readers(len(reports))
+    await watches[first].round()
+    whole = unpack(QueueNews, told[-1][1].queue_news.packed)
+    assert (whole.asked, set(whole.waiting)) == (20, set(reports))
+    clock.now += PART_KEPT_S + 0.1
+    await watches[first].round()
+    left = unpack(QueueNews, told[-1][1].queue_news.packed)
+    assert left.asked == 10
+    assert second != first
+
+
 async def test_one_entry_asks_and_another_hears():
     async with platform_site() as site:
         await site.add_worker("engine", "engine")
