--- a/src/rattanpier/_internal/retries/second_looks.py
+++ b/src/rattanpier/_internal/retries/second_looks.py
@@ -58,8 +58,10 @@
 
     async def round(self) -> None:
         """Looks once at each worker that it is time for."""
-        now = self.clock.monotonic()
         told = self.quarantine.told_ends()
+        if not (told or self.due):
+            return
+        now = self.clock.monotonic()
         registered = {
             worker.incarnation: worker
             for worker in self.directory.workers.values()
