--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,4 +1,4 @@
-"""The page of capacity, from the users' sweeps: `python -m benchmarks.capacity`.
+"""The page of capacity, from sweeps: `python -m benchmarks.capacity --write`.
 
 A sweep plays one day at several numbers of entries and leaves an entry in the
 journal, with a table of what an entry of each takes. `--write` makes the page
