Show when workers name a limit, and when it ends

The entries' lines could not tell whether an entry had heard a worker's limit. An answer's head is decoded with it, each change is a log line. Nothing is sent otherwise than before.

Answers may overlap: what narrows counts at once, what widens only from an answer to a request that was sent after the word in force was known. A limit that can't be read counts as one request a second, a negative one as none.

--- a/src/rattanpier/_internal/models/sending.py
+++ b/src/rattanpier/_internal/models/sending.py
@@ -58,6 +58,8 @@
       confidence: The model's opinion of its answer, 0 to 100, or None.
       retry_after_s: When to come back, or None.
       keep_alive_s: How long it keeps an idle connection, or None.
+      rate_per_s: Requests a second that it takes from all entries together;
+        None: it names no limit.
     """
 
     status: int
@@ -71,3 +73,4 @@
     confidence: float | None = None
     retry_after_s: float | None = None
     keep_alive_s: float | None = None
+    rate_per_s: float | None = None
--- a/src/rattanpier/_internal/platform/upstream.py
+++ b/src/rattanpier/_internal/platform/upstream.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import functools
 import math
+from collections.abc import Sequence
 
 import attrs
 import structlog
@@ -25,12 +27,16 @@
 NOT_RUN = "x-not-executed"
 LOAD = "x-instance-load"
 CONFIDENCE = "x-confidence"
+RATE_LIMIT = "server-limit"
 MODEL = "x-model"
 LAST_EVENT_ID = "last-event-id"
 # Workers may tell more than an entry needs.
 converter = exact_converter(forbid_extra_keys=False)
 HIGHEST_PRIORITY_VALUE = 9
 MISDIRECTED = 421  # It promises as well that nothing was run.
+# A worker that names a limit is in need, also where it can't be read.
+UNREADABLE_RATE_PER_S = 1.0
+TEXTS_KEPT = 256  # Texts of headers that are logged once.
 
 
 def encode_request(request: RelayRequest, sending: Sending) -> WireRequest:
@@ -76,6 +82,7 @@
         confidence=decode_number(head.get(CONFIDENCE)),
         retry_after_s=decode_number(head.get("retry-after")),
         keep_alive_s=decode_keep_alive(head.get("keep-alive")),
+        rate_per_s=decode_rate_limit(head.get_all(RATE_LIMIT)),
     )
 
 
@@ -131,6 +138,33 @@
     return value if math.isfinite(value) else None
 
 
+def decode_rate_limit(texts: Sequence[str]) -> float | None:
+    """Returns the requests a second that a worker takes from all entries.
+
+    Args:
+      texts: Values of the header; of several the least counts.
+
+    Returns:
+      None where it names no limit.
+
+    >>> decode_rate_limit(["2.5"]), decode_rate_limit([])
+    (2.5, None)
+    >>> decode_rate_limit(["2", "1.5"]), decode_rate_limit(["-3"])
+    (1.5, 0.0)
+    """
+    return min(map(read_rate, texts), default=None)
+
+
+@functools.lru_cache(TEXTS_KEPT)
+def read_rate(text: str) -> float:
+    """Returns the rate that a text names."""
+    rate = decode_number(text)
+    if rate is None:
+        log.warning("Rate limit can't be read.", text=text)
+        return UNREADABLE_RATE_PER_S
+    return max(0.0, rate)
+
+
 def decode_keep_alive(text: str | None) -> float | None:
     """Returns the seconds that a worker keeps an idle connection.
 
--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -7,8 +7,11 @@
 
 from rattanpier._internal.models.relay_settings import RelaySettings
 from rattanpier._internal.models.route_table import RouteTable
+from rattanpier._internal.models.sending import AnswerHead
+from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.placement import eligibility
 from rattanpier._internal.placement.eligibility import Condition
+from rattanpier._internal.placement.rate_limits import RateLimits
 from rattanpier._internal.placement.warm_up import WarmUps
 from rattanpier._internal.platform import upstream
 from rattanpier._internal.relay.budgets import Budgets
@@ -48,11 +51,18 @@
     ends = WorkerEnds(clock, HEARTBEATS_TO_EXPIRY * settings.heartbeat_s)
     quarantine = Quarantine(clock)
     warm_ups = make_warm_ups(settings, state, fleet, clock)
+    limits = RateLimits(clock)
 
     def forget(worker: str) -> None:
         loads.forget(worker)
         pool.forget(worker)
         health.forget(worker)
+        limits.forget(worker)
+
+    def hear(
+        worker: RegisteredWorker, head: AnswerHead, asked_at: float
+    ) -> None:
+        limits.hear(worker, head.rate_per_s, asked_at)
 
     state.gone.subscribe(forget)
     # What must hold goes before what is preferred: avoidance leaves half of the
@@ -91,7 +101,7 @@
             ModelGroups(clock),
             settings.policy,
         ),
-        sender=Sender(pool, dialect, loads),
+        sender=Sender(pool, dialect, loads, hear),
         ends=ends,
         conditions=conditions,
         warm_ups=warm_ups,
--- a/src/rattanpier/_internal/relay/connection.py
+++ b/src/rattanpier/_internal/relay/connection.py
@@ -66,6 +66,10 @@
         """Returns the first value of a header, by its lower-case name."""
         return next((value for key, value in self.headers if key == name), None)
 
+    def get_all(self, name: str) -> list[str]:
+        """Returns all values of a header, by its lower-case name."""
+        return [value for key, value in self.headers if key == name]
+
 
 class WorkerConnection(asyncio.Protocol):
     """Sends one request after another and reads their answers.
--- a/src/rattanpier/_internal/relay/exchange.py
+++ b/src/rattanpier/_internal/relay/exchange.py
@@ -14,6 +14,7 @@
 
 from rattanpier._internal.models.relay_request import Header, RelayRequest
 from rattanpier._internal.models.sending import AnswerHead, Sending
+from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.relay.connection import (
     ConnectionBrokenError,
     WireHead,
@@ -125,12 +126,17 @@
     Attributes:
       pool: For the connections.
       dialect: Of the workers.
-      loads: Is told what the answers say.
+      loads: Is told what the answers say of load.
+      hear: Told what a worker's answer says, and when its request was sent, in
+        monotonic seconds.
     """
 
     pool: ConnectionPool
     dialect: WorkerDialect
     loads: Loads
+    hear: Callable[[RegisteredWorker, AnswerHead, float], None] = attrs.field(
+        default=lambda _worker, _head, _asked_at: None
+    )
 
     @asynccontextmanager
     async def send(
@@ -188,6 +194,7 @@
                 return decoded.not_run
             return decoded.request_id == request.id
 
+        asked_at = self.loads.clock.monotonic()
         try:
             connection.send(self.dialect.encode(request, sending))
             async with asyncio.timeout_at(deadline):
@@ -197,6 +204,8 @@
         heard()
         head = self.dialect.decode(wire)
         self.loads.note_report(worker, head.load)
+        if not head.misdirected:
+            self.hear(sending.worker, head, asked_at)
         if head.not_run:
             raise SendError(
                 f"worker refused with {head.status}",
--- a/src/rattanpier/_internal/standin/platform_worker.py
+++ b/src/rattanpier/_internal/standin/platform_worker.py
@@ -73,6 +73,7 @@
       crash_s: From such a run's start to that end.
       ended: Called at such an end.
       born: When it says that it started, in Unix ms; None: it does not tell.
+      limit: What it names as its limit in answers; none if empty.
       address: IP number and port, once started.
     """
 
@@ -90,6 +91,7 @@
     crash_s: float = CRASH_S
     ended: Callable[[], None] = lambda: None
     born: int | None = None
+    limit: str = ""
     address: str = ""
     server: asyncio.Server | None = None
     connections: dict[asyncio.StreamWriter, asyncio.StreamReader] = (
@@ -154,7 +156,8 @@
             return True
         fault = self.take_fault()
         if fault is WorkerFault.SHED:
-            writer.write(head(503, [("X-Not-Executed", "1")], 0))
+            shed = [("X-Not-Executed", "1"), *self.words()]
+            writer.write(head(503, shed, 0))
             return True
         self.runs.append(run)
         if self.deadly and run.body == self.deadly:
@@ -279,7 +282,11 @@
             headers.append(("X-Response-Signature", f"{self.id}.{run.id}"))
         if fault is WorkerFault.ENCODED:
             headers.append(("Content-Encoding", "gzip"))
-        return headers
+        return headers + self.words()
+
+    def words(self) -> list[tuple[str, str]]:
+        """Returns the headers in which it tells how it is."""
+        return [("Server-Limit", self.limit)] if self.limit else []
 
 
 async def read_request(reader: asyncio.StreamReader) -> WorkerRun | None:
