Move the division of a worker's bound out of its warm-up

No behaviour changes. What all entries may send to one worker is bounded for other reasons than a warm-up too; who sends, and with which pause, stands in placement/shared_rates.py. Tests follow the names.

--- a/benchmarks/warm_up.py
+++ b/benchmarks/warm_up.py
@@ -43,7 +43,7 @@
         now = self.warm_ups.clock.now
         # Entries begin anywhere, so that they do not all send at once.
         part, since = self.saved.get(worker, (self.rng.random(), now))
-        rate = WARM_UP.rate_per_s / self.warm_ups.fleet.size()
+        rate = WARM_UP.rate_per_s / self.warm_ups.shares.fleet.size()
         return min(1.0, part + rate * (now - since))
 
     def open(self, workers: list) -> list:
@@ -75,7 +75,7 @@
 
     def open(self, workers: list) -> list:
         """Returns the workers that this entry considers."""
-        demand = REQUESTS_PER_S * self.warm_ups.fleet.size()
+        demand = REQUESTS_PER_S * self.warm_ups.shares.fleet.size()
         allowed = WARM_UP.rate_per_s * len(workers)
         if self.rng.random() >= min(1.0, allowed / demand):
             return []
--- /dev/null
+++ b/src/rattanpier/_internal/placement/shared_rates.py
@@ -0,0 +1,156 @@
+"""How a bound on what all entries send to one worker is divided among them.
+
+Entries that each hold their own late view cannot count together what they send.
+So a few entries, found by a hash of the worker, may send to it, each with a
+pause between two sends; the others go elsewhere. The bound holds without talk,
+also while entries differ in whom they take to live.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+
+import attrs
+
+from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.relay.fleet import Fleet
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.hashing import weight_for
+
+# Entries that may ever send to a worker, whoever lives; half of them do, so
+# that one may be down. With more each has a longer pause, and a part that it
+# has no request for is lost.
+MOST_SENDERS = 4
+LIVE_SHARE = 0.5
+# A pause is so much longer than a whole part of a window: sends from one entry
+# arrive at intervals that differ by some ms.
+PAUSE_SLACK = 1.05
+# An entry that has just started may not know of the others yet, and would take
+# itself for the only one.
+SETTLED_S = 3.0
+MOST_DRAWN = 1024  # Workers whose senders are remembered; 0.5 KB each.
+
+
+@attrs.frozen
+class RateBound:
+    """What all entries together may send to a worker.
+
+    Attributes:
+      rate_per_s: Requests, in the long run.
+      most: Requests within any window.
+      window_s: Its length.
+    """
+
+    rate_per_s: float
+    most: int
+    window_s: float
+
+
+@attrs.frozen
+class RateParts:
+    """How a bound is divided.
+
+    Attributes:
+      senders: Entries that may ever send, whoever lives.
+      live_senders: Of these, how many that live do.
+      pause_s: Seconds between two sends of one entry.
+    """
+
+    senders: int
+    live_senders: int
+    pause_s: float
+
+
+def divide(bound: RateBound, entries: int) -> RateParts | None:
+    """Returns how a worker's bound is divided; None: it may get nothing.
+
+    Args:
+      bound: What all entries together may send.
+      entries: Those that are known.
+
+    >>> divide(RateBound(9.0, 18, 1.0), entries=77)
+    RateParts(senders=4, live_senders=2, pause_s=0.2625)
+    """
+    if bound.most < 1:
+        return None
+    senders = min(MOST_SENDERS, entries, bound.most)
+    live = max(1, math.floor(LIVE_SHARE * senders))
+    pause_s = PAUSE_SLACK * bound.window_s / (bound.most // senders)
+    if bound.rate_per_s > 0.0:
+        pause_s = max(pause_s, live / bound.rate_per_s)
+    return RateParts(senders, live, pause_s)
+
+
+@attrs.define(eq=False, repr=False)
+class SharedRates:
+    """This entry's part of the bounds of workers.
+
+    Workers are known here by their incarnations.
+
+    Attributes:
+      fleet: The entries that share a bound.
+      sent_at: When this entry sent to a bound worker last, in monotonic
+        seconds.
+      drawn: The entries that may ever send to each, and the roster that they
+        were drawn from.
+      started_at: When this entry started.
+    """
+
+    fleet: Fleet
+    clock: Clock
+    sent_at: dict[str, float] = attrs.Factory(dict)
+    drawn: dict[str, tuple[int, list[str]]] = attrs.Factory(dict)
+    started_at: float = attrs.field(
+        default=attrs.Factory(
+            lambda self: self.clock.monotonic(), takes_self=True
+        )
+    )
+
+    def opens_in_s(self, worker: RegisteredWorker, bound: RateBound) -> float:
+        """Returns the seconds until this entry may send to a worker.
+
+        Infinite for an entry that may not at all.
+        """
+        parts = divide(bound, self.fleet.size())
+        if parts is None or not self.is_sender(worker, parts):
+            return math.inf
+        sent_at = self.sent_at.get(worker.incarnation, -math.inf)
+        return max(0.0, sent_at + parts.pause_s - self.clock.monotonic())
+
+    def is_sender(self, worker: RegisteredWorker, parts: RateParts) -> bool:
+        """Says whether this entry is one that may send to a worker."""
+        now = self.clock.monotonic()
+        if self.fleet.size() == 1 and now - self.started_at < SETTLED_S:
+            return False
+        me = self.fleet.me.member.name
+        few = self.draw(worker.id)[: parts.senders]
+        if me not in few:
+            return False
+        live = [name for name in few if name == me or self.fleet.lives(name)]
+        return me in live[: parts.live_senders]
+
+    def draw(self, worker: str) -> list[str]:
+        """Returns the entries that may ever send to a worker.
+
+        They are drawn from all that are known, down or not, so that entries
+        that differ in whom they take to live find the same few.
+        """
+        roster, few = self.drawn.get(worker, (-1, []))
+        if roster != self.fleet.roster:
+            known = [news.member.name for news in self.fleet.all_news()]
+            few = heapq.nlargest(MOST_SENDERS, known, key=weight_for(worker))
+            self.drawn[worker] = self.fleet.roster, few
+        return few
+
+    def note_send(self, worker: RegisteredWorker) -> None:
+        """Takes in that this entry sends a request to a bound worker."""
+        self.sent_at[worker.incarnation] = self.clock.monotonic()
+
+    def forget_before(self, oldest: float) -> None:
+        """Drops sends from before a monotonic time, and surplus draws."""
+        for incarnation, at in list(self.sent_at.items()):
+            if at < oldest:
+                del self.sent_at[incarnation]
+        if len(self.drawn) > MOST_DRAWN:
+            self.drawn.clear()
--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -12,6 +12,7 @@
 from rattanpier._internal.placement import eligibility
 from rattanpier._internal.placement.eligibility import Condition
 from rattanpier._internal.placement.rate_limits import RateLimits
+from rattanpier._internal.placement.shared_rates import SharedRates
 from rattanpier._internal.placement.warm_up import WarmUps
 from rattanpier._internal.platform import upstream
 from rattanpier._internal.relay.budgets import Budgets
@@ -50,7 +51,8 @@
     dialect = WorkerDialect(upstream.encode_request, upstream.decode_answer)
     ends = WorkerEnds(clock, HEARTBEATS_TO_EXPIRY * settings.heartbeat_s)
     quarantine = Quarantine(clock)
-    warm_ups = make_warm_ups(settings, state, fleet, clock)
+    shares = SharedRates(fleet, clock)
+    warm_ups = make_warm_ups(settings, state, shares)
     limits = RateLimits(clock)
 
     def forget(worker: str) -> None:
@@ -113,13 +115,13 @@
 
 
 def make_warm_ups(
-    settings: RelaySettings, state: RelayState, fleet: Fleet, clock: SystemClock
+    settings: RelaySettings, state: RelayState, shares: SharedRates
 ) -> WarmUps:
     """Returns what bounds the sends to workers that warm up."""
     bounds = settings.bounds
     warm_ups = WarmUps(
-        fleet,
-        clock,
+        shares,
+        shares.clock,
         state.warm_up_of,
         overshoot=bounds.warm_up_ratio,
         slack=bounds.warm_up_slack,
--- a/tests/lib/warm_fleet.py
+++ b/tests/lib/warm_fleet.py
@@ -7,6 +7,7 @@
 
 from rattanpier._internal.models.member import Member, Role
 from rattanpier._internal.models.route_table import WarmUp
+from rattanpier._internal.placement.shared_rates import SharedRates
 from rattanpier._internal.placement.warm_up import WarmUps
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from tests.lib.clock import ManualClock
@@ -40,13 +41,12 @@
 def make_warm_ups(fleet, clock, warm_up=WARM_UP):
     """What bounds the sends of one entry, which started long ago."""
     return WarmUps(
-        fleet,
+        SharedRates(fleet, clock, started_at=-100.0),
         clock,
         lambda service: warm_up if service == SERVICE else None,
         overshoot=OVERSHOOT,
         slack=SLACK,
         heartbeat_s=HEARTBEAT_S,
-        started_at=-100.0,
     )
 
 
--- a/tests/placement/test_warm_up.py
+++ b/tests/placement/test_warm_up.py
@@ -11,11 +11,8 @@
 import pytest
 
 from rattanpier._internal.models.route_table import WarmUp
-from rattanpier._internal.placement.warm_up import (
-    NEWS_S,
-    SETTLED_S,
-    limit_for,
-)
+from rattanpier._internal.placement.shared_rates import SETTLED_S, divide
+from rattanpier._internal.placement.warm_up import NEWS_S, bound_of
 from tests.lib.clock import ManualClock
 from tests.lib.relay_parts import make_worker, make_workers
 from tests.lib.warm_fleet import (
@@ -102,7 +99,7 @@
     worker = cold()
     fleet = make_fleet(0, [], clock)
     entry = make_warm_ups(fleet, clock)
-    entry.started_at = 0.0
+    entry.shares.started_at = 0.0
     entry.note_registered(worker, appeared=True)
     assert entry.open([worker]) == []
     clock.now = SETTLED_S
@@ -122,7 +119,7 @@
 
 
 def test_a_worker_that_bears_nothing_gets_nothing(clock):
-    assert limit_for(WarmUp(3.0, 0.2), 1.5, 0.0, entries=8) is None
+    assert divide(bound_of(WarmUp(3.0, 0.2), 1.5, 0.0), entries=8) is None
     entry = make_warm_ups(
         make_fleet(0, [], clock), clock, warm_up=WarmUp(3.0, 0.01)
     )
@@ -135,10 +132,10 @@
 @pytest.mark.parametrize("entries", [1, 2, 3, 8, 420])
 def test_the_parts_of_all_senders_are_within_the_bound(rate_per_s, entries):
     most = rate_per_s * OVERSHOOT + SLACK
-    limit = limit_for(WarmUp(3.0, rate_per_s), OVERSHOOT, SLACK, entries)
-    each = math.floor(1.0 / limit.pause_s) + 1
-    assert limit.senders * each <= most
-    assert limit.live_senders / limit.pause_s <= rate_per_s
+    parts = divide(bound_of(WarmUp(3.0, rate_per_s), OVERSHOOT, SLACK), entries)
+    each = math.floor(1.0 / parts.pause_s) + 1
+    assert parts.senders * each <= most
+    assert parts.live_senders / parts.pause_s <= rate_per_s
 
 
 # Who warms up.
@@ -199,4 +196,4 @@
         entry.note_send(cold(number))
         clock.now += 10.0
     assert len(entry.presumed_at) < 10
-    assert len(entry.sent_at) < 10
+    assert len(entry.shares.sent_at) < 10
