Keep all entries together within the limit that a worker names

The logs with the limit's line showed it known and not divided, and 65 of 67 sends to limited workers were first sends by the usual path, so that neither a wrong division nor a way round it was the cause.

Change: a condition beside the others, before an entry's own judgement. The rate is divided like that of a worker that warms up, by the same code: a few entries drawn by a hash send, with a pause; the bound needs no talk.

--- /dev/null
+++ b/benchmarks/rate_limits.py
@@ -0,0 +1,132 @@
+"""Ways to keep within a limit that workers name, over all entries.
+
+Plays entries before workers that all name the same limit. Prints, for each way
+and size, the most requests that reached one worker in a window from entries
+that it had told, the share of its limit that was used, and the share of
+requests that found no worker open.
+
+    PYTHONPATH=. python -m benchmarks.rate_limits
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+import random
+from collections.abc import Callable
+
+import attrs
+import structlog
+
+from benchmarks.warm_up import view_of_half
+from rattanpier._internal.placement.rate_limits import (
+    OVERSHOOT,
+    SLACK,
+    WINDOW_S,
+)
+from tests.lib.relay_parts import make_workers
+from tests.lib.warm_fleet import LimitedFleet
+
+SIZES = (8, 77, 200, 420)
+RATE_PER_S = 2.3
+REQUESTS_PER_S = 5.0  # At one entry.
+PLAY_S = 12.0
+
+
+@attrs.define
+class Bucket:
+    """Each entry has an even part of the limit, and saves up one request.
+
+    Attributes:
+      saved: Parts of a request by worker, and when that was, in seconds.
+    """
+
+    limits: object
+    rng: random.Random
+    saved: dict = attrs.Factory(dict)
+
+    def open(self, workers: list) -> list:
+        """Returns the workers that this entry may send to."""
+        if not self.limits.limited:
+            return workers
+        return [each for each in workers if self.touch(each) >= 1.0]
+
+    def touch(self, worker: object) -> float:
+        """Brings what is saved up for a worker up to date and returns it."""
+        now = self.limits.clock.now
+        # Entries begin anywhere, so that they do not all send at once.
+        part, since = self.saved.get(worker.id, (self.rng.random(), now))
+        rate = RATE_PER_S / self.limits.shares.fleet.size()
+        level = min(1.0, part + rate * (now - since))
+        self.saved[worker.id] = level, now
+        return level
+
+    def note_send(self, worker: object) -> None:
+        """Takes in a send."""
+        self.saved[worker.id] = 0.0, self.limits.clock.now
+
+    def hear(self, worker: object, rate: float | None, at: float) -> None:
+        """Takes in an answer."""
+        self.limits.hear(worker, rate, at)
+
+    def take(self, words: list) -> None:
+        """Takes in what another entry heard."""
+        self.limits.take(words)
+
+
+def few_senders(limits: object, _rng: random.Random) -> object:
+    """Returns the product's way: a few entries, drawn by a hash."""
+    return limits
+
+
+WAYS: dict[str, Callable] = {"few senders": few_senders, "parts": Bucket}
+
+
+def play(way: str, size: int, differ: bool, news: bool) -> LimitedFleet:
+    """Plays a fleet that nobody has told yet."""
+    fleet = LimitedFleet()
+    fleet.news = news
+    rng = random.Random(size)
+    for number in range(size):
+        down = view_of_half(number, range(size)) if differ else ()
+        fleet.add(number, range(size), down)
+        fleet.entries[number] = WAYS[way](fleet.entries[number], rng)
+    workers = make_workers(9 + size // 3)
+    fleet.play(workers, REQUESTS_PER_S, PLAY_S, RATE_PER_S)
+    return fleet
+
+
+def main() -> None:
+    """Prints the table."""
+    quiet = structlog.make_filtering_bound_logger(logging.ERROR)
+    structlog.configure(wrapper_class=quiet)
+    allowed = math.floor(OVERSHOOT * RATE_PER_S * WINDOW_S + SLACK)
+    print(f"allowed {allowed} in {WINDOW_S} s, limit {RATE_PER_S} a second")
+    print("| way | entries | views | news | told | used | refused |")
+    print("|---|---|---|---|---|---|---|")
+    for way in WAYS:
+        for size in SIZES:
+            for differ, news in ((False, True), (True, True), (False, False)):
+                fleet = play(way, size, differ, news)
+                print_row(fleet, way, size, differ, news)
+
+
+def print_row(
+    fleet: LimitedFleet, way: str, size: int, differ: bool, news: bool
+) -> None:
+    """Prints what came of one play."""
+    sent = sum(map(len, fleet.sends.values()))
+    cells = (
+        way,
+        size,
+        "differ" if differ else "alike",
+        "yes" if news else "no",
+        fleet.most_told(WINDOW_S),
+        f"{sent / PLAY_S / len(fleet.sends) / RATE_PER_S:.2f}",
+        f"{fleet.refused / (fleet.refused + sent):.2f}",
+    )
+    print("|", " | ".join(map(str, cells)), "|", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/rattanpier/_internal/models/rate_limit.py
+++ b/src/rattanpier/_internal/models/rate_limit.py
@@ -33,3 +33,13 @@
         if self.rate_per_s is None:
             return False
         return rate_per_s is None or self.rate_per_s < rate_per_s
+
+    def supersedes(self, other: RateLimit) -> bool:
+        """Says whether this word counts where both are known.
+
+        >>> RateLimit("w", "w", None, 1).supersedes(RateLimit("w", "w", 2.0))
+        True
+        """
+        if self.serial != other.serial:
+            return self.serial > other.serial
+        return self.is_narrower(other.rate_per_s)
--- a/src/rattanpier/_internal/placement/eligibility.py
+++ b/src/rattanpier/_internal/placement/eligibility.py
@@ -21,8 +21,11 @@
 OTHER_REGION = "other_region"
 TRIED = "tried"
 WARMING_UP = "warming_up"
+RATE_LIMITED = "rate_limited"
 AVOIDED = "avoided"
 KEPT_APART = "kept_apart"
+# Conditions of which it is known when a worker takes a request again.
+TIMED = frozenset({WARMING_UP, RATE_LIMITED})
 
 
 @attrs.frozen
@@ -64,6 +67,22 @@
     return Eligible(workers, left_out)
 
 
+def soonest_s(
+    opens_in_s: Callable[[RegisteredWorker], float], workers: Workers
+) -> float | None:
+    """Returns the seconds until one of some closed workers opens.
+
+    Args:
+      opens_in_s: Returns when a worker opens; 0: it is open.
+      workers: To choose from.
+
+    Returns:
+      None where all are open.
+    """
+    waits = filter(None, map(opens_in_s, workers))
+    return min(waits, default=None)
+
+
 def in_regions(
     region_of: Mapping[str, str], course: Course, workers: Workers
 ) -> Workers:
--- a/src/rattanpier/_internal/placement/shared_rates.py
+++ b/src/rattanpier/_internal/placement/shared_rates.py
@@ -29,6 +29,7 @@
 # An entry that has just started may not know of the others yet, and would take
 # itself for the only one.
 SETTLED_S = 3.0
+KEPT_S = 60.0  # Longer than any pause.
 MOST_DRAWN = 1024  # Workers whose senders are remembered; 0.5 KB each.
 
 
@@ -143,9 +144,12 @@
             self.drawn[worker] = self.fleet.roster, few
         return few
 
-    def note_send(self, worker: RegisteredWorker) -> None:
+    def note_send(self, incarnation: str) -> None:
         """Takes in that this entry sends a request to a bound worker."""
-        self.sent_at[worker.incarnation] = self.clock.monotonic()
+        now = self.clock.monotonic()
+        self.sent_at[incarnation] = now
+        if len(self.sent_at) > MOST_DRAWN:
+            self.forget_before(now - KEPT_S)
 
     def forget_before(self, oldest: float) -> None:
         """Drops sends from before a monotonic time, and surplus draws."""
--- a/src/rattanpier/_internal/placement/warm_up.py
+++ b/src/rattanpier/_internal/placement/warm_up.py
@@ -148,18 +148,10 @@
         bound = bound_of(warm_up, self.overshoot, self.slack)
         return min(warm_in_s, self.shares.opens_in_s(worker, bound))
 
-    def soonest_s(self, workers: Iterable[RegisteredWorker]) -> float | None:
-        """Returns when this entry may send to one of some that warm up.
-
-        None if there is none that it may not send to now.
-        """
-        waits = (self.opens_in_s(worker) for worker in workers)
-        return min((wait_s for wait_s in waits if wait_s > 0.0), default=None)
-
     def note_send(self, worker: RegisteredWorker) -> None:
         """Takes in that this entry sends a request to a worker."""
         if self.warms_up(worker):
-            self.shares.note_send(worker)
+            self.shares.note_send(worker.incarnation)
             log.info(
                 "Sent to a worker that warms up.",
                 worker=worker.id,
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -65,8 +65,12 @@
         metrics,
     )
     quarantine = dispatcher.quarantine
-    gossip = await add_peers(kernel, settings, fleet, state, quarantine, clock)
+    limits = dispatcher.limits
+    gossip = await add_peers(
+        kernel, settings, fleet, state, quarantine, limits, clock
+    )
     quarantine.tell = gossip.tell_quarantine
+    limits.tell = gossip.tell_limit
     entry = RelayEntry(
         kernel, settings, state, fleet, drain, metrics, edge, gossip
     )
--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -53,7 +53,7 @@
     quarantine = Quarantine(clock)
     shares = SharedRates(fleet, clock)
     warm_ups = make_warm_ups(settings, state, shares)
-    limits = RateLimits(clock)
+    limits = make_rate_limits(state, shares)
 
     def forget(worker: str) -> None:
         loads.forget(worker)
@@ -66,6 +66,13 @@
     ) -> None:
         limits.hear(worker, head.rate_per_s, asked_at)
 
+    def opens_in_s(worker: RegisteredWorker) -> float:
+        return max(warm_ups.opens_in_s(worker), limits.opens_in_s(worker))
+
+    def note_begun(worker: RegisteredWorker) -> None:
+        warm_ups.note_send(worker)
+        limits.note_send(worker)
+
     state.gone.subscribe(forget)
     # What must hold goes before what is preferred: avoidance leaves half of the
     # workers that come to it, and would else make up for those left out.
@@ -81,6 +88,7 @@
         ),
         Condition(eligibility.TRIED, eligibility.untried),
         Condition(eligibility.WARMING_UP, lambda _, some: warm_ups.open(some)),
+        Condition(eligibility.RATE_LIMITED, lambda _, some: limits.open(some)),
         Condition(eligibility.AVOIDED, lambda _, some: health.usable(some)),
         Condition(
             eligibility.KEPT_APART,
@@ -106,7 +114,9 @@
         sender=Sender(pool, dialect, loads, hear),
         ends=ends,
         conditions=conditions,
-        warm_ups=warm_ups,
+        opens_in_s=opens_in_s,
+        note_begun=note_begun,
+        limits=limits,
         quarantine=quarantine,
         rollouts=state.rollouts,
         budgets=Budgets(settings.bounds, fleet.size, clock),
@@ -114,6 +124,16 @@
     )
 
 
+def make_rate_limits(state: RelayState, shares: SharedRates) -> RateLimits:
+    """Returns what bounds the sends to workers that name a limit."""
+
+    def registered(worker: str, incarnation: str) -> bool:
+        found = state.directory.workers.get(worker)
+        return found is not None and found.incarnation == incarnation
+
+    return RateLimits(shares, shares.clock, registered)
+
+
 def make_warm_ups(
     settings: RelaySettings, state: RelayState, shares: SharedRates
 ) -> WarmUps:
--- a/src/rattanpier/_internal/programs/relay_peers.py
+++ b/src/rattanpier/_internal/programs/relay_peers.py
@@ -11,6 +11,7 @@
 from rattanpier._internal.peers.hints import Hints
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.server import PeerServer
+from rattanpier._internal.placement.rate_limits import RateLimits
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.gossip import Gossip
 from rattanpier._internal.relay.snapshots import Snapshots
@@ -42,6 +43,7 @@
     fleet: Fleet,
     state: RelayState,
     quarantine: Quarantine,
+    limits: RateLimits,
     clock: SystemClock,
 ) -> Gossip:
     """Listens for peers and returns what talks to them."""
@@ -63,6 +65,7 @@
         rollouts=state.rollouts,
         quarantine=quarantine,
         domains=state.domains,
+        limits=limits,
         links=links,
         spread=spread,
         clock=clock,
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -18,12 +18,13 @@
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.placement.eligibility import (
     DRAINED_DOMAIN,
-    WARMING_UP,
+    TIMED,
     Condition,
     Eligible,
     eligible,
+    soonest_s,
 )
-from rattanpier._internal.placement.warm_up import WarmUps
+from rattanpier._internal.placement.rate_limits import RateLimits
 from rattanpier._internal.relay.budgets import SendBudget
 from rattanpier._internal.relay.course import (
     LEAST_LEFT_S,
@@ -62,7 +63,9 @@
 
     Attributes:
       conditions: What keeps requests from workers, one after the other.
-      warm_ups: What workers get while they warm up.
+      opens_in_s: Returns the seconds until a worker takes a request; 0: now.
+      note_begun: Told of each worker that a send is begun to.
+      limits: What workers say that they take.
       budgets: Sends beyond the first of each request, by service.
       policy: Mechanisms that are on.
       tell_prompt: Told of each prompt that is sent: the worker's id, the
@@ -78,7 +81,9 @@
     sender: Sender
     ends: WorkerEnds
     conditions: Sequence[Condition]
-    warm_ups: WarmUps
+    opens_in_s: Callable[[RegisteredWorker], float]
+    note_begun: Callable[[RegisteredWorker], None]
+    limits: RateLimits
     quarantine: Quarantine
     rollouts: Rollouts
     budgets: Mapping[str, SendBudget]
@@ -102,7 +107,7 @@
         """Returns the worker for the next send, which begins now, or None."""
         choice = self.expect(course, course.model)
         if choice is not None:
-            self.warm_ups.note_send(choice.worker)
+            self.note_begun(choice.worker)
         return choice
 
     def expect(self, course: Course, model: str) -> Choice | None:
@@ -130,11 +135,22 @@
         for name, count in found.left_out.items():
             self.metrics.count(f"relay.left_out.{name}")
             course.left_out[name] = course.left_out.get(name, 0) + count
-        if WARMING_UP in found.left_out:
-            course.opens_in_s = self.warm_ups.soonest_s(group)
+        if not TIMED.isdisjoint(found.left_out):
+            course.opens_in_s = self.retry_in_s(group)
         elif DRAINED_DOMAIN in found.left_out:
             course.opens_in_s = DRAINED_RETRY_S
 
+    def retry_in_s(self, workers: Sequence[RegisteredWorker]) -> float | None:
+        """Returns when to come back for one of some closed workers.
+
+        Callers that are refused at the same moment are spread over as long
+        again as the soonest of them has to wait.
+        """
+        wait_s = soonest_s(self.opens_in_s, workers)
+        if wait_s is None:
+            return None
+        return wait_s * (1.0 + self.chooser.rng.random())
+
     def begin_flight(
         self, course: Course, worker: RegisteredWorker, read_s: float
     ) -> InFlight:
--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -23,10 +23,12 @@
     UnreadableError,
 )
 from rattanpier._internal.models.member import Member, Role
+from rattanpier._internal.models.rate_limit import RateLimit
 from rattanpier._internal.models.relay_settings import Address
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.proto import peer_pb2
 from rattanpier._internal.placement.drained_domains import DrainedDomains
+from rattanpier._internal.placement.rate_limits import RateLimits
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.news import Compared, Knowledge, News
 from rattanpier._internal.relay.rollouts import Evidence, Rollouts
@@ -71,6 +73,7 @@
       rollouts: What is known of roll-outs.
       quarantine: What is known of requests under which workers ended.
       domains: Failure domains that get nothing new.
+      limits: How much workers say that they take.
       links: Connections to the others.
       spread: Tells all of them.
       seeds: Addresses to ask while nobody is known.
@@ -90,6 +93,7 @@
     rollouts: Rollouts
     quarantine: Quarantine
     domains: DrainedDomains
+    limits: RateLimits
     links: Links
     spread: Spread
     clock: Clock
@@ -191,7 +195,7 @@
     def digest(self) -> int:
         """Returns what two entries that know the same have in common."""
         known = self.fleet.digest() ^ self.quarantine.digest()
-        return known ^ self.domains.digest()
+        return known ^ self.domains.digest() ^ self.limits.digest()
 
     async def serve_beat(self, call: peer_pb2.Call) -> peer_pb2.Reply:
         """Answers an entry that asks."""
@@ -245,6 +249,10 @@
         self.telling = None
         self.tell_all(News(quarantine=self.quarantine.take_untold()))
 
+    def tell_limit(self, word: RateLimit) -> None:
+        """Begins to tell everybody how much a worker takes."""
+        self.tell_all(News(limits=[word]))
+
     def take_rumors(self, rumors: peer_pb2.Rumors) -> None:
         """Takes in what another entry tells all."""
         self.take(decode(News, rumors.text))
@@ -259,6 +267,7 @@
         self.rollouts.sessions.take(news.held)
         self.quarantine.take(news.quarantine)
         self.domains.take_standing(news.drained)
+        self.limits.take(news.limits)
 
     def news_of(self, members: list[MemberNews]) -> News:
         """Returns the states of some entries, and all that is told besides."""
@@ -269,6 +278,7 @@
             held=self.rollouts.sessions.all_news(),
             quarantine=self.quarantine.all_news(),
             drained=self.domains.standing(),
+            limits=self.limits.standing(),
         )
 
     # What was missed.
@@ -318,7 +328,7 @@
     def has_more_to_tell(self) -> bool:
         """Says whether a peer may lack something that summaries don't name."""
         held = self.quarantine.ends or self.quarantine.cleared
-        return bool(held or self.domains.drained)
+        return bool(held or self.domains.drained or self.limits.words)
 
     async def serve_summary(self, call: peer_pb2.Call) -> peer_pb2.Reply:
         """Answers with what the asker lacks, and names what it knows better."""
--- a/src/rattanpier/_internal/relay/news.py
+++ b/src/rattanpier/_internal/relay/news.py
@@ -5,6 +5,7 @@
 import attrs
 
 from rattanpier._internal.models.domain_order import DomainOrder
+from rattanpier._internal.models.rate_limit import RateLimit
 from rattanpier._internal.models.rollout_order import RolloutRecord
 from rattanpier._internal.models.worker_end import QuarantineNews
 from rattanpier._internal.relay.fleet import MemberNews
@@ -22,6 +23,7 @@
       held: Sessions that stay with the old version.
       quarantine: Requests under which workers ended.
       drained: Orders that keep failure domains empty.
+      limits: How much workers say that they take.
     """
 
     members: list[MemberNews] = attrs.Factory(list)
@@ -30,6 +32,7 @@
     held: list[HeldSession] = attrs.Factory(list)
     quarantine: QuarantineNews = attrs.Factory(QuarantineNews)
     drained: list[DomainOrder] = attrs.Factory(list)
+    limits: list[RateLimit] = attrs.Factory(list)
 
 
 @attrs.frozen
--- a/src/rattanpier/_internal/standin/platform_worker.py
+++ b/src/rattanpier/_internal/standin/platform_worker.py
@@ -145,7 +145,8 @@
         """Answers one request; says whether the connection is kept."""
         expected = run.headers.get("x-expected-instance", self.id)
         if expected != self.id:
-            writer.write(head(421, [("X-Served-By", self.id)], 0))
+            other = [("X-Served-By", self.id), *self.words()]
+            writer.write(head(421, other, 0))
             return True
         if run.target == HEALTH:
             writer.write(head(200, [("X-Served-By", self.id)], 0))
--- a/tests/lib/ring.py
+++ b/tests/lib/ring.py
@@ -17,6 +17,8 @@
 from rattanpier._internal.models.rollout_order import RolloutOrder
 from rattanpier._internal.peers.proto import peer_pb2
 from rattanpier._internal.placement.drained_domains import DrainedDomains
+from rattanpier._internal.placement.rate_limits import RateLimits
+from rattanpier._internal.placement.shared_rates import SharedRates
 from rattanpier._internal.relay.exposure import ExposureBound
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.gossip import BEAT_EVERY_S, Gossip
@@ -129,6 +131,7 @@
             rollouts=Rollouts(ExposureBound(0.1, 30.0), 5.0, self.clock),
             quarantine=Quarantine(self.clock),
             domains=DrainedDomains(),
+            limits=RateLimits(SharedRates(fleet, self.clock), self.clock),
             links=links,
             spread=spread,
             clock=self.clock,
@@ -144,6 +147,7 @@
             renew=lambda: False,
         )
         gossip.quarantine.tell = gossip.tell_quarantine
+        gossip.limits.tell = gossip.tell_limit
         entry = Entry(fleet, spread, gossip)
         spread.takers["rumors"] = gossip.take_rumors
         spread.takers["queue_news"] = entry.note_hint
--- a/tests/lib/warm_fleet.py
+++ b/tests/lib/warm_fleet.py
@@ -1,12 +1,14 @@
-"""Entries that share the bound of workers that warm up, in virtual time."""
+"""Entries that share the bounds of workers, in virtual time."""
 
 import collections
+import math
 import random
 
 import attrs
 
 from rattanpier._internal.models.member import Member, Role
 from rattanpier._internal.models.route_table import WarmUp
+from rattanpier._internal.placement.rate_limits import RateLimits
 from rattanpier._internal.placement.shared_rates import SharedRates
 from rattanpier._internal.placement.warm_up import WarmUps
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
@@ -18,6 +20,7 @@
 STEP_S = 0.01
 WINDOW_S = 1.0
 SERVICE = "s"
+TOLD_S = 0.5  # An answer that was passed on counts from then on.
 
 
 def make_news(number, **more):
@@ -111,3 +114,86 @@
             recent.popleft()
         most = max(most, len(recent))
     return most
+
+
+def make_limits(fleet, clock):
+    """What keeps one entry within the limits that workers name."""
+    shares = SharedRates(fleet, clock, started_at=-100.0)
+    return RateLimits(shares, clock)
+
+
+@attrs.define
+class LimitedFleet(WarmFleet):
+    """Entries before workers that name a limit.
+
+    Attributes:
+      told_at: When each entry was told by a worker's answer, by both.
+      told_sends: When each worker was sent a request by an entry that it had
+        told some time before, by its id.
+      news: Entries tell each other.
+    """
+
+    told_at: dict = attrs.Factory(dict)
+    told_sends: dict = attrs.Factory(lambda: collections.defaultdict(list))
+    news: bool = True
+
+    def add(self, number, known, down=()):
+        entry = make_limits(
+            make_fleet(number, known, self.clock, down), self.clock
+        )
+        entry.tell = lambda word: self.spread(entry, word)
+        self.entries[number] = entry
+
+    def spread(self, sender, word):
+        if self.news:
+            for entry in self.entries.values():
+                if entry is not sender:
+                    entry.take([word])
+
+    def tell_all(self, workers, rate_per_s):
+        """Each entry gets an answer of each worker at the same moment."""
+        news, self.news = self.news, False
+        for entry in self.entries.values():
+            for worker in workers:
+                entry.hear(worker, rate_per_s, self.clock.now)
+        self.news = news
+
+    def play(self, workers, requests_per_s, seconds, rate_per_s=None):
+        """Each entry gets requests at random and would use any worker.
+
+        Args:
+          rate_per_s: What workers name in their answers from now on.
+        """
+        chance = requests_per_s * STEP_S
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.now += STEP_S
+            for entry in self.entries.values():
+                if self.rng.random() < chance:
+                    worker = self.ask(entry, workers)
+                    if worker is not None:
+                        self.answer(entry, worker, rate_per_s)
+
+    def ask(self, entry, workers):
+        open_ones = entry.open(workers)
+        if not open_ones:
+            self.refused += 1
+            return None
+        worker = self.rng.choice(open_ones)
+        entry.note_send(worker)
+        self.sends[worker.id].append(self.clock.now)
+        return worker
+
+    def answer(self, entry, worker, rate_per_s):
+        """An entry gets the answer to what it has just sent."""
+        key = id(entry), worker.id
+        told_at = self.told_at.get(key, math.inf)
+        if self.clock.now - told_at >= TOLD_S:
+            self.told_sends[worker.id].append(self.clock.now)
+        if rate_per_s is not None:
+            self.told_at.setdefault(key, self.clock.now)
+        entry.hear(worker, rate_per_s, self.clock.now)
+
+    def most_told(self, window_s):
+        """The most that a worker got in a window from those that it told."""
+        counts = (most_within(at, window_s) for at in self.told_sends.values())
+        return max(counts, default=0)
--- a/tests/placement/test_rate_limits.py
+++ b/tests/placement/test_rate_limits.py
@@ -1,15 +1,24 @@
 """What workers in need say that they take."""
 
+import math
+
 import attrs
 import pytest
 
-from rattanpier._internal.placement.rate_limits import RateLimits
+from rattanpier._internal.placement.rate_limits import (
+    OVERSHOOT,
+    SLACK,
+    WINDOW_S,
+    bound_of,
+)
+from rattanpier._internal.placement.shared_rates import divide
 from rattanpier._internal.platform.upstream import (
     UNREADABLE_RATE_PER_S,
     decode_rate_limit,
 )
 from tests.lib.clock import ManualClock
-from tests.lib.relay_parts import make_worker
+from tests.lib.relay_parts import make_worker, make_workers
+from tests.lib.warm_fleet import LimitedFleet, make_fleet, make_limits
 
 
 @pytest.fixture
@@ -19,7 +28,7 @@
 
 @pytest.fixture
 def limits(clock):
-    return RateLimits(clock)
+    return make_limits(make_fleet(0, range(8), clock), clock)
 
 
 WORKER = make_worker("w0")
@@ -101,3 +110,116 @@
 )
 def test_odd_limits_have_a_safe_meaning(texts, found):
     assert decode_rate_limit(texts) == found
+
+
+# What all entries together send.
+
+SIZES = [8, 77, 200, 420]
+RATES_PER_S = [0.3, 9.0]
+REQUESTS_PER_S = 5.0  # At one entry.
+PLAY_S = 8.0
+
+
+def allowed(rate_per_s):
+    """What a worker may get within a window from entries that it told."""
+    return OVERSHOOT * rate_per_s * WINDOW_S + SLACK
+
+
+def make_limited(size, down_at=lambda _number: ()):
+    """A fleet, and as many workers as there are for it to choose from."""
+    fleet = LimitedFleet()
+    for number in range(size):
+        fleet.add(number, range(size), down_at(number))
+    return fleet, make_workers(2 + size // 30)
+
+
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("rate_per_s", RATES_PER_S)
+def test_all_that_were_told_at_once_keep_within_a_limit(size, rate_per_s):
+    fleet, workers = make_limited(size)
+    fleet.tell_all(workers, rate_per_s)
+    fleet.play(workers, REQUESTS_PER_S, PLAY_S, rate_per_s)
+    assert fleet.sends
+    assert fleet.most_told(WINDOW_S) <= allowed(rate_per_s)
+    # Each that sends was told, so that all sends count.
+    most = [most_in_window(at) for at in fleet.sends.values()]
+    assert max(most) <= allowed(rate_per_s)
+
+
+def most_in_window(times):
+    """The most of some ordered times within a window."""
+    return max(
+        sum(at - WINDOW_S <= other <= at for other in times) for at in times
+    )
+
+
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("rate_per_s", RATES_PER_S)
+def test_entries_that_hear_of_a_limit_later_keep_within_it(size, rate_per_s):
+    fleet, workers = make_limited(size)
+    fleet.news = False
+    late = [fleet.entries.pop(number) for number in range(size // 2)]
+    fleet.tell_all(workers, rate_per_s)
+    fleet.play(workers, REQUESTS_PER_S, 1.0, rate_per_s)
+    fleet.entries.update(enumerate(late))
+    fleet.play(workers, REQUESTS_PER_S, PLAY_S, rate_per_s)
+    assert fleet.most_told(WINDOW_S) <= allowed(rate_per_s)
+
+
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("rate_per_s", RATES_PER_S)
+def test_entries_that_differ_in_who_lives_keep_within_a_limit(size, rate_per_s):
+    def down_at(number):
+        others = range(size)
+        return {each for each in others if (each * 7 + number) % 2} - {number}
+
+    fleet, workers = make_limited(size, down_at)
+    fleet.tell_all(workers, rate_per_s)
+    fleet.play(workers, REQUESTS_PER_S, PLAY_S, rate_per_s)
+    assert fleet.most_told(WINDOW_S) <= allowed(rate_per_s)
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_entries_that_are_cut_off_or_thawed_keep_within_a_limit(size):
+    def down_at(number):
+        return set(range(size)) - {number} if number % 6 == 0 else ()
+
+    fleet, workers = make_limited(size, down_at)
+    fleet.tell_all(workers, 2.3)
+    fleet.play(workers, REQUESTS_PER_S, PLAY_S / 2, 2.3)
+    frozen = [fleet.entries.pop(number) for number in range(0, size, 5)]
+    fleet.play(workers, REQUESTS_PER_S, PLAY_S, 2.3)
+    fleet.entries.update(enumerate(frozen, start=size))
+    fleet.play(workers, REQUESTS_PER_S, PLAY_S, 2.3)
+    assert fleet.most_told(WINDOW_S) <= allowed(2.3)
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_a_limit_is_used_and_all_hear_of_its_end(size):
+    fleet, workers = make_limited(size)
+    fleet.tell_all(workers, 2.3)
+    fleet.play(workers, 2 * REQUESTS_PER_S, PLAY_S, 2.3)
+    used = sum(map(len, fleet.sends.values())) / PLAY_S / len(workers)
+    assert used >= 0.5 * 2.3
+    fleet.play(workers, 2 * REQUESTS_PER_S, PLAY_S, None)
+    assert all(not entry.limited for entry in fleet.entries.values())
+
+
+@pytest.mark.parametrize("rate_per_s", RATES_PER_S)
+@pytest.mark.parametrize("entries", [1, 2, 3, 8, 420])
+def test_the_parts_of_all_senders_are_within_a_limit(rate_per_s, entries):
+    parts = divide(bound_of(rate_per_s), entries)
+    each = math.floor(WINDOW_S / parts.pause_s) + 1
+    assert parts.senders * each <= allowed(rate_per_s)
+
+
+def test_a_worker_that_takes_nothing_is_asked_now_and_then():
+    fleet, workers = make_limited(8)
+    fleet.tell_all(workers, 0.0)
+    fleet.play(workers, REQUESTS_PER_S, PLAY_S, 0.0)
+    assert not fleet.sends
+    fleet.play(workers, REQUESTS_PER_S, 60.0, 0.0)
+    assert fleet.sends.keys() == {worker.id for worker in workers}
+    assert fleet.most_told(WINDOW_S) <= SLACK
+    fleet.play(workers, REQUESTS_PER_S, 30.0, None)
+    assert all(not entry.limited for entry in fleet.entries.values())
--- a/tests/placement/test_warm_up.py
+++ b/tests/placement/test_warm_up.py
@@ -113,7 +113,7 @@
     entry.note_registered(worker, appeared=False)
     entry.note_send(worker)
     assert entry.open([worker]) == []
-    wait_s = entry.soonest_s([worker])
+    wait_s = entry.opens_in_s(worker)
     clock.now += wait_s
     assert entry.open([worker]) == [worker]
 
--- a/tests/relay/test_rate_limits.py
+++ b/tests/relay/test_rate_limits.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from tests.lib.platform_site import platform_site
+from tests.lib.platform_site import (
+    LARGE,
+    SMALL,
+    events,
+    platform_site,
+    until,
+)
 
 RATE_PER_S = 0.5
 TOLD_S = 0.5  # An answer that was passed on counts from then on.
@@ -42,3 +48,83 @@
     answers = await ask_for(site, WINDOW_S)
     assert len(site.workers["w1"].runs) - before <= ALLOWED
     assert {answer.status for answer in answers} == {200}
+
+
+async def limited_site(site, workers=("w1",), entries=2, service="plain"):
+    """Entries before workers that all name the same limit."""
+    for name in workers:
+        worker = await site.add_worker(name, service)
+        worker.limit = str(RATE_PER_S)
+    first = await site.add_entry("entry-1")
+    seeds = [str(first.settings.peers)]
+    for number in range(2, entries + 1):
+        await site.add_entry(f"entry-{number}", seeds=seeds)
+    await until(lambda: all(knows(each, entries) for each in of_site(site)))
+    return of_site(site)
+
+
+def of_site(site):
+    return list(site.entries.values())
+
+
+def knows(entry, entries):
+    return len(entry.fleet.live()) == entries
+
+
+def limited(entry):
+    return entry.edge.dispatcher.limits.limited
+
+
+async def test_entries_that_were_not_told_hear_of_a_limit_and_of_its_end(site):
+    entries = await limited_site(site, entries=3)
+    await site.ask(entry="entry-1")
+    await until(lambda: all(map(limited, entries)))
+    site.workers["w1"].limit = ""
+    senders = 0
+    while any(map(limited, entries)):
+        for name in site.entries:
+            answer = await site.ask(entry=name)
+            senders += answer.status == 200
+        await asyncio.sleep(0.1)
+    assert senders
+
+
+async def test_one_that_starts_hears_of_limits_before_it_sends(site):
+    first, _ = await limited_site(site)
+    await site.ask()
+    await until(lambda: limited(first))
+    seeds = [str(first.settings.peers)]
+    third = await site.add_entry("entry-3", seeds=seeds)
+    await until(lambda: limited(third))
+    assert len(site.workers["w1"].runs) == 1
+
+
+async def test_with_all_workers_limited_a_request_is_refused_at_once(site):
+    await limited_site(site, workers=("w1", "w2"))
+    answers = await ask_for(site, 1.0)
+    refused = [answer for answer in answers if answer.status == 503]
+    assert refused
+    for answer in refused:
+        assert 0.0 < float(answer.headers["Retry-After"]) <= 4.0 / RATE_PER_S
+        assert b"rate_limited" in answer.body
+    assert len({answer.headers["Retry-After"] for answer in refused}) > 1
+
+
+async def test_a_larger_model_is_bound_by_a_limit_as_well(site):
+    worker = await site.add_worker("e1", "engine")
+    worker.confidence = {SMALL: 10.0, LARGE: 90.0}
+    worker.limit = "0.1"
+    await site.add_entry()
+    answer = await site.chat()
+    # The small model's answer is what there is.
+    assert events(answer.body) == [1, 2, 3, 4, 5]
+    assert [run.headers["x-model"] for run in worker.runs] == [SMALL]
+
+
+async def test_who_answers_that_it_is_another_worker_names_no_limit(site):
+    worker = await site.add_worker("w1")
+    worker.id = "w9"
+    worker.limit = str(RATE_PER_S)
+    entry = await site.add_entry()
+    assert (await site.ask()).status == 503
+    assert not limited(entry)
