--- a/src/rattanpier/_internal/models/sending.py
+++ b/src/rattanpier/_internal/models/sending.py
@@ -60,6 +60,7 @@
       keep_alive_s: How long it keeps an idle connection, or None.
       rate_per_s: Requests a second that it takes from all entries together;
         None: it names no limit.
+      leaving: It takes no new requests any more.
     """
 
     status: int
@@ -74,3 +75,4 @@
     retry_after_s: float | None = None
     keep_alive_s: float | None = None
     rate_per_s: float | None = None
+    leaving: bool = False
--- a/src/rattanpier/_internal/platform/upstream.py
+++ b/src/rattanpier/_internal/platform/upstream.py
@@ -28,6 +28,7 @@
 LOAD = "x-instance-load"
 CONFIDENCE = "x-confidence"
 RATE_LIMIT = "server-limit"
+LEAVING = "server-leaving"
 MODEL = "x-model"
 LAST_EVENT_ID = "last-event-id"
 # Workers may tell more than an entry needs.
@@ -83,6 +84,7 @@
         retry_after_s=decode_number(head.get("retry-after")),
         keep_alive_s=decode_keep_alive(head.get("keep-alive")),
         rate_per_s=decode_rate_limit(head.get_all(RATE_LIMIT)),
+        leaving=any(map(read_leaving, head.get_all(LEAVING))),
     )
 
 
@@ -165,6 +167,20 @@
     return max(0.0, rate)
 
 
+@functools.lru_cache(TEXTS_KEPT)
+def read_leaving(text: str) -> bool:
+    """Says whether a text means that a worker leaves.
+
+    Whatever is not a plain no counts: a worker that stays names nothing.
+
+    >>> read_leaving("1"), read_leaving("0")
+    (True, False)
+    """
+    if text.strip() not in ("0", "1"):
+        log.warning("Word of leaving can't be read.", text=text)
+    return text.strip() != "0"
+
+
 def decode_keep_alive(text: str | None) -> float | None:
     """Returns the seconds that a worker keeps an idle connection.
 
--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -65,6 +65,8 @@
         worker: RegisteredWorker, head: AnswerHead, asked_at: float
     ) -> None:
         limits.hear(worker, head.rate_per_s, asked_at)
+        if head.leaving:
+            state.directory.note_leaving(worker.incarnation, "answer")
 
     def opens_in_s(worker: RegisteredWorker) -> float:
         return max(warm_ups.opens_in_s(worker), limits.opens_in_s(worker))
--- a/src/rattanpier/_internal/relay/directory.py
+++ b/src/rattanpier/_internal/relay/directory.py
@@ -32,6 +32,8 @@
       known: The table was read once.
       seen: Incarnations that were registered here, the newest last. One that
         is back after its registration ran out has not started anew.
+      leaving: Incarnations that said themselves that they leave, the newest
+        last. No registration takes that back.
       registered: Called with each registration, and whether its incarnation
         has just appeared.
     """
@@ -44,6 +46,9 @@
     seen: collections.OrderedDict[str, None] = attrs.Factory(
         collections.OrderedDict
     )
+    leaving: collections.OrderedDict[str, None] = attrs.Factory(
+        collections.OrderedDict
+    )
     registered: Callable[[RegisteredWorker, bool], None] = attrs.field(
         default=lambda _worker, _appeared: None
     )
@@ -106,6 +111,20 @@
             self.seen.popitem(last=False)
         return self.known and not seen
 
+    def note_leaving(self, incarnation: str, source: str) -> bool:
+        """Takes in that a worker said itself that it leaves.
+
+        Returns:
+          Whether that was not known before.
+        """
+        if incarnation in self.leaving:
+            return False
+        self.leaving[incarnation] = None
+        if len(self.leaving) > MOST_SEEN:
+            self.leaving.popitem(last=False)
+        log.info("Worker says it leaves.", worker=incarnation, source=source)
+        return True
+
     def remove(self, id: str, after_outage: bool) -> bool:
         """Takes in that a registration is gone; says whether the worker is.
 
--- a/src/rattanpier/_internal/standin/platform_worker.py
+++ b/src/rattanpier/_internal/standin/platform_worker.py
@@ -74,6 +74,7 @@
       ended: Called at such an end.
       born: When it says that it started, in Unix ms; None: it does not tell.
       limit: What it names as its limit in answers; none if empty.
+      leaving: It says in answers that it leaves.
       address: IP number and port, once started.
     """
 
@@ -92,6 +93,7 @@
     ended: Callable[[], None] = lambda: None
     born: int | None = None
     limit: str = ""
+    leaving: bool = False
     address: str = ""
     server: asyncio.Server | None = None
     connections: dict[asyncio.StreamWriter, asyncio.StreamReader] = (
@@ -287,7 +289,8 @@
 
     def words(self) -> list[tuple[str, str]]:
         """Returns the headers in which it tells how it is."""
-        return [("Server-Limit", self.limit)] if self.limit else []
+        words = [("Server-Limit", self.limit)] if self.limit else []
+        return [*words, ("Server-Leaving", "1")] if self.leaving else words
 
 
 async def read_request(reader: asyncio.StreamReader) -> WorkerRun | None:
