Send nothing to a worker whose answer said that it leaves

What callers saw: requests sent to a worker seconds after it had said that it leaves, up to 9 s while the store was away (2 s are allowed); such a worker ends before long, and what runs there with it.

Cause: nothing read the word from answers; the row alone counted, which stands still in an outage. All sends stopped within 0.6 s of the row, and the plain worker's were first sends, so that neither a second path nor kept connections were the cause.

Change: the directory takes the word like a row that says the same, so that sessions, roll-outs and prompts move the same way; no row takes it back, another start ends it. Entries tell each other; what hears nothing of its own would go on sending until it gets an answer.

--- a/src/rattanpier/_internal/placement/eligibility.py
+++ b/src/rattanpier/_internal/placement/eligibility.py
@@ -16,6 +16,7 @@
 
 Workers = Sequence[RegisteredWorker]
 
+LEAVING = "leaving"
 ENDED = "ended"
 DRAINED_DOMAIN = "drained_domain"
 OTHER_REGION = "other_region"
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -71,6 +71,7 @@
     )
     quarantine.tell = gossip.tell_quarantine
     limits.tell = gossip.tell_limit
+    state.directory.tell_leaving = gossip.tell_leaving
     entry = RelayEntry(
         kernel, settings, state, fleet, drain, metrics, edge, gossip
     )
--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -66,7 +66,7 @@
     ) -> None:
         limits.hear(worker, head.rate_per_s, asked_at)
         if head.leaving:
-            state.directory.note_leaving(worker.incarnation, "answer")
+            state.directory.hear_leaving(worker)
 
     def opens_in_s(worker: RegisteredWorker) -> float:
         return max(warm_ups.opens_in_s(worker), limits.opens_in_s(worker))
--- a/src/rattanpier/_internal/programs/relay_peers.py
+++ b/src/rattanpier/_internal/programs/relay_peers.py
@@ -66,6 +66,7 @@
         quarantine=quarantine,
         domains=state.domains,
         limits=limits,
+        directory=state.directory,
         links=links,
         spread=spread,
         clock=clock,
--- a/src/rattanpier/_internal/relay/directory.py
+++ b/src/rattanpier/_internal/relay/directory.py
@@ -10,6 +10,7 @@
 
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.hashing import stable_hash
 
 log = structlog.get_logger(part="workers")
 
@@ -34,6 +35,7 @@
         is back after its registration ran out has not started anew.
       leaving: Incarnations that said themselves that they leave, the newest
         last. No registration takes that back.
+      tell_leaving: Tells all other entries that an incarnation leaves.
       registered: Called with each registration, and whether its incarnation
         has just appeared.
     """
@@ -49,6 +51,7 @@
     leaving: collections.OrderedDict[str, None] = attrs.Factory(
         collections.OrderedDict
     )
+    tell_leaving: Callable[[str], None] = lambda _incarnation: None
     registered: Callable[[RegisteredWorker, bool], None] = attrs.field(
         default=lambda _worker, _appeared: None
     )
@@ -111,20 +114,45 @@
             self.seen.popitem(last=False)
         return self.known and not seen
 
-    def note_leaving(self, incarnation: str, source: str) -> bool:
-        """Takes in that a worker said itself that it leaves.
+    def hear_leaving(self, worker: RegisteredWorker) -> None:
+        """Takes in that a worker's answer said that it leaves."""
+        if self.put_leaving(worker.incarnation, "answer"):
+            self.tell_leaving(worker.incarnation)
 
-        Returns:
-          Whether that was not known before.
-        """
+    def take_leaving(self, incarnations: Iterable[str]) -> None:
+        """Takes in which workers told another entry that they leave."""
+        for incarnation in incarnations:
+            self.put_leaving(incarnation, "peer")
+
+    def put_leaving(self, incarnation: str, source: str) -> bool:
+        """Takes in that a worker leaves; says whether that was new here."""
         if incarnation in self.leaving:
             return False
         self.leaving[incarnation] = None
         if len(self.leaving) > MOST_SEEN:
             self.leaving.popitem(last=False)
+        self.by_service.clear()
         log.info("Worker says it leaves.", worker=incarnation, source=source)
         return True
 
+    def known_to_leave(self) -> list[str]:
+        """Returns the registered incarnations that said that they leave."""
+        if not self.leaving:
+            return []
+        workers = self.workers.values()
+        return [
+            each.incarnation
+            for each in workers
+            if each.incarnation in self.leaving
+        ]
+
+    def leaving_digest(self) -> int:
+        """Returns a number that tells those that leave from others."""
+        total = 0
+        for incarnation in self.known_to_leave():
+            total ^= stable_hash(f"leaving/{incarnation}")
+        return total
+
     def remove(self, id: str, after_outage: bool) -> bool:
         """Takes in that a registration is gone; says whether the worker is.
 
@@ -172,7 +200,7 @@
             found = [
                 worker
                 for worker in self.workers.values()
-                if worker.service == service and not worker.draining
+                if worker.service == service and self.stays(worker)
             ]
             self.by_service[service] = found
         return found
@@ -184,4 +212,17 @@
     def takes_work(self, id: str) -> bool:
         """Says whether a worker may get new work now."""
         worker = self.workers.get(id)
-        return worker is not None and not worker.draining
+        return worker is not None and self.stays(worker)
+
+    def stays(self, worker: RegisteredWorker) -> bool:
+        """Says whether a worker leaves by neither its row nor its answers."""
+        return not worker.draining and worker.incarnation not in self.leaving
+
+    def leaving_of_service(self, service: str) -> int:
+        """Returns how many workers of a service leave by their answers."""
+        if not self.leaving:
+            return 0
+        return sum(
+            each.service == service and each.incarnation in self.leaving
+            for each in self.workers.values()
+        )
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -18,6 +18,7 @@
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.placement.eligibility import (
     DRAINED_DOMAIN,
+    LEAVING,
     TIMED,
     Condition,
     Eligible,
@@ -120,6 +121,9 @@
         workers = self.directory.of_service(course.service)
         split = self.rollouts.split(request, course.service, workers)
         course.left_out = {}
+        leaving = self.directory.leaving_of_service(course.service)
+        if leaving:
+            self.count_left_out(course, LEAVING, leaving)
         for group in (split.first, split.otherwise):
             found = eligible(self.conditions, course, group)
             self.note_left_out(course, group, found)
@@ -133,13 +137,17 @@
     ) -> None:
         """Takes in what kept a request from the workers of a version."""
         for name, count in found.left_out.items():
-            self.metrics.count(f"relay.left_out.{name}")
-            course.left_out[name] = course.left_out.get(name, 0) + count
+            self.count_left_out(course, name, count)
         if not TIMED.isdisjoint(found.left_out):
             course.opens_in_s = self.retry_in_s(group)
         elif DRAINED_DOMAIN in found.left_out:
             course.opens_in_s = DRAINED_RETRY_S
 
+    def count_left_out(self, course: Course, name: str, count: int) -> None:
+        """Takes in that a condition kept a request from some workers."""
+        self.metrics.count(f"relay.left_out.{name}")
+        course.left_out[name] = course.left_out.get(name, 0) + count
+
     def retry_in_s(self, workers: Sequence[RegisteredWorker]) -> float | None:
         """Returns when to come back for one of some closed workers.
 
--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -29,6 +29,7 @@
 from rattanpier._internal.peers.proto import peer_pb2
 from rattanpier._internal.placement.drained_domains import DrainedDomains
 from rattanpier._internal.placement.rate_limits import RateLimits
+from rattanpier._internal.relay.directory import WorkerDirectory
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.news import Compared, Knowledge, News
 from rattanpier._internal.relay.rollouts import Evidence, Rollouts
@@ -74,6 +75,7 @@
       quarantine: What is known of requests under which workers ended.
       domains: Failure domains that get nothing new.
       limits: How much workers say that they take.
+      directory: Workers that said that they leave.
       links: Connections to the others.
       spread: Tells all of them.
       seeds: Addresses to ask while nobody is known.
@@ -94,6 +96,7 @@
     quarantine: Quarantine
     domains: DrainedDomains
     limits: RateLimits
+    directory: WorkerDirectory
     links: Links
     spread: Spread
     clock: Clock
@@ -195,7 +198,8 @@
     def digest(self) -> int:
         """Returns what two entries that know the same have in common."""
         known = self.fleet.digest() ^ self.quarantine.digest()
-        return known ^ self.domains.digest() ^ self.limits.digest()
+        known ^= self.domains.digest() ^ self.limits.digest()
+        return known ^ self.directory.leaving_digest()
 
     async def serve_beat(self, call: peer_pb2.Call) -> peer_pb2.Reply:
         """Answers an entry that asks."""
@@ -253,6 +257,10 @@
         """Begins to tell everybody how much a worker takes."""
         self.tell_all(News(limits=[word]))
 
+    def tell_leaving(self, incarnation: str) -> None:
+        """Begins to tell everybody that a worker leaves."""
+        self.tell_all(News(leaving=[incarnation]))
+
     def take_rumors(self, rumors: peer_pb2.Rumors) -> None:
         """Takes in what another entry tells all."""
         self.take(decode(News, rumors.text))
@@ -268,6 +276,7 @@
         self.quarantine.take(news.quarantine)
         self.domains.take_standing(news.drained)
         self.limits.take(news.limits)
+        self.directory.take_leaving(news.leaving)
 
     def news_of(self, members: list[MemberNews]) -> News:
         """Returns the states of some entries, and all that is told besides."""
@@ -279,6 +288,7 @@
             quarantine=self.quarantine.all_news(),
             drained=self.domains.standing(),
             limits=self.limits.standing(),
+            leaving=self.directory.known_to_leave(),
         )
 
     # What was missed.
@@ -328,7 +338,8 @@
     def has_more_to_tell(self) -> bool:
         """Says whether a peer may lack something that summaries don't name."""
         held = self.quarantine.ends or self.quarantine.cleared
-        return bool(held or self.domains.drained or self.limits.words)
+        said = self.limits.words or self.directory.leaving
+        return bool(held or said or self.domains.drained)
 
     async def serve_summary(self, call: peer_pb2.Call) -> peer_pb2.Reply:
         """Answers with what the asker lacks, and names what it knows better."""
--- a/src/rattanpier/_internal/relay/news.py
+++ b/src/rattanpier/_internal/relay/news.py
@@ -24,6 +24,7 @@
       quarantine: Requests under which workers ended.
       drained: Orders that keep failure domains empty.
       limits: How much workers say that they take.
+      leaving: Incarnations of workers that said that they leave.
     """
 
     members: list[MemberNews] = attrs.Factory(list)
@@ -33,6 +34,7 @@
     quarantine: QuarantineNews = attrs.Factory(QuarantineNews)
     drained: list[DomainOrder] = attrs.Factory(list)
     limits: list[RateLimit] = attrs.Factory(list)
+    leaving: list[str] = attrs.Factory(list)
 
 
 @attrs.frozen
--- a/tests/lib/ring.py
+++ b/tests/lib/ring.py
@@ -19,6 +19,7 @@
 from rattanpier._internal.placement.drained_domains import DrainedDomains
 from rattanpier._internal.placement.rate_limits import RateLimits
 from rattanpier._internal.placement.shared_rates import SharedRates
+from rattanpier._internal.relay.directory import WorkerDirectory
 from rattanpier._internal.relay.exposure import ExposureBound
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.gossip import BEAT_EVERY_S, Gossip
@@ -132,6 +133,7 @@
             quarantine=Quarantine(self.clock),
             domains=DrainedDomains(),
             limits=RateLimits(SharedRates(fleet, self.clock), self.clock),
+            directory=WorkerDirectory(self.clock),
             links=links,
             spread=spread,
             clock=self.clock,
--- a/tests/relay/test_leaving_workers.py
+++ b/tests/relay/test_leaving_workers.py
@@ -1,8 +1,11 @@
 """Workers that say in their answers that they leave, before real entries."""
 
+import asyncio
+
 import pytest
 
-from tests.lib.platform_site import platform_site
+from rattanpier._internal.platform.upstream import read_leaving
+from tests.lib.platform_site import events, platform_site, until
 
 
 @pytest.fixture
@@ -32,3 +35,86 @@
         assert (await site.ask()).status == 200
         assert (await site.ask("/unsafe/x")).status == 200
     assert len(site.workers["w1"].runs) == runs
+
+
+async def add_entries(site, count):
+    """Entries that know each other."""
+    first = await site.add_entry("entry-1")
+    seeds = [str(first.settings.peers)]
+    for number in range(2, count + 1):
+        await site.add_entry(f"entry-{number}", seeds=seeds)
+    entries = list(site.entries.values())
+    await until(
+        lambda: all(len(each.fleet.live()) == count for each in entries)
+    )
+    return entries
+
+
+def leaves(entry, worker="w1"):
+    return not entry.state.directory.takes_work(worker)
+
+
+async def test_entries_tell_each_other_of_a_worker_that_leaves(site):
+    for name in ("w1", "w2"):
+        await site.add_worker(name)
+    entries = await add_entries(site, 3)
+    site.workers["w1"].leaving = True
+    runs = await heard(site, entry="entry-1")
+    await until(lambda: all(map(leaves, entries)))
+    late = await site.add_entry(
+        "entry-4", seeds=[str(entries[0].settings.peers)]
+    )
+    await until(lambda: leaves(late))
+    for name in site.entries:
+        for _ in range(10):
+            assert (await site.ask(entry=name)).status == 200
+    assert len(site.workers["w1"].runs) == runs
+
+
+async def test_a_stream_under_way_ends_whole_at_a_worker_that_leaves(site):
+    worker = await site.add_worker("w1", "engine", event_gap_s=0.05)
+    entry = await site.add_entry()
+    asked = asyncio.create_task(site.chat())
+    await until(lambda: worker.runs)
+    worker.leaving = True
+    await site.chat()
+    assert leaves(entry)
+    answer = await asked
+    assert answer.whole
+    assert events(answer.body) == [1, 2, 3, 4, 5]
+
+
+async def test_a_new_start_under_the_same_id_is_sent_requests(site):
+    worker = await site.add_worker("w1")
+    site.register("w1", born=1)
+    entry = await site.add_entry()
+    worker.leaving = True
+    before = entry.state.directory.workers["w1"]
+    await heard(site)
+    assert (await site.ask()).status == 503
+    worker.leaving = False
+    site.register("w1", born=2)
+    await until(lambda: not leaves(entry))
+    assert (await site.ask()).status == 200
+    # A late answer of the former start.
+    entry.state.directory.hear_leaving(before)
+    assert not leaves(entry)
+
+
+async def test_with_all_workers_leaving_a_request_is_refused_at_once(site):
+    await site.add_worker("w1")
+    await site.add_entry()
+    site.workers["w1"].leaving = True
+    await heard(site)
+    answer = await site.ask()
+    assert answer.status == 503
+    assert b"leaving 1" in answer.body
+    assert float(answer.headers["Retry-After"]) > 0
+
+
+@pytest.mark.parametrize(
+    ("text", "leaving"),
+    [("1", True), (" 1 ", True), ("0", False), ("", True), ("nan", True)],
+)
+def test_odd_words_of_leaving_have_a_safe_meaning(text, leaving):
+    assert read_leaving(text) == leaving
