Show when workers ask for rest

The entries' lines could not tell for how long a worker that turned a request away asked to be left alone. Nothing is sent otherwise than before. A time that can't be read counts as one second, of several the longest counts, none is over a minute.

--- a/src/rattanpier/_internal/models/sending.py
+++ b/src/rattanpier/_internal/models/sending.py
@@ -61,6 +61,7 @@
       rate_per_s: Requests a second that it takes from all entries together;
         None: it names no limit.
       leaving: It takes no new requests any more.
+      rest_s: Seconds for which it wants nothing from this entry.
     """
 
     status: int
@@ -76,3 +77,4 @@
     keep_alive_s: float | None = None
     rate_per_s: float | None = None
     leaving: bool = False
+    rest_s: float = 0.0
--- a/src/rattanpier/_internal/platform/upstream.py
+++ b/src/rattanpier/_internal/platform/upstream.py
@@ -29,14 +29,18 @@
 CONFIDENCE = "x-confidence"
 RATE_LIMIT = "server-limit"
 LEAVING = "server-leaving"
+RETRY_AFTER = "retry-after"
 MODEL = "x-model"
 LAST_EVENT_ID = "last-event-id"
 # Workers may tell more than an entry needs.
 converter = exact_converter(forbid_extra_keys=False)
 HIGHEST_PRIORITY_VALUE = 9
+TURNED_AWAY = frozenset({429, 503})
 MISDIRECTED = 421  # It promises as well that nothing was run.
 # A worker that names a limit is in need, also where it can't be read.
 UNREADABLE_RATE_PER_S = 1.0
+UNREADABLE_REST_S = 1.0
+MOST_REST_S = 60.0  # A worker that wants more is asked again then.
 TEXTS_KEPT = 256  # Texts of headers that are logged once.
 
 
@@ -81,9 +85,10 @@
         encoded=head.get("content-encoding") is not None,
         load=decode_load(head.get(LOAD)),
         confidence=decode_number(head.get(CONFIDENCE)),
-        retry_after_s=decode_number(head.get("retry-after")),
+        retry_after_s=decode_number(head.get(RETRY_AFTER)),
         keep_alive_s=decode_keep_alive(head.get("keep-alive")),
         rate_per_s=decode_rate_limit(head.get_all(RATE_LIMIT)),
+        rest_s=decode_rest(head),
         leaving=any(map(read_leaving, head.get_all(LEAVING))),
     )
 
@@ -167,6 +172,27 @@
     return max(0.0, rate)
 
 
+def decode_rest(head: WireHead) -> float:
+    """Returns the seconds for which a worker wants nothing from this entry."""
+    if head.status not in TURNED_AWAY:
+        return 0.0
+    return max(map(read_rest, head.get_all(RETRY_AFTER)), default=0.0)
+
+
+@functools.lru_cache(TEXTS_KEPT)
+def read_rest(text: str) -> float:
+    """Returns the seconds that a text asks for.
+
+    >>> read_rest("2.5"), read_rest("-1"), read_rest("31536000")
+    (2.5, 0.0, 60.0)
+    """
+    rest_s = decode_number(text)
+    if rest_s is None:
+        log.warning("Time of rest can't be read.", text=text)
+        return UNREADABLE_REST_S
+    return min(MOST_REST_S, max(0.0, rest_s))
+
+
 @functools.lru_cache(TEXTS_KEPT)
 def read_leaving(text: str) -> bool:
     """Says whether a text means that a worker leaves.
--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -12,6 +12,7 @@
 from rattanpier._internal.placement import eligibility
 from rattanpier._internal.placement.eligibility import Condition
 from rattanpier._internal.placement.rate_limits import RateLimits
+from rattanpier._internal.placement.rests import Rests
 from rattanpier._internal.placement.shared_rates import SharedRates
 from rattanpier._internal.placement.warm_up import WarmUps
 from rattanpier._internal.platform import upstream
@@ -54,6 +55,7 @@
     shares = SharedRates(fleet, clock)
     warm_ups = make_warm_ups(settings, state, shares)
     limits = make_rate_limits(state, shares)
+    rests = Rests(clock)
 
     def forget(worker: str) -> None:
         loads.forget(worker)
@@ -67,6 +69,8 @@
         limits.hear(worker, head.rate_per_s, asked_at)
         if head.leaving:
             state.directory.hear_leaving(worker)
+        if head.rest_s:
+            rests.hear(worker, head.rest_s)
 
     def opens_in_s(worker: RegisteredWorker) -> float:
         return max(warm_ups.opens_in_s(worker), limits.opens_in_s(worker))
--- a/src/rattanpier/_internal/standin/platform_worker.py
+++ b/src/rattanpier/_internal/standin/platform_worker.py
@@ -62,6 +62,7 @@
       id: Its name for this start.
       fault: What it gets wrong, for `count` more requests; -1: all.
       runs: What it ran.
+      shed: How many requests it turned away.
       stopped: Ids of the runs that ended because their caller left.
       events: Events of a stream.
       event_gap_s: Pause between them.
@@ -75,6 +76,8 @@
       born: When it says that it started, in Unix ms; None: it does not tell.
       limit: What it names as its limit in answers; none if empty.
       leaving: It says in answers that it leaves.
+      rest: For how long it asks to be left alone when it turns a request away;
+        for none if empty.
       address: IP number and port, once started.
     """
 
@@ -82,6 +85,7 @@
     fault: WorkerFault = WorkerFault.NONE
     count: int = -1
     runs: list[WorkerRun] = attrs.Factory(list)
+    shed: int = 0
     stopped: list[str] = attrs.Factory(list)
     events: int = 5
     event_gap_s: float = 0.0
@@ -94,6 +98,7 @@
     born: int | None = None
     limit: str = ""
     leaving: bool = False
+    rest: str = ""
     address: str = ""
     server: asyncio.Server | None = None
     connections: dict[asyncio.StreamWriter, asyncio.StreamReader] = (
@@ -159,7 +164,10 @@
             return True
         fault = self.take_fault()
         if fault is WorkerFault.SHED:
+            self.shed += 1
             shed = [("X-Not-Executed", "1"), *self.words()]
+            if self.rest:
+                shed.append(("Retry-After", self.rest))
             writer.write(head(503, shed, 0))
             return True
         self.runs.append(run)
