--- a/tests/relay/test_resting_workers.py
+++ b/tests/relay/test_resting_workers.py
@@ -30,6 +30,8 @@
     await ask(path)
     asked = next(each for each in site.workers.values() if each.runs)
     tire(asked)
-    for _ in range(40):
-        assert (await ask(path)).status == 200
+    for number in range(40):
+        # No prompt is kept anywhere.
+        prompt = {"X-Prefix-Hash": f"a{number}:400,b{number}:600"}
+        assert (await ask(path, headers=prompt)).status == 200
     assert asked.shed == 1
