Leave a worker alone for as long as it asks for rest

What callers saw: each request's first send or two went to workers that turned all away: 113 sends in 5.7 s to two workers, six in a rest of 3 s where two are allowed.

Cause: the time was read for the caller's refusal alone. A refusal counts as no failure, and a worker that turns all away looks idle, so that it is chosen first. No line avoided the workers and all sends to the first were first sends, so that neither the floor of avoidance nor a second path was the cause.

Change: a condition beside the others, before an entry's own judgement, for the entry that was told alone; the ends are spread over a quarter more. Where all rest a request is refused at once with the soonest time.

--- a/src/rattanpier/_internal/placement/eligibility.py
+++ b/src/rattanpier/_internal/placement/eligibility.py
@@ -23,10 +23,11 @@
 TRIED = "tried"
 WARMING_UP = "warming_up"
 RATE_LIMITED = "rate_limited"
+RESTING = "resting"
 AVOIDED = "avoided"
 KEPT_APART = "kept_apart"
 # Conditions of which it is known when a worker takes a request again.
-TIMED = frozenset({WARMING_UP, RATE_LIMITED})
+TIMED = frozenset({WARMING_UP, RATE_LIMITED, RESTING})
 
 
 @attrs.frozen
--- a/src/rattanpier/_internal/placement/rests.py
+++ b/src/rattanpier/_internal/placement/rests.py
@@ -1,7 +1,15 @@
-"""Workers that turned a request of this entry away, and asked for rest."""
+"""Workers that turned a request of this entry away, and asked for rest.
+
+Load answered: a worker that turns all away looks idle, and would be chosen
+first, again and again.
+"""
 
 from __future__ import annotations
 
+import math
+import random
+from collections.abc import Sequence
+
 import attrs
 import structlog
 
@@ -10,23 +18,58 @@
 
 log = structlog.get_logger(part="workers")
 
+# Entries that were turned away at the same moment come back over so much more
+# of the time that was asked for.
+SPREAD_SHARE = 0.25
+MOST_KEPT = 1024  # Workers that are remembered; 0.2 KB each.
+
 
 @attrs.define(eq=False, repr=False)
 class Rests:
     """Until when workers want nothing from this entry.
 
     Attributes:
+      rng: Spreads the ends.
       until: In monotonic seconds, by incarnation.
     """
 
     clock: Clock
+    rng: random.Random
     until: dict[str, float] = attrs.Factory(dict)
 
     def hear(self, worker: RegisteredWorker, rest_s: float) -> None:
-        """Takes in that a worker asks for rest."""
-        self.until[worker.incarnation] = self.clock.monotonic() + rest_s
+        """Takes in that a worker asks for rest; the longest one counts."""
+        now = self.clock.monotonic()
+        if len(self.until) >= MOST_KEPT:
+            self.forget_over(now)
+        spread_s = SPREAD_SHARE * rest_s * self.rng.random()
+        until = now + rest_s + spread_s
+        if until <= self.until.get(worker.incarnation, -math.inf):
+            return
+        self.until[worker.incarnation] = until
         log.info(
             "Worker asks for rest.",
             worker=worker.id,
             rest_s=rest_s,
+            spread_s=round(spread_s, 3),
         )
+
+    def forget_over(self, now: float) -> None:
+        """Drops rests that ended."""
+        self.until = {id: at for id, at in self.until.items() if at > now}
+
+    def open(
+        self, workers: Sequence[RegisteredWorker]
+    ) -> Sequence[RegisteredWorker]:
+        """Returns the workers that did not ask for rest."""
+        if not self.until:
+            return workers
+        kept = [each for each in workers if self.opens_in_s(each) <= 0.0]
+        return workers if len(kept) == len(workers) else kept
+
+    def opens_in_s(self, worker: RegisteredWorker) -> float:
+        """Returns the seconds until a worker takes requests again; 0: now."""
+        until = self.until.get(worker.incarnation)
+        if until is None:
+            return 0.0
+        return max(0.0, until - self.clock.monotonic())
--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -55,7 +55,7 @@
     shares = SharedRates(fleet, clock)
     warm_ups = make_warm_ups(settings, state, shares)
     limits = make_rate_limits(state, shares)
-    rests = Rests(clock)
+    rests = Rests(clock, random.Random(settings.name))
 
     def forget(worker: str) -> None:
         loads.forget(worker)
@@ -73,7 +73,11 @@
             rests.hear(worker, head.rest_s)
 
     def opens_in_s(worker: RegisteredWorker) -> float:
-        return max(warm_ups.opens_in_s(worker), limits.opens_in_s(worker))
+        return max(
+            warm_ups.opens_in_s(worker),
+            limits.opens_in_s(worker),
+            rests.opens_in_s(worker),
+        )
 
     def note_begun(worker: RegisteredWorker) -> None:
         warm_ups.note_send(worker)
@@ -95,6 +99,7 @@
         Condition(eligibility.TRIED, eligibility.untried),
         Condition(eligibility.WARMING_UP, lambda _, some: warm_ups.open(some)),
         Condition(eligibility.RATE_LIMITED, lambda _, some: limits.open(some)),
+        Condition(eligibility.RESTING, lambda _, some: rests.open(some)),
         Condition(eligibility.AVOIDED, lambda _, some: health.usable(some)),
         Condition(
             eligibility.KEPT_APART,
@@ -123,6 +128,7 @@
         opens_in_s=opens_in_s,
         note_begun=note_begun,
         limits=limits,
+        rests=rests,
         quarantine=quarantine,
         rollouts=state.rollouts,
         budgets=Budgets(settings.bounds, fleet.size, clock),
--- a/src/rattanpier/_internal/programs/relay_workers.py
+++ b/src/rattanpier/_internal/programs/relay_workers.py
@@ -58,6 +58,7 @@
 def add_queue_watch(entry: RelayEntry, read_report: ReadReport) -> None:
     """Adds what reads the engines' queues, and hears of them."""
     state = entry.state
+    rests = entry.edge.dispatcher.rests
     queues = QueueWatch(
         fleet=entry.fleet,
         directory=state.directory,
@@ -68,7 +69,7 @@
         engines=state.engines,
         read=read_report,
         restarted=lambda worker: state.forget([worker]),
-        open=state.domains.open,
+        open=lambda workers: rests.open(state.domains.open(workers)),
     )
     state.gone.subscribe(lambda worker: queues.born.pop(worker, None))
     entry.gossip.spread.takers["queue_news"] = queues.take_told
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -26,6 +26,7 @@
     soonest_s,
 )
 from rattanpier._internal.placement.rate_limits import RateLimits
+from rattanpier._internal.placement.rests import Rests
 from rattanpier._internal.relay.budgets import SendBudget
 from rattanpier._internal.relay.course import (
     LEAST_LEFT_S,
@@ -67,6 +68,7 @@
       opens_in_s: Returns the seconds until a worker takes a request; 0: now.
       note_begun: Told of each worker that a send is begun to.
       limits: What workers say that they take.
+      rests: Which want nothing from this entry for a while.
       budgets: Sends beyond the first of each request, by service.
       policy: Mechanisms that are on.
       tell_prompt: Told of each prompt that is sent: the worker's id, the
@@ -85,6 +87,7 @@
     opens_in_s: Callable[[RegisteredWorker], float]
     note_begun: Callable[[RegisteredWorker], None]
     limits: RateLimits
+    rests: Rests
     quarantine: Quarantine
     rollouts: Rollouts
     budgets: Mapping[str, SendBudget]
--- /dev/null
+++ b/tests/placement/test_rests.py
@@ -0,0 +1,94 @@
+"""Workers that asked this entry for rest."""
+
+import random
+
+import attrs
+import pytest
+
+from rattanpier._internal.placement.rests import (
+    MOST_KEPT,
+    SPREAD_SHARE,
+    Rests,
+)
+from rattanpier._internal.platform.upstream import (
+    MOST_REST_S,
+    UNREADABLE_REST_S,
+    decode_rest,
+)
+from rattanpier._internal.relay.connection import WireHead
+from tests.lib.clock import ManualClock
+from tests.lib.relay_parts import make_worker, make_workers
+
+WORKER = make_worker("w0")
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def rests(clock):
+    return Rests(clock, random.Random(1))
+
+
+def test_a_worker_is_left_alone_for_as_long_as_it_asked(rests, clock):
+    rests.hear(WORKER, 3.0)
+    clock.now += 2.99
+    assert rests.open([WORKER]) == []
+    clock.now += 0.02 + 3.0 * SPREAD_SHARE
+    assert rests.open([WORKER]) == [WORKER]
+
+
+def test_a_shorter_rest_that_comes_later_ends_no_longer_one(rests, clock):
+    rests.hear(WORKER, 3.0)
+    rests.hear(WORKER, 0.1)
+    clock.now += 2.9
+    assert rests.open([WORKER]) == []
+
+
+def test_the_ends_of_rests_that_begin_together_are_spread(clock):
+    ends = []
+    for number in range(200):
+        entry = Rests(clock, random.Random(f"entry-{number}"))
+        entry.hear(WORKER, 4.0)
+        ends.append(entry.opens_in_s(WORKER))
+    assert 4.0 <= min(ends) <= max(ends) <= 5.0
+    in_a_tenth = max(
+        sum(at <= other < at + 0.1 for other in ends) for at in ends
+    )
+    assert in_a_tenth <= 0.2 * len(ends)
+
+
+def test_a_new_start_under_the_same_id_does_not_rest(rests):
+    rests.hear(attrs.evolve(WORKER, born=1), 3.0)
+    again = attrs.evolve(WORKER, born=2)
+    assert rests.open([again]) == [again]
+
+
+def test_what_is_kept_is_bounded(rests, clock):
+    for worker in make_workers(4 * MOST_KEPT):
+        rests.hear(worker, 0.001)
+        clock.now += 0.01
+    assert len(rests.until) <= MOST_KEPT
+
+
+@pytest.mark.parametrize(
+    ("status", "texts", "found"),
+    [
+        (503, [], 0.0),
+        (503, ["3"], 3.0),
+        (429, ["0.25"], 0.25),
+        (503, ["1", "4"], 4.0),
+        (503, ["-5"], 0.0),
+        (503, [""], UNREADABLE_REST_S),
+        (503, ["nan"], UNREADABLE_REST_S),
+        (503, ["inf"], UNREADABLE_REST_S),
+        (503, ["Fri, 01 Jan 2027 00:00:00 GMT"], UNREADABLE_REST_S),
+        (503, ["31536000"], MOST_REST_S),
+        (200, ["3"], 0.0),
+    ],
+)
+def test_odd_times_have_a_safe_meaning(status, texts, found):
+    headers = tuple(("retry-after", text) for text in texts)
+    assert decode_rest(WireHead(status, headers, True)) == found
--- a/tests/relay/test_resting_workers.py
+++ b/tests/relay/test_resting_workers.py
@@ -3,7 +3,7 @@
 import pytest
 
 from rattanpier._internal.standin.platform_worker import WorkerFault
-from tests.lib.platform_site import platform_site
+from tests.lib.platform_site import platform_site, until
 
 REST_S = 2.0
 
@@ -35,3 +35,52 @@
         prompt = {"X-Prefix-Hash": f"a{number}:400,b{number}:600"}
         assert (await ask(path, headers=prompt)).status == 200
     assert asked.shed == 1
+
+
+async def test_with_all_workers_resting_a_request_is_refused_at_once(site):
+    for name in ("w1", "w2"):
+        tire(await site.add_worker(name))
+    await site.add_entry()
+    await site.ask()
+    answers = [await site.ask() for _ in range(20)]
+    for answer in answers:
+        assert answer.status == 503
+        assert b"resting 2" in answer.body
+        assert 0.0 < float(answer.headers["Retry-After"]) <= 2.5 * REST_S
+    assert len({answer.headers["Retry-After"] for answer in answers}) > 1
+    assert {each.shed for each in site.workers.values()} == {1}
+
+
+async def test_a_rest_ends_by_time(site):
+    worker = await site.add_worker("w1")
+    entry = await site.add_entry()
+    tire(worker, "0.2")
+    assert (await site.ask()).status == 503
+    worker.fault = WorkerFault.NONE
+    assert (await site.ask()).status == 503
+    rests = entry.edge.dispatcher.rests
+    await until(
+        lambda: rests.open(list(entry.state.directory.workers.values()))
+    )
+    assert (await site.ask()).status == 200
+
+
+async def test_a_rest_is_for_the_entry_that_was_told(site):
+    for name in ("w1", "w2"):
+        await site.add_worker(name)
+    first = await site.add_entry("entry-1")
+    second = await site.add_entry("entry-2", seeds=[str(first.settings.peers)])
+    for worker in site.workers.values():
+        tire(worker)
+    await site.ask(entry="entry-1")
+    assert first.edge.dispatcher.rests.until
+    assert not second.edge.dispatcher.rests.until
+
+
+async def test_one_that_turns_away_without_a_time_is_asked_again(site):
+    worker = await site.add_worker("w1")
+    await site.add_entry()
+    tire(worker, "")
+    for _ in range(3):
+        await site.ask()
+    assert worker.shed == 3
