Leave engines of the chat interface alone for as long as they ask for rest

The same cause on the second path: what an engine or a plain service of the chat interface asks for reached the refusal alone. The same record of rests stands before both paths; here neither the fallback to workers that only seem silent nor a retry goes round it.

The longest time that is kept moves to that record. The chat dialect names no rate limit and no leaving worker in answers.

--- a/src/rattanpier/_internal/dispatch/tries.py
+++ b/src/rattanpier/_internal/dispatch/tries.py
@@ -37,6 +37,7 @@
 )
 from rattanpier._internal.models.configuration import Configuration
 from rattanpier._internal.models.request import RouteRequest
+from rattanpier._internal.placement.rests import Rests
 from rattanpier._internal.retries.quarantine import Quarantine
 from rattanpier._internal.routing.placement import (
     Load,
@@ -71,6 +72,7 @@
         others only seem silent.
       on_failure: Called with a worker's name and the error of a try.
       quarantine: Requests under which workers ended.
+      rests: Workers that turned a request away and asked for rest.
       current: Says whether the node's configuration is in force now.
       attempts: Emits the result of each try.
     """
@@ -87,6 +89,7 @@
     budget: RetryBudget
     placement: Placement
     quarantine: Quarantine
+    rests: Rests
     load: Load = attrs.Factory(Load)
     leaving: Collection[str] = ()
     announced: Callable[[], Collection[str]] = tuple
@@ -175,6 +178,8 @@
           ran_before: What the attempt's `note_dispatch` returned.
         """
         self.on_failure(target.name, error)
+        if error.retry_after_s:
+            self.rests.hear(target.name, error.retry_after_s)
         if error.not_run:
             attempt.may_have_run = ran_before
         elif await has_ended(target):
@@ -249,11 +254,18 @@
           find: Returns the workers that are not among those given to it.
           tried: Workers that the request was sent to before.
         """
-        target = self.choose(find(self.leaving))
+        target = self.choose(self.awake(find(self.leaving)))
         if target is None and tried:
-            target = self.choose(find(self.announced()))
+            target = self.choose(self.awake(find(self.announced())))
         return target
 
+    def awake(self, targets: list[Target]) -> list[Target]:
+        """Returns the workers that did not ask for rest."""
+        rests = self.rests
+        if not rests.until:
+            return targets
+        return [each for each in targets if not rests.opens_in_s(each.name)]
+
     def session_for(self, request: RouteRequest) -> aiohttp.ClientSession:
         """Returns the session whose connections suit a request."""
         return self.session if request.idempotent else self.fresh
--- a/src/rattanpier/_internal/placement/rests.py
+++ b/src/rattanpier/_internal/placement/rests.py
@@ -21,6 +21,7 @@
 # Entries that were turned away at the same moment come back over so much more
 # of the time that was asked for.
 SPREAD_SHARE = 0.25
+MOST_REST_S = 60.0  # A worker that wants more is asked again then.
 MOST_KEPT = 1024  # Workers that are remembered; 0.2 KB each.
 
 
@@ -30,26 +31,27 @@
 
     Attributes:
       rng: Spreads the ends.
-      until: In monotonic seconds, by incarnation.
+      until: In monotonic seconds, by worker; where a worker's start is known,
+        by its incarnation.
     """
 
     clock: Clock
     rng: random.Random
     until: dict[str, float] = attrs.Factory(dict)
 
-    def hear(self, worker: RegisteredWorker, rest_s: float) -> None:
+    def hear(self, worker: str, rest_s: float) -> None:
         """Takes in that a worker asks for rest; the longest one counts."""
         now = self.clock.monotonic()
         if len(self.until) >= MOST_KEPT:
             self.forget_over(now)
         spread_s = SPREAD_SHARE * rest_s * self.rng.random()
-        until = now + rest_s + spread_s
-        if until <= self.until.get(worker.incarnation, -math.inf):
+        until = now + min(MOST_REST_S, rest_s + spread_s)
+        if until <= self.until.get(worker, -math.inf):
             return
-        self.until[worker.incarnation] = until
+        self.until[worker] = until
         log.info(
             "Worker asks for rest.",
-            worker=worker.id,
+            worker=worker,
             rest_s=rest_s,
             spread_s=round(spread_s, 3),
         )
@@ -64,12 +66,13 @@
         """Returns the workers that did not ask for rest."""
         if not self.until:
             return workers
-        kept = [each for each in workers if self.opens_in_s(each) <= 0.0]
-        return workers if len(kept) == len(workers) else kept
+        return [
+            each for each in workers if self.opens_in_s(each.incarnation) <= 0.0
+        ]
 
-    def opens_in_s(self, worker: RegisteredWorker) -> float:
+    def opens_in_s(self, worker: str) -> float:
         """Returns the seconds until a worker takes requests again; 0: now."""
-        until = self.until.get(worker.incarnation)
+        until = self.until.get(worker)
         if until is None:
             return 0.0
         return max(0.0, until - self.clock.monotonic())
--- a/src/rattanpier/_internal/platform/upstream.py
+++ b/src/rattanpier/_internal/platform/upstream.py
@@ -40,7 +40,6 @@
 # A worker that names a limit is in need, also where it can't be read.
 UNREADABLE_RATE_PER_S = 1.0
 UNREADABLE_REST_S = 1.0
-MOST_REST_S = 60.0  # A worker that wants more is asked again then.
 TEXTS_KEPT = 256  # Texts of headers that are logged once.
 
 
@@ -183,14 +182,14 @@
 def read_rest(text: str) -> float:
     """Returns the seconds that a text asks for.
 
-    >>> read_rest("2.5"), read_rest("-1"), read_rest("31536000")
-    (2.5, 0.0, 60.0)
+    >>> read_rest("2.5"), read_rest("-1")
+    (2.5, 0.0)
     """
     rest_s = decode_number(text)
     if rest_s is None:
         log.warning("Time of rest can't be read.", text=text)
         return UNREADABLE_REST_S
-    return min(MOST_REST_S, max(0.0, rest_s))
+    return max(0.0, rest_s)
 
 
 @functools.lru_cache(TEXTS_KEPT)
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -33,6 +33,7 @@
 from rattanpier._internal.membership.workers import Workers
 from rattanpier._internal.models.member import Member, Role
 from rattanpier._internal.models.settings import Settings
+from rattanpier._internal.placement.rests import Rests
 from rattanpier._internal.programs.common import add_base, add_membership
 from rattanpier._internal.retries.quarantine import Quarantine
 from rattanpier._internal.rollout.collect import Collector
@@ -211,6 +212,7 @@
         budget=RetryBudget(clock),
         placement=Placement(settings.node.name),
         quarantine=add_quarantine(kernel, settings),
+        rests=Rests(clock, random.Random(settings.node.name)),
         current=kernel.find("currency").is_current,
     )
     runner = Runner(
--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -70,13 +70,13 @@
         if head.leaving:
             state.directory.hear_leaving(worker)
         if head.rest_s:
-            rests.hear(worker, head.rest_s)
+            rests.hear(worker.incarnation, head.rest_s)
 
     def opens_in_s(worker: RegisteredWorker) -> float:
         return max(
             warm_ups.opens_in_s(worker),
             limits.opens_in_s(worker),
-            rests.opens_in_s(worker),
+            rests.opens_in_s(worker.incarnation),
         )
 
     def note_begun(worker: RegisteredWorker) -> None:
--- a/tests/lib/dispatch.py
+++ b/tests/lib/dispatch.py
@@ -19,6 +19,7 @@
     Worker,
 )
 from rattanpier._internal.models.outcomes import ClaimOutcome, SettleOutcome
+from rattanpier._internal.placement.rests import Rests
 from rattanpier._internal.retries.quarantine import Quarantine
 from rattanpier._internal.routing.placement import Placement
 from rattanpier._internal.utils.metrics import Metrics
@@ -100,6 +101,7 @@
         )
         tries = Tries(
             quarantine=Quarantine(self.clock),
+            rests=Rests(self.clock, random.Random(1)),
             session=self.session,
             fresh=self.session,
             configuration=lambda: self.configuration,
--- a/tests/lib/raw.py
+++ b/tests/lib/raw.py
@@ -10,9 +10,10 @@
     """Speaks just enough HTTP and counts the requests that came whole.
 
     Modes: ok, cut_on_accept, cut_in_headers, cut_in_body, cut_after, refuse,
-    refuse_busy, fail, stall, half, cut_reused, short_body, no_length, hold
-    (answers once `gate` is set), redirect (to `elsewhere`), crash (listens no
-    more from the first request on).
+    refuse_busy, tired (refuses and asks for a minute of rest), fail, stall,
+    half, cut_reused, short_body, no_length, hold (answers once `gate` is set),
+    redirect (to `elsewhere`), crash (listens no more from the first request
+    on).
     """
 
     elsewhere = ""
@@ -80,6 +81,11 @@
         if self.mode == "refuse":
             self.runs.pop()
             await respond(writer, "503 Full", '{"not_run": true}')
+        elif self.mode == "tired":
+            self.runs.pop()
+            await respond(
+                writer, "503 Full", '{"not_run": true}', "Retry-After: 60\r\n"
+            )
         elif self.mode == "refuse_busy":
             self.runs.pop()
             await respond(writer, "503 Full", '{"error": "full"}')
@@ -130,9 +136,9 @@
     return method, headers
 
 
-async def respond(writer, status, body):
+async def respond(writer, status, body, more=""):
     writer.write(
-        f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
+        f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n{more}"
         f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
     )
     await writer.drain()
--- a/tests/placement/test_rests.py
+++ b/tests/placement/test_rests.py
@@ -7,11 +7,11 @@
 
 from rattanpier._internal.placement.rests import (
     MOST_KEPT,
+    MOST_REST_S,
     SPREAD_SHARE,
     Rests,
 )
 from rattanpier._internal.platform.upstream import (
-    MOST_REST_S,
     UNREADABLE_REST_S,
     decode_rest,
 )
@@ -33,7 +33,7 @@
 
 
 def test_a_worker_is_left_alone_for_as_long_as_it_asked(rests, clock):
-    rests.hear(WORKER, 3.0)
+    rests.hear(WORKER.incarnation, 3.0)
     clock.now += 2.99
     assert rests.open([WORKER]) == []
     clock.now += 0.02 + 3.0 * SPREAD_SHARE
@@ -41,8 +41,8 @@
 
 
 def test_a_shorter_rest_that_comes_later_ends_no_longer_one(rests, clock):
-    rests.hear(WORKER, 3.0)
-    rests.hear(WORKER, 0.1)
+    rests.hear(WORKER.incarnation, 3.0)
+    rests.hear(WORKER.incarnation, 0.1)
     clock.now += 2.9
     assert rests.open([WORKER]) == []
 
@@ -51,8 +51,8 @@
     ends = []
     for number in range(200):
         entry = Rests(clock, random.Random(f"entry-{number}"))
-        entry.hear(WORKER, 4.0)
-        ends.append(entry.opens_in_s(WORKER))
+        entry.hear(WORKER.incarnation, 4.0)
+        ends.append(entry.opens_in_s(WORKER.incarnation))
     assert 4.0 <= min(ends) <= max(ends) <= 5.0
     in_a_tenth = max(
         sum(at <= other < at + 0.1 for other in ends) for at in ends
@@ -61,14 +61,19 @@
 
 
 def test_a_new_start_under_the_same_id_does_not_rest(rests):
-    rests.hear(attrs.evolve(WORKER, born=1), 3.0)
+    rests.hear(attrs.evolve(WORKER, born=1).incarnation, 3.0)
     again = attrs.evolve(WORKER, born=2)
     assert rests.open([again]) == [again]
 
 
+def test_no_rest_is_endless(rests):
+    rests.hear(WORKER.incarnation, 31536000.0)
+    assert rests.opens_in_s(WORKER.incarnation) <= MOST_REST_S
+
+
 def test_what_is_kept_is_bounded(rests, clock):
     for worker in make_workers(4 * MOST_KEPT):
-        rests.hear(worker, 0.001)
+        rests.hear(worker.incarnation, 0.001)
         clock.now += 0.01
     assert len(rests.until) <= MOST_KEPT
 
@@ -85,7 +90,7 @@
         (503, ["nan"], UNREADABLE_REST_S),
         (503, ["inf"], UNREADABLE_REST_S),
         (503, ["Fri, 01 Jan 2027 00:00:00 GMT"], UNREADABLE_REST_S),
-        (503, ["31536000"], MOST_REST_S),
+        (503, ["31536000"], 31536000.0),
         (200, ["3"], 0.0),
     ],
 )
--- a/tests/unit/test_dispatch_order.py
+++ b/tests/unit/test_dispatch_order.py
@@ -275,3 +275,22 @@
             RefusalCode.RETRY_BUDGET,
         }
         assert 100 + 20 <= len(up.runs) <= 100 + 20 + 10
+
+
+async def test_a_worker_that_asks_for_rest_is_not_asked_again():
+    async with (
+        RawUpstream("tired") as one,
+        RawUpstream() as two,
+        bench_over(one, two) as bench,
+    ):
+        for number in range(20):
+            part = await bench.ask(
+                build_request(key=f"k{number}"), f"r{number}"
+            )
+            assert isinstance(part, Ended)
+        assert one.touched <= 1
+        two.mode = "tired"
+        await bench.ask(build_request(key="last"), "last")
+        part = await bench.ask(build_request(key="again"), "again")
+        assert part.refusal.code is RefusalCode.NO_WORKER
+        assert two.touched == 20 + 1
