Draw workers' own words in the soak

A worker that names a limit, says that it leaves, or turns all away and asks for rest, alone and beside the faults that are drawn anyway.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -31,6 +31,9 @@
     LEAVE = "leave"  # A worker's registration goes without a word.
     DRAIN_DOMAIN = "drain_domain"  # Operators drain a failure domain.
     COLD = "cold"  # A worker bears little for a while.
+    LIMIT = "limit"  # A worker names in its answers how much it takes.
+    SAY_LEAVE = "say_leave"  # A worker says in its answers that it leaves.
+    REST = "rest"  # A worker turns all away and asks for rest.
 
 
 DETAILS = {
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -12,6 +12,14 @@
 # Of what a cold worker bears in any second: the rate, its overshoot, the slack.
 COLD_PER_S, COLD_OVERSHOOT, COLD_TOLERANCE = 2, 1.5, 2
 COLD_BOUND = COLD_PER_S * COLD_OVERSHOOT + COLD_TOLERANCE
+# Of what a worker that names a limit gets in any four seconds.
+LIMIT_PER_S, LIMIT_WINDOW_S = 1.0, 4.0
+LIMIT_BOUND = 1.5 * LIMIT_PER_S * LIMIT_WINDOW_S + 5
+NEWS_S = 1.0  # Until all entries know what a worker told one.
+REST_S = 2.0
+# Requests of one entry under way when a worker first asks for rest, those that
+# the rule allows during it, and as many when it ended.
+RESTING_SENDS = 6
 SERVED_SHARE = 0.9  # Of requests sent once all faults are over.
 
 
@@ -22,6 +30,9 @@
     yield from judge_drains(run)
     yield from judge_drained_domains(run)
     yield from judge_cold_workers(run)
+    yield from judge_limits(run)
+    yield from judge_words_of_leaving(run)
+    yield from judge_rests(run)
     yield from judge_stops(run)
     yield from judge_end(run)
 
@@ -93,6 +104,36 @@
             yield f"{worker} got {most} requests in a second while cold"
 
 
+def judge_limits(run):
+    for worker, since, until in run.limited:
+        if run.troubled(since, until):
+            continue
+        times = run.ran_at(worker)
+        known = [when for when in times if since + NEWS_S < when < until]
+        most = most_within(known, LIMIT_WINDOW_S)
+        if most > LIMIT_BOUND:
+            yield f"{worker} got {most} requests while it named a limit"
+
+
+def judge_words_of_leaving(run):
+    """From the first answer on that said so."""
+    for worker in run.workers:
+        at = worker.said_at
+        if at is None or run.troubled(at, at + DRAIN_S):
+            continue
+        late = [when for when in worker.times if when > at + DRAIN_S]
+        if late:
+            yield f"{worker.id} got {len(late)} requests after it said it left"
+
+
+def judge_rests(run):
+    for worker, since, until, shed in run.rested:
+        if run.troubled(since, until):
+            continue
+        if shed > RESTING_SENDS * len(run.entries):
+            yield f"{worker} got {shed} requests while it wanted rest"
+
+
 def judge_stops(run):
     """Planned stops alone cut nothing that was read in time."""
     for entry, at in run.stopped:
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -22,6 +22,8 @@
     COLD_PER_S,
     COLD_TOLERANCE,
     DRAIN_S,
+    LIMIT_PER_S,
+    REST_S,
 )
 from tests.soak.proxy import PathFault, Proxy
 
@@ -39,25 +41,36 @@
     Kind.LEAVE,
     Kind.DRAIN_DOMAIN,
     Kind.COLD,
+    Kind.LIMIT,
+    Kind.SAY_LEAVE,
+    Kind.REST,
 )
 # Two workers each; the entries stand in the first, which is never drained.
 DOMAINS = ("zone-a", "zone-b", "zone-c")
 COLD_S = 3.0
+LIMIT_S = 5.0
 
 
 @attrs.define
 class TimedWorker(PlatformWorkerServer):
-    """A worker that notes when it ran what."""
+    """A worker that notes when it ran what.
+
+    `said_at` is when an answer first said that it leaves.
+    """
 
     times: list = attrs.Factory(list)
+    said_at: float | None = None
 
     async def answer(self, run, writer):
         before = len(self.runs)
+        leaving = self.leaving
         try:
             return await super().answer(run, writer)
         finally:
             if len(self.runs) > before:
                 self.times.append(time.monotonic())
+                if leaving and self.said_at is None:
+                    self.said_at = time.monotonic()
 
 
 @attrs.define
@@ -76,6 +89,8 @@
     drained: list = attrs.Factory(list)
     drained_domains: list = attrs.Factory(list)  # Name, since, until.
     cold: list = attrs.Factory(list)  # Id, since, until.
+    limited: list = attrs.Factory(list)  # Id, since, until.
+    rested: list = attrs.Factory(list)  # Id, since, until, turned away.
     stopped: list = attrs.Factory(list)
     expected_ends: set = attrs.Factory(set)
     ended_by_themselves: list = attrs.Factory(list)
@@ -95,7 +110,8 @@
         ]
 
     def has_left(self, worker):
-        return worker in {id for id, _ in self.drained}
+        said = {each.id for each in self.workers if each.leaving}
+        return worker in {id for id, _ in self.drained} | said
 
     def troubled(self, since, until):
         """Whether an unplanned fault was on between two times."""
@@ -275,6 +291,13 @@
             await drain_domain(run, DOMAINS[1 + fault.target % 2], fault)
         case Kind.COLD:
             await turn_cold(run, worker)
+        case Kind.LIMIT:
+            await name_limit(run, run.workers[worker])
+        case Kind.SAY_LEAVE:
+            # One of each service stays whatever leaves.
+            run.workers[worker].leaving = worker >= 2
+        case Kind.REST:
+            await ask_for_rest(run, run.workers[worker], fault)
 
 
 async def spoil(path, fault):
@@ -341,3 +364,21 @@
     run.cold.append((worker, since, time.monotonic()))
     if not run.has_left(worker):
         register(run, number)
+
+
+async def name_limit(run, worker):
+    """A worker names a limit in its answers for a while."""
+    since = time.monotonic()
+    worker.limit = str(LIMIT_PER_S)
+    await asyncio.sleep(LIMIT_S)
+    run.limited.append((worker.id, since, time.monotonic()))
+    worker.limit = ""
+
+
+async def ask_for_rest(run, worker, fault):
+    """A worker turns all away for a while, and asks for rest."""
+    since, shed = time.monotonic(), worker.shed
+    worker.fault, worker.rest = WorkerFault.SHED, str(REST_S)
+    await asyncio.sleep(fault.for_s)
+    worker.fault, worker.rest = WorkerFault.NONE, ""
+    run.rested.append((worker.id, since, time.monotonic(), worker.shed - shed))
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -78,6 +78,20 @@
     run.workers[0].times += [5.0 + 0.1 * number for number in range(6)]
 
 
+def hurry_a_limited_one(run):
+    run.limited = [("w0", 1.0, 9.0)]
+    run.workers[0].times += [5.0 + 0.1 * number for number in range(12)]
+
+
+def use_one_that_said_it_left(run):
+    run.workers[0].said_at = 1.0
+    run.workers[0].times.append(9.0)
+
+
+def disturb_one_that_rests(run):
+    run.rested = [("w0", 1.0, 9.0, 60)]
+
+
 def cut_at_a_stop(run):
     run.stopped = [("e", 1.0)]
     run.asked[0].whole = False
@@ -109,6 +123,9 @@
         use_one_that_left,
         use_one_in_a_drained_domain,
         hurry_a_cold_one,
+        hurry_a_limited_one,
+        use_one_that_said_it_left,
+        disturb_one_that_rests,
         cut_at_a_stop,
         end_by_itself,
         stay_behind,
