Refuse a session's request while its version rests or is limited

Found while reading for the same cause elsewhere: where all workers of a session's version were left out, the request went to the other version, which moves the session for a condition that ends by the worker's own word. It is refused at once with the soonest time; requests without a session go on as before. The test failed before: the request went to the old version.

--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -19,6 +19,7 @@
 from rattanpier._internal.placement.eligibility import (
     DRAINED_DOMAIN,
     LEAVING,
+    OWN_WORDS,
     TIMED,
     Condition,
     Eligible,
@@ -133,6 +134,9 @@
             choice = self.chooser.choose(request, found.workers, model)
             if choice is not None:
                 return choice
+            if request.session and not OWN_WORDS.isdisjoint(found.left_out):
+                # The session's version is back before long.
+                return None
         return None
 
     def note_left_out(
--- a/tests/relay/test_resting_workers.py
+++ b/tests/relay/test_resting_workers.py
@@ -1,9 +1,14 @@
 """Workers that turn requests away and ask for rest, before real entries."""
 
+import types
+
 import pytest
 
+from rattanpier._internal.relay.course import Course
+from rattanpier._internal.relay.rollouts import Split
 from rattanpier._internal.standin.platform_worker import WorkerFault
 from tests.lib.platform_site import platform_site, until
+from tests.lib.relay_parts import make_request
 
 REST_S = 2.0
 
@@ -84,3 +89,22 @@
     for _ in range(3):
         await site.ask()
     assert worker.shed == 3
+
+
+@pytest.mark.parametrize(("session", "found"), [("s1", None), ("", "old")])
+async def test_a_session_waits_for_its_version_while_that_rests(
+    site, session, found
+):
+    for name in ("old", "new"):
+        await site.add_worker(name)
+    entry = await site.add_entry()
+    dispatcher = entry.edge.dispatcher
+    workers = entry.state.directory.workers
+    split = Split([workers["new"]], [workers["old"]])
+    dispatcher.rollouts = types.SimpleNamespace(split=lambda *_: split)
+    dispatcher.rests.hear(workers["new"].incarnation, REST_S)
+    course = Course(make_request(session=session), 1e9, "plain")
+    choice = dispatcher.expect(course, "")
+    assert (choice and choice.worker.id) == found
+    assert course.left_out == {"resting": 1}
+    assert course.opens_in_s > 0.0
