Hear what engines say of themselves beside their load as well

A worker that is asked for its load says in the answer what it says in all: one that gets no requests is heard too. That such an answer says nothing ends no limit, since it is not known that all bear the word.

--- a/src/rattanpier/_internal/platform/reports.py
+++ b/src/rattanpier/_internal/platform/reports.py
@@ -5,18 +5,38 @@
 from collections.abc import Awaitable, Callable
 
 import aiohttp
+from multidict import CIMultiDictProxy
 
 from rattanpier._internal.models.sending import ReportedLoad
 from rattanpier._internal.models.worker import RegisteredWorker
-from rattanpier._internal.platform.upstream import decode_report
+from rattanpier._internal.platform.upstream import (
+    LEAVING,
+    RATE_LIMIT,
+    decode_rate_limit,
+    decode_report,
+    read_leaving,
+)
 
 PATH = "/rattanpier/report"
 
 ReadReport = Callable[[RegisteredWorker, float], Awaitable[ReportedLoad | None]]
 
 
-def report_reader(session: aiohttp.ClientSession) -> ReadReport:
-    """Returns what asks one worker within some seconds; None: no answer."""
+# Told of a worker, the rate that it names, if any, and whether it leaves.
+HearWords = Callable[[RegisteredWorker, float | None, bool], None]
+
+
+def report_reader(
+    session: aiohttp.ClientSession,
+    hear: HearWords = lambda _worker, _rate_per_s, _leaving: None,
+) -> ReadReport:
+    """Returns what asks one worker within some seconds; None: no answer.
+
+    Args:
+      session: For the questions.
+      hear: Told where a worker's answer says how it is. That it says nothing is
+        no word: only answers to requests are sure to bear one.
+    """
 
     async def read(
         worker: RegisteredWorker, limit_s: float
@@ -25,6 +45,7 @@
         url = f"http://{worker.host}:{worker.port}{PATH}"
         try:
             async with session.get(url, timeout=timeout) as response:
+                hear_words(worker, response.headers, hear)
                 if response.status != 200:
                     return None
                 return decode_report(await response.read())
@@ -33,3 +54,15 @@
             return None
 
     return read
+
+
+def hear_words(
+    worker: RegisteredWorker,
+    headers: CIMultiDictProxy[str],
+    hear: HearWords,
+) -> None:
+    """Tells what a worker's answer says of it."""
+    rate_per_s = decode_rate_limit(headers.getall(RATE_LIMIT, []))
+    leaving = any(map(read_leaving, headers.getall(LEAVING, [])))
+    if rate_per_s is not None or leaving:
+        hear(worker, rate_per_s, leaving)
--- a/src/rattanpier/_internal/programs/relay_workers.py
+++ b/src/rattanpier/_internal/programs/relay_workers.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import aiohttp
 
 from rattanpier._internal.kernel import Kernel
+from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.platform import reports
 from rattanpier._internal.platform.identity import identifier
-from rattanpier._internal.platform.reports import ReadReport
+from rattanpier._internal.platform.reports import HearWords, ReadReport
 from rattanpier._internal.programs.relay_listen import RelayEntry
 from rattanpier._internal.relay.prompt_news import PromptNews
 from rattanpier._internal.relay.queue_watch import QueueWatch
@@ -19,12 +21,29 @@
 def add_worker_news(entry: RelayEntry) -> None:
     """Adds what asks workers, and what entries tell each other of them."""
     session = add_report_session(entry.kernel)
-    read_report = reports.report_reader(session)
+    read_report = reports.report_reader(session, word_hearer(entry))
     add_second_looks(entry, session, read_report)
     add_queue_watch(entry, read_report)
     add_prompt_news(entry)
 
 
+def word_hearer(entry: RelayEntry) -> HearWords:
+    """Returns what takes in the words of workers that are asked for a load."""
+    limits = entry.edge.dispatcher.limits
+    directory = entry.state.directory
+
+    def hear(
+        worker: RegisteredWorker, rate_per_s: float | None, leaving: bool
+    ) -> None:
+        if rate_per_s is not None:
+            # The report is of some time ago: it narrows only.
+            limits.hear(worker, rate_per_s, -math.inf)
+        if leaving:
+            directory.hear_leaving(worker)
+
+    return hear
+
+
 def add_report_session(kernel: Kernel) -> aiohttp.ClientSession:
     """Adds a session of its own: questions to workers hold up no store call."""
     connector = aiohttp.TCPConnector(limit=0)  # One connection a worker.
--- a/src/rattanpier/_internal/standin/platform_worker.py
+++ b/src/rattanpier/_internal/standin/platform_worker.py
@@ -160,7 +160,7 @@
             return True
         if run.target == REPORT:
             body = json.dumps(self.report()).encode()
-            writer.write(head(200, [], len(body)) + body)
+            writer.write(head(200, self.words(), len(body)) + body)
             return True
         fault = self.take_fault()
         if fault is WorkerFault.SHED:
--- a/tests/relay/test_leaving_workers.py
+++ b/tests/relay/test_leaving_workers.py
@@ -71,6 +71,18 @@
     assert len(site.workers["w1"].runs) == runs
 
 
+async def test_what_an_engine_says_beside_its_load_counts(site):
+    for name in ("w1", "w2"):
+        await site.add_worker(name, "engine")
+    entries = await add_entries(site, 2)
+    site.workers["w1"].leaving = True
+    site.workers["w2"].limit = "0.5"
+    await until(lambda: all(map(leaves, entries)))
+    limits = [entry.edge.dispatcher.limits for entry in entries]
+    await until(lambda: all(each.limited == {"w2": 0.5} for each in limits))
+    assert not site.workers["w1"].runs + site.workers["w2"].runs
+
+
 async def test_a_stream_under_way_ends_whole_at_a_worker_that_leaves(site):
     worker = await site.add_worker("w1", "engine", event_gap_s=0.05)
     entry = await site.add_entry()
