--- a/src/rattanpier/_internal/trace/causes.py
+++ b/src/rattanpier/_internal/trace/causes.py
@@ -16,6 +16,7 @@
 STARTED = "main: Started."
 STOPPING = "main: Stopping."
 FIRST_FAILURE = 500
+NO_WORKER = "no worker takes work: "
 
 
 @attrs.frozen
@@ -114,15 +115,27 @@
 def refused(line: LogLine, lines: Sequence[LogLine]) -> Cause:
     """Returns the cause of a refusal."""
     code = str(line.fields.get("code"))
+    kept_by = conditions_of(str(line.fields.get("reason")))
     ran = "has not run" if line.fields.get("not_run") else "may have run"
     return Cause(
-        f"refused: {code}",
+        f"refused: {code}" + (f", {kept_by}" if kept_by else ""),
         f"Refused with {line.fields.get('status')} ({code}), since "
         f"{line.fields.get('reason')!r}; it {ran}; {tell_sends(lines)}.",
         True,
     )
 
 
+def conditions_of(reason: str) -> str:
+    """Returns the conditions that left no worker, as a refusal tells them.
+
+    >>> conditions_of("no worker takes work: resting 2, tried 1")
+    'resting, tried'
+    """
+    _, told, counts = reason.partition(NO_WORKER)
+    names = (each.split(" ")[0] for each in counts.split(", "))
+    return ", ".join(names) if told else ""
+
+
 def answered(line: LogLine, lines: Sequence[LogLine]) -> Cause:
     """Returns the cause of an answer, which may be a worker's failure."""
     outcome = str(line.fields.get("outcome"))
@@ -192,6 +205,10 @@
         worker = line.fields.get("worker")
         model = line.fields.get("model")
         named = f"{worker} ({model})" if model else str(worker)
+        left_out = line.fields.get("left_out")
+        if left_out:
+            counts = (f"{count} {name}" for name, count in left_out.items())
+            named += f" (left out: {', '.join(counts)})"
         failure = next(
             (
                 each
--- a/tests/unit/test_causes.py
+++ b/tests/unit/test_causes.py
@@ -133,6 +133,23 @@
     assert counts == [("refused: no_worker", 3, "r0"), ("caller left", 1, "r9")]
 
 
+def test_conditions_that_kept_workers_from_a_request_are_named(written):
+    path = written(
+        sent("r1", left_out={"leaving": 2, "resting": 1}),
+        line(
+            "edge: Refused.",
+            request="r1",
+            code="no_worker",
+            status=503,
+            reason="no worker takes work: rate_limited 3, resting 1",
+            not_run=True,
+        ),
+    )
+    cause = trace_request("r1", path).data["cause"]
+    assert cause["code"] == "refused: no_worker, rate_limited, resting"
+    assert "w1 (left out: 2 leaving, 1 resting)" in cause["sentence"]
+
+
 def test_a_window_of_time_leaves_the_rest_out(written):
     early = line("edge: Caller left.", request="r1", total_s=2.0)
     late = line("edge: Caller left.", request="r2", total_s=2.0)
