--- a/benchmarks/rate_limits.py
+++ b/benchmarks/rate_limits.py
@@ -3,7 +3,8 @@
 Plays entries before workers that all name the same limit. Prints, for each way
 and size, the most requests that reached one worker in a window from entries
 that it had told, the share of its limit that was used, and the share of
-requests that found no worker open.
+requests that found no worker open. In the last column all were told, had
+nothing to do for a while, and then get requests at the same moment.
 
     PYTHONPATH=. python -m benchmarks.rate_limits
 """
@@ -31,6 +32,7 @@
 RATE_PER_S = 2.3
 REQUESTS_PER_S = 5.0  # At one entry.
 PLAY_S = 12.0
+IDLE_S = 600.0
 
 
 @attrs.define
@@ -84,6 +86,26 @@
 
 def play(way: str, size: int, differ: bool, news: bool) -> LimitedFleet:
     """Plays a fleet that nobody has told yet."""
+    fleet, workers = make(way, size, differ, news)
+    fleet.play(workers, REQUESTS_PER_S, PLAY_S, RATE_PER_S)
+    return fleet
+
+
+def play_after_idling(way: str, size: int, differ: bool) -> int:
+    """Returns the most in a window once a fleet that was told has work."""
+    fleet, workers = make(way, size, differ, True)
+    fleet.tell_all(workers, RATE_PER_S)
+    for entry in fleet.entries.values():
+        entry.open(workers)
+    fleet.clock.now += IDLE_S
+    fleet.play(workers, REQUESTS_PER_S, WINDOW_S, RATE_PER_S)
+    return max(map(len, fleet.sends.values()))
+
+
+def make(
+    way: str, size: int, differ: bool, news: bool
+) -> tuple[LimitedFleet, list]:
+    """Returns a fleet, and workers for it to choose from."""
     fleet = LimitedFleet()
     fleet.news = news
     rng = random.Random(size)
@@ -91,9 +113,7 @@
         down = view_of_half(number, range(size)) if differ else ()
         fleet.add(number, range(size), down)
         fleet.entries[number] = WAYS[way](fleet.entries[number], rng)
-    workers = make_workers(9 + size // 3)
-    fleet.play(workers, REQUESTS_PER_S, PLAY_S, RATE_PER_S)
-    return fleet
+    return fleet, make_workers(9 + size // 3)
 
 
 def main() -> None:
@@ -102,8 +122,8 @@
     structlog.configure(wrapper_class=quiet)
     allowed = math.floor(OVERSHOOT * RATE_PER_S * WINDOW_S + SLACK)
     print(f"allowed {allowed} in {WINDOW_S} s, limit {RATE_PER_S} a second")
-    print("| way | entries | views | news | told | used | refused |")
-    print("|---|---|---|---|---|---|---|")
+    print("| way | entries | views | news | told | used | refused | idle |")
+    print("|---|---|---|---|---|---|---|---|")
     for way in WAYS:
         for size in SIZES:
             for differ, news in ((False, True), (True, True), (False, False)):
@@ -124,6 +144,7 @@
         fleet.most_told(WINDOW_S),
         f"{sent / PLAY_S / len(fleet.sends) / RATE_PER_S:.2f}",
         f"{fleet.refused / (fleet.refused + sent):.2f}",
+        play_after_idling(way, size, differ),
     )
     print("|", " | ".join(map(str, cells)), "|", flush=True)
 
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -24,6 +24,7 @@
     make_state,
 )
 from rattanpier._internal.programs.relay_workers import add_worker_news
+from rattanpier._internal.relay.beliefs import Beliefs
 from rattanpier._internal.relay.drain import DrainState
 from rattanpier._internal.relay.edge import CallerDialect, RelayEdge
 from rattanpier._internal.utils.clock import SystemClock
@@ -64,14 +65,17 @@
         clock,
         metrics,
     )
-    quarantine = dispatcher.quarantine
-    limits = dispatcher.limits
-    gossip = await add_peers(
-        kernel, settings, fleet, state, quarantine, limits, clock
+    beliefs = Beliefs(
+        state.rollouts,
+        dispatcher.quarantine,
+        state.domains,
+        dispatcher.limits,
+        state.directory,
     )
-    quarantine.tell = gossip.tell_quarantine
-    limits.tell = gossip.tell_limit
-    state.directory.tell_leaving = gossip.tell_leaving
+    gossip = await add_peers(kernel, settings, fleet, state, beliefs, clock)
+    beliefs.quarantine.tell = gossip.tell_quarantine
+    beliefs.limits.tell = gossip.tell_limit
+    beliefs.directory.tell_leaving = gossip.tell_leaving
     entry = RelayEntry(
         kernel, settings, state, fleet, drain, metrics, edge, gossip
     )
--- a/src/rattanpier/_internal/programs/relay_peers.py
+++ b/src/rattanpier/_internal/programs/relay_peers.py
@@ -11,13 +11,12 @@
 from rattanpier._internal.peers.hints import Hints
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.server import PeerServer
-from rattanpier._internal.placement.rate_limits import RateLimits
+from rattanpier._internal.relay.beliefs import Beliefs
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.gossip import Gossip
 from rattanpier._internal.relay.snapshots import Snapshots
 from rattanpier._internal.relay.spread import Spread
 from rattanpier._internal.relay.state import RelayState
-from rattanpier._internal.retries.quarantine import Quarantine
 from rattanpier._internal.utils.clock import SystemClock
 
 
@@ -42,8 +41,7 @@
     settings: RelaySettings,
     fleet: Fleet,
     state: RelayState,
-    quarantine: Quarantine,
-    limits: RateLimits,
+    beliefs: Beliefs,
     clock: SystemClock,
 ) -> Gossip:
     """Listens for peers and returns what talks to them."""
@@ -62,11 +60,7 @@
     )
     gossip = Gossip(
         fleet=fleet,
-        rollouts=state.rollouts,
-        quarantine=quarantine,
-        domains=state.domains,
-        limits=limits,
-        directory=state.directory,
+        beliefs=beliefs,
         links=links,
         spread=spread,
         clock=clock,
--- /dev/null
+++ b/src/rattanpier/_internal/relay/beliefs.py
@@ -0,0 +1,68 @@
+"""What entries know in common beside each other's states."""
+
+from __future__ import annotations
+
+import attrs
+
+from rattanpier._internal.placement.drained_domains import DrainedDomains
+from rattanpier._internal.placement.rate_limits import RateLimits
+from rattanpier._internal.relay.directory import WorkerDirectory
+from rattanpier._internal.relay.fleet import MemberNews
+from rattanpier._internal.relay.news import News
+from rattanpier._internal.relay.rollouts import Rollouts
+from rattanpier._internal.retries.quarantine import Quarantine
+
+
+@attrs.define(eq=False, repr=False)
+class Beliefs:
+    """What is told to others, and heard from them.
+
+    Attributes:
+      rollouts: How far roll-outs went.
+      quarantine: Requests under which workers ended.
+      domains: Failure domains that get nothing new.
+      limits: How much workers say that they take.
+      directory: Workers that said that they leave.
+    """
+
+    rollouts: Rollouts
+    quarantine: Quarantine
+    domains: DrainedDomains
+    limits: RateLimits
+    directory: WorkerDirectory
+
+    def digest(self) -> int:
+        """Returns what two entries that know the same have in common."""
+        known = self.quarantine.digest() ^ self.domains.digest()
+        return known ^ self.limits.digest() ^ self.directory.leaving_digest()
+
+    def take(self, news: News) -> None:
+        """Takes in what another entry tells, but for entries' states."""
+        for record in news.records:
+            self.rollouts.take_record(record)
+        for order in news.stopped:
+            self.rollouts.stop(order, "told by a peer")
+        self.rollouts.sessions.take(news.held)
+        self.quarantine.take(news.quarantine)
+        self.domains.take_standing(news.drained)
+        self.limits.take(news.limits)
+        self.directory.take_leaving(news.leaving)
+
+    def news_with(self, members: list[MemberNews]) -> News:
+        """Returns all that is told, with the states of some entries."""
+        return News(
+            members=members,
+            records=list(self.rollouts.records.values()),
+            stopped=sorted(self.rollouts.stopped),
+            held=self.rollouts.sessions.all_news(),
+            quarantine=self.quarantine.all_news(),
+            drained=self.domains.standing(),
+            limits=self.limits.standing(),
+            leaving=self.directory.known_to_leave(),
+        )
+
+    def has_more_to_tell(self) -> bool:
+        """Says whether a peer may lack something that summaries don't name."""
+        held = self.quarantine.ends or self.quarantine.cleared
+        said = self.limits.words or self.directory.leaving
+        return bool(held or said or self.domains.drained)
--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -27,12 +27,10 @@
 from rattanpier._internal.models.relay_settings import Address
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.proto import peer_pb2
-from rattanpier._internal.placement.drained_domains import DrainedDomains
-from rattanpier._internal.placement.rate_limits import RateLimits
-from rattanpier._internal.relay.directory import WorkerDirectory
+from rattanpier._internal.relay.beliefs import Beliefs
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.news import Compared, Knowledge, News
-from rattanpier._internal.relay.rollouts import Evidence, Rollouts
+from rattanpier._internal.relay.rollouts import Evidence
 from rattanpier._internal.relay.snapshots import Snapshots
 from rattanpier._internal.relay.spread import Spread, split
 from rattanpier._internal.relay.watch import (
@@ -40,7 +38,6 @@
     TableNews,
     pack_news,
 )
-from rattanpier._internal.retries.quarantine import Quarantine
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.codec import decode, encode, pack, unpack
 
@@ -71,11 +68,7 @@
 
     Attributes:
       fleet: What is known of the others.
-      rollouts: What is known of roll-outs.
-      quarantine: What is known of requests under which workers ended.
-      domains: Failure domains that get nothing new.
-      limits: How much workers say that they take.
-      directory: Workers that said that they leave.
+      beliefs: What is known beside that.
       links: Connections to the others.
       spread: Tells all of them.
       seeds: Addresses to ask while nobody is known.
@@ -92,11 +85,7 @@
     """
 
     fleet: Fleet
-    rollouts: Rollouts
-    quarantine: Quarantine
-    domains: DrainedDomains
-    limits: RateLimits
-    directory: WorkerDirectory
+    beliefs: Beliefs
     links: Links
     spread: Spread
     clock: Clock
@@ -197,9 +186,7 @@
 
     def digest(self) -> int:
         """Returns what two entries that know the same have in common."""
-        known = self.fleet.digest() ^ self.quarantine.digest()
-        known ^= self.domains.digest() ^ self.limits.digest()
-        return known ^ self.directory.leaving_digest()
+        return self.fleet.digest() ^ self.beliefs.digest()
 
     async def serve_beat(self, call: peer_pb2.Call) -> peer_pb2.Reply:
         """Answers an entry that asks."""
@@ -221,7 +208,7 @@
     def tell_changes(self) -> None:
         """Tells everybody what changed here since the last round."""
         self.renew()
-        rollouts = self.rollouts
+        rollouts = self.beliefs.rollouts
         stopped = sorted(rollouts.stopped)
         now = News(
             members=[self.fleet.me],
@@ -251,7 +238,8 @@
     def tell_gathered(self) -> None:
         """Begins to tell everybody of the workers that ended by now."""
         self.telling = None
-        self.tell_all(News(quarantine=self.quarantine.take_untold()))
+        untold = self.beliefs.quarantine.take_untold()
+        self.tell_all(News(quarantine=untold))
 
     def tell_limit(self, word: RateLimit) -> None:
         """Begins to tell everybody how much a worker takes."""
@@ -268,28 +256,7 @@
     def take(self, news: News) -> None:
         """Takes in what another entry tells."""
         self.fleet.take_all(news.members)
-        for record in news.records:
-            self.rollouts.take_record(record)
-        for order in news.stopped:
-            self.rollouts.stop(order, "told by a peer")
-        self.rollouts.sessions.take(news.held)
-        self.quarantine.take(news.quarantine)
-        self.domains.take_standing(news.drained)
-        self.limits.take(news.limits)
-        self.directory.take_leaving(news.leaving)
-
-    def news_of(self, members: list[MemberNews]) -> News:
-        """Returns the states of some entries, and all that is told besides."""
-        return News(
-            members=members,
-            records=list(self.rollouts.records.values()),
-            stopped=sorted(self.rollouts.stopped),
-            held=self.rollouts.sessions.all_news(),
-            quarantine=self.quarantine.all_news(),
-            drained=self.domains.standing(),
-            limits=self.limits.standing(),
-            leaving=self.directory.known_to_leave(),
-        )
+        self.beliefs.take(news)
 
     # What was missed.
 
@@ -332,14 +299,8 @@
             learned=len(compared.news.members),
             told=len(members),
         )
-        if members or self.has_more_to_tell():
-            await self.tell_one(peer, self.news_of(members))
-
-    def has_more_to_tell(self) -> bool:
-        """Says whether a peer may lack something that summaries don't name."""
-        held = self.quarantine.ends or self.quarantine.cleared
-        said = self.limits.words or self.directory.leaving
-        return bool(held or said or self.domains.drained)
+        if members or self.beliefs.has_more_to_tell():
+            await self.tell_one(peer, self.beliefs.news_with(members))
 
     async def serve_summary(self, call: peer_pb2.Call) -> peer_pb2.Reply:
         """Answers with what the asker lacks, and names what it knows better."""
@@ -355,7 +316,7 @@
             for name, order in known.items()
             if name not in mine or order > mine[name].order
         ]
-        packed = pack(Compared(self.news_of(lacking), wanted))
+        packed = pack(Compared(self.beliefs.news_with(lacking), wanted))
         return peer_pb2.Reply(summary=peer_pb2.Comparison(packed=packed))
 
     async def tell_one(self, peer: Member, news: News) -> None:
@@ -383,7 +344,9 @@
 
     async def report(self) -> None:
         """Reports evidence on new versions to the entry that drives."""
-        evidence = self.rollouts.evidence(self.fleet.me.member.incarnation)
+        evidence = self.beliefs.rollouts.evidence(
+            self.fleet.me.member.incarnation
+        )
         driver = self.fleet.others.get(self.fleet.driver())
         if evidence is None or evidence == self.reported or driver is None:
             return
@@ -399,7 +362,7 @@
 
     async def serve_report(self, call: peer_pb2.Call) -> peer_pb2.Reply:
         """Takes in an entry's evidence."""
-        self.rollouts.take_evidence(decode(Evidence, call.report.text))
+        self.beliefs.rollouts.take_evidence(decode(Evidence, call.report.text))
         return peer_pb2.Reply(report=peer_pb2.EvidenceReport())
 
     # What watchers read.
--- a/tests/lib/ring.py
+++ b/tests/lib/ring.py
@@ -19,6 +19,7 @@
 from rattanpier._internal.placement.drained_domains import DrainedDomains
 from rattanpier._internal.placement.rate_limits import RateLimits
 from rattanpier._internal.placement.shared_rates import SharedRates
+from rattanpier._internal.relay.beliefs import Beliefs
 from rattanpier._internal.relay.directory import WorkerDirectory
 from rattanpier._internal.relay.exposure import ExposureBound
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
@@ -129,11 +130,13 @@
         spread = Spread(fleet, links)
         gossip = Gossip(
             fleet=fleet,
-            rollouts=Rollouts(ExposureBound(0.1, 30.0), 5.0, self.clock),
-            quarantine=Quarantine(self.clock),
-            domains=DrainedDomains(),
-            limits=RateLimits(SharedRates(fleet, self.clock), self.clock),
-            directory=WorkerDirectory(self.clock),
+            beliefs=Beliefs(
+                Rollouts(ExposureBound(0.1, 30.0), 5.0, self.clock),
+                Quarantine(self.clock),
+                DrainedDomains(),
+                RateLimits(SharedRates(fleet, self.clock), self.clock),
+                WorkerDirectory(self.clock),
+            ),
             links=links,
             spread=spread,
             clock=self.clock,
@@ -148,8 +151,9 @@
             ),
             renew=lambda: False,
         )
-        gossip.quarantine.tell = gossip.tell_quarantine
-        gossip.limits.tell = gossip.tell_limit
+        gossip.beliefs.quarantine.tell = gossip.tell_quarantine
+        gossip.beliefs.limits.tell = gossip.tell_limit
+        gossip.beliefs.directory.tell_leaving = gossip.tell_leaving
         entry = Entry(fleet, spread, gossip)
         spread.takers["rumors"] = gossip.take_rumors
         spread.takers["queue_news"] = entry.note_hint
@@ -233,7 +237,7 @@
                 each for each in news if each is not entry.fleet.me
             )
             entry.gossip.compared_at = 0.0
-            entry.gossip.told = entry.gossip.news_of([entry.fleet.me])
+            entry.gossip.told = entry.gossip.beliefs.news_with([entry.fleet.me])
     return ring
 
 
--- a/tests/relay/test_spread.py
+++ b/tests/relay/test_spread.py
@@ -9,6 +9,7 @@
 from rattanpier._internal.peers.proto import peer_pb2
 from rattanpier._internal.relay.gossip import CALL_TIMEOUT_S, TIMEOUTS_TO_DOWN
 from rattanpier._internal.relay.spread import WIDTH
+from tests.lib.relay_parts import make_worker
 from tests.lib.ring import ORDER, make_ring
 from tests.lib.virtual import run_virtual
 
@@ -84,11 +85,12 @@
 async def test_a_stopped_version_is_known_within_seconds_on_lossy_links(size):
     ring = make_ring(size)
     ring.loss = 0.1
-    ring.entries["e007"].gossip.rollouts.take_order(ORDER)
-    ring.entries["e007"].gossip.rollouts.stop(ORDER.id, "test")
+    ring.entries["e007"].gossip.beliefs.rollouts.take_order(ORDER)
+    ring.entries["e007"].gossip.beliefs.rollouts.stop(ORDER.id, "test")
     await ring.rounds(6)
     knowing = sum(
-        ORDER.id in entry.gossip.rollouts.stopped for entry in ring.live()
+        ORDER.id in entry.gossip.beliefs.rollouts.stopped
+        for entry in ring.live()
     )
     assert knowing >= 0.99 * size
 
@@ -225,7 +227,8 @@
 
 def count_holding(ring, content):
     return sum(
-        entry.gossip.quarantine.held_s(content) > 0.0 for entry in ring.live()
+        entry.gossip.beliefs.quarantine.held_s(content) > 0.0
+        for entry in ring.live()
     )
 
 
@@ -237,7 +240,7 @@
         entry = ring.entries[f"e{number:03}"]
         worker = f"w{number}"
         for content in ("deadly", f"beside {number}"):
-            entry.gossip.quarantine.note_end(content, worker)
+            entry.gossip.beliefs.quarantine.note_end(content, worker)
     # A request that ends workers goes on to the next within 0.2 s.
     await ring.clock.sleep(0.05)
     assert count_holding(ring, "deadly") == size
@@ -251,7 +254,9 @@
     cut = {f"e{number:03}" for number in range(1, 80, 8)}
     ring.silent = cut
     for number in range(3):
-        ring.entries["e000"].gossip.quarantine.note_end("deadly", f"w{number}")
+        ring.entries["e000"].gossip.beliefs.quarantine.note_end(
+            "deadly", f"w{number}"
+        )
     await ring.clock.sleep(1.0)
     assert count_holding(ring, "deadly") == 80 - len(cut)
     ring.silent = set()
@@ -259,3 +264,51 @@
     newcomer.fleet.take_all([ring.entries["e005"].fleet.me])
     await ring.rounds(12)
     assert count_holding(ring, "deadly") == 81
+
+
+def count_limited(ring):
+    return sum(bool(e.gossip.beliefs.limits.limited) for e in ring.live())
+
+
+def count_leaving(ring):
+    return sum(bool(e.gossip.beliefs.directory.leaving) for e in ring.live())
+
+
+@pytest.mark.parametrize("size", SIZES)
+@virtual
+async def test_what_a_worker_said_to_one_entry_is_soon_known_to_all(size):
+    ring = make_ring(size)
+    worker = make_worker("w1")
+    told = ring.entries["e001"].gossip.beliefs
+    told.limits.hear(worker, 2.5, 0.0)
+    told.directory.hear_leaving(worker)
+    await ring.clock.sleep(0.05)
+    assert count_limited(ring) == count_leaving(ring) == size
+    # Its end is heard by another one.
+    now = ring.clock.monotonic()
+    ring.entries["e002"].gossip.beliefs.limits.hear(worker, None, now)
+    await ring.clock.sleep(0.05)
+    assert count_limited(ring) == 0
+    most, mean = ring.most_and_mean("messages")
+    assert most <= 8 * mean
+
+
+@virtual
+async def test_those_that_missed_it_and_newcomers_hear_what_a_worker_said():
+    ring = make_ring(80)
+    cut = {f"e{number:03}" for number in range(1, 80, 8)}
+    ring.silent = cut
+    worker = make_worker("w1")
+    for entry in ring.entries.values():
+        entry.gossip.beliefs.directory.put(worker)
+    told = ring.entries["e000"].gossip.beliefs
+    told.limits.hear(worker, 2.5, 0.0)
+    told.directory.hear_leaving(worker)
+    await ring.clock.sleep(1.0)
+    assert count_limited(ring) == count_leaving(ring) == 80 - len(cut)
+    ring.silent = set()
+    newcomer = ring.add(80)
+    newcomer.gossip.beliefs.directory.put(worker)
+    newcomer.fleet.take_all([ring.entries["e005"].fleet.me])
+    await ring.rounds(12)
+    assert count_limited(ring) == count_leaving(ring) == 81
