Ask no less of other engines while one wants rest, and spare idle choices

Read in the diff: rests of one entry took its engines out of the list that all readers divide, so that parts no longer met; now the entry just does not ask. After the last rest, and with workers that left long ago, a choice looks at nothing again.

--- a/src/rattanpier/_internal/dispatch/tries.py
+++ b/src/rattanpier/_internal/dispatch/tries.py
@@ -262,7 +262,7 @@
     def awake(self, targets: list[Target]) -> list[Target]:
         """Returns the workers that did not ask for rest."""
         rests = self.rests
-        if not rests.until:
+        if rests.all_over():
             return targets
         return [each for each in targets if not rests.opens_in_s(each.name)]
 
--- a/src/rattanpier/_internal/placement/eligibility.py
+++ b/src/rattanpier/_internal/placement/eligibility.py
@@ -26,7 +26,7 @@
 RESTING = "resting"
 AVOIDED = "avoided"
 KEPT_APART = "kept_apart"
-# Of these a worker's own word says when they end.
+# Conditions that a worker's own word begins and ends.
 OWN_WORDS = frozenset({RATE_LIMITED, RESTING})
 # Conditions of which it is known when a worker takes a request again.
 TIMED = frozenset({WARMING_UP, RATE_LIMITED, RESTING})
--- a/src/rattanpier/_internal/placement/rests.py
+++ b/src/rattanpier/_internal/placement/rests.py
@@ -33,11 +33,13 @@
       rng: Spreads the ends.
       until: In monotonic seconds, by worker; where a worker's start is known,
         by its incarnation.
+      all_over_at: When the last of them ends.
     """
 
     clock: Clock
     rng: random.Random
     until: dict[str, float] = attrs.Factory(dict)
+    all_over_at: float = -math.inf
 
     def hear(self, worker: str, rest_s: float) -> None:
         """Takes in that a worker asks for rest; the longest one counts."""
@@ -49,6 +51,7 @@
         if until <= self.until.get(worker, -math.inf):
             return
         self.until[worker] = until
+        self.all_over_at = max(self.all_over_at, until)
         log.info(
             "Worker asks for rest.",
             worker=worker,
@@ -64,12 +67,16 @@
         self, workers: Sequence[RegisteredWorker]
     ) -> Sequence[RegisteredWorker]:
         """Returns the workers that did not ask for rest."""
-        if not self.until:
+        if self.all_over():
             return workers
         return [
             each for each in workers if self.opens_in_s(each.incarnation) <= 0.0
         ]
 
+    def all_over(self) -> bool:
+        """Says whether no worker wants rest."""
+        return self.clock.monotonic() >= self.all_over_at
+
     def opens_in_s(self, worker: str) -> float:
         """Returns the seconds until a worker takes requests again; 0: now."""
         until = self.until.get(worker)
--- a/src/rattanpier/_internal/programs/relay_workers.py
+++ b/src/rattanpier/_internal/programs/relay_workers.py
@@ -88,7 +88,8 @@
         engines=state.engines,
         read=read_report,
         restarted=lambda worker: state.forget([worker]),
-        open=lambda workers: rests.open(state.domains.open(workers)),
+        open=state.domains.open,
+        rests=lambda worker: rests.opens_in_s(worker.incarnation) > 0.0,
     )
     state.gone.subscribe(lambda worker: queues.born.pop(worker, None))
     entry.gossip.spread.takers["queue_news"] = queues.take_told
--- a/src/rattanpier/_internal/relay/directory.py
+++ b/src/rattanpier/_internal/relay/directory.py
@@ -45,6 +45,7 @@
     missing: dict[str, float] = attrs.Factory(dict)
     known: bool = False
     by_service: dict[str, list[RegisteredWorker]] = attrs.Factory(dict)
+    leaving_counts: dict[str, int] = attrs.Factory(dict)
     seen: collections.OrderedDict[str, None] = attrs.Factory(
         collections.OrderedDict
     )
@@ -80,7 +81,7 @@
             return False
         self.workers[worker.id] = worker
         self.missing.pop(worker.id, None)
-        self.by_service.clear()
+        self.clear_derived()
         self.registered(worker, self.is_new(worker))
         if before is None or before.draining != worker.draining:
             log.info(
@@ -102,6 +103,11 @@
         )
         return True
 
+    def clear_derived(self) -> None:
+        """Lets what follows from the registrations be found anew."""
+        self.by_service.clear()
+        self.leaving_counts.clear()
+
     def is_new(self, worker: RegisteredWorker) -> bool:
         """Says whether an incarnation has just appeared, and remembers it.
 
@@ -131,7 +137,7 @@
         self.leaving[incarnation] = None
         if len(self.leaving) > MOST_SEEN:
             self.leaving.popitem(last=False)
-        self.by_service.clear()
+        self.clear_derived()
         log.info("Worker says it leaves.", worker=incarnation, source=source)
         return True
 
@@ -170,7 +176,7 @@
             return False
         del self.workers[id]
         self.missing.pop(id, None)
-        self.by_service.clear()
+        self.clear_derived()
         log.info("Worker gone.", worker=id, service=worker.service)
         return True
 
@@ -222,7 +228,11 @@
         """Returns how many workers of a service leave by their answers."""
         if not self.leaving:
             return 0
-        return sum(
-            each.service == service and each.incarnation in self.leaving
-            for each in self.workers.values()
-        )
+        found = self.leaving_counts.get(service)
+        if found is None:
+            found = sum(
+                each.service == service and each.incarnation in self.leaving
+                for each in self.workers.values()
+            )
+            self.leaving_counts[service] = found
+        return found
--- a/src/rattanpier/_internal/relay/queue_watch.py
+++ b/src/rattanpier/_internal/relay/queue_watch.py
@@ -67,6 +67,7 @@
       restarted: Told of a worker that says it started anew, before its new
         registration came.
       open: Returns the workers that may be asked.
+      rests: Says whether a worker wants no questions from this entry now.
       born: What workers said of their start, by id.
       parts: What was found of each part, and when, in monotonic seconds.
     """
@@ -83,6 +84,7 @@
     open: Callable[[Sequence[RegisteredWorker]], Sequence[RegisteredWorker]] = (
         lambda workers: workers
     )
+    rests: Callable[[RegisteredWorker], bool] = lambda _worker: False
     born: dict[str, int] = attrs.Factory(dict)
     parts: dict[int, tuple[float, QueueNews]] = attrs.Factory(dict)
 
@@ -167,6 +169,8 @@
         load = self.loads.workers[worker.id]
         if self.clock.monotonic() - load.report_at < FRESH_S:
             return load.report
+        if self.rests(worker):
+            return None
         report = await self.read(worker, ASK_TIMEOUT_S)
         if report is not None and report.born is not None:
             self.note_born(worker, report.born)
--- a/tests/relay/test_queue_watch.py
+++ b/tests/relay/test_queue_watch.py
@@ -197,3 +197,11 @@
     await watch.round()
     await watch.round()
     assert again == ["w1"]
+
+
+async def test_an_engine_that_wants_rest_is_not_asked(clock):
+    watch, asked, _ = make_watch(clock, {"w1": 0, "w2": 0})
+    clock.now = 10.0
+    watch.rests = lambda worker: worker.id == "w1"
+    await watch.round()
+    assert asked == ["w2"]
