--- a/benchmarks/rate_limits.py
+++ b/benchmarks/rate_limits.py
@@ -19,6 +19,7 @@
 import attrs
 import structlog
 
+from benchmarks.saved_parts import SavedParts
 from benchmarks.warm_up import view_of_half
 from rattanpier._internal.placement.rate_limits import (
     OVERSHOOT,
@@ -37,35 +38,26 @@
 
 @attrs.define
 class Bucket:
-    """Each entry has an even part of the limit, and saves up one request.
-
-    Attributes:
-      saved: Parts of a request by worker, and when that was, in seconds.
-    """
+    """Each entry has an even part of the limit, and saves up one request."""
 
     limits: object
-    rng: random.Random
-    saved: dict = attrs.Factory(dict)
+    parts: SavedParts
 
     def open(self, workers: list) -> list:
         """Returns the workers that this entry may send to."""
         if not self.limits.limited:
             return workers
-        return [each for each in workers if self.touch(each) >= 1.0]
-
-    def touch(self, worker: object) -> float:
-        """Brings what is saved up for a worker up to date and returns it."""
         now = self.limits.clock.now
-        # Entries begin anywhere, so that they do not all send at once.
-        part, since = self.saved.get(worker.id, (self.rng.random(), now))
         rate = RATE_PER_S / self.limits.shares.fleet.size()
-        level = min(1.0, part + rate * (now - since))
-        self.saved[worker.id] = level, now
-        return level
+        return [
+            each
+            for each in workers
+            if self.parts.touch(each.id, rate, now) >= 1.0
+        ]
 
     def note_send(self, worker: object) -> None:
         """Takes in a send."""
-        self.saved[worker.id] = 0.0, self.limits.clock.now
+        self.parts.spend(worker.id, self.limits.clock.now)
 
     def hear(self, worker: object, rate: float | None, at: float) -> None:
         """Takes in an answer."""
@@ -81,7 +73,12 @@
     return limits
 
 
-WAYS: dict[str, Callable] = {"few senders": few_senders, "parts": Bucket}
+def even_parts(limits: object, rng: random.Random) -> object:
+    """Returns the other way: an even part for each entry."""
+    return Bucket(limits, SavedParts(rng))
+
+
+WAYS: dict[str, Callable] = {"few senders": few_senders, "parts": even_parts}
 
 
 def play(way: str, size: int, differ: bool, news: bool) -> LimitedFleet:
--- a/benchmarks/warm_up.py
+++ b/benchmarks/warm_up.py
@@ -18,6 +18,7 @@
 import attrs
 import structlog
 
+from benchmarks.saved_parts import SavedParts
 from tests.lib.relay_parts import make_workers
 from tests.lib.warm_fleet import OVERSHOOT, SLACK, WARM_UP, WarmFleet
 
@@ -28,37 +29,24 @@
 
 @attrs.define
 class Bucket:
-    """Way 2: each entry has an even part of the rate, and saves it up.
-
-    Attributes:
-      saved: Parts of a request by worker, and when that was, in seconds.
-    """
+    """Way 2: each entry has an even part of the rate, and saves it up."""
 
     warm_ups: object
-    rng: random.Random
-    saved: dict = attrs.Factory(dict)
-
-    def level(self, worker: str) -> float:
-        """Returns what is saved up for a worker."""
-        now = self.warm_ups.clock.now
-        # Entries begin anywhere, so that they do not all send at once.
-        part, since = self.saved.get(worker, (self.rng.random(), now))
-        rate = WARM_UP.rate_per_s / self.warm_ups.shares.fleet.size()
-        return min(1.0, part + rate * (now - since))
+    parts: SavedParts
 
     def open(self, workers: list) -> list:
         """Returns the workers that this entry may send to."""
-        return [each for each in workers if self.touch(each.id) >= 1.0]
-
-    def touch(self, worker: str) -> float:
-        """Brings what is saved up to date and returns it."""
-        level = self.level(worker)
-        self.saved[worker] = level, self.warm_ups.clock.now
-        return level
+        now = self.warm_ups.clock.now
+        rate = WARM_UP.rate_per_s / self.warm_ups.shares.fleet.size()
+        return [
+            each
+            for each in workers
+            if self.parts.touch(each.id, rate, now) >= 1.0
+        ]
 
     def note_send(self, worker: object) -> None:
         """Takes in a send."""
-        self.saved[worker.id] = 0.0, self.warm_ups.clock.now
+        self.parts.spend(worker.id, self.warm_ups.clock.now)
 
 
 @attrs.define
@@ -92,7 +80,9 @@
 
 WAYS: dict[str, Callable] = {
     "few senders": few_senders,
-    "parts saved up": lambda warm_ups, rng, _count: Bucket(warm_ups, rng),
+    "parts saved up": lambda warm_ups, rng, _count: Bucket(
+        warm_ups, SavedParts(rng)
+    ),
     "by chance": Thinned,
 }
 
--- a/tests/placement/test_rate_limits.py
+++ b/tests/placement/test_rate_limits.py
@@ -194,6 +194,17 @@
     assert fleet.most_told(WINDOW_S) <= allowed(2.3)
 
 
+@pytest.mark.parametrize("size", SIZES)
+def test_newcomers_that_not_all_know_keep_within_a_limit(size):
+    fleet, workers = make_limited(size)
+    newcomers = max(1, size // 8)
+    for number in range(size, size + newcomers):
+        fleet.add(number, range(size + newcomers))
+    fleet.tell_all(workers, 2.3)
+    fleet.play(workers, REQUESTS_PER_S, PLAY_S, 2.3)
+    assert fleet.most_told(WINDOW_S) <= allowed(2.3)
+
+
 @pytest.mark.parametrize("size", SIZES)
 def test_a_limit_is_used_and_all_hear_of_its_end(size):
     fleet, workers = make_limited(size)
