--- a/src/rattanpier/_internal/placement/rate_limits.py
+++ b/src/rattanpier/_internal/placement/rate_limits.py
@@ -31,6 +31,9 @@
 OVERSHOOT = 1.5  # Times the rate that may reach a worker in any window.
 SLACK = 5.0  # Requests that may reach it beyond that.
 WINDOW_S = 4.0
+# Each of so many senders for a request within a window may hold one back: what
+# is left is for senders of entries that know others.
+SENDERS_SHARE = 2 / 3
 # Only an answer tells that a limit ended: so often a worker that takes nothing
 # is asked all the same.
 LEAST_RATE_PER_S = 0.1
@@ -41,10 +44,16 @@
     """Returns what all entries together may send to a worker.
 
     >>> bound_of(2.0)
-    RateBound(rate_per_s=2.0, most=17, window_s=4.0)
+    RateBound(rate_per_s=2.0, most=17, window_s=4.0, senders=11, live_share=1.0)
     """
     most = math.floor(OVERSHOOT * rate_per_s * WINDOW_S + SLACK)
-    return RateBound(max(rate_per_s, LEAST_RATE_PER_S), most, WINDOW_S)
+    return RateBound(
+        max(rate_per_s, LEAST_RATE_PER_S),
+        most,
+        WINDOW_S,
+        senders=math.floor(SENDERS_SHARE * most),
+        live_share=1.0,
+    )
 
 
 @attrs.define(eq=False, repr=False)
@@ -120,8 +129,9 @@
             self.limited.pop(word.incarnation, None)
         else:
             self.limited[word.incarnation] = word.rate_per_s
-            # What is under way counts as a send.
-            self.shares.note_send(word.incarnation)
+            self.shares.begin(
+                word.worker, word.incarnation, bound_of(word.rate_per_s)
+            )
         if len(self.words) > MOST_WORDS:
             self.drop(next(iter(self.words)))
         log.info(
--- a/src/rattanpier/_internal/placement/shared_rates.py
+++ b/src/rattanpier/_internal/placement/shared_rates.py
@@ -18,11 +18,8 @@
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.hashing import weight_for
 
-# Entries that may ever send to a worker, whoever lives; half of them do, so
-# that one may be down. With more each has a longer pause, and a part that it
-# has no request for is lost.
-MOST_SENDERS = 4
-LIVE_SHARE = 0.5
+# Entries that are drawn for a worker, of which a bound names the first few.
+MOST_SENDERS = 16
 # A pause is so much longer than a whole part of a window: sends from one entry
 # arrive at intervals that differ by some ms.
 PAUSE_SLACK = 1.05
@@ -41,11 +38,17 @@
       rate_per_s: Requests, in the long run.
       most: Requests within any window.
       window_s: Its length.
+      senders: Entries that may ever send, whoever lives; with more of them each
+        has a longer pause.
+      live_share: Of these, the share that does, of those that live. What is not
+        1 leaves spares for those that are down.
     """
 
     rate_per_s: float
     most: int
     window_s: float
+    senders: int
+    live_share: float
 
 
 @attrs.frozen
@@ -70,13 +73,13 @@
       bound: What all entries together may send.
       entries: Those that are known.
 
-    >>> divide(RateBound(9.0, 18, 1.0), entries=77)
+    >>> divide(RateBound(9.0, 18, 1.0, 4, 0.5), entries=77)
     RateParts(senders=4, live_senders=2, pause_s=0.2625)
     """
     if bound.most < 1:
         return None
-    senders = min(MOST_SENDERS, entries, bound.most)
-    live = max(1, math.floor(LIVE_SHARE * senders))
+    senders = min(MOST_SENDERS, bound.senders, entries, bound.most)
+    live = max(1, math.floor(bound.live_share * senders))
     pause_s = PAUSE_SLACK * bound.window_s / (bound.most // senders)
     if bound.rate_per_s > 0.0:
         pause_s = max(pause_s, live / bound.rate_per_s)
@@ -144,6 +147,21 @@
             self.drawn[worker] = self.fleet.roster, few
         return few
 
+    def begin(self, worker: str, incarnation: str, bound: RateBound) -> None:
+        """Takes in that a bound holds from now on.
+
+        The senders begin one after the other, over the length of a pause.
+        """
+        parts = divide(bound, self.fleet.size())
+        me = self.fleet.me.member.name
+        few = self.draw(worker)
+        if parts is None or me not in few:
+            return
+        rank = few.index(me) + 1
+        since_s = parts.pause_s * max(0.0, 1.0 - rank / parts.senders)
+        self.note_send(incarnation)
+        self.sent_at[incarnation] -= since_s
+
     def note_send(self, incarnation: str) -> None:
         """Takes in that this entry sends a request to a bound worker."""
         now = self.clock.monotonic()
--- a/src/rattanpier/_internal/placement/warm_up.py
+++ b/src/rattanpier/_internal/placement/warm_up.py
@@ -32,6 +32,10 @@
 # What is known of a worker is of use for as long as it warms up.
 KEPT_S = 60.0
 WINDOW_S = 1.0
+# Two entries send, and two more stand by: a warm-up is over before it would be
+# known everywhere that one is down.
+SENDERS = 4
+LIVE_SHARE = 0.5
 
 
 def bound_of(warm_up: WarmUp, overshoot: float, slack: float) -> RateBound:
@@ -43,10 +47,10 @@
       slack: Requests that may reach it beyond that.
 
     >>> bound_of(WarmUp(3.0, 9.0), 1.5, 5.0)
-    RateBound(rate_per_s=9.0, most=18, window_s=1.0)
+    RateBound(rate_per_s=9.0, most=18, window_s=1.0, senders=4, live_share=0.5)
     """
     most = math.floor(warm_up.rate_per_s * overshoot + slack)
-    return RateBound(warm_up.rate_per_s, most, WINDOW_S)
+    return RateBound(warm_up.rate_per_s, most, WINDOW_S, SENDERS, LIVE_SHARE)
 
 
 @attrs.define(eq=False, repr=False)
