Tell callers when any entry may send to a limited worker

Read in the diff: a refusal named this entry's own pause, up to five seconds at 2.3 a second, though some entry takes a request each 0.43 s and callers ask any. A change of a limit's value also began the turns of all senders anew, so that a sender did not keep its pause; now only its beginning does. No test showed more than the limit for that (a limit that differs in each answer, before and after).

--- a/src/rattanpier/_internal/placement/rate_limits.py
+++ b/src/rattanpier/_internal/placement/rate_limits.py
@@ -128,10 +128,12 @@
         if word.rate_per_s is None:
             self.limited.pop(word.incarnation, None)
         else:
+            began = word.incarnation not in self.limited
             self.limited[word.incarnation] = word.rate_per_s
-            self.shares.begin(
-                word.worker, word.incarnation, bound_of(word.rate_per_s)
-            )
+            if began:
+                self.shares.begin(
+                    word.worker, word.incarnation, bound_of(word.rate_per_s)
+                )
         if len(self.words) > MOST_WORDS:
             self.drop(next(iter(self.words)))
         log.info(
@@ -187,17 +189,26 @@
     def opens_in_s(self, worker: RegisteredWorker) -> float:
         """Returns the seconds until a worker takes a request from this entry.
 
-        For one that may not send there: until others may that callers can ask.
+        Infinite for an entry that may not send there.
         """
         rate_per_s = self.limited.get(worker.incarnation)
         if rate_per_s is None:
             return 0.0
-        bound = bound_of(rate_per_s)
-        opens_in_s = self.shares.opens_in_s(worker, bound)
-        if math.isfinite(opens_in_s):
-            return opens_in_s
+        return self.shares.opens_in_s(worker, bound_of(rate_per_s))
+
+    def soonest_s(self, worker: RegisteredWorker) -> float:
+        """Returns the seconds until a worker takes a request from any entry.
+
+        Callers that come back ask any of them.
+        """
+        wait_s = self.opens_in_s(worker)
+        if not wait_s:
+            return 0.0
+        bound = bound_of(self.limited[worker.incarnation])
         parts = divide(bound, self.shares.fleet.size())
-        return parts.pause_s if parts is not None else WINDOW_S
+        if parts is None:
+            return wait_s
+        return min(wait_s, parts.pause_s / parts.senders)
 
     def note_send(self, worker: RegisteredWorker) -> None:
         """Takes in that this entry sends a request to a worker."""
--- a/src/rattanpier/_internal/placement/shared_rates.py
+++ b/src/rattanpier/_internal/placement/shared_rates.py
@@ -159,8 +159,9 @@
             return
         rank = few.index(me) + 1
         since_s = parts.pause_s * max(0.0, 1.0 - rank / parts.senders)
-        self.note_send(incarnation)
-        self.sent_at[incarnation] -= since_s
+        sent_at = self.sent_at.get(incarnation, -math.inf)
+        as_if_at = self.clock.monotonic() - since_s
+        self.sent_at[incarnation] = max(sent_at, as_if_at)
 
     def note_send(self, incarnation: str) -> None:
         """Takes in that this entry sends a request to a bound worker."""
--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -75,7 +75,7 @@
     def opens_in_s(worker: RegisteredWorker) -> float:
         return max(
             warm_ups.opens_in_s(worker),
-            limits.opens_in_s(worker),
+            limits.soonest_s(worker),
             rests.opens_in_s(worker.incarnation),
         )
 
--- a/tests/lib/warm_fleet.py
+++ b/tests/lib/warm_fleet.py
@@ -131,11 +131,13 @@
       told_sends: When each worker was sent a request by an entry that it had
         told some time before, by its id.
       news: Entries tell each other.
+      wobble: How much less a worker may name in one answer than in another.
     """
 
     told_at: dict = attrs.Factory(dict)
     told_sends: dict = attrs.Factory(lambda: collections.defaultdict(list))
     news: bool = True
+    wobble: float = 0.0
 
     def add(self, number, known, down=()):
         entry = make_limits(
@@ -191,6 +193,7 @@
             self.told_sends[worker.id].append(self.clock.now)
         if rate_per_s is not None:
             self.told_at.setdefault(key, self.clock.now)
+            rate_per_s -= self.rng.uniform(0.0, self.wobble)
         entry.hear(worker, rate_per_s, self.clock.now)
 
     def most_told(self, window_s):
--- a/tests/placement/test_rate_limits.py
+++ b/tests/placement/test_rate_limits.py
@@ -205,6 +205,20 @@
     assert fleet.most_told(WINDOW_S) <= allowed(2.3)
 
 
+@pytest.mark.parametrize("size", SIZES[:2])
+@pytest.mark.parametrize("wobble", [0.01, 2.0])
+def test_a_limit_that_differs_in_each_answer_is_kept(size, wobble):
+    fleet, workers = make_limited(size)
+    fleet.wobble = wobble
+    fleet.tell_all(workers, 2.3)
+    fleet.play(workers, 2 * REQUESTS_PER_S, 2 * PLAY_S, 2.3)
+    assert fleet.most_told(WINDOW_S) <= allowed(2.3)
+    # Most of what the least of its words allows is used.
+    used = sum(map(len, fleet.sends.values())) / 2 / PLAY_S / len(workers)
+    assert used >= 0.5 * (2.3 - wobble)
+    assert used <= 2.3
+
+
 @pytest.mark.parametrize("size", SIZES)
 def test_a_limit_is_used_and_all_hear_of_its_end(size):
     fleet, workers = make_limited(size)
@@ -234,3 +248,11 @@
     assert fleet.most_told(WINDOW_S) <= SLACK
     fleet.play(workers, REQUESTS_PER_S, 30.0, None)
     assert all(not entry.limited for entry in fleet.entries.values())
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_callers_are_told_when_some_entry_takes_a_request(size):
+    fleet, (worker, *_) = make_limited(size)
+    fleet.tell_all([worker], 2.3)
+    waits = [entry.soonest_s(worker) for entry in fleet.entries.values()]
+    assert all(0.0 < wait_s <= 1.0 / 2.3 + 0.01 for wait_s in waits)
