Log which history of the store answers are of, and what is left out by its version

Logs could not tell the hypotheses of the incident apart: whether news came and were left out, behind which version, and of which history of the store they are. The store's era is read from all its answers, also refusals, and logged, counted and shown as a metric; news, pages and registrations that are left out by their version are logged. No decision changes. tests/relay and tests/placement pass.

--- a/src/rattanpier/_internal/platform/rows.py
+++ b/src/rattanpier/_internal/platform/rows.py
@@ -4,12 +4,13 @@
 
 import base64
 import json
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from contextlib import AbstractAsyncContextManager
 from typing import Any
 
 import aiohttp
 import attrs
+import structlog
 
 from rattanpier._internal.exceptions import (
     HistoryGoneError,
@@ -28,7 +29,10 @@
     Uncertain,
 )
 
+log = structlog.get_logger(part="store")
+
 PATH = "/rattanpier"
+ERA = "Store-Era"  # Which history of the store an answer is of.
 PAGE_ROWS = 500  # The most that the store returns at once.
 # The store answers in some ms; past this the call was lost or it is away.
 CALL_TIMEOUT_S = 1.0
@@ -45,10 +49,12 @@
     Attributes:
       session: For its connections.
       base: Address, as `http://IP:PORT`.
+      note_era: Called with the era that an answer tells.
     """
 
     session: aiohttp.ClientSession
     base: str
+    note_era: Callable[[int], None] = lambda _era: None
 
     async def scan(self, table: str) -> Page:
         """Returns all rows of a table and the version that they are as of.
@@ -110,6 +116,7 @@
             async with self.call(
                 "GET", call, timeout_s, params=query
             ) as response:
+                self.note_era(read_era(response.headers.get(ERA)))
                 if response.status == STATUS_GONE:
                     raise HistoryGoneError(f"history of {query} is gone")
                 if response.status != 200:
@@ -142,6 +149,7 @@
             async with self.call(
                 "POST", "rows-tx", SLOW_CALL_TIMEOUT_S, json=body
             ) as response:
+                self.note_era(read_era(response.headers.get(ERA)))
                 return await decode_outcome(response)
         except aiohttp.ClientConnectorError as error:
             return NotRun(repr(error))
@@ -164,6 +172,21 @@
     return Conflict(",".join(keys))
 
 
+def read_era(text: str | None) -> int:
+    """Returns the era that an answer tells, 0 if it tells none.
+
+    >>> read_era("3"), read_era(None), read_era("new")
+    (3, 0, 0)
+    """
+    if text is None:
+        return 0
+    stripped = text.strip()
+    if not (stripped.isascii() and stripped.isdecimal()):
+        log.warning("Store's era can't be read.", era=text[:80])
+        return 0
+    return int(stripped)
+
+
 def decode_row(row: dict[str, Any]) -> FeedRow:
     """Returns a row; a removed one has no value."""
     deleted = bool(row.get("deleted"))
--- a/src/rattanpier/_internal/programs/relay_store.py
+++ b/src/rattanpier/_internal/programs/relay_store.py
@@ -20,6 +20,7 @@
 from rattanpier._internal.relay.directory import WorkerDirectory
 from rattanpier._internal.relay.exposure import ExposureBound
 from rattanpier._internal.relay.held_rows import HeldRows
+from rattanpier._internal.relay.history import StoreHistory
 from rattanpier._internal.relay.membership import EntryRows
 from rattanpier._internal.relay.own_table import OwnTable
 from rattanpier._internal.relay.rollout_driver import RolloutDriver
@@ -36,7 +37,12 @@
         connector=aiohttp.TCPConnector(limit=KEPT_CONNECTIONS)
     )
     kernel.add("http", session, stop=session.close)
-    store = PlatformStore(session, f"http://{settings.store.address}")
+    history = kernel.add("history", StoreHistory(clock, kernel.find("metrics")))
+    store = PlatformStore(
+        session,
+        f"http://{settings.store.address}",
+        lambda era: history.note(era, "store"),
+    )
     kernel.add("store", store)
     kernel.add("store_health", StoreHealth(clock, settings.heartbeat_s))
     kernel.add("store_clock", StoreClock(clock))
--- a/src/rattanpier/_internal/relay/directory.py
+++ b/src/rattanpier/_internal/relay/directory.py
@@ -78,6 +78,14 @@
         before = self.workers.get(worker.id)
         if before is not None and worker.revision < before.revision:
             # A peer's state, or news that others overtook.
+            if worker.draining != before.draining:
+                log.info(
+                    "Registration left out as older.",
+                    worker=worker.id,
+                    draining=worker.draining,
+                    revision=worker.revision,
+                    known=before.revision,
+                )
             return False
         self.workers[worker.id] = worker
         self.missing.pop(worker.id, None)
--- /dev/null
+++ b/src/rattanpier/_internal/relay/history.py
@@ -0,0 +1,61 @@
+"""Which history of the store is the newest one known.
+
+A store that comes back from an older copy begins a new history: what it had
+acknowledged since the copy is gone, and versions are given out again. Its
+answers say which history they are of, by a number that rises each time.
+"""
+
+from __future__ import annotations
+
+import attrs
+import structlog
+from reactivex.subject import Subject
+
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.metrics import Metrics
+
+log = structlog.get_logger(part="store")
+
+
+@attrs.define(eq=False, repr=False)
+class StoreHistory:
+    """The newest history that the store or a peer told of.
+
+    Attributes:
+      clock: Monotonic.
+      metrics: Tells the era, and counts those that began.
+      era: Number of the history, 0 before any was told.
+      began_at: When a later era than the first known one was told of first, in
+        monotonic seconds; minus infinity before any.
+      begun: Emits each era that follows another one known here.
+    """
+
+    clock: Clock
+    metrics: Metrics
+    era: int = 0
+    began_at: float = float("-inf")
+    begun: Subject[int] = attrs.Factory(Subject)
+
+    def note(self, era: int, source: str) -> None:
+        """Takes in an era that was told.
+
+        Args:
+          era: Its number.
+          source: Who told of it, for the log.
+        """
+        if era <= self.era:
+            return
+        before, self.era = self.era, era
+        self.metrics.gauge("relay.store_era", era)
+        if not before:
+            log.info("Store tells its era.", era=era, source=source)
+            return
+        self.began_at = self.clock.monotonic()
+        self.metrics.count("relay.store_era_begun")
+        log.warning(
+            "Store came back from an older copy.",
+            era=era,
+            before=before,
+            source=source,
+        )
+        self.begun.on_next(era)
--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -243,6 +243,7 @@
     def accept(self, page: Page, settling: bool) -> None:
         """Takes a page in unless something newer came meanwhile."""
         if self.since is not None and page.version < self.since:
+            self.note_left_out("page", len(page.rows), page.version)
             return
         self.store_clock.note(page.now_ms)
         self.since = page.version
@@ -257,6 +258,8 @@
         self.told_at = self.clock.monotonic()
         self.told_version = max(self.told_version, news.version)
         if self.knows(news.version):
+            if news.rows:
+                self.note_left_out("news", len(news.rows), news.version)
             return
         if news.rows is None or not (news.whole or self.knows(news.since)):
             self.behind = True
@@ -264,9 +267,23 @@
         rows = news.rows
         if not news.whole:
             rows = [row for row in rows if not self.knows(row.version)]
+            if len(rows) < len(news.rows):
+                left_out = len(news.rows) - len(rows)
+                self.note_left_out("rows", left_out, news.version)
         page = Page(rows, news.version, news.now_ms, news.whole)
         self.accept(page, news.settling and self.health.settling())
 
+    def note_left_out(self, what: str, rows: int, version: int) -> None:
+        """Logs that something told nothing new, by its version."""
+        log.info(
+            "Left out as known.",
+            table=self.table,
+            what=what,
+            rows=rows,
+            version=version,
+            known=self.since,
+        )
+
 
 def pack_news(news: TableNews) -> bytes:
     """Returns news as they are sent; rows that are too long are left out."""
