--- a/src/rattanpier/_internal/standin/platform_store.py
+++ b/src/rattanpier/_internal/standin/platform_store.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import copy
 import enum
 import json
 import time
@@ -16,6 +17,7 @@
 from aiohttp import web
 
 ROOT = "/rattanpier"
+ERA = "Store-Era"
 
 
 class StoreFault(enum.StrEnum):
@@ -53,9 +55,17 @@
     deleted: bool = False
 
 
+@attrs.frozen
+class StoreCopy:
+    """All rows as of a version."""
+
+    rows: dict[tuple[str, str], StoredRow]
+    version: int
+
+
 @attrs.define
 class PlatformStoreServer:
-    """Rows in tables, with a history that can be dropped.
+    """Rows in tables, with a history that can be dropped or lost.
 
     Attributes:
       rows: By table and key; removed ones stay, marked.
@@ -63,6 +73,7 @@
       kept_from: Changes before this version are no longer told.
       fault: What is wrong now.
       calls: Calls that came, by name.
+      era: Raised each time that the store comes back from a copy.
     """
 
     rows: dict[tuple[str, str], StoredRow] = attrs.Factory(dict)
@@ -70,17 +81,25 @@
     kept_from: int = 0
     fault: StoreFault = StoreFault.NONE
     calls: list[str] = attrs.Factory(list)
+    era: int = 1
     changed: asyncio.Event = attrs.Factory(asyncio.Event)
 
     def app(self, door: Door | None = None) -> web.Application:
         """Returns the application behind one listener."""
         app = web.Application()
         app[DOOR] = door or Door()
+        app.on_response_prepare.append(self.add_era)
         app.router.add_post(f"{ROOT}/rows-tx", self.transact)
         app.router.add_get(f"{ROOT}/rows-get", self.scan)
         app.router.add_get(f"{ROOT}/rows-feed", self.feed)
         return app
 
+    async def add_era(
+        self, _request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Tells the era in all answers, refusals too."""
+        response.headers[ERA] = str(self.era)
+
     def put(self, table: str, key: str, value: Any) -> None:
         """Writes a row as the operators or a worker do."""
         text = base64.b64encode(json.dumps(value).encode()).decode()
@@ -101,6 +120,20 @@
             return None
         return json.loads(base64.b64decode(row.value))
 
+    def keep_copy(self) -> StoreCopy:
+        """Returns what the store can come back from."""
+        return StoreCopy(copy.deepcopy(self.rows), self.version)
+
+    def come_back(self, kept: StoreCopy) -> None:
+        """Comes back from a copy: what was written since is gone.
+
+        Versions are given out again, and calls that wait are told an error.
+        """
+        self.rows = copy.deepcopy(kept.rows)
+        self.version = kept.version
+        self.era += 1
+        self.tell()
+
     def compact(self) -> None:
         """Drops the history."""
         self.kept_from = self.version + 1
@@ -174,7 +207,8 @@
         since = int(request.query["sinceRevision"])
         end = time.monotonic() + int(request.query["waitMs"]) / 1000
         while True:
-            if since + 1 < self.kept_from:
+            # What it does not have yet, it had before it came back.
+            if since + 1 < self.kept_from or since > self.version:
                 return web.Response(status=410)
             changed = sorted(
                 (row.version, key)
--- /dev/null
+++ b/tests/lib/restored_store.py
@@ -0,0 +1,55 @@
+"""A site whose store comes back from an older copy."""
+
+import contextlib
+
+from rattanpier._internal.standin.platform_store import StoreFault
+from tests.lib.platform_site import platform_site, until
+
+
+@contextlib.asynccontextmanager
+async def site_of(entries, workers=2, **more):
+    """A site with plain workers and entries that know each other."""
+    async with platform_site(**more) as site:
+        for number in range(1, workers + 1):
+            await site.add_worker(f"w{number}")
+        await add_entries(site, entries)
+        yield site
+
+
+async def add_entries(site, count):
+    first = await site.add_entry("entry-1")
+    seeds = [str(first.settings.peers)]
+    for number in range(2, count + 1):
+        await site.add_entry(f"entry-{number}", seeds=seeds)
+    await all_know_each_other(site)
+
+
+async def all_know_each_other(site):
+    count = len(site.entries)
+    for entry in site.entries.values():
+        await until(
+            lambda entry=entry: (
+                len(entry.fleet.live()) == count
+                and all(news.store for news in entry.fleet.live())
+            )
+        )
+
+
+def write_more(store, count):
+    """Rows of a table that nobody reads: versions go on rising."""
+    for number in range(count):
+        store.put("other", f"row-{number}", {})
+
+
+@contextlib.asynccontextmanager
+async def away(site):
+    """The store answers nobody meanwhile, as all entries notice."""
+    site.store.set_fault(StoreFault.BUSY)
+    for entry in site.entries.values():
+        await until(lambda entry=entry: not entry.state.health.available)
+    yield
+    site.store.set_fault(StoreFault.NONE)
+
+
+def all_entries(site, true):
+    return all(map(true, site.entries.values()))
