--- a/src/rattanpier/_internal/models/domain_order.py
+++ b/src/rattanpier/_internal/models/domain_order.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from rattanpier._internal.models.revision import Revision
+
 
 @attrs.frozen
 class DomainOrder:
@@ -13,9 +15,9 @@
       domain: Its name.
       drained: Nothing more is to be sent there; False: the order was taken
         back.
-      revision: The store's version of the change; the larger is the newer.
+      revision: Of the change; the larger is the newer.
     """
 
     domain: str
     drained: bool
-    revision: int
+    revision: Revision
--- a/src/rattanpier/_internal/models/feed.py
+++ b/src/rattanpier/_internal/models/feed.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from rattanpier._internal.models.revision import Revision
+
 
 @attrs.frozen
 class FeedRow:
@@ -12,13 +14,13 @@
     Attributes:
       key: Unique in its table.
       value: Its bytes; empty if removed.
-      version: Of its last change.
+      revision: Of its last change.
       deleted: It was removed.
     """
 
     key: str
     value: bytes
-    version: int
+    revision: Revision
     deleted: bool = False
 
 
@@ -39,24 +41,24 @@
 
     Attributes:
       rows: All of them, or those that changed, in order.
-      version: The store's version that they are as of.
+      revision: The store's that they are as of.
       now_ms: The store's steady clock, in ms.
       whole: True for all rows of the table.
     """
 
     rows: list[FeedRow]
-    version: int
+    revision: Revision
     now_ms: float
     whole: bool
 
 
 @attrs.frozen
 class RowCheck:
-    """A row and the version that it must have; 0: it does not exist."""
+    """A row and the revision that it must have; the first: no such row."""
 
     table: str
     key: str
-    version: int = 0
+    revision: Revision = Revision()
 
 
 @attrs.frozen
@@ -73,9 +75,9 @@
     """A transaction took effect.
 
     Attributes:
-      version: The store's version after it.
+      revision: The store's after it.
       now_ms: The store's steady clock, in ms.
     """
 
-    version: int
+    revision: Revision
     now_ms: float
--- a/src/rattanpier/_internal/models/worker.py
+++ b/src/rattanpier/_internal/models/worker.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from rattanpier._internal.models.revision import Revision
+
 
 @attrs.frozen
 class RegisteredWorker:
@@ -22,8 +24,10 @@
         Another value under the same id is another incarnation, which holds
         nothing of what the one before held.
       warm_in_s: Seconds for which it still warms up, as of its registration.
-      revision: Version of its registration in the store; the larger of two
-        registrations is the newer, whatever the workers' clocks say.
+      revision: Of its registration in the store; within an era the larger of
+        two is the newer, whatever the workers' clocks say.
+      sequence: Raised by the worker with each renewal; what it last said counts
+        where an older copy of the store says something else.
     """
 
     id: str
@@ -36,7 +40,8 @@
     draining: bool = False
     born: int | None = None
     warm_in_s: float = 0.0
-    revision: int = 0
+    revision: Revision = Revision()
+    sequence: int = 0
 
     @property
     def incarnation(self) -> str:
--- a/src/rattanpier/_internal/placement/drained_domains.py
+++ b/src/rattanpier/_internal/placement/drained_domains.py
@@ -14,6 +14,7 @@
 import structlog
 
 from rattanpier._internal.models.domain_order import DomainOrder
+from rattanpier._internal.models.revision import Revision
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.utils.hashing import stable_hash
 
@@ -52,19 +53,21 @@
         log.info(
             "Drained domains changed.",
             domain=order.domain,
-            revision=order.revision,
+            revision=order.revision.number,
             source=source,
             drained=sorted(self.drained),
         )
         if was_drained:
             self.returned(order.domain)
 
-    def replace(self, orders: Iterable[DomainOrder], revision: int) -> None:
+    def replace(
+        self, orders: Iterable[DomainOrder], revision: Revision
+    ) -> None:
         """Takes in all orders that stand in the store.
 
         Args:
           orders: Those that stand.
-          revision: The store's version as of which they do.
+          revision: The store's as of which they do.
         """
         standing = {order.domain: order for order in orders}
         for order in standing.values():
@@ -85,7 +88,7 @@
         """Returns a number that tells these orders from others."""
         total = 0
         for order in self.standing():
-            total ^= stable_hash(f"{order.domain}/{order.revision}")
+            total ^= stable_hash(f"{order.domain}/{order.revision.number}")
         return total
 
     def open(
--- a/src/rattanpier/_internal/platform/drained_domains.py
+++ b/src/rattanpier/_internal/platform/drained_domains.py
@@ -26,4 +26,4 @@
     domain = row.key.removeprefix(ORDER_PREFIX)
     if not domain:
         raise UnreadableError("the key names no failure domain")
-    return DomainOrder(domain, not row.deleted, row.version)
+    return DomainOrder(domain, not row.deleted, row.revision)
--- a/src/rattanpier/_internal/platform/feeds.py
+++ b/src/rattanpier/_internal/platform/feeds.py
@@ -87,6 +87,6 @@
         "Row can't be read.",
         table=table,
         row=row.key,
-        version=row.version,
+        revision=row.revision.number,
         error=error.message,
     )
--- a/src/rattanpier/_internal/platform/registrations.py
+++ b/src/rattanpier/_internal/platform/registrations.py
@@ -78,7 +78,8 @@
         draining=entry.state == DRAINING,
         born=entry.born,
         warm_in_s=entry.cold_remaining_ms / MS,
-        revision=row.version,
+        revision=row.revision,
+        sequence=entry.sequence,
     )
 
 
--- a/src/rattanpier/_internal/platform/rollouts.py
+++ b/src/rattanpier/_internal/platform/rollouts.py
@@ -55,7 +55,7 @@
     """
     order = structure(converter, OrderRow, parse_json(row.value))
     return RolloutOrder(
-        id=row.version,
+        id=row.revision.number,
         service=order.service,
         version=order.version,
         deadline_s=order.deadline_s,
--- a/src/rattanpier/_internal/platform/rows.py
+++ b/src/rattanpier/_internal/platform/rows.py
@@ -28,6 +28,7 @@
     NotRun,
     Uncertain,
 )
+from rattanpier._internal.models.revision import Revision
 
 log = structlog.get_logger(part="store")
 
@@ -49,18 +50,20 @@
     Attributes:
       session: For its connections.
       base: Address, as `http://IP:PORT`.
-      note_era: Called with the era that an answer tells.
+      note_era: Called with the era that an answer tells, 0 if none; returns
+        the newest one known.
     """
 
     session: aiohttp.ClientSession
     base: str
-    note_era: Callable[[int], None] = lambda _era: None
+    note_era: Callable[[int], int] = lambda era: era
 
     async def scan(self, table: str) -> Page:
-        """Returns all rows of a table and the version that they are as of.
+        """Returns all rows of a table and the revision that they are as of.
 
         Raises:
-          StoreUnavailableError: No answer in time.
+          StoreUnavailableError: No answer in time, or the store came back from
+            a copy between two parts of the table.
         """
         rows: list[FeedRow] = []
         query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
@@ -69,13 +72,19 @@
             page = await self.read("rows-get", query, SLOW_CALL_TIMEOUT_S)
             # Later pages may be newer; the feed then repeats what they had.
             first = first or page
-            rows.extend(decode_row(row) for row in page["rows"])
+            if page["era"] != first["era"]:
+                raise StoreUnavailableError(f"history of {table} was lost")
+            rows.extend(decode_row(row, page["era"]) for row in page["rows"])
             if not page.get("truncated") or not page["rows"]:
-                return Page(rows, first["ver"], first["nowMs"], whole=True)
+                return Page(
+                    rows, revision_of(first), first["nowMs"], whole=True
+                )
             query["from"] = page["rows"][-1]["key"] + "\0"
 
-    async def changes(self, table: str, since: int, wait_s: float) -> Page:
-        """Waits for changes of a table behind a version.
+    async def changes(self, table: str, since: Revision, wait_s: float) -> Page:
+        """Waits for changes of a table behind a revision.
+
+        They follow it only if the answer is of the same era.
 
         Raises:
           HistoryGoneError: They are no longer known; scan the table.
@@ -83,12 +92,12 @@
         """
         query = {
             "table": table,
-            "sinceRevision": str(since),
+            "sinceRevision": str(since.version),
             "waitMs": str(int(wait_s * 1000)),
         }
         page = await self.read("rows-feed", query, wait_s + CALL_TIMEOUT_S)
-        rows = [decode_row(row) for row in page["rows"]]
-        return Page(rows, page["ver"], page["nowMs"], whole=False)
+        rows = [decode_row(row, page["era"]) for row in page["rows"]]
+        return Page(rows, revision_of(page), page["nowMs"], whole=False)
 
     def call(
         self, method: str, name: str, timeout_s: float, **content: Any
@@ -103,10 +112,19 @@
             **content,
         )
 
+    def era_of(self, response: aiohttp.ClientResponse) -> int:
+        """Returns the era of an answer, after taking it in.
+
+        One that tells none is taken to be of the newest era known.
+        """
+        told = read_era(response.headers.get(ERA))
+        newest = self.note_era(told)
+        return told or newest
+
     async def read(
         self, call: str, query: dict[str, str], timeout_s: float
     ) -> dict[str, Any]:
-        """Carries out a read.
+        """Carries out a read; adds the era of the answer to what it holds.
 
         Raises:
           HistoryGoneError: The store no longer has what was asked for.
@@ -116,14 +134,14 @@
             async with self.call(
                 "GET", call, timeout_s, params=query
             ) as response:
-                self.note_era(read_era(response.headers.get(ERA)))
+                era = self.era_of(response)
                 if response.status == STATUS_GONE:
                     raise HistoryGoneError(f"history of {query} is gone")
                 if response.status != 200:
                     raise StoreUnavailableError(
                         f"store answered {response.status} to {call}"
                     )
-                return json.loads(await response.read())
+                return {**json.loads(await response.read()), "era": era}
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise StoreUnavailableError(
                 f"store did not answer {call}: {error!r}"
@@ -135,7 +153,15 @@
         puts: Sequence[RowPut],
         removed: Sequence[RowCheck] = (),
     ) -> WrittenAt | Conflict | NotRun | Uncertain:
-        """Writes some rows if all checks hold, else nothing."""
+        """Writes some rows if all checks hold, else nothing.
+
+        Versions are given out again in a new era, so that a condition that was
+        read in an earlier one is not sent. One that met a new era on its way
+        may have held for another row.
+        """
+        read_in = max((check.revision.era for check in checks), default=0)
+        if read_in and read_in < self.note_era(0):
+            return Conflict(",".join(check.key for check in checks))
         body = {
             # Despite its name a list of rows with the versions they must have.
             "expectedRevision": [encode_check(check) for check in checks],
@@ -149,8 +175,11 @@
             async with self.call(
                 "POST", "rows-tx", SLOW_CALL_TIMEOUT_S, json=body
             ) as response:
-                self.note_era(read_era(response.headers.get(ERA)))
-                return await decode_outcome(response)
+                era = self.era_of(response)
+                outcome = await decode_outcome(response, era)
+                if read_in and read_in < era and isinstance(outcome, WrittenAt):
+                    return Uncertain("the condition was of an earlier era")
+                return outcome
         except aiohttp.ClientConnectorError as error:
             return NotRun(repr(error))
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
@@ -158,7 +187,7 @@
 
 
 async def decode_outcome(
-    response: aiohttp.ClientResponse,
+    response: aiohttp.ClientResponse, era: int
 ) -> WrittenAt | Conflict | NotRun | Uncertain:
     """Returns what an answer to a transaction says."""
     if response.status in REFUSED:
@@ -167,7 +196,7 @@
         return Uncertain(f"store answered {response.status}")
     answer = json.loads(await response.read())
     if response.status == 200:
-        return WrittenAt(answer["ver"], answer["nowMs"])
+        return WrittenAt(Revision(era, answer["ver"]), answer["nowMs"])
     keys = [row.get("key", "") for row in answer.get("rows") or []]
     return Conflict(",".join(keys))
 
@@ -175,8 +204,8 @@
 def read_era(text: str | None) -> int:
     """Returns the era that an answer tells, 0 if it tells none.
 
-    >>> read_era("3"), read_era(None), read_era("new")
-    (3, 0, 0)
+    >>> read_era("3"), read_era(None)
+    (3, 0)
     """
     if text is None:
         return 0
@@ -187,11 +216,17 @@
     return int(stripped)
 
 
-def decode_row(row: dict[str, Any]) -> FeedRow:
+def revision_of(answer: dict[str, Any]) -> Revision:
+    """Returns the revision that an answer to a read is as of."""
+    return Revision(answer["era"], answer["ver"])
+
+
+def decode_row(row: dict[str, Any], era: int) -> FeedRow:
     """Returns a row; a removed one has no value."""
     deleted = bool(row.get("deleted"))
     value = b"" if deleted else base64.b64decode(row.get("value") or "")
-    return FeedRow(row["key"], value, row.get("ver", 0), deleted)
+    revision = Revision(era, row.get("ver", 0))
+    return FeedRow(row["key"], value, revision, deleted)
 
 
 def encode_check(check: RowCheck) -> dict[str, Any]:
@@ -200,7 +235,7 @@
         "table": check.table,
         "part": "",
         "key": check.key,
-        "ver": check.version,
+        "ver": check.revision.version,
     }
 
 
--- a/src/rattanpier/_internal/programs/relay_store.py
+++ b/src/rattanpier/_internal/programs/relay_store.py
@@ -142,6 +142,7 @@
             take=take,
             rank=lambda: watch_rank(entry.fleet),
             tell=entry.gossip.tell_store_news,
+            history=kernel.find("history"),
         )
         entry.gossip.followers[table] = follower
         kernel.spawn(follower.run())
--- a/src/rattanpier/_internal/relay/checkpoints.py
+++ b/src/rattanpier/_internal/relay/checkpoints.py
@@ -28,6 +28,7 @@
 )
 from rattanpier._internal.models.outcomes import Conflict, NotRun, Uncertain
 from rattanpier._internal.models.relay_settings import StoreSettings
+from rattanpier._internal.models.revision import Revision
 from rattanpier._internal.relay.fleet import Fleet
 from rattanpier._internal.relay.own_table import (
     CHECKPOINT,
@@ -58,14 +59,14 @@
 
 @attrs.frozen
 class Checkpoint:
-    """A table as of a version of the store.
+    """A table as of a revision of the store.
 
     Attributes:
-      as_of: The version.
+      as_of: The revision.
       packed: Its `Rows`, packed.
     """
 
-    as_of: int
+    as_of: Revision
     packed: bytes
 
 
@@ -124,16 +125,16 @@
         log.info(
             "Went on from a checkpoint.",
             table=self.table,
-            as_of=kept.as_of,
-            version=page.version,
+            as_of=kept.as_of.number,
+            revision=page.revision.number,
             rows=len(known),
             changed=len(page.rows),
         )
         rows = merged(known, page.rows)
-        return Page(rows, page.version, page.now_ms, whole=True)
+        return Page(rows, page.revision, page.now_ms, whole=True)
 
-    async def changes(self, table: str, since: int, wait_s: float) -> Page:
-        """Waits for changes of a table behind a version."""
+    async def changes(self, table: str, since: Revision, wait_s: float) -> Page:
+        """Waits for changes of a table behind a revision."""
         return await self.store.changes(table, since, wait_s)
 
     async def transact(
@@ -156,7 +157,7 @@
       available: Whether this entry reaches the store.
       started_at: When this entry started, in monotonic seconds.
       rows: The table's rows by key, None while others have the duty.
-      as_of: The version up to which the table's changes came here.
+      as_of: The revision up to which the table's changes came here.
       packed: The rows as they are kept; None: to be packed.
       written_at: When the checkpoint was written last, in monotonic seconds.
       too_long: The rows do not fit into one row.
@@ -174,7 +175,7 @@
         )
     )
     rows: dict[str, FeedRow] | None = None
-    as_of: int = 0
+    as_of: Revision = Revision()
     packed: bytes | None = None
     written_at: float = float("-inf")
     too_long: bool = False
@@ -215,14 +216,14 @@
         Pages come in the order of their versions and leave nothing out.
         """
         if page.whole:
-            if page.version >= self.as_of:
+            if page.revision >= self.as_of:
                 self.rows = {row.key: row for row in page.rows}
                 self.packed = None
         elif page.rows and self.rows is not None:
             known = list(self.rows.values())
             self.rows = {row.key: row for row in merged(known, page.rows)}
             self.packed = None
-        self.as_of = max(self.as_of, page.version)
+        self.as_of = max(self.as_of, page.revision)
 
     def is_due(self) -> bool:
         """Says whether the row that is kept is out of date, or soon too old."""
@@ -255,15 +256,16 @@
 ) -> list[FeedRow]:
     """Returns a table's rows after some changes.
 
-    >>> old, new = FeedRow("a", b"1", 1), FeedRow("a", b"2", 2)
+    >>> old = FeedRow("a", b"1", Revision(1, 1))
+    >>> new = FeedRow("a", b"2", Revision(1, 2))
     >>> merged([old], [new]) == [new] == merged([new], [old])
     True
-    >>> merged([old], [FeedRow("a", b"", 3, deleted=True)])
+    >>> merged([old], [FeedRow("a", b"", Revision(1, 3), deleted=True)])
     []
     """
     rows = {row.key: row for row in known}
     for row in changed:
         before = rows.get(row.key)
-        if before is None or before.version <= row.version:
+        if before is None or before.revision <= row.revision:
             rows[row.key] = row
     return [row for row in rows.values() if not row.deleted]
--- a/src/rattanpier/_internal/relay/directory.py
+++ b/src/rattanpier/_internal/relay/directory.py
@@ -83,8 +83,8 @@
                     "Registration left out as older.",
                     worker=worker.id,
                     draining=worker.draining,
-                    revision=worker.revision,
-                    known=before.revision,
+                    revision=worker.revision.number,
+                    known=before.revision.number,
                 )
             return False
         self.workers[worker.id] = worker
@@ -107,7 +107,7 @@
             worker=worker.id,
             born=worker.born,
             before=before.born,
-            revision=worker.revision,
+            revision=worker.revision.number,
         )
         return True
 
--- a/src/rattanpier/_internal/relay/history.py
+++ b/src/rattanpier/_internal/relay/history.py
@@ -36,15 +36,19 @@
     began_at: float = float("-inf")
     begun: Subject[int] = attrs.Factory(Subject)
 
-    def note(self, era: int, source: str) -> None:
-        """Takes in an era that was told.
+    def note(self, era: int, source: str) -> int:
+        """Takes in an era that was told; returns the newest one known.
 
         Args:
-          era: Its number.
+          era: Its number, 0 if none was told.
           source: Who told of it, for the log.
         """
-        if era <= self.era:
-            return
+        if era > self.era:
+            self.begin(era, source)
+        return self.era
+
+    def begin(self, era: int, source: str) -> None:
+        """Takes in a later era than was known."""
         before, self.era = self.era, era
         self.metrics.gauge("relay.store_era", era)
         if not before:
--- a/src/rattanpier/_internal/relay/own_table.py
+++ b/src/rattanpier/_internal/relay/own_table.py
@@ -65,8 +65,10 @@
 def rows_of(page: Page, prefix: str) -> list[FeedRow]:
     """Returns the rows of a kind, their keys without the prefix.
 
-    >>> rows = [FeedRow("e1", b"", 1), FeedRow("held/x", b"", 2)]
-    >>> [row.key for row in rows_of(Page(rows, 2, 0.0, True), HELD)]
+    >>> from rattanpier._internal.models.revision import Revision
+    >>> rows = [FeedRow(key, b"", Revision()) for key in ("e1", "held/x")]
+    >>> page = Page(rows, Revision(), 0.0, whole=True)
+    >>> [row.key for row in rows_of(page, HELD)]
     ['x']
     """
     return [
--- a/src/rattanpier/_internal/relay/rollout_driver.py
+++ b/src/rattanpier/_internal/relay/rollout_driver.py
@@ -25,6 +25,7 @@
     WrittenAt,
 )
 from rattanpier._internal.models.outcomes import NotRun
+from rattanpier._internal.models.revision import Revision
 from rattanpier._internal.models.rollout_order import (
     RolloutOrder,
     RolloutPhase,
@@ -143,7 +144,7 @@
 
     Attributes:
       own_table: Holds the records.
-      versions: Versions of the rows in the store, by service.
+      read_at: Revisions of the rows in the store, by service.
       old_running: Requests at old workers in all entries, by order.
       drives: Whether this entry is the one to drive, or among so many more
         that may.
@@ -160,7 +161,7 @@
     old_running: Callable[[int], int]
     drives: Callable[[int], bool]
     health: StoreHealth
-    versions: dict[str, int] = attrs.Factory(dict)
+    read_at: dict[str, Revision] = attrs.Factory(dict)
     loaded: bool = False
     read_before: bool = False
 
@@ -188,7 +189,7 @@
         page = await read()
         self.read_before = True
         rows = rows_of(page, ROLLOUT)
-        self.versions = {row.key: row.version for row in rows}
+        self.read_at = {row.key: row.revision for row in rows}
         for row in rows:
             try:
                 record = decode(RolloutRecord, row.value)
@@ -274,16 +275,16 @@
             order.id, order.service, order.version, phase, begun_ms, since_ms
         )
         key = ROLLOUT + order.service
-        version = self.versions.get(order.service, 0)
+        revision = self.read_at.get(order.service, Revision())
         outcome = await self.store.transact(
-            [RowCheck(TABLE, key, version)],
+            [RowCheck(TABLE, key, revision)],
             [
                 RowPut(TABLE, key, encode(record).encode()),
                 self.status_row(order.service, order.version, phase),
             ],
         )
         if isinstance(outcome, WrittenAt):
-            self.versions[order.service] = outcome.version
+            self.read_at[order.service] = outcome.revision
             self.rollouts.take_record(record)
             return
         log.info(
--- a/src/rattanpier/_internal/relay/state.py
+++ b/src/rattanpier/_internal/relay/state.py
@@ -78,7 +78,7 @@
                 case DomainOrder():
                     domain_orders.append(item)
         if page.whole:
-            self.domains.replace(domain_orders, page.version)
+            self.domains.replace(domain_orders, page.revision)
             return
         for order in domain_orders:
             self.domains.take(order, "store")
--- a/src/rattanpier/_internal/relay/store.py
+++ b/src/rattanpier/_internal/relay/store.py
@@ -16,6 +16,7 @@
     WrittenAt,
 )
 from rattanpier._internal.models.outcomes import Conflict, NotRun, Uncertain
+from rattanpier._internal.models.revision import Revision
 from rattanpier._internal.utils.clock import Clock
 
 log = structlog.get_logger(part="store")
@@ -39,8 +40,8 @@
         """Returns all rows of a table."""
         ...
 
-    async def changes(self, table: str, since: int, wait_s: float) -> Page:
-        """Waits for changes of a table behind a version."""
+    async def changes(self, table: str, since: Revision, wait_s: float) -> Page:
+        """Waits for changes of a table behind a revision."""
         ...
 
     async def transact(
--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import random
 from collections.abc import Callable
@@ -22,7 +23,9 @@
     StoreUnavailableError,
 )
 from rattanpier._internal.models.feed import FeedRow, Page
+from rattanpier._internal.models.revision import Revision
 from rattanpier._internal.relay.fleet import Fleet
+from rattanpier._internal.relay.history import StoreHistory
 from rattanpier._internal.relay.store import (
     FEED_WAIT_S,
     FIRST_BACKOFF_S,
@@ -52,6 +55,9 @@
 # Entries that fetch a change do so within this time of each other, so that
 # changes in quick succession cost one call.
 FETCH_SPREAD_S = 0.3
+# When a new era begins the watchers read all at once and tell it. The others
+# wait so long for that: a reading and the way, with room for a long table.
+TOLD_WITHIN_S = 0.4
 # An entry that does not watch asks this often whether the store is back: in an
 # outage of the whole store it hears of its return from those that watch, and
 # one that the store turns away hears all changes from them.
@@ -72,8 +78,8 @@
 
     Attributes:
       table: Its table.
-      since: The version behind which it tells the changes.
-      version: The version up to which it tells them.
+      since: The revision behind which it tells the changes.
+      revision: The revision up to which it tells them.
       now_ms: The store's steady clock, in ms.
       rows: The changes, None if they are too long to be told.
       settling: The store was away until just now.
@@ -81,8 +87,8 @@
     """
 
     table: str
-    since: int
-    version: int
+    since: Revision
+    revision: Revision
     now_ms: float
     rows: list[FeedRow] | None
     settling: bool
@@ -97,20 +103,20 @@
 
 
 def make_news(
-    table: str, before: int | None, page: Page, settling: bool
+    table: str, before: Revision | None, page: Page, settling: bool
 ) -> TableNews:
     """Returns what is told of an answer.
 
     Args:
       table: Its name.
-      before: The version up to which all was known before, or None.
+      before: The revision up to which all was known before, or None.
       page: The answer.
       settling: The store was away until just now.
     """
     return TableNews(
         table=table,
-        since=page.version if before is None else before,
-        version=page.version,
+        since=page.revision if before is None else before,
+        revision=page.revision,
         now_ms=page.now_ms,
         rows=page.rows,
         settling=settling,
@@ -127,9 +133,11 @@
       take: Called with each page, and whether the store was away before it.
       rank: This entry's place among those that watch, or None.
       tell: Tells the others of an answer of the feed.
-      since: Version up to which all is known, None before the first scan.
+      history: Which era is the newest one. What is known of an earlier one
+        counts for nothing but itself: the table is read whole again.
+      since: Revision up to which all is known, None before the first scan.
       told_at: When a watcher's news came last, in monotonic seconds.
-      told_version: Up to which version they told.
+      told_of: Up to which revision they told.
       behind: A change was told of that has to be fetched.
       asked_at: When the store was asked last, in monotonic seconds.
       first_read_at: When the whole table was read first.
@@ -143,10 +151,11 @@
     take: Callable[[Page, bool], None]
     rank: Callable[[], int | None]
     tell: Callable[[TableNews], None]
-    since: int | None = None
+    history: StoreHistory
+    since: Revision | None = None
     backoff_s: float = 0.0
     told_at: float = float("-inf")
-    told_version: int = -1
+    told_of: Revision = Revision()
     behind: bool = False
     asked_at: float = float("-inf")
     first_read_at: float = float("-inf")
@@ -166,24 +175,37 @@
     def covered(self) -> bool:
         """Says whether this entry knows all, by what watchers tell."""
         fresh = self.clock.monotonic() - self.told_at < COVERED_S
-        return fresh and self.knows(self.told_version)
+        if self.outdated():
+            return False
+        return fresh and self.knows(self.told_of)
+
+    def knows(self, revision: Revision) -> bool:
+        """Says whether all is known up to a revision."""
+        return self.since is not None and self.since >= revision
 
-    def knows(self, version: int) -> bool:
-        """Says whether all is known up to a version."""
-        return self.since is not None and self.since >= version
+    def outdated(self) -> bool:
+        """Says whether what is known is of an earlier era."""
+        return self.since is not None and self.since.era < self.history.era
 
     def rests(self) -> bool:
         """Says whether there is no reason to ask the store now."""
         if self.behind:
             # A watcher told of more: it reaches the store.
             return False
-        if self.clock.monotonic() - self.first_read_at < SETTLED_S:
+        now = self.clock.monotonic()
+        if self.outdated():
+            if (
+                not self.watches()
+                and now - self.history.began_at < TOLD_WITHIN_S
+            ):
+                return True
+        elif now - self.first_read_at < SETTLED_S:
             return True
         if self.watches():
             return False
         if not self.health.available:
             retry_s = COVERED_RETRY_S if self.covered() else RETRY_S
-            return self.clock.monotonic() - self.asked_at < retry_s
+            return now - self.asked_at < retry_s
         return self.covered()
 
     async def step(self) -> None:
@@ -194,7 +216,10 @@
         self.behind = False
         self.asked_at = self.clock.monotonic()
         try:
-            page = await self.read(watching or not self.covered())
+            # The first answer after an outage is wanted at once: it tells the
+            # era, and a feed may have nothing to tell behind an old version.
+            wait = self.health.available and (watching or not self.covered())
+            page = await self.read(wait)
         except HistoryGoneError:
             # What was missed can't be told from what came back meanwhile.
             log.info("History is gone, reading all.", table=self.table)
@@ -207,6 +232,8 @@
             )
             await self.clock.sleep(self.backoff_s * random.uniform(0.5, 1.0))
             return
+        if page is None:
+            return
         self.backoff_s = 0.0
         self.health.note_answer()
         before = self.since
@@ -214,7 +241,11 @@
             # All is known as of now, as if a watcher had told it.
             self.first_read_at = self.told_at = self.clock.monotonic()
         settling = self.health.settling()
-        self.accept(page, settling)
+        if not self.accept(page, settling):
+            if page.whole:
+                # A store that still tells an earlier era is not asked in a row.
+                await self.clock.sleep(FIRST_BACKOFF_S)
+            return
         # While entries come back from an outage the places of those that watch
         # change. One that got its place during the call tells as well: the one
         # before may have rested, and nobody else heard of a change for 2.5 s.
@@ -229,59 +260,85 @@
         if self.rank() != 0:
             await self.clock.sleep(BACKUP_S)
             told = self.told_at >= self.asked_at
-            if told and self.told_version >= news.version:
+            if told and self.told_of >= news.revision:
                 return
         self.tell(news)
 
-    async def read(self, wait: bool) -> Page:
-        """Returns the next page."""
-        if self.since is None:
+    async def read(self, wait: bool) -> Page | None:
+        """Returns the next page, None if a new era began meanwhile."""
+        if self.since is None or self.outdated():
             return await self.store.scan(self.table)
         wait_s = FEED_WAIT_S if wait else 0.0
-        return await self.store.changes(self.table, self.since, wait_s)
+        changes = self.store.changes(self.table, self.since, wait_s)
+        return await self.until_begun(asyncio.ensure_future(changes))
 
-    def accept(self, page: Page, settling: bool) -> None:
-        """Takes a page in unless something newer came meanwhile."""
-        if self.since is not None and page.version < self.since:
-            self.note_left_out("page", len(page.rows), page.version)
-            return
+    async def until_begun(self, call: asyncio.Future[Page]) -> Page | None:
+        """Waits for an answer, None if a new era begins before it comes."""
+        watch = self.history.begun.subscribe(lambda _era: call.cancel())
+        try:
+            return await call
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is None or task.cancelling():
+                raise
+            return None
+        finally:
+            watch.dispose()
+
+    def accept(self, page: Page, settling: bool) -> bool:
+        """Takes a page in; says whether it did.
+
+        Something newer may have come meanwhile. Changes that are of another era
+        than what they should follow leave out what was lost between the two.
+        """
+        older = self.since is not None and page.revision < self.since
+        of_other_era = not page.whole and (
+            self.since is None or page.revision.era != self.since.era
+        )
+        if older or of_other_era or page.revision.era < self.history.era:
+            self.note_left_out("page", len(page.rows), page.revision)
+            return False
         self.store_clock.note(page.now_ms)
-        self.since = page.version
+        self.since = page.revision
         self.take(page, settling)
+        return True
 
     def hear(self, news: TableNews) -> None:
         """Takes in what a watcher tells."""
         self.health.note_alive()
-        if self.since is None and not news.whole:
+        if news.revision.era < self.history.note(news.revision.era, "peer"):
+            self.note_left_out("news", len(news.rows or ()), news.revision)
+            return
+        if not news.whole and (self.since is None or self.outdated()):
             self.behind = True
             return
         self.told_at = self.clock.monotonic()
-        self.told_version = max(self.told_version, news.version)
-        if self.knows(news.version):
+        self.told_of = max(self.told_of, news.revision)
+        if self.knows(news.revision):
             if news.rows:
-                self.note_left_out("news", len(news.rows), news.version)
+                self.note_left_out("news", len(news.rows), news.revision)
             return
         if news.rows is None or not (news.whole or self.knows(news.since)):
             self.behind = True
             return
         rows = news.rows
         if not news.whole:
-            rows = [row for row in rows if not self.knows(row.version)]
+            rows = [row for row in rows if not self.knows(row.revision)]
             if len(rows) < len(news.rows):
                 left_out = len(news.rows) - len(rows)
-                self.note_left_out("rows", left_out, news.version)
-        page = Page(rows, news.version, news.now_ms, news.whole)
+                self.note_left_out("rows", left_out, news.revision)
+        page = Page(rows, news.revision, news.now_ms, news.whole)
         self.accept(page, news.settling and self.health.settling())
 
-    def note_left_out(self, what: str, rows: int, version: int) -> None:
-        """Logs that something told nothing new, by its version."""
+    def note_left_out(self, what: str, rows: int, revision: Revision) -> None:
+        """Logs that something told nothing new, by its revision."""
         log.info(
             "Left out as known.",
             table=self.table,
             what=what,
             rows=rows,
-            version=version,
-            known=self.since,
+            revision=revision.number,
+            known=None if self.since is None else self.since.number,
         )
 
 
--- a/tests/lib/relay_parts.py
+++ b/tests/lib/relay_parts.py
@@ -5,6 +5,7 @@
     PromptPart,
     RelayRequest,
 )
+from rattanpier._internal.models.revision import Revision
 from rattanpier._internal.models.route_table import Route, ServiceShare
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.relay.load import weighed_parts
@@ -70,3 +71,8 @@
     """What a worker keeps of a prompt, as the placement asks for it."""
     now = loads.clock.monotonic()
     return loads.kept_tokens(worker, weighed_parts(model, prompt), now)
+
+
+def at(version, era=1):
+    """A place in the store's history."""
+    return Revision(era, version)
--- a/tests/placement/test_drained_domains.py
+++ b/tests/placement/test_drained_domains.py
@@ -19,7 +19,7 @@
 )
 from rattanpier._internal.standin.platform_worker import WorkerFault
 from tests.lib.platform_site import events, platform_site, until
-from tests.lib.relay_parts import make_worker
+from tests.lib.relay_parts import at, make_worker
 
 # Where the entries themselves stand: its workers would be preferred.
 DRAIN = "evacuate/zone-a"
@@ -29,7 +29,7 @@
 
 
 def drained(domain, revision):
-    return DomainOrder(domain, True, revision)
+    return DomainOrder(domain, True, at(revision))
 
 
 def test_an_order_counts_until_its_end_was_seen():
@@ -38,22 +38,22 @@
     assert domains.open(workers) == workers
     domains.take(drained("b", 7), "store")
     assert domains.open(workers) == workers[:1]
-    domains.take(DomainOrder("b", False, 9), "store")
+    domains.take(DomainOrder("b", False, at(9)), "store")
     assert domains.open(workers) == workers
 
 
 def test_an_older_end_lifts_no_newer_order():
     domains = DrainedDomains()
     domains.take(drained("b", 9), "peer")
-    domains.take(DomainOrder("b", False, 8), "snapshot")
-    domains.replace([], revision=8)
+    domains.take(DomainOrder("b", False, at(8)), "snapshot")
+    domains.replace([], revision=at(8))
     assert domains.drained == {"b"}
 
 
 def test_a_peer_that_knows_less_drains_nothing_anew():
     domains = DrainedDomains()
     domains.take(drained("b", 7), "store")
-    domains.take(DomainOrder("b", False, 9), "store")
+    domains.take(DomainOrder("b", False, at(9)), "store")
     domains.take_standing([drained("b", 7)])
     assert not domains.drained
 
@@ -63,7 +63,7 @@
     domains = DrainedDomains(returned.append)
     domains.take(drained("a", 5), "store")
     domains.take(drained("b", 6), "store")
-    domains.replace([drained("a", 5)], revision=8)
+    domains.replace([drained("a", 5)], revision=at(8))
     assert domains.drained == {"a"}
     assert returned == ["b"]
 
@@ -71,7 +71,7 @@
 def test_an_order_again_right_after_its_end_counts():
     domains = DrainedDomains()
     for revision, order in enumerate([True, False, True], start=1):
-        domains.take(DomainOrder("b", order, revision), "store")
+        domains.take(DomainOrder("b", order, at(revision)), "store")
     assert domains.drained == {"b"}
 
 
--- a/tests/relay/test_checkpoints.py
+++ b/tests/relay/test_checkpoints.py
@@ -27,6 +27,7 @@
 from rattanpier._internal.standin.platform_store import Door
 from tests.lib.clock import ManualClock
 from tests.lib.platform_site import dump, manifest, platform_site, route, until
+from tests.lib.relay_parts import at
 from tests.lib.warm_fleet import make_fleet
 
 OPERATORS = "op"
@@ -127,7 +128,7 @@
 
     def put(self, key, value=b"", deleted=False):
         self.version += 1
-        self.rows[key] = FeedRow(key, value, self.version, deleted)
+        self.rows[key] = FeedRow(key, value, at(self.version), deleted)
 
     async def scan(self, table):
         if self.away:
@@ -136,24 +137,24 @@
             return self.own_page()
         self.scans += 1
         rows = [row for row in self.rows.values() if not row.deleted]
-        return Page(rows, self.version, 0.0, whole=True)
+        return Page(rows, at(self.version), 0.0, whole=True)
 
     async def changes(self, table, since, wait_s):
-        rows = [row for row in self.rows.values() if row.version > since]
-        rows.sort(key=lambda row: row.version)
-        return Page(rows, self.version, 0.0, whole=False)
+        rows = [row for row in self.rows.values() if row.revision > since]
+        rows.sort(key=lambda row: row.revision)
+        return Page(rows, at(self.version), 0.0, whole=False)
 
     async def transact(self, checks, puts, removed=()):
         for put in puts:
             self.kept[put.key] = put.value
-        return WrittenAt(self.version, 0.0)
+        return WrittenAt(at(self.version), 0.0)
 
     def checkpoint(self):
         return find_checkpoint(self.own_page(), OPERATORS)
 
     def own_page(self):
-        rows = [FeedRow(key, value, 1) for key, value in self.kept.items()]
-        return Page(rows, self.version, 0.0, whole=True)
+        rows = [FeedRow(key, value, at(1)) for key, value in self.kept.items()]
+        return Page(rows, at(self.version), 0.0, whole=True)
 
 
 def make_writer(store, entries=1, settings=STORE):
@@ -180,7 +181,7 @@
     rng = random.Random(seed)
     store = TableStore()
     writer = make_writer(store)
-    since = 0
+    since = at(0)
     for _ in range(60):
         match rng.randrange(4):
             case 0:
@@ -189,7 +190,7 @@
                 store.put(f"k{rng.randrange(9)}", deleted=True)
             case 2:
                 page = await store.changes(OPERATORS, since, 0.0)
-                since = page.version
+                since = page.revision
                 writer.note(page)
             case 3:
                 writer.clock.now += rng.uniform(0.0, 8.0)
@@ -199,7 +200,7 @@
             expected = await store.scan(OPERATORS)
             key = lambda row: row.key  # noqa: E731
             assert sorted(found.rows, key=key) == sorted(expected.rows, key=key)
-            assert found.version == expected.version
+            assert found.revision == expected.revision
             assert found.whole
 
 
@@ -209,7 +210,7 @@
     writer = make_writer(store)
     old = await store.scan(OPERATORS)
     store.put("b")
-    writer.note(Page([store.rows["b"]], store.version, 0.0, whole=False))
+    writer.note(Page([store.rows["b"]], at(store.version), 0.0, whole=False))
     writer.note(old)
     assert writer.rows is None
     await writer.step()
@@ -223,12 +224,12 @@
     await writer.step()
     first = store.checkpoint().as_of
     store.put("other table's")
-    writer.note(Page([], store.version, 0.0, whole=False))
+    writer.note(Page([], at(store.version), 0.0, whole=False))
     await writer.step()
     assert store.checkpoint().as_of == first
     writer.clock.now += STORE.history_s / 2
     await writer.step()
-    assert store.checkpoint().as_of == store.version
+    assert store.checkpoint().as_of == at(store.version)
     assert store.scans == 1
 
 
--- a/tests/relay/test_held_rows.py
+++ b/tests/relay/test_held_rows.py
@@ -12,6 +12,7 @@
 from rattanpier._internal.retries.quarantine import HOLD_S, Quarantine
 from rattanpier._internal.utils.codec import decode, encode
 from tests.lib.clock import ManualClock
+from tests.lib.relay_parts import at
 from tests.lib.ring import make_member
 
 DEADLY = "deadly"
@@ -35,7 +36,7 @@
             self.rows[put.key] = put.value
         for check in removed:
             self.rows.pop(check.key, None)
-        return WrittenAt(1, NOW_MS)
+        return WrittenAt(at(1), NOW_MS)
 
 
 def make_rows(store, number=0, of=1):
@@ -102,7 +103,7 @@
 
 def make_row(age_s):
     held = HeldRow(["w0", "w1", "w2"], NOW_MS - 1000.0 * age_s)
-    return FeedRow(DEADLY, encode(held).encode(), 1)
+    return FeedRow(DEADLY, encode(held).encode(), at(1))
 
 
 @pytest.mark.parametrize(("age_s", "held_s"), [(100.0, 500.0), (-5.0, 600.0)])
@@ -113,7 +114,7 @@
 
 
 @pytest.mark.parametrize(
-    "row", [make_row(HOLD_S), FeedRow(DEADLY, b"no row", 1)]
+    "row", [make_row(HOLD_S), FeedRow(DEADLY, b"no row", at(1))]
 )
 async def test_a_row_that_is_old_or_spoiled_is_removed(row):
     store = FakeStore(rows={HELD + row.key: row.value})
--- a/tests/relay/test_own_table.py
+++ b/tests/relay/test_own_table.py
@@ -22,6 +22,7 @@
 )
 from tests.lib.clock import ManualClock
 from tests.lib.platform_site import platform_site, until
+from tests.lib.relay_parts import at
 
 SETTLED_S = 1.5  # Longer than a start asks for what it lacks.
 
@@ -106,7 +107,7 @@
         await asyncio.sleep(0)
         if self.scans <= self.away:
             raise StoreUnavailableError("away")
-        return Page([FeedRow("e", b"", 1)], self.scans, 0.0, whole=True)
+        return Page([FeedRow("e", b"", at(1))], at(self.scans), 0.0, whole=True)
 
 
 async def test_all_that_start_share_one_reading():
@@ -115,9 +116,9 @@
     pages = await asyncio.gather(*(table.first() for _ in range(5)))
     assert store.scans == 1
     assert all(page is pages[0] for page in pages)
-    assert (await table.read()).version == 2
+    assert (await table.read()).revision == at(2)
     table.clock.now += 2 * FRESH_S
-    assert (await table.first()).version == 3
+    assert (await table.first()).revision == at(3)
 
 
 async def test_a_reading_that_failed_is_made_again():
--- a/tests/relay/test_restored_store.py
+++ b/tests/relay/test_restored_store.py
@@ -1,5 +1,7 @@
 """The store comes back from an older copy, before real entries."""
 
+import pytest
+
 from tests.lib.platform_site import manifest, until
 from tests.lib.restored_store import all_entries, away, site_of, write_more
 
@@ -19,7 +21,8 @@
     return entry.state.directory.workers["w2"].warm_in_s > 0
 
 
-async def test_what_is_written_under_a_version_given_out_again_is_known():
+@pytest.mark.parametrize("later", [2 * LOST, 0])
+async def test_what_is_written_under_a_version_given_out_again_is_known(later):
     async with site_of(entries=3) as site:
         kept = site.store.keep_copy()
         write_more(site.store, LOST)
@@ -31,6 +34,6 @@
             site.store.come_back(kept)
             site.register("w1", state="draining", sequence=2)
             site.store.put("op", "config", manifest(version=3))
-            write_more(site.store, 2 * LOST)
+            write_more(site.store, later)
         await until(lambda: all_entries(site, leaves), BOUND_S)
         await until(lambda: all_entries(site, has_manifest(3)), BOUND_S)
--- a/tests/relay/test_rollout_driver.py
+++ b/tests/relay/test_rollout_driver.py
@@ -20,6 +20,7 @@
 from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.relay.store import StoreClock, StoreHealth
 from tests.lib.clock import ManualClock
+from tests.lib.relay_parts import at
 
 DEADLINE_S = 20.0
 OVERDUE_AT = GIVE_UP_AT + STAND_IN_AFTER_S / DEADLINE_S
@@ -30,11 +31,11 @@
     """A store that answers writes as it is told to."""
 
     def __init__(self):
-        self.outcomes = [WrittenAt(9, 0.0)]
+        self.outcomes = [WrittenAt(at(9), 0.0)]
         self.writes = 0
 
     async def scan(self, _table):
-        return Page([], 1, 0.0, whole=True)
+        return Page([], at(1), 0.0, whole=True)
 
     async def transact(self, _checks, _puts):
         self.writes += 1
@@ -107,6 +108,6 @@
 
 async def test_one_that_took_over_reads_the_rows_and_writes_at_once(clock):
     driver = make_driver(clock, 0, RolloutPhase.FULL, OVERDUE_AT)
-    driver.store.outcomes = [Conflict("s"), WrittenAt(9, 0.0)]
+    driver.store.outcomes = [Conflict("s"), WrittenAt(at(9), 0.0)]
     await driver.step()
     assert driver.rollouts.phase(ORDER) is RolloutPhase.COMPLETED
--- a/tests/relay/test_rollout_restart.py
+++ b/tests/relay/test_rollout_restart.py
@@ -9,6 +9,7 @@
 from rattanpier._internal.relay.own_table import ROLLOUT, TABLE
 from rattanpier._internal.utils.codec import converter
 from tests.lib.platform_site import platform_site, until
+from tests.lib.relay_parts import at
 
 
 async def site_with_record(site, phase):
@@ -20,7 +21,7 @@
         "rollout/plain",
         {"service": "plain", "to": "v2", "deadlineS": 20},
     )
-    order = site.store.version
+    order = at(site.store.version).number
     record = RolloutRecord(order, "plain", "v2", phase, 0.0, 0.0)
     site.store.put(TABLE, f"{ROLLOUT}plain", converter.unstructure(record))
 
--- a/tests/relay/test_rows.py
+++ b/tests/relay/test_rows.py
@@ -30,6 +30,7 @@
 from rattanpier._internal.utils.metrics import Metrics
 from tests.lib.clock import ManualClock
 from tests.lib.platform_site import manifest as manifest_document
+from tests.lib.relay_parts import at
 
 GOOD = {
     "service": "s",
@@ -61,8 +62,8 @@
 MESSAGE_PACK = documents(st.integers(-(2**63), 2**64 - 1) | st.binary())
 
 
-def row(key, document, version=1):
-    return FeedRow(key, json.dumps(document).encode(), version)
+def row(key, document, version=1, era=1):
+    return FeedRow(key, json.dumps(document).encode(), at(version, era))
 
 
 def changed(**fields):
@@ -72,8 +73,8 @@
     }
 
 
-def page(*rows, version=1, whole=False):
-    return Page(list(rows), version, 0.0, whole)
+def page(*rows, version=1, era=1, whole=False):
+    return Page(list(rows), at(version, era), 0.0, whole)
 
 
 @pytest.fixture
@@ -148,7 +149,7 @@
 )
 def test_bytes_that_are_no_row_name_no_worker(state, value):
     state.take_worker_page(page(row("good", GOOD)), False)
-    state.take_worker_page(page(FeedRow("bad", value, 2)), False)
+    state.take_worker_page(page(FeedRow("bad", value, at(2))), False)
     assert [each.id for each in state.directory.of_service("s")] == ["good"]
 
 
@@ -245,7 +246,7 @@
 def test_any_row_is_a_worker_or_is_refused(fields, value):
     metrics = Metrics()
     rows = [
-        FeedRow("bytes", value, 1),
+        FeedRow("bytes", value, at(1)),
         row("fields", {**GOOD, **fields}, 2),
         row("good", GOOD, 3),
     ]
@@ -266,7 +267,7 @@
     rows = [
         row(manifest.KEY, {**manifest_document(), **fields}),
         row("rollout/s", order, 2),
-        FeedRow(manifest.KEY, b"\xff", 3),
+        FeedRow(manifest.KEY, b"\xff", at(3)),
         row(manifest.KEY, manifest_document(), 4),
     ]
     found = list(feeds.operator_news(Metrics())(page(*rows)))
--- a/tests/relay/test_watch.py
+++ b/tests/relay/test_watch.py
@@ -5,6 +5,7 @@
 import pytest
 
 from rattanpier._internal.models.feed import FeedRow, Page
+from rattanpier._internal.relay.history import StoreHistory
 from rattanpier._internal.relay.store import (
     SETTLE_S,
     StoreClock,
@@ -13,6 +14,7 @@
 from rattanpier._internal.relay.watch import (
     COVERED_S,
     SETTLED_S,
+    TOLD_WITHIN_S,
     WATCHERS,
     TableFollower,
     TableNews,
@@ -20,8 +22,10 @@
 )
 from rattanpier._internal.standin.platform_store import Door, StoreFault
 from rattanpier._internal.utils.codec import unpack
+from rattanpier._internal.utils.metrics import Metrics
 from tests.lib.clock import ManualClock
 from tests.lib.platform_site import manifest, platform_site, until
+from tests.lib.relay_parts import at
 
 ENTRIES = 5
 
@@ -90,11 +94,13 @@
 
 def test_news_that_are_too_long_say_so_without_their_rows():
     text = "".join(f"{number * 7919:x}" for number in range(9000)).encode()
-    news = TableNews("t", 1, 2, 3.0, [FeedRow("k", text, 2)], False)
+    news = TableNews("t", at(1), at(2), 3.0, [FeedRow("k", text, at(2))], False)
     told = unpack(TableNews, pack_news(news))
     assert told.rows is None
-    assert (told.since, told.version) == (1, 2)
-    short = TableNews("t", 1, 2, 3.0, [FeedRow("k", b"v", 2)], False)
+    assert (told.since, told.revision) == (at(1), at(2))
+    short = TableNews(
+        "t", at(1), at(2), 3.0, [FeedRow("k", b"v", at(2))], False
+    )
     assert unpack(TableNews, pack_news(short)) == short
 
 
@@ -116,27 +122,29 @@
 
 def test_a_whole_table_is_taken_from_a_watcher(clock):
     taken = []
-    rows = [FeedRow("w1", b"v", 4), FeedRow("w2", b"v", 9)]
-    for since in (None, 5):
+    rows = [FeedRow("w1", b"v", at(4)), FeedRow("w2", b"v", at(9))]
+    for since in (None, at(5)):
         follower, _ = make_follower(clock, None, lambda: None, since)
         follower.take = lambda page, _settling: taken.append(page)
-        follower.hear(TableNews("op", 9, 9, 1.0, rows, False, whole=True))
-        assert follower.since == 9
+        follower.hear(
+            TableNews("op", at(9), at(9), 1.0, rows, False, whole=True)
+        )
+        assert follower.since == at(9)
         assert follower.covered()
         assert not follower.behind
     assert [(page.rows, page.whole) for page in taken] == [(rows, True)] * 2
 
 
 def test_changes_behind_what_is_known_are_fetched(clock):
-    follower, _ = make_follower(clock, None, lambda: None, 5)
-    rows = [FeedRow("w2", b"v", 9)]
-    follower.hear(TableNews("op", 7, 9, 1.0, rows, False))
+    follower, _ = make_follower(clock, None, lambda: None, at(5))
+    rows = [FeedRow("w2", b"v", at(9))]
+    follower.hear(TableNews("op", at(7), at(9), 1.0, rows, False))
     assert follower.behind
-    assert follower.since == 5
+    assert follower.since == at(5)
 
 
 async def test_one_that_read_all_waits_for_what_watchers_tell(clock):
-    page = Page([FeedRow("w1", b"v", 9)], 9, 1.0, whole=True)
+    page = Page([FeedRow("w1", b"v", at(9))], at(9), 1.0, whole=True)
     follower, _ = make_follower(clock, page, lambda: None, None)
     follower.health.note_answer()
     follower.store.answer.set()
@@ -147,7 +155,7 @@
 
 
 async def test_one_that_reads_all_again_does_not_wait_for_watchers(clock):
-    page = Page([FeedRow("w1", b"v", 9)], 9, 1.0, whole=True)
+    page = Page([FeedRow("w1", b"v", at(9))], at(9), 1.0, whole=True)
     follower, _ = make_follower(clock, page, lambda: None, None)
     follower.health.note_answer()
     follower.store.answer.set()
@@ -160,12 +168,12 @@
 
 
 async def test_one_that_starts_does_not_watch_before_it_knows_the_others(clock):
-    page = Page([FeedRow("w1", b"v", 9)], 9, 1.0, whole=True)
+    page = Page([FeedRow("w1", b"v", at(9))], at(9), 1.0, whole=True)
     # It knows of no other that reaches the store.
     follower, _ = make_follower(clock, page, lambda: 0, None)
     follower.store.answer.set()
     step = asyncio.create_task(follower.step())
-    await until(lambda: follower.since == 9)
+    await until(lambda: follower.since == at(9))
     assert follower.rests()
     clock.now += SETTLED_S
     assert not follower.rests()
@@ -201,6 +209,12 @@
         return await self.changes(_table, 0, 0.0)
 
 
+def later(follower, count):
+    """A revision some versions after the one that a follower knows."""
+    since = follower.since
+    return at(since.version + count, since.era)
+
+
 def make_follower(clock, page, rank, since):
     """A follower, and what it tells."""
     told = []
@@ -213,21 +227,23 @@
         take=lambda _page, _settling: None,
         rank=rank,
         tell=told.append,
+        history=StoreHistory(clock, Metrics()),
         since=since,
     )
     return follower, told
 
 
 @pytest.mark.parametrize(
-    ("whole", "since", "told_since"), [(False, 5, 5), (True, None, 9)]
+    ("whole", "since", "told_since"),
+    [(False, at(5), at(5)), (True, None, at(9))],
 )
 async def test_one_that_watches_from_the_middle_of_a_call_tells_what_it_got(
     clock, whole, since, told_since
 ):
-    rows = [FeedRow("config", b"v", 9)]
+    rows = [FeedRow("config", b"v", at(9))]
     ranks = [None]
     follower, told = make_follower(
-        clock, Page(rows, 9, 1.0, whole), lambda: ranks[-1], since
+        clock, Page(rows, at(9), 1.0, whole), lambda: ranks[-1], since
     )
     step = asyncio.create_task(follower.step())
     await follower.store.asked.wait()
@@ -235,14 +251,14 @@
     follower.store.answer.set()
     await until(lambda: told)
     (news,) = told
-    assert (news.since, news.version) == (told_since, 9)
+    assert (news.since, news.revision) == (told_since, at(9))
     assert (news.rows, news.whole) == (rows, whole)
     step.cancel()
 
 
 async def test_one_that_does_not_watch_tells_nothing(clock):
     follower, told = make_follower(
-        clock, Page([], 9, 1.0, False), lambda: None, 5
+        clock, Page([], at(9), 1.0, False), lambda: None, at(5)
     )
     follower.store.answer.set()
     await follower.step()
@@ -259,7 +275,7 @@
         each.asked_at = each.clock.monotonic()
         assert each.rests()
         each.hear(
-            TableNews("op", each.since + 5, each.since + 6, 1.0, [], False)
+            TableNews("op", later(each, 5), later(each, 6), 1.0, [], False)
         )
         assert not each.rests()
         assert not each.covered()
@@ -299,11 +315,9 @@
         if not entry.gossip.followers["servers"].watches()
     )
     follower = hearer.gossip.followers["servers"]
-    version = follower.since
-    gone = FeedRow("w1", b"", version + 1, deleted=True)
-    follower.hear(
-        TableNews("servers", version, version + 1, 1.0, [gone], settling=True)
-    )
+    since, then = follower.since, later(follower, 1)
+    gone = FeedRow("w1", b"", then, deleted=True)
+    follower.hear(TableNews("servers", since, then, 1.0, [gone], settling=True))
     assert not hearer.state.directory.workers
 
 
@@ -400,3 +414,100 @@
         site.store.set_fault(StoreFault.NONE)
         for entry in site.entries.values():
             await until(entry.ready)
+
+
+# A new era: the store came back from an older copy.
+
+
+def new_era_news(rows, whole=False, version=3):
+    since = at(version - 1, era=2)
+    return TableNews("op", since, at(version, 2), 1.0, rows, False, whole)
+
+
+def test_a_lower_version_of_a_new_era_is_news(clock):
+    taken = []
+    follower, _ = make_follower(clock, None, lambda: None, at(9))
+    follower.take = lambda page, _settling: taken.append(page)
+    rows = [FeedRow("w1", b"v", at(3, era=2))]
+    follower.hear(new_era_news(rows, whole=True))
+    assert follower.since == at(3, era=2)
+    assert follower.covered()
+    assert [page.rows for page in taken] == [rows]
+
+
+@pytest.mark.parametrize("version", [3, 10, 12])
+def test_changes_of_a_new_era_follow_nothing_of_the_one_before(clock, version):
+    follower, _ = make_follower(clock, None, lambda: None, at(9))
+    follower.told_at = clock.monotonic()
+    assert follower.covered()
+    follower.hear(new_era_news([], version=version))
+    assert follower.since == at(9)
+    assert not follower.covered()
+    assert not follower.rests()
+
+
+def test_what_is_told_of_an_era_before_counts_for_nothing(clock):
+    follower, _ = make_follower(clock, None, lambda: None, at(3, era=2))
+    follower.history.note(2, "store")
+    rows = [FeedRow("w1", b"v", at(10))]
+    follower.hear(TableNews("op", at(9), at(10), 1.0, rows, False))
+    follower.hear(TableNews("op", at(9), at(10), 1.0, rows, False, whole=True))
+    assert follower.since == at(3, era=2)
+    assert not follower.accept(Page(rows, at(10), 1.0, whole=True), False)
+
+
+async def test_a_feed_that_waits_in_an_era_that_ended_is_given_up(clock):
+    page = Page([], at(4, era=2), 1.0, whole=True)
+    follower, _ = make_follower(clock, page, lambda: 0, at(9))
+    follower.health.note_answer()
+    follower.history.note(1, "store")
+    step = asyncio.create_task(follower.step())
+    await follower.store.asked.wait()
+    follower.history.note(2, "peer")
+    await step
+    assert follower.since == at(9)
+    assert not follower.rests()
+    follower.store.answer.set()
+    step = asyncio.create_task(follower.step())
+    await until(lambda: follower.since == at(4, era=2))
+    step.cancel()
+
+
+async def test_an_answer_that_a_new_era_overtook_is_left_out(clock):
+    page = Page([FeedRow("w1", b"v", at(10))], at(10), 1.0, whole=False)
+    follower, told = make_follower(clock, page, lambda: 0, at(9))
+    follower.history.note(2, "peer")
+    assert not follower.accept(page, False)
+    assert follower.since == at(9)
+    assert told == []
+
+
+async def test_those_that_do_not_watch_wait_for_those_that_do(clock):
+    follower, _ = make_follower(clock, None, lambda: None, at(9))
+    follower.health.note_answer()
+    follower.history.note(1, "store")
+    follower.history.note(2, "peer")
+    assert follower.rests()
+    clock.now += TOLD_WITHIN_S
+    assert not follower.rests()
+    # One that the store turns away does not ask it again and again.
+    follower.health.note_silence(TimeoutError())
+    follower.asked_at = clock.monotonic()
+    assert follower.rests()
+
+
+async def test_all_know_a_new_era_by_the_calls_of_those_that_watch(site):
+    await all_covered(site)
+    await asyncio.sleep(SETTLED_S)
+    kept = site.store.keep_copy()
+    site.store.put("op", "config", manifest(version=8))
+    for each in followers(site):
+        await until(lambda each=each: each.since.version > kept.version)
+    site.store.calls.clear()
+    site.store.come_back(kept)
+    site.store.put("op", "config", manifest(version=9))
+    for entry in site.entries.values():
+        await until(lambda entry=entry: entry.state.table_version == 9)
+    tables = len(site.entries["entry-0"].gossip.followers)
+    readings = [call for call in site.store.calls if "get" in call]
+    assert len(readings) <= WATCHERS * tables
