Believe a worker's own sequence rather than rows of an older copy

What callers would see: after the store came back from a copy, its rows show what was. A worker that leaves is ready in them, one that has left is registered; both got requests again until they wrote anew.

Cause: registrations were compared by the store's versions alone, which tell nothing across eras.

Change: within an era the store's order decides, across eras the worker's own sequence, which it raises with each renewal. What is left out is kept as of the new era. A worker whose removal was known stays gone until it writes anew or its row has stood for longer than one lasts that is not renewed (three heartbeats and two seconds). A living worker that the copy lacks is waited for, two seconds, as one whose registration ran out. Entries tell each other of departures that the store's rows contradict, only in comparisons that they make anyway.

--- a/src/rattanpier/_internal/programs/relay_store.py
+++ b/src/rattanpier/_internal/programs/relay_store.py
@@ -17,6 +17,10 @@
     CheckpointedStore,
     CheckpointWriter,
 )
+from rattanpier._internal.relay.departures import (
+    LASTING_HEARTBEATS,
+    Departures,
+)
 from rattanpier._internal.relay.directory import WorkerDirectory
 from rattanpier._internal.relay.exposure import ExposureBound
 from rattanpier._internal.relay.held_rows import HeldRows
@@ -28,6 +32,7 @@
 from rattanpier._internal.relay.state import RelayState
 from rattanpier._internal.relay.store import StoreClock, StoreHealth
 from rattanpier._internal.relay.watch import TableFollower, watch_rank
+from rattanpier._internal.utils.clock import Clock
 
 
 def add_store(kernel: Kernel, settings: RelaySettings) -> None:
@@ -49,6 +54,12 @@
     kernel.add("own_table", OwnTable(store, clock))
 
 
+def make_directory(clock: Clock, settings: RelaySettings) -> WorkerDirectory:
+    """Returns a directory without workers."""
+    lasting_s = LASTING_HEARTBEATS * settings.heartbeat_s
+    return WorkerDirectory(clock, departures=Departures(clock, lasting_s))
+
+
 def make_state(kernel: Kernel, settings: RelaySettings) -> RelayState:
     """Returns an entry's beliefs before it has read anything."""
     clock = kernel.find("clock")
@@ -56,7 +67,7 @@
     bounds = settings.bounds
     exposure = ExposureBound(bounds.exposure_ratio, bounds.exposure_slack)
     state = RelayState(
-        WorkerDirectory(clock),
+        make_directory(clock, settings),
         Rollouts(exposure, bounds.session_s, clock, settings.policy),
         kernel.find("store_health"),
         feeds.operator_news(metrics, lambda: state.table_version),
--- a/src/rattanpier/_internal/relay/beliefs.py
+++ b/src/rattanpier/_internal/relay/beliefs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 
 from rattanpier._internal.placement.drained_domains import DrainedDomains
@@ -22,7 +24,8 @@
       quarantine: Requests under which workers ended.
       domains: Failure domains that get nothing new.
       limits: How much workers say that they take.
-      directory: Workers that said that they leave.
+      directory: Workers that said that they leave, or are gone.
+      gone: Called with the id of each worker that others know to be gone.
     """
 
     rollouts: Rollouts
@@ -30,10 +33,12 @@
     domains: DrainedDomains
     limits: RateLimits
     directory: WorkerDirectory
+    gone: Callable[[str], None] = lambda _worker: None
 
     def digest(self) -> int:
         """Returns what two entries that know the same have in common."""
         known = self.quarantine.digest() ^ self.domains.digest()
+        known ^= self.directory.departures.digest()
         return known ^ self.limits.digest() ^ self.directory.leaving_digest()
 
     def take(self, news: News) -> None:
@@ -47,6 +52,8 @@
         self.domains.take_standing(news.drained)
         self.limits.take(news.limits)
         self.directory.take_leaving(news.leaving)
+        for worker in self.directory.take_departures(news.departed):
+            self.gone(worker)
 
     def news_with(self, members: list[MemberNews]) -> News:
         """Returns all that is told, with the states of some entries."""
@@ -59,10 +66,12 @@
             drained=self.domains.standing(),
             limits=self.limits.standing(),
             leaving=self.directory.known_to_leave(),
+            departed=self.directory.departures.disputed(),
         )
 
     def has_more_to_tell(self) -> bool:
         """Says whether a peer may lack something that summaries don't name."""
         held = self.quarantine.ends or self.quarantine.cleared
-        said = self.limits.words or self.directory.leaving
-        return bool(held or said or self.domains.drained)
+        said = self.limits.words or self.directory.known_to_leave()
+        disputed = self.directory.departures.held_back
+        return bool(held or said or disputed or self.domains.drained)
--- a/src/rattanpier/_internal/relay/directory.py
+++ b/src/rattanpier/_internal/relay/directory.py
@@ -8,7 +8,13 @@
 import attrs
 import structlog
 
+from rattanpier._internal.models.departure import Departure
 from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.relay.departures import (
+    Departures,
+    as_of,
+    counts,
+)
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.hashing import stable_hash
 
@@ -18,6 +24,7 @@
 # two seconds of its return, as the platform promises; what is missing after
 # that is gone.
 RETURN_S = 2.0
+LASTING_S = 3.6  # Three usual heartbeats.
 MOST_SEEN = 4096  # Incarnations that are told from new ones.
 
 
@@ -35,6 +42,10 @@
         is back after its registration ran out has not started anew.
       leaving: Incarnations that said themselves that they leave, the newest
         last. No registration takes that back.
+      departures: Starts that are gone, whatever an older copy shows.
+      era: Of the store when the whole table was taken last.
+      whole_at: When a table of a new era was taken first, in monotonic seconds.
+        Registrations that its copy lacks come back like those that ran out.
       tell_leaving: Tells all other entries that an incarnation leaves.
       registered: Called with each registration, and whether its incarnation
         has just appeared.
@@ -52,20 +63,42 @@
     leaving: collections.OrderedDict[str, None] = attrs.Factory(
         collections.OrderedDict
     )
+    departures: Departures = attrs.field(
+        default=attrs.Factory(
+            lambda self: Departures(self.clock, LASTING_S), takes_self=True
+        )
+    )
+    era: int = 0
+    whole_at: float = float("-inf")
     tell_leaving: Callable[[str], None] = lambda _incarnation: None
     registered: Callable[[RegisteredWorker, bool], None] = attrs.field(
         default=lambda _worker, _appeared: None
     )
 
     def replace(
-        self, workers: Iterable[RegisteredWorker], after_outage: bool
+        self,
+        workers: Iterable[RegisteredWorker],
+        after_outage: bool,
+        era: int = 0,
     ) -> list[str]:
-        """Takes the whole table; returns the ids whose incarnation is gone."""
+        """Takes the whole table; returns the ids whose incarnation is gone.
+
+        Args:
+          workers: All that are registered.
+          after_outage: The store was away until just now.
+          era: Of the store, as of which they are.
+        """
+        if era > self.era and self.known:
+            self.whole_at = self.clock.monotonic()
+        self.era = max(era, self.era)
         found = {worker.id: worker for worker in workers}
         absent = [id for id in self.workers if id not in found]
         ended = [worker.id for worker in found.values() if self.put(worker)]
         self.known = True
-        ended += [id for id in absent if self.remove(id, after_outage)]
+        self.departures.drop_absent(found)
+        returns = self.clock.monotonic() - self.whole_at < RETURN_S
+        may_return = after_outage or returns
+        ended += [id for id in absent if self.remove(id, may_return)]
         return ended
 
     def put(self, worker: RegisteredWorker) -> bool:
@@ -76,18 +109,16 @@
           says nothing of this one.
         """
         before = self.workers.get(worker.id)
-        if before is not None and worker.revision < before.revision:
-            # A peer's state, or news that others overtook.
-            if worker.draining != before.draining:
-                log.info(
-                    "Registration left out as older.",
-                    worker=worker.id,
-                    draining=worker.draining,
-                    revision=worker.revision.number,
-                    known=before.revision.number,
-                )
+        if before is None and self.departures.contradicts(worker):
+            self.departures.hold_back(worker)
             return False
+        if before is not None:
+            if not self.counts(before, worker):
+                self.leave_out(before, worker)
+                return False
+            worker = as_of(worker, before.revision)
         self.workers[worker.id] = worker
+        self.departures.forget(worker)
         self.missing.pop(worker.id, None)
         self.clear_derived()
         self.registered(worker, self.is_new(worker))
@@ -111,6 +142,35 @@
         )
         return True
 
+    def counts(self, before: RegisteredWorker, told: RegisteredWorker) -> bool:
+        """Says whether a registration counts against the one known."""
+        if told.incarnation == before.incarnation:
+            return counts(before, told)
+        if told.revision.era > before.revision.era:
+            # An older copy shows a start that the one known took over from.
+            return told.incarnation not in self.seen
+        return told.revision >= before.revision
+
+    def leave_out(
+        self, before: RegisteredWorker, told: RegisteredWorker
+    ) -> None:
+        """Goes on with the registration known, as of what the store tells."""
+        self.workers[before.id] = as_of(before, told.revision)
+        if told.revision > before.revision:
+            self.missing.pop(before.id, None)
+            self.clear_derived()
+            if before.draining and not told.draining:
+                self.put_leaving(before.incarnation, "registration")
+        if told.draining != before.draining:
+            log.info(
+                "Registration left out as older.",
+                worker=told.id,
+                draining=told.draining,
+                sequence=told.sequence,
+                known=before.sequence,
+                revision=told.revision.number,
+            )
+
     def clear_derived(self) -> None:
         """Lets what follows from the registrations be found anew."""
         self.by_service.clear()
@@ -142,12 +202,16 @@
         """Takes in that a worker leaves; says whether that was new here."""
         if incarnation in self.leaving:
             return False
+        self.remember_leaving(incarnation)
+        log.info("Worker says it leaves.", worker=incarnation, source=source)
+        return True
+
+    def remember_leaving(self, incarnation: str) -> None:
+        """Keeps that a worker leaves, whatever registration comes."""
         self.leaving[incarnation] = None
         if len(self.leaving) > MOST_SEEN:
             self.leaving.popitem(last=False)
         self.clear_derived()
-        log.info("Worker says it leaves.", worker=incarnation, source=source)
-        return True
 
     def known_to_leave(self) -> list[str]:
         """Returns the registered incarnations that said that they leave."""
@@ -175,6 +239,7 @@
           after_outage: The store was away until just now, so that the
             registration may have run out though the worker lives.
         """
+        self.departures.held_back.pop(id, None)
         worker = self.workers.get(id)
         if worker is None:
             return False
@@ -182,12 +247,23 @@
             self.missing.setdefault(id, self.clock.monotonic() + RETURN_S)
             log.info("Registration ran out in an outage.", worker=id)
             return False
-        del self.workers[id]
-        self.missing.pop(id, None)
-        self.clear_derived()
+        self.take_out(worker)
+        era = max(self.era, worker.revision.era)
+        self.departures.note(
+            Departure(worker.incarnation, worker.sequence, era)
+        )
         log.info("Worker gone.", worker=id, service=worker.service)
         return True
 
+    def take_out(self, worker: RegisteredWorker) -> None:
+        """Takes a worker out of the table."""
+        del self.workers[worker.id]
+        self.missing.pop(worker.id, None)
+        if worker.draining:
+            # Also if an older copy shows it again.
+            self.remember_leaving(worker.incarnation)
+        self.clear_derived()
+
     def drop_unreadable(self, id: str) -> bool:
         """Takes in that a registration names no worker; says if it did.
 
@@ -199,8 +275,28 @@
         self.missing.pop(id, None)
         return self.remove(id, after_outage=False)
 
+    def take_departures(self, departures: Iterable[Departure]) -> list[str]:
+        """Takes in which starts another entry knows to be gone.
+
+        Returns:
+          Ids of the workers that were registered here and no longer are.
+        """
+        known = {each.incarnation: each for each in self.workers.values()}
+        gone: list[str] = []
+        for departure in departures:
+            self.departures.note(departure)
+            worker = known.get(departure.incarnation)
+            if worker is None or not self.departures.contradicts(worker):
+                continue
+            self.take_out(worker)
+            self.departures.hold_back(worker)
+            gone.append(worker.id)
+        return gone
+
     def drop_missing(self) -> list[str]:
         """Drops what did not come back in time; returns the ids."""
+        for worker in self.departures.take_believed():
+            self.put(worker)
         now = self.clock.monotonic()
         late = [id for id, until in self.missing.items() if until <= now]
         for id in late:
--- a/src/rattanpier/_internal/relay/news.py
+++ b/src/rattanpier/_internal/relay/news.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from rattanpier._internal.models.departure import Departure
 from rattanpier._internal.models.domain_order import DomainOrder
 from rattanpier._internal.models.rate_limit import RateLimit
 from rattanpier._internal.models.rollout_order import RolloutRecord
@@ -25,6 +26,8 @@
       drained: Orders that keep failure domains empty.
       limits: How much workers say that they take.
       leaving: Incarnations of workers that said that they leave.
+      departed: Starts of workers that are gone, though the store's table
+        shows them since it came back from an older copy.
     """
 
     members: list[MemberNews] = attrs.Factory(list)
@@ -35,6 +38,7 @@
     drained: list[DomainOrder] = attrs.Factory(list)
     limits: list[RateLimit] = attrs.Factory(list)
     leaving: list[str] = attrs.Factory(list)
+    departed: list[Departure] = attrs.Factory(list)
 
 
 @attrs.frozen
--- a/src/rattanpier/_internal/relay/snapshots.py
+++ b/src/rattanpier/_internal/relay/snapshots.py
@@ -50,6 +50,7 @@
       domain_orders: Failure domains that get nothing new, and those that do
         again.
       from_store: The sender reaches the store now.
+      era: Of the store, as of which the workers are.
     """
 
     packed_table: bytes
@@ -59,6 +60,7 @@
     records: list[RolloutRecord]
     domain_orders: list[DomainOrder]
     from_store: bool
+    era: int = 0
 
     def table(self) -> RouteTable | None:
         """Returns the route table.
--- a/src/rattanpier/_internal/relay/state.py
+++ b/src/rattanpier/_internal/relay/state.py
@@ -125,7 +125,8 @@
             workers = [
                 item for item in news if isinstance(item, RegisteredWorker)
             ]
-            self.forget(self.directory.replace(workers, after_outage))
+            era = page.revision.era
+            self.forget(self.directory.replace(workers, after_outage, era))
             return
         for item in news:
             if isinstance(item, RegisteredWorker):
@@ -161,6 +162,7 @@
             list(self.rollouts.records.values()),
             list(self.domains.orders.values()),
             self.health.available,
+            self.directory.era,
         )
 
     def pack_table(self) -> bytes:
@@ -188,12 +190,11 @@
         for record in snapshot.records:
             self.rollouts.take_record(record)
         self.rollouts.known |= snapshot.from_store
-        if self.health.available:
+        if self.health.available or snapshot.era < self.directory.era:
             return
+        workers, era = snapshot.workers, snapshot.era
         if snapshot.from_store:
-            self.forget(
-                self.directory.replace(snapshot.workers, after_outage=False)
-            )
-        elif not self.directory.known and snapshot.workers:
-            self.directory.replace(snapshot.workers, after_outage=False)
+            self.forget(self.directory.replace(workers, False, era))
+        elif not self.directory.known and workers:
+            self.directory.replace(workers, False, era)
             self.rollouts.known = True
--- a/tests/relay/test_restored_store.py
+++ b/tests/relay/test_restored_store.py
@@ -21,6 +21,10 @@
     return entry.state.directory.workers["w2"].warm_in_s > 0
 
 
+def era_of(entry):
+    return entry.kernel.find("history").era
+
+
 @pytest.mark.parametrize("later", [2 * LOST, 0])
 async def test_what_is_written_under_a_version_given_out_again_is_known(later):
     async with site_of(entries=3) as site:
@@ -37,3 +41,22 @@
             write_more(site.store, later)
         await until(lambda: all_entries(site, leaves), BOUND_S)
         await until(lambda: all_entries(site, has_manifest(3)), BOUND_S)
+
+
+async def test_a_worker_that_left_before_gets_nothing_from_an_older_copy():
+    async with site_of(entries=3) as site:
+        kept = site.store.keep_copy()
+        site.register("w1", state="draining", sequence=2)
+        await until(lambda: all_entries(site, leaves))
+        async with away(site):
+            site.store.come_back(kept)
+        runs = len(site.workers["w1"].runs)
+        await until(lambda: all_entries(site, lambda each: era_of(each) == 2))
+        for name in site.entries:
+            for _ in range(20):
+                assert (await site.ask(entry=name)).status == 200
+        late = await site.add_entry(
+            "entry-4", seeds=[str(site.entries["entry-1"].settings.peers)]
+        )
+        await until(lambda: leaves(late), BOUND_S)
+        assert len(site.workers["w1"].runs) == runs
