Keep what orders to drain domains said, against an older copy of the store

What callers would see: the store comes back from a copy that was made before an order to drain a failure domain, and the domain gets requests again until the operators have written the order anew; or from one that shows an order that ended, and the domain is drained though it was taken back.

Cause: the whole table of the new era was taken for news.

Change: an order that the copy lacks counts for six seconds, or until the store shows it again or ends it. One that ended stays ended while its row has the version that was known: a row that is written again gets another one. Entries that start are told by peers as before.

--- a/src/rattanpier/_internal/models/domain_order.py
+++ b/src/rattanpier/_internal/models/domain_order.py
@@ -16,8 +16,10 @@
       drained: Nothing more is to be sent there; False: the order was taken
         back.
       revision: Of the change; the larger is the newer.
+      ended: Of the order that was taken back, where it is known.
     """
 
     domain: str
     drained: bool
     revision: Revision
+    ended: Revision = Revision()
--- a/src/rattanpier/_internal/placement/drained_domains.py
+++ b/src/rattanpier/_internal/placement/drained_domains.py
@@ -4,6 +4,9 @@
 a peer or a peer's snapshot. It ends only when its removal was seen in the
 store, by this entry or by one that tells of it with the removal's revision: a
 store that is away, or an entry that knows less, lifts nothing.
+
+A store that came back from an older copy may lack an order that stands, which
+operators then write again, or show one that ended: neither changes anything.
 """
 
 from __future__ import annotations
@@ -16,10 +19,30 @@
 from rattanpier._internal.models.domain_order import DomainOrder
 from rattanpier._internal.models.revision import Revision
 from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.utils.clock import Clock, SystemClock
 from rattanpier._internal.utils.hashing import stable_hash
 
 log = structlog.get_logger(part="domains")
 
+# For so long an order counts that an older copy of the store lacks: until
+# operators have written it again. A domain that stays drained for some seconds
+# costs less than one that fills for a moment.
+REWRITTEN_S = 6.0
+
+
+def against(before: DomainOrder, told: DomainOrder) -> DomainOrder:
+    """Returns what counts of an order and of a newer one of its domain.
+
+    An order that ended and stands again in an older copy stays ended.
+    """
+    if told.drained:
+        is_copy = not before.drained and told.revision.is_kept_from(
+            before.ended
+        )
+        return attrs.evolve(before, revision=told.revision) if is_copy else told
+    ended = before.revision if before.drained else before.ended
+    return attrs.evolve(told, ended=ended)
+
 
 @attrs.define(eq=False, repr=False)
 class DrainedDomains:
@@ -27,13 +50,20 @@
 
     Attributes:
       returned: Called with each domain whose order ended.
+      clock: Monotonic.
       orders: By domain, those that ended too.
       drained: Domains that get nothing new.
+      as_of: Revision of the whole table that was taken last.
+      unconfirmed: Until when each order counts that the newest era of the store
+        has not shown, by domain, in monotonic seconds.
     """
 
     returned: Callable[[str], None] = lambda _domain: None
+    clock: Clock = attrs.Factory(SystemClock)
     orders: dict[str, DomainOrder] = attrs.Factory(dict)
     drained: frozenset[str] = frozenset()
+    as_of: Revision = Revision()
+    unconfirmed: dict[str, float] = attrs.Factory(dict)
 
     def take(self, order: DomainOrder, source: str) -> None:
         """Takes an order, or its end, in; one that is older is left out.
@@ -43,9 +73,12 @@
           source: Where it was heard of, for the log.
         """
         before = self.orders.get(order.domain)
-        if before is not None and order.revision <= before.revision:
-            return
+        if before is not None:
+            if order.revision <= before.revision:
+                return
+            order = against(before, order)
         self.orders[order.domain] = order
+        self.note_confirmed(order)
         was_drained = order.domain in self.drained
         if order.drained == was_drained:
             return
@@ -69,11 +102,38 @@
           orders: Those that stand.
           revision: The store's as of which they do.
         """
+        self.as_of = max(self.as_of, revision)
         standing = {order.domain: order for order in orders}
         for order in standing.values():
             self.take(order, "store")
         for domain in self.drained - standing.keys():
-            self.take(DomainOrder(domain, False, revision), "store")
+            if self.orders[domain].revision.era < revision.era:
+                self.note_confirmed(self.orders[domain])
+            else:
+                self.take(DomainOrder(domain, False, revision), "store")
+
+    def note_confirmed(self, order: DomainOrder) -> None:
+        """Keeps until when an order counts that the store has not shown."""
+        if not order.drained or order.revision.era >= self.as_of.era:
+            self.unconfirmed.pop(order.domain, None)
+        elif order.domain not in self.unconfirmed:
+            until = self.clock.monotonic() + REWRITTEN_S
+            self.unconfirmed[order.domain] = until
+            log.info(
+                "Order stands that the store lacks.",
+                domain=order.domain,
+                revision=order.revision.number,
+                as_of=self.as_of.number,
+            )
+
+    def drop_unconfirmed(self) -> None:
+        """Ends the orders that were not written again in time."""
+        now = self.clock.monotonic()
+        late = [
+            domain for domain, until in self.unconfirmed.items() if until <= now
+        ]
+        for domain in late:
+            self.take(DomainOrder(domain, False, self.as_of), "store")
 
     def standing(self) -> list[DomainOrder]:
         """Returns the orders that have not ended."""
--- a/src/rattanpier/_internal/relay/state.py
+++ b/src/rattanpier/_internal/relay/state.py
@@ -143,9 +143,10 @@
             self.forget([id])
 
     def drop_missing(self) -> None:
-        """Drops workers whose registration did not come back."""
+        """Drops what the store lacks and what did not come back in time."""
         if self.health.available:
             self.forget(self.directory.drop_missing())
+            self.domains.drop_unconfirmed()
 
     def forget(self, ids: Iterable[str]) -> None:
         """Tells that what was known of workers no longer holds."""
--- a/tests/placement/test_drained_domains.py
+++ b/tests/placement/test_drained_domains.py
@@ -10,7 +10,10 @@
 import pytest
 
 from rattanpier._internal.models.domain_order import DomainOrder
-from rattanpier._internal.placement.drained_domains import DrainedDomains
+from rattanpier._internal.placement.drained_domains import (
+    REWRITTEN_S,
+    DrainedDomains,
+)
 from rattanpier._internal.programs.relay import close
 from rattanpier._internal.standin.platform_store import (
     Door,
@@ -18,6 +21,7 @@
     StoreFault,
 )
 from rattanpier._internal.standin.platform_worker import WorkerFault
+from tests.lib.clock import ManualClock
 from tests.lib.platform_site import events, platform_site, until
 from tests.lib.relay_parts import at, make_worker
 
@@ -75,6 +79,89 @@
     assert domains.drained == {"b"}
 
 
+# A store that came back from an older copy.
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def restored(clock):
+    """Orders of the first era; the store is about to begin the second."""
+    domains = DrainedDomains(clock=clock)
+    domains.replace([], at(1))
+    return domains
+
+
+def test_an_order_that_the_copy_lacks_counts_until_it_is_written_again(
+    restored, clock
+):
+    restored.take(drained("b", 9), "store")
+    restored.replace([], at(4, era=2))
+    assert restored.drained == {"b"}
+    clock.now += REWRITTEN_S - 0.1
+    restored.take(DomainOrder("b", True, at(6, era=2)), "store")
+    clock.now += REWRITTEN_S
+    restored.drop_unconfirmed()
+    assert restored.drained == {"b"}
+    restored.take(DomainOrder("b", False, at(7, era=2)), "store")
+    assert not restored.drained
+
+
+def test_an_order_that_is_not_written_again_ends(restored, clock):
+    restored.take(drained("b", 9), "store")
+    restored.replace([], at(4, era=2))
+    clock.now += REWRITTEN_S
+    restored.drop_unconfirmed()
+    assert not restored.drained
+    # What a peer still tells of the earlier era brings it back no more.
+    restored.take_standing([drained("b", 9)])
+    assert not restored.drained
+
+
+def test_an_order_that_ended_stays_ended_though_the_copy_shows_it(restored):
+    restored.take(drained("b", 3), "store")
+    restored.take(DomainOrder("b", False, at(9)), "store")
+    restored.replace([DomainOrder("b", True, at(3, era=2))], at(4, era=2))
+    assert not restored.drained
+    restored.replace([DomainOrder("b", True, at(3, era=2))], at(5, era=2))
+    assert not restored.drained
+    restored.take(DomainOrder("b", True, at(6, era=2)), "store")
+    assert restored.drained == {"b"}
+
+
+def test_an_order_that_stands_in_the_copy_ends_by_its_removal(restored):
+    restored.take(drained("b", 3), "store")
+    restored.replace([DomainOrder("b", True, at(3, era=2))], at(4, era=2))
+    assert restored.drained == {"b"}
+    restored.replace([], at(5, era=2))
+    assert not restored.drained
+
+
+def test_a_peer_tells_a_newcomer_of_an_order_that_the_copy_lacks(
+    restored, clock
+):
+    restored.replace([], at(4, era=2))
+    restored.take_standing([drained("b", 9)])
+    assert restored.drained == {"b"}
+    clock.now += REWRITTEN_S
+    restored.drop_unconfirmed()
+    assert not restored.drained
+
+
+def test_a_second_return_within_seconds_lifts_nothing(restored, clock):
+    restored.take(drained("b", 9), "store")
+    restored.replace([], at(4, era=2))
+    clock.now += REWRITTEN_S / 2
+    restored.take(DomainOrder("b", True, at(6, era=2)), "store")
+    restored.replace([], at(4, era=3))
+    clock.now += REWRITTEN_S - 0.1
+    restored.drop_unconfirmed()
+    assert restored.drained == {"b"}
+
+
 # Real entries.
 
 
