Know a roll-out order again that the store shows under another version

What callers would see: a version that was rolled back gets requests again, and a finished roll-out begins anew, once operators have written an order again that the store had lost; or the roll-out before it begins, where the copy shows its order.

Cause: an order's number was the version of its row. After a return from a copy the same order has another one.

Change: an order keeps the number under which it became known; a row of a later era that asks the same is that order, one that a copy kept from before it is none (relay/known_orders.py). A record tells under which revision its writer read the row, so that an entry that started meanwhile names the order as its record does, and a newcomer's first record takes nothing back. Entries tell newcomers of orders that the store lacks, in comparisons that they make anyway.

--- a/src/rattanpier/_internal/models/rollout_order.py
+++ b/src/rattanpier/_internal/models/rollout_order.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from rattanpier._internal.models.revision import Revision
+
 
 class RolloutPhase(enum.StrEnum):
     """How far a move went. The later in this list, the further."""
@@ -28,16 +30,23 @@
     """One order.
 
     Attributes:
-      id: Unique to the order: the store's version of its row.
+      id: Unique to the order: the number of the revision under which it
+        became known.
       service: Whose traffic is moved.
       version: Where to.
       deadline_s: Seconds after the order at which it should be done.
+      revision: Of its row, as it was read last.
     """
 
     id: int
     service: str
     version: str
     deadline_s: float
+    revision: Revision = attrs.field(
+        default=attrs.Factory(
+            lambda self: Revision.from_number(self.id), takes_self=True
+        )
+    )
 
 
 @attrs.frozen
@@ -51,6 +60,8 @@
       phase: How far it went.
       begun_ms: The store's steady clock at the first phase, in ms.
       since_ms: The same at the present phase.
+      seen: Number of the revision of the order's row that its writer read last;
+        0: the order's own.
     """
 
     order: int
@@ -59,3 +70,4 @@
     phase: RolloutPhase
     begun_ms: float
     since_ms: float
+    seen: int = 0
--- a/src/rattanpier/_internal/platform/rollouts.py
+++ b/src/rattanpier/_internal/platform/rollouts.py
@@ -59,6 +59,7 @@
         service=order.service,
         version=order.version,
         deadline_s=order.deadline_s,
+        revision=row.revision,
     )
 
 
--- a/src/rattanpier/_internal/relay/beliefs.py
+++ b/src/rattanpier/_internal/relay/beliefs.py
@@ -39,10 +39,12 @@
         """Returns what two entries that know the same have in common."""
         known = self.quarantine.digest() ^ self.domains.digest()
         known ^= self.directory.departures.digest()
+        known ^= self.rollouts.known_orders.digest()
         return known ^ self.limits.digest() ^ self.directory.leaving_digest()
 
     def take(self, news: News) -> None:
         """Takes in what another entry tells, but for entries' states."""
+        self.rollouts.take_unconfirmed(news.orders)
         for record in news.records:
             self.rollouts.take_record(record)
         for order in news.stopped:
@@ -67,6 +69,7 @@
             limits=self.limits.standing(),
             leaving=self.directory.known_to_leave(),
             departed=self.directory.departures.disputed(),
+            orders=self.rollouts.known_orders.unconfirmed(),
         )
 
     def has_more_to_tell(self) -> bool:
@@ -74,4 +77,5 @@
         held = self.quarantine.ends or self.quarantine.cleared
         said = self.limits.words or self.directory.known_to_leave()
         disputed = self.directory.departures.held_back
-        return bool(held or said or disputed or self.domains.drained)
+        lost = self.rollouts.known_orders.unconfirmed()
+        return bool(held or said or disputed or lost or self.domains.drained)
--- a/src/rattanpier/_internal/relay/news.py
+++ b/src/rattanpier/_internal/relay/news.py
@@ -7,7 +7,10 @@
 from rattanpier._internal.models.departure import Departure
 from rattanpier._internal.models.domain_order import DomainOrder
 from rattanpier._internal.models.rate_limit import RateLimit
-from rattanpier._internal.models.rollout_order import RolloutRecord
+from rattanpier._internal.models.rollout_order import (
+    RolloutOrder,
+    RolloutRecord,
+)
 from rattanpier._internal.models.worker_end import QuarantineNews
 from rattanpier._internal.relay.fleet import MemberNews
 from rattanpier._internal.relay.held_sessions import HeldSession
@@ -28,6 +31,8 @@
       leaving: Incarnations of workers that said that they leave.
       departed: Starts of workers that are gone, though the store's table
         shows them since it came back from an older copy.
+      orders: Roll-out orders that the store lacks since it came back from an
+        older copy.
     """
 
     members: list[MemberNews] = attrs.Factory(list)
@@ -39,6 +44,7 @@
     limits: list[RateLimit] = attrs.Factory(list)
     leaving: list[str] = attrs.Factory(list)
     departed: list[Departure] = attrs.Factory(list)
+    orders: list[RolloutOrder] = attrs.Factory(list)
 
 
 @attrs.frozen
--- a/src/rattanpier/_internal/relay/rollout_driver.py
+++ b/src/rattanpier/_internal/relay/rollout_driver.py
@@ -272,7 +272,13 @@
     ) -> None:
         """Writes a record and the operators' status in one transaction."""
         record = RolloutRecord(
-            order.id, order.service, order.version, phase, begun_ms, since_ms
+            order.id,
+            order.service,
+            order.version,
+            phase,
+            begun_ms,
+            since_ms,
+            order.revision.number,
         )
         key = ROLLOUT + order.service
         revision = self.read_at.get(order.service, Revision())
--- a/src/rattanpier/_internal/relay/rollouts.py
+++ b/src/rattanpier/_internal/relay/rollouts.py
@@ -29,6 +29,12 @@
     HeldSessions,
     point_of,
 )
+from rattanpier._internal.relay.known_orders import (
+    KnownOrders,
+    are_of_one_order,
+    further,
+    is_of,
+)
 from rattanpier._internal.relay.verdict import (
     NOTHING,
     Tally,
@@ -95,7 +101,7 @@
       sessions: Those under way, and those that stay with the old version.
       known_at: When each order became known here, in monotonic seconds.
       running_old_of: Requests at old versions that others reported.
-      orders: The newest order of each service.
+      known_orders: The newest order of each service, and those before.
       records: How far each went, by service.
       own: Answers that this entry saw.
       others: Answers that others saw, by their incarnation.
@@ -118,7 +124,7 @@
     )
     known_at: dict[int, float] = attrs.Factory(dict)
     running_old_of: dict[str, dict[int, int]] = attrs.Factory(dict)
-    orders: dict[str, RolloutOrder] = attrs.Factory(dict)
+    known_orders: KnownOrders = attrs.Factory(KnownOrders)
     records: dict[str, RolloutRecord] = attrs.Factory(dict)
     own: dict[TallyKey, Tally] = attrs.Factory(dict)
     others: dict[str, dict[TallyKey, Tally]] = attrs.Factory(dict)
@@ -130,12 +136,34 @@
         default=lambda _worker: False
     )
 
+    @property
+    def orders(self) -> dict[str, RolloutOrder]:
+        """The newest order of each service."""
+        return self.known_orders.newest
+
     def take_order(self, order: RolloutOrder) -> None:
         """Takes an order in; an older one is done with."""
-        before = self.orders.get(order.service)
-        if before is not None and before.id >= order.id:
+        begins = self.known_orders.take(order)
+        if begins:
+            self.begin(order)
+        record = self.records.get(order.service)
+        if record is None:
             return
-        self.orders[order.service] = order
+        if begins:
+            self.name_as(record)
+        newest = self.orders[order.service]
+        if record.order == newest.id and record.seen < newest.revision.number:
+            self.records[order.service] = attrs.evolve(
+                record, seen=newest.revision.number
+            )
+
+    def take_unconfirmed(self, orders: Iterable[RolloutOrder]) -> None:
+        """Takes in orders that another entry knows and the store lost."""
+        for order in self.known_orders.take_unconfirmed(orders):
+            self.begin(order)
+
+    def begin(self, order: RolloutOrder) -> None:
+        """Begins with an order."""
         self.known_at[order.id] = self.clock.monotonic()
         share = self.share(RolloutPhase.TRYING)
         self.sessions.hold_recent(order.id, order.service, share)
@@ -150,9 +178,17 @@
     def take_record(self, record: RolloutRecord) -> None:
         """Takes in how far an order went; it never goes back."""
         before = self.records.get(record.service)
-        if before is not None and not is_later(record, before):
-            return
+        if before is not None:
+            if before.order != record.order and are_of_one_order(
+                before, record
+            ):
+                record = further(before, record)
+            elif not is_later(record, before):
+                return
+            if record == before:
+                return
         self.records[record.service] = record
+        self.name_as(record)
         if record.phase is RolloutPhase.COMPLETED:
             self.in_service[record.service] = record.version
         log.info(
@@ -163,6 +199,34 @@
             phase=record.phase.value,
         )
 
+    def name_as(self, record: RolloutRecord) -> None:
+        """Lets an order bear the number under which its record stands.
+
+        An entry that started after the store came back read its row under
+        another version than the others.
+        """
+        order = self.orders.get(record.service)
+        if order is None or order.id == record.order:
+            return
+        if not is_of(record, order):
+            return
+        before, id = order.id, record.order
+        self.orders[order.service] = attrs.evolve(order, id=id)
+        self.known_at[id] = self.known_at.get(before, self.clock.monotonic())
+        if before in self.stopped:
+            self.stopped.add(id)
+        for tallies in (self.own, *self.others.values()):
+            rename_tallies(tallies, before, id)
+        share = self.share(record.phase)
+        self.sessions.hold_recent(id, order.service, share)
+        log.info(
+            "Order goes by its record.",
+            service=order.service,
+            version=order.version,
+            order=id,
+            before=before,
+        )
+
     def known_for_s(self, order: RolloutOrder) -> float:
         """Returns the seconds since an order became known here."""
         now = self.clock.monotonic()
@@ -387,6 +451,16 @@
     return phases.index(record.phase) > phases.index(before.phase)
 
 
+def rename_tallies(
+    tallies: dict[TallyKey, Tally], before: int, order: int
+) -> None:
+    """Counts what was counted under one number of an order under another."""
+    for key in [key for key in tallies if key.order == before]:
+        renamed = attrs.evolve(key, order=order)
+        added = tallies.pop(key)
+        tallies[renamed] = tallies.get(renamed, NOTHING) + added
+
+
 def most_common(workers: Sequence[RegisteredWorker]) -> str:
     """Returns the version that most workers have."""
     counts: dict[str, int] = {}
