Write rows of our own again that a store lost with its history

What callers would see: after all entries are lost at once, a request that had ended three workers reaches further ones, a finished roll-out begins again, and operators read a status that went back.

Cause: rows that the store had acknowledged were taken to stand for good: entries' rows, held requests, roll-outs' records with the operators' status. An older copy lacks what was written since.

Change: relay/restoring.py, one way for all of them. A kind of row says what a reading of the table lacks (EntryRows.lost, HeldRows.lost, RolloutDriver.lost); one entry reads the table and writes all of it, under conditions of that reading, and tells the others; the next one stands in half a second later. Entries that started in the new era leave it to those that saw it begin. Without a return from a copy nothing is read, written or told.

--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -71,6 +71,7 @@
         state.domains,
         dispatcher.limits,
         state.directory,
+        kernel.find("history"),
         state.gone.on_next,
     )
     gossip = await add_peers(kernel, settings, fleet, state, beliefs, clock)
--- a/src/rattanpier/_internal/programs/relay_store.py
+++ b/src/rattanpier/_internal/programs/relay_store.py
@@ -27,6 +27,7 @@
 from rattanpier._internal.relay.history import StoreHistory
 from rattanpier._internal.relay.membership import EntryRows
 from rattanpier._internal.relay.own_table import OwnTable
+from rattanpier._internal.relay.restoring import RowRestorer
 from rattanpier._internal.relay.rollout_driver import RolloutDriver
 from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.relay.state import RelayState
@@ -100,7 +101,19 @@
     )
     kernel.spawn(rows.run())
     kernel.spawn(held.run())
-    kernel.spawn(make_driver(entry).run())
+    driver = make_driver(entry)
+    restorer = RowRestorer(
+        kernel.find("store"),
+        kernel.find("own_table"),
+        entry.fleet,
+        kernel.find("history"),
+        kernel.find("clock"),
+        lambda: health.available,
+        entry.gossip.tell_restored,
+        (rows.lost, held.lost, driver.lost),
+    )
+    kernel.spawn(driver.run())
+    kernel.spawn(restorer.run())
 
 
 def make_driver(entry: RelayEntry) -> RolloutDriver:
--- a/src/rattanpier/_internal/relay/beliefs.py
+++ b/src/rattanpier/_internal/relay/beliefs.py
@@ -10,6 +10,7 @@
 from rattanpier._internal.placement.rate_limits import RateLimits
 from rattanpier._internal.relay.directory import WorkerDirectory
 from rattanpier._internal.relay.fleet import MemberNews
+from rattanpier._internal.relay.history import StoreHistory
 from rattanpier._internal.relay.news import News
 from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.retries.quarantine import Quarantine
@@ -25,6 +26,7 @@
       domains: Failure domains that get nothing new.
       limits: How much workers say that they take.
       directory: Workers that said that they leave, or are gone.
+      history: Which era of the store is the newest one.
       gone: Called with the id of each worker that others know to be gone.
     """
 
@@ -33,6 +35,7 @@
     domains: DrainedDomains
     limits: RateLimits
     directory: WorkerDirectory
+    history: StoreHistory
     gone: Callable[[str], None] = lambda _worker: None
 
     def digest(self) -> int:
@@ -44,6 +47,7 @@
 
     def take(self, news: News) -> None:
         """Takes in what another entry tells, but for entries' states."""
+        self.history.note_restored(news.restored)
         self.rollouts.take_unconfirmed(news.orders)
         for record in news.records:
             self.rollouts.take_record(record)
--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -249,6 +249,10 @@
         """Begins to tell everybody that a worker leaves."""
         self.tell_all(News(leaving=[incarnation]))
 
+    def tell_restored(self, era: int) -> None:
+        """Begins to tell everybody that own rows stand again in an era."""
+        self.tell_all(News(restored=era))
+
     def take_rumors(self, rumors: peer_pb2.Rumors) -> None:
         """Takes in what another entry tells all."""
         self.take(decode(News, rumors.text))
--- a/src/rattanpier/_internal/relay/held_rows.py
+++ b/src/rattanpier/_internal/relay/held_rows.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import attrs
 import structlog
@@ -17,13 +17,15 @@
 from rattanpier._internal.exceptions import UnreadableError
 from rattanpier._internal.models.feed import (
     FeedRow,
+    Page,
     RowCheck,
     RowPut,
     WrittenAt,
 )
 from rattanpier._internal.models.worker_end import QuarantineNews, WorkerEnd
 from rattanpier._internal.relay.fleet import Fleet
-from rattanpier._internal.relay.own_table import HELD, TABLE
+from rattanpier._internal.relay.own_table import HELD, TABLE, rows_of
+from rattanpier._internal.relay.restoring import LostRow
 from rattanpier._internal.relay.store import RelayStore, StoreClock
 from rattanpier._internal.retries.quarantine import HOLD_S, Quarantine
 from rattanpier._internal.utils.clock import Clock
@@ -78,15 +80,33 @@
             return True
         if not self.available():
             return False
+        value = self.value_of(content)
+        if value is None:
+            return await self.remove(content)
+        put = RowPut(TABLE, HELD + content, value)
+        return isinstance(await self.store.transact([], [put]), WrittenAt)
+
+    def value_of(self, content: str) -> bytes | None:
+        """Returns what a content's row holds, None if it is not held."""
         held_s = self.quarantine.held_s(content)
         if not held_s:
-            return await self.remove(content)
+            return None
         row = HeldRow(
             sorted(self.quarantine.ends[content]),
             self.store_clock.now_ms() - MS * (HOLD_S - held_s),
         )
-        put = RowPut(TABLE, HELD + content, encode(row).encode())
-        return isinstance(await self.store.transact([], [put]), WrittenAt)
+        return encode(row).encode()
+
+    def lost(self, page: Page) -> Iterator[LostRow]:
+        """Yields rows that the table lacks, or shows though they are gone."""
+        standing = {row.key for row in rows_of(page, HELD)}
+        for content in self.quarantine.ends:
+            value = self.value_of(content)
+            if value is not None and content not in standing:
+                yield LostRow(HELD + content, value)
+        for content in standing & self.quarantine.cleared.keys():
+            if self.value_of(content) is None:
+                yield LostRow(HELD + content, None)
 
     def is_mine(self, content: str) -> bool:
         """Says whether a row falls to this entry, by what all know."""
--- a/src/rattanpier/_internal/relay/history.py
+++ b/src/rattanpier/_internal/relay/history.py
@@ -28,6 +28,7 @@
       began_at: When a later era than the first known one was told of first, in
         monotonic seconds; minus infinity before any.
       begun: Emits each era that follows another one known here.
+      restored: The newest era in which the system's own rows surely stand.
     """
 
     clock: Clock
@@ -35,6 +36,7 @@
     era: int = 0
     began_at: float = float("-inf")
     begun: Subject[int] = attrs.Factory(Subject)
+    restored: int = 0
 
     def note(self, era: int, source: str) -> int:
         """Takes in an era that was told; returns the newest one known.
@@ -52,6 +54,7 @@
         before, self.era = self.era, era
         self.metrics.gauge("relay.store_era", era)
         if not before:
+            self.restored = max(self.restored, era)
             log.info("Store tells its era.", era=era, source=source)
             return
         self.began_at = self.clock.monotonic()
@@ -63,3 +66,7 @@
             source=source,
         )
         self.begun.on_next(era)
+
+    def note_restored(self, era: int) -> None:
+        """Takes in that the system's own rows stand again in an era."""
+        self.restored = max(self.restored, era)
--- a/src/rattanpier/_internal/relay/known_orders.py
+++ b/src/rattanpier/_internal/relay/known_orders.py
@@ -76,6 +76,21 @@
     return attrs.evolve(found, order=order, seen=seen)
 
 
+def more_than(
+    standing: RolloutRecord | None, known: RolloutRecord
+) -> RolloutRecord | None:
+    """Returns what is to be written where a record stands and one is known.
+
+    None if what stands tells as much.
+    """
+    if standing is None:
+        return known
+    if not are_of_one_order(standing, known):
+        return known if known.order > standing.order else None
+    found = further(known, standing)
+    return None if found == further(standing, standing) else found
+
+
 @attrs.define(eq=False, repr=False)
 class KnownOrders:
     """The newest order of each service, and those before.
--- a/src/rattanpier/_internal/relay/membership.py
+++ b/src/rattanpier/_internal/relay/membership.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import attrs
 import structlog
@@ -27,6 +27,7 @@
 from rattanpier._internal.relay import own_table
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.own_table import OwnTable, rows_of
+from rattanpier._internal.relay.restoring import LostRow
 from rattanpier._internal.relay.store import RelayStore
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.codec import decode, encode
@@ -103,6 +104,13 @@
         log.info("Own row not written.", outcome=repr(outcome))
         return False
 
+    def lost(self, page: Page) -> Iterator[LostRow]:
+        """Yields the rows that the table lacks, of entries that live."""
+        standing = {row.key for row in page.rows}
+        for news in self.fleet.live():
+            if news.member.name not in standing:
+                yield LostRow(news.member.name, encode(news).encode())
+
     async def read_first(self) -> bool:
         """Takes in what the start reads; says whether that worked."""
         return await self.take_from(self.own_table.first)
--- a/src/rattanpier/_internal/relay/news.py
+++ b/src/rattanpier/_internal/relay/news.py
@@ -33,6 +33,7 @@
         shows them since it came back from an older copy.
       orders: Roll-out orders that the store lacks since it came back from an
         older copy.
+      restored: Era in which the system's own rows stand again, 0: none.
     """
 
     members: list[MemberNews] = attrs.Factory(list)
@@ -45,6 +46,7 @@
     leaving: list[str] = attrs.Factory(list)
     departed: list[Departure] = attrs.Factory(list)
     orders: list[RolloutOrder] = attrs.Factory(list)
+    restored: int = 0
 
 
 @attrs.frozen
--- a/src/rattanpier/_internal/relay/rollout_driver.py
+++ b/src/rattanpier/_internal/relay/rollout_driver.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 import structlog
@@ -20,6 +20,8 @@
     UnreadableError,
 )
 from rattanpier._internal.models.feed import (
+    FeedRow,
+    Page,
     RowCheck,
     RowPut,
     WrittenAt,
@@ -38,12 +40,14 @@
     ExposureBound,
     may_widen,
 )
+from rattanpier._internal.relay.known_orders import more_than
 from rattanpier._internal.relay.own_table import (
     ROLLOUT,
     TABLE,
     OwnTable,
     rows_of,
 )
+from rattanpier._internal.relay.restoring import LostRow
 from rattanpier._internal.relay.rollouts import TRIALS, Rollouts
 from rattanpier._internal.relay.store import RelayStore, StoreClock, StoreHealth
 from rattanpier._internal.relay.verdict import ENOUGH
@@ -138,6 +142,22 @@
     return max(0, int(overdue_s / STAND_IN_AFTER_S))
 
 
+def read_records(
+    rows: Iterable[FeedRow],
+) -> Iterator[tuple[str, RolloutRecord]]:
+    """Yields the records that can be read, with their services."""
+    for row in rows:
+        try:
+            yield row.key, decode(RolloutRecord, row.value)
+        except UnreadableError as error:
+            # The order's next step writes over it.
+            log.error(
+                "Roll-out's record can't be read.",
+                row=row.key,
+                error=error.message,
+            )
+
+
 @attrs.define(eq=False, repr=False)
 class RolloutDriver:
     """Writes the records of orders.
@@ -190,21 +210,22 @@
         self.read_before = True
         rows = rows_of(page, ROLLOUT)
         self.read_at = {row.key: row.revision for row in rows}
-        for row in rows:
-            try:
-                record = decode(RolloutRecord, row.value)
-            except UnreadableError as error:
-                # The order's next step writes over it.
-                log.error(
-                    "Roll-out's record can't be read.",
-                    row=row.key,
-                    error=error.message,
-                )
-                continue
+        for _, record in read_records(rows):
             self.rollouts.take_record(record)
         self.rollouts.known = True
         self.loaded = True
 
+    def lost(self, page: Page) -> Iterator[LostRow]:
+        """Yields the records that are further than the table shows."""
+        standing = dict(read_records(rows_of(page, ROLLOUT)))
+        for service, known in self.rollouts.records.items():
+            record = more_than(standing.get(service), known)
+            if record is None:
+                continue
+            status = self.status_row(service, record.version, record.phase)
+            value = encode(record).encode()
+            yield LostRow(ROLLOUT + service, value, (status,))
+
     async def step(self) -> None:
         """Takes each order as far as the evidence allows.
 
--- a/tests/lib/restored_store.py
+++ b/tests/lib/restored_store.py
@@ -2,6 +2,7 @@
 
 import contextlib
 
+from rattanpier._internal.relay.own_table import CHECKPOINT, TABLE
 from rattanpier._internal.standin.platform_store import StoreFault
 from tests.lib.platform_site import platform_site, until
 
@@ -53,3 +54,12 @@
 
 def all_entries(site, true):
     return all(map(true, site.entries.values()))
+
+
+def own_rows(store):
+    """Keys of the system's own table, but the checkpoint's."""
+    return sorted(
+        key
+        for (table, key), row in store.rows.items()
+        if table == TABLE and not row.deleted and not key.startswith(CHECKPOINT)
+    )
--- a/tests/lib/ring.py
+++ b/tests/lib/ring.py
@@ -24,10 +24,12 @@
 from rattanpier._internal.relay.exposure import ExposureBound
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.gossip import BEAT_EVERY_S, Gossip
+from rattanpier._internal.relay.history import StoreHistory
 from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.relay.snapshots import Snapshots
 from rattanpier._internal.relay.spread import Spread
 from rattanpier._internal.retries.quarantine import Quarantine
+from rattanpier._internal.utils.metrics import Metrics
 from tests.lib.virtual import LoopClock
 
 DOMAINS = 6
@@ -136,6 +138,7 @@
                 DrainedDomains(),
                 RateLimits(SharedRates(fleet, self.clock), self.clock),
                 WorkerDirectory(self.clock),
+                StoreHistory(self.clock, Metrics()),
             ),
             links=links,
             spread=spread,
--- /dev/null
+++ b/tests/relay/test_restoring.py
@@ -0,0 +1,219 @@
+"""The system's own rows stand again after the store lost them."""
+
+import attrs
+import pytest
+
+from rattanpier._internal.models.feed import FeedRow, Page, WrittenAt
+from rattanpier._internal.models.outcomes import Conflict
+from rattanpier._internal.models.rollout_order import (
+    RolloutPhase,
+    RolloutRecord,
+)
+from rattanpier._internal.relay.history import StoreHistory
+from rattanpier._internal.relay.known_orders import more_than
+from rattanpier._internal.relay.own_table import HELD, ROLLOUT, OwnTable
+from rattanpier._internal.relay.restoring import (
+    MOST_ROWS,
+    STAND_IN_AFTER_S,
+    LostRow,
+    RowRestorer,
+)
+from rattanpier._internal.utils.metrics import Metrics
+from tests.lib.clock import ManualClock
+from tests.lib.platform_site import until
+from tests.lib.relay_parts import at
+from tests.lib.restored_store import all_entries, away, own_rows, site_of
+from tests.lib.warm_fleet import make_fleet
+
+NAMES = ["entry-1", "entry-2", "entry-3"]
+DEADLY = "deadly"
+BOUND_S = 4.0
+
+
+async def complete_a_rollout(site):
+    """Leaves a record that is final, and the operators' order of it."""
+    await site.add_worker("new", version="v2")
+    order = {"service": "plain", "to": "v2", "deadlineS": 20}
+    site.store.put("op", "rollout/plain", order)
+    entries = site.entries.values()
+    for entry in entries:
+        await until(lambda entry=entry: entry.state.rollouts.records)
+    record = attrs.evolve(
+        next(iter(entries)).state.rollouts.records["plain"],
+        phase=RolloutPhase.COMPLETED,
+    )
+    for entry in entries:
+        entry.state.rollouts.take_record(record)
+
+
+def hold(site):
+    """Every entry knows of a request that ended three workers."""
+    for entry in site.entries.values():
+        for number in range(3):
+            entry.edge.dispatcher.quarantine.note_end(DEADLY, f"gone-{number}")
+
+
+async def test_what_the_copy_lacks_is_written_again_by_one_entry():
+    async with site_of(entries=3) as site:
+        kept = site.store.keep_copy()
+        await complete_a_rollout(site)
+        hold(site)
+        expected = [*NAMES, HELD + DEADLY, f"{ROLLOUT}plain"]
+        await until(lambda: own_rows(site.store) == sorted(expected))
+        for key in [*kept.rows]:
+            if key[0] == "entries":
+                del kept.rows[key]
+        async with away(site):
+            site.store.come_back(kept)
+            order = {"service": "plain", "to": "v2", "deadlineS": 20}
+            site.store.put("op", "rollout/plain", order)
+            site.store.calls.clear()
+        await until(lambda: own_rows(site.store) == sorted(expected), BOUND_S)
+        status = site.store.value("status", "rollout/plain")
+        assert status["state"] == "completed"
+        await until(
+            lambda: all_entries(
+                site, lambda each: each.kernel.find("history").restored == 2
+            )
+        )
+        # One that restores, and the driver that may write beside it.
+        assert site.store.calls.count("rows-tx") <= 3
+
+
+async def test_a_released_request_does_not_stand_again():
+    async with site_of(entries=2) as site:
+        hold(site)
+        await until(lambda: HELD + DEADLY in own_rows(site.store))
+        kept = site.store.keep_copy()
+        for entry in site.entries.values():
+            entry.edge.dispatcher.quarantine.note_answered(DEADLY)
+        await until(lambda: HELD + DEADLY not in own_rows(site.store))
+        async with away(site):
+            site.store.come_back(kept)
+            assert HELD + DEADLY in own_rows(site.store)
+        await until(lambda: HELD + DEADLY not in own_rows(site.store), BOUND_S)
+
+
+# Who writes, and under which conditions.
+
+
+@attrs.define
+class FakeStore:
+    """A table; conditions fail so many times."""
+
+    rows: dict = attrs.Factory(dict)
+    era: int = 2
+    conflicts: int = 0
+    calls: list = attrs.Factory(list)
+
+    async def scan(self, _table):
+        self.calls.append("scan")
+        rows = [
+            FeedRow(key, value, at(5, self.era))
+            for key, value in self.rows.items()
+        ]
+        return Page(rows, at(9, self.era), 0.0, whole=True)
+
+    async def transact(self, checks, puts, removed=()):
+        self.calls.append([check.revision for check in checks])
+        if self.conflicts:
+            self.conflicts -= 1
+            return Conflict("e")
+        self.rows |= {put.key: put.value for put in puts}
+        return WrittenAt(at(10, self.era), 0.0)
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+def make_restorer(clock, store, lost=(), number=0, entries=1):
+    history = StoreHistory(clock, Metrics())
+    told = []
+    restorer = RowRestorer(
+        store,
+        OwnTable(store, clock),
+        make_fleet(number, range(entries), clock),
+        history,
+        clock,
+        lambda: True,
+        told.append,
+        [lambda _page: lost],
+    )
+    history.note(1, "store")
+    return restorer, told
+
+
+def test_without_a_new_era_nothing_is_read(clock):
+    restorer, _ = make_restorer(clock, FakeStore())
+    clock.now += 100.0
+    assert not restorer.is_due()
+
+
+def test_an_entry_that_starts_in_a_new_era_restores_nothing(clock):
+    restorer, _ = make_restorer(clock, FakeStore())
+    restorer.history.note_restored(1)
+    assert not restorer.is_due()
+
+
+def test_entries_stand_in_for_each_other_one_after_the_other(clock):
+    made = [
+        make_restorer(clock, FakeStore(), number=number, entries=5)[0]
+        for number in range(5)
+    ]
+    for each in made:
+        each.history.note(2, "store")
+    due = []
+    for _ in range(5):
+        due.append(sum(each.is_due() for each in made))
+        clock.now += STAND_IN_AFTER_S
+    assert due == [1, 2, 3, 4, 5]
+    for each in made:
+        each.history.note_restored(2)
+        assert not each.is_due()
+
+
+async def test_a_row_that_changed_meanwhile_is_looked_at_again(clock):
+    store = FakeStore(rows={"b": b"0"}, conflicts=1)
+    lost = [LostRow("a", b"1"), LostRow("b", b"2")]
+    restorer, told = make_restorer(clock, store, lost)
+    restorer.history.note(2, "store")
+    await restorer.step()
+    assert restorer.is_due()
+    assert told == []
+    await restorer.step()
+    assert told == [2]
+    assert store.rows == {"a": b"1", "b": b"2"}
+    # Conditions are those of the reading in the new era.
+    assert store.calls[1] == [at(0, 0), at(5, 2)]
+
+
+async def test_a_table_that_is_still_of_the_era_before_restores_nothing(clock):
+    store = FakeStore(era=1)
+    restorer, told = make_restorer(clock, store, [LostRow("a", b"1")])
+    restorer.history.note(2, "peer")
+    await restorer.step()
+    assert store.calls == ["scan"]
+    assert told == []
+
+
+async def test_rows_of_many_entries_go_in_few_transactions(clock):
+    store = FakeStore()
+    lost = [LostRow(f"e{number}", b"") for number in range(420)]
+    restorer, _ = make_restorer(clock, store, lost)
+    restorer.history.note(2, "store")
+    await restorer.step()
+    assert len(store.rows) == 420
+    assert len(store.calls) == 1 + -(-420 // MOST_ROWS)
+
+
+def test_a_record_that_is_behind_takes_nothing_back():
+    behind = RolloutRecord(1, "s", "v2", RolloutPhase.TRYING, 0.0, 0.0)
+    final = attrs.evolve(behind, phase=RolloutPhase.ROLLED_BACK)
+    assert more_than(final, behind) is None
+    assert more_than(behind, final).phase is RolloutPhase.ROLLED_BACK
+    assert more_than(None, behind) == behind
+    other = attrs.evolve(behind, order=2, version="v3")
+    assert more_than(other, final) is None
+    assert more_than(final, other) == other
