Start from no checkpoint of another era

A checkpoint tells a table as of a version of the store; after a return from a copy that version may have been given out again, so that a start would go on from rows of the lost history. It is left for a whole reading; the entry that keeps it writes it anew with the first whole table of the new era. Both tests fail before.

--- a/src/rattanpier/_internal/relay/checkpoints.py
+++ b/src/rattanpier/_internal/relay/checkpoints.py
@@ -107,8 +107,13 @@
     async def scan(self, table: str) -> Page:
         """Returns all rows of a table and the version that they are as of."""
         if table == self.table and not self.used:
-            kept = find_checkpoint(await self.own_table.first(), table)
+            own = await self.own_table.first()
+            kept = find_checkpoint(own, table)
             self.used = True
+            if kept is not None and kept.as_of.era != own.revision.era:
+                # Its version may have been given out again.
+                log.info("Checkpoint of no use.", error="of another era")
+                kept = None
             page = None if kept is None else await self.go_on(kept)
             if page is not None:
                 return page
@@ -122,6 +127,9 @@
         except (HistoryGoneError, UnreadableError) as error:
             log.info("Checkpoint of no use.", error=str(error))
             return None
+        if page.revision.era != kept.as_of.era:
+            log.info("Checkpoint of no use.", error="a new era began")
+            return None
         log.info(
             "Went on from a checkpoint.",
             table=self.table,
--- a/tests/relay/test_checkpoints.py
+++ b/tests/relay/test_checkpoints.py
@@ -123,12 +123,15 @@
         self.rows = {}
         self.version = 0
         self.kept = {}
+        self.era = 1
         self.scans = 0
         self.away = False
 
     def put(self, key, value=b"", deleted=False):
         self.version += 1
-        self.rows[key] = FeedRow(key, value, at(self.version), deleted)
+        self.rows[key] = FeedRow(
+            key, value, at(self.version, self.era), deleted
+        )
 
     async def scan(self, table):
         if self.away:
@@ -137,24 +140,24 @@
             return self.own_page()
         self.scans += 1
         rows = [row for row in self.rows.values() if not row.deleted]
-        return Page(rows, at(self.version), 0.0, whole=True)
+        return Page(rows, at(self.version, self.era), 0.0, whole=True)
 
     async def changes(self, table, since, wait_s):
         rows = [row for row in self.rows.values() if row.revision > since]
         rows.sort(key=lambda row: row.revision)
-        return Page(rows, at(self.version), 0.0, whole=False)
+        return Page(rows, at(self.version, self.era), 0.0, whole=False)
 
     async def transact(self, checks, puts, removed=()):
         for put in puts:
             self.kept[put.key] = put.value
-        return WrittenAt(at(self.version), 0.0)
+        return WrittenAt(at(self.version, self.era), 0.0)
 
     def checkpoint(self):
         return find_checkpoint(self.own_page(), OPERATORS)
 
     def own_page(self):
         rows = [FeedRow(key, value, at(1)) for key, value in self.kept.items()]
-        return Page(rows, at(self.version), 0.0, whole=True)
+        return Page(rows, at(self.version, self.era), 0.0, whole=True)
 
 
 def make_writer(store, entries=1, settings=STORE):
@@ -277,3 +280,35 @@
     store = PlatformStore(site.session, f"http://{site.store_address}")
     reader = CheckpointedStore(store, OPERATORS, None)
     assert (await reader.scan("servers")).rows == []
+
+
+# A store that came back from an older copy.
+
+
+async def test_a_checkpoint_of_another_era_is_of_no_use():
+    store = TableStore()
+    store.put("a", b"1")
+    await make_writer(store).step()
+    assert store.checkpoint() is not None
+    store.era = 2
+    store.put("a", b"2")
+    page = await reader_of(store).scan(OPERATORS)
+    assert page.revision == at(store.version, 2)
+    assert store.scans == 2  # The writer's and this one.
+
+
+async def test_a_checkpoint_is_written_anew_in_a_new_era():
+    store = TableStore()
+    store.put("a", b"1")
+    store.put("a", b"2")
+    writer = make_writer(store)
+    await writer.step()
+    store.era, store.version, store.rows = 2, 0, {}
+    store.put("a", b"1")
+    writer.note(await store.scan(OPERATORS))
+    await writer.step()
+    assert store.checkpoint().as_of == at(1, 2)
+    scans = store.scans
+    page = await reader_of(store).scan(OPERATORS)
+    assert [row.value for row in page.rows] == [b"1"]
+    assert store.scans == scans
