Let the store's clock go on over a return from a copy

A roll-out's deadline and the age of held requests count by the store's clock. A copy may tell an earlier or a later time; an order would then be given up early or late by that. The clock goes on from where it was here, and says so in the log. The test fails before for both steps.

--- a/src/rattanpier/_internal/relay/store.py
+++ b/src/rattanpier/_internal/relay/store.py
@@ -31,6 +31,8 @@
 # Registrations last for three heartbeats; in a silence shorter than nearly that
 # none runs out. Feeds' answers come every `FEED_WAIT_S` or a little later.
 LASTING_HEARTBEATS = 2.7
+# Less is the way of an answer, and what clocks differ by.
+STEP_MS = 500.0
 
 
 class RelayStore(Protocol):
@@ -116,21 +118,44 @@
 class StoreClock:
     """The store's steady clock, as it was told last.
 
+    One that comes back from an older copy may tell another time. Times that
+    were noted before go on being compared, so that the clock goes on from where
+    it was: an order's deadline comes neither sooner nor later by that.
+
     Attributes:
       clock: Monotonic.
-      told_ms: What the store told.
+      told_ms: What the store told, as it counts here.
       told_at: When, in monotonic seconds.
+      era: Of the store that told it.
+      ahead_ms: How much later it counts here than the store tells.
     """
 
     clock: Clock
     told_ms: float = 0.0
     told_at: float = 0.0
-
-    def note(self, now_ms: float) -> None:
-        """Takes in what an answer tells."""
-        self.told_ms = now_ms
+    era: int = 0
+    ahead_ms: float = 0.0
+
+    def note(self, now_ms: float, era: int = 0) -> None:
+        """Takes in what an answer of an era tells."""
+        if self.era and era > self.era:
+            self.go_on(now_ms)
+        self.era = max(era, self.era)
+        self.told_ms = now_ms + self.ahead_ms
         self.told_at = self.clock.monotonic()
 
+    def go_on(self, now_ms: float) -> None:
+        """Takes in where the clock of a new era stands."""
+        ahead_ms = self.now_ms() - now_ms
+        if abs(ahead_ms - self.ahead_ms) < STEP_MS:
+            return
+        log.warning(
+            "Store's clock stepped.",
+            step_ms=round(self.ahead_ms - ahead_ms),
+            now_ms=round(now_ms),
+        )
+        self.ahead_ms = ahead_ms
+
     def now_ms(self) -> float:
         """Returns the store's present time in ms."""
         return self.told_ms + 1000 * (self.clock.monotonic() - self.told_at)
--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -298,7 +298,7 @@
         if older or of_other_era or page.revision.era < self.history.era:
             self.note_left_out("page", len(page.rows), page.revision)
             return False
-        self.store_clock.note(page.now_ms)
+        self.store_clock.note(page.now_ms, page.revision.era)
         self.since = page.revision
         self.take(page, settling)
         return True
--- a/tests/relay/test_watch.py
+++ b/tests/relay/test_watch.py
@@ -511,3 +511,13 @@
     tables = len(site.entries["entry-0"].gossip.followers)
     readings = [call for call in site.store.calls if "get" in call]
     assert len(readings) <= WATCHERS * tables
+
+
+@pytest.mark.parametrize("step_ms", [-7000.0, 0.0, 30_000.0])
+async def test_the_stores_clock_goes_on_over_a_new_era(clock, step_ms):
+    store_clock = StoreClock(clock)
+    store_clock.note(50_000.0, 1)
+    for second in range(1, 4):
+        clock.now += 1.0
+        store_clock.note(50_000.0 + step_ms + 1000.0 * second, 2)
+        assert store_clock.now_ms() == 50_000.0 + 1000.0 * second
