Tell the store's era with the questions that entries ask each other anyway

An entry that the store turns away, or that watches nothing, learned of a new era only by what watchers tell, which may be lost. The era goes along in each beat and its answer: with nothing from the watchers all of 8, 80, 195 and 420 entries know it after eight rounds, with no message more.

--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -155,6 +155,7 @@
         """
         call = peer_pb2.Call(beat=self.beat(news.down))
         reply = await self.links.to(news.member).call(call, CALL_TIMEOUT_S)
+        self.beliefs.history.note(reply.beat.store_era, "peer")
         if reply.beat.digest == self.digest():
             self.differences = 0
             return
@@ -182,6 +183,7 @@
             sequence=me.sequence,
             believed_down=believed_down,
             digest=self.digest(),
+            store_era=self.beliefs.history.era,
         )
 
     def digest(self) -> int:
@@ -190,6 +192,7 @@
 
     async def serve_beat(self, call: peer_pb2.Call) -> peer_pb2.Reply:
         """Answers an entry that asks."""
+        self.beliefs.history.note(call.beat.store_era, "peer")
         if call.beat.believed_down:
             me = self.fleet.me
             self.fleet.refute(attrs.evolve(me, down=True))
--- a/tests/relay/test_spread.py
+++ b/tests/relay/test_spread.py
@@ -312,3 +312,20 @@
     newcomer.fleet.take_all([ring.entries["e005"].fleet.me])
     await ring.rounds(12)
     assert count_limited(ring) == count_leaving(ring) == 81
+
+
+@pytest.mark.parametrize("size", SIZES)
+@virtual
+async def test_an_era_that_one_entry_saw_is_known_to_all(size):
+    """Without a word of those that watch, and with no message more."""
+    ring = make_ring(size)
+    for entry in ring.live():
+        entry.gossip.beliefs.history.note(1, "store")
+    await ring.rounds(4)
+    ring.forget_sent()
+    ring.entries["e003"].gossip.beliefs.history.note(2, "store")
+    await ring.rounds(8)
+    eras = {entry.gossip.beliefs.history.era for entry in ring.live()}
+    assert eras == {2}
+    _, mean = ring.most_and_mean("messages")
+    assert mean <= 8 * 6
