--- a/src/rattanpier/_internal/commands/losses.py
+++ b/src/rattanpier/_internal/commands/losses.py
@@ -6,7 +6,7 @@
 
 from rattanpier._internal.commands.result import Result, make_table
 from rattanpier._internal.exceptions import CommandError
-from rattanpier._internal.trace.causes import Starts, by_request
+from rattanpier._internal.trace.causes import Timeline, by_request
 from rattanpier._internal.trace.log_lines import read_lines
 from rattanpier._internal.trace.losses import (
     by_moment,
@@ -28,9 +28,9 @@
         raise CommandError(f"step_s is {step_s!r}", "give a number of seconds")
     if not 0.1 <= step_s < float("inf"):
         raise CommandError(f"step_s is {step_s!r}", "give 0.1 or more")
-    starts = Starts()
-    found = by_request(read_lines(files or ("-",)), starts)
-    ends = [read_end(lines, starts) for lines in found.values()]
+    timeline = Timeline()
+    found = by_request(read_lines(files or ("-",)), timeline)
+    ends = [read_end(lines, timeline) for lines in found.values()]
     routes = list(by_route(ends))
     moments = list(by_moment(ends, step_s))
     table = make_table(
--- a/src/rattanpier/_internal/commands/trace_request.py
+++ b/src/rattanpier/_internal/commands/trace_request.py
@@ -11,7 +11,7 @@
 from rattanpier._internal.exceptions import CommandError
 from rattanpier._internal.trace.causes import (
     Cause,
-    Starts,
+    Timeline,
     by_request,
     find_cause,
 )
@@ -27,8 +27,8 @@
       id: Of the request, as the caller sent it.
       files: With the lines of all entries; standard input if there are none.
     """
-    starts = Starts()
-    found = by_request(read_lines(files or ("-",)), starts)
+    timeline = Timeline()
+    found = by_request(read_lines(files or ("-",)), timeline)
     # An id of digits alone arrives as a number.
     lines = found.get(str(id))
     if not lines:
@@ -36,7 +36,7 @@
             f"no line is about request {id!r}",
             "give the lines of all entries, of the time in question",
         )
-    cause = find_cause(lines, starts)
+    cause = find_cause(lines, timeline)
     table = make_table(f"Request {id}", ("at", "node", "event", "fields"))
     for line in lines:
         table.add_row(line.at, line.node, line.event, show_fields(line))
@@ -44,8 +44,9 @@
         "request": str(id),
         "cause": attrs.asdict(cause),
         "lines": [attrs.asdict(line) for line in lines],
+        "eras": timeline.eras,
     }
-    return Result(data, [table, cause.sentence])
+    return Result(data, [table, cause.sentence, *timeline.tell_eras()])
 
 
 def why(*files: str, since: str = "", until: str = "") -> Result:
@@ -56,8 +57,8 @@
       since: Requests whose first line is at least this late, as in the lines.
       until: Requests whose first line is earlier than this.
     """
-    starts = Starts()
-    found = by_request(read_lines(files or ("-",)), starts)
+    timeline = Timeline()
+    found = by_request(read_lines(files or ("-",)), timeline)
     counted: dict[str, list[tuple[str, str, Cause]]] = collections.defaultdict(
         list
     )
@@ -66,7 +67,7 @@
         if not since <= lines[0].at < (until or LAST_TIME):
             continue
         total += 1
-        cause = find_cause(lines, starts)
+        cause = find_cause(lines, timeline)
         if cause.failed:
             counted[cause.code].append((lines[0].at, id, cause))
     rows = sorted(counted.items(), key=lambda item: -len(item[1]))
@@ -90,8 +91,13 @@
     sentence = f"{failed_count} of {total} requests failed."
     code = ExitCode.FAILED if rows else ExitCode.DONE
     return Result(
-        {"requests": total, "failed": failed_count, "causes": data},
-        [table, sentence],
+        {
+            "requests": total,
+            "failed": failed_count,
+            "causes": data,
+            "eras": timeline.eras,
+        },
+        [table, sentence, *timeline.tell_eras()],
         code,
     )
 
--- a/src/rattanpier/_internal/trace/causes.py
+++ b/src/rattanpier/_internal/trace/causes.py
@@ -15,6 +15,7 @@
 WORKER_FAILED = "dispatch: Worker failed."
 STARTED = "main: Started."
 STOPPING = "main: Stopping."
+ERA_BEGAN = "store: Store came back from an older copy."
 FIRST_FAILURE = 500
 NO_WORKER = "no worker takes work: "
 
@@ -35,14 +36,17 @@
 
 
 @attrs.define
-class Starts:
-    """When each VM's process started, and when it was told to stop.
+class Timeline:
+    """When VMs' processes started and were told to stop, and more.
 
     Attributes:
+      eras: When the store came back from an older copy, by the era that began
+        then: the first line of any VM that says so.
       started: Sorted times by node.
       stopping: The same of planned stops.
     """
 
+    eras: dict[int, str] = attrs.Factory(dict)
     started: dict[str, list[str]] = attrs.Factory(
         lambda: collections.defaultdict(list)
     )
@@ -56,6 +60,17 @@
             bisect.insort(self.started[line.node], line.at)
         elif line.event == STOPPING:
             bisect.insort(self.stopping[line.node], line.at)
+        elif line.event == ERA_BEGAN:
+            era = int(line.fields.get("era", 0))
+            self.eras[era] = min(line.at, self.eras.get(era, line.at))
+
+    def tell_eras(self) -> list[str]:
+        """Returns a sentence for each return of the store from a copy."""
+        return [
+            f"The store came back from an older copy at {at} (era {era}): what "
+            "was written to it just before was lost until it was written again."
+            for era, at in sorted(self.eras.items())
+        ]
 
     def next_start(self, node: str, at: str) -> str:
         """Returns when a node started next after a time, or nothing."""
@@ -75,12 +90,12 @@
 
 
 def by_request(
-    lines: Iterable[LogLine], starts: Starts
+    lines: Iterable[LogLine], timeline: Timeline
 ) -> dict[str, list[LogLine]]:
     """Returns the lines of each request in the order of their times."""
     found: dict[str, list[LogLine]] = collections.defaultdict(list)
     for line in lines:
-        starts.take(line)
+        timeline.take(line)
         if line.request:
             found[line.request].append(line)
     for of_one in found.values():
@@ -88,18 +103,18 @@
     return found
 
 
-def find_cause(lines: Sequence[LogLine], starts: Starts) -> Cause:
+def find_cause(lines: Sequence[LogLine], timeline: Timeline) -> Cause:
     """Returns what decided a request's end.
 
     Args:
       lines: All of the request, in order; at least one.
-      starts: Of all VMs.
+      timeline: Of all VMs.
     """
     for line in reversed(lines):
         judge = ENDS.get(line.event)
         if judge is not None:
             return judge(line, lines)
-    return unfinished(lines[-1], starts)
+    return unfinished(lines[-1], timeline)
 
 
 def left(line: LogLine, lines: Sequence[LogLine]) -> Cause:
@@ -167,9 +182,9 @@
 }
 
 
-def unfinished(last: LogLine, starts: Starts) -> Cause:
+def unfinished(last: LogLine, timeline: Timeline) -> Cause:
     """Returns the cause where no line tells the end."""
-    start = starts.next_start(last.node, last.at)
+    start = timeline.next_start(last.node, last.at)
     if not start:
         return Cause(
             "no end",
@@ -177,7 +192,7 @@
             "the lines end here, were dropped, or it still runs.",
             True,
         )
-    if starts.was_planned(last.node, start):
+    if timeline.was_planned(last.node, start):
         return Cause(
             "cut by a planned stop",
             f"{last.node} was told to stop and ended before the answer did.",
--- a/src/rattanpier/_internal/trace/losses.py
+++ b/src/rattanpier/_internal/trace/losses.py
@@ -16,7 +16,7 @@
 from rattanpier._internal.trace.causes import (
     FAILED,
     WORKER_FAILED,
-    Starts,
+    Timeline,
     find_cause,
 )
 from rattanpier._internal.trace.log_lines import LogLine
@@ -65,12 +65,12 @@
     most_s: float
 
 
-def read_end(lines: Sequence[LogLine], starts: Starts) -> Ended:
+def read_end(lines: Sequence[LogLine], timeline: Timeline) -> Ended:
     """Returns how a request ended.
 
     Args:
       lines: All of the request, in order; at least one.
-      starts: Of all VMs.
+      timeline: Of all VMs.
     """
     last = find_last(lines, ANSWERED)
     route = next(
@@ -78,7 +78,7 @@
         "",
     )
     first_s = None if last is None else last.fields.get("first_s")
-    cause = find_cause(lines, starts)
+    cause = find_cause(lines, timeline)
     if cause.failed:
         heading = f"failed: {cause.code}"
     elif last is None:
--- a/tests/unit/test_causes.py
+++ b/tests/unit/test_causes.py
@@ -164,3 +164,17 @@
         trace_request("r1", written(sent("r2")))
     with pytest.raises(CommandError, match="can't be read"):
         why("/no/such/file")
+
+
+def test_a_store_that_came_back_from_a_copy_is_named(written):
+    came_back = "store: Store came back from an older copy."
+    path = written(
+        line(came_back, node="e2", era=2, before=1, source="peer"),
+        line(came_back, era=2, before=1, source="store"),
+        sent("r1"),
+        line("edge: Caller left.", request="r1", total_s=0.1),
+    )
+    for result in (why(path), trace_request("r1", path)):
+        assert list(result.data["eras"]) == [2]
+        assert "older copy" in str(result.shown[-1])
+    assert why(path).shown[-1].count("older copy") == 1
