Play random writes, copies and returns against followers and directories

What all entries believe in the end is what the store says; on the way no belief goes back on an author's word, and no living worker is dropped. 150 seeded walks of 200 steps of three entries, with news that are late, lost or overtake each other.

It found, and this mends: a worker whose last renewal was not heard before its removal came back with a copy, since its sequence there was higher than the known one (a row of the whole table whose version is below that of the removal may be the copy's); and an order that ended and that operators had given anew just before the return was left out for good (it is believed once it has stood for six seconds).

--- a/src/rattanpier/_internal/models/departure.py
+++ b/src/rattanpier/_internal/models/departure.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from rattanpier._internal.models.revision import Revision
+
 
 @attrs.frozen
 class Departure:
@@ -11,15 +13,15 @@
 
     Attributes:
       incarnation: The start.
-      sequence: Of its last registration.
-      era: Of the store that told of its removal.
+      sequence: Of its last registration that was known.
+      revision: Of its removal.
     """
 
     incarnation: str
     sequence: int
-    era: int
+    revision: Revision
 
     @property
-    def order(self) -> tuple[int, int]:
+    def order(self) -> tuple[Revision, int]:
         """The larger of two of one start tells more."""
-        return self.era, self.sequence
+        return self.revision, self.sequence
--- a/src/rattanpier/_internal/models/revision.py
+++ b/src/rattanpier/_internal/models/revision.py
@@ -46,6 +46,16 @@
         """
         return earlier.era < self.era and earlier.version == self.version
 
+    def may_predate(self, earlier: Revision) -> bool:
+        """Says whether a row may be of a copy from before an earlier change.
+
+        It then has the version that it had when the copy was made.
+
+        >>> Revision(2, 6).may_predate(Revision(1, 7))
+        True
+        """
+        return earlier.era < self.era and self.version < earlier.version
+
     @classmethod
     def from_number(cls, number: int) -> Revision:
         """Returns the revision that a number stands for."""
--- a/src/rattanpier/_internal/placement/drained_domains.py
+++ b/src/rattanpier/_internal/placement/drained_domains.py
@@ -24,24 +24,16 @@
 
 log = structlog.get_logger(part="domains")
 
-# For so long an order counts that an older copy of the store lacks: until
-# operators have written it again. A domain that stays drained for some seconds
-# costs less than one that fills for a moment.
+# For so long what was known counts where an older copy of the store says
+# otherwise: until operators have written it again. A domain that stays drained
+# for some seconds costs less than one that fills for a moment.
 REWRITTEN_S = 6.0
 
 
-def against(before: DomainOrder, told: DomainOrder) -> DomainOrder:
-    """Returns what counts of an order and of a newer one of its domain.
-
-    An order that ended and stands again in an older copy stays ended.
-    """
-    if told.drained:
-        is_copy = not before.drained and told.revision.is_kept_from(
-            before.ended
-        )
-        return attrs.evolve(before, revision=told.revision) if is_copy else told
-    ended = before.revision if before.drained else before.ended
-    return attrs.evolve(told, ended=ended)
+def shows_ended(before: DomainOrder, told: DomainOrder) -> bool:
+    """Says whether an older copy shows an order that ended."""
+    was_ended = told.drained and not before.drained
+    return was_ended and told.revision.is_kept_from(before.ended)
 
 
 @attrs.define(eq=False, repr=False)
@@ -56,6 +48,8 @@
       as_of: Revision of the whole table that was taken last.
       unconfirmed: Until when each order counts that the newest era of the store
         has not shown, by domain, in monotonic seconds.
+      disputed: Orders that ended and that an older copy shows, with the time
+        from which they count if they still stand.
     """
 
     returned: Callable[[str], None] = lambda _domain: None
@@ -64,6 +58,7 @@
     drained: frozenset[str] = frozenset()
     as_of: Revision = Revision()
     unconfirmed: dict[str, float] = attrs.Factory(dict)
+    disputed: dict[str, tuple[DomainOrder, float]] = attrs.Factory(dict)
 
     def take(self, order: DomainOrder, source: str) -> None:
         """Takes an order, or its end, in; one that is older is left out.
@@ -76,8 +71,18 @@
         if before is not None:
             if order.revision <= before.revision:
                 return
-            order = against(before, order)
+            if shows_ended(before, order):
+                self.dispute(before, order)
+                return
+            if not order.drained:
+                ended = before.revision if before.drained else before.ended
+                order = attrs.evolve(order, ended=ended)
+        self.put(order, source)
+
+    def put(self, order: DomainOrder, source: str) -> None:
+        """Lets an order, or its end, count."""
         self.orders[order.domain] = order
+        self.disputed.pop(order.domain, None)
         self.note_confirmed(order)
         was_drained = order.domain in self.drained
         if order.drained == was_drained:
@@ -106,6 +111,8 @@
         standing = {order.domain: order for order in orders}
         for order in standing.values():
             self.take(order, "store")
+        for domain in self.disputed.keys() - standing.keys():
+            del self.disputed[domain]
         for domain in self.drained - standing.keys():
             if self.orders[domain].revision.era < revision.era:
                 self.note_confirmed(self.orders[domain])
@@ -126,9 +133,23 @@
                 as_of=self.as_of.number,
             )
 
-    def drop_unconfirmed(self) -> None:
-        """Ends the orders that were not written again in time."""
+    def dispute(self, end: DomainOrder, shown: DomainOrder) -> None:
+        """Goes on with the end of an order that an older copy shows."""
+        self.orders[end.domain] = attrs.evolve(end, revision=shown.revision)
+        until = self.clock.monotonic() + REWRITTEN_S
+        self.disputed[end.domain] = shown, until
+        log.info(
+            "Order shown that ended.",
+            domain=end.domain,
+            revision=shown.revision.number,
+        )
+
+    def settle(self) -> None:
+        """Believes the store where nothing was written again in time."""
         now = self.clock.monotonic()
+        for order, until in list(self.disputed.values()):
+            if until <= now:
+                self.put(order, "store")
         late = [
             domain for domain, until in self.unconfirmed.items() if until <= now
         ]
--- a/src/rattanpier/_internal/relay/departures.py
+++ b/src/rattanpier/_internal/relay/departures.py
@@ -90,18 +90,29 @@
         if len(self.departed) > MOST_DEPARTED:
             self.departed.popitem(last=False)
 
-    def contradicts(self, worker: RegisteredWorker) -> bool:
-        """Says whether a registration is older than the worker's departure.
+    def contradicts(
+        self, worker: RegisteredWorker, may_be_copied: bool
+    ) -> bool:
+        """Says whether a registration may be older than the departure.
 
         In the era of the departure the store's order is that of the changes: a
-        registration that follows it was written anew.
+        registration that follows it was written anew. Its last registration
+        may have had a higher sequence than was known.
+
+        Args:
+          worker: That is registered.
+          may_be_copied: It was read with the whole table; changes that a feed
+            tells were written in its era.
         """
         departure = self.departed.get(worker.incarnation)
-        return (
-            departure is not None
-            and worker.revision.era > departure.era
-            and worker.sequence <= departure.sequence
-        )
+        if departure is None:
+            return False
+        if worker.revision.era <= departure.revision.era:
+            return False
+        if worker.sequence <= departure.sequence:
+            return True
+        predates = worker.revision.may_predate(departure.revision)
+        return may_be_copied and predates
 
     def hold_back(self, worker: RegisteredWorker) -> None:
         """Takes in a registration that is not believed yet."""
--- a/src/rattanpier/_internal/relay/directory.py
+++ b/src/rattanpier/_internal/relay/directory.py
@@ -9,6 +9,7 @@
 import structlog
 
 from rattanpier._internal.models.departure import Departure
+from rattanpier._internal.models.revision import Revision
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.relay.departures import (
     Departures,
@@ -43,7 +44,7 @@
       leaving: Incarnations that said themselves that they leave, the newest
         last. No registration takes that back.
       departures: Starts that are gone, whatever an older copy shows.
-      era: Of the store when the whole table was taken last.
+      as_of: Revision of the whole table that was taken last.
       whole_at: When a table of a new era was taken first, in monotonic seconds.
         Registrations that its copy lacks come back like those that ran out.
       tell_leaving: Tells all other entries that an incarnation leaves.
@@ -68,7 +69,7 @@
             lambda self: Departures(self.clock, LASTING_S), takes_self=True
         )
     )
-    era: int = 0
+    as_of: Revision = Revision()
     whole_at: float = float("-inf")
     tell_leaving: Callable[[str], None] = lambda _incarnation: None
     registered: Callable[[RegisteredWorker, bool], None] = attrs.field(
@@ -79,37 +80,52 @@
         self,
         workers: Iterable[RegisteredWorker],
         after_outage: bool,
-        era: int = 0,
+        as_of: Revision = Revision(),  # noqa: B008
     ) -> list[str]:
         """Takes the whole table; returns the ids whose incarnation is gone.
 
         Args:
           workers: All that are registered.
           after_outage: The store was away until just now.
-          era: Of the store, as of which they are.
+          as_of: Revision of the store as of which they are.
         """
-        if era > self.era and self.known:
+        if as_of.era > self.as_of.era and self.known:
             self.whole_at = self.clock.monotonic()
-        self.era = max(era, self.era)
+        self.as_of = max(as_of, self.as_of)
         found = {worker.id: worker for worker in workers}
         absent = [id for id in self.workers if id not in found]
-        ended = [worker.id for worker in found.values() if self.put(worker)]
+        ended = [
+            worker.id
+            for worker in found.values()
+            if self.put(worker, may_be_copied=True)
+        ]
         self.known = True
         self.departures.drop_absent(found)
         returns = self.clock.monotonic() - self.whole_at < RETURN_S
         may_return = after_outage or returns
-        ended += [id for id in absent if self.remove(id, may_return)]
+        ended += [
+            id for id in absent if self.remove(id, may_return, self.as_of)
+        ]
         return ended
 
-    def put(self, worker: RegisteredWorker) -> bool:
+    def put(
+        self, worker: RegisteredWorker, may_be_copied: bool = False
+    ) -> bool:
         """Takes a registration in.
 
+        Args:
+          worker: That is registered.
+          may_be_copied: It was read with the whole table, which may be that of
+            an older copy.
+
         Returns:
           Whether another incarnation had the id before: what was known of it
           says nothing of this one.
         """
         before = self.workers.get(worker.id)
-        if before is None and self.departures.contradicts(worker):
+        if before is None and self.departures.contradicts(
+            worker, may_be_copied
+        ):
             self.departures.hold_back(worker)
             return False
         if before is not None:
@@ -231,13 +247,19 @@
             total ^= stable_hash(f"leaving/{incarnation}")
         return total
 
-    def remove(self, id: str, after_outage: bool) -> bool:
+    def remove(
+        self,
+        id: str,
+        after_outage: bool,
+        revision: Revision = Revision(),  # noqa: B008
+    ) -> bool:
         """Takes in that a registration is gone; says whether the worker is.
 
         Args:
           id: Of the worker.
           after_outage: The store was away until just now, so that the
             registration may have run out though the worker lives.
+          revision: Of the removal, where it is known.
         """
         self.departures.held_back.pop(id, None)
         worker = self.workers.get(id)
@@ -248,10 +270,8 @@
             log.info("Registration ran out in an outage.", worker=id)
             return False
         self.take_out(worker)
-        era = max(self.era, worker.revision.era)
-        self.departures.note(
-            Departure(worker.incarnation, worker.sequence, era)
-        )
+        at = max(revision, self.as_of, worker.revision)
+        self.departures.note(Departure(worker.incarnation, worker.sequence, at))
         log.info("Worker gone.", worker=id, service=worker.service)
         return True
 
@@ -286,7 +306,9 @@
         for departure in departures:
             self.departures.note(departure)
             worker = known.get(departure.incarnation)
-            if worker is None or not self.departures.contradicts(worker):
+            if worker is None or not self.departures.contradicts(
+                worker, may_be_copied=False
+            ):
                 continue
             self.take_out(worker)
             self.departures.hold_back(worker)
--- a/src/rattanpier/_internal/relay/snapshots.py
+++ b/src/rattanpier/_internal/relay/snapshots.py
@@ -17,6 +17,7 @@
     UnreadableError,
 )
 from rattanpier._internal.models.domain_order import DomainOrder
+from rattanpier._internal.models.revision import Revision
 from rattanpier._internal.models.rollout_order import (
     RolloutOrder,
     RolloutRecord,
@@ -50,7 +51,7 @@
       domain_orders: Failure domains that get nothing new, and those that do
         again.
       from_store: The sender reaches the store now.
-      era: Of the store, as of which the workers are.
+      as_of: Revision of the store as of which the workers are.
     """
 
     packed_table: bytes
@@ -60,7 +61,7 @@
     records: list[RolloutRecord]
     domain_orders: list[DomainOrder]
     from_store: bool
-    era: int = 0
+    as_of: Revision = Revision()
 
     def table(self) -> RouteTable | None:
         """Returns the route table.
--- a/src/rattanpier/_internal/relay/state.py
+++ b/src/rattanpier/_internal/relay/state.py
@@ -127,15 +127,16 @@
             workers = [
                 item for item in news if isinstance(item, RegisteredWorker)
             ]
-            era = page.revision.era
-            self.forget(self.directory.replace(workers, after_outage, era))
+            self.forget(
+                self.directory.replace(workers, after_outage, page.revision)
+            )
             return
         for item in news:
             if isinstance(item, RegisteredWorker):
                 if self.directory.put(item):
                     self.forget([item.id])
             elif isinstance(item, FeedRow) and self.directory.remove(
-                item.key, after_outage
+                item.key, after_outage, item.revision
             ):
                 self.forget([item.key])
 
@@ -148,7 +149,7 @@
         """Drops what the store lacks and what did not come back in time."""
         if self.health.available:
             self.forget(self.directory.drop_missing())
-            self.domains.drop_unconfirmed()
+            self.domains.settle()
 
     def forget(self, ids: Iterable[str]) -> None:
         """Tells that what was known of workers no longer holds."""
@@ -165,7 +166,7 @@
             list(self.rollouts.records.values()),
             list(self.domains.orders.values()),
             self.health.available,
-            self.directory.era,
+            self.directory.as_of,
         )
 
     def pack_table(self) -> bytes:
@@ -193,11 +194,11 @@
         for record in snapshot.records:
             self.rollouts.take_record(record)
         self.rollouts.known |= snapshot.from_store
-        if self.health.available or snapshot.era < self.directory.era:
+        workers, as_of = snapshot.workers, snapshot.as_of
+        if self.health.available or as_of.era < self.directory.as_of.era:
             return
-        workers, era = snapshot.workers, snapshot.era
         if snapshot.from_store:
-            self.forget(self.directory.replace(workers, False, era))
+            self.forget(self.directory.replace(workers, False, as_of))
         elif not self.directory.known and workers:
-            self.directory.replace(workers, False, era)
+            self.directory.replace(workers, False, as_of)
             self.rollouts.known = True
--- /dev/null
+++ b/tests/lib/restored_fleet.py
@@ -0,0 +1,388 @@
+"""Authors, a store that comes back from copies, and entries that follow it.
+
+Everything runs in one loop and in time that a test moves; messages between
+entries may be late, overtake each other or be lost.
+"""
+
+import asyncio
+import copy
+import json
+
+import attrs
+
+from rattanpier._internal.exceptions import HistoryGoneError
+from rattanpier._internal.models.feed import FeedRow, Page
+from rattanpier._internal.models.revision import Revision
+from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.placement.drained_domains import DrainedDomains
+from rattanpier._internal.platform import drained_domains as domain_rows
+from rattanpier._internal.relay.departures import MARGIN_S
+from rattanpier._internal.relay.directory import (
+    LASTING_S,
+    RETURN_S,
+    WorkerDirectory,
+)
+from rattanpier._internal.relay.history import StoreHistory
+from rattanpier._internal.relay.store import StoreClock, StoreHealth
+from rattanpier._internal.relay.watch import TableFollower
+from rattanpier._internal.utils.metrics import Metrics
+from tests.lib.clock import SkippingClock
+
+WORKERS, DOMAINS = "servers", "op"
+# Authors have written again what was lost by then.
+REWRITTEN_BY_S = 1.5
+SETTLED_S = 2 * (LASTING_S + MARGIN_S)
+
+
+@attrs.define
+class CopiedStore:
+    """Tables with versions that are given out again after a return."""
+
+    rows: dict = attrs.Factory(dict)
+    version: int = 0
+    era: int = 1
+    kept: tuple = ({}, 0)
+
+    def write(self, table, key, value=None):
+        self.version += 1
+        self.rows[table, key] = (self.version, value)
+
+    def keep(self):
+        self.kept = copy.deepcopy(self.rows), self.version
+
+    def come_back(self):
+        rows, self.version = self.kept
+        self.rows = copy.deepcopy(rows)
+        self.era += 1
+
+    def page(self, table, since, whole):
+        rows = [
+            FeedRow(key, b"" if gone else json.dumps(value).encode(), at, gone)
+            for (name, key), (version, value) in self.rows.items()
+            if name == table
+            for at, gone in [(Revision(self.era, version), value is None)]
+            if version > since and not (whole and gone)
+        ]
+        rows.sort(key=lambda row: row.revision)
+        return Page(rows, Revision(self.era, self.version), 0.0, whole)
+
+
+@attrs.define(eq=False)
+class Entry:
+    """One entry, as far as it follows the store."""
+
+    store: CopiedStore
+    clock: SkippingClock
+    watches: bool
+    tell: object
+    history: StoreHistory = None
+    directory: WorkerDirectory = None
+    domains: DrainedDomains = None
+    followers: dict = attrs.Factory(dict)
+
+    def __attrs_post_init__(self):
+        self.history = StoreHistory(self.clock, Metrics())
+        self.directory = WorkerDirectory(self.clock)
+        self.domains = DrainedDomains(clock=self.clock)
+        for table, take in (
+            (WORKERS, self.take_workers),
+            (DOMAINS, self.take_domains),
+        ):
+            health = StoreHealth(self.clock)
+            health.note_answer()
+            self.followers[table] = TableFollower(
+                store=self,
+                clock=self.clock,
+                health=health,
+                store_clock=StoreClock(self.clock),
+                table=table,
+                take=take,
+                rank=lambda: 0 if self.watches else None,
+                tell=self.tell,
+                history=self.history,
+            )
+
+    async def scan(self, table):
+        self.history.note(self.store.era, "store")
+        return self.store.page(table, -1, whole=True)
+
+    async def changes(self, table, since, _wait_s):
+        self.history.note(self.store.era, "store")
+        # A feed whose answer tells a new era is given up.
+        await asyncio.sleep(0)
+        if since.version > self.store.version:
+            raise HistoryGoneError("gone")
+        return self.store.page(table, since.version, whole=False)
+
+    def take_workers(self, page, after_outage):
+        workers = [
+            registered(row.key, row.revision, **json.loads(row.value))
+            for row in page.rows
+            if not row.deleted
+        ]
+        if page.whole:
+            self.directory.replace(workers, after_outage, page.revision)
+            return
+        for worker in workers:
+            self.directory.put(worker)
+        for row in page.rows:
+            if row.deleted:
+                self.directory.remove(row.key, after_outage, row.revision)
+
+    def take_domains(self, page, _after_outage):
+        orders = [domain_rows.decode_order(row) for row in page.rows]
+        if page.whole:
+            self.domains.replace(orders, page.revision)
+            return
+        for order in orders:
+            self.domains.take(order, "store")
+
+    def tick(self):
+        self.directory.drop_missing()
+        self.domains.settle()
+
+    def ready(self):
+        return {worker.id for worker in self.directory.of_service("s")}
+
+
+def registered(key, revision, sequence, draining):
+    return RegisteredWorker(
+        key,
+        "s",
+        "h",
+        1,
+        "d",
+        draining=draining,
+        revision=revision,
+        sequence=sequence,
+    )
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """All of it, and what authors last said."""
+
+    store: CopiedStore = attrs.Factory(CopiedStore)
+    clock: SkippingClock = attrs.Factory(SkippingClock)
+    entries: list = attrs.Factory(list)
+    messages: list = attrs.Factory(list)
+    said: dict = attrs.Factory(dict)
+    written_at: dict = attrs.Factory(dict)
+    ordered_at: dict = attrs.Factory(dict)
+    lost_at: float = float("inf")
+    started: int = 0
+    # What each entry knew of workers that end and of domains, as authors said.
+    ended: dict = attrs.Factory(dict)
+    served: dict = attrs.Factory(dict)
+    drained: dict = attrs.Factory(dict)
+    open: dict = attrs.Factory(dict)
+
+    def __attrs_post_init__(self):
+        for number in range(3):
+            entry = Entry(self.store, self.clock, number == 0, self.tell_from)
+            self.entries.append(entry)
+            for known in (
+                self.ended,
+                self.served,
+                self.drained,
+                self.open,
+            ):
+                known[entry] = set()
+
+    def tell_from(self, news):
+        self.messages += [(entry, news) for entry in self.entries[1:]]
+
+    # What authors do.
+
+    def say(self, table, key, value):
+        self.said[table, key] = value
+        self.write(table, key, value)
+
+    def write(self, table, key, value):
+        self.store.write(table, key, value)
+        at = Revision(self.store.era, self.store.version)
+        self.written_at[table, key] = at
+
+    def start_worker(self, _number):
+        self.started += 1
+        value = {"sequence": 1, "draining": False}
+        self.say(WORKERS, f"w{self.started}", value)
+
+    def living(self):
+        return [
+            (key, value)
+            for (table, key), value in self.said.items()
+            if table == WORKERS and value is not None
+        ]
+
+    def renew_worker(self, number, **more):
+        living = self.living()
+        if living:
+            key, value = living[number % len(living)]
+            sequence = value["sequence"] + 1
+            changed = {**value, **more, "sequence": sequence}
+            self.say(WORKERS, key, changed)
+
+    def drain_worker(self, number):
+        self.renew_worker(number, draining=True)
+
+    def remove_worker(self, number):
+        living = self.living()
+        if living:
+            key, _ = living[number % len(living)]
+            self.say(WORKERS, key, None)
+
+    def order_domain(self, number):
+        key = f"{domain_rows.ORDER_PREFIX}{'ab'[number % 2]}"
+        standing = self.said.get((DOMAINS, key)) is not None
+        self.say(DOMAINS, key, None if standing else {})
+        if not standing:
+            self.ordered_at[key[-1]] = self.written_at[DOMAINS, key].version
+        for entry in self.entries:
+            self.drained[entry].discard(key[-1])
+            self.open[entry].discard(key[-1])
+
+    def write_again(self, number=0):
+        lost = [
+            (where, value)
+            for where, value in self.said.items()
+            if self.store.rows.get(where, (0, None))
+            != (self.written_at[where].version, value)
+        ]
+        if lost:
+            (table, key), value = lost[number % len(lost)]
+            self.write(table, key, value)
+        return len(lost) > 1
+
+    # What befalls the store and the messages.
+
+    def keep_copy(self, _number):
+        self.store.keep()
+
+    def come_back(self, _number):
+        self.store.come_back()
+        self.lost_at = self.clock.now
+
+    def lose_message(self, number):
+        if self.messages:
+            del self.messages[number % len(self.messages)]
+
+    def deliver_message(self, number):
+        if self.messages:
+            entry, news = self.messages.pop(number % len(self.messages))
+            entry.followers[news.table].hear(news)
+
+    async def ask_store(self, number):
+        entry = self.entries[number % 3]
+        table = (WORKERS, DOMAINS)[number // 3 % 2]
+        await entry.followers[table].step()
+
+    async def catch_up(self, number):
+        """Most entries learn what the store says, each by its own reading."""
+        for entry in self.entries:
+            if entry is self.entries[number % 5 % 4 - 1]:
+                continue
+            for follower in entry.followers.values():
+                await follower.step()
+                await follower.step()
+
+    def wait(self, number):
+        self.clock.now += 0.1 * (number % 5)
+
+    async def act(self, name, number):
+        done = getattr(self, name)(number)
+        if done is not None and asyncio.iscoroutine(done):
+            await done
+        if self.clock.now - self.lost_at > REWRITTEN_BY_S:
+            while self.write_again():
+                pass
+        for entry in self.entries:
+            entry.tick()
+
+    # What must hold.
+
+    def check(self):
+        for entry in self.entries:
+            self.check_workers(entry)
+            self.check_domains(entry)
+
+    def check_workers(self, entry):
+        ready = entry.ready()
+        lost = self.served[entry] & self.serving() - ready
+        waited = self.clock.now - entry.directory.whole_at
+        assert not lost or waited >= RETURN_S, f"{lost} are gone and live"
+        self.served[entry] = ready
+        back = ready & self.ended[entry]
+        assert not back, f"{back} get requests again"
+        known = entry.directory.workers
+        for (table, key), value in self.said.items():
+            if table != WORKERS:
+                continue
+            if key in known and known[key].draining:
+                self.ended[entry].add(key)
+            seen = key in entry.directory.seen
+            if value is None and seen and key not in known:
+                self.ended[entry].add(key)
+
+    def check_domains(self, entry):
+        for domain in "ab":
+            key = f"{domain_rows.ORDER_PREFIX}{domain}"
+            ordered = self.said.get((DOMAINS, key)) is not None
+            is_drained = domain in entry.domains.drained
+            known = self.knows_order(entry, domain)
+            if ordered and is_drained and known:
+                self.drained[entry].add(domain)
+            if not ordered and known and self.knows_end(entry, domain):
+                self.open[entry].add(domain)
+            assert is_drained or domain not in self.drained[entry]
+            if is_drained and domain in self.open[entry]:
+                # Rows from before the last order may be a new one.
+                version, _ = self.store.rows[DOMAINS, key]
+                assert version != self.ordered_at[domain]
+
+    def knows_end(self, entry, domain):
+        """Whether an entry knows which row of an order has ended."""
+        order = entry.domains.orders[domain]
+        if order.drained:
+            return False
+        return order.ended.version == self.ordered_at.get(domain)
+
+    def knows_order(self, entry, domain):
+        """Whether an entry heard what was said last of a domain."""
+        order = entry.domains.orders.get(domain)
+        written = self.written_at.get(
+            (DOMAINS, f"{domain_rows.ORDER_PREFIX}{domain}")
+        )
+        return (
+            order is not None
+            and order.revision.era == written.era
+            and order.revision >= written
+        )
+
+    def serving(self):
+        """Workers that take work, as they said last."""
+        living = self.living()
+        return {key for key, value in living if not value["draining"]}
+
+    async def settle(self):
+        """Authors write all again, and entries read it."""
+        while self.write_again():
+            pass
+        for _ in range(3):
+            self.messages.clear()
+            for number in range(6):
+                await self.ask_store(number)
+                await self.ask_store(number)
+            self.clock.now += SETTLED_S
+            for entry in self.entries:
+                entry.tick()
+
+    def check_end(self):
+        ordered = {
+            key[-1]
+            for (table, key), value in self.said.items()
+            if table == DOMAINS and value is not None
+        }
+        for entry in self.entries:
+            assert entry.ready() == self.serving()
+            assert entry.domains.drained == ordered
--- a/tests/placement/test_drained_domains.py
+++ b/tests/placement/test_drained_domains.py
@@ -104,7 +104,7 @@
     clock.now += REWRITTEN_S - 0.1
     restored.take(DomainOrder("b", True, at(6, era=2)), "store")
     clock.now += REWRITTEN_S
-    restored.drop_unconfirmed()
+    restored.settle()
     assert restored.drained == {"b"}
     restored.take(DomainOrder("b", False, at(7, era=2)), "store")
     assert not restored.drained
@@ -114,7 +114,7 @@
     restored.take(drained("b", 9), "store")
     restored.replace([], at(4, era=2))
     clock.now += REWRITTEN_S
-    restored.drop_unconfirmed()
+    restored.settle()
     assert not restored.drained
     # What a peer still tells of the earlier era brings it back no more.
     restored.take_standing([drained("b", 9)])
@@ -132,6 +132,18 @@
     assert restored.drained == {"b"}
 
 
+def test_an_order_that_is_shown_for_long_counts(restored, clock):
+    """Operators may have ordered anew just before the copy took over."""
+    restored.take(drained("b", 3), "store")
+    restored.take(DomainOrder("b", False, at(9)), "store")
+    restored.replace([DomainOrder("b", True, at(3, era=2))], at(4, era=2))
+    clock.now += REWRITTEN_S
+    restored.settle()
+    assert restored.drained == {"b"}
+    restored.replace([], at(5, era=2))
+    assert not restored.drained
+
+
 def test_an_order_that_stands_in_the_copy_ends_by_its_removal(restored):
     restored.take(drained("b", 3), "store")
     restored.replace([DomainOrder("b", True, at(3, era=2))], at(4, era=2))
@@ -147,7 +159,7 @@
     restored.take_standing([drained("b", 9)])
     assert restored.drained == {"b"}
     clock.now += REWRITTEN_S
-    restored.drop_unconfirmed()
+    restored.settle()
     assert not restored.drained
 
 
@@ -158,7 +170,7 @@
     restored.take(DomainOrder("b", True, at(6, era=2)), "store")
     restored.replace([], at(4, era=3))
     clock.now += REWRITTEN_S - 0.1
-    restored.drop_unconfirmed()
+    restored.settle()
     assert restored.drained == {"b"}
 
 
--- /dev/null
+++ b/tests/relay/test_restored_fleet.py
@@ -0,0 +1,39 @@
+"""What entries believe in the end is what the store says.
+
+On the way no belief goes back on what an author said.
+"""
+
+import random
+
+import pytest
+
+from tests.lib.restored_fleet import Fleet
+
+ACTIONS = {
+    "start_worker": 2,
+    "renew_worker": 3,
+    "drain_worker": 2,
+    "remove_worker": 2,
+    "order_domain": 3,
+    "write_again": 2,
+    "keep_copy": 2,
+    "come_back": 1,
+    "lose_message": 2,
+    "deliver_message": 8,
+    "ask_store": 8,
+    "catch_up": 4,
+    "wait": 2,
+}
+STEPS = 200
+
+
+@pytest.mark.parametrize("seed", range(150))
+async def test_no_return_from_a_copy_takes_an_authors_word_back(seed):
+    rng = random.Random(seed)
+    names = rng.choices(list(ACTIONS), ACTIONS.values(), k=STEPS)
+    fleet = Fleet()
+    for name in names:
+        await fleet.act(name, rng.randrange(12))
+        fleet.check()
+    await fleet.settle()
+    fleet.check_end()
--- a/tests/relay/test_restored_workers.py
+++ b/tests/relay/test_restored_workers.py
@@ -31,7 +31,7 @@
 
 
 def whole(directory, *workers, era=NEW):
-    return directory.replace(workers, after_outage=False, era=era)
+    return directory.replace(workers, after_outage=False, as_of=at(9, era))
 
 
 def takes_work(directory):
@@ -167,3 +167,14 @@
     directory.remove("w", after_outage=False)
     directory.put(registered(6, sequence=1))
     assert takes_work(directory) == ["w"]
+
+
+def test_one_that_left_right_after_a_renewal_that_was_not_heard(directory):
+    whole(directory, registered(5, sequence=4), era=1)
+    directory.remove("w", after_outage=False, revision=at(8))
+    # The copy was made after the renewal and before the removal.
+    whole(directory, registered(7, NEW, sequence=5))
+    assert takes_work(directory) == []
+    # What a feed tells was written in the new era.
+    directory.put(registered(7, NEW, sequence=5))
+    assert takes_work(directory) == ["w"]
--- a/tests/relay/test_watch.py
+++ b/tests/relay/test_watch.py
@@ -453,6 +453,7 @@
     follower.hear(TableNews("op", at(9), at(10), 1.0, rows, False))
     follower.hear(TableNews("op", at(9), at(10), 1.0, rows, False, whole=True))
     assert follower.since == at(3, era=2)
+    assert not follower.covered()
     assert not follower.accept(Page(rows, at(10), 1.0, whole=True), False)
 
 
@@ -482,6 +483,13 @@
     assert told == []
 
 
+def test_changes_that_a_store_of_a_new_era_tells_are_left_out(clock):
+    follower, _ = make_follower(clock, None, lambda: 0, at(9))
+    rows = [FeedRow("w1", b"v", at(10, era=2))]
+    assert not follower.accept(Page(rows, at(12, era=2), 1.0, False), False)
+    assert follower.since == at(9)
+
+
 async def test_those_that_do_not_watch_wait_for_those_that_do(clock):
     follower, _ = make_follower(clock, None, lambda: None, at(9))
     follower.health.note_answer()
