Give entries that start their peers' routes rather than an older copy's

What callers would see: an entry that starts just after the store came back from a copy has an older manifest in force than all others, with keys that were revoked.

Cause: an entry that reaches the store asked no peer for routes. Now entries tell the version of theirs in the comparison that a start makes, for half a minute from a new era on; a start that has an older one asks a peer, as one that does not reach the store does. Without a new era nothing more is told. The test fails before.

--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -72,7 +72,8 @@
         dispatcher.limits,
         state.directory,
         kernel.find("history"),
-        state.gone.on_next,
+        lambda: state.table_version,
+        gone=state.gone.on_next,
     )
     gossip = await add_peers(kernel, settings, fleet, state, beliefs, clock)
     beliefs.quarantine.tell = gossip.tell_quarantine
--- a/src/rattanpier/_internal/programs/relay_peers.py
+++ b/src/rattanpier/_internal/programs/relay_peers.py
@@ -54,7 +54,11 @@
         fleet=fleet,
         links=links,
         clock=clock,
-        needed=lambda: not state.health.available or state.table is None,
+        needed=lambda: (
+            not state.health.available
+            or state.table is None
+            or beliefs.lacks_table()
+        ),
         make=state.snapshot,
         restore=state.restore,
     )
--- a/src/rattanpier/_internal/relay/beliefs.py
+++ b/src/rattanpier/_internal/relay/beliefs.py
@@ -27,6 +27,8 @@
       limits: How much workers say that they take.
       directory: Workers that said that they leave, or are gone.
       history: Which era of the store is the newest one.
+      table_version: Returns the version of the route table in force.
+      told_version: The newest one that others told of.
       gone: Called with the id of each worker that others know to be gone.
     """
 
@@ -36,6 +38,8 @@
     limits: RateLimits
     directory: WorkerDirectory
     history: StoreHistory
+    table_version: Callable[[], int] = lambda: -1
+    told_version: int = -1
     gone: Callable[[str], None] = lambda _worker: None
 
     def digest(self) -> int:
@@ -48,6 +52,7 @@
     def take(self, news: News) -> None:
         """Takes in what another entry tells, but for entries' states."""
         self.history.note_restored(news.restored)
+        self.told_version = max(self.told_version, news.table_version)
         self.rollouts.take_unconfirmed(news.orders)
         for record in news.records:
             self.rollouts.take_record(record)
@@ -74,8 +79,13 @@
             leaving=self.directory.known_to_leave(),
             departed=self.directory.departures.disputed(),
             orders=self.rollouts.known_orders.unconfirmed(),
+            table_version=self.table_version() if self.history.young() else -1,
         )
 
+    def lacks_table(self) -> bool:
+        """Says whether others have a newer route table in force."""
+        return self.table_version() < self.told_version
+
     def has_more_to_tell(self) -> bool:
         """Says whether a peer may lack something that summaries don't name."""
         held = self.quarantine.ends or self.quarantine.cleared
--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -125,7 +125,7 @@
         if len(self.fleet.live()) == 1:
             await self.join()
         covered = all(each.covered() for each in self.followers.values())
-        if not covered:
+        if not covered or self.beliefs.lacks_table():
             await self.snapshots.ask_if_needed()
         return any(lost)
 
--- a/src/rattanpier/_internal/relay/history.py
+++ b/src/rattanpier/_internal/relay/history.py
@@ -17,6 +17,10 @@
 log = structlog.get_logger(part="store")
 
 
+# For so long entries that start are told of what an older copy may lack.
+YOUNG_S = 30.0
+
+
 @attrs.define(eq=False, repr=False)
 class StoreHistory:
     """The newest history that the store or a peer told of.
@@ -67,6 +71,10 @@
         )
         self.begun.on_next(era)
 
+    def young(self) -> bool:
+        """Says whether an era began a short time ago."""
+        return self.clock.monotonic() - self.began_at < YOUNG_S
+
     def note_restored(self, era: int) -> None:
         """Takes in that the system's own rows stand again in an era."""
         self.restored = max(self.restored, era)
--- a/src/rattanpier/_internal/relay/news.py
+++ b/src/rattanpier/_internal/relay/news.py
@@ -33,6 +33,8 @@
         shows them since it came back from an older copy.
       orders: Roll-out orders that the store lacks since it came back from an
         older copy.
+      table_version: Of the route table in force, told for a while after the
+        store came back from an older copy, which may hold an older one.
       restored: Era in which the system's own rows stand again, 0: none.
     """
 
@@ -46,6 +48,7 @@
     leaving: list[str] = attrs.Factory(list)
     departed: list[Departure] = attrs.Factory(list)
     orders: list[RolloutOrder] = attrs.Factory(list)
+    table_version: int = -1
     restored: int = 0
 
 
--- a/tests/relay/test_restored_store.py
+++ b/tests/relay/test_restored_store.py
@@ -60,3 +60,18 @@
         )
         await until(lambda: leaves(late), BOUND_S)
         assert len(site.workers["w1"].runs) == runs
+
+
+async def test_a_start_takes_a_peers_routes_rather_than_an_older_copys():
+    async with site_of(entries=2) as site:
+        kept = site.store.keep_copy()
+        site.store.put("op", "config", manifest(version=2))
+        await until(lambda: all_entries(site, has_manifest(2)))
+        async with away(site):
+            site.store.come_back(kept)
+        await until(lambda: all_entries(site, lambda each: era_of(each) == 2))
+        late = await site.add_entry(
+            "entry-3", seeds=[str(site.entries["entry-1"].settings.peers)]
+        )
+        await until(lambda: has_manifest(2)(late), BOUND_S)
+        assert all_entries(site, has_manifest(2))
