--- a/src/rattanpier/_internal/models/sending.py
+++ b/src/rattanpier/_internal/models/sending.py
@@ -33,12 +33,14 @@
 
     Attributes:
       born: Start of the incarnation that counted, in Unix ms; None: not told.
+      leaving: The worker says beside it that it leaves.
     """
 
     running: int
     waiting: int
     slots: int
     born: int | None = None
+    leaving: bool = False
 
 
 @attrs.frozen
--- a/src/rattanpier/_internal/platform/reports.py
+++ b/src/rattanpier/_internal/platform/reports.py
@@ -48,7 +48,10 @@
                 hear_words(worker, response.headers, hear)
                 if response.status != 200:
                     return None
-                return decode_report(await response.read())
+                report = decode_report(await response.read())
+                if report is not None and report.leaving:
+                    hear(worker, None, True)
+                return report
         except (aiohttp.ClientError, TimeoutError):
             # A worker that does not answer is judged by its requests.
             return None
--- a/src/rattanpier/_internal/platform/upstream.py
+++ b/src/rattanpier/_internal/platform/upstream.py
@@ -16,6 +16,7 @@
     ReportedLoad,
     Sending,
 )
+from rattanpier._internal.platform.registrations import DRAINING
 from rattanpier._internal.relay.connection import WireHead, WireRequest
 from rattanpier._internal.utils.codec import parse_json, structure
 from rattanpier._internal.utils.exact import exact_converter
@@ -96,7 +97,7 @@
     """Returns a load report.
 
     >>> decode_load("3,0,8")
-    ReportedLoad(running=3, waiting=0, slots=8, born=None)
+    ReportedLoad(running=3, waiting=0, slots=8, born=None, leaving=False)
     """
     parts = (text or "").split(",")
     if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
@@ -112,13 +113,14 @@
     active: int
     queued: int
     born: int | None = None
+    state: str = ""
 
 
 def decode_report(body: bytes) -> ReportedLoad | None:
     """Returns the load that a worker reports, None if it can't be read.
 
     >>> decode_report(b'{"queued": 2, "active": 5, "born": 7}')
-    ReportedLoad(running=5, waiting=2, slots=0, born=7)
+    ReportedLoad(running=5, waiting=2, slots=0, born=7, leaving=False)
     """
     try:
         report = structure(converter, LoadReport, parse_json(body))
@@ -128,7 +130,8 @@
     if report.active < 0 or report.queued < 0:
         log.warning("Load report can't be read.", error="a count below 0")
         return None
-    return ReportedLoad(report.active, report.queued, 0, report.born)
+    leaving = report.state == DRAINING
+    return ReportedLoad(report.active, report.queued, 0, report.born, leaving)
 
 
 def decode_number(text: str | None) -> float | None:
--- a/src/rattanpier/_internal/standin/platform_worker.py
+++ b/src/rattanpier/_internal/standin/platform_worker.py
@@ -12,6 +12,7 @@
 import socket
 import struct
 from collections.abc import AsyncIterator, Callable
+from typing import Any
 
 import attrs
 
@@ -76,6 +77,7 @@
       born: When it says that it started, in Unix ms; None: it does not tell.
       limit: What it names as its limit in answers; none if empty.
       leaving: It says in answers that it leaves.
+      state: What its reports say of it, empty: nothing.
       rest: For how long it asks to be left alone when it turns a request away;
         for none if empty.
       address: IP number and port, once started.
@@ -98,6 +100,7 @@
     born: int | None = None
     limit: str = ""
     leaving: bool = False
+    state: str = ""
     rest: str = ""
     address: str = ""
     server: asyncio.Server | None = None
@@ -133,9 +136,11 @@
             self.connections.pop(writer, None)
             reset(writer)
 
-    def report(self) -> dict[str, int]:
+    def report(self) -> dict[str, Any]:
         """Returns its load; it has no queue of its own."""
-        load = {"queued": 0, "active": len(self.connections)}
+        load: dict[str, Any] = {"queued": 0, "active": len(self.connections)}
+        if self.state:
+            load["state"] = self.state
         return load if self.born is None else {**load, "born": self.born}
 
     def take_fault(self) -> WorkerFault:
--- a/tests/relay/test_leaving_workers.py
+++ b/tests/relay/test_leaving_workers.py
@@ -83,6 +83,19 @@
     assert not site.workers["w1"].runs + site.workers["w2"].runs
 
 
+async def test_an_engine_whose_report_says_that_it_drains_gets_nothing(site):
+    for name in ("w1", "w2"):
+        await site.add_worker(name, "engine")
+    entries = await add_entries(site, 2)
+    site.workers["w1"].state = "draining"
+    site.workers["w2"].state = "ready"
+    await until(lambda: all(map(leaves, entries)))
+    assert not any(leaves(entry, "w2") for entry in entries)
+    for _ in range(5):
+        assert (await site.chat()).status == 200
+    assert not site.workers["w1"].runs
+
+
 async def test_a_stream_under_way_ends_whole_at_a_worker_that_leaves(site):
     worker = await site.add_worker("w1", "engine", event_gap_s=0.05)
     entry = await site.add_entry()
