--- a/src/rattanpier/_internal/programs/relay_store.py
+++ b/src/rattanpier/_internal/programs/relay_store.py
@@ -26,6 +26,7 @@
 from rattanpier._internal.relay.held_rows import HeldRows
 from rattanpier._internal.relay.history import StoreHistory
 from rattanpier._internal.relay.membership import EntryRows
+from rattanpier._internal.relay.news import News
 from rattanpier._internal.relay.own_table import OwnTable
 from rattanpier._internal.relay.restoring import RowRestorer
 from rattanpier._internal.relay.rollout_driver import RolloutDriver
@@ -109,7 +110,7 @@
         kernel.find("history"),
         kernel.find("clock"),
         lambda: health.available,
-        entry.gossip.tell_restored,
+        lambda era: entry.gossip.tell_all(News(restored=era)),
         (rows.lost, held.lost, driver.lost),
     )
     kernel.spawn(driver.run())
@@ -125,7 +126,7 @@
         kernel.find("store_clock"),
         routes,
         rollouts.status_row,
-        lambda order: routes.all_running_old(
+        lambda order: routes.seen.all_running_old(
             order, [news.member.incarnation for news in fleet.live()]
         ),
         fleet.drives,
--- /dev/null
+++ b/src/rattanpier/_internal/relay/evidence.py
@@ -0,0 +1,108 @@
+"""What entries saw of versions that are rolled out."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+
+import attrs
+
+from rattanpier._internal.relay.exposure import Exposure
+from rattanpier._internal.relay.verdict import NOTHING, Tally
+
+
+@attrs.frozen
+class TallyKey:
+    """What answers are counted by."""
+
+    order: int
+    route: str
+    candidate: bool
+
+
+@attrs.frozen
+class Evidence:
+    """What one entry saw of versions that are rolled out.
+
+    Attributes:
+      origin: Its incarnation.
+      counts: Answers by key.
+      running_old: Requests at old versions, by order.
+    """
+
+    origin: str
+    counts: list[tuple[TallyKey, Tally]]
+    running_old: dict[int, int]
+
+
+@attrs.define(eq=False, repr=False)
+class SeenAnswers:
+    """Answers of all entries, as far as they were reported here.
+
+    Attributes:
+      own: Answers that this entry saw.
+      others: Answers that others saw, by their incarnation.
+      running_old: Own requests at old versions, by order.
+      running_old_of: Requests at old versions that others reported.
+    """
+
+    own: dict[TallyKey, Tally] = attrs.Factory(dict)
+    others: dict[str, dict[TallyKey, Tally]] = attrs.Factory(dict)
+    running_old: dict[int, int] = attrs.Factory(dict)
+    running_old_of: dict[str, dict[int, int]] = attrs.Factory(dict)
+
+    def add(self, key: TallyKey, tally: Tally) -> None:
+        """Counts what this entry saw."""
+        self.own[key] = self.own.get(key, NOTHING) + tally
+
+    def note_running(self, order: int, change: int) -> None:
+        """Counts requests of this entry that run at an order's old version."""
+        running = self.running_old.get(order, 0) + change
+        self.running_old[order] = max(0, running)
+
+    def evidence(self, origin: str, orders: Collection[int]) -> Evidence:
+        """Returns what this entry saw under some orders."""
+        counts = [
+            (key, tally)
+            for key, tally in self.own.items()
+            if key.order in orders
+        ]
+        return Evidence(origin, counts, dict(self.running_old))
+
+    def take(self, evidence: Evidence) -> None:
+        """Takes in what another entry saw; its counts only rise."""
+        self.others[evidence.origin] = dict(evidence.counts)
+        self.running_old_of[evidence.origin] = evidence.running_old
+
+    def all_running_old(self, order: int, live: Iterable[str]) -> int:
+        """Returns the requests at an order's old version in all entries.
+
+        Args:
+          order: The order's id.
+          live: Incarnations of the entries that are not down.
+        """
+        reported = (
+            self.running_old_of.get(origin, {}).get(order, 0) for origin in live
+        )
+        return self.running_old.get(order, 0) + sum(reported)
+
+    def tallies(self, order: int) -> Iterable[tuple[TallyKey, Tally]]:
+        """Yields all answers to requests under an order."""
+        for source in (self.own, *self.others.values()):
+            for key, tally in source.items():
+                if key.order == order:
+                    yield key, tally
+
+    def exposure(self, order: int) -> Exposure:
+        """Returns what all entries saw of an order's version."""
+        found = list(self.tallies(order))
+        served = sum(tally.total for _, tally in found)
+        exposed = sum(tally.total for key, tally in found if key.candidate)
+        return Exposure(served, exposed)
+
+    def rename(self, before: int, order: int) -> None:
+        """Counts what was counted under one id of an order under another."""
+        for tallies in (self.own, *self.others.values()):
+            for key in [key for key in tallies if key.order == before]:
+                renamed = attrs.evolve(key, order=order)
+                added = tallies.pop(key)
+                tallies[renamed] = tallies.get(renamed, NOTHING) + added
--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -28,9 +28,9 @@
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.proto import peer_pb2
 from rattanpier._internal.relay.beliefs import Beliefs
+from rattanpier._internal.relay.evidence import Evidence
 from rattanpier._internal.relay.fleet import Fleet, MemberNews
 from rattanpier._internal.relay.news import Compared, Knowledge, News
-from rattanpier._internal.relay.rollouts import Evidence
 from rattanpier._internal.relay.snapshots import Snapshots
 from rattanpier._internal.relay.spread import Spread, split
 from rattanpier._internal.relay.watch import (
@@ -252,10 +252,6 @@
         """Begins to tell everybody that a worker leaves."""
         self.tell_all(News(leaving=[incarnation]))
 
-    def tell_restored(self, era: int) -> None:
-        """Begins to tell everybody that own rows stand again in an era."""
-        self.tell_all(News(restored=era))
-
     def take_rumors(self, rumors: peer_pb2.Rumors) -> None:
         """Takes in what another entry tells all."""
         self.take(decode(News, rumors.text))
@@ -369,7 +365,8 @@
 
     async def serve_report(self, call: peer_pb2.Call) -> peer_pb2.Reply:
         """Takes in an entry's evidence."""
-        self.beliefs.rollouts.take_evidence(decode(Evidence, call.report.text))
+        evidence = decode(Evidence, call.report.text)
+        self.beliefs.rollouts.seen.take(evidence)
         return peer_pb2.Reply(report=peer_pb2.EvidenceReport())
 
     # What watchers read.
--- a/src/rattanpier/_internal/relay/rollout_driver.py
+++ b/src/rattanpier/_internal/relay/rollout_driver.py
@@ -264,7 +264,7 @@
             phase=record.phase,
             age=age,
             phase_age=(now_ms - record.since_ms) / whole_ms,
-            exposure=self.rollouts.exposure(order.id),
+            exposure=self.rollouts.seen.exposure(order.id),
             worse=order.id in self.rollouts.stopped,
             old_running=self.old_running(order.id),
         )
--- a/src/rattanpier/_internal/relay/rollouts.py
+++ b/src/rattanpier/_internal/relay/rollouts.py
@@ -19,9 +19,13 @@
     RolloutRecord,
 )
 from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.relay.evidence import (
+    Evidence,
+    SeenAnswers,
+    TallyKey,
+)
 from rattanpier._internal.relay.exposure import (
     WIDENING_SHARE,
-    Exposure,
     ExposureBound,
 )
 from rattanpier._internal.relay.held_sessions import (
@@ -65,30 +69,6 @@
     otherwise: Sequence[RegisteredWorker] = ()
 
 
-@attrs.frozen
-class TallyKey:
-    """What answers are counted by."""
-
-    order: int
-    route: str
-    candidate: bool
-
-
-@attrs.frozen
-class Evidence:
-    """What one entry saw of versions that are rolled out.
-
-    Attributes:
-      origin: Its incarnation.
-      counts: Answers by key.
-      running_old: Requests at old versions, by order.
-    """
-
-    origin: str
-    counts: list[tuple[TallyKey, Tally]]
-    running_old: dict[int, int]
-
-
 @attrs.define(eq=False, repr=False)
 class Rollouts:
     """Orders, how far they went, and the evidence.
@@ -100,13 +80,10 @@
       policy: Mechanisms that are on.
       sessions: Those under way, and those that stay with the old version.
       known_at: When each order became known here, in monotonic seconds.
-      running_old_of: Requests at old versions that others reported.
       known_orders: The newest order of each service, and those before.
       records: How far each went, by service.
-      own: Answers that this entry saw.
-      others: Answers that others saw, by their incarnation.
+      seen: Answers that this entry and others saw.
       stopped: Orders whose version this entry found, or was told, to be worse.
-      running_old: Own requests at old versions, by order.
       in_service: Versions that served before an order named another.
       known: It is known how far earlier orders went.
       warms_up: Says whether a worker bears less than usual yet.
@@ -123,13 +100,10 @@
         )
     )
     known_at: dict[int, float] = attrs.Factory(dict)
-    running_old_of: dict[str, dict[int, int]] = attrs.Factory(dict)
     known_orders: KnownOrders = attrs.Factory(KnownOrders)
     records: dict[str, RolloutRecord] = attrs.Factory(dict)
-    own: dict[TallyKey, Tally] = attrs.Factory(dict)
-    others: dict[str, dict[TallyKey, Tally]] = attrs.Factory(dict)
+    seen: SeenAnswers = attrs.Factory(SeenAnswers)
     stopped: set[int] = attrs.Factory(set)
-    running_old: dict[int, int] = attrs.Factory(dict)
     in_service: dict[str, str] = attrs.Factory(dict)
     known: bool = False
     warms_up: Callable[[RegisteredWorker], bool] = attrs.field(
@@ -215,8 +189,7 @@
         self.known_at[id] = self.known_at.get(before, self.clock.monotonic())
         if before in self.stopped:
             self.stopped.add(id)
-        for tallies in (self.own, *self.others.values()):
-            rename_tallies(tallies, before, id)
+        self.seen.rename(before, id)
         share = self.share(record.phase)
         self.sessions.hold_recent(id, order.service, share)
         log.info(
@@ -359,7 +332,7 @@
         key = TallyKey(order.id, route, candidate)
         timed = 0 if relative_s is None else 1
         added = Tally(1, int(bad), timed, relative_s or 0.0)
-        self.own[key] = self.own.get(key, NOTHING) + added
+        self.seen.add(key, added)
         if candidate and bad:
             self.judge(order)
 
@@ -367,7 +340,7 @@
         """Stops an order's version if the evidence is against it."""
         stable: dict[str, Tally] = {}
         candidate: dict[str, Tally] = {}
-        for key, tally in self.tallies(order.id):
+        for key, tally in self.seen.tallies(order.id):
             side = candidate if key.candidate else stable
             side[key.route] = side.get(key.route, NOTHING) + tally
         worse = find_worse(stable, candidate)
@@ -393,52 +366,12 @@
             for order in self.orders.values()
             if not self.phase(order).final
         }
-        if not orders:
-            return None
-        counts = [
-            (key, tally)
-            for key, tally in self.own.items()
-            if key.order in orders
-        ]
-        return Evidence(origin, counts, dict(self.running_old))
-
-    def take_evidence(self, evidence: Evidence) -> None:
-        """Takes in what another entry saw; its counts only rise."""
-        self.others[evidence.origin] = dict(evidence.counts)
-        self.running_old_of[evidence.origin] = evidence.running_old
-
-    def all_running_old(self, order: int, live: Iterable[str]) -> int:
-        """Returns the requests at an order's old version in all entries.
-
-        Args:
-          order: The order's id.
-          live: Incarnations of the entries that are not down.
-        """
-        reported = (
-            self.running_old_of.get(origin, {}).get(order, 0) for origin in live
-        )
-        return self.running_old.get(order, 0) + sum(reported)
+        return self.seen.evidence(origin, orders) if orders else None
 
     def note_running(self, worker: RegisteredWorker, change: int) -> None:
         """Counts requests that run at an old version."""
         if self.is_new(worker.service, worker) is False:
-            order = self.orders[worker.service].id
-            running = self.running_old.get(order, 0) + change
-            self.running_old[order] = max(0, running)
-
-    def tallies(self, order: int) -> Iterable[tuple[TallyKey, Tally]]:
-        """Yields all answers to requests under an order."""
-        for source in (self.own, *self.others.values()):
-            for key, tally in source.items():
-                if key.order == order:
-                    yield key, tally
-
-    def exposure(self, order: int) -> Exposure:
-        """Returns what all entries saw of an order's version."""
-        found = list(self.tallies(order))
-        served = sum(tally.total for _, tally in found)
-        exposed = sum(tally.total for key, tally in found if key.candidate)
-        return Exposure(served, exposed)
+            self.seen.note_running(self.orders[worker.service].id, change)
 
 
 def is_later(record: RolloutRecord, before: RolloutRecord) -> bool:
@@ -451,16 +384,6 @@
     return phases.index(record.phase) > phases.index(before.phase)
 
 
-def rename_tallies(
-    tallies: dict[TallyKey, Tally], before: int, order: int
-) -> None:
-    """Counts what was counted under one number of an order under another."""
-    for key in [key for key in tallies if key.order == before]:
-        renamed = attrs.evolve(key, order=order)
-        added = tallies.pop(key)
-        tallies[renamed] = tallies.get(renamed, NOTHING) + added
-
-
 def most_common(workers: Sequence[RegisteredWorker]) -> str:
     """Returns the version that most workers have."""
     counts: dict[str, int] = {}
--- a/tests/relay/test_restored_rollouts.py
+++ b/tests/relay/test_restored_rollouts.py
@@ -158,5 +158,5 @@
     for _ in range(3):
         rollouts.note(worker, "r", bad=False, relative_s=None)
     rollouts.take_record(record("v2", at(9), PHASE.TRYING))
-    exposure = rollouts.exposure(rollouts.orders["s"].id)
+    exposure = rollouts.seen.exposure(rollouts.orders["s"].id)
     assert exposure.exposed == 3
--- a/tests/relay/test_rows.py
+++ b/tests/relay/test_rows.py
@@ -17,11 +17,12 @@
 from rattanpier._internal.platform import feeds, manifest, upstream
 from rattanpier._internal.platform.registrations import decode_worker
 from rattanpier._internal.relay.directory import WorkerDirectory
+from rattanpier._internal.relay.evidence import Evidence
 from rattanpier._internal.relay.exposure import ExposureBound
 from rattanpier._internal.relay.fleet import MemberNews
 from rattanpier._internal.relay.news import Compared, Knowledge, News
 from rattanpier._internal.relay.queue_watch import QueueNews
-from rattanpier._internal.relay.rollouts import Evidence, Rollouts
+from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.relay.snapshots import Snapshot
 from rattanpier._internal.relay.state import RelayState
 from rattanpier._internal.relay.store import StoreHealth
