Give each return of the store its own time to have things written again

Found by the random walks once readings took their spread time: of two returns within seconds the second one's lost rows were believed by the first one's time, so that a worker that had left came back, a living one was dropped, an order was lifted. And a removal was not noted of a worker that had been dropped before.

Now a new era begins each wait anew, and a removal of an unknown registration counts against its start.

--- a/src/rattanpier/_internal/models/departure.py
+++ b/src/rattanpier/_internal/models/departure.py
@@ -21,6 +21,10 @@
     sequence: int
     revision: Revision
 
+    def names(self, id: str) -> bool:
+        """Says whether it is of a start of a worker."""
+        return self.incarnation == id or self.incarnation.startswith(f"{id}/")
+
     @property
     def order(self) -> tuple[Revision, int]:
         """The larger of two of one start tells more."""
--- a/src/rattanpier/_internal/placement/drained_domains.py
+++ b/src/rattanpier/_internal/placement/drained_domains.py
@@ -107,6 +107,9 @@
           orders: Those that stand.
           revision: The store's as of which they do.
         """
+        if revision.era > self.as_of.era:
+            # What its copy lacks too has as long again to be written.
+            self.unconfirmed.clear()
         self.as_of = max(self.as_of, revision)
         standing = {order.domain: order for order in orders}
         for order in standing.values():
--- a/src/rattanpier/_internal/relay/departures.py
+++ b/src/rattanpier/_internal/relay/departures.py
@@ -48,6 +48,12 @@
     return attrs.evolve(worker, revision=revision)
 
 
+def is_same_dispute(one: RegisteredWorker, other: RegisteredWorker) -> bool:
+    """Says whether two registrations are of one start, in one era."""
+    same_era = one.revision.era == other.revision.era
+    return same_era and one.incarnation == other.incarnation
+
+
 @attrs.frozen
 class HeldBack:
     """A registration that is not believed yet.
@@ -90,6 +96,16 @@
         if len(self.departed) > MOST_DEPARTED:
             self.departed.popitem(last=False)
 
+    def note_removal(self, id: str, revision: Revision) -> None:
+        """Takes in that a registration was removed of which little was known.
+
+        Its worker may have been dropped before, and have registered since
+        without being heard here.
+        """
+        for departure in list(self.departed.values()):
+            if departure.names(id):
+                self.note(attrs.evolve(departure, revision=revision))
+
     def contradicts(
         self, worker: RegisteredWorker, may_be_copied: bool
     ) -> bool:
@@ -117,9 +133,7 @@
     def hold_back(self, worker: RegisteredWorker) -> None:
         """Takes in a registration that is not believed yet."""
         before = self.held_back.get(worker.id)
-        if before is not None and before.worker.incarnation == (
-            worker.incarnation
-        ):
+        if before is not None and is_same_dispute(before.worker, worker):
             self.held_back[worker.id] = attrs.evolve(before, worker=worker)
             return
         until = self.clock.monotonic() + self.lasting_s + MARGIN_S
--- a/src/rattanpier/_internal/relay/directory.py
+++ b/src/rattanpier/_internal/relay/directory.py
@@ -91,6 +91,8 @@
         """
         if as_of.era > self.as_of.era and self.known:
             self.whole_at = self.clock.monotonic()
+            # What its copy lacks too has as long again to come back.
+            self.missing.clear()
         self.as_of = max(as_of, self.as_of)
         found = {worker.id: worker for worker in workers}
         absent = [id for id in self.workers if id not in found]
@@ -264,6 +266,7 @@
         self.departures.held_back.pop(id, None)
         worker = self.workers.get(id)
         if worker is None:
+            self.departures.note_removal(id, revision)
             return False
         if after_outage and not worker.draining:
             self.missing.setdefault(id, self.clock.monotonic() + RETURN_S)
--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -211,7 +211,7 @@
     async def step(self) -> None:
         """Asks the store once."""
         watching = self.watches()
-        if self.behind and not watching:
+        if (self.behind or self.outdated()) and not watching:
             await self.clock.sleep(random.uniform(0.0, FETCH_SPREAD_S))
         self.behind = False
         self.asked_at = self.clock.monotonic()
--- a/tests/placement/test_drained_domains.py
+++ b/tests/placement/test_drained_domains.py
@@ -163,6 +163,16 @@
     assert not restored.drained
 
 
+def test_an_order_has_as_long_to_be_written_again_in_each_era(restored, clock):
+    restored.take(drained("b", 9), "store")
+    restored.replace([], at(4, era=2))
+    clock.now += REWRITTEN_S - 0.1
+    restored.replace([], at(4, era=3))
+    clock.now += 0.2
+    restored.settle()
+    assert restored.drained == {"b"}
+
+
 def test_a_second_return_within_seconds_lifts_nothing(restored, clock):
     restored.take(drained("b", 9), "store")
     restored.replace([], at(4, era=2))
--- a/tests/relay/test_restored_workers.py
+++ b/tests/relay/test_restored_workers.py
@@ -178,3 +178,35 @@
     # What a feed tells was written in the new era.
     directory.put(registered(7, NEW, sequence=5))
     assert takes_work(directory) == ["w"]
+
+
+def test_each_era_has_its_own_time_to_write_again(directory, clock):
+    whole(directory, registered(5, sequence=4), era=1)
+    directory.remove("w", after_outage=False)
+    whole(directory, registered(3, NEW, sequence=3))
+    clock.now += LASTING_S + MARGIN_S - 0.1
+    whole(directory, registered(3, NEW + 1, sequence=3), era=NEW + 1)
+    clock.now += 0.2
+    directory.drop_missing()
+    assert takes_work(directory) == []
+
+
+def test_a_living_worker_has_as_long_in_each_era(directory, clock):
+    whole(directory, registered(9, sequence=1), era=1)
+    whole(directory)
+    clock.now += RETURN_S - 0.1
+    whole(directory, era=NEW + 1)
+    clock.now += 0.2
+    directory.drop_missing()
+    assert takes_work(directory) == ["w"]
+
+
+def test_a_removal_counts_of_one_that_was_dropped_before(directory, clock):
+    whole(directory, registered(9, sequence=1), era=1)
+    whole(directory)
+    clock.now += RETURN_S
+    assert directory.drop_missing() == ["w"]
+    # It was back meanwhile, which was not heard here, and left.
+    directory.remove("w", after_outage=False, revision=at(16, NEW))
+    whole(directory, registered(12, NEW + 1, sequence=2), era=NEW + 1)
+    assert takes_work(directory) == []
