Test conditions, readings and answers across eras of the store

A condition of an earlier era is not sent, one that met a new era is doubtful, a table of two eras is no reading, an answer without an era is of the newest known one.

--- /dev/null
+++ b/tests/relay/test_store_eras.py
@@ -0,0 +1,114 @@
+"""The store's client, where the store comes back from an older copy."""
+
+import types
+
+import pytest
+
+from rattanpier._internal.exceptions import (
+    HistoryGoneError,
+    StoreUnavailableError,
+)
+from rattanpier._internal.models.feed import RowCheck, RowPut, WrittenAt
+from rattanpier._internal.models.outcomes import Conflict, Uncertain
+from rattanpier._internal.platform import rows
+from rattanpier._internal.relay.history import StoreHistory
+from rattanpier._internal.standin.platform_store import PlatformStoreServer
+from rattanpier._internal.utils.metrics import Metrics
+from tests.lib.clock import ManualClock
+from tests.lib.platform_site import platform_site
+from tests.lib.relay_parts import at
+
+TABLE, KEY = "entries", "rollout/s"
+
+
+@pytest.fixture
+async def site():
+    async with platform_site() as made:
+        yield made
+
+
+@pytest.fixture
+def history():
+    return StoreHistory(ManualClock(), Metrics())
+
+
+@pytest.fixture
+def client(site, history):
+    return rows.PlatformStore(
+        site.session,
+        f"http://{site.store_address}",
+        lambda era: history.note(era, "store"),
+    )
+
+
+def write(client, revision, value):
+    checks = [RowCheck(TABLE, KEY, revision)]
+    return client.transact(checks, [RowPut(TABLE, KEY, value)])
+
+
+async def test_each_answer_tells_its_era_also_a_refusal(site, client, history):
+    kept = site.store.keep_copy()
+    site.store.put(TABLE, KEY, "x")
+    page = await client.scan(TABLE)
+    assert (page.revision.era, history.era) == (1, 1)
+    site.store.come_back(kept)
+    with pytest.raises(HistoryGoneError):
+        await client.changes(TABLE, page.revision, 0.0)
+    assert history.era == 2
+    site.store.come_back(kept)
+    assert isinstance(await write(client, at(99, 2), b"y"), Conflict)
+    assert history.era == 3
+
+
+async def test_a_condition_of_an_earlier_era_is_not_sent(site, client):
+    written = await write(client, at(0, 0), b"1")
+    assert isinstance(written, WrittenAt)
+    kept = site.store.keep_copy()
+    site.store.come_back(kept)
+    page = await client.scan(TABLE)
+    site.store.calls.clear()
+    assert isinstance(await write(client, written.revision, b"2"), Conflict)
+    assert site.store.calls == []
+    (row,) = page.rows
+    assert isinstance(await write(client, row.revision, b"2"), WrittenAt)
+
+
+async def test_a_condition_that_held_for_another_row_is_doubtful(site, client):
+    kept = site.store.keep_copy()
+    written = await write(client, at(0, 0), b"1")
+    site.store.come_back(kept)
+    # The same version, given out again for another row.
+    site.store.put(TABLE, KEY, "other")
+    assert site.store.version == written.revision.version
+    outcome = await write(client, written.revision, b"2")
+    assert isinstance(outcome, Uncertain)
+
+
+async def test_a_table_of_two_eras_is_no_reading(monkeypatch):
+    monkeypatch.setattr(rows, "PAGE_ROWS", 2)
+    scan = PlatformStoreServer.scan
+
+    async def scan_and_go_back(server, request):
+        answer = await scan(server, request)
+        await answer.prepare(request)
+        server.come_back(server.keep_copy())
+        return answer
+
+    monkeypatch.setattr(PlatformStoreServer, "scan", scan_and_go_back)
+    async with platform_site() as site:
+        for number in range(3):
+            site.store.put(TABLE, f"e{number}", "x")
+        client = rows.PlatformStore(
+            site.session, f"http://{site.store_address}"
+        )
+        with pytest.raises(StoreUnavailableError):
+            await client.scan(TABLE)
+
+
+def test_an_answer_without_an_era_is_of_the_newest_one(client, history):
+    history.note(3, "peer")
+    for headers in ({}, {rows.ERA: "new"}, {rows.ERA: "-1"}):
+        assert client.era_of(types.SimpleNamespace(headers=headers)) == 3
+    late = types.SimpleNamespace(headers={rows.ERA: "2"})
+    assert client.era_of(late) == 2
+    assert history.era == 3
