Show which version of the routes decided a request, and how it came

Nothing told when the store last confirmed the manifest in force on an entry, which way it came or who told it, and a request that was run named no version, so that the hypotheses could not be told apart. Routes in force now name the source, the peer and the store's clock, Sent. and Refused. the version, two gauges its age. trace-request and why say which entry had a newer one, and for how long.

--- a/src/rattanpier/_internal/commands/trace_request.py
+++ b/src/rattanpier/_internal/commands/trace_request.py
@@ -16,8 +16,12 @@
     group_by_request,
 )
 from rattanpier._internal.trace.log_lines import LogLine, read_lines
+from rattanpier._internal.trace.table_versions import TableDecision
 
 LAST_TIME = "9999"  # Sorts after the time of any log line.
+# A request that was decided by older routes than another entry had for this
+# long counts as decided late; a change takes less to reach all entries.
+LATE_TABLE_S = 1.0
 
 
 def trace_request(id: str, *files: str) -> Result:
@@ -43,13 +47,18 @@
     table = make_table(f"Request {id}", ("at", "node", "event", "fields"))
     for line in lines:
         table.add_row(line.at, line.node, line.event, show_fields(line))
+    decision = timeline.tables.find_decision(lines)
+    sentences = [cause.sentence, *timeline.describe_eras()]
+    if decision is not None:
+        sentences.insert(1, decision.describe())
     data = {
         "request": str(id),
         "cause": attrs.asdict(cause),
+        "table": None if decision is None else attrs.asdict(decision),
         "lines": [attrs.asdict(line) for line in lines],
         "eras": timeline.eras,
     }
-    return Result(data, [table, cause.sentence, *timeline.describe_eras()])
+    return Result(data, [table, *sentences])
 
 
 def why(*files: str, since: str = "", until: str = "") -> Result:
@@ -67,10 +76,14 @@
         list
     )
     total = 0
+    late: list[tuple[str, str, TableDecision]] = []
     for id, lines in found.items():
         if not since <= lines[0].at < (until or LAST_TIME):
             continue
         total += 1
+        decision = timeline.tables.find_decision(lines)
+        if decision is not None and decision.behind_s > LATE_TABLE_S:
+            late.append((lines[0].at, id, decision))
         cause = find_cause(lines, timeline)
         if cause.failed:
             counted[cause.code].append((lines[0].at, id, cause))
@@ -92,20 +105,38 @@
             }
         )
     failed_count = sum(len(failed) for _, failed in rows)
-    sentence = f"{failed_count} of {total} requests failed."
+    sentences = [f"{failed_count} of {total} requests failed."]
+    sentences += describe_late(late)
     code = ExitCode.FAILED if rows else ExitCode.DONE
     return Result(
         {
             "requests": total,
             "failed": failed_count,
             "causes": data,
+            "late_tables": len(late),
             "eras": timeline.eras,
         },
-        [table, sentence, *timeline.describe_eras()],
+        [table, *sentences, *timeline.describe_eras()],
         code,
     )
 
 
+def describe_late(late: list[tuple[str, str, TableDecision]]) -> list[str]:
+    """Returns a sentence about requests that outdated routes decided.
+
+    Args:
+      late: Time, id and decision of each; the list may be empty.
+    """
+    if not late:
+        return []
+    _, id, decision = min(late, key=lambda each: each[:2])
+    return [
+        f"{len(late)} requests, answered or not, were decided by routes older "
+        f"than another entry had for over {LATE_TABLE_S} s; the first is {id}: "
+        f"{decision.describe()}"
+    ]
+
+
 def show_fields(line: LogLine) -> str:
     """Formats the fields of a log line, without its level."""
     hidden = ("level",)
--- a/src/rattanpier/_internal/models/feed.py
+++ b/src/rattanpier/_internal/models/feed.py
@@ -2,11 +2,38 @@
 
 from __future__ import annotations
 
+import enum
+
 import attrs
 
 from rattanpier._internal.models.revision import Revision
 
 
+class DataSource(enum.StrEnum):
+    """How data of the store reached an entry."""
+
+    FEED = "feed"
+    FULL_READ = "full read"
+    CHECKPOINT = "checkpoint"
+    UPDATE = "update"  # Published by a watcher.
+    SNAPSHOT = "snapshot"
+
+
+@attrs.frozen
+class Provenance:
+    """Where data of the store came from.
+
+    Attributes:
+      source: How it reached this entry.
+      told_by: Name of the peer that sent it, empty if the store did.
+      store_ms: The store's clock when it answered, in ms; None if unknown.
+    """
+
+    source: DataSource
+    told_by: str = ""
+    store_ms: float | None = None
+
+
 @attrs.frozen
 class FeedRow:
     """A row, or the removal of one.
@@ -46,12 +73,22 @@
       revision: Store revision as of which the rows are valid.
       now_ms: The store's monotonic clock, in ms.
       whole: True for a full read, False for changes only.
+      source: How the page reached this entry.
+      told_by: Name of the watcher that published it, empty if the store
+        answered this entry.
     """
 
     rows: list[FeedRow]
     revision: Revision
     now_ms: float
     whole: bool
+    source: DataSource = DataSource.FEED
+    told_by: str = ""
+
+    @property
+    def provenance(self) -> Provenance:
+        """Where the page came from."""
+        return Provenance(self.source, self.told_by, self.now_ms)
 
 
 @attrs.frozen
--- a/src/rattanpier/_internal/models/relay_request.py
+++ b/src/rattanpier/_internal/models/relay_request.py
@@ -70,6 +70,7 @@
       prompt: Empty for plain services.
       after_event: Number of the last event that the caller received, if it
         resumes a stream.
+      table_version: Version of the route table that it was matched against.
     """
 
     id: str
@@ -85,6 +86,7 @@
     any_model: bool = False
     prompt: Prompt = attrs.Factory(Prompt)
     after_event: int | None = None
+    table_version: int = -1
 
     @property
     def priority(self) -> int:
--- a/src/rattanpier/_internal/platform/rows.py
+++ b/src/rattanpier/_internal/platform/rows.py
@@ -17,6 +17,7 @@
     StoreUnavailableError,
 )
 from rattanpier._internal.models.feed import (
+    DataSource,
     FeedRow,
     Page,
     RowCheck,
@@ -79,7 +80,11 @@
             rows.extend(decode_row(row, page["era"]) for row in page["rows"])
             if not page.get("truncated") or not page["rows"]:
                 return Page(
-                    rows, revision_of(first), first["nowMs"], whole=True
+                    rows,
+                    revision_of(first),
+                    first["nowMs"],
+                    whole=True,
+                    source=DataSource.FULL_READ,
                 )
             query["from"] = page["rows"][-1]["key"] + "\0"
 
--- a/src/rattanpier/_internal/programs/relay_listen.py
+++ b/src/rattanpier/_internal/programs/relay_listen.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 import time
 from collections.abc import Sequence
@@ -15,7 +16,7 @@
 from rattanpier._internal.models.directory_query import DirectoryQuery
 from rattanpier._internal.models.member import Member
 from rattanpier._internal.models.relay_settings import Address, RelaySettings
-from rattanpier._internal.platform import caller
+from rattanpier._internal.platform import caller, rollouts
 from rattanpier._internal.platform.early_listener import BACKLOG
 from rattanpier._internal.relay.drain import DrainState
 from rattanpier._internal.relay.edge import RelayEdge
@@ -164,6 +165,15 @@
     return in_regions or members
 
 
+def record_table_age(entry: RelayEntry) -> None:
+    """Exports the version of the routes and when the store confirmed it."""
+    entry.metrics.gauge("relay.table_version", entry.state.table_version)
+    follower = entry.gossip.followers[rollouts.ORDERS]
+    age_s = follower.confirmed_age_s()
+    if math.isfinite(age_s):
+        entry.metrics.gauge("relay.table_age_s", age_s)
+
+
 def metrics_handler(entry: RelayEntry) -> Handler:
     """Returns the handler of the metrics address."""
 
@@ -172,6 +182,7 @@
         from rattanpier._internal.relay.exposition import render
 
         entry.metrics.gauge("relay.running", entry.drain.running)
+        record_table_age(entry)
         return Response(body=render(entry.metrics), content_type="text/plain")
 
     return handle
--- a/src/rattanpier/_internal/programs/relay_store.py
+++ b/src/rattanpier/_internal/programs/relay_store.py
@@ -173,6 +173,7 @@
             rank=lambda: watch_rank(entry.fleet),
             publish=entry.gossip.broadcast_store_news,
             history=kernel.find("history"),
+            name=entry.settings.name,
         )
         entry.gossip.followers[table] = follower
         kernel.spawn(follower.run())
--- a/src/rattanpier/_internal/relay/checkpoints.py
+++ b/src/rattanpier/_internal/relay/checkpoints.py
@@ -20,6 +20,7 @@
     UnreadableError,
 )
 from rattanpier._internal.models.feed import (
+    DataSource,
     FeedRow,
     Page,
     RowCheck,
@@ -145,7 +146,13 @@
             changed=len(page.rows),
         )
         rows = merge_rows(known, page.rows)
-        return Page(rows, page.revision, page.now_ms, whole=True)
+        return Page(
+            rows,
+            page.revision,
+            page.now_ms,
+            whole=True,
+            source=DataSource.CHECKPOINT,
+        )
 
     async def changes(self, table: str, since: Revision, wait_s: float) -> Page:
         """Waits up to `wait_s` for changes of a table after a revision."""
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -257,6 +257,7 @@
             request=request.id,
             content=request.content,
             route=request.route.name,
+            table=request.table_version,
             worker=choice.worker.id,
             version=choice.worker.version,
             model=progress.model,
--- a/src/rattanpier/_internal/relay/edge.py
+++ b/src/rattanpier/_internal/relay/edge.py
@@ -111,8 +111,13 @@
                     request, headers, arrived
                 )
             except RequestRefusedError as error:
+                table = self.table()
                 return self.refuse(
-                    headers.attempt_id, error.refusal, error.status, arrived
+                    headers.attempt_id,
+                    error.refusal,
+                    error.status,
+                    arrived,
+                    -1 if table is None else table.version,
                 )
             return await self.answer(request, relay_request)
         except (asyncio.CancelledError, ConnectionError):
@@ -187,6 +192,7 @@
             any_model=headers.any_model,
             prompt=headers.prompt,
             after_event=headers.after_event,
+            table_version=table.version,
         )
 
     async def read_body(self, request: BaseRequest, max_bytes: int) -> bytes:
@@ -228,6 +234,7 @@
                             refusal,
                             status,
                             relay_request.arrived,
+                            relay_request.table_version,
                         )
                     case AnswerStarted(status, headers):
                         response = self.make_stream_response(status, headers)
@@ -270,7 +277,12 @@
             response.headers.add(name, value)
 
     def refuse(
-        self, request_id: str, refusal: Refusal, status: int, arrived: float
+        self,
+        request_id: str,
+        refusal: Refusal,
+        status: int,
+        arrived: float,
+        table_version: int,
     ) -> Response:
         """Logs a refusal and returns the response for it.
 
@@ -279,6 +291,7 @@
           refusal: The refusal.
           status: HTTP status.
           arrived: Arrival of the request, in monotonic seconds.
+          table_version: Version of the route table that decided, -1 for none.
         """
         self.metrics.count(f"relay.answered.{status}")
         log.info(
@@ -290,6 +303,7 @@
             not_run=refusal.not_run,
             retry_after_s=refusal.retry_after_s,
             total_s=round(self.clock.monotonic() - arrived, 3),
+            table=table_version,
         )
         response = json_response(
             {"error": refusal.code.value, "message": refusal.message},
--- a/src/rattanpier/_internal/relay/snapshots.py
+++ b/src/rattanpier/_internal/relay/snapshots.py
@@ -86,7 +86,7 @@
       clock: Source of monotonic time.
       needed: Returns whether this entry lacks state from the store.
       build: Returns a snapshot of this entry's state.
-      restore: Loads a peer's snapshot.
+      restore: Loads a snapshot of the peer with the given name.
       requested_at: Monotonic time of the last request, in seconds.
     """
 
@@ -95,7 +95,7 @@
     clock: Clock
     needed: Callable[[], bool]
     build: Callable[[], Snapshot]
-    restore: Callable[[Snapshot], None]
+    restore: Callable[[Snapshot, str], None]
     requested_at: float = float("-inf")
 
     async def serve(self, call: peer_pb2.Call) -> peer_pb2.Reply:
@@ -118,7 +118,9 @@
                 reply = await self.links.to(state.member).call(
                     call, SNAPSHOT_TIMEOUT_S
                 )
-                self.restore(unpack(Snapshot, reply.snapshot.packed))
+                self.restore(
+                    unpack(Snapshot, reply.snapshot.packed), state.member.name
+                )
             except (PeerUnavailableError, UnreadableError) as error:
                 log.info(
                     "Snapshot request to peer failed.",
--- a/src/rattanpier/_internal/relay/state.py
+++ b/src/rattanpier/_internal/relay/state.py
@@ -13,7 +13,13 @@
 from reactivex.subject import Subject
 
 from rattanpier._internal.models.domain_order import DomainOrder
-from rattanpier._internal.models.feed import FeedRow, Page, UnreadableRow
+from rattanpier._internal.models.feed import (
+    DataSource,
+    FeedRow,
+    Page,
+    Provenance,
+    UnreadableRow,
+)
 from rattanpier._internal.models.rollout_order import RolloutOrder
 from rattanpier._internal.models.route_table import RouteTable, WarmUp
 from rattanpier._internal.models.worker import RegisteredWorker
@@ -86,7 +92,7 @@
         for item in self.decode_operator_rows(page):
             match item:
                 case RouteTable():
-                    self.apply_table(item, "store")
+                    self.apply_table(item, page.provenance)
                 case RolloutOrder():
                     self.rollouts.apply_order(item)
                 case DomainOrder():
@@ -117,12 +123,12 @@
         known = None if self.table is None else self.table.services.get(service)
         return "" if known is None else known.health_path
 
-    def apply_table(self, table: RouteTable, source: str) -> None:
+    def apply_table(self, table: RouteTable, provenance: Provenance) -> None:
         """Puts a route table in force unless it is outdated.
 
         Args:
           table: The route table.
-          source: Where it came from, for the log.
+          provenance: Where it came from, for the log.
         """
         if table.version <= self.table_version:
             return
@@ -134,7 +140,9 @@
             version=table.version,
             before=previous,
             routes=len(table.routes),
-            source=source,
+            source=provenance.source,
+            told_by=provenance.told_by,
+            store_ms=provenance.store_ms,
         )
 
     def apply_worker_page(self, page: Page, after_outage: bool) -> None:
@@ -205,19 +213,23 @@
             self.table_cache = self.table_version, packed
         return packed
 
-    def apply_snapshot(self, snapshot: Snapshot) -> None:
+    def apply_snapshot(self, snapshot: Snapshot, peer: str = "") -> None:
         """Applies a peer's snapshot while this entry does not reach the store.
 
         A peer that reaches the store has the more recent registrations. The
         workers of a peer that does not are only used by an entry that has not
         read the table yet.
+
+        Args:
+          snapshot: The snapshot.
+          peer: Name of the peer, for the log.
         """
         for order in snapshot.domain_orders:
             self.domains.apply_order(order, "snapshot")
         if snapshot.table_version > self.table_version:
             table = snapshot.table()
             if table is not None:
-                self.apply_table(table, "peer")
+                self.apply_table(table, Provenance(DataSource.SNAPSHOT, peer))
         for order in snapshot.orders:
             self.rollouts.apply_order(order)
         for record in snapshot.records:
--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -22,7 +22,7 @@
     HistoryGoneError,
     StoreUnavailableError,
 )
-from rattanpier._internal.models.feed import FeedRow, Page
+from rattanpier._internal.models.feed import DataSource, FeedRow, Page
 from rattanpier._internal.models.revision import Revision
 from rattanpier._internal.relay.fleet import Fleet
 from rattanpier._internal.relay.history import StoreHistory
@@ -88,6 +88,7 @@
       rows: The changed rows, or None if they exceed `MAX_UPDATE_BYTES`.
       settling: Whether the store has just recovered from an outage.
       whole: Whether the rows are the whole table rather than changes.
+      watcher: Name of the entry that read the answer.
     """
 
     table: str
@@ -97,6 +98,7 @@
     rows: list[FeedRow] | None
     settling: bool
     whole: bool = False
+    watcher: str = ""
 
 
 def watch_rank(fleet: Fleet) -> int | None:
@@ -107,11 +109,16 @@
 
 
 def make_update(
-    table: str, before: Revision | None, page: Page, settling: bool
+    watcher: str,
+    table: str,
+    before: Revision | None,
+    page: Page,
+    settling: bool,
 ) -> TableUpdate:
     """Returns the update that publishes an answer of a feed.
 
     Args:
+      watcher: Name of this entry.
       table: Name of the table.
       before: Revision that was applied before the answer, or None.
       page: The answer.
@@ -125,6 +132,7 @@
         rows=page.rows,
         settling=settling,
         whole=page.whole,
+        watcher=watcher,
     )
 
 
@@ -142,6 +150,7 @@
         recovered from an outage.
       rank: Returns this entry's position among the watchers, or None.
       publish: Sends an update to all peers.
+      name: Name of this entry.
       history: Tracks the newest era. State of an earlier era can't be continued
         in a later one, so the whole table is read again.
       since: Revision up to which all changes are applied, None before the first
@@ -152,6 +161,8 @@
       fetch_pending: Whether an update reported a change that has to be fetched.
       requested_at: When the store was last called, in monotonic seconds.
       first_read_at: When the first full read ended, in monotonic seconds.
+      confirmed_at: When an answer of the store last confirmed the applied
+        state, in monotonic seconds.
     """
 
     store: RelayStore
@@ -163,6 +174,7 @@
     rank: Callable[[], int | None]
     publish: Callable[[TableUpdate], None]
     history: StoreHistory
+    name: str = ""
     since: Revision | None = None
     backoff_s: float = 0.0
     received_at: float = float("-inf")
@@ -170,6 +182,7 @@
     fetch_pending: bool = False
     requested_at: float = float("-inf")
     first_read_at: float = float("-inf")
+    confirmed_at: float = float("-inf")
 
     async def run(self) -> None:
         """Follows the table until cancelled."""
@@ -272,7 +285,7 @@
         if not (was_watcher or self.is_watcher()):
             return
         await self.publish_update(
-            make_update(self.table, before, page, settling)
+            make_update(self.name, self.table, before, page, settling)
         )
         if page.rows and not page.whole:
             await self.clock.sleep(BATCH_DELAY_S)
@@ -324,6 +337,7 @@
             return False
         self.store_clock.record_time(page.now_ms, page.revision.era)
         self.since = page.revision
+        self.confirmed_at = self.clock.monotonic()
         self.on_page(page, settling)
         return True
 
@@ -341,6 +355,7 @@
         self.received_at = self.clock.monotonic()
         self.received_revision = max(self.received_revision, update.revision)
         if self.has_applied(update.revision):
+            self.confirmed_at = self.clock.monotonic()
             if update.rows:
                 self.log_ignored("news", len(update.rows), update.revision)
             return
@@ -355,9 +370,20 @@
             if len(rows) < len(update.rows):
                 ignored = len(update.rows) - len(rows)
                 self.log_ignored("rows", ignored, update.revision)
-        page = Page(rows, update.revision, update.now_ms, update.whole)
+        page = Page(
+            rows,
+            update.revision,
+            update.now_ms,
+            update.whole,
+            DataSource.UPDATE,
+            update.watcher,
+        )
         self.accept(page, update.settling and self.health.settling())
 
+    def confirmed_age_s(self) -> float:
+        """Returns the seconds since the store confirmed the applied state."""
+        return self.clock.monotonic() - self.confirmed_at
+
     def log_ignored(self, what: str, rows: int, revision: Revision) -> None:
         """Logs that received data was ignored because of its revision."""
         log.info(
--- a/src/rattanpier/_internal/trace/causes.py
+++ b/src/rattanpier/_internal/trace/causes.py
@@ -9,6 +9,10 @@
 import attrs
 
 from rattanpier._internal.trace.log_lines import LogLine
+from rattanpier._internal.trace.table_versions import (
+    TABLE_IN_FORCE,
+    TableHistory,
+)
 
 SENT = "dispatch: Sent."
 SEND_FAILED = "dispatch: Send failed."
@@ -44,6 +48,7 @@
         began then. The earliest line of any VM counts.
       started: Sorted start times by node.
       stopping: Sorted times of planned stops by node.
+      tables: Changes of the routes.
     """
 
     eras: dict[int, str] = attrs.Factory(dict)
@@ -54,6 +59,8 @@
         lambda: collections.defaultdict(list)
     )
 
+    tables: TableHistory = attrs.Factory(TableHistory)
+
     def record(self, line: LogLine) -> None:
         """Records a log line; lines of other events are ignored."""
         if line.event == STARTED:
@@ -63,6 +70,8 @@
         elif line.event == STORE_RESTORED:
             era = int(line.fields.get("era", 0))
             self.eras[era] = min(line.at, self.eras.get(era, line.at))
+        elif line.event == TABLE_IN_FORCE:
+            self.tables.record(line)
 
     def describe_eras(self) -> list[str]:
         """Returns one sentence for each restoration of the store."""
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -25,16 +25,22 @@
 
 
 def settings_document(
-    store, name="entry-1", seeds=(), zones=None, region="region-a", **bounds
+    store,
+    name="entry-1",
+    seeds=(),
+    zones=None,
+    region="region-a",
+    zone="zone-a",
+    **bounds,
 ):
     """Returns the content of an entry's settings file."""
     return {
         "nodeName": name,
         "role": "entry",
         "ip": "127.0.0.1",
-        "zone": "zone-a",
+        "zone": zone,
         "region": region,
-        "zones": zones or {"zone-a": "region-a"},
+        "zones": zones or {zone: "region-a"},
         "listen": {key: f"127.0.0.1:{free_port()}" for key in LISTENERS},
         "seeds": list(seeds),
         "heartbeatMs": 1200,
--- a/tests/lib/ring.py
+++ b/tests/lib/ring.py
@@ -150,7 +150,7 @@
                 clock=self.clock,
                 needed=lambda: False,
                 build=lambda: None,
-                restore=lambda _snapshot: None,
+                restore=lambda _snapshot, _peer: None,
             ),
             refresh_own_state=lambda: False,
         )
--- a/tests/unit/test_causes.py
+++ b/tests/unit/test_causes.py
@@ -178,3 +178,40 @@
         assert list(result.data["eras"]) == [2]
         assert "older copy" in str(result.shown[-1])
     assert why(path).shown[-1].count("older copy") == 1
+
+
+def in_force(version, node, source="update", **more):
+    return line(
+        "state: Routes in force.",
+        node=node,
+        version=version,
+        source=source,
+        **more,
+    )
+
+
+@pytest.mark.parametrize("refused", [True, False])
+def test_a_request_names_the_routes_that_decided_and_who_had_newer_ones(
+    write_log, refused
+):
+    first = in_force(42, "e2", "checkpoint")
+    newer = in_force(45, "e1", told_by="e3")
+    for _ in range(2):
+        next(TIMES)
+    end = (
+        line("edge: Refused.", "e2", request="r1", code="bad_key", table=42)
+        if refused
+        else sent("r1", node="e2", table=42)
+    )
+    path = write_log(first, newer, end, in_force(46, "e1"))
+    data = trace_request("r1", path).data["table"]
+    assert (data["version"], data["behind_s"]) == (42, 3.0)
+    assert data["change"]["source"] == "checkpoint"
+    assert (data["newer"]["version"], data["newer"]["told_by"]) == (45, "e3")
+    assert why(path).data["late_tables"] == 1
+
+
+def test_a_request_decided_by_the_newest_routes_is_not_late(write_log):
+    path = write_log(in_force(42, "e2"), sent("r1", node="e2", table=42))
+    assert trace_request("r1", path).data["table"]["newer"] is None
+    assert why(path).data["late_tables"] == 0
