Ask the store within the operators' bound whoever fails to tell

What callers saw: requests refused, or run by a former service, 2.07 to 2.48 s after the store had acknowledged a manifest, where 2.0 s are allowed, mostly at one entry that had just started.

Cause: the times after which an entry asks the store itself were constants (2.5 s and a check every 0.2 s) that no bound of the settings was compared with; configApplyMs was read nowhere, drainMs into a field that nothing used. One lost update was repaired by the next answer of a feed, up to 2.3 s later. Class: a promise that rests on the usual path, with a fallback later than the promise.

Change: all times of a follower are fractions of its table's bound (follow_timing.py). Watchers' feeds answer every 0.4 of it; two standby watchers read and publish at 0.54 and 0.57 without any confirmation, other entries read at 0.62 to 0.68; a feed that hangs is given up at 0.5; an idle connection is not used again after 1 s. The same for the workers' table.

Why it works: an entry's knowledge is never older than 0.8 of the bound with its own call, whoever fails.

--- a/src/rattanpier/_internal/models/relay_settings.py
+++ b/src/rattanpier/_internal/models/relay_settings.py
@@ -37,6 +37,8 @@
     Attributes:
       drain_s: Seconds after a worker announced that it leaves, from which on it
         must get no new requests.
+      apply_s: Seconds after the store accepted a change of the operators, from
+        which on it must be in force on entries that are in touch.
       grace_s: Seconds from SIGTERM to SIGKILL.
       contact_s: Seconds for which a VM must have been healthy and connected,
         for rules with a time bound to apply to it.
@@ -54,6 +56,7 @@
     """
 
     drain_s: float = 2.0
+    apply_s: float = 2.0
     grace_s: float = 8.0
     contact_s: float = 3.0
     retry_ratio: float = 0.1
--- a/src/rattanpier/_internal/platform/rows.py
+++ b/src/rattanpier/_internal/platform/rows.py
@@ -41,6 +41,8 @@
 CALL_TIMEOUT_S = 1.0
 SLOW_CALL_TIMEOUT_S = 5.0  # A late answer is better than none.
 MAX_CONNECTIONS = 8  # One feed per table, and other calls.
+# An idle connection may break silently; a call on it would have to time out.
+IDLE_CONNECTION_S = 1.0
 STATUS_GONE = 410
 REFUSED = frozenset({429, 503})  # The store did nothing.
 
--- a/src/rattanpier/_internal/platform/settings.py
+++ b/src/rattanpier/_internal/platform/settings.py
@@ -92,6 +92,8 @@
     defaults = Bounds()
     return Bounds(
         drain_s=read.number(defaults.drain_s * MS, "bounds", "drainMs") / MS,
+        apply_s=read.number(defaults.apply_s * MS, "bounds", "configApplyMs")
+        / MS,
         grace_s=read.number(defaults.grace_s, "bounds", "graceS"),
         contact_s=read.number(defaults.contact_s * MS, "bounds", "contactMs")
         / MS,
--- a/src/rattanpier/_internal/programs/relay_store.py
+++ b/src/rattanpier/_internal/programs/relay_store.py
@@ -9,6 +9,7 @@
 from rattanpier._internal.models.relay_settings import RelaySettings
 from rattanpier._internal.platform import feeds, registrations, rollouts
 from rattanpier._internal.platform.rows import (
+    IDLE_CONNECTION_S,
     MAX_CONNECTIONS,
     PlatformStore,
 )
@@ -23,6 +24,7 @@
 )
 from rattanpier._internal.relay.directory import WorkerDirectory
 from rattanpier._internal.relay.exposure import ExposureBound
+from rattanpier._internal.relay.follow_timing import FollowTiming
 from rattanpier._internal.relay.history import StoreHistory
 from rattanpier._internal.relay.membership import EntryRows
 from rattanpier._internal.relay.own_table import OwnTable
@@ -41,7 +43,9 @@
     """Adds the client of the store and the services that track its state."""
     clock = kernel.find("clock")
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=MAX_CONNECTIONS)
+        connector=aiohttp.TCPConnector(
+            limit=MAX_CONNECTIONS, keepalive_timeout=IDLE_CONNECTION_S
+        )
     )
     kernel.add("http", session, stop=session.close)
     history = kernel.add("history", StoreHistory(clock, kernel.find("metrics")))
@@ -155,14 +159,15 @@
         writer.apply_page(page)
         state.apply_operator_page(page, after_outage)
 
-    page_handlers = {
-        rollouts.ORDERS: apply_operator_page,
-        registrations.TABLE: state.apply_worker_page,
-    }
+    bounds = entry.settings.bounds
+    tables = (
+        (rollouts.ORDERS, apply_operator_page, bounds.apply_s),
+        (registrations.TABLE, state.apply_worker_page, bounds.drain_s),
+    )
     store = CheckpointedStore(
         kernel.find("store"), rollouts.ORDERS, kernel.find("own_table")
     )
-    for table, on_page in page_handlers.items():
+    for table, on_page, bound_s in tables:
         follower = TableFollower(
             store=store,
             clock=kernel.find("clock"),
@@ -174,6 +179,7 @@
             publish=entry.gossip.broadcast_store_news,
             history=kernel.find("history"),
             name=entry.settings.name,
+            timing=FollowTiming(bound_s),
         )
         entry.gossip.followers[table] = follower
         kernel.spawn(follower.run())
--- a/src/rattanpier/_internal/relay/store.py
+++ b/src/rattanpier/_internal/relay/store.py
@@ -21,16 +21,12 @@
 
 log = structlog.get_logger(part="store")
 
-# How long a feed call waits for a change. Long waits save calls, which are
-# billed, but a silently broken connection is noticed only when the call ends.
-FEED_WAIT_S = 2.0
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.5  # Low, so that a recovered store is noticed soon.
 # Time after an outage within which expired registrations are renewed.
 SETTLING_PERIOD_S = 2.0
 # Registrations expire after three heartbeats, so none expires in an outage
-# shorter than about that. Must exceed the interval between answers of a feed,
-# which is `FEED_WAIT_S` or a little more.
+# shorter than about that. Must exceed the interval between answers of a feed.
 MIN_OUTAGE_HEARTBEATS = 2.7
 # Smaller differences come from network latency and clock drift.
 MIN_STEP_MS = 500.0
--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -3,9 +3,10 @@
 Calls to the store are billed, so only a few entries, the watchers, read the
 feed of a table. They publish each answer to all peers at once, also an empty
 one, which shows that nothing was missed. The first watcher publishes; the
-second one publishes only what it has not received from the first. An entry that
-receives no update for a while reads the feed itself: the watchers save calls,
-but no guarantee depends on them alone.
+second one publishes only what it has not received from the first. If neither
+publishes, standby watchers read and publish the table; an entry that receives
+no update even then reads for itself. The times are such that a change applies
+within the operators' bound whichever of them fail, see `follow_timing`.
 """
 
 from __future__ import annotations
@@ -25,9 +26,13 @@
 from rattanpier._internal.models.feed import DataSource, FeedRow, Page
 from rattanpier._internal.models.revision import Revision
 from rattanpier._internal.relay.fleet import Fleet
+from rattanpier._internal.relay.follow_timing import (
+    STANDBY_COUNT,
+    WATCHER_COUNT,
+    FollowTiming,
+)
 from rattanpier._internal.relay.history import StoreHistory
 from rattanpier._internal.relay.store import (
-    FEED_WAIT_S,
     FIRST_BACKOFF_S,
     MAX_BACKOFF_S,
     RelayStore,
@@ -39,24 +44,11 @@
 
 log = structlog.get_logger(part="store")
 
-WATCHER_COUNT = 2  # If one fails, changes still arrive in time.
-# A feed answers at least every `FEED_WAIT_S`; allows 0.5 s for delivery.
-WATCHER_TIMEOUT_S = FEED_WAIT_S + 0.5
-# Interval at which an idle follower checks whether it has to read; a tenth of
-# the allowed delay.
-POLL_INTERVAL_S = 0.2
 # Size limit of an update after compression; each entry fetches a longer change
 # from the store itself. An entry forwards an update to eight peers, which takes
 # 0.2 s at this size on a link of 5 Mbit/s. A table of a few hundred workers,
 # which all entries need when the store loses its history, is shorter.
 MAX_UPDATE_BYTES = 16384
-# An entry that has just started knows of no peer that reaches the store, so it
-# would become a watcher. Within this time, two rounds of heartbeats, it learns
-# which peers do.
-STARTUP_GRACE_S = 1.0
-# Upper bound of the random delay before a non-watcher fetches a change, so that
-# changes in quick succession cost one call.
-FETCH_JITTER_S = 0.3
 # When a new era begins, the watchers read the whole table at once and publish
 # it. Other entries wait this long for it: the time of a full read and of the
 # delivery, with a margin for a long table.
@@ -67,13 +59,6 @@
 # all changes from them.
 RETRY_INTERVAL_S = 2.0
 UP_TO_DATE_RETRY_INTERVAL_S = 5.0
-# Time for which a watcher collects further changes after one, before it reads
-# again: a call and an update cost the same for one change or for many. It is a
-# sixth of the shortest time within which operators want a change in force.
-BATCH_DELAY_S = 0.3
-# Time for which the second watcher waits for the first one's update: the first
-# may be collecting changes, and 0.1 s allows for the delivery.
-BACKUP_DELAY_S = BATCH_DELAY_S + 0.1
 
 
 @attrs.frozen
@@ -102,8 +87,11 @@
 
 
 def watch_rank(fleet: Fleet) -> int | None:
-    """Returns this entry's position among the watchers, None if it is none."""
-    watchers = fleet.preferred("watch", WATCHER_COUNT)
+    """Returns this entry's position among watchers and standby watchers.
+
+    It is None if the entry is neither.
+    """
+    watchers = fleet.preferred("watch", WATCHER_COUNT + STANDBY_COUNT)
     name = fleet.me.member.name
     return watchers.index(name) if name in watchers else None
 
@@ -148,19 +136,23 @@
       table: Name of the table.
       on_page: Called with each applied page and with whether the store has just
         recovered from an outage.
-      rank: Returns this entry's position among the watchers, or None.
+      rank: Returns this entry's position among the watchers and, after them,
+        the standby watchers, or None.
       publish: Sends an update to all peers.
       name: Name of this entry.
       history: Tracks the newest era. State of an earlier era can't be continued
         in a later one, so the whole table is read again.
       since: Revision up to which all changes are applied, None before the first
         full read.
+      timing: When the follower acts.
       backoff_s: Current delay after a failed call, in seconds.
       received_at: When the last update of a watcher came, in monotonic seconds.
       received_revision: Newest revision that the updates reported.
       fetch_pending: Whether an update reported a change that has to be fetched.
       requested_at: When the store was last called, in monotonic seconds.
       first_read_at: When the first full read ended, in monotonic seconds.
+      jitter_s: Random addition to the time after which this entry reads for
+        itself, since many entries may miss the same update.
       confirmed_at: When an answer of the store last confirmed the applied
         state, in monotonic seconds.
     """
@@ -175,6 +167,7 @@
     publish: Callable[[TableUpdate], None]
     history: StoreHistory
     name: str = ""
+    timing: FollowTiming = FollowTiming()
     since: Revision | None = None
     backoff_s: float = 0.0
     received_at: float = float("-inf")
@@ -182,27 +175,37 @@
     fetch_pending: bool = False
     requested_at: float = float("-inf")
     first_read_at: float = float("-inf")
+    jitter_s: float = 0.0
     confirmed_at: float = float("-inf")
 
     async def run(self) -> None:
         """Follows the table until cancelled."""
         while True:
             if self.should_wait():
-                await self.clock.sleep(POLL_INTERVAL_S)
+                await self.clock.sleep(self.timing.poll_interval_s)
             else:
                 await self.step()
 
     def is_watcher(self) -> bool:
         """Returns whether this entry is one of the watchers."""
-        return self.rank() is not None
+        rank = self.rank()
+        return rank is not None and rank < WATCHER_COUNT
 
     def is_up_to_date(self) -> bool:
         """Returns whether recent updates of watchers are all applied."""
-        fresh = self.clock.monotonic() - self.received_at < WATCHER_TIMEOUT_S
+        fresh = self.clock.monotonic() - self.received_at < self.timeout_s()
         if self.is_outdated():
             return False
         return fresh and self.has_applied(self.received_revision)
 
+    def timeout_s(self) -> float:
+        """Returns for how long this entry relies on an update."""
+        if self.received_at <= self.first_read_at:
+            return self.timing.startup_timeout_s
+        rank = self.rank()
+        jitter_s = self.jitter_s if rank is None else 0.0
+        return self.timing.timeout_s(rank) + jitter_s
+
     def has_applied(self, revision: Revision) -> bool:
         """Returns whether all changes up to a revision are applied."""
         return self.since is not None and self.since >= revision
@@ -223,34 +226,33 @@
                 and now - self.history.era_began_at < ERA_UPDATE_WAIT_S
             ):
                 return True
-        elif now - self.first_read_at < STARTUP_GRACE_S:
+        elif now - self.first_read_at < self.timing.startup_grace_s:
             return True
         if self.is_watcher():
             return False
         if not self.health.available:
-            retry_s = (
-                UP_TO_DATE_RETRY_INTERVAL_S
-                if self.is_up_to_date()
-                else RETRY_INTERVAL_S
-            )
-            return now - self.requested_at < retry_s
+            return now - self.requested_at < self.retry_interval_s()
         return self.is_up_to_date()
 
+    def retry_interval_s(self) -> float:
+        """Returns how long a non-watcher waits after a failed call."""
+        if self.is_up_to_date():
+            return UP_TO_DATE_RETRY_INTERVAL_S
+        # A single failure must not delay a change beyond the bound.
+        return min(RETRY_INTERVAL_S, 2 * max(FIRST_BACKOFF_S, self.backoff_s))
+
     async def step(self) -> None:
         """Reads from the store once and publishes the answer if due."""
         was_watcher = self.is_watcher()
         if (self.fetch_pending or self.is_outdated()) and not was_watcher:
-            await self.clock.sleep(random.uniform(0.0, FETCH_JITTER_S))
+            await self.clock.sleep(
+                random.uniform(0.0, self.timing.max_fetch_jitter_s)
+            )
         self.fetch_pending = False
+        self.jitter_s = random.uniform(0.0, self.timing.max_jitter_s)
         self.requested_at = self.clock.monotonic()
         try:
-            # After an outage the first call must not wait for a change: its
-            # answer carries the era, and the feed of a restored store may have
-            # no change after the requested version.
-            wait = self.health.available and (
-                was_watcher or not self.is_up_to_date()
-            )
-            page = await self.read(wait)
+            page = await self.read(self.feed_wait_s())
         except HistoryGoneError:
             # What was missed can't be distinguished from what reappeared since.
             log.info("Change history expired, reading all.", table=self.table)
@@ -259,9 +261,10 @@
         except StoreUnavailableError as error:
             self.health.record_failure(error)
             self.backoff_s = min(
-                MAX_BACKOFF_S, max(FIRST_BACKOFF_S, 2 * self.backoff_s)
+                RETRY_INTERVAL_S, max(FIRST_BACKOFF_S, 2 * self.backoff_s)
             )
-            await self.clock.sleep(self.backoff_s * random.uniform(0.5, 1.0))
+            delay_s = min(MAX_BACKOFF_S, self.backoff_s)
+            await self.clock.sleep(delay_s * random.uniform(0.5, 1.0))
             return
         if page is None:
             return
@@ -280,32 +283,70 @@
             return
         # The set of watchers changes while entries recover from an outage. An
         # entry that became a watcher during the call publishes too: the former
-        # watcher may be idle already, so that a change would reach no peer for
-        # 2.5 s.
-        if not (was_watcher or self.is_watcher()):
+        # watcher may be idle already. A standby watcher reads only if it
+        # received no update of a watcher.
+        if not was_watcher and self.rank() is None:
             return
         await self.publish_update(
             make_update(self.name, self.table, before, page, settling)
         )
         if page.rows and not page.whole:
-            await self.clock.sleep(BATCH_DELAY_S)
+            await self.clock.sleep(self.timing.batch_delay_s)
+
+    def feed_wait_s(self) -> float:
+        """Returns how long the next feed call may wait for a change.
+
+        After an outage the first call must not wait: its answer carries the
+        era, and the feed of a restored store may have no change after the
+        requested version. A wait ends when a confirmation is due.
+        """
+        if not self.health.available:
+            return 0.0
+        if self.is_up_to_date() and not self.is_watcher():
+            return 0.0
+        return max(0.0, self.timing.feed_wait_s - self.confirmed_age_s())
 
     async def publish_update(self, update: TableUpdate) -> None:
         """Publishes an update, unless the first watcher has done so."""
-        if self.rank() != 0:
-            await self.clock.sleep(BACKUP_DELAY_S)
+        if self.rank() == 1:
+            await self.clock.sleep(self.timing.backup_delay_s(update.rows))
             received = self.received_at >= self.requested_at
             if received and self.received_revision >= update.revision:
                 return
         self.publish(update)
 
-    async def read(self, wait: bool) -> Page | None:
-        """Returns the next page, or None if a new era began meanwhile."""
+    async def read(self, wait_s: float) -> Page | None:
+        """Returns the next page.
+
+        The result is None if a new era began meanwhile, or if the answer to a
+        call that waits for a change is overdue.
+        """
         if self.since is None or self.is_outdated():
             return await self.store.scan(self.table)
-        wait_s = FEED_WAIT_S if wait else 0.0
         changes = self.store.changes(self.table, self.since, wait_s)
-        return await self.wait_in_era(asyncio.ensure_future(changes))
+        call = asyncio.ensure_future(changes)
+        if not wait_s:
+            return await self.wait_in_era(call)
+        guard = asyncio.ensure_future(self.cancel_when_overdue(call))
+        try:
+            return await self.wait_in_era(call)
+        finally:
+            guard.cancel()
+
+    async def cancel_when_overdue(self, call: asyncio.Future[Page]) -> None:
+        """Cancels a call once nothing has confirmed the state for too long.
+
+        The connection may have broken silently; the next call uses another.
+        """
+        timeout_s = self.timing.timeout_s(0)
+        while (left_s := timeout_s - self.confirmed_age_s()) > 0:
+            await asyncio.sleep(left_s)
+        log.info(
+            "Feed is overdue; asking again.",
+            table=self.table,
+            confirmed_age_s=round(self.confirmed_age_s(), 3),
+        )
+        call.cancel()
 
     async def wait_in_era(self, call: asyncio.Future[Page]) -> Page | None:
         """Returns a call's result, None if a new era cancels the call."""
--- a/tests/lib/followed_ring.py
+++ b/tests/lib/followed_ring.py
@@ -17,6 +17,7 @@
 from rattanpier._internal.models.feed import FeedRow, Page
 from rattanpier._internal.models.revision import Revision
 from rattanpier._internal.relay.fleet import EntryState
+from rattanpier._internal.relay.follow_timing import FollowTiming
 from rattanpier._internal.relay.store import StoreClock, StoreHealth
 from rattanpier._internal.relay.watch import TableFollower, watch_rank
 from tests.lib.ring import Ring, RingLink, RingLinks
@@ -225,6 +226,8 @@
             rank=lambda: watch_rank(entry.fleet),
             publish=entry.gossip.broadcast_store_news,
             history=entry.gossip.shared_state.history,
+            name=name,
+            timing=FollowTiming(self.bound_s),
         )
         entry.gossip.followers[TABLE] = follower
         entry.broadcaster.handlers["store_news"] = (
