Spread duties over failure domains, away from entries that leave

The two watchers of a table could stand in one failure domain, and an entry that was told to stop kept its duties until its process ended, so that one planned or unplanned loss took what the other entries rely on. They then had to fall back on their own calls. Both tests fail before.

--- a/src/rattanpier/_internal/relay/fleet.py
+++ b/src/rattanpier/_internal/relay/fleet.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import bisect
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, TypeVar
 
 import attrs
@@ -215,7 +215,9 @@
         """Returns the names of the entries assigned to a duty.
 
         Entries with the same view get the same result, by rendezvous hashing
-        over the entries that reach the store or, if none does, all live ones.
+        over the entries that reach the store and stay or, if none does, all
+        live ones. The first names are of different failure domains, so that
+        the loss of one domain does not take all of them.
 
         Args:
           duty: Name of the duty.
@@ -223,10 +225,15 @@
         """
 
         def rank() -> list[str]:
-            live = self.live()
-            able = [state.member.name for state in live if state.store]
-            able = able or [state.member.name for state in live]
-            return rendezvous(duty, able)
+            live = {state.member.name: state for state in self.live()}
+            able = [
+                name
+                for name, state in live.items()
+                if state.store and state.member.state is MemberState.LIVE
+            ]
+            ranked = rendezvous(duty, able or list(live))
+            domains = {name: live[name].member.domain for name in ranked}
+            return spread_over_domains(ranked, domains)
 
         return self.cached(f"preferred for {duty}", rank)[:count]
 
@@ -357,6 +364,27 @@
         return [each for each in states if self.apply_state(each)]
 
 
+def spread_over_domains(
+    names: Iterable[str], domains: Mapping[str, str]
+) -> list[str]:
+    """Returns names with the first one of each failure domain in front.
+
+    Args:
+      names: Names in order of preference, which is kept otherwise.
+      domains: Failure domain of each name.
+
+    >>> spread_over_domains("abcd", {"a": "x", "b": "x", "c": "y", "d": "y"})
+    ['a', 'c', 'b', 'd']
+    """
+    seen: set[str] = set()
+    first: list[str] = []
+    others: list[str] = []
+    for name in names:
+        (others if domains[name] in seen else first).append(name)
+        seen.add(domains[name])
+    return first + others
+
+
 def describe(state: EntryState) -> str:
     """Formats an entry's state for a log line."""
     flags_set = {
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -205,3 +205,31 @@
         fleet.apply_state(attrs.evolve(state, sequence=2, store=False))
     assert fleet.preferred("watch", 2)[0] == second
     assert set(fleet.preferred("watch", 2)) == holders
+
+
+def test_duties_are_not_all_in_one_failure_domain(fleet):
+    fleet.update_own_state(store=True)
+    domains = {"e1": "a"}
+    for number in range(2, 9):
+        domains[f"e{number}"] = "a" if number < 8 else "b"
+        state = make_entry_state(f"e{number}", sequence=1, store=True)
+        member = attrs.evolve(state.member, domain=domains[f"e{number}"])
+        fleet.apply_state(attrs.evolve(state, member=member))
+    for duty in ("watch", "queues", "restore"):
+        first = fleet.preferred(duty, 2)
+        assert {domains[name] for name in first} == {"a", "b"}
+        assert len(set(fleet.preferred(duty, 8))) == 8
+
+
+def test_an_entry_that_leaves_hands_its_duties_over(fleet):
+    fleet.update_own_state(store=True)
+    for name in ("e2", "e3"):
+        fleet.apply_state(make_entry_state(name, sequence=1, store=True))
+    first = fleet.preferred("watch", 1)[0]
+    state = fleet.me if first == "e1" else fleet.peers[first]
+    member = attrs.evolve(state.member, state=MemberState.LEAVING)
+    if first == "e1":
+        fleet.update_own_state(member=member)
+    else:
+        fleet.apply_state(attrs.evolve(state, member=member, sequence=2))
+    assert first not in fleet.preferred("watch", 2)
