Count a page as applied only once it is, and restart tasks that fail

A follower moved its revision forward before the page was applied, so that an exception on the way, of a subscriber say, lost the page's rows for good, and the kernel only logged a task that raised: the entry went on serving and said that it was ready, without following the store. Now the revision moves after the page, a failed page is read again whole, and the tasks that an entry needs start again after a second. A handler of peers' calls that raises answers with a failure rather than not at all. Both tests fail before. Decoders stay as they are: tests/relay/test_rows.py finds no row that makes them raise.

--- a/src/rattanpier/_internal/kernel.py
+++ b/src/rattanpier/_internal/kernel.py
@@ -17,6 +17,9 @@
 
 log = structlog.get_logger(part="kernel")
 
+# Bounds the log lines and calls of a task that fails each time.
+RESTART_DELAY_S = 1.0
+
 Hook = Callable[[], Awaitable[None]]
 T = TypeVar("T")
 
@@ -73,6 +76,32 @@
             raise KernelError(f"there is no service {name!r}")
         return self.services[name].value
 
+    def spawn_restarting(
+        self, run: Callable[[], Coroutine[Any, Any, Any]], name: str
+    ) -> asyncio.Task[Any]:
+        """Runs a task that the process needs for as long as it runs.
+
+        A task that raises is logged and started again after
+        `RESTART_DELAY_S`.
+
+        Args:
+          run: Returns the coroutine to run.
+          name: Name for the log.
+        """
+        return self.spawn(self.run_restarting(run, name))
+
+    async def run_restarting(
+        self, run: Callable[[], Coroutine[Any, Any, Any]], name: str
+    ) -> None:
+        """Runs a coroutine function again whenever it raises."""
+        while True:
+            try:
+                await run()
+                return
+            except Exception:
+                log.exception("Task failed; starting it again.", task=name)
+            await asyncio.sleep(RESTART_DELAY_S)
+
     def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Runs a coroutine as a task that the kernel cancels when it stops."""
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/src/rattanpier/_internal/peers/server.py
+++ b/src/rattanpier/_internal/peers/server.py
@@ -103,6 +103,10 @@
                 reply = await handler(call)
             except RattanpierError as error:
                 reply = failure_reply(error.code, error.message)
+            except Exception as error:
+                # The peer would wait for its timeout and repeat the call.
+                log.exception("Call of a peer failed.", kind=kind)
+                reply = failure_reply("internal", repr(error))
         reply.id = call.id
         outgoing.put_nowait(reply)
 
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -90,8 +90,11 @@
     add_followers(entry)
     add_own_rows(entry)
     add_worker_updates(entry)
-    kernel.spawn(gossip.run())
-    kernel.spawn(call_periodically(DROP_MISSING_INTERVAL_S, state.drop_missing))
+    kernel.spawn_restarting(gossip.run, "gossip")
+    kernel.spawn_restarting(
+        lambda: call_periodically(DROP_MISSING_INTERVAL_S, state.drop_missing),
+        "expiry of registrations",
+    )
     await listen(entry, listener)
     return entry
 
--- a/src/rattanpier/_internal/programs/relay_store.py
+++ b/src/rattanpier/_internal/programs/relay_store.py
@@ -104,8 +104,8 @@
         lambda: health.available,
         quarantine_rows.apply_row,
     )
-    kernel.spawn(rows.run())
-    kernel.spawn(quarantine_rows.run())
+    kernel.spawn_restarting(rows.run, "rows of entries")
+    kernel.spawn_restarting(quarantine_rows.run, "quarantine rows")
     driver = make_driver(entry)
     restorer = RowRestorer(
         kernel.find("store"),
@@ -121,8 +121,8 @@
             driver.find_lost_rows,
         ),
     )
-    kernel.spawn(driver.run())
-    kernel.spawn(restorer.run())
+    kernel.spawn_restarting(driver.run, "roll-out driver")
+    kernel.spawn_restarting(restorer.run, "row restorer")
 
 
 def make_driver(entry: RelayEntry) -> RolloutDriver:
@@ -182,5 +182,5 @@
             timing=FollowTiming(bound_s),
         )
         entry.gossip.followers[table] = follower
-        kernel.spawn(follower.run())
-    kernel.spawn(writer.run())
+        kernel.spawn_restarting(follower.run, f"follower of {table}")
+    kernel.spawn_restarting(writer.run, "checkpoint writer")
--- a/src/rattanpier/_internal/programs/relay_workers.py
+++ b/src/rattanpier/_internal/programs/relay_workers.py
@@ -71,7 +71,7 @@
         identity_checker(session, entry.state.health_path_of, read_report),
         dispatcher.terminations.record_alive,
     )
-    entry.kernel.spawn(checks.run())
+    entry.kernel.spawn_restarting(checks.run, "termination checks")
 
 
 def add_queue_watch(entry: RelayEntry, read_report: ReadReport) -> None:
@@ -99,7 +99,7 @@
     entry.gossip.broadcaster.handlers["queue_news"] = queues.receive_update
     entry.gossip.broadcaster.handlers["queue_part"] = queues.receive_part
     if entry.settings.policy.queue_reading:
-        entry.kernel.spawn(queues.run())
+        entry.kernel.spawn_restarting(queues.run, "queue watch")
 
 
 def add_prompt_updates(entry: RelayEntry) -> None:
--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -377,9 +377,14 @@
             self.log_ignored("page", len(page.rows), page.revision)
             return False
         self.store_clock.record_time(page.now_ms, page.revision.era)
+        try:
+            self.on_page(page, settling)
+        except Exception:
+            # Its rows must not count as applied; the next read repeats them.
+            self.since = None
+            raise
         self.since = page.revision
         self.confirmed_at = self.clock.monotonic()
-        self.on_page(page, settling)
         return True
 
     def apply_update(self, update: TableUpdate) -> None:
--- a/tests/relay/test_watch.py
+++ b/tests/relay/test_watch.py
@@ -556,3 +556,45 @@
         clock.now += 1.0
         store_clock.record_time(50_000.0 + step_ms + 1000.0 * second, 2)
         assert store_clock.now_ms() == 50_000.0 + 1000.0 * second
+
+
+async def test_a_page_that_could_not_be_applied_is_read_again(clock):
+    rows = [FeedRow("config", b"v", at(9))]
+    page = Page(rows, at(9), 1.0, whole=True)
+    follower, _ = make_follower(clock, page, lambda: None, at(5))
+    follower.health.record_answer()
+    follower.store.release.set()
+    applied = []
+
+    def apply_second_time(page, _settling):
+        applied.append(page)
+        if len(applied) == 1:
+            raise RuntimeError("of a subscriber")
+
+    follower.on_page = apply_second_time
+    with pytest.raises(RuntimeError):
+        await follower.step()
+    assert not follower.has_applied(at(9))
+    assert not follower.is_up_to_date()
+    await follower.step()
+    assert follower.has_applied(at(9))
+    assert len(applied) == 2
+
+
+async def test_an_entry_follows_the_store_again_after_its_task_failed(site):
+    await wait_until_up_to_date(site)
+    follower = next(each for each in followers(site) if each.is_watcher())
+    step = type(follower).step
+    failed = []
+
+    async def fail_once(self):
+        if self is follower and not failed:
+            failed.append(self)
+            raise RuntimeError("of a step")
+        await step(self)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(type(follower), "step", fail_once)
+        await until(lambda: failed)
+        called_at = follower.requested_at
+        await until(lambda: follower.requested_at > called_at)
