Count freshness from the store's answer rather than its arrival

An update that waited on its way, or in a process that stood still, counted as new for as long as one that had just been given, so that an entry relied on what the store had said seconds before. The estimate of the store's clock was set back by such an answer, so that the next late one looked younger still. The estimate now only follows answers that are newer than it, or that contradict the entry's own call, and confirmations count from the store's answer. Three tests fail before.

The simulated store waits at least a microsecond: virtual time stood still for shorter waits.

--- a/src/rattanpier/_internal/relay/store.py
+++ b/src/rattanpier/_internal/relay/store.py
@@ -128,6 +128,7 @@
       clock: Monotonic clock of this entry.
       reported_ms: The last reported time, plus the offset.
       reported_at: When it was reported, in monotonic seconds.
+      is_known: Whether any answer reported a time.
       era: Newest era of the store that reported a time.
       offset_ms: Added to the times that the store reports.
     """
@@ -135,16 +136,35 @@
     clock: Clock
     reported_ms: float = 0.0
     reported_at: float = 0.0
+    is_known: bool = False
     era: int = 0
     offset_ms: float = 0.0
 
-    def record_time(self, now_ms: float, era: int = 0) -> None:
-        """Records the time that an answer reports, and its era."""
+    def record_answer(
+        self, now_ms: float, era: int = 0, requested_at: float = -math.inf
+    ) -> float:
+        """Records the time that an answer reports; returns its age in s.
+
+        An answer may have waited on its way or in this process. It is as old
+        as the estimate has gone on since the reported time, but not older than
+        the request for it; if it seems to be, the estimate is wrong.
+
+        Args:
+          now_ms: The store's clock when it answered, in ms.
+          era: Era of the answer.
+          requested_at: When this entry sent the call, in monotonic seconds;
+            minus infinity if a peer did.
+        """
+        now = self.clock.monotonic()
         if self.era and era > self.era:
             self.update_offset(now_ms)
         self.era = max(era, self.era)
-        self.reported_ms = now_ms + self.offset_ms
-        self.reported_at = self.clock.monotonic()
+        age_s = (self.now_ms() - now_ms - self.offset_ms) / 1000
+        if self.is_known and 0.0 <= age_s <= now - requested_at:
+            return age_s
+        self.reported_ms, self.reported_at = now_ms + self.offset_ms, now
+        self.is_known = True
+        return 0.0
 
     def update_offset(self, now_ms: float) -> None:
         """Sets the offset that continues the clock into a new era."""
--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -58,6 +58,7 @@
 # from the watchers, and an entry that alone is rejected by the store receives
 # all changes from them.
 RETRY_INTERVAL_S = 2.0
+MIN_SLEEP_S = 0.001  # Rounding may leave a time too short to pass.
 UP_TO_DATE_RETRY_INTERVAL_S = 5.0
 
 
@@ -146,7 +147,8 @@
         full read.
       timing: When the follower acts.
       backoff_s: Current delay after a failed call, in seconds.
-      received_at: When the last update of a watcher came, in monotonic seconds.
+      received_at: When the store gave the newest answer that a watcher
+        published, in monotonic seconds.
       received_revision: Newest revision that the updates reported.
       fetch_pending: Whether an update reported a change that has to be fetched.
       requested_at: When the store was last called, in monotonic seconds.
@@ -275,7 +277,7 @@
             # A full read is as current as an update of a watcher.
             self.first_read_at = self.received_at = self.clock.monotonic()
         settling = self.health.settling()
-        if not self.accept(page, settling):
+        if not self.accept(page, settling, self.requested_at):
             if page.whole:
                 # Avoids a busy loop while the store still answers with an
                 # earlier era.
@@ -310,8 +312,8 @@
         """Publishes an update, unless the first watcher has done so."""
         if self.rank() == 1:
             await self.clock.sleep(self.timing.backup_delay_s(update.rows))
-            received = self.received_at >= self.requested_at
-            if received and self.received_revision >= update.revision:
+            recent = update.rows or self.received_at >= self.requested_at
+            if recent and self.received_revision >= update.revision:
                 return
         self.publish(update)
 
@@ -340,7 +342,7 @@
         """
         timeout_s = self.timing.timeout_s(0)
         while (left_s := timeout_s - self.confirmed_age_s()) > 0:
-            await asyncio.sleep(left_s)
+            await asyncio.sleep(max(MIN_SLEEP_S, left_s))
         log.info(
             "Feed is overdue; asking again.",
             table=self.table,
@@ -363,11 +365,19 @@
         finally:
             subscription.dispose()
 
-    def accept(self, page: Page, settling: bool) -> bool:
+    def accept(
+        self, page: Page, settling: bool, requested_at: float = float("-inf")
+    ) -> bool:
         """Applies a page unless it is outdated; returns whether it did.
 
         A newer page may have been applied meanwhile. Changes of another era
         than the applied state don't include what was lost between the two.
+
+        Args:
+          page: The page.
+          settling: Whether the store has just recovered from an outage.
+          requested_at: When this entry asked for it, in monotonic seconds;
+            minus infinity if a watcher did.
         """
         older = self.since is not None and page.revision < self.since
         of_other_era = not page.whole and (
@@ -376,7 +386,9 @@
         if older or of_other_era or page.revision.era < self.history.era:
             self.log_ignored("page", len(page.rows), page.revision)
             return False
-        self.store_clock.record_time(page.now_ms, page.revision.era)
+        age_s = self.store_clock.record_answer(
+            page.now_ms, page.revision.era, requested_at
+        )
         try:
             self.on_page(page, settling)
         except Exception:
@@ -384,9 +396,14 @@
             self.since = None
             raise
         self.since = page.revision
-        self.confirmed_at = self.clock.monotonic()
+        self.record_confirmation(age_s)
         return True
 
+    def record_confirmation(self, age_s: float) -> None:
+        """Records that an answer of some age confirmed the applied state."""
+        at = self.clock.monotonic() - age_s
+        self.confirmed_at = max(self.confirmed_at, at)
+
     def apply_update(self, update: TableUpdate) -> None:
         """Applies an update of a watcher, or marks its change as pending."""
         self.health.record_reachable()
@@ -398,10 +415,16 @@
         if not update.whole and (self.since is None or self.is_outdated()):
             self.fetch_pending = True
             return
-        self.received_at = self.clock.monotonic()
+        # An update may have waited on its way, or while this process did not
+        # run: it is only as new as the store's answer.
+        age_s = self.store_clock.record_answer(
+            update.now_ms, update.revision.era
+        )
+        answered_at = self.clock.monotonic() - age_s
+        self.received_at = max(self.received_at, answered_at)
         self.received_revision = max(self.received_revision, update.revision)
         if self.has_applied(update.revision):
-            self.confirmed_at = self.clock.monotonic()
+            self.record_confirmation(age_s)
             if update.rows:
                 self.log_ignored("news", len(update.rows), update.revision)
             return
--- a/tests/lib/followed_ring.py
+++ b/tests/lib/followed_ring.py
@@ -79,7 +79,7 @@
         end = now() + wait_s
         while since.version >= self.store.version and now() < end:
             changed = asyncio.ensure_future(self.store.changed.wait())
-            await asyncio.wait({changed}, timeout=end - now())
+            await asyncio.wait({changed}, timeout=max(1e-6, end - now()))
             changed.cancel()
         page = self.store.page(since.version, whole=False)
         if self.silent:
--- a/tests/relay/test_watch.py
+++ b/tests/relay/test_watch.py
@@ -551,10 +551,10 @@
 @pytest.mark.parametrize("step_ms", [-7000.0, 0.0, 30_000.0])
 async def test_the_store_clock_is_continuous_across_eras(clock, step_ms):
     store_clock = StoreClock(clock)
-    store_clock.record_time(50_000.0, 1)
+    store_clock.record_answer(50_000.0, 1)
     for second in range(1, 4):
         clock.now += 1.0
-        store_clock.record_time(50_000.0 + step_ms + 1000.0 * second, 2)
+        store_clock.record_answer(50_000.0 + step_ms + 1000.0 * second, 2)
         assert store_clock.now_ms() == 50_000.0 + 1000.0 * second
 
 
@@ -598,3 +598,52 @@
         await until(lambda: failed)
         called_at = follower.requested_at
         await until(lambda: follower.requested_at > called_at)
+
+
+def empty_update(now_ms):
+    return TableUpdate("op", at(9), at(9), now_ms, [], False)
+
+
+def test_an_update_is_only_as_new_as_the_answer_of_the_store(clock):
+    follower, _ = make_follower(clock, None, lambda: None, at(9))
+    follower.apply_update(empty_update(100_000.0))
+    assert follower.is_up_to_date()
+    clock.now += 3.0
+    # It waited on its way for longer than an entry relies on an update.
+    follower.apply_update(empty_update(101_000.0))
+    assert not follower.is_up_to_date()
+    assert follower.confirmed_age_s() == pytest.approx(2.0)
+    follower.apply_update(empty_update(103_000.0))
+    assert follower.is_up_to_date()
+
+
+async def test_an_answer_read_late_is_as_old_as_the_stores_answer(clock):
+    pages = [Page([], at(9), ms, whole=False) for ms in (50_000.0, 50_004.0)]
+    follower, _ = make_follower(clock, pages[0], lambda: None, at(9))
+    follower.store.release.set()
+    await follower.step()
+    follower.store.release.clear()
+    follower.store.page = pages[1]
+    step = asyncio.create_task(follower.step())
+    await follower.store.called.wait()
+    await asyncio.sleep(0)
+    # The process did not run while the answer lay in its socket.
+    clock.now += 5.0
+    follower.store.release.set()
+    await step
+    assert follower.confirmed_age_s() == pytest.approx(4.996)
+
+
+async def test_a_store_clock_that_went_back_is_noticed_by_an_own_call(clock):
+    page = Page([], at(9), 20_000.0, whole=False)
+    follower, _ = make_follower(clock, page, lambda: None, at(9))
+    follower.store.release.set()
+    follower.apply_update(empty_update(100_000.0))
+    clock.now += 1.0
+    follower.apply_update(empty_update(19_000.0))
+    assert follower.confirmed_age_s() == pytest.approx(1.0)
+    await follower.step()
+    assert follower.confirmed_age_s() == 0.0
+    clock.now += 0.5
+    follower.apply_update(empty_update(20_500.0))
+    assert follower.confirmed_age_s() == 0.0
