--- a/tests/relay/test_watch.py
+++ b/tests/relay/test_watch.py
@@ -5,6 +5,10 @@
 import pytest
 
 from rattanpier._internal.models.feed import FeedRow, Page
+from rattanpier._internal.relay.follow_timing import (
+    WATCHER_COUNT,
+    FollowTiming,
+)
 from rattanpier._internal.relay.history import StoreHistory
 from rattanpier._internal.relay.store import (
     SETTLING_PERIOD_S,
@@ -13,9 +17,6 @@
 )
 from rattanpier._internal.relay.watch import (
     ERA_UPDATE_WAIT_S,
-    STARTUP_GRACE_S,
-    WATCHER_COUNT,
-    WATCHER_TIMEOUT_S,
     TableFollower,
     TableUpdate,
     pack_update,
@@ -31,6 +32,11 @@
 from tests.lib.relay_parts import at
 
 ENTRIES = 5
+TIMING = FollowTiming()
+# The longest time for which an entry relies on an update.
+FOLLOWER_TIMEOUT_S = max(
+    TIMING.timeout_s(None) + TIMING.max_jitter_s, TIMING.startup_timeout_s
+)
 
 
 @pytest.fixture
@@ -123,7 +129,7 @@
 async def test_an_entry_without_updates_reads_the_feed_itself(site):
     await wait_until_up_to_date(site)
     isolated = next(each for each in followers(site) if not each.is_watcher())
-    isolated.received_at -= WATCHER_TIMEOUT_S
+    isolated.received_at -= FOLLOWER_TIMEOUT_S
     assert not isolated.should_wait()
 
 
@@ -157,7 +163,7 @@
     follower.store.release.set()
     await follower.step()
     assert follower.should_wait()
-    clock.now += WATCHER_TIMEOUT_S
+    clock.now += FOLLOWER_TIMEOUT_S
     assert not follower.should_wait()
 
 
@@ -167,7 +173,7 @@
     follower.health.record_answer()
     follower.store.release.set()
     await follower.step()
-    clock.now += WATCHER_TIMEOUT_S
+    clock.now += FOLLOWER_TIMEOUT_S
     # The store dropped its change history, and no watcher publishes.
     follower.since = None
     await follower.step()
@@ -182,14 +188,14 @@
     step = asyncio.create_task(follower.step())
     await until(lambda: follower.since == at(9))
     assert follower.should_wait()
-    clock.now += STARTUP_GRACE_S
+    clock.now += TIMING.startup_grace_s
     assert not follower.should_wait()
     step.cancel()
 
 
 async def test_a_lost_history_costs_the_watchers_calls_alone(site):
     await wait_until_up_to_date(site)
-    await asyncio.sleep(STARTUP_GRACE_S)
+    await asyncio.sleep(TIMING.startup_grace_s)
     site.store.calls.clear()
     site.store.put("op", "config", manifest(version=8))
     site.store.compact()
@@ -527,7 +533,7 @@
 
 async def test_only_watchers_read_the_tables_of_a_new_era(site):
     await wait_until_up_to_date(site)
-    await asyncio.sleep(STARTUP_GRACE_S)
+    await asyncio.sleep(TIMING.startup_grace_s)
     kept = site.store.take_backup()
     site.store.put("op", "config", manifest(version=8))
     for each in followers(site):
@@ -545,8 +551,99 @@
 @pytest.mark.parametrize("step_ms", [-7000.0, 0.0, 30_000.0])
 async def test_the_store_clock_is_continuous_across_eras(clock, step_ms):
     store_clock = StoreClock(clock)
-    store_clock.record_time(50_000.0, 1)
+    store_clock.record_answer(50_000.0, 1)
     for second in range(1, 4):
         clock.now += 1.0
-        store_clock.record_time(50_000.0 + step_ms + 1000.0 * second, 2)
+        store_clock.record_answer(50_000.0 + step_ms + 1000.0 * second, 2)
         assert store_clock.now_ms() == 50_000.0 + 1000.0 * second
+
+
+async def test_a_page_that_could_not_be_applied_is_read_again(clock):
+    rows = [FeedRow("config", b"v", at(9))]
+    page = Page(rows, at(9), 1.0, whole=True)
+    follower, _ = make_follower(clock, page, lambda: None, at(5))
+    follower.health.record_answer()
+    follower.store.release.set()
+    applied = []
+
+    def apply_second_time(page, _settling):
+        applied.append(page)
+        if len(applied) == 1:
+            raise RuntimeError("of a subscriber")
+
+    follower.on_page = apply_second_time
+    with pytest.raises(RuntimeError):
+        await follower.step()
+    assert not follower.has_applied(at(9))
+    assert not follower.is_up_to_date()
+    await follower.step()
+    assert follower.has_applied(at(9))
+    assert len(applied) == 2
+
+
+async def test_an_entry_follows_the_store_again_after_its_task_failed(site):
+    await wait_until_up_to_date(site)
+    follower = next(each for each in followers(site) if each.is_watcher())
+    step = type(follower).step
+    failed = []
+
+    async def fail_once(self):
+        if self is follower and not failed:
+            failed.append(self)
+            raise RuntimeError("of a step")
+        await step(self)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(type(follower), "step", fail_once)
+        await until(lambda: failed)
+        called_at = follower.requested_at
+        await until(lambda: follower.requested_at > called_at)
+
+
+def empty_update(now_ms):
+    return TableUpdate("op", at(9), at(9), now_ms, [], False)
+
+
+def test_an_update_is_only_as_new_as_the_answer_of_the_store(clock):
+    follower, _ = make_follower(clock, None, lambda: None, at(9))
+    follower.apply_update(empty_update(100_000.0))
+    assert follower.is_up_to_date()
+    clock.now += 3.0
+    # It waited on its way for longer than an entry relies on an update.
+    follower.apply_update(empty_update(101_000.0))
+    assert not follower.is_up_to_date()
+    assert follower.confirmed_age_s() == pytest.approx(2.0)
+    follower.apply_update(empty_update(103_000.0))
+    assert follower.is_up_to_date()
+
+
+async def test_an_answer_read_late_is_as_old_as_the_stores_answer(clock):
+    pages = [Page([], at(9), ms, whole=False) for ms in (50_000.0, 50_004.0)]
+    follower, _ = make_follower(clock, pages[0], lambda: None, at(9))
+    follower.store.release.set()
+    await follower.step()
+    follower.store.release.clear()
+    follower.store.page = pages[1]
+    step = asyncio.create_task(follower.step())
+    await follower.store.called.wait()
+    await asyncio.sleep(0)
+    # The process did not run while the answer lay in its socket.
+    clock.now += 5.0
+    follower.store.release.set()
+    await step
+    assert follower.confirmed_age_s() == pytest.approx(4.996)
+
+
+async def test_a_store_clock_that_went_back_is_noticed_by_an_own_call(clock):
+    page = Page([], at(9), 20_000.0, whole=False)
+    follower, _ = make_follower(clock, page, lambda: None, at(9))
+    follower.store.release.set()
+    follower.apply_update(empty_update(100_000.0))
+    clock.now += 1.0
+    follower.apply_update(empty_update(19_000.0))
+    assert follower.confirmed_age_s() == pytest.approx(1.0)
+    await follower.step()
+    assert follower.confirmed_age_s() == 0.0
+    clock.now += 0.5
+    follower.apply_update(empty_update(20_500.0))
+    assert follower.confirmed_age_s() == 0.0
