--- a/tests/soak/manifests.py
+++ b/tests/soak/manifests.py
@@ -38,7 +38,10 @@
 END_S = APPLY_S + CONTACT_S + MAX_FAULT_S
 PROBE_GAP_S = 0.05
 PROBE_TIMEOUT_S = 1.5
-START_S = 2.0  # Generous: until a started process accepts connections.
+# A timer of this process that is later than this shows that the machine was
+# short of processors, which counts as a slow-down of all entries.
+MAX_LATENESS_S = 0.3
+TIMER_S = 0.05
 
 
 @attrs.frozen
@@ -195,6 +198,7 @@
     async with asyncio.TaskGroup() as tasks:
         tasks.create_task(change_manifests(run, end + MAX_FAULT_S))
         tasks.create_task(inject_faults(run, end))
+        tasks.create_task(record_slow_downs(run, end + END_S))
         for number in range(len(run.entries)):
             tasks.create_task(probe_entry(run, number, end + END_S))
 
@@ -256,6 +260,14 @@
     )
 
 
+async def record_slow_downs(run, end):
+    while (began := time.monotonic()) < end:
+        await asyncio.sleep(TIMER_S)
+        now = time.monotonic()
+        if now - began > TIMER_S + MAX_LATENESS_S:
+            run.out_of_touch.append((None, began, now))
+
+
 # Faults. They hit the entries that watch the store more often than others.
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,9 +1,13 @@
 """Runs soak seeds: `python -m tests.soak.run FIRST COUNT [--jobs=4]`.
 
+With `--manifests=ENTRIES`, runs that many entries under changes of the manifest
+instead, see `tests.soak.manifests`.
+
 Prints each violated guarantee with its seed and keeps the logs of that run.
 """
 
 import asyncio
+import functools
 import json
 import pathlib
 import random
@@ -16,6 +20,7 @@
 import fire
 
 from tests.soak.judge import judge
+from tests.soak.manifests import judge_manifests, run_manifests
 from tests.soak.site import run_seed
 
 OUTPUT_FOLDER = pathlib.Path("out/soak")
@@ -38,6 +43,16 @@
     return seed, broken, len(run.calls)
 
 
+def run_one_manifest_seed(seed, entries):
+    """Does the same with changes of the manifest; counts probes."""
+    with tempfile.TemporaryDirectory() as folder:
+        run = asyncio.run(run_manifests(seed, pathlib.Path(folder), entries))
+    broken = list(judge_manifests(run))
+    if broken:
+        keep(run, broken)
+    return seed, broken, len(run.probes)
+
+
 def keep_output(seed, folder):
     """Keeps the output of the processes of a seed that could not be run."""
     OUTPUT_FOLDER.mkdir(parents=True, exist_ok=True)
@@ -54,21 +69,25 @@
     with (OUTPUT_FOLDER / f"{run.seed}.jsonl").open("w") as file:
         for sentence in broken:
             file.write(json.dumps({"broken": sentence}) + "\n")
-        for fault in run.faults:
+        for fault in getattr(run, "faults", ()):
             file.write(json.dumps({"fault": str(fault)}) + "\n")
         for line in lines:
             file.write(json.dumps(line) + "\n")
 
 
-def main(first=0, count=10, jobs=4):
-    """Runs `count` seeds from `first`, or from a random one if it is 0."""
+def main(first=0, count=10, jobs=4, manifests=0):
+    """Runs `count` seeds from `first`, or from a random one if it is 0.
+
+    `manifests` is the number of entries of runs under changes of the manifest.
+    """
     first = first or random.randrange(10**6, 10**7)
     began = time.monotonic()
     failed = 0
+    play = run_one_seed
+    if manifests:
+        play = functools.partial(run_one_manifest_seed, entries=manifests)
     with ProcessPoolExecutor(jobs) as pool:
-        for seed, broken, calls in pool.map(
-            run_one_seed, range(first, first + count)
-        ):
+        for seed, broken, calls in pool.map(play, range(first, first + count)):
             failed += bool(broken)
             for sentence in broken:
                 print(f"seed {seed}: {sentence}")
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -7,6 +7,12 @@
 from tests.soak.callers import CallRecord
 from tests.soak.faults import Fault, Kind, draw_faults
 from tests.soak.judge import judge
+from tests.soak.manifests import (
+    ManifestRun,
+    Probe,
+    Version,
+    judge_manifests,
+)
 from tests.soak.site import Run, TimedWorker
 
 SIGNED = {"X-Response-Signature": "w0.1"}
@@ -148,3 +154,49 @@
 def test_fault_schedule_is_reproducible():
     assert draw_faults(7, 3, 6) == draw_faults(7, 3, 6)
     assert draw_faults(7, 3, 6) != draw_faults(8, 3, 6)
+
+
+def manifest_run(probe, **more):
+    run = ManifestRun(1, None, **more)
+    run.versions = [
+        Version(1, 0.0, {"moved": "plain"}),
+        Version(2, 10.0, {"moved": "other", "added": "plain"}),
+        Version(5, 12.5, {"moved": "other"}),
+    ]
+    run.probes = [probe]
+    return run
+
+
+@pytest.mark.parametrize(
+    ("route", "sent_at", "status", "served_by", "late"),
+    [
+        ("moved", 11.9, 200, "plain", False),
+        ("moved", 12.1, 200, "plain", True),
+        ("moved", 12.1, 200, "other", False),
+        ("moved", 12.1, 404, None, True),
+        ("moved", 12.1, 503, None, False),
+        ("added", 12.1, 404, None, False),
+        ("added", 14.4, 200, "plain", False),
+        ("added", 14.6, 200, "plain", True),
+    ],
+)
+def test_a_probe_decided_by_an_outdated_manifest_is_found(
+    route, sent_at, status, served_by, late
+):
+    probe = Probe(3, route, sent_at, sent_at + 0.1, status, served_by)
+    assert bool(list(judge_manifests(manifest_run(probe)))) == late
+
+
+@pytest.mark.parametrize(
+    ("fault", "late"),
+    [
+        ((3, 8.0, 9.2), False),
+        ((3, 8.0, 9.0), True),
+        ((2, 8.0, 9.2), True),
+        ((None, 8.0, 9.2), False),
+    ],
+)
+def test_only_an_entry_in_touch_is_held_to_the_bound(fault, late):
+    probe = Probe(3, "moved", 12.1, 12.2, 200, "plain")
+    run = manifest_run(probe, out_of_touch=[fault])
+    assert bool(list(judge_manifests(run))) == late
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.soak.judge import judge
+from tests.soak.manifests import judge_manifests, run_manifests
 from tests.soak.site import run_seed
 
 # Cause of the earlier failure by seed.
@@ -19,3 +20,13 @@
 async def test_promises_hold_under_faults(seed, tmp_path):
     run = await run_seed(seed, tmp_path)
     assert not list(judge(run)), [str(fault) for fault in run.faults]
+
+
+# Earlier failures: an entry that had just started was told of no change.
+MANIFEST_SEEDS = [106]
+
+
+@pytest.mark.parametrize("seed", MANIFEST_SEEDS)
+async def test_manifests_apply_in_time_under_faults(seed, tmp_path):
+    run = await run_manifests(seed, tmp_path)
+    assert not list(judge_manifests(run))
