--- a/src/rattanpier/_internal/relay/follow_timing.py
+++ b/src/rattanpier/_internal/relay/follow_timing.py
@@ -13,10 +13,10 @@
 
 import attrs
 
-# A feed that waits long saves calls, but a silent connection is noticed only
-# when the call ends. Longer bounds are not used up.
+# Longer bounds are treated as this one: a feed that waits long saves calls, but
+# a silent connection is noticed only when the call ends.
 MAX_BOUND_S = 5.0
-# Shorter bounds would have the store called several times a second.
+# Shorter bounds are treated as this one: the calls to the store are billed.
 MIN_BOUND_S = 0.5
 FEED_WAIT_RATIO = 0.4
 WATCHER_TIMEOUT_RATIO = 0.5
@@ -29,7 +29,8 @@
 # An entry that has just started knows of no peer that reaches the store, so it
 # would become a watcher. Within this time it learns which peers do.
 STARTUP_GRACE_RATIO = 0.5
-# Until then no watcher may publish. The bound still holds after the first read.
+# If all entries start at once, no watcher publishes during the grace period, so
+# an entry relies longer on its first read than on an update.
 STARTUP_TIMEOUT_RATIO = 0.75
 # A call and an update cost the same for one change or for many.
 BATCH_DELAY_RATIO = 0.12
--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -58,8 +58,8 @@
 # from the watchers, and an entry that alone is rejected by the store receives
 # all changes from them.
 RETRY_INTERVAL_S = 2.0
-MIN_SLEEP_S = 0.001  # Rounding may leave a time too short to pass.
 UP_TO_DATE_RETRY_INTERVAL_S = 5.0
+MIN_SLEEP_S = 0.001  # Rounding may leave a time too short to pass.
 
 
 @attrs.frozen
