--- a/tests/relay/test_late_changes.py
+++ b/tests/relay/test_late_changes.py
@@ -17,7 +17,7 @@
 
     async def run():
         ring = make_followed_ring(count, seed, bound_s=bound_s)
-        await asyncio.sleep(SETTLE_S if count < 400 else SETTLE_S / 2)
+        await asyncio.sleep(SETTLE_S)
         await play(ring)
         await asyncio.sleep(2 * bound_s + 1.0)
         return list(ring.late_changes())
@@ -29,9 +29,8 @@
     return ring.entries["e000"].fleet.preferred("watch", 2)
 
 
-@pytest.mark.parametrize(
-    ("count", "bound_s"), [(8, 1.0), (8, 2.0), (8, 3.0), (100, 2.0)]
-)
+@pytest.mark.parametrize("count", [8, 100])
+@pytest.mark.parametrize("bound_s", [1.0, 2.0, 3.0])
 def test_a_change_is_not_late_when_both_watchers_lose_the_store(count, bound_s):
     async def play(ring):
         ring.store.write()
@@ -120,7 +119,7 @@
 def test_no_change_is_late_under_random_faults(count, seed, bound_s):
     async def play(ring):
         rng = random.Random(f"late/{seed}")
-        end = now() + {8: 20.0, 100: 8.0, 420: 3.0}[count]
+        end = now() + (20.0 if count < 400 else 4.0)
         await asyncio.gather(
             change_at_random(ring, rng, end), impair_at_random(ring, rng, end)
         )
