Tell which services an entry can't connect to

From the logs of a partitioned entry it can't be told whether it took all workers of a service for unreachable, since when, and on how many failed connections: lines name single workers that are avoided. No decision uses it yet.

--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -26,6 +26,7 @@
 from rattanpier._internal.relay.model_timings import ModelTimings
 from rattanpier._internal.relay.placement import Chooser
 from rattanpier._internal.relay.pool import ConnectionPool
+from rattanpier._internal.relay.reachability import Reachability
 from rattanpier._internal.relay.state import RelayState
 from rattanpier._internal.relay.termination_checks import (
     HEARTBEATS_TO_EXPIRY,
@@ -47,7 +48,8 @@
     loads = Loads(clock)
     timings = ModelTimings(clock)
     state.tables.subscribe(lambda table: apply_prices(timings, table))
-    pool = ConnectionPool()
+    reachability = Reachability(clock, state.directory.accepting_workers)
+    pool = ConnectionPool(on_connect=reachability.record_connect)
     health = Health(clock, settings.policy)
     dialect = WorkerDialect(upstream.encode_request, upstream.decode_answer)
     terminations = TerminationChecks(
@@ -137,6 +139,7 @@
         ),
         sender=Sender(pool, dialect, loads, record_answer_head),
         terminations=terminations,
+        reachability=reachability,
         conditions=conditions,
         available_in_s=available_in_s,
         on_request_started=record_request_started,
--- a/src/rattanpier/_internal/programs/relay_listen.py
+++ b/src/rattanpier/_internal/programs/relay_listen.py
@@ -174,6 +174,16 @@
         entry.metrics.gauge("relay.table_age_s", age_s)
 
 
+def record_reachability(entry: RelayEntry) -> None:
+    """Exports how many services this entry can't reach, and since when."""
+    reachability = entry.edge.dispatcher.reachability
+    count = len(reachability.unreachable_services())
+    entry.metrics.gauge("relay.unreachable_services", count)
+    entry.metrics.gauge(
+        "relay.unreachable_for_s", reachability.unreachable_for_s()
+    )
+
+
 def metrics_handler(entry: RelayEntry) -> Handler:
     """Returns the handler of the metrics address."""
 
@@ -183,6 +193,7 @@
 
         entry.metrics.gauge("relay.running", entry.drain.running)
         record_table_age(entry)
+        record_reachability(entry)
         return Response(body=render(entry.metrics), content_type="text/plain")
 
     return handle
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -41,6 +41,7 @@
 from rattanpier._internal.relay.health import Health
 from rattanpier._internal.relay.load import InFlight, Loads
 from rattanpier._internal.relay.placement import Choice, Chooser
+from rattanpier._internal.relay.reachability import Reachability
 from rattanpier._internal.relay.request_progress import (
     MIN_TIME_LEFT_S,
     RequestProgress,
@@ -77,6 +78,7 @@
       chooser: Selects among eligible workers.
       sender: Sends requests to workers.
       terminations: Which worker processes have ended.
+      reachability: Which services this entry can connect to.
       conditions: Filters of eligible workers, applied in this order.
       available_in_s: Returns the seconds until a worker accepts a request; 0
         if it does now.
@@ -100,6 +102,7 @@
     chooser: Chooser
     sender: Sender
     terminations: TerminationChecks
+    reachability: Reachability
     conditions: Sequence[Condition]
     available_in_s: Callable[[RegisteredWorker], float]
     on_request_started: Callable[[RegisteredWorker], None]
--- a/src/rattanpier/_internal/relay/pool.py
+++ b/src/rattanpier/_internal/relay/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 import attrs
 
@@ -23,15 +24,36 @@
 DEFAULT_IDLE_S = 2.0  # Upper limit, also if the worker states no time-out.
 
 
+async def open_connection(worker: RegisteredWorker) -> WorkerConnection:
+    """Opens a connection to a worker.
+
+    Raises:
+      OSError: The worker can't be reached, or refused.
+    """
+    _, connection = await asyncio.get_running_loop().create_connection(
+        WorkerConnection, worker.host, worker.port
+    )
+    return connection
+
+
 @attrs.define(eq=False, repr=False)
 class ConnectionPool:
     """Idle connections by worker.
 
     Attributes:
+      connect: Opens a connection to a worker.
+      on_connect: Called with a worker and whether a connection to it could be
+        opened.
       idle: Connections by worker id, the newest last.
       opened: Number of connections opened so far.
     """
 
+    connect: Callable[[RegisteredWorker], Awaitable[WorkerConnection]] = (
+        open_connection
+    )
+    on_connect: Callable[[RegisteredWorker, bool], None] = attrs.field(
+        default=lambda _worker, _connected: None
+    )
     idle: dict[str, list[WorkerConnection]] = attrs.Factory(dict)
     opened: int = 0
 
@@ -54,16 +76,18 @@
         idle = None if fresh else self.acquire_idle(worker.id)
         if idle is not None:
             return idle
-        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(min(CONNECT_TIMEOUT_S, timeout_s)):
-                _, connection = await loop.create_connection(
-                    WorkerConnection, worker.host, worker.port
-                )
+                connection = await self.connect(worker)
         except (OSError, TimeoutError) as error:
+            timed_out = isinstance(error, TimeoutError)
+            # A shorter timeout says more of the request than of the worker.
+            if not timed_out or timeout_s >= CONNECT_TIMEOUT_S:
+                self.on_connect(worker, False)
             raise ConnectionBrokenError(
                 f"can't connect: {error!r}", sent=False
             ) from error
+        self.on_connect(worker, True)
         self.opened += 1
         return connection
 
