--- a/src/rattanpier/_internal/relay/termination_checks.py
+++ b/src/rattanpier/_internal/relay/termination_checks.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 import attrs
 import structlog
@@ -39,6 +39,8 @@
     Attributes:
       clock: Monotonic clock.
       expiry_s: Seconds after which a registration expires.
+      listens: Returns whether a process listens at a host and port, within a
+        timeout in seconds; None if unknown.
       terminated_at: When each worker was found to have terminated, in monotonic
         seconds, by incarnation.
       checks: Checks in progress, by incarnation.
@@ -46,6 +48,7 @@
 
     clock: Clock
     expiry_s: float
+    listens: Callable[[str, int, float], Awaitable[bool | None]] = listens
     terminated_at: dict[str, float] = attrs.Factory(dict)
     checks: dict[str, asyncio.Task[bool]] = attrs.Factory(dict)
 
@@ -103,7 +106,9 @@
 
         A worker that can't be reached at all may still run: False.
         """
-        listening = await listens(worker.host, worker.port, CHECK_TIMEOUT_S)
+        listening = await self.listens(
+            worker.host, worker.port, CHECK_TIMEOUT_S
+        )
         if listening is False:
             self.record_terminated(worker.incarnation)
         return listening is False
--- a/tests/relay/test_termination_checks.py
+++ b/tests/relay/test_termination_checks.py
@@ -6,7 +6,6 @@
 import pytest
 
 from rattanpier._internal.models.route_table import Workspace
-from rattanpier._internal.relay import termination_checks as module
 from rattanpier._internal.relay.termination_checks import TerminationChecks
 from rattanpier._internal.standin.platform_worker import PlatformWorkerServer
 from tests.lib.clock import ManualClock
@@ -15,8 +14,8 @@
 EXPIRY_S = 3.6  # Three heartbeats.
 
 
-def make_checks():
-    return TerminationChecks(ManualClock(), EXPIRY_S)
+def make_checks(**more):
+    return TerminationChecks(ManualClock(), EXPIRY_S, **more)
 
 
 async def make_listener():
@@ -36,7 +35,7 @@
     assert await checks.has_terminated(worker)
 
 
-async def test_answers_that_break_off_together_share_one_check(monkeypatch):
+async def test_answers_that_break_off_together_share_one_check():
     asked = []
 
     async def listens(host, port, timeout_s):
@@ -44,19 +43,18 @@
         await asyncio.sleep(0)
         return True
 
-    monkeypatch.setattr(module, "listens", listens)
-    checks = make_checks()
+    checks = make_checks(listens=listens)
     results = [checks.has_terminated(make_worker("w1")) for _ in range(12)]
     assert await asyncio.gather(*results) == [False] * 12
     assert asked == [1]
 
 
-async def test_unreachable_worker_may_be_running(monkeypatch):
+async def test_unreachable_worker_may_be_running():
     async def listens(host, port, timeout_s):
         return None
 
-    monkeypatch.setattr(module, "listens", listens)
-    assert not await make_checks().has_terminated(make_worker("w1"))
+    checks = make_checks(listens=listens)
+    assert not await checks.has_terminated(make_worker("w1"))
 
 
 async def test_cancelled_caller_does_not_cancel_check_of_others():
