Forward requests to peers while no worker can be reached

An entry had no way to a worker but its own, and nothing asked whether the entry itself was the outlier.

When a connection fails and none to the service succeeded just before, up to three more workers are probed, so that four of them, or all of a smaller service, tell within 0.3 s that the service can't be reached from here. From then on a request goes to the nearest peer with a path, by a stream of its own on gRPC: decided here are route, key and deadline, there workers, retries and budgets. It goes one hop; a peer that can't take it says so before anything is sent. Streams go on at another peer after their last event if the route allows it. Without such a peer the request is refused at once as not run.

The entry tells its peers, which then don't forward to it, leave it out of the list if a third of the entries still reach workers, and out of the duties and shares that need a path. Failures that it sees meanwhile count against no worker, version or content.

The test of a caller who leaves during a check passes its probe as an attribute instead of patching the module.

--- a/src/rattanpier/_internal/models/refusal.py
+++ b/src/rattanpier/_internal/models/refusal.py
@@ -21,6 +21,7 @@
     VERSION_WITHDRAWN = "version_withdrawn"
     NO_VERSION = "no_version"
     NO_WORKER = "no_worker"
+    NO_PATH = "no_path"
     QUARANTINED = "quarantined"
     QUEUE_FULL = "queue_full"
     DEADLINE = "deadline"
@@ -50,6 +51,7 @@
     RefusalCode.VERSION_WITHDRAWN: 409,
     RefusalCode.NO_VERSION: 503,
     RefusalCode.NO_WORKER: 503,
+    RefusalCode.NO_PATH: 503,
     RefusalCode.QUARANTINED: 503,
     RefusalCode.QUEUE_FULL: 429,
     RefusalCode.DEADLINE: 504,
--- a/src/rattanpier/_internal/peers/proto/peer_grpc.py
+++ b/src/rattanpier/_internal/peers/proto/peer_grpc.py
@@ -18,6 +18,10 @@
     async def Exchange(self, stream: 'grpclib.server.Stream[peer_pb2.Frame, peer_pb2.Frame]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Forward(self, stream: 'grpclib.server.Stream[peer_pb2.ForwardRequest, peer_pb2.ForwardPart]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/rattanpier.Peer/Exchange': grpclib.const.Handler(
@@ -26,6 +30,12 @@
                 peer_pb2.Frame,
                 peer_pb2.Frame,
             ),
+            '/rattanpier.Peer/Forward': grpclib.const.Handler(
+                self.Forward,
+                grpclib.const.Cardinality.UNARY_STREAM,
+                peer_pb2.ForwardRequest,
+                peer_pb2.ForwardPart,
+            ),
         }
 
 
@@ -38,3 +48,9 @@
             peer_pb2.Frame,
             peer_pb2.Frame,
         )
+        self.Forward = grpclib.client.UnaryStreamMethod(
+            channel,
+            '/rattanpier.Peer/Forward',
+            peer_pb2.ForwardRequest,
+            peer_pb2.ForwardPart,
+        )
--- a/src/rattanpier/_internal/peers/server.py
+++ b/src/rattanpier/_internal/peers/server.py
@@ -8,7 +8,8 @@
 from collections.abc import Awaitable, Callable
 
 import structlog
-from grpclib.exceptions import StreamTerminatedError
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
 from rattanpier._internal.exceptions import RattanpierError, UnreadableError
@@ -24,12 +25,16 @@
 
 CallHandler = Callable[[peer_pb2.Call], Awaitable[peer_pb2.Reply]]
 NoticeHandler = Callable[[peer_pb2.Notice], None]
+ForwardStream = Stream[peer_pb2.ForwardRequest, peer_pb2.ForwardPart]
+ForwardHandler = Callable[[ForwardStream], Awaitable[None]]
 
 
 class PeerServer(PeerBase):
     """Serves peers; other services add handlers by message kind.
 
     Attributes:
+      forward_handler: Answers a request that a peer forwards; None if this
+        process answers none.
       calls: Handler for each kind of call, by its field name.
       notices: Handlers for each kind of notice, by its field name.
     """
@@ -37,6 +42,7 @@
     def __init__(self) -> None:
         self.calls: dict[str, CallHandler] = {}
         self.notices: dict[str, list[NoticeHandler]] = {}
+        self.forward_handler: ForwardHandler | None = None
         self.server: Server | None = None
         self.port = 0
 
@@ -88,6 +94,14 @@
             ):
                 await sender
 
+    async def Forward(  # noqa: N802 (the name is grpclib's)
+        self, stream: ForwardStream
+    ) -> None:
+        """Answers a request that a peer forwards."""
+        if self.forward_handler is None:
+            raise GRPCError(Status.UNIMPLEMENTED, "forwards are not answered")
+        await self.forward_handler(stream)
+
     async def answer(
         self,
         call: peer_pb2.Call,
--- a/src/rattanpier/_internal/placement/shared_rates.py
+++ b/src/rattanpier/_internal/placement/shared_rates.py
@@ -128,7 +128,10 @@
         return max(0.0, sent_at + parts.pause_s - self.clock.monotonic())
 
     def may_send(self, worker: RegisteredWorker, parts: SenderShares) -> bool:
-        """Returns whether this entry is one of a worker's active senders."""
+        """Returns whether this entry is one of a worker's active senders.
+
+        Entries that reach no worker leave their share to the next ones.
+        """
         now = self.clock.monotonic()
         if self.fleet.size() == 1 and now - self.started_at < STARTUP_GRACE_S:
             return False
@@ -137,7 +140,9 @@
         if me not in senders:
             return False
         live = [
-            name for name in senders if name == me or self.fleet.is_live(name)
+            name
+            for name in senders
+            if name == me or self.fleet.reaches_workers(name)
         ]
         return me in live[: parts.live_senders]
 
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -16,7 +16,11 @@
 from rattanpier._internal.platform import caller
 from rattanpier._internal.programs.relay_dispatch import make_dispatcher
 from rattanpier._internal.programs.relay_listen import RelayEntry, listen
-from rattanpier._internal.programs.relay_peers import add_peers, make_fleet
+from rattanpier._internal.programs.relay_peers import (
+    add_forwarding,
+    add_peers,
+    make_fleet,
+)
 from rattanpier._internal.programs.relay_store import (
     add_followers,
     add_own_rows,
@@ -80,10 +84,12 @@
     gossip = await add_peers(
         kernel, settings, fleet, state, shared_state, clock
     )
+    add_forwarding(kernel, dispatcher, state, drain)
     shared_state.quarantine.on_update = gossip.schedule_quarantine_broadcast
     shared_state.limits.publish = gossip.broadcast_limit
     shared_state.rollouts.on_stopped = gossip.broadcast_stop
     shared_state.directory.broadcast_leaving = gossip.broadcast_leaving
+    dispatcher.reachability.on_change = gossip.broadcast_changes
     entry = RelayEntry(
         kernel, settings, state, fleet, drain, metrics, edge, gossip
     )
@@ -92,6 +98,7 @@
     add_own_rows(entry)
     add_worker_updates(entry)
     kernel.spawn_restarting(gossip.run, "gossip")
+    kernel.spawn_restarting(dispatcher.reachability.run, "path probes")
     kernel.spawn_restarting(
         lambda: call_periodically(DROP_MISSING_INTERVAL_S, state.drop_missing),
         "expiry of registrations",
@@ -102,6 +109,7 @@
 
 def own_state_refresher(entry: RelayEntry) -> Callable[[], bool]:
     """Returns the function that updates the entry's own published state."""
+    reachability = entry.edge.dispatcher.reachability
 
     def refresh() -> bool:
         leaving = entry.drain.leaving
@@ -111,6 +119,8 @@
             member=attrs.evolve(me.member, state=state),
             ready=entry.ready(),
             store=entry.state.health.available,
+            unreachable=tuple(reachability.unreachable_services()),
+            partitioned=reachability.is_partitioned(),
         )
 
     return refresh
--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -9,6 +9,7 @@
 from rattanpier._internal.models.route_table import RouteTable
 from rattanpier._internal.models.upstream_request import AnswerHead
 from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.peers.forward_channels import ForwardChannels
 from rattanpier._internal.placement import eligibility
 from rattanpier._internal.placement.backoffs import Backoffs
 from rattanpier._internal.placement.eligibility import Condition
@@ -20,6 +21,7 @@
 from rattanpier._internal.relay.dispatch import Dispatcher
 from rattanpier._internal.relay.exchange import Sender, WorkerDialect
 from rattanpier._internal.relay.fleet import Fleet
+from rattanpier._internal.relay.forwarding import Forwarder
 from rattanpier._internal.relay.health import Health
 from rattanpier._internal.relay.load import Loads
 from rattanpier._internal.relay.model_groups import ModelGroups
@@ -48,12 +50,29 @@
     loads = Loads(clock)
     timings = ModelTimings(clock)
     state.tables.subscribe(lambda table: apply_prices(timings, table))
-    reachability = Reachability(clock, state.directory.accepting_workers)
+    reachability = Reachability(
+        clock,
+        state.directory.accepting_workers,
+        state.directory.services,
+        random.Random(settings.name),
+        entries_without_path=fleet.count_without_path,
+        on_unreachable=state.rollouts.abandon_running,
+    )
+    forwarder = Forwarder(
+        fleet,
+        reachability,
+        ForwardChannels(fleet.is_live),
+        clock,
+        metrics,
+        random.Random(settings.name),
+    )
     pool = ConnectionPool(on_connect=reachability.record_connect)
     health = Health(clock, settings.policy)
     dialect = WorkerDialect(upstream.encode_request, upstream.decode_answer)
     terminations = TerminationChecks(
-        clock, HEARTBEATS_TO_EXPIRY * settings.heartbeat_s
+        clock,
+        HEARTBEATS_TO_EXPIRY * settings.heartbeat_s,
+        confirm_failure=reachability.confirm_failure,
     )
     quarantine = Quarantine(clock)
     shares = SharedRates(fleet, clock)
@@ -140,6 +159,7 @@
         sender=Sender(pool, dialect, loads, record_answer_head),
         terminations=terminations,
         reachability=reachability,
+        forwarder=forwarder,
         conditions=conditions,
         available_in_s=available_in_s,
         on_request_started=record_request_started,
--- a/src/rattanpier/_internal/programs/relay_listen.py
+++ b/src/rattanpier/_internal/programs/relay_listen.py
@@ -182,6 +182,12 @@
     entry.metrics.gauge(
         "relay.unreachable_for_s", reachability.unreachable_for_s()
     )
+    cut_off = sum(
+        state.partitioned
+        for state in entry.fleet.live()
+        if state is not entry.fleet.me
+    )
+    entry.metrics.gauge("relay.peers_without_path", cut_off)
 
 
 def metrics_handler(entry: RelayEntry) -> Handler:
--- a/src/rattanpier/_internal/programs/relay_peers.py
+++ b/src/rattanpier/_internal/programs/relay_peers.py
@@ -12,7 +12,10 @@
 from rattanpier._internal.peers.links import Links
 from rattanpier._internal.peers.server import PeerServer
 from rattanpier._internal.relay.broadcast import Broadcaster
+from rattanpier._internal.relay.dispatch import Dispatcher
+from rattanpier._internal.relay.drain import DrainState
 from rattanpier._internal.relay.fleet import EntryState, Fleet
+from rattanpier._internal.relay.forwarded_requests import ForwardedRequests
 from rattanpier._internal.relay.gossip import Gossip
 from rattanpier._internal.relay.shared_state import SharedState
 from rattanpier._internal.relay.snapshots import Snapshots
@@ -36,6 +39,16 @@
     return Fleet(EntryState(member, time.time()), clock)
 
 
+def add_forwarding(
+    kernel: Kernel, dispatcher: Dispatcher, state: RelayState, drain: DrainState
+) -> None:
+    """Adds the requests that peers forward to this entry, and the reverse."""
+    channels = dispatcher.forwarder.channels
+    kernel.add("forward_channels", channels, stop=channels.close)
+    served = ForwardedRequests(dispatcher, drain, state.ready)
+    kernel.find("peer_server").forward_handler = served.serve
+
+
 async def add_peers(
     kernel: Kernel,
     settings: RelaySettings,
--- a/src/rattanpier/_internal/relay/answering.py
+++ b/src/rattanpier/_internal/relay/answering.py
@@ -37,13 +37,39 @@
     )
     progress.first_model = progress.model
     progress.order.last_number = request.after_event
-    dispatcher.budgets[progress.service].record_request()
-    dispatcher.rollouts.sessions.record_request(
-        progress.service, request.session
-    )
-    if request.route.streaming:
+    async with aclosing(answer_progress(dispatcher, progress)) as parts:
+        async for part in parts:
+            yield part
+
+
+async def answer_progress(
+    dispatcher: Dispatcher, progress: RequestProgress
+) -> AsyncIterator[AnswerPart]:
+    """Yields the further parts of the answer to a request in progress.
+
+    Args:
+      dispatcher: Components of this entry.
+      progress: Progress of the request so far.
+    """
+    record_request(dispatcher, progress)
+    if progress.request.route.streaming:
         async with aclosing(stream_answer(dispatcher, progress)) as parts:
             async for part in parts:
                 yield part
     else:
         yield await plain_answer(dispatcher, progress)
+
+
+def record_request(dispatcher: Dispatcher, progress: RequestProgress) -> None:
+    """Counts a request at the entry that sends it to workers.
+
+    Each request counts once for the retry budgets of all entries together.
+    """
+    if dispatcher.must_forward(progress):
+        return
+    if not progress.counted:
+        progress.counted = True
+        dispatcher.budgets[progress.service].record_request()
+    dispatcher.rollouts.sessions.record_request(
+        progress.service, progress.request.session
+    )
--- a/src/rattanpier/_internal/relay/directory.py
+++ b/src/rattanpier/_internal/relay/directory.py
@@ -385,6 +385,14 @@
             self.accepting_by_service[service] = found
         return found
 
+    def services(self) -> set[str]:
+        """Returns the services that have workers which accept requests."""
+        return {
+            worker.service
+            for worker in self.workers.values()
+            if self.is_not_leaving(worker)
+        }
+
     def workers_in_domain(self, domain: str) -> list[RegisteredWorker]:
         """Returns the workers of a failure domain, including leaving ones."""
         return [each for each in self.workers.values() if each.domain == domain]
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import AsyncGenerator, Callable, Mapping, Sequence
 
 import attrs
 import structlog
 
 from rattanpier._internal.models.policy import DEFAULT_POLICY, Policy
 from rattanpier._internal.models.relay_answer import (
+    AnswerPart,
     AnswerRefused,
     CompleteAnswer,
 )
@@ -38,6 +39,11 @@
     Sender,
     SendError,
 )
+from rattanpier._internal.relay.forwarding import (
+    Forwarder,
+    forward,
+    may_forward,
+)
 from rattanpier._internal.relay.health import Health
 from rattanpier._internal.relay.load import InFlight, Loads
 from rattanpier._internal.relay.placement import Choice, Chooser
@@ -60,6 +66,7 @@
 # Callers that retry within a second or two are served if the drain was brief.
 DRAINED_RETRY_AFTER_S = 2.0
 MAX_ANSWER_BYTES = 16 * 2**20  # Limit of an answer that is not streamed.
+NO_PATH_REASON = "no entry reaches a worker of the service"
 
 
 @attrs.define(eq=False, repr=False)
@@ -79,6 +86,7 @@
       sender: Sends requests to workers.
       terminations: Which worker processes have ended.
       reachability: Which services this entry can connect to.
+      forwarder: Selects peers that answer requests for this entry.
       conditions: Filters of eligible workers, applied in this order.
       available_in_s: Returns the seconds until a worker accepts a request; 0
         if it does now.
@@ -103,6 +111,7 @@
     sender: Sender
     terminations: TerminationChecks
     reachability: Reachability
+    forwarder: Forwarder
     conditions: Sequence[Condition]
     available_in_s: Callable[[RegisteredWorker], float]
     on_request_started: Callable[[RegisteredWorker], None]
@@ -231,6 +240,8 @@
         if progress.next_send_allowed:
             progress.next_send_allowed = False
             return True
+        if not self.may_use_own_path(progress):
+            return False
         if progress.sent >= request.route.max_workers:
             return False
         if progress.may_have_run and not request.route.repeatable:
@@ -243,6 +254,20 @@
             return False
         return True
 
+    def may_use_own_path(self, progress: RequestProgress) -> bool:
+        """Returns whether connecting to a worker from here may succeed."""
+        if self.reachability.is_reachable(progress.service):
+            return True
+        self.record_no_path(progress)
+        return False
+
+    def record_no_path(self, progress: RequestProgress) -> None:
+        """Records why a request is refused, and when to retry it."""
+        progress.no_path = True
+        progress.reason = NO_PATH_REASON
+        wait_s = self.forwarder.retry_after_s()
+        progress.available_in_s = progress.retry_after_s = wait_s
+
     def left_s(self, progress: RequestProgress) -> float:
         """Returns the seconds until the deadline of the caller or the route."""
         return progress.loop_deadline - asyncio.get_running_loop().time()
@@ -290,6 +315,33 @@
             self.metrics.count(f"relay.refused.{found.refusal.code.value}")
         return found
 
+    # Forwarding to peers.
+
+    def forward_if_needed(
+        self, progress: RequestProgress
+    ) -> AsyncGenerator[AnswerPart, None] | None:
+        """Returns a peer's answer to a request that no worker here can get.
+
+        Returns:
+          The parts of the answer; None if the request is not forwarded.
+        """
+        if not self.must_forward(progress):
+            return None
+        peer = self.forwarder.choose(progress)
+        if peer is None:
+            return None
+        return forward(
+            self.forwarder, progress, peer, lambda: self.left_s(progress)
+        )
+
+    def must_forward(self, progress: RequestProgress) -> bool:
+        """Returns whether only a peer may answer a request."""
+        return self.forwarder.is_needed(progress) and may_forward(
+            progress,
+            self.left_s(progress),
+            self.quarantine.remaining_s(progress.request.content),
+        )
+
     # Recording results.
 
     def record_send_error(
@@ -304,7 +356,7 @@
         if not error.not_run:
             progress.may_have_run = True
             self.record_result(progress, worker, bad=True)
-        elif error.misdirected or not error.connected:
+        elif error.misdirected or self.is_worker_at_fault(worker, error):
             # A process restarted at the same address has another id: the
             # requested one no longer exists although it is still registered.
             self.health.record_unreachable(worker)
@@ -320,6 +372,14 @@
             connected=error.connected,
         )
 
+    def is_worker_at_fault(
+        self, worker: RegisteredWorker, error: SendError
+    ) -> bool:
+        """Returns whether a worker, and not the path, refused to connect."""
+        if error.connected:
+            return False
+        return self.reachability.is_reachable(worker.service)
+
     async def handle_send_error(
         self,
         progress: RequestProgress,
@@ -330,6 +390,9 @@
         if not error.not_run:
             # The crash is recorded even if the caller disconnects meanwhile.
             await asyncio.shield(self.check_for_crash(progress.request, worker))
+        elif not error.connected:
+            progress.unconnected += 1
+            await self.reachability.settle(worker.service)
         self.record_send_error(progress, worker, error)
 
     async def check_for_crash(
@@ -355,11 +418,15 @@
     ) -> None:
         """Records a result in worker health and roll-out evidence.
 
+        A failure is not recorded while no worker can be reached from here.
+
         Args:
           progress: The request.
           worker: Whose result it is.
           bad: Whether the worker failed.
         """
+        if bad and not self.reachability.is_reachable(worker.service):
+            return
         peers = self.directory.accepting_workers(worker.service)
         self.health.record_result(worker, bad, peers)
         if bad and self.quarantine.explains_crash(worker.incarnation):
--- a/src/rattanpier/_internal/relay/fleet.py
+++ b/src/rattanpier/_internal/relay/fleet.py
@@ -29,6 +29,9 @@
 MAX_EXTRA_PROBE_TARGETS = 8  # Bounds the probes of an entry in a round.
 CLOCK_STEP_S = 0.001  # Any positive step makes the start the newer one.
 FORGET_DOWN_AFTER_S = 60.0  # Entries that were down for this long are dropped.
+# Of the ready entries, those that reach workers have to be this share to carry
+# the load of all.
+MIN_LISTED_SHARE = 1 / 3
 
 
 # Per log line; a whole fleet may start at once.
@@ -57,6 +60,8 @@
       ready: Whether the entry serves callers.
       store: Whether the entry can reach the store.
       down: Whether the entry does not answer.
+      unreachable: Services of which the entry can't connect to any worker.
+      partitioned: Whether these are all services, or were a moment ago.
     """
 
     member: Member
@@ -65,6 +70,8 @@
     ready: bool = False
     store: bool = False
     down: bool = False
+    unreachable: tuple[str, ...] = ()
+    partitioned: bool = False
 
     @property
     def order(self) -> tuple[float, int, bool]:
@@ -206,12 +213,22 @@
         state = self.peers.get(name)
         return state is not None and not state.down
 
+    def reaches_workers(self, name: str) -> bool:
+        """Returns whether a peer is live and can connect to workers."""
+        return self.is_live(name) and not self.peers[name].partitioned
+
+    def count_without_path(self, service: str) -> int:
+        """Returns how many live entries can't reach a service."""
+        return sum(service in state.unreachable for state in self.live())
+
     def find_live(self) -> list[EntryState]:
         """Computes `live`."""
         peers = (state for state in self.peers.values() if not state.down)
         return [self.me, *peers]
 
-    def preferred(self, duty: str, count: int) -> list[str]:
+    def preferred(
+        self, duty: str, count: int, asks_workers: bool = False
+    ) -> list[str]:
         """Returns the names of the entries assigned to a duty.
 
         Entries with the same view get the same result, by rendezvous hashing
@@ -222,10 +239,18 @@
         Args:
           duty: Name of the duty.
           count: Maximum number of names to return.
+          asks_workers: Whether the duty needs a path to workers; entries that
+            have none are passed over unless all are.
         """
 
         def rank() -> list[str]:
             live = {state.member.name: state for state in self.live()}
+            if asks_workers:
+                live = {
+                    name: state
+                    for name, state in live.items()
+                    if not state.partitioned
+                } or live
             able = [
                 name
                 for name, state in live.items()
@@ -280,8 +305,16 @@
             self.names_by_position[position] = name
 
     def entries(self) -> list[Member]:
-        """Returns the entries that may be offered to callers."""
-        return [state.member for state in self.live() if state.listed]
+        """Returns the entries that may be offered to callers.
+
+        Entries that reach no worker are left out if the others can carry
+        their load. They serve callers that come all the same, through peers.
+        """
+        listed = [state for state in self.live() if state.listed]
+        connected = [state for state in listed if not state.partitioned]
+        if len(connected) >= MIN_LISTED_SHARE * len(listed):
+            listed = connected
+        return [state.member for state in listed]
 
     def size(self) -> int:
         """Returns the number of known entries, including those down."""
@@ -392,6 +425,7 @@
         "store": state.store,
         "down": state.down,
         "leaving": state.member.state is MemberState.LEAVING,
+        "partitioned": state.partitioned,
     }
     flags = " ".join(name for name, holds in flags_set.items() if holds)
     incarnation = f"{state.member.name}/{state.member.incarnation}"
--- a/src/rattanpier/_internal/relay/plain_answers.py
+++ b/src/rattanpier/_internal/relay/plain_answers.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
 
 from rattanpier._internal.models.relay_answer import (
+    AnswerPart,
     AnswerRefused,
     CompleteAnswer,
 )
@@ -33,16 +36,33 @@
       dispatcher: Selects workers and sends requests to them.
       progress: Progress of the request.
     """
-    while dispatcher.may_send(progress):
-        choice = dispatcher.choose(progress)
-        if choice is None:
+    while True:
+        forwarded = dispatcher.forward_if_needed(progress)
+        if forwarded is not None:
+            answer = await whole_answer(forwarded)
+        elif not dispatcher.may_send(progress):
             break
-        answer = await answer_with_hedge(dispatcher, progress, choice)
+        else:
+            choice = dispatcher.choose(progress)
+            if choice is None:
+                break
+            answer = await answer_with_hedge(dispatcher, progress, choice)
         if answer is not None:
             return answer
     return dispatcher.refuse(progress)
 
 
+async def whole_answer(
+    parts: AsyncGenerator[AnswerPart, None],
+) -> CompleteAnswer | AnswerRefused | None:
+    """Returns the answer that a peer gives, or None if it failed."""
+    async with aclosing(parts) as found:
+        async for part in found:
+            if isinstance(part, CompleteAnswer | AnswerRefused):
+                return part
+    return None
+
+
 async def answer_with_hedge(
     dispatcher: Dispatcher, progress: RequestProgress, choice: Choice
 ) -> CompleteAnswer | None:
@@ -67,17 +87,10 @@
         if progress.request.route.idempotent and dispatcher.policy.hedges:
             hedge_s = HEDGE_DELAY_SHARE * progress.request.route.objective_s
             done, _ = await asyncio.wait(running, timeout=hedge_s)
-            if not done and dispatcher.may_send(progress):
-                second_choice = dispatcher.choose(progress)
-                if second_choice is not None:
-                    dispatcher.metrics.count("relay.hedged")
-                    running.add(
-                        asyncio.ensure_future(
-                            answer_from_worker(
-                                dispatcher, progress, second_choice
-                            )
-                        )
-                    )
+            second = None if done else start_hedge(dispatcher, progress)
+            if second is not None:
+                dispatcher.metrics.count("relay.hedged")
+                running.add(second)
         while running:
             done, running = await asyncio.wait(
                 running, return_when=asyncio.FIRST_COMPLETED
@@ -91,6 +104,44 @@
             task.cancel()
 
 
+def start_hedge(
+    dispatcher: Dispatcher, progress: RequestProgress
+) -> asyncio.Future[CompleteAnswer | None] | None:
+    """Sends a request to a second worker, or has a peer do so.
+
+    Returns:
+      The answer to come; None if no second worker may be asked.
+    """
+    forwarded = dispatcher.forward_if_needed(progress)
+    if forwarded is not None:
+        return asyncio.ensure_future(success_of_peer(forwarded, progress))
+    if not dispatcher.may_send(progress):
+        return None
+    choice = dispatcher.choose(progress)
+    if choice is None:
+        return None
+    return asyncio.ensure_future(
+        answer_from_worker(dispatcher, progress, choice)
+    )
+
+
+async def success_of_peer(
+    parts: AsyncGenerator[AnswerPart, None], progress: RequestProgress
+) -> CompleteAnswer | None:
+    """Returns a peer's answer beside a running request, unless it failed.
+
+    A refusal is not final, since the running request may still succeed.
+    """
+    answer = await whole_answer(parts)
+    if not isinstance(answer, CompleteAnswer):
+        return None
+    if answer.status >= MIN_FAILURE_STATUS:
+        progress.may_have_run = True
+        progress.failure = answer
+        return None
+    return answer
+
+
 async def answer_from_worker(
     dispatcher: Dispatcher, progress: RequestProgress, choice: Choice
 ) -> CompleteAnswer | None:
--- a/src/rattanpier/_internal/relay/queue_watch.py
+++ b/src/rattanpier/_internal/relay/queue_watch.py
@@ -141,7 +141,7 @@
           engines: Number of engines to poll.
         """
         count = max(1, math.ceil(engines / MAX_ENGINES_PER_READER))
-        return self.fleet.preferred("queues", count)
+        return self.fleet.preferred("queues", count, asks_workers=True)
 
     async def poll(
         self, workers: Sequence[RegisteredWorker], part: int
--- a/src/rattanpier/_internal/relay/request_progress.py
+++ b/src/rattanpier/_internal/relay/request_progress.py
@@ -51,6 +51,12 @@
         selection.
       available_in_s: Seconds until one of them may accept the request; None if
         unknown.
+      unconnected: Number of upstream requests that reached no worker, because
+        no connection could be opened.
+      no_path: Whether no entry is known that reaches a worker.
+      peers_tried: Names of the entries that it was forwarded to.
+      received_from_peer: Whether another entry forwarded it to this one.
+      counted: Whether an entry counted it in its retry budget.
     """
 
     request: RelayRequest
@@ -70,6 +76,15 @@
     quarantined_s: float = 0.0
     excluded: dict[str, int] = attrs.Factory(dict)
     available_in_s: float | None = None
+    unconnected: int = 0
+    no_path: bool = False
+    peers_tried: set[str] = attrs.Factory(set)
+    received_from_peer: bool = False
+    counted: bool = False
+
+    def arrived_sends(self) -> int:
+        """Returns the number of upstream requests that reached a worker."""
+        return self.sent - self.unconnected
 
 
 def final_answer(
@@ -118,6 +133,8 @@
     if not progress.may_have_run:
         if progress.quarantined_s:
             return RefusalCode.QUARANTINED, 503
+        if progress.no_path:
+            return RefusalCode.NO_PATH, 503
         code = (
             RefusalCode.QUEUE_FULL if progress.sent else RefusalCode.NO_WORKER
         )
--- a/src/rattanpier/_internal/relay/rollouts.py
+++ b/src/rattanpier/_internal/relay/rollouts.py
@@ -461,6 +461,21 @@
             observation, attrs.evolve(added, abandoned=int(abandoned))
         )
 
+    def abandon_running(self, service: str) -> None:
+        """Ends the observations of a service that can't be reached.
+
+        How long their answers take from here on says nothing of a version.
+        """
+        order = self.orders.get(service)
+        if order is None:
+            return
+        for observation in list(self.running):
+            if observation.key is not None and observation.key.order == (
+                order.id
+            ):
+                self.running.remove(observation)
+                self.add_counts(observation, Tally(abandoned=1))
+
     def add_counts(self, observation: Observation, added: Tally) -> None:
         """Adds counts of an observed request."""
         if observation.key is not None and added != EMPTY_TALLY:
--- a/src/rattanpier/_internal/relay/stream_answers.py
+++ b/src/rattanpier/_internal/relay/stream_answers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import aclosing
 
 import structlog
@@ -12,6 +12,7 @@
     AnswerChunk,
     AnswerCompleted,
     AnswerPart,
+    AnswerRefused,
     AnswerStarted,
     AnswerTruncated,
     CompleteAnswer,
@@ -42,6 +43,9 @@
 READ_TOKENS_PER_S = 30000.0
 
 
+FINAL_PARTS = (AnswerCompleted, AnswerRefused, CompleteAnswer)
+
+
 class WorkerFailedError(Exception):
     """A worker ran a request and failed; the failure has been recorded."""
 
@@ -58,16 +62,14 @@
       dispatcher: Selects workers and sends requests to them.
       progress: Progress of the request.
     """
-    while dispatcher.may_send(progress):
-        choice = dispatcher.choose(progress)
-        if choice is None:
+    while True:
+        source = next_source(dispatcher, progress)
+        if source is None:
             break
-        async with aclosing(
-            stream_from_worker(dispatcher, progress, choice)
-        ) as parts:
+        async with aclosing(source) as parts:
             async for part in parts:
                 yield part
-                if isinstance(part, AnswerCompleted | CompleteAnswer):
+                if isinstance(part, FINAL_PARTS):
                     return
     if progress.head_delivered:
         dispatcher.metrics.count("relay.cut")
@@ -76,9 +78,24 @@
         yield dispatcher.refuse(progress)
 
 
+def next_source(
+    dispatcher: Dispatcher, progress: RequestProgress
+) -> AsyncGenerator[AnswerPart, None] | None:
+    """Returns further parts of an answer, from a peer or a worker, or None."""
+    forwarded = dispatcher.forward_if_needed(progress)
+    if forwarded is not None:
+        return forwarded
+    if not dispatcher.may_send(progress):
+        return None
+    choice = dispatcher.choose(progress)
+    if choice is None:
+        return None
+    return stream_from_worker(dispatcher, progress, choice)
+
+
 async def stream_from_worker(
     dispatcher: Dispatcher, progress: RequestProgress, choice: Choice
-) -> AsyncIterator[AnswerPart]:
+) -> AsyncGenerator[AnswerPart, None]:
     """Yields the parts of an answer that one worker contributes.
 
     Yields no final part if the worker failed or a larger model is needed.
--- a/src/rattanpier/_internal/relay/termination_checks.py
+++ b/src/rattanpier/_internal/relay/termination_checks.py
@@ -32,6 +32,11 @@
 CHECK_TIMEOUT_S = 0.3
 
 
+async def path_works(_worker: RegisteredWorker, _listens: bool) -> bool:
+    """Trusts each check; used where the path is not watched."""
+    return True
+
+
 @attrs.define(eq=False, repr=False)
 class TerminationChecks:
     """Checks workers, one check per worker at a time, and stores the results.
@@ -41,6 +46,8 @@
       expiry_s: Seconds after which a registration expires.
       listens: Returns whether a process listens at a host and port, within a
         timeout in seconds; None if unknown.
+      confirm_failure: Called with a worker and whether it listens; returns
+        whether other workers can be reached, so that a failure is its own.
       terminated_at: When each worker was found to have terminated, in monotonic
         seconds, by incarnation.
       checks: Checks in progress, by incarnation.
@@ -49,6 +56,9 @@
     clock: Clock
     expiry_s: float
     listens: Callable[[str, int, float], Awaitable[bool | None]] = listens
+    confirm_failure: Callable[[RegisteredWorker, bool], Awaitable[bool]] = (
+        attrs.field(default=path_works)
+    )
     terminated_at: dict[str, float] = attrs.Factory(dict)
     checks: dict[str, asyncio.Task[bool]] = attrs.Factory(dict)
 
@@ -104,14 +114,17 @@
     async def check(self, worker: RegisteredWorker) -> bool:
         """Returns whether no process listens at a worker's address.
 
-        A worker that can't be reached at all may still run: False.
+        A worker that can't be reached at all may still run: False. So may one
+        that refuses like all others of its service.
         """
         listening = await self.listens(
             worker.host, worker.port, CHECK_TIMEOUT_S
         )
-        if listening is False:
-            self.record_terminated(worker.incarnation)
-        return listening is False
+        confirmed = await self.confirm_failure(worker, listening is True)
+        if listening is not False or not confirmed:
+            return False
+        self.record_terminated(worker.incarnation)
+        return True
 
     def record_terminated(self, worker: str) -> None:
         """Records that the process of an incarnation terminated."""
--- a/src/rattanpier/_internal/retries/liveness_checks.py
+++ b/src/rattanpier/_internal/retries/liveness_checks.py
@@ -97,7 +97,7 @@
     def is_assigned(self, incarnation: str) -> bool:
         """Returns whether this entry is to check a worker."""
         checkers = self.fleet.preferred(
-            f"look/{incarnation}", CHECKERS_PER_WORKER
+            f"look/{incarnation}", CHECKERS_PER_WORKER, asks_workers=True
         )
         return self.fleet.me.member.name in checkers
 
--- a/src/rattanpier/_internal/trace/causes.py
+++ b/src/rattanpier/_internal/trace/causes.py
@@ -17,6 +17,8 @@
 
 SENT = "dispatch: Sent."
 SEND_FAILED = "dispatch: Send failed."
+FORWARDED = "forwarding: Forwarded."
+FORWARDING_FAILED = "forwarding: Forwarding failed."
 WORKER_FAILED = "dispatch: Worker failed."
 STARTED = "main: Started."
 STOPPING = "main: Stopping."
@@ -236,9 +238,38 @@
     return ", then ".join(parts) if parts else "it was sent to no worker"
 
 
+def forward_phrase(line: LogLine, later: Sequence[LogLine]) -> str:
+    """Returns a phrase for a request that one entry forwarded to another.
+
+    Args:
+      line: Line that tells that it was forwarded.
+      later: Lines of the same request after it.
+    """
+    entry = line.fields.get("entry")
+    phrase = (
+        f"forwarded by {line.node} to {entry} (no worker of "
+        f"{line.fields.get('service')} reached for "
+        f"{line.fields.get('unreachable_s')} s)"
+    )
+    failure = next(
+        (
+            each
+            for each in later
+            if each.event == FORWARDING_FAILED
+            and each.fields.get("entry") == entry
+        ),
+        None,
+    )
+    if failure is None:
+        return phrase
+    return f"{phrase}, which failed ({failure.fields.get('reason')})"
+
+
 def iter_send_phrases(lines: Sequence[LogLine]) -> Iterator[str]:
     """Yields a phrase for each time the request was sent to a worker."""
     for index, line in enumerate(lines):
+        if line.event == FORWARDED:
+            yield forward_phrase(line, lines[index + 1 :])
         if line.event != SENT:
             continue
         worker = line.fields.get("worker")
--- a/tests/lib/worker_cuts.py
+++ b/tests/lib/worker_cuts.py
@@ -33,6 +33,7 @@
         dispatcher = self.entry.edge.dispatcher
         dispatcher.sender.pool.connect = self.connect
         dispatcher.terminations.listens = self.listens
+        dispatcher.reachability.listens = self.listens
         return self
 
     async def connect(self, worker):
--- a/tests/relay/test_crashing_requests.py
+++ b/tests/relay/test_crashing_requests.py
@@ -18,7 +18,6 @@
 
 from rattanpier._internal.models.upstream_request import ReportedLoad
 from rattanpier._internal.programs.relay import close
-from rattanpier._internal.relay import termination_checks
 from rattanpier._internal.relay.own_table import QUARANTINED_PREFIX
 from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.retries.quarantine import QUARANTINE_S
@@ -205,9 +204,7 @@
     assert len(judged) == 1
 
 
-async def test_crash_counts_if_caller_disconnects_during_check(
-    site, monkeypatch
-):
+async def test_crash_counts_if_caller_disconnects_during_check(site):
     check_started = asyncio.Event()
 
     async def listens_slowly(host, port, timeout_s):
@@ -215,9 +212,9 @@
         await asyncio.sleep(0.1)
         return False
 
-    monkeypatch.setattr(termination_checks, "listens", listens_slowly)
     await start_crashing_pool(site, "plain", 2)
     entry = await site.add_entry()
+    entry.edge.dispatcher.terminations.listens = listens_slowly
     leaving = asyncio.ensure_future(
         ask_plain(site, "/unsafe/x", "entry-1", CRASHING_BODY)
     )
