Check the path at each failed connection

A connection that had succeeded within 0.5 s kept a failure from starting a check, and other services from being checked at once. On an entry whose path was cut under load nine requests in flight were therefore taken for crashes of their workers, and their contents reported to all peers; a peer that had lost its path unnoticed refused what it should have turned away.

--- a/src/rattanpier/_internal/relay/reachability.py
+++ b/src/rattanpier/_internal/relay/reachability.py
@@ -27,8 +27,6 @@
 MIN_FAILED_WORKERS = 4
 # A VM answers a SYN within a few ms; the rest is for a busy entry.
 PROBE_TIMEOUT_S = 0.3
-# A connection that succeeded this recently explains a failure as the worker's.
-RECENT_CONNECT_S = 0.5
 MAX_ROUNDS = 3  # Of probes, while workers register or fail meanwhile.
 RECOVERY_PROBES = 2  # Workers that are probed together.
 RECOVERY_INTERVAL_S = 0.25
@@ -45,14 +43,12 @@
     Attributes:
       failed_at: When connecting last failed, in monotonic seconds, by
         incarnation; cleared when a connection to any worker succeeds.
-      connected_at: When a connection last succeeded, in monotonic seconds.
       unreachable_since: First of the failures that made the service
         unreachable, in monotonic seconds; None while it is reachable.
       check: Check in progress of whether it is reachable, or None.
     """
 
     failed_at: dict[str, float] = attrs.Factory(dict)
-    connected_at: float = float("-inf")
     unreachable_since: float | None = None
     check: asyncio.Task[None] | None = None
 
@@ -131,17 +127,14 @@
     def record_connect(self, worker: RegisteredWorker, connected: bool) -> None:
         """Records whether a connection to a worker could be opened.
 
-        A failure starts a check unless another worker explains it.
+        A failure starts a check of the other workers.
         """
         path = self.paths.setdefault(worker.service, ServicePath())
-        now = self.clock.monotonic()
         if connected:
-            path.connected_at = now
             self.record_reachable(worker.service, path)
             return
-        path.failed_at[worker.incarnation] = now
-        if now - path.connected_at >= RECENT_CONNECT_S:
-            self.start_check(worker.service)
+        path.failed_at[worker.incarnation] = self.clock.monotonic()
+        self.start_check(worker.service)
 
     async def confirm_failure(
         self, worker: RegisteredWorker, connected: bool
@@ -231,11 +224,8 @@
         )
         self.on_unreachable(service)
         self.on_change()
-        now = self.clock.monotonic()
         for other in self.services():
-            known = self.paths.setdefault(other, ServicePath())
-            if now - known.connected_at >= RECENT_CONNECT_S:
-                self.start_check(other)
+            self.start_check(other)
 
     def record_reachable(self, service: str, path: ServicePath) -> None:
         """Records that a worker of a service accepted a connection."""
