Take no retry from the budget for a connection that failed

The same holds for one crashed worker: with a budget of 0 a request whose first worker refused the connection got 503, though the next one would have served it. The operators' bound is on what arrives at a service beyond the first of each request, so that the first arrival needs no retry. The number of workers that a request may be sent to still bounds the attempts.

test_connections_that_fail_use_up_no_retry_budget fails before, at the first request that chooses the stopped worker.

--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -229,7 +229,8 @@
     def may_send(self, progress: RequestProgress) -> bool:
         """Returns whether a request may be sent to another worker.
 
-        An additional upstream request is taken from the retry budget.
+        An additional upstream request is taken from the retry budget, unless
+        the earlier ones reached no worker.
         """
         request = progress.request
         progress.quarantined_s = self.quarantine.remaining_s(request.content)
@@ -248,7 +249,8 @@
             return False
         if self.left_s(progress) <= MIN_TIME_LEFT_S:
             return False
-        if progress.sent and not self.budgets[progress.service].try_acquire():
+        budget = self.budgets[progress.service]
+        if progress.arrived_sends() and not budget.try_acquire():
             self.metrics.count("relay.budget_spent")
             progress.reason = progress.reason or "retry budget spent"
             return False
--- a/tests/relay/test_path.py
+++ b/tests/relay/test_path.py
@@ -231,3 +231,12 @@
             "relay.send_failed.not_run"
         ]
         assert misdirected_sends == 1
+
+
+async def test_connections_that_fail_use_up_no_retry_budget(site):
+    for name in ("w1", "w2", "w3"):
+        await site.add_worker(name)
+    await site.add_entry(budgetSlack=0, retryBudgetRatio=0)
+    await site.workers["w1"].stop()
+    for _ in range(20):
+        assert (await site.ask("/unsafe/x")).status == 200
