--- a/tests/lib/first_tries.py
+++ b/tests/lib/first_tries.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import collections
+import math
 
+import aiohttp
 import attrs
 
 PATHS = ("/safe/x", "/unsafe/x", "/chat/x")
@@ -33,16 +35,20 @@
     async def ask(self, name, path):
         at = asyncio.get_running_loop().time()
         send = self.site.chat if path.startswith("/chat") else self.site.ask
-        answer = await send(path, entry=name)
+        try:
+            answer = await send(path, entry=name)
+        except (aiohttp.ClientError, KeyError):
+            self.results[name].append((at, 0))
+            return
         status = answer.status if answer.complete else 0
         self.results[name].append((at, status))
 
-    def count(self, names, since):
+    def count(self, names, since, until=math.inf):
         """Returns how many first tries were served, and how many there were."""
         statuses = [
             status
             for name in names
             for at, status in self.results[name]
-            if at >= since
+            if since <= at < until
         ]
         return statuses.count(200), len(statuses)
