Divide the slots of brittle workers among the entries

While a worker of a service is brittle, the slots of each are divided among the live entries that reach workers, by a hash, so that no worker is ever full if all keep to their parts. With more entries than slots some have no part. Where an entry's part is in use it forwards to a peer that has one, or refuses at once. A refusal all the same pauses the worker at all entries for a second. A plain request counts as in flight from the moment its worker is chosen, and an aborted one for 0.3 s more, since a worker may notice late.

--- a/src/rattanpier/_internal/models/upstream_request.py
+++ b/src/rattanpier/_internal/models/upstream_request.py
@@ -70,6 +70,8 @@
       rate_per_s: Requests per second that it accepts from all entries together;
         None: it reports no limit.
       leaving: Whether the worker accepts no new requests any more.
+      refusals_per_s: Refusals within a second after which it crashes; None: it
+        stands any number.
       rest_s: Backoff: seconds for which it asks for no requests from this
         entry.
     """
@@ -87,4 +89,5 @@
     keep_alive_s: float | None = None
     rate_per_s: float | None = None
     leaving: bool = False
+    refusals_per_s: float | None = None
     rest_s: float = 0.0
--- a/src/rattanpier/_internal/placement/eligibility.py
+++ b/src/rattanpier/_internal/placement/eligibility.py
@@ -24,12 +24,13 @@
 WARMING_UP = "warming_up"
 RATE_LIMITED = "rate_limited"
 RESTING = "resting"
+BRITTLE = "brittle"
 AVOIDED = "avoided"
 KEPT_APART = "kept_apart"
 # Conditions that start and end with what a worker itself reports.
-WORKER_REPORTED = frozenset({RATE_LIMITED, RESTING})
+WORKER_REPORTED = frozenset({RATE_LIMITED, RESTING, BRITTLE})
 # Conditions with a known time at which a worker accepts requests again.
-TEMPORARY = frozenset({WARMING_UP, RATE_LIMITED, RESTING})
+TEMPORARY = frozenset({WARMING_UP, RATE_LIMITED, RESTING, BRITTLE})
 
 
 @attrs.frozen
--- a/src/rattanpier/_internal/platform/upstream.py
+++ b/src/rattanpier/_internal/platform/upstream.py
@@ -30,6 +30,7 @@
 CONFIDENCE = "x-confidence"
 RATE_LIMIT = "server-limit"
 LEAVING = "server-leaving"
+BRITTLE = "server-brittle"
 RETRY_AFTER = "retry-after"
 MODEL = "x-model"
 LAST_EVENT_ID = "last-event-id"
@@ -91,6 +92,7 @@
         keep_alive_s=decode_keep_alive(head.get("keep-alive")),
         rate_per_s=decode_rate_limit(head.get_all(RATE_LIMIT)),
         rest_s=decode_backoff(head),
+        refusals_per_s=decode_brittleness(head.get_all(BRITTLE)),
         leaving=any(map(read_leaving, head.get_all(LEAVING))),
     )
 
@@ -176,6 +178,31 @@
     return max(0.0, rate)
 
 
+def decode_brittleness(texts: Sequence[str]) -> float | None:
+    """Returns after how many refusals within a second a worker crashes.
+
+    Args:
+      texts: Values of the header; the lowest applies.
+
+    Returns:
+      None if the worker did not say.
+
+    >>> decode_brittleness(["4"]), decode_brittleness([])
+    (4.0, None)
+    """
+    return min(map(read_brittleness, texts), default=None)
+
+
+@functools.lru_cache(TEXT_CACHE_SIZE)
+def read_brittleness(text: str) -> float:
+    """Returns the number in a header; invalid values give the lowest."""
+    refusals = decode_number(text)
+    if refusals is None:
+        log.warning("Server-Brittle header can't be parsed.", text=text)
+        return 0.0
+    return max(0.0, refusals)
+
+
 def decode_backoff(head: WireHead) -> float:
     """Returns the seconds for which this entry must not send requests."""
     if head.status not in BACKOFF_STATUSES:
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -76,6 +76,7 @@
         dispatcher.quarantine,
         state.domains,
         dispatcher.limits,
+        dispatcher.brittle,
         state.directory,
         kernel.find("history"),
         lambda: state.table_version,
@@ -87,6 +88,8 @@
     add_forwarding(kernel, dispatcher, state, drain)
     shared_state.quarantine.on_update = gossip.schedule_quarantine_broadcast
     shared_state.limits.publish = gossip.broadcast_limit
+    shared_state.brittle.reports.publish = gossip.broadcast_brittle
+    shared_state.brittle.publish_full = gossip.broadcast_full
     shared_state.rollouts.on_stopped = gossip.broadcast_stop
     shared_state.directory.broadcast_leaving = gossip.broadcast_leaving
     dispatcher.reachability.on_change = gossip.broadcast_changes
--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -12,6 +12,7 @@
 from rattanpier._internal.peers.forward_channels import ForwardChannels
 from rattanpier._internal.placement import eligibility
 from rattanpier._internal.placement.backoffs import Backoffs
+from rattanpier._internal.placement.brittle_workers import BrittleWorkers
 from rattanpier._internal.placement.eligibility import Condition
 from rattanpier._internal.placement.rate_limits import RateLimits
 from rattanpier._internal.placement.shared_rates import SharedRates
@@ -79,17 +80,28 @@
     warm_ups = make_warm_ups(settings, state, shares)
     limits = make_rate_limits(state, shares)
     backoffs = Backoffs(clock, random.Random(settings.name))
+    brittle = BrittleWorkers(
+        fleet,
+        clock,
+        state.directory.accepting_workers,
+        lambda worker: len(loads.workers[worker].running),
+        state.directory.is_registered,
+    )
 
     def forget(worker: str) -> None:
         loads.forget(worker)
         pool.forget(worker)
         health.forget(worker)
         limits.forget(worker)
+        brittle.reports.forget(worker)
 
     def record_answer_head(
         worker: RegisteredWorker, head: AnswerHead, asked_at: float
     ) -> None:
         limits.record_answer(worker, head.rate_per_s, asked_at)
+        brittle.reports.record_answer(worker, head.refusals_per_s, asked_at)
+        if head.not_run:
+            brittle.record_refusal(worker)
         if head.leaving:
             state.directory.record_leaving(worker)
         if head.rest_s:
@@ -100,6 +112,7 @@
             warm_ups.available_in_s(worker),
             limits.any_entry_available_in_s(worker),
             backoffs.available_in_s(worker.incarnation),
+            brittle.available_in_s(worker),
         )
 
     def record_request_started(worker: RegisteredWorker) -> None:
@@ -132,6 +145,9 @@
         Condition(
             eligibility.RESTING, lambda _, some: backoffs.open_workers(some)
         ),
+        Condition(
+            eligibility.BRITTLE, lambda _, some: brittle.open_workers(some)
+        ),
         Condition(eligibility.AVOIDED, lambda _, some: health.usable(some)),
         Condition(
             eligibility.KEPT_APART,
@@ -156,7 +172,9 @@
             ModelGroups(clock),
             settings.policy,
         ),
-        sender=Sender(pool, dialect, loads, record_answer_head),
+        sender=Sender(
+            pool, dialect, loads, record_answer_head, brittle.record_aborted
+        ),
         terminations=terminations,
         reachability=reachability,
         forwarder=forwarder,
@@ -165,6 +183,7 @@
         on_request_started=record_request_started,
         limits=limits,
         backoffs=backoffs,
+        brittle=brittle,
         quarantine=quarantine,
         rollouts=state.rollouts,
         budgets=ServiceRetryBudgets(settings.bounds, fleet.size, clock),
@@ -174,12 +193,7 @@
 
 def make_rate_limits(state: RelayState, shares: SharedRates) -> RateLimits:
     """Returns the rate limits of workers that announce one."""
-
-    def registered(worker: str, incarnation: str) -> bool:
-        found = state.directory.workers.get(worker)
-        return found is not None and found.incarnation == incarnation
-
-    return RateLimits(shares, shares.clock, registered)
+    return RateLimits(shares, shares.clock, state.directory.is_registered)
 
 
 def make_warm_ups(
--- a/src/rattanpier/_internal/programs/relay_workers.py
+++ b/src/rattanpier/_internal/programs/relay_workers.py
@@ -11,7 +11,11 @@
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.platform import reports
 from rattanpier._internal.platform.identity import identity_checker
-from rattanpier._internal.platform.reports import OnWorkerStatus, ReadReport
+from rattanpier._internal.platform.reports import (
+    OnWorkerStatus,
+    ReadReport,
+    WorkerStatus,
+)
 from rattanpier._internal.programs.relay_listen import RelayEntry
 from rattanpier._internal.relay.prompt_updates import PromptUpdates
 from rattanpier._internal.relay.queue_watch import QueueWatch
@@ -30,15 +34,18 @@
 def report_recorder(entry: RelayEntry) -> OnWorkerStatus:
     """Returns the callback that records the load reports of workers."""
     limits = entry.edge.dispatcher.limits
+    brittle = entry.edge.dispatcher.brittle
     directory = entry.state.directory
 
-    def record_report(
-        worker: RegisteredWorker, rate_per_s: float | None, leaving: bool
-    ) -> None:
-        if rate_per_s is not None:
-            # The report may be out of date, so it may only lower the limit.
-            limits.record_answer(worker, rate_per_s, -math.inf)
-        if leaving:
+    def record_report(worker: RegisteredWorker, status: WorkerStatus) -> None:
+        # The report may be out of date, so it may only lower a limit.
+        if status.rate_per_s is not None:
+            limits.record_answer(worker, status.rate_per_s, -math.inf)
+        if status.refusals_per_s is not None:
+            brittle.reports.record_answer(
+                worker, status.refusals_per_s, -math.inf
+            )
+        if status.leaving:
             directory.record_leaving(worker)
 
     return record_report
--- a/src/rattanpier/_internal/relay/directory.py
+++ b/src/rattanpier/_internal/relay/directory.py
@@ -385,6 +385,11 @@
             self.accepting_by_service[service] = found
         return found
 
+    def is_registered(self, id: str, incarnation: str) -> bool:
+        """Returns whether an incarnation of a worker is registered."""
+        found = self.workers.get(id)
+        return found is not None and found.incarnation == incarnation
+
     def services(self) -> set[str]:
         """Returns the services that have workers which accept requests."""
         return {
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -22,6 +22,7 @@
 from rattanpier._internal.models.upstream_request import UpstreamRequest
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.placement.backoffs import Backoffs
+from rattanpier._internal.placement.brittle_workers import BrittleWorkers
 from rattanpier._internal.placement.eligibility import (
     DRAINED_DOMAIN,
     LEAVING,
@@ -94,6 +95,7 @@
         it starts.
       limits: Rate limits that workers have declared.
       backoffs: Workers that asked this entry to back off.
+      brittle: Workers that fall over if they have to refuse too much.
       quarantine: Requests under which workers crashed.
       rollouts: Roll-outs of versions.
       budgets: Upstream requests beyond the first of each request, by service.
@@ -117,6 +119,7 @@
     on_request_started: Callable[[RegisteredWorker], None]
     limits: RateLimits
     backoffs: Backoffs
+    brittle: BrittleWorkers
     quarantine: Quarantine
     rollouts: Rollouts
     budgets: Mapping[str, ServiceRetryBudget]
@@ -329,7 +332,11 @@
         """
         if not self.must_forward(progress):
             return None
-        peer = self.forwarder.choose(progress)
+        service = progress.service
+        sharers = None
+        if self.brittle.is_brittle(service):
+            sharers = self.brittle.entries_with_share(service)
+        peer = self.forwarder.choose(progress, sharers)
         if peer is None:
             return None
         return forward(
@@ -338,12 +345,20 @@
 
     def must_forward(self, progress: RequestProgress) -> bool:
         """Returns whether only a peer may answer a request."""
-        return self.forwarder.is_needed(progress) and may_forward(
+        if progress.received_from_peer:
+            return False
+        return self.lacks_path_or_room(progress.service) and may_forward(
             progress,
             self.left_s(progress),
             self.quarantine.remaining_s(progress.request.content),
         )
 
+    def lacks_path_or_room(self, service: str) -> bool:
+        """Returns whether this entry can send nothing to a service now."""
+        if not self.reachability.is_reachable(service):
+            return True
+        return self.brittle.lacks_room(service)
+
     # Recording results.
 
     def record_send_error(
--- a/src/rattanpier/_internal/relay/exchange.py
+++ b/src/rattanpier/_internal/relay/exchange.py
@@ -137,6 +137,8 @@
       loads: Receives the load that workers report.
       on_answer: Called with the worker, the head of its answer, and the time at
         which the request was sent, in monotonic seconds.
+      on_aborted: Called with the worker of a connection that was closed before
+        the end of its answer.
     """
 
     pool: ConnectionPool
@@ -145,6 +147,9 @@
     on_answer: Callable[[RegisteredWorker, AnswerHead, float], None] = (
         attrs.field(default=lambda _worker, _head, _asked_at: None)
     )
+    on_aborted: Callable[[RegisteredWorker], None] = attrs.field(
+        default=lambda _worker: None
+    )
 
     @asynccontextmanager
     async def send(
@@ -185,6 +190,7 @@
                 )
             else:
                 connection.abort()
+                self.on_aborted(worker)
 
     async def open(
         self,
--- a/src/rattanpier/_internal/relay/forwarded_requests.py
+++ b/src/rattanpier/_internal/relay/forwarded_requests.py
@@ -83,6 +83,8 @@
             return "no path to the service"
         if self.running >= MAX_RUNNING:
             return "busy"
+        if self.dispatcher.brittle.lacks_room(forwarded.service):
+            return "no room at brittle workers"
         return ""
 
     async def send_answer(
--- a/src/rattanpier/_internal/relay/forwarding.py
+++ b/src/rattanpier/_internal/relay/forwarding.py
@@ -1,4 +1,7 @@
-"""Forwards requests to peers while this entry can't reach their workers.
+"""Forwards requests to peers while this entry can't send them to workers.
+
+Either it reaches no worker of the service, or the workers are brittle and this
+entry's part of their slots is in use.
 
 Callers keep an address for a while after the list of entries changed, and some
 know no other one. The nearest peers that reach the service answer instead. A
@@ -10,7 +13,7 @@
 
 import itertools
 import random
-from collections.abc import AsyncGenerator, AsyncIterator, Callable
+from collections.abc import AsyncGenerator, AsyncIterator, Callable, Collection
 
 import attrs
 import structlog
@@ -86,21 +89,21 @@
     rng: random.Random
     rejected_until: dict[tuple[str, str], float] = attrs.Factory(dict)
 
-    def is_needed(self, progress: RequestProgress) -> bool:
-        """Returns whether a request has to be answered by a peer."""
-        if progress.received_from_peer:
-            return False
-        return not self.reachability.is_reachable(progress.service)
-
-    def choose(self, progress: RequestProgress) -> Member | None:
+    def choose(
+        self, progress: RequestProgress, among: Collection[str] | None = None
+    ) -> Member | None:
         """Returns the peer to forward a request to, or None.
 
         The nearest peers with a path are preferred, up to a number of calls.
+
+        Args:
+          progress: Progress of the request.
+          among: Names of the peers to choose from; None for all.
         """
         candidates: list[tuple[float, Member]] = []
         near, far = self.peers_with_path(progress.service)
         for peers, extra in ((near, 0), (far, CROSS_DOMAIN_CALLS)):
-            able = filter(self.accepts(progress), peers)
+            able = filter(self.accepts(progress, among), peers)
             for member in itertools.islice(able, PEERS_PER_GROUP):
                 cost = self.channels.calls_to(member) + extra
                 candidates.append((cost + self.rng.random(), member))
@@ -137,7 +140,9 @@
         far = [each for each in members if each.domain != me.domain]
         return near, far
 
-    def accepts(self, progress: RequestProgress) -> Callable[[Member], bool]:
+    def accepts(
+        self, progress: RequestProgress, among: Collection[str] | None
+    ) -> Callable[[Member], bool]:
         """Returns the test whether a peer may be asked for a request now."""
         now = self.clock.monotonic()
         regions = allowed_regions(progress.request)
@@ -145,6 +150,8 @@
         def accepts(member: Member) -> bool:
             if member.name in progress.peers_tried:
                 return False
+            if among is not None and member.name not in among:
+                return False
             if regions and member.region not in regions:
                 return False
             until = self.rejected_until.get((member.name, progress.service))
@@ -261,7 +268,7 @@
         service=progress.service,
         entry=peer.name,
         sent=forwarded.sent,
-        unreachable_s=round(forwarder.reachability.unreachable_for_s(), 3),
+        unreachable=not forwarder.reachability.is_reachable(progress.service),
         left_s=round(forwarded.left_s, 3),
     )
     forwarder.metrics.count("relay.forwarded")
--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -280,6 +280,14 @@
         """Starts a broadcast of a rate limit that a worker announced."""
         self.broadcast(StateUpdate(limits=[limit]))
 
+    def broadcast_brittle(self, limit: RateLimit) -> None:
+        """Starts a broadcast of how many refusals a worker stands."""
+        self.broadcast(StateUpdate(brittle=[limit]))
+
+    def broadcast_full(self, incarnation: str) -> None:
+        """Starts a broadcast that a brittle worker refused a request."""
+        self.broadcast(StateUpdate(full=[incarnation]))
+
     def broadcast_leaving(self, incarnation: str) -> None:
         """Starts a broadcast that a worker incarnation is leaving."""
         self.broadcast(StateUpdate(leaving=[incarnation]))
--- a/src/rattanpier/_internal/relay/plain_answers.py
+++ b/src/rattanpier/_internal/relay/plain_answers.py
@@ -17,6 +17,7 @@
     SendError,
     copied_headers,
 )
+from rattanpier._internal.relay.load import InFlight
 from rattanpier._internal.relay.placement import Choice
 from rattanpier._internal.relay.request_progress import RequestProgress
 
@@ -79,15 +80,15 @@
     Returns:
       The answer, or None if all workers asked have failed.
     """
-    first = asyncio.ensure_future(
-        answer_from_worker(dispatcher, progress, choice)
-    )
-    running = {first}
+    flights: list[tuple[str, InFlight]] = []
+    running = {start_request(dispatcher, progress, choice, flights)}
     try:
         if progress.request.route.idempotent and dispatcher.policy.hedges:
             hedge_s = HEDGE_DELAY_SHARE * progress.request.route.objective_s
             done, _ = await asyncio.wait(running, timeout=hedge_s)
-            second = None if done else start_hedge(dispatcher, progress)
+            second = None
+            if not done:
+                second = start_hedge(dispatcher, progress, flights)
             if second is not None:
                 dispatcher.metrics.count("relay.hedged")
                 running.add(second)
@@ -102,10 +103,36 @@
     finally:
         for task in running:
             task.cancel()
+        # A task that was cancelled before its first step ends none itself.
+        for worker, flight in flights:
+            dispatcher.loads.end(worker, flight)
+
+
+def start_request(
+    dispatcher: Dispatcher,
+    progress: RequestProgress,
+    choice: Choice,
+    flights: list[tuple[str, InFlight]],
+) -> asyncio.Future[CompleteAnswer | None]:
+    """Sends a request to a worker, whose load counts it from now on.
+
+    Args:
+      dispatcher: Sends requests to workers.
+      progress: Progress of the request.
+      choice: Worker to ask.
+      flights: Receives the worker's id and the request in flight.
+    """
+    flight = dispatcher.add_in_flight(progress, choice.worker, 0.0)
+    flights.append((choice.worker.id, flight))
+    return asyncio.ensure_future(
+        answer_from_worker(dispatcher, progress, choice, flight)
+    )
 
 
 def start_hedge(
-    dispatcher: Dispatcher, progress: RequestProgress
+    dispatcher: Dispatcher,
+    progress: RequestProgress,
+    flights: list[tuple[str, InFlight]],
 ) -> asyncio.Future[CompleteAnswer | None] | None:
     """Sends a request to a second worker, or has a peer do so.
 
@@ -120,9 +147,7 @@
     choice = dispatcher.choose(progress)
     if choice is None:
         return None
-    return asyncio.ensure_future(
-        answer_from_worker(dispatcher, progress, choice)
-    )
+    return start_request(dispatcher, progress, choice, flights)
 
 
 async def success_of_peer(
@@ -143,13 +168,15 @@
 
 
 async def answer_from_worker(
-    dispatcher: Dispatcher, progress: RequestProgress, choice: Choice
+    dispatcher: Dispatcher,
+    progress: RequestProgress,
+    choice: Choice,
+    in_flight: InFlight,
 ) -> CompleteAnswer | None:
     """Returns a worker's complete answer, or None if it failed."""
     request = progress.request
     worker = choice.worker
     sending = dispatcher.record_upstream_request(progress, choice)
-    in_flight = dispatcher.add_in_flight(progress, worker, 0.0)
     observation = dispatcher.rollouts.observe(
         worker, request.route.name, PLAIN_WORK_S
     )
--- a/src/rattanpier/_internal/relay/shared_state.py
+++ b/src/rattanpier/_internal/relay/shared_state.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from rattanpier._internal.placement.brittle_workers import BrittleWorkers
 from rattanpier._internal.placement.drained_domains import DrainedDomains
 from rattanpier._internal.placement.rate_limits import RateLimits
 from rattanpier._internal.relay.directory import WorkerDirectory
@@ -25,6 +26,7 @@
       quarantine: Requests under which workers crashed.
       domains: Failure domains that are drained.
       limits: Rate limits that workers announced.
+      brittle: Brittle workers.
       directory: Registered workers, and those that leave or deregistered.
       history: Tracks the newest era of the store.
       table_version: Returns the version of the route table in force.
@@ -37,6 +39,7 @@
     quarantine: Quarantine
     domains: DrainedDomains
     limits: RateLimits
+    brittle: BrittleWorkers
     directory: WorkerDirectory
     history: StoreHistory
     table_version: Callable[[], int] = lambda: -1
@@ -48,6 +51,7 @@
         known = self.quarantine.digest() ^ self.domains.digest()
         known ^= self.directory.deregistrations.digest()
         known ^= self.rollouts.known_orders.digest() ^ self.rollouts.digest()
+        known ^= self.brittle.reports.digest()
         return known ^ self.limits.digest() ^ self.directory.leaving_digest()
 
     def apply_update(self, update: StateUpdate) -> None:
@@ -65,6 +69,8 @@
         self.quarantine.apply_update(update.quarantine)
         self.domains.apply_peer_orders(update.drained)
         self.limits.apply_limits(update.limits)
+        self.brittle.reports.apply_limits(update.brittle)
+        self.brittle.apply_full(update.full)
         self.directory.apply_leaving(update.leaving)
         for worker in self.directory.apply_deregistrations(update.departed):
             self.on_deregistered(worker)
@@ -83,6 +89,7 @@
             quarantine=self.quarantine.full_update(),
             drained=self.domains.active_orders(),
             limits=self.limits.registered_limits(),
+            brittle=self.brittle.reports.registered_limits(),
             leaving=self.directory.leaving_incarnations(),
             departed=self.directory.deregistrations.disputed(),
             orders=self.rollouts.known_orders.unconfirmed(),
@@ -98,7 +105,8 @@
     def has_unsummarized_state(self) -> bool:
         """Returns whether there is state that summaries do not cover."""
         held = self.quarantine.crashes or self.quarantine.cleared
-        said = self.limits.reported or self.directory.leaving_incarnations()
+        said = self.limits.reported or self.brittle.reports.reported
+        said = said or self.directory.leaving_incarnations()
         disputed = self.directory.deregistrations.pending
         lost = self.rollouts.known_orders.unconfirmed()
         orders = lost or self.rollouts.records or self.rollouts.stopped
--- a/src/rattanpier/_internal/relay/updates.py
+++ b/src/rattanpier/_internal/relay/updates.py
@@ -31,6 +31,8 @@
       quarantine: Requests under which workers crashed.
       drained: Orders that keep failure domains drained.
       limits: Rate limits that workers announced.
+      brittle: Refusals within a second that workers say they stand.
+      full: Incarnations of brittle workers that refused a request just now.
       leaving: Incarnations of workers that announced that they leave.
       departed: Incarnations of deregistered workers that the store's table
         still lists because the store was restored from a backup.
@@ -50,6 +52,8 @@
     quarantine: QuarantineUpdate = attrs.Factory(QuarantineUpdate)
     drained: list[DomainOrder] = attrs.Factory(list)
     limits: list[RateLimit] = attrs.Factory(list)
+    brittle: list[RateLimit] = attrs.Factory(list)
+    full: list[str] = attrs.Factory(list)
     leaving: list[str] = attrs.Factory(list)
     departed: list[Deregistration] = attrs.Factory(list)
     orders: list[RolloutOrder] = attrs.Factory(list)
--- a/src/rattanpier/_internal/standin/platform_worker.py
+++ b/src/rattanpier/_internal/standin/platform_worker.py
@@ -52,6 +52,7 @@
 
 REPORT = "/rattanpier/report"
 HEALTH = "/healthz"
+BRITTLE_WINDOW_S = 1.0
 CRASH_S = 0.05  # From the start of a run to the crash, as logged.
 
 
@@ -81,6 +82,14 @@
       leaving: Whether answers announce that it is leaving.
       state: State given in reports; omitted if empty.
       rest: Backoff (`Retry-After`) sent with refusals; none if empty.
+      room: Number of requests that it takes at once; further ones are refused.
+        None: no limit.
+      brittle: Refusals within a second for want of room that it stands, as
+        announced in answers; beyond that it crashes. None: any number.
+      running: Number of requests that it runs.
+      refused_at: Times of recent refusals for want of room, in seconds of the
+        loop's clock.
+      falls: Number of crashes after too many refusals.
       address: IP address and port, once started.
     """
 
@@ -103,6 +112,11 @@
     leaving: bool = False
     state: str = ""
     rest: str = ""
+    room: int | None = None
+    brittle: int | None = None
+    running: int = 0
+    refused_at: list[float] = attrs.Factory(list)
+    falls: int = 0
     address: str = ""
     server: asyncio.Server | None = None
     connections: dict[asyncio.StreamWriter, asyncio.StreamReader] = (
@@ -168,13 +182,39 @@
             body = json.dumps(self.report()).encode()
             writer.write(head(200, self.words(), len(body)) + body)
             return True
+        if self.room is not None and self.running >= self.room:
+            self.refuse(writer)
+            return not await self.fell_over()
+        self.running += 1
+        try:
+            return await self.take(run, writer)
+        finally:
+            self.running -= 1
+
+    def refuse(self, writer: asyncio.StreamWriter) -> None:
+        """Answers that the request is not run."""
+        self.shed += 1
+        shed = [("X-Not-Executed", "1"), *self.words()]
+        if self.rest:
+            shed.append(("Retry-After", self.rest))
+        writer.write(head(503, shed, 0))
+
+    async def fell_over(self) -> bool:
+        """Counts a refusal for want of room; returns whether it crashed."""
+        now = asyncio.get_running_loop().time()
+        recent = [at for at in self.refused_at if now - at < BRITTLE_WINDOW_S]
+        self.refused_at = [*recent, now]
+        if self.brittle is None or len(self.refused_at) <= self.brittle:
+            return False
+        self.falls += 1
+        await self.stop()
+        return True
+
+    async def take(self, run: WorkerRun, writer: asyncio.StreamWriter) -> bool:
+        """Runs a request; returns whether the connection stays open."""
         fault = self.take_fault()
         if fault is WorkerFault.SHED:
-            self.shed += 1
-            shed = [("X-Not-Executed", "1"), *self.words()]
-            if self.rest:
-                shed.append(("Retry-After", self.rest))
-            writer.write(head(503, shed, 0))
+            self.refuse(writer)
             return True
         self.runs.append(run)
         if self.deadly and run.body == self.deadly:
@@ -307,6 +347,8 @@
     def words(self) -> list[tuple[str, str]]:
         """Returns the headers that announce the state of the worker."""
         words = [("Server-Limit", self.limit)] if self.limit else []
+        if self.brittle is not None:
+            words.append(("Server-Brittle", str(self.brittle)))
         return [*words, ("Server-Leaving", "1")] if self.leaving else words
 
 
--- a/src/rattanpier/_internal/trace/causes.py
+++ b/src/rattanpier/_internal/trace/causes.py
@@ -246,11 +246,11 @@
       later: Lines of the same request after it.
     """
     entry = line.fields.get("entry")
-    phrase = (
-        f"forwarded by {line.node} to {entry} (no worker of "
-        f"{line.fields.get('service')} reached for "
-        f"{line.fields.get('unreachable_s')} s)"
-    )
+    service = line.fields.get("service")
+    why = f"its part of the brittle workers of {service} was in use"
+    if line.fields.get("unreachable"):
+        why = f"it reached no worker of {service}"
+    phrase = f"forwarded by {line.node} to {entry} ({why})"
     failure = next(
         (
             each
--- a/tests/lib/cut_site.py
+++ b/tests/lib/cut_site.py
@@ -44,16 +44,17 @@
     return entry.edge.dispatcher.reachability.unreachable_services()
 
 
-async def lose_path(site, *cuts, kind):
-    """Cuts entries and waits until they have found out about both services."""
+async def lose_path(site, *cuts, kind, services=2):
+    """Cuts entries and waits until they have found out about all services."""
     for cut in cuts:
         cut.set(kind)
         name = cut.entry.settings.name
-        await site.ask(entry=name)
-        await site.chat(entry=name)
+        await site.ask("/unsafe/x", entry=name)
+        if services > 1:
+            await site.chat(entry=name)
     names = [cut.entry.settings.name for cut in cuts]
     await until(
-        lambda: all(len(unreachable(site, name)) == 2 for name in names)
+        lambda: all(len(unreachable(site, name)) == services for name in names)
     )
     # The peers hear of it by a broadcast.
     await asyncio.sleep(0.1)
--- a/tests/lib/ring.py
+++ b/tests/lib/ring.py
@@ -16,6 +16,7 @@
 from rattanpier._internal.models.member import Member, Role
 from rattanpier._internal.models.rollout_order import RolloutOrder
 from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.placement.brittle_workers import BrittleWorkers
 from rattanpier._internal.placement.drained_domains import DrainedDomains
 from rattanpier._internal.placement.rate_limits import RateLimits
 from rattanpier._internal.placement.shared_rates import SharedRates
@@ -137,6 +138,9 @@
                 Quarantine(self.clock),
                 DrainedDomains(),
                 RateLimits(SharedRates(fleet, self.clock), self.clock),
+                BrittleWorkers(
+                    fleet, self.clock, lambda _service: (), lambda _worker: 0
+                ),
                 WorkerDirectory(self.clock),
                 StoreHistory(self.clock, Metrics()),
             ),
