Forward to leaving peers if no other reaches workers

With three of four entries cut and the fourth in a planned stop, first tries at the cut ones were refused with no_path for the seconds in which the fourth still takes requests: a leaving entry is not listed, and only listed ones were asked. It decides itself what it can finish in time, so it is asked when nobody else is left. test_leaving_peers_serve_if_no_other_reaches_workers fails before (503 no_path).

--- a/src/rattanpier/_internal/relay/forwarding.py
+++ b/src/rattanpier/_internal/relay/forwarding.py
@@ -59,13 +59,28 @@
 # a large fleet does not open connections from each entry to each other.
 PEERS_PER_GROUP = 4
 # A peer in another domain is used once a near one has this many more calls.
-CROSS_DOMAIN_CALLS = 8
+FAR_CALLS = 8
 # A peer that rejected a request is not asked for that service meanwhile. It
 # tells everyone within a fraction of this if it lost the service, too.
 REJECTED_PAUSE_S = 0.5
 NO_PATH_RETRY_AFTER_S = 0.5  # Services are probed more often than this.
 
 
+@attrs.frozen
+class PeersWithPath:
+    """Peers that reach a service, in the order in which they are preferred.
+
+    Attributes:
+      near: Those in this entry's domain.
+      far: Those in other domains.
+      leaving: Those that start or stop, which may reject a request.
+    """
+
+    near: list[Member]
+    far: list[Member]
+    leaving: list[Member]
+
+
 @attrs.define(eq=False, repr=False)
 class Forwarder:
     """Selects the peers that answer requests for this entry.
@@ -100,30 +115,27 @@
           progress: Progress of the request.
           among: Names of the peers to choose from; None for all.
         """
-        candidates: list[tuple[float, Member]] = []
-        near, far = self.peers_with_path(progress.service)
-        for peers, extra in ((near, 0), (far, CROSS_DOMAIN_CALLS)):
-            able = filter(self.accepts(progress, among), peers)
-            for member in itertools.islice(able, PEERS_PER_GROUP):
-                cost = self.channels.calls_to(member) + extra
-                candidates.append((cost + self.rng.random(), member))
-        if not candidates:
-            return None
-        return min(candidates, key=lambda each: each[0])[1]
-
-    def peers_with_path(
-        self, service: str
-    ) -> tuple[list[Member], list[Member]]:
-        """Returns the peers that reach a service, in and out of this domain.
-
-        Both lists are in the order in which this entry prefers them.
-        """
+        accepts = self.accepts(progress, among)
+        peers = self.peers_with_path(progress.service)
+        candidates = [
+            (self.channels.calls_to(member) + extra, self.rng.random(), member)
+            for group, extra in ((peers.near, 0), (peers.far, FAR_CALLS))
+            for member in itertools.islice(
+                filter(accepts, group), PEERS_PER_GROUP
+            )
+        ]
+        if candidates:
+            return min(candidates, key=lambda each: each[:2])[2]
+        return next(filter(accepts, peers.leaving), None)
+
+    def peers_with_path(self, service: str) -> PeersWithPath:
+        """Returns the peers that reach a service."""
         return self.fleet.cached(
             f"peers with a path to {service}",
             lambda: self.rank_peers(service),
         )
 
-    def rank_peers(self, service: str) -> tuple[list[Member], list[Member]]:
+    def rank_peers(self, service: str) -> PeersWithPath:
         """Computes `peers_with_path`."""
         me = self.fleet.me.member
         weight = weight_for(me.name)
@@ -131,14 +143,20 @@
             (
                 state.member
                 for state in self.fleet.peers.values()
-                if state.listed and service not in state.unreachable
+                if not state.down and service not in state.unreachable
             ),
             key=lambda member: weight(member.name),
             reverse=True,
         )
-        near = [each for each in members if each.domain == me.domain]
-        far = [each for each in members if each.domain != me.domain]
-        return near, far
+        found = PeersWithPath([], [], [])
+        for member in members:
+            if not self.fleet.peers[member.name].listed:
+                found.leaving.append(member)
+            elif member.domain == me.domain:
+                found.near.append(member)
+            else:
+                found.far.append(member)
+        return found
 
     def accepts(
         self, progress: RequestProgress, among: Collection[str] | None
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -267,6 +267,17 @@
     assert sum_of(site, "relay.received_from_peer", LEAVING) == before
 
 
+async def test_leaving_peers_serve_if_no_other_reaches_workers(site):
+    (cut,) = cut_off(site, "entry-0")
+    await lose_path(site, cut, kind=Cut.REFUSED)
+    for name in ENTRIES[1:]:
+        site.entries[name].drain.begin()
+        site.entries[name].gossip.broadcast_changes()
+    await asyncio.sleep(0.2)
+    for path in PATHS:
+        assert (await ask(site, path, "entry-0")).status == 200
+
+
 async def test_route_of_the_entry_that_took_the_request_decides(site):
     """A peer that has not read the new routes yet uses those of the sender."""
     (cut,) = cut_off(site, "entry-0")
