Avoid for a moment a peer that did not answer

Until the fleet knows that a peer is down, about a second, a cut entry went on choosing it, and each such request waited 0.5 s; one that may not be repeated ended with 502. A peer that failed is used only once the others are much busier. test_peer_that_failed_is_avoided_for_a_moment fails without it.

--- a/src/rattanpier/_internal/relay/forwarding.py
+++ b/src/rattanpier/_internal/relay/forwarding.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
 from collections.abc import AsyncGenerator, AsyncIterator, Callable, Collection
 
@@ -60,6 +61,9 @@
 PEERS_PER_GROUP = 4
 # A peer in another domain is used once a near one has this many more calls.
 FAR_CALLS = 8
+# A peer that just failed is used once all others have this many more calls.
+FAILED_CALLS = 100
+FAILED_PAUSE_S = 1.0  # About the time until a dead peer is known to be down.
 # A peer that rejected a request is not asked for that service meanwhile. It
 # tells everyone within a fraction of this if it lost the service, too.
 REJECTED_PAUSE_S = 0.5
@@ -92,6 +96,8 @@
       clock: Source of monotonic time.
       metrics: Counters and timings.
       rng: Random source that breaks ties.
+      failed_until: Until when a peer that failed is avoided, in monotonic
+        seconds, by its name.
       rejected_until: When a peer may be asked for a service again, in
         monotonic seconds, by name of the peer and service.
     """
@@ -102,6 +108,7 @@
     clock: Clock
     metrics: Metrics
     rng: random.Random
+    failed_until: dict[str, float] = attrs.Factory(dict)
     rejected_until: dict[tuple[str, str], float] = attrs.Factory(dict)
 
     def choose(
@@ -118,7 +125,7 @@
         accepts = self.accepts(progress, among)
         peers = self.peers_with_path(progress.service)
         candidates = [
-            (self.channels.calls_to(member) + extra, self.rng.random(), member)
+            (self.cost_of(member) + extra, self.rng.random(), member)
             for group, extra in ((peers.near, 0), (peers.far, FAR_CALLS))
             for member in itertools.islice(
                 filter(accepts, group), PEERS_PER_GROUP
@@ -128,6 +135,18 @@
             return min(candidates, key=lambda each: each[:2])[2]
         return next(filter(accepts, peers.leaving), None)
 
+    def cost_of(self, member: Member) -> int:
+        """Returns the calls in progress to a peer, more if it just failed."""
+        calls = self.channels.calls_to(member)
+        until = self.failed_until.get(member.name, -math.inf)
+        if until > self.clock.monotonic():
+            return calls + FAILED_CALLS
+        return calls
+
+    def record_failed(self, peer: str) -> None:
+        """Avoids a peer for a moment that did not answer a request."""
+        self.failed_until[peer] = self.clock.monotonic() + FAILED_PAUSE_S
+
     def peers_with_path(self, service: str) -> PeersWithPath:
         """Returns the peers that reach a service."""
         return self.fleet.cached(
@@ -295,8 +314,10 @@
             async for part in read_parts(forwarder, progress, peer, parts):
                 yield part
     except PeerRefusedError as error:
+        forwarder.record_failed(peer.name)
         record_failure(forwarder, progress, peer, str(error), not_run=True)
     except (PeerUnavailableError, UnreadableError, EventError) as error:
+        forwarder.record_failed(peer.name)
         record_failure(forwarder, progress, peer, str(error), not_run=False)
 
 
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -245,6 +245,17 @@
     assert site.runs()[answer.headers["X-Attempt-Id"]] == 1
 
 
+async def test_peer_that_failed_is_avoided_for_a_moment(site):
+    (cut,) = cut_off(site, "entry-0")
+    await lose_path(site, cut, kind=Cut.REFUSED)
+    forwarder = site.entries["entry-0"].edge.dispatcher.forwarder
+    forwarder.record_failed("entry-2")  # The nearest one.
+    before = sum_of(site, "relay.received_from_peer", ("entry-2",))
+    for path in PATHS:
+        assert (await ask(site, path, "entry-0")).status == 200
+    assert sum_of(site, "relay.received_from_peer", ("entry-2",)) == before
+
+
 async def test_entry_that_starts_without_a_path_serves(site):
     await close(site.entries.pop("entry-0"))
     entry = await add_entry(site, "entry-0", 0)
