--- a/tests/unit/test_causes.py
+++ b/tests/unit/test_causes.py
@@ -265,3 +265,42 @@
     assert "new 21 sent, 7 answered, 0 bad, 14 abandoned" in judged
     assert "extending at 0.5 of its time" in step
     assert "4 of 4 answers bad, old 2 of 90" in stopped
+
+
+@pytest.mark.parametrize(
+    ("unreachable", "reason"),
+    [
+        (True, "it reached no worker of portal"),
+        (False, "its part of the brittle workers of portal was in use"),
+    ],
+)
+def test_a_forwarded_request_names_both_entries_and_why(
+    write_log, unreachable, reason
+):
+    forwarded = {"request": "r1", "service": "portal"}
+    path = write_log(
+        line(
+            "forwarding: Forwarded.",
+            entry="e2",
+            unreachable=unreachable,
+            **forwarded,
+        ),
+        line(
+            "forwarding: Forwarding failed.",
+            request="r1",
+            entry="e2",
+            reason="busy",
+            not_run=True,
+        ),
+        line(
+            "forwarding: Forwarded.",
+            entry="e3",
+            unreachable=unreachable,
+            **forwarded,
+        ),
+        sent("r1", node="e3"),
+        line("edge: Answered.", request="r1", outcome="200", total_s=0.1),
+    )
+    sentence = trace_request("r1", path).data["cause"]["sentence"]
+    assert f"forwarded by e1 to e2 ({reason}), which failed (busy)" in sentence
+    assert f"forwarded by e1 to e3 ({reason}), then sent to w1" in sentence
