Pass over peers of a version that answers no forwarded requests

While entries are updated one after the other, a peer of the older version answers the call with UNIMPLEMENTED. It was taken for one that may have run the request, so that requests that may not be repeated ended with 502. test_peer_of_an_older_version_is_passed_over fails before (502).

--- a/src/rattanpier/_internal/peers/forward_channels.py
+++ b/src/rattanpier/_internal/peers/forward_channels.py
@@ -11,6 +11,8 @@
 import structlog
 from grpclib.client import Channel, Stream
 from grpclib.config import Configuration
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 
 from rattanpier._internal.exceptions import (
     PeerRefusedError,
@@ -78,7 +80,8 @@
         A call whose parts were not read to their end is cancelled.
 
         Raises:
-          PeerRefusedError: The peer can't be reached; nothing was sent.
+          PeerRefusedError: The peer can't be reached, or does not answer such
+            calls; nothing was done.
           PeerUnavailableError: The call broke. It may have taken effect.
         """
         address = (member.peer_host, member.peer_port)
@@ -95,6 +98,8 @@
         except BROKEN as error:
             self.discard(address, found)
             message = f"call to {member.name} broke: {error!r}"
+            if is_unimplemented(error):
+                raise PeerRefusedError(message) from error
             raise PeerUnavailableError(message) from error
         except PeerUnavailableError:
             self.discard(address, found)
@@ -186,3 +191,10 @@
             if found.idle_timer is not None:
                 found.idle_timer.cancel()
             found.channel.close()
+
+
+def is_unimplemented(error: Exception) -> bool:
+    """Returns whether a peer does not know the call, as older versions."""
+    if not isinstance(error, GRPCError):
+        return False
+    return error.status is Status.UNIMPLEMENTED
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -160,6 +160,16 @@
     assert listed(site, "entry-1") == set(ENTRIES)
 
 
+async def test_peer_of_an_older_version_is_passed_over(site):
+    (cut,) = cut_off(site, "entry-0")
+    await lose_path(site, cut, kind=Cut.REFUSED)
+    for name in ("entry-1", "entry-2"):
+        server = site.entries[name].kernel.find("peer_server")
+        server.forward_handler = None
+    for path in PATHS:
+        assert (await ask(site, path, "entry-0")).status == 200
+
+
 async def test_one_crashed_worker_is_no_lost_path(site):
     await site.workers["w0"].stop()
     for _ in range(12):
