Let a peer use the workers that could not be connected to from here

A forwarded request named all workers that its sender had tried, also those that it could not connect to, and the peer left them out: the request during which the path was found to be lost got 503 (no_worker, 'tried 1') where the service has one worker, and a smaller choice elsewhere. Only workers that it reached are named. test_first_request_after_the_cut_may_use_the_only_worker fails before.

The reason of no_path no longer claims that no entry reaches a worker: peers may also have been busy or starting.

--- a/src/rattanpier/_internal/models/forwarded_request.py
+++ b/src/rattanpier/_internal/models/forwarded_request.py
@@ -37,7 +37,7 @@
       first_model: Model that was asked first, or empty.
       after_event: Number of the last event that the caller received, or None.
       head_delivered: Whether the caller received the head of the answer.
-      sent: Number of workers that it was sent to.
+      sent: Number of workers that it reached.
       tried: Ids of these workers.
       may_have_run: Whether one of them may have run it.
       counted: Whether the sender counted it in its retry budget.
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -67,7 +67,7 @@
 # Callers that retry within a second or two are served if the drain was brief.
 DRAINED_RETRY_AFTER_S = 2.0
 MAX_ANSWER_BYTES = 16 * 2**20  # Limit of an answer that is not streamed.
-NO_PATH_REASON = "no entry reaches a worker of the service"
+NO_PATH_REASON = "no worker can be reached, from here or by a peer"
 
 
 @attrs.define(eq=False, repr=False)
@@ -408,7 +408,7 @@
             # The crash is recorded even if the caller disconnects meanwhile.
             await asyncio.shield(self.check_for_crash(progress.request, worker))
         elif not error.connected:
-            progress.unconnected += 1
+            progress.unconnected.append(worker.id)
             await self.reachability.settle(worker.service)
         self.record_send_error(progress, worker, error)
 
--- a/src/rattanpier/_internal/relay/forwarding.py
+++ b/src/rattanpier/_internal/relay/forwarding.py
@@ -267,7 +267,7 @@
         after_event=progress.order.last_number,
         head_delivered=progress.head_delivered,
         sent=progress.arrived_sends(),
-        tried=tuple(sorted(progress.tried)),
+        tried=tuple(sorted(progress.reached_workers())),
         may_have_run=progress.may_have_run,
         counted=progress.counted,
     )
--- a/src/rattanpier/_internal/relay/request_progress.py
+++ b/src/rattanpier/_internal/relay/request_progress.py
@@ -51,8 +51,8 @@
         selection.
       available_in_s: Seconds until one of them may accept the request; None if
         unknown.
-      unconnected: Number of upstream requests that reached no worker, because
-        no connection could be opened.
+      unconnected: Ids of workers to which no connection could be opened, one
+        for each such upstream request.
       no_path: Whether no entry is known that reaches a worker.
       peers_tried: Names of the entries that it was forwarded to.
       received_from_peer: Whether another entry forwarded it to this one.
@@ -76,7 +76,7 @@
     quarantined_s: float = 0.0
     excluded: dict[str, int] = attrs.Factory(dict)
     available_in_s: float | None = None
-    unconnected: int = 0
+    unconnected: list[str] = attrs.Factory(list)
     no_path: bool = False
     peers_tried: set[str] = attrs.Factory(set)
     received_from_peer: bool = False
@@ -84,7 +84,11 @@
 
     def arrived_sends(self) -> int:
         """Returns the number of upstream requests that reached a worker."""
-        return self.sent - self.unconnected
+        return self.sent - len(self.unconnected)
+
+    def reached_workers(self) -> set[str]:
+        """Returns the ids of the workers that upstream requests reached."""
+        return self.tried.difference(self.unconnected)
 
 
 def final_answer(
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -160,6 +160,14 @@
     assert listed(site, "entry-1") == set(ENTRIES)
 
 
+async def test_first_request_after_the_cut_may_use_the_only_worker():
+    async with cut_site(plain=1, engines=1) as site:
+        (cut,) = cut_off(site, "entry-0")
+        cut.set(Cut.REFUSED)
+        for path in PATHS:
+            assert (await ask(site, path, "entry-0")).status == 200
+
+
 async def test_peer_of_an_older_version_is_passed_over(site):
     (cut,) = cut_off(site, "entry-0")
     await lose_path(site, cut, kind=Cut.REFUSED)
