Probe only while a service can't be reached

It waits now until a service is lost. A service without workers has no path to be lost: its results are dropped, so that one whose workers were all replaced is used at once (test_service_whose_workers_were_all_replaced_is_ reached).

--- a/src/rattanpier/_internal/relay/reachability.py
+++ b/src/rattanpier/_internal/relay/reachability.py
@@ -70,6 +70,7 @@
       paths: Results of connecting, by service.
       partitioned_at: When no service could be reached last, in monotonic
         seconds.
+      probing_needed: Set while a service is unreachable.
     """
 
     clock: Clock
@@ -82,6 +83,7 @@
     on_change: Callable[[], None] = lambda: None
     paths: dict[str, ServicePath] = attrs.Factory(dict)
     partitioned_at: float = float("-inf")
+    probing_needed: asyncio.Event = attrs.Factory(asyncio.Event)
 
     # Results.
 
@@ -110,8 +112,9 @@
     def is_partitioned(self) -> bool:
         """Returns whether no service can be reached, or none could just now."""
         now = self.clock.monotonic()
-        services = self.services()
-        if services and not any(map(self.is_reachable, services)):
+        if self.unreachable_services() and not any(
+            map(self.is_reachable, self.services())
+        ):
             self.partitioned_at = now
         return now - self.partitioned_at < RELIST_DELAY_S
 
@@ -168,15 +171,14 @@
                 if worker.incarnation not in path.failed_at
             ]
             missing = max(1, MIN_FAILED_WORKERS - len(path.failed_at))
-            if await self.probe_some(service, path, untried, missing):
+            if await self.probe_some(path, untried, missing):
                 return
-            if self.all_fail(service):
+            if self.all_fail(service, path):
                 self.record_unreachable(service, path)
                 return
 
     async def probe_some(
         self,
-        service: str,
         path: ServicePath,
         workers: Sequence[RegisteredWorker],
         count: int,
@@ -203,16 +205,18 @@
         found = await self.listens(worker.host, worker.port, PROBE_TIMEOUT_S)
         return worker, found is True
 
-    def all_fail(self, service: str) -> bool:
+    def all_fail(self, service: str, path: ServicePath) -> bool:
         """Returns whether enough registered workers of a service failed."""
-        failed = self.paths[service].failed_at
         registered = self.workers_of(service)
-        count = sum(worker.incarnation in failed for worker in registered)
+        count = sum(
+            worker.incarnation in path.failed_at for worker in registered
+        )
         return count >= max(1, min(MIN_FAILED_WORKERS, len(registered)))
 
     def record_unreachable(self, service: str, path: ServicePath) -> None:
         """Records that a service can't be reached, and checks the others."""
         path.unreachable_since = min(path.failed_at.values())
+        self.probing_needed.set()
         log.warning(
             "Service can't be reached.",
             service=service,
@@ -245,14 +249,22 @@
     async def run(self) -> None:
         """Probes unreachable services until cancelled."""
         while True:
+            await self.probing_needed.wait()
+            self.forget_services_without_workers()
             unreachable = self.unreachable_services()
+            if not unreachable:
+                self.probing_needed.clear()
+                continue
             await asyncio.gather(*map(self.probe_unreachable, unreachable))
-            interval_s = max(
-                map(self.recovery_interval_s, unreachable),
-                default=RECOVERY_INTERVAL_S,
-            )
+            interval_s = max(map(self.recovery_interval_s, unreachable))
             await self.clock.sleep(interval_s * self.rng.uniform(0.8, 1.2))
 
+    def forget_services_without_workers(self) -> None:
+        """Forgets results for services whose workers all deregistered."""
+        for service in list(self.paths):
+            if not self.workers_of(service):
+                del self.paths[service]
+
     def recovery_interval_s(self, service: str) -> float:
         """Returns the seconds between two probes of an unreachable service."""
         entries = self.entries_without_path(service)
@@ -263,4 +275,4 @@
         """Probes a few workers of an unreachable service."""
         path = self.paths[service]
         workers = self.workers_of(service)
-        await self.probe_some(service, path, workers, RECOVERY_PROBES)
+        await self.probe_some(path, workers, RECOVERY_PROBES)
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -103,6 +103,21 @@
     assert sum_of(site, "relay.forwarded") == before
 
 
+async def test_service_whose_workers_were_all_replaced_is_reached(site):
+    for name in ("w0", "w1", "w2", "w3"):
+        await site.workers[name].stop()
+    await ask(site, "/safe/x", "entry-0")
+    assert unreachable(site, "entry-0") == ["plain"]
+    for name in ("w0", "w1", "w2", "w3"):
+        site.store.remove("servers", name)
+    await until(lambda: not unreachable(site, "entry-0"))
+    await asyncio.sleep(0.5)
+    await site.add_worker("w9")
+    directory = site.entries["entry-0"].state.directory
+    await until(lambda: directory.accepts_requests("w9"))
+    assert (await ask(site, "/safe/x", "entry-0")).status == 200
+
+
 async def test_entry_without_a_path_is_left_out_of_the_list(site):
     (cut,) = cut_off(site, "entry-0")
     await lose_path(site, cut, kind=Cut.REFUSED)
