--- a/tests/relay/test_spoiled_answers.py
+++ b/tests/relay/test_spoiled_answers.py
@@ -104,3 +104,13 @@
     answer = await site.chat()
     assert answer.status == 502
     assert set(site.runs().values()) == {1}
+
+
+async def test_late_answer_before_that_of_a_request_with_a_body_is_skipped(
+    site,
+):
+    await site.add_worker("w1", fault=WorkerFault.EXTRA_LATE)
+    await site.add_entry()
+    for _ in range(12):
+        answer = await site.ask(method="POST", data=b"body")
+        assert answer.status == 200
