Use load reports with missing, further or invalid figures

Cause: the load header was used only with exactly three valid figures. Workers that share their VMs add how long work takes there at that moment, so that the whole report of such a worker was discarded.

Change: each figure is decoded for itself. A report needs the running and the waiting requests; slots and the ratio of the work time are optional, further figures are ignored. An unusable figure is logged once for each worker.

--- a/src/rattanpier/_internal/models/upstream_request.py
+++ b/src/rattanpier/_internal/models/upstream_request.py
@@ -36,7 +36,10 @@
     Attributes:
       running: Number of requests that it runs.
       waiting: Number of requests that wait there.
-      slots: Number of requests that it runs concurrently.
+      slots: Number of requests that it runs concurrently; 0: not reported.
+      work_time_ratio: How long work takes there at that moment, relative to
+        the usual time; None: not reported. Workers share their VMs with others,
+        so that it may change several times a second.
       born: Start of the reporting incarnation, in Unix ms; None: not reported.
       leaving: Whether the worker also reported that it leaves.
     """
@@ -44,6 +47,7 @@
     running: int
     waiting: int
     slots: int
+    work_time_ratio: float | None = None
     born: int | None = None
     leaving: bool = False
 
@@ -63,6 +67,8 @@
       encoded: Whether the body was encoded, so that it is not as the worker
         made it.
       load: The worker's load, or None.
+      unreadable_load: The load header if a figure of it could not be used, or
+        empty.
       confidence: The model's confidence in its answer, 0 to 100, or None.
       retry_after_s: Seconds after which to retry, or None.
       keep_alive_s: Seconds for which the worker keeps an idle connection, or
@@ -84,6 +90,7 @@
     misdirected: bool = False
     encoded: bool = False
     load: ReportedLoad | None = None
+    unreadable_load: str = ""
     confidence: float | None = None
     retry_after_s: float | None = None
     keep_alive_s: float | None = None
--- a/src/rattanpier/_internal/platform/upstream.py
+++ b/src/rattanpier/_internal/platform/upstream.py
@@ -42,6 +42,9 @@
 # A worker that sends a limit needs relief, even if the value is invalid.
 UNREADABLE_RATE_PER_S = 1.0
 UNREADABLE_BACKOFF_S = 1.0
+# Work that takes a hundred times as long as usual doesn't progress; a larger
+# figure is an error.
+MAX_WORK_TIME_PERCENT = 10000
 TEXT_CACHE_SIZE = 256  # Header values that are logged only once.
 
 
@@ -87,6 +90,7 @@
         misdirected=head.status == MISDIRECTED,
         encoded=head.get("content-encoding") is not None,
         load=decode_load(head.get(LOAD)),
+        unreadable_load=unreadable_load(head.get(LOAD)),
         confidence=decode_number(head.get(CONFIDENCE)),
         retry_after_s=decode_number(head.get(RETRY_AFTER)),
         keep_alive_s=decode_keep_alive(head.get("keep-alive")),
@@ -98,16 +102,61 @@
 
 
 def decode_load(text: str | None) -> ReportedLoad | None:
-    """Returns the load in a header, None if it is invalid.
+    """Returns the load in a header, as far as its figures are valid.
+
+    The header lists the running and waiting requests, the slots, and how long
+    work takes at that moment, in percent of the usual time. Workers may omit
+    the last two and add further figures.
+
+    Returns:
+      None if there is no header, or the number of running or waiting requests
+      is invalid.
 
     >>> decode_load("3,0,8")
-    ReportedLoad(running=3, waiting=0, slots=8, born=None, leaving=False)
+    ReportedLoad(running=3, waiting=0, slots=8, work_time_ratio=None, \
+born=None, leaving=False)
+    >>> decode_load("3,0,8,120,7").work_time_ratio
+    1.2
+    >>> decode_load("-3,0,8,120")
     """
-    parts = (text or "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
+    if text is None:
+        return None
+    figures = load_figures(text)
+    running, waiting, slots, percent = (*figures, None, None, None, None)[:4]
+    if running is None or waiting is None:
         return None
-    running, waiting, slots = map(int, parts)
-    return ReportedLoad(running, waiting, slots)
+    ratio = None
+    if percent is not None and 0 < percent <= MAX_WORK_TIME_PERCENT:
+        ratio = percent / 100
+    return ReportedLoad(running, waiting, slots or 0, ratio)
+
+
+def load_figures(text: str) -> list[int | None]:
+    """Returns the figures of a load header; None for each invalid one.
+
+    >>> load_figures("3, 0,x,-1")
+    [3, 0, None, None]
+    """
+    parts = (part.strip() for part in text.split(","))
+    return [
+        int(part) if part.isascii() and part.isdecimal() else None
+        for part in parts
+    ]
+
+
+def unreadable_load(text: str | None) -> str:
+    """Returns a load header of which a figure can't be used, or nothing.
+
+    >>> unreadable_load("3,0,8"), unreadable_load("3,0,8,0")
+    ('', '3,0,8,0')
+    """
+    if text is None:
+        return ""
+    used = load_figures(text)[:4]
+    valid = len(used) >= 3 and None not in used
+    if valid and len(used) == 4:
+        valid = 0 < used[3] <= MAX_WORK_TIME_PERCENT  # type: ignore[operator]
+    return "" if valid else text
 
 
 @attrs.frozen
@@ -124,7 +173,8 @@
     """Returns the load in a worker's report, None if it is invalid.
 
     >>> decode_report(b'{"queued": 2, "active": 5, "born": 7}')
-    ReportedLoad(running=5, waiting=2, slots=0, born=7, leaving=False)
+    ReportedLoad(running=5, waiting=2, slots=0, work_time_ratio=None, \
+born=7, leaving=False)
     """
     try:
         report = structure(converter, LoadReport, parse_json(body))
@@ -135,7 +185,9 @@
         log.warning("Load report can't be read.", error="a count below 0")
         return None
     leaving = report.state == DRAINING
-    return ReportedLoad(report.active, report.queued, 0, report.born, leaving)
+    return ReportedLoad(
+        report.active, report.queued, 0, born=report.born, leaving=leaving
+    )
 
 
 def decode_number(text: str | None) -> float | None:
--- a/src/rattanpier/_internal/relay/exchange.py
+++ b/src/rattanpier/_internal/relay/exchange.py
@@ -232,6 +232,7 @@
             raise SendError(str(error), not_run=not error.sent) from error
         on_data()
         head = self.dialect.decode(wire_head)
+        self.loads.record_unreadable(worker, head.unreadable_load)
         self.loads.record_report(worker, head.load)
         if not head.misdirected:
             self.on_answer(sending.worker, head, sent_at)
--- a/src/rattanpier/_internal/relay/load.py
+++ b/src/rattanpier/_internal/relay/load.py
@@ -12,12 +12,15 @@
 from collections.abc import Iterable, Sequence
 
 import attrs
+import structlog
 
 from rattanpier._internal.models.relay_request import Prompt, PromptPart
 from rattanpier._internal.models.upstream_request import ReportedLoad
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.hashing import short_hash
 
+log = structlog.get_logger(part="load")
+
 REPORT_HALF_LIFE_S = 1.0  # About the duration of a request.
 # A worker caches a part until newer ones evict it. At typical load its cache is
 # filled once in about ten seconds.
@@ -55,6 +58,7 @@
       peer_prompts_until: Until when it reads prompts that peers published, in
         monotonic seconds.
       last_received_at: When its last byte was received, in monotonic seconds.
+      unreadable_logged: Whether an unreadable report of it was logged.
       parts: When each cached part of a prompt was last used, in monotonic
         seconds, by `part_key`.
     """
@@ -67,6 +71,7 @@
     waiting_at: float = float("-inf")
     peer_prompts_until: float = float("-inf")
     last_received_at: float = 0.0
+    unreadable_logged: bool = False
     parts: collections.OrderedDict[int, float] = attrs.Factory(
         collections.OrderedDict
     )
@@ -171,6 +176,20 @@
         load.own_at_report = len(load.running)
         load.record_waiting(report.waiting, load.report_at)
 
+    def record_unreadable(self, id: str, text: str) -> None:
+        """Records that a figure of a load report could not be used.
+
+        Args:
+          id: Of the worker; its first such report is logged.
+          text: The report as received, or empty if all of it was valid.
+        """
+        if not text:
+            return
+        load = self.workers[id]
+        if not load.unreadable_logged:
+            load.unreadable_logged = True
+            log.warning("Load report can't be read.", worker=id, text=text)
+
     def apply_peer_prompt(self, id: str, read_s: float) -> None:
         """Applies the update that a peer sends a prompt to a worker.
 
--- a/tests/relay/test_queue_watch.py
+++ b/tests/relay/test_queue_watch.py
@@ -195,7 +195,7 @@
     born = {"now": 5}
 
     async def read(_worker, _limit_s):
-        return ReportedLoad(1, 0, 0, born["now"])
+        return ReportedLoad(1, 0, 0, born=born["now"])
 
     watch.read = read
     clock.now = 10.0
