Finish streams in time, and save the last attempt of a request

Change: a resumable stream of a larger model is ended early enough that the smallest model can generate the rest, if it needs at most a quarter of the request's time. The last attempt goes to a worker that answered the request before. Attempts without a connection are bounded by themselves.

--- a/src/rattanpier/_internal/models/policy.py
+++ b/src/rattanpier/_internal/models/policy.py
@@ -19,6 +19,8 @@
       start_small: The smallest model is asked first; if disabled, the largest.
       load_line: The confidence that an answer needs to be kept falls with load.
       outlook: A larger model is not asked if its answer would come too late.
+      finish_smaller: A stream of a larger model that would miss its deadline is
+        finished by the smallest model.
       groups: Workers are divided between the smallest model and larger ones.
       homes: Each shared part of prompts is assigned to one worker, which all
         entries compute alike.
@@ -37,6 +39,7 @@
     start_small: bool = True
     load_line: bool = True
     outlook: bool = True
+    finish_smaller: bool = True
     groups: bool = True
     homes: bool = True
     domain_cost: bool = True
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -66,6 +66,9 @@
 # It is not known when operators return a drained failure domain to service.
 # Callers that retry within a second or two are served if the drain was brief.
 DRAINED_RETRY_AFTER_S = 2.0
+# Attempts whose connection failed reach no worker and are not limited by the
+# route. Each may take half a second.
+MAX_UNCONNECTED = 3
 MAX_ANSWER_BYTES = 16 * 2**20  # Limit of an answer that is not streamed.
 NO_PATH_REASON = "no worker can be reached, from here or by a peer"
 
@@ -168,7 +171,8 @@
         for group in (split.preferred, split.fallback):
             found = filter_eligible(self.conditions, progress, group)
             self.record_excluded(progress, group, found)
-            choice = self.chooser.choose(request, found.workers, model)
+            candidates = prefer_answered(progress, found.workers)
+            choice = self.chooser.choose(request, candidates, model)
             if choice is not None:
                 return choice
             if request.session and not WORKER_REPORTED.isdisjoint(
@@ -246,7 +250,9 @@
             return True
         if not self.may_use_own_path(progress):
             return False
-        if progress.sent >= request.route.max_workers:
+        if progress.arrived_sends() >= request.route.max_workers:
+            return False
+        if len(progress.unconnected) >= MAX_UNCONNECTED:
             return False
         if progress.may_have_run and not request.route.repeatable:
             return False
@@ -478,3 +484,19 @@
         progress.reason = "time ran out at the worker"
         self.record_result(progress, worker, bad=True)
         self.metrics.count("relay.late")
+
+
+def prefer_answered(
+    progress: RequestProgress, workers: Sequence[RegisteredWorker]
+) -> Sequence[RegisteredWorker]:
+    """Returns the workers for the next attempt of a request.
+
+    For the last attempt that is the worker that answered an earlier one, if it
+    is eligible: it can be reached, while those that failed were chosen by the
+    same figures as any other worker.
+    """
+    last = progress.arrived_sends() + 1 >= progress.request.route.max_workers
+    if not last or not progress.answered_by:
+        return workers
+    answered = [each for each in workers if each.id == progress.answered_by]
+    return answered or workers
--- a/src/rattanpier/_internal/relay/escalation.py
+++ b/src/rattanpier/_internal/relay/escalation.py
@@ -82,6 +82,7 @@
     progress.next_send_allowed = True
     dispatcher.metrics.count("relay.larger_model")
     progress.model = larger
+    progress.answered_by = worker.id
     progress.may_have_run = True
     return True
 
--- a/src/rattanpier/_internal/relay/request_progress.py
+++ b/src/rattanpier/_internal/relay/request_progress.py
@@ -35,6 +35,8 @@
       service: Service that the request is sent to.
       sent: Number of upstream requests.
       tried: Ids of the workers that they were sent to.
+      answered_by: Id of the last worker whose answer was dropped in favour of a
+        larger model's; empty if there is none.
       may_have_run: Whether a worker may have run the request.
       failure: Failure that a worker returned; passed on to the caller unless a
         later upstream request succeeds.
@@ -64,6 +66,7 @@
     service: str
     sent: int = 0
     tried: set[str] = attrs.Factory(set)
+    answered_by: str = ""
     may_have_run: bool = False
     failure: CompleteAnswer | None = None
     reason: str = ""
--- a/src/rattanpier/_internal/relay/stream_answers.py
+++ b/src/rattanpier/_internal/relay/stream_answers.py
@@ -32,7 +32,16 @@
     copied_headers,
 )
 from rattanpier._internal.relay.placement import Choice
-from rattanpier._internal.relay.request_progress import RequestProgress
+from rattanpier._internal.relay.request_progress import (
+    MIN_TIME_LEFT_S,
+    RequestProgress,
+)
+from rattanpier._internal.relay.stream_deadlines import (
+    FinishEstimate,
+    finish_deadline,
+    finish_reserve_s,
+    may_finish_smaller,
+)
 
 log = structlog.get_logger(part="dispatch")
 
@@ -118,10 +127,9 @@
         worker, request.route.name, expected_read_s(progress, choice)
     )
     started_at = dispatcher.clock.monotonic()
+    deadline = stream_deadline(dispatcher, progress)
     try:
-        async with dispatcher.sender.send(
-            request, sending, progress.loop_deadline
-        ) as answer:
+        async with dispatcher.sender.send(request, sending, deadline) as answer:
             head = answer.head
             if head.status >= 300:
                 error_answer = await read_error_answer(
@@ -188,7 +196,14 @@
             dispatcher.chooser.timings.record_wait(
                 model, request.priority, choice.to_read, waited_s
             )
-        dispatcher.record_timeout(progress, worker)
+        in_time = dispatcher.left_s(progress) > MIN_TIME_LEFT_S
+        if in_time and in_flight.first_event_received:
+            # Its answer is long, which says nothing of the worker.
+            dispatcher.rollouts.end(observation, abandoned=True)
+        else:
+            dispatcher.record_timeout(progress, worker)
+        if in_time:
+            finish_smaller(dispatcher, progress, worker)
     finally:
         dispatcher.loads.end(worker.id, in_flight)
         dispatcher.rollouts.end(observation)
@@ -196,6 +211,51 @@
         dispatcher.chooser.record_run(request, model, ran_s, worker.slots)
 
 
+def stream_deadline(dispatcher: Dispatcher, progress: RequestProgress) -> float:
+    """Returns until when an upstream request may go on.
+
+    Returns:
+      Seconds of the event loop's clock: the deadline of the request, or an
+      earlier time from which the smallest model can still finish the stream.
+    """
+    request = progress.request
+    if not dispatcher.policy.finish_smaller or not may_finish_smaller(
+        request, progress.model
+    ):
+        return progress.loop_deadline
+    if progress.arrived_sends() >= request.route.max_workers:
+        return progress.loop_deadline
+    smallest = request.route.models[0]
+    timings = dispatcher.chooser.timings
+    estimate = FinishEstimate(
+        timings.read_s(smallest, request.prompt.tokens)
+        + timings.wait_s(smallest, request.priority),
+        timings.stream_s(smallest, request.prompt.expected_output),
+    )
+    reserve_s = finish_reserve_s(request.deadline - request.arrived, estimate)
+    return finish_deadline(
+        progress.loop_deadline, dispatcher.left_s(progress), reserve_s
+    )
+
+
+def finish_smaller(
+    dispatcher: Dispatcher, progress: RequestProgress, worker: RegisteredWorker
+) -> None:
+    """Has the smallest model finish a stream that would miss its deadline."""
+    progress.may_have_run = True
+    progress.reason = "the stream would have missed its deadline"
+    dispatcher.metrics.count("relay.finished_smaller")
+    log.info(
+        "Stream continues at the smallest model.",
+        request=progress.request.id,
+        worker=worker.id,
+        model=progress.model,
+        after_event=progress.order.last_number,
+        left_s=round(dispatcher.left_s(progress), 3),
+    )
+    progress.model = progress.request.route.models[0]
+
+
 async def read_events(
     dispatcher: Dispatcher, progress: RequestProgress, answer: OpenAnswer
 ) -> AsyncIterator[Event]:
--- a/src/rattanpier/_internal/standin/platform_worker.py
+++ b/src/rattanpier/_internal/standin/platform_worker.py
@@ -69,6 +69,8 @@
       stopped: Ids of the runs stopped because the caller disconnected.
       events: Number of events of a stream.
       event_gap_s: Seconds before each event.
+      model_gaps_s: Seconds before each event, by model; others take
+        `event_gap_s`.
       cut_after: Number of the last complete event under the fault CUT.
       work_s: Seconds of work before an answer.
       confidence: Confidence sent with streams, by model; a model without an
@@ -101,6 +103,7 @@
     stopped: list[str] = attrs.Factory(list)
     events: int = 5
     event_gap_s: float = 0.0
+    model_gaps_s: dict[str, float] = attrs.Factory(dict)
     cut_after: int = 2
     work_s: float = 0.0
     confidence: dict[str, float] = attrs.Factory(dict)
@@ -327,10 +330,13 @@
     async def numbers(
         self, run: WorkerRun, writer: asyncio.StreamWriter, first: int
     ) -> AsyncIterator[int]:
-        """Yields the numbers of the events, `event_gap_s` apart."""
+        """Yields the numbers of the events, with a pause before each."""
         for number in range(first, self.events + 1):
-            if self.event_gap_s:
-                await self.work(run, writer, self.event_gap_s)
+            gap_s = self.model_gaps_s.get(
+                run.headers.get("x-model", ""), self.event_gap_s
+            )
+            if gap_s:
+                await self.work(run, writer, gap_s)
             yield number
 
     def own_headers(
