Load statsd only where metrics are sent

Cause: utils/metrics.py imported statsd at its top.

Change: statsd is imported when a host is given, before the client is made at the start of the process. The footprint test lists statsd.

--- a/src/rattanpier/_internal/utils/metrics.py
+++ b/src/rattanpier/_internal/utils/metrics.py
@@ -5,12 +5,15 @@
 import bisect
 import collections
 import ipaddress
+from typing import TYPE_CHECKING
 
 import attrs
-import statsd
 
 from rattanpier._internal.exceptions import SettingsError
 
+if TYPE_CHECKING:
+    import statsd
+
 # Upper bounds of the buckets, from 5 ms for immediate answers to 20 s for the
 # longest timeouts.
 TIMING_EDGES_S = tuple(0.005 * 2**step for step in range(13))
@@ -53,6 +56,8 @@
         if host:
             # The client would resolve a name on the hot path and could block.
             check_ip_number(host)
+            import statsd  # Deferred: most processes send no metrics.
+
             self.client = statsd.StatsClient(host, port, prefix="rattanpier")
 
     def count(self, name: str, amount: int = 1) -> None:
--- a/tests/relay/test_footprint.py
+++ b/tests/relay/test_footprint.py
@@ -50,6 +50,7 @@
     "numpy",
     "prometheus_client",
     "sortedcontainers",
+    "statsd",
     "stormpy",
 )
 
