Share the comparison and text of data classes

Cause: attrs compiles __eq__, __hash__ and __repr__ for each data class. An entry creates 107 such classes while it starts; compiling was the largest single part of a start in the profile (0.13 s of 1.06 s under cProfile).

Ruled out: dropping the methods only where nothing calls them. Tests and log lines call them for many classes, and a class without __eq__ would silently be compared by identity. slots=False for state saved only 1% of the instructions.

Change: data classes inherit the three methods from utils.record.Record. The footprint test fails for a loaded class that generates them, or that is data without Record.

--- a/src/rattanpier/_internal/membership/records.py
+++ b/src/rattanpier/_internal/membership/records.py
@@ -7,6 +7,7 @@
 import attrs
 
 from rattanpier._internal.models.member import Member, MemberState
+from rattanpier._internal.utils.record import Record
 
 LEASE_KEY = "directory/lease"
 FULL_KEY = "directory/full"
@@ -14,8 +15,8 @@
 REQUEST_PREFIX = "directory/request/"
 
 
-@attrs.frozen
-class Presence:
+@attrs.frozen(eq=False, repr=False)
+class Presence(Record):
     """The state of one incarnation of a member.
 
     Attributes:
@@ -34,8 +35,8 @@
         return int(self.member.state is MemberState.LEAVING)
 
 
-@attrs.frozen
-class DirectoryLease:
+@attrs.frozen(eq=False, repr=False)
+class DirectoryLease(Record):
     """The lease of the directory's writer.
 
     Attributes:
@@ -45,16 +46,16 @@
     holder: str
 
 
-@attrs.frozen
-class Change:
+@attrs.frozen(eq=False, repr=False)
+class Change(Record):
     """The changes of one revision of the directory."""
 
     revision: int
     presences: list[Presence]
 
 
-@attrs.frozen
-class Directory:
+@attrs.frozen(eq=False, repr=False)
+class Directory(Record):
     """All members, as of a revision."""
 
     revision: int = 0
--- a/src/rattanpier/_internal/models/directory_query.py
+++ b/src/rattanpier/_internal/models/directory_query.py
@@ -4,9 +4,11 @@
 
 import attrs
 
+from rattanpier._internal.utils.record import Record
 
-@attrs.frozen
-class DirectoryQuery:
+
+@attrs.frozen(eq=False, repr=False)
+class DirectoryQuery(Record):
     """Asks which entries to use for a host.
 
     Attributes:
--- a/src/rattanpier/_internal/models/domain_order.py
+++ b/src/rattanpier/_internal/models/domain_order.py
@@ -5,10 +5,11 @@
 import attrs
 
 from rattanpier._internal.models.revision import Revision
+from rattanpier._internal.utils.record import Record
 
 
-@attrs.frozen
-class DomainOrder:
+@attrs.frozen(eq=False, repr=False)
+class DomainOrder(Record):
     """Whether the workers of a failure domain are to be drained.
 
     Attributes:
--- a/src/rattanpier/_internal/models/feed.py
+++ b/src/rattanpier/_internal/models/feed.py
@@ -7,6 +7,7 @@
 import attrs
 
 from rattanpier._internal.models.revision import Revision
+from rattanpier._internal.utils.record import Record
 
 
 class DataSource(enum.StrEnum):
@@ -19,8 +20,8 @@
     SNAPSHOT = "snapshot"
 
 
-@attrs.frozen
-class Provenance:
+@attrs.frozen(eq=False, repr=False)
+class Provenance(Record):
     """Where data of the store came from.
 
     Attributes:
@@ -34,8 +35,8 @@
     store_ms: float | None = None
 
 
-@attrs.frozen
-class FeedRow:
+@attrs.frozen(eq=False, repr=False)
+class FeedRow(Record):
     """A row, or the removal of one.
 
     Attributes:
@@ -51,8 +52,8 @@
     deleted: bool = False
 
 
-@attrs.frozen
-class UnreadableRow:
+@attrs.frozen(eq=False, repr=False)
+class UnreadableRow(Record):
     """A row whose value can't be read.
 
     It names nothing, so that what it named before no longer exists.
@@ -64,8 +65,8 @@
     key: str
 
 
-@attrs.frozen
-class Page:
+@attrs.frozen(eq=False, repr=False)
+class Page(Record):
     """Result of reading a table.
 
     Attributes:
@@ -91,8 +92,8 @@
         return Provenance(self.source, self.told_by, self.now_ms)
 
 
-@attrs.frozen
-class RowCheck:
+@attrs.frozen(eq=False, repr=False)
+class RowCheck(Record):
     """A condition of a transaction: the revision that a row must have.
 
     Attributes:
@@ -106,8 +107,8 @@
     revision: Revision = Revision()
 
 
-@attrs.frozen
-class RowPut:
+@attrs.frozen(eq=False, repr=False)
+class RowPut(Record):
     """A row to write.
 
     Attributes:
@@ -121,8 +122,8 @@
     value: bytes
 
 
-@attrs.frozen
-class WrittenAt:
+@attrs.frozen(eq=False, repr=False)
+class WrittenAt(Record):
     """A transaction took effect.
 
     Attributes:
--- a/src/rattanpier/_internal/models/forwarded_request.py
+++ b/src/rattanpier/_internal/models/forwarded_request.py
@@ -9,10 +9,11 @@
 
 from rattanpier._internal.models.relay_request import Header, Prompt
 from rattanpier._internal.models.route_table import Route, Workspace
+from rattanpier._internal.utils.record import Record
 
 
-@attrs.frozen
-class ForwardedRequest:
+@attrs.frozen(eq=False, repr=False)
+class ForwardedRequest(Record):
     """Everything but the body of a forwarded request.
 
     The sender has matched the route and checked the key; the receiver selects
--- a/src/rattanpier/_internal/models/member.py
+++ b/src/rattanpier/_internal/models/member.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from rattanpier._internal.utils.record import Record
+
 
 class Role(enum.StrEnum):
     """Role of a process."""
@@ -21,8 +23,8 @@
     LEAVING = "leaving"  # No longer advertised; still serves.
 
 
-@attrs.frozen
-class Member:
+@attrs.frozen(eq=False, repr=False)
+class Member(Record):
     """One process.
 
     Attributes:
--- a/src/rattanpier/_internal/models/outcomes.py
+++ b/src/rattanpier/_internal/models/outcomes.py
@@ -6,14 +6,16 @@
 
 import attrs
 
+from rattanpier._internal.utils.record import Record
 
-@attrs.frozen
-class Committed:
+
+@attrs.frozen(eq=False, repr=False)
+class Committed(Record):
     """The transaction took effect."""
 
 
-@attrs.frozen
-class Conflict:
+@attrs.frozen(eq=False, repr=False)
+class Conflict(Record):
     """A condition failed; nothing took effect.
 
     Attributes:
@@ -23,8 +25,8 @@
     key: str
 
 
-@attrs.frozen
-class NotRun:
+@attrs.frozen(eq=False, repr=False)
+class NotRun(Record):
     """The transaction certainly did not reach the table service.
 
     Attributes:
@@ -34,8 +36,8 @@
     reason: str
 
 
-@attrs.frozen
-class Uncertain:
+@attrs.frozen(eq=False, repr=False)
+class Uncertain(Record):
     """The transaction may have taken effect, or may still do so.
 
     Attributes:
--- a/src/rattanpier/_internal/models/policy.py
+++ b/src/rattanpier/_internal/models/policy.py
@@ -8,9 +8,11 @@
 
 import attrs
 
+from rattanpier._internal.utils.record import Record
 
-@attrs.frozen
-class Policy:
+
+@attrs.frozen(eq=False, repr=False)
+class Policy(Record):
     """Mechanisms of an entry's decisions; all are enabled by default.
 
     Attributes:
--- a/src/rattanpier/_internal/models/rate_limit.py
+++ b/src/rattanpier/_internal/models/rate_limit.py
@@ -4,9 +4,11 @@
 
 import attrs
 
+from rattanpier._internal.utils.record import Record
 
-@attrs.frozen
-class RateLimit:
+
+@attrs.frozen(eq=False, repr=False)
+class RateLimit(Record):
     """Rate limit that one incarnation of a worker reported.
 
     Attributes:
--- a/src/rattanpier/_internal/models/refusal.py
+++ b/src/rattanpier/_internal/models/refusal.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from rattanpier._internal.utils.record import Record
+
 
 class RefusalCode(enum.StrEnum):
     """Stable names of the reasons for a refusal."""
@@ -70,8 +72,8 @@
 }
 
 
-@attrs.frozen
-class Refusal:
+@attrs.frozen(eq=False, repr=False)
+class Refusal(Record):
     """Why a request gets no answer.
 
     Attributes:
--- a/src/rattanpier/_internal/models/relay_answer.py
+++ b/src/rattanpier/_internal/models/relay_answer.py
@@ -6,10 +6,11 @@
 
 from rattanpier._internal.models.refusal import Refusal
 from rattanpier._internal.models.relay_request import Header
+from rattanpier._internal.utils.record import Record
 
 
-@attrs.frozen
-class CompleteAnswer:
+@attrs.frozen(eq=False, repr=False)
+class CompleteAnswer(Record):
     """A worker's complete answer, sent at once."""
 
     status: int
@@ -17,28 +18,28 @@
     body: bytes
 
 
-@attrs.frozen
-class AnswerStarted:
+@attrs.frozen(eq=False, repr=False)
+class AnswerStarted(Record):
     """The head of an answer whose body follows in chunks."""
 
     status: int
     headers: tuple[Header, ...]
 
 
-@attrs.frozen
-class AnswerChunk:
+@attrs.frozen(eq=False, repr=False)
+class AnswerChunk(Record):
     """A chunk of the body; of an event stream, only complete events."""
 
     data: bytes
 
 
-@attrs.frozen
-class AnswerCompleted:
+@attrs.frozen(eq=False, repr=False)
+class AnswerCompleted(Record):
     """The body is complete."""
 
 
-@attrs.frozen
-class AnswerTruncated:
+@attrs.frozen(eq=False, repr=False)
+class AnswerTruncated(Record):
     """The rest of the body is missing.
 
     The caller must be able to tell that the answer is incomplete.
@@ -50,8 +51,8 @@
     reason: str
 
 
-@attrs.frozen
-class AnswerRefused:
+@attrs.frozen(eq=False, repr=False)
+class AnswerRefused(Record):
     """A refusal by the relay instead of a worker's answer.
 
     Attributes:
--- a/src/rattanpier/_internal/models/relay_request.py
+++ b/src/rattanpier/_internal/models/relay_request.py
@@ -8,12 +8,13 @@
 
 from rattanpier._internal.models.route_table import Route, Workspace
 from rattanpier._internal.utils.hashing import short_digest
+from rattanpier._internal.utils.record import Record
 
 Header = tuple[str, str]
 
 
-@attrs.frozen
-class PromptPart:
+@attrs.frozen(eq=False, repr=False)
+class PromptPart(Record):
     """A part of a prompt that other requests may share.
 
     Attributes:
@@ -25,8 +26,8 @@
     tokens: int
 
 
-@attrs.frozen
-class Prompt:
+@attrs.frozen(eq=False, repr=False)
+class Prompt(Record):
     """What is known of a prompt for a model.
 
     Attributes:
@@ -50,8 +51,8 @@
         return min(self.output_hint or self.max_output, self.max_output)
 
 
-@attrs.frozen
-class RelayRequest:
+@attrs.frozen(eq=False, repr=False)
+class RelayRequest(Record):
     """One attempt of a caller.
 
     Attributes:
@@ -109,8 +110,8 @@
         return short_digest(named.encode() + self.body)
 
 
-@attrs.frozen
-class CallerHeaders:
+@attrs.frozen(eq=False, repr=False)
+class CallerHeaders(Record):
     """Values from a caller's headers.
 
     Attributes:
--- a/src/rattanpier/_internal/models/relay_settings.py
+++ b/src/rattanpier/_internal/models/relay_settings.py
@@ -7,10 +7,11 @@
 import attrs
 
 from rattanpier._internal.models.policy import DEFAULT_POLICY, Policy
+from rattanpier._internal.utils.record import Record
 
 
-@attrs.frozen
-class Address:
+@attrs.frozen(eq=False, repr=False)
+class Address(Record):
     """An IP address and a port.
 
     Attributes:
@@ -30,8 +31,8 @@
         return f"{self.host}:{self.port}"
 
 
-@attrs.frozen
-class Bounds:
+@attrs.frozen(eq=False, repr=False)
+class Bounds(Record):
     """Guarantees of the operators to callers and workers.
 
     Attributes:
@@ -70,8 +71,8 @@
     address_ttl_s: float = 5.0
 
 
-@attrs.frozen
-class StoreSettings:
+@attrs.frozen(eq=False, repr=False)
+class StoreSettings(Record):
     """Connection to the platform's store.
 
     Attributes:
@@ -85,8 +86,8 @@
     row_bytes: int = 65536
 
 
-@attrs.frozen
-class RelaySettings:
+@attrs.frozen(eq=False, repr=False)
+class RelaySettings(Record):
     """Settings of one entry.
 
     Attributes:
--- a/src/rattanpier/_internal/models/rollout_order.py
+++ b/src/rattanpier/_internal/models/rollout_order.py
@@ -7,6 +7,7 @@
 import attrs
 
 from rattanpier._internal.models.revision import Revision
+from rattanpier._internal.utils.record import Record
 
 
 class RolloutPhase(enum.StrEnum):
@@ -25,8 +26,8 @@
         return self in (RolloutPhase.COMPLETED, RolloutPhase.ROLLED_BACK)
 
 
-@attrs.frozen
-class RolloutOrder:
+@attrs.frozen(eq=False, repr=False)
+class RolloutOrder(Record):
     """An order to roll out a version of a service.
 
     Attributes:
@@ -49,8 +50,8 @@
     )
 
 
-@attrs.frozen
-class RolloutRecord:
+@attrs.frozen(eq=False, repr=False)
+class RolloutRecord(Record):
     """Progress of an order that all entries share through the store.
 
     Attributes:
--- a/src/rattanpier/_internal/models/route_table.py
+++ b/src/rattanpier/_internal/models/route_table.py
@@ -12,6 +12,8 @@
 
 import attrs
 
+from rattanpier._internal.utils.record import Record
+
 # Limits that apply until a table has been read. 16 KiB is the usual limit for
 # HTTP headers.
 DEFAULT_HEADER_BYTES = 16384
@@ -20,8 +22,8 @@
 DEFAULT_IDLE_S = 15.0
 
 
-@attrs.frozen
-class ServiceShare:
+@attrs.frozen(eq=False, repr=False)
+class ServiceShare(Record):
     """A service's share of the requests of a route.
 
     Attributes:
@@ -33,8 +35,8 @@
     weight: float
 
 
-@attrs.frozen
-class Route:
+@attrs.frozen(eq=False, repr=False)
+class Route(Record):
     """Rules for the requests of one host and path prefix.
 
     Attributes:
@@ -79,8 +81,8 @@
         return self.idempotent or (self.streaming and self.resumable)
 
 
-@attrs.frozen
-class ModelCost:
+@attrs.frozen(eq=False, repr=False)
+class ModelCost(Record):
     """A model of an engine and its price.
 
     Attributes:
@@ -92,8 +94,8 @@
     cost: float
 
 
-@attrs.frozen
-class EngineSpec:
+@attrs.frozen(eq=False, repr=False)
+class EngineSpec(Record):
     """Properties that all model engines of a pool share.
 
     Attributes:
@@ -107,8 +109,8 @@
     models: tuple[ModelCost, ...] = ()
 
 
-@attrs.frozen
-class WarmUp:
+@attrs.frozen(eq=False, repr=False)
+class WarmUp(Record):
     """Reduced rate of a worker after its start.
 
     Attributes:
@@ -120,8 +122,8 @@
     rate_per_s: float
 
 
-@attrs.frozen
-class Service:
+@attrs.frozen(eq=False, repr=False)
+class Service(Record):
     """A pool of workers.
 
     Attributes:
@@ -141,8 +143,8 @@
     health_path: str = ""
 
 
-@attrs.frozen
-class Workspace:
+@attrs.frozen(eq=False, repr=False)
+class Workspace(Record):
     """A customer of the operators.
 
     Attributes:
@@ -156,8 +158,8 @@
     regions: frozenset[str] = frozenset()
 
 
-@attrs.frozen
-class CallerLimits:
+@attrs.frozen(eq=False, repr=False)
+class CallerLimits(Record):
     """Limits on the size and duration of callers' requests.
 
     Attributes:
@@ -173,8 +175,8 @@
     idle_s: float = DEFAULT_IDLE_S
 
 
-@attrs.frozen(slots=False)
-class RouteTable:
+@attrs.frozen(eq=False, repr=False, slots=False)
+class RouteTable(Record):
     """One version of the operators' document.
 
     Attributes:
--- a/src/rattanpier/_internal/models/trials.py
+++ b/src/rattanpier/_internal/models/trials.py
@@ -4,9 +4,11 @@
 
 import attrs
 
+from rattanpier._internal.utils.record import Record
 
-@attrs.frozen
-class Trials:
+
+@attrs.frozen(eq=False, repr=False)
+class Trials(Record):
     """Number of Bernoulli trials, and how many of them were bad.
 
     Attributes:
--- a/src/rattanpier/_internal/models/upstream_request.py
+++ b/src/rattanpier/_internal/models/upstream_request.py
@@ -6,10 +6,11 @@
 
 from rattanpier._internal.models.relay_request import Header
 from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.utils.record import Record
 
 
-@attrs.frozen
-class UpstreamRequest:
+@attrs.frozen(eq=False, repr=False)
+class UpstreamRequest(Record):
     """What one worker is sent in addition to the caller's request.
 
     Attributes:
@@ -29,8 +30,8 @@
     after_event: int | None = None
 
 
-@attrs.frozen
-class ReportedLoad:
+@attrs.frozen(eq=False, repr=False)
+class ReportedLoad(Record):
     """Load that a worker reported.
 
     Attributes:
@@ -52,8 +53,8 @@
     leaving: bool = False
 
 
-@attrs.frozen
-class AnswerHead:
+@attrs.frozen(eq=False, repr=False)
+class AnswerHead(Record):
     """Head of a worker's response.
 
     Attributes:
--- a/src/rattanpier/_internal/models/worker.py
+++ b/src/rattanpier/_internal/models/worker.py
@@ -5,10 +5,11 @@
 import attrs
 
 from rattanpier._internal.models.revision import Revision
+from rattanpier._internal.utils.record import Record
 
 
-@attrs.frozen
-class RegisteredWorker:
+@attrs.frozen(eq=False, repr=False)
+class RegisteredWorker(Record):
     """One incarnation of a worker.
 
     Attributes:
--- a/src/rattanpier/_internal/models/worker_crash.py
+++ b/src/rattanpier/_internal/models/worker_crash.py
@@ -4,9 +4,11 @@
 
 import attrs
 
+from rattanpier._internal.utils.record import Record
 
-@attrs.frozen
-class WorkerCrash:
+
+@attrs.frozen(eq=False, repr=False)
+class WorkerCrash(Record):
     """A worker crashed while it ran a request.
 
     Attributes:
@@ -20,8 +22,8 @@
     age_s: float = 0.0
 
 
-@attrs.frozen
-class ContentCleared:
+@attrs.frozen(eq=False, repr=False)
+class ContentCleared(Record):
     """A content got a complete answer: it did not cause earlier crashes.
 
     Attributes:
@@ -33,8 +35,8 @@
     age_s: float = 0.0
 
 
-@attrs.frozen
-class SeenAlive:
+@attrs.frozen(eq=False, repr=False)
+class SeenAlive(Record):
     """A worker answered under its own id: it had not crashed until then.
 
     Attributes:
@@ -46,8 +48,8 @@
     age_s: float = 0.0
 
 
-@attrs.frozen
-class QuarantineUpdate:
+@attrs.frozen(eq=False, repr=False)
+class QuarantineUpdate(Record):
     """Update about requests that may crash their workers.
 
     Attributes:
--- a/src/rattanpier/_internal/placement/eligibility.py
+++ b/src/rattanpier/_internal/placement/eligibility.py
@@ -13,6 +13,7 @@
 
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.relay.request_progress import RequestProgress
+from rattanpier._internal.utils.record import Record
 
 Workers = Sequence[RegisteredWorker]
 
@@ -33,8 +34,8 @@
 TEMPORARY = frozenset({WARMING_UP, RATE_LIMITED, RESTING, BRITTLE})
 
 
-@attrs.frozen
-class Condition:
+@attrs.frozen(eq=False, repr=False)
+class Condition(Record):
     """A reason for excluding workers from a choice.
 
     Attributes:
@@ -46,8 +47,8 @@
     select: Callable[[RequestProgress, Workers], Workers]
 
 
-@attrs.frozen
-class EligibleWorkers:
+@attrs.frozen(eq=False, repr=False)
+class EligibleWorkers(Record):
     """The result of filtering workers by all conditions.
 
     Attributes:
--- a/src/rattanpier/_internal/placement/shared_rates.py
+++ b/src/rattanpier/_internal/placement/shared_rates.py
@@ -18,6 +18,7 @@
 from rattanpier._internal.relay.fleet import Fleet
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.hashing import weight_for
+from rattanpier._internal.utils.record import Record
 
 # Candidate senders per worker; a bound uses the first of them.
 MAX_SENDERS = 16
@@ -31,8 +32,8 @@
 MAX_TRACKED_WORKERS = 1024  # Workers with stored senders; 0.5 KB each.
 
 
-@attrs.frozen
-class RateBound:
+@attrs.frozen(eq=False, repr=False)
+class RateBound(Record):
     """Bound on the requests of all entries together to one worker.
 
     Attributes:
@@ -52,8 +53,8 @@
     live_share: float
 
 
-@attrs.frozen
-class SenderShares:
+@attrs.frozen(eq=False, repr=False)
+class SenderShares(Record):
     """How a bound is divided among entries.
 
     Attributes:
--- a/src/rattanpier/_internal/platform/manifest.py
+++ b/src/rattanpier/_internal/platform/manifest.py
@@ -19,6 +19,7 @@
     Workspace,
 )
 from rattanpier._internal.utils.codec import parse_json, structure
+from rattanpier._internal.utils.record import Record
 from rattanpier._internal.utils.strict import strict_converter
 
 KEY = "config"
@@ -30,16 +31,16 @@
 converter = strict_converter(forbid_extra_keys=False)
 
 
-@attrs.frozen
-class ManifestShare:
+@attrs.frozen(eq=False, repr=False)
+class ManifestShare(Record):
     """A service and its share of a route's requests."""
 
     service: str
     weight: float
 
 
-@attrs.frozen
-class ManifestRoute:
+@attrs.frozen(eq=False, repr=False)
+class ManifestRoute(Record):
     """A route; times are in ms.
 
     Attributes:
@@ -72,16 +73,16 @@
     )
 
 
-@attrs.frozen
-class ManifestModel:
+@attrs.frozen(eq=False, repr=False)
+class ManifestModel(Record):
     """A model and its price for 1,000 generated tokens."""
 
     name: str
     cost: float | None = None
 
 
-@attrs.frozen
-class ManifestEngine:
+@attrs.frozen(eq=False, repr=False)
+class ManifestEngine(Record):
     """Properties shared by all model engines of a service."""
 
     slots: int | None = None
@@ -89,8 +90,8 @@
     models: list[ManifestModel] | None = None
 
 
-@attrs.frozen
-class ManifestService:
+@attrs.frozen(eq=False, repr=False)
+class ManifestService(Record):
     """A service.
 
     Attributes:
@@ -109,8 +110,8 @@
     health_path: str | None = attrs.field(default=None, alias="healthPath")
 
 
-@attrs.frozen
-class ManifestLimits:
+@attrs.frozen(eq=False, repr=False)
+class ManifestLimits(Record):
     """Limits for callers."""
 
     header_bytes: int | None = attrs.field(default=None, alias="maxHeaderBytes")
@@ -119,8 +120,8 @@
     idle_ms: float | None = attrs.field(default=None, alias="idleTimeoutMs")
 
 
-@attrs.frozen
-class ManifestTenant:
+@attrs.frozen(eq=False, repr=False)
+class ManifestTenant(Record):
     """A workspace and its keys."""
 
     name: str
@@ -131,8 +132,8 @@
     )
 
 
-@attrs.frozen
-class Manifest:
+@attrs.frozen(eq=False, repr=False)
+class Manifest(Record):
     """The manifest in the form in which operators write it."""
 
     version: int
--- a/src/rattanpier/_internal/platform/registrations.py
+++ b/src/rattanpier/_internal/platform/registrations.py
@@ -11,6 +11,7 @@
 from rattanpier._internal.models.feed import FeedRow
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.utils.codec import parse_json, structure
+from rattanpier._internal.utils.record import Record
 from rattanpier._internal.utils.strict import strict_converter
 
 TABLE = "servers"
@@ -22,8 +23,8 @@
 converter = strict_converter(forbid_extra_keys=False)
 
 
-@attrs.frozen
-class Registration:
+@attrs.frozen(eq=False, repr=False)
+class Registration(Record):
     """A worker's registration as the worker writes it.
 
     Attributes:
--- a/src/rattanpier/_internal/platform/reports.py
+++ b/src/rattanpier/_internal/platform/reports.py
@@ -19,14 +19,15 @@
     decode_report,
     read_leaving,
 )
+from rattanpier._internal.utils.record import Record
 
 PATH = "/rattanpier/report"
 
 ReadReport = Callable[[RegisteredWorker, float], Awaitable[ReportedLoad | None]]
 
 
-@attrs.frozen
-class WorkerStatus:
+@attrs.frozen(eq=False, repr=False)
+class WorkerStatus(Record):
     """What the headers of a report say of its worker.
 
     Attributes:
--- a/src/rattanpier/_internal/platform/rollouts.py
+++ b/src/rattanpier/_internal/platform/rollouts.py
@@ -12,6 +12,7 @@
     RolloutPhase,
 )
 from rattanpier._internal.utils.codec import parse_json, structure
+from rattanpier._internal.utils.record import Record
 from rattanpier._internal.utils.strict import strict_converter
 
 ORDERS = "op"
@@ -28,8 +29,8 @@
 converter = strict_converter(forbid_extra_keys=False)
 
 
-@attrs.frozen
-class OrderRow:
+@attrs.frozen(eq=False, repr=False)
+class OrderRow(Record):
     """An operator's order to roll out a version of a service.
 
     Attributes:
--- a/src/rattanpier/_internal/platform/upstream.py
+++ b/src/rattanpier/_internal/platform/upstream.py
@@ -19,6 +19,7 @@
 from rattanpier._internal.platform.registrations import DRAINING
 from rattanpier._internal.relay.connection import WireHead, WireRequest
 from rattanpier._internal.utils.codec import parse_json, structure
+from rattanpier._internal.utils.record import Record
 from rattanpier._internal.utils.strict import strict_converter
 
 log = structlog.get_logger(part="platform")
@@ -159,8 +160,8 @@
     return "" if valid else text
 
 
-@attrs.frozen
-class LoadReport:
+@attrs.frozen(eq=False, repr=False)
+class LoadReport(Record):
     """The fields of a worker's load report that entries use."""
 
     active: int
--- a/src/rattanpier/_internal/relay/checkpoints.py
+++ b/src/rattanpier/_internal/relay/checkpoints.py
@@ -40,6 +40,7 @@
 from rattanpier._internal.relay.store import RelayStore
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.codec import pack, unpack
+from rattanpier._internal.utils.record import Record
 
 log = structlog.get_logger(part="store")
 
@@ -52,15 +53,15 @@
 RENEWALS_PER_HISTORY = 3
 
 
-@attrs.frozen
-class TableRows:
+@attrs.frozen(eq=False, repr=False)
+class TableRows(Record):
     """All rows of a table, as they are packed into a checkpoint."""
 
     rows: list[FeedRow]
 
 
-@attrs.frozen
-class Checkpoint:
+@attrs.frozen(eq=False, repr=False)
+class Checkpoint(Record):
     """A table as of a revision of the store.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/connection.py
+++ b/src/rattanpier/_internal/relay/connection.py
@@ -14,6 +14,8 @@
 import attrs
 import h11
 
+from rattanpier._internal.utils.record import Record
+
 MAX_HEAD_BYTES = 65536  # An answer with a longer head is invalid.
 MAX_UNREAD_BYTES = 262144  # Above this, reading from the worker pauses.
 MAX_STRAY_ANSWERS = 1  # Late answers to earlier requests that are skipped.
@@ -38,8 +40,8 @@
         self.sent = sent
 
 
-@attrs.frozen
-class WireRequest:
+@attrs.frozen(eq=False, repr=False)
+class WireRequest(Record):
     """A request as it is sent to a worker.
 
     Attributes:
@@ -55,8 +57,8 @@
     body: bytes
 
 
-@attrs.frozen
-class WireHead:
+@attrs.frozen(eq=False, repr=False)
+class WireHead(Record):
     """The head of a worker's answer.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/deregistrations.py
+++ b/src/rattanpier/_internal/relay/deregistrations.py
@@ -19,6 +19,7 @@
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.hashing import stable_hash
+from rattanpier._internal.utils.record import Record
 
 log = structlog.get_logger(part="workers")
 
@@ -63,8 +64,8 @@
     return same_era and one.incarnation == other.incarnation
 
 
-@attrs.frozen
-class PendingRegistration:
+@attrs.frozen(eq=False, repr=False)
+class PendingRegistration(Record):
     """A registration that a restored store lists and that may be outdated.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/durations.py
+++ b/src/rattanpier/_internal/relay/durations.py
@@ -12,14 +12,16 @@
 
 import attrs
 
+from rattanpier._internal.utils.record import Record
+
 # Buckets grow by the fourth root of two, so that a factor of two between
 # durations is a difference of four.
 BUCKETS_PER_DOUBLING = 4
 MIN_DURATION = 1e-6  # Shorter durations share a bucket.
 
 
-@attrs.frozen
-class DurationCounts:
+@attrs.frozen(eq=False, repr=False)
+class DurationCounts(Record):
     """Numbers of durations, by bucket.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/edge.py
+++ b/src/rattanpier/_internal/relay/edge.py
@@ -33,6 +33,7 @@
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.headers import forwarded_headers
 from rattanpier._internal.utils.metrics import Metrics
+from rattanpier._internal.utils.record import Record
 
 log = structlog.get_logger(part="edge")
 
@@ -40,8 +41,8 @@
 LEAVING_RETRY_S = 0.05  # Other entries accept the request immediately.
 
 
-@attrs.frozen
-class CallerDialect:
+@attrs.frozen(eq=False, repr=False)
+class CallerDialect(Record):
     """Header conventions of the platform's callers.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/events.py
+++ b/src/rattanpier/_internal/relay/events.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from rattanpier._internal.utils.record import Record
+
 MAX_EVENT_BYTES = 2**20  # Longer events are invalid.
 BLANK_LINE = re.compile(rb"\r?\n\r?\n")
 ID_LINE = re.compile(rb"^id:[ \t]*(\d+)[ \t]*\r?$", re.MULTILINE)
@@ -20,8 +22,8 @@
     """A stream is no valid sequence of events."""
 
 
-@attrs.frozen
-class Event:
+@attrs.frozen(eq=False, repr=False)
+class Event(Record):
     """One server-sent event.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/evidence.py
+++ b/src/rattanpier/_internal/relay/evidence.py
@@ -8,14 +8,15 @@
 
 from rattanpier._internal.relay.exposure import Exposure
 from rattanpier._internal.relay.verdict import EMPTY_TALLY, Tally
+from rattanpier._internal.utils.record import Record
 
 # A peer reports every half second; what it said to be running is outdated
 # after a few lost reports, or once it is down.
 RUNNING_REPORT_TTL_S = 3.0
 
 
-@attrs.frozen
-class TallyKey:
+@attrs.frozen(eq=False, repr=False)
+class TallyKey(Record):
     """Key by which upstream requests are counted.
 
     Attributes:
@@ -29,8 +30,8 @@
     candidate: bool
 
 
-@attrs.frozen
-class RunningRequests:
+@attrs.frozen(eq=False, repr=False)
+class RunningRequests(Record):
     """Upstream requests that have not ended yet.
 
     Attributes:
@@ -55,8 +56,8 @@
 NO_REQUESTS = RunningRequests()
 
 
-@attrs.frozen
-class Evidence:
+@attrs.frozen(eq=False, repr=False)
+class Evidence(Record):
     """Counts of one entry, as reported to the driver of roll-outs.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/exchange.py
+++ b/src/rattanpier/_internal/relay/exchange.py
@@ -27,6 +27,7 @@
 from rattanpier._internal.relay.load import Loads
 from rattanpier._internal.relay.pool import ConnectionPool
 from rattanpier._internal.utils.headers import HOP_BY_HOP
+from rattanpier._internal.utils.record import Record
 
 MIN_FAILURE_STATUS = 500
 DROPPED_HEADERS = HOP_BY_HOP | {"content-length"}
@@ -59,8 +60,8 @@
         self.misdirected = misdirected
 
 
-@attrs.frozen
-class WorkerDialect:
+@attrs.frozen(eq=False, repr=False)
+class WorkerDialect(Record):
     """Header conventions of the platform's workers.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/exposure.py
+++ b/src/rattanpier/_internal/relay/exposure.py
@@ -13,6 +13,8 @@
 
 import attrs
 
+from rattanpier._internal.utils.record import Record
+
 # Share of sessions in the trying phase, as a fraction of the bound's ratio. A
 # larger share would show a bad version sooner, but would use up more of the
 # bound before the take-over, which would then come too late for requests still
@@ -34,8 +36,8 @@
 USABLE_FRACTION = 0.86
 
 
-@attrs.frozen
-class ExposureBound:
+@attrs.frozen(eq=False, repr=False)
+class ExposureBound(Record):
     """Limit on the requests of a service that a bad version may get.
 
     Attributes:
@@ -57,8 +59,8 @@
         return EXTENDING_FRACTION * self.ratio
 
 
-@attrs.frozen
-class Exposure:
+@attrs.frozen(eq=False, repr=False)
+class Exposure(Record):
     """Upstream requests since an order, whether they were answered or not.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/fleet.py
+++ b/src/rattanpier/_internal/relay/fleet.py
@@ -18,6 +18,7 @@
 from rattanpier._internal.models.member import Member, MemberState
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.hashing import rendezvous, stable_hash
+from rattanpier._internal.utils.record import Record
 
 log = structlog.get_logger(part="fleet")
 
@@ -47,8 +48,8 @@
     return f"{member.domain}/{member.name}"
 
 
-@attrs.frozen
-class EntryState:
+@attrs.frozen(eq=False, repr=False)
+class EntryState(Record):
     """The state of one entry.
 
     Field names are on the wire and in the store, and can't be changed.
--- a/src/rattanpier/_internal/relay/follow_timing.py
+++ b/src/rattanpier/_internal/relay/follow_timing.py
@@ -13,6 +13,8 @@
 
 import attrs
 
+from rattanpier._internal.utils.record import Record
+
 # Longer bounds are treated as this one: a feed that waits long saves calls, but
 # a silent connection is noticed only when the call ends.
 MAX_BOUND_S = 5.0
@@ -45,8 +47,8 @@
 STANDBY_COUNT = 2
 
 
-@attrs.frozen
-class FollowTiming:
+@attrs.frozen(eq=False, repr=False)
+class FollowTiming(Record):
     """Times of a follower, for one bound.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/forwarding.py
+++ b/src/rattanpier/_internal/relay/forwarding.py
@@ -52,6 +52,7 @@
 from rattanpier._internal.utils.codec import pack
 from rattanpier._internal.utils.hashing import weight_for
 from rattanpier._internal.utils.metrics import Metrics
+from rattanpier._internal.utils.record import Record
 
 log = structlog.get_logger(part="forwarding")
 
@@ -70,8 +71,8 @@
 NO_PATH_RETRY_AFTER_S = 0.5  # Services are probed more often than this.
 
 
-@attrs.frozen
-class PeersWithPath:
+@attrs.frozen(eq=False, repr=False)
+class PeersWithPath(Record):
     """Peers that reach a service, in the order in which they are preferred.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/held_sessions.py
+++ b/src/rattanpier/_internal/relay/held_sessions.py
@@ -13,12 +13,13 @@
 
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.hashing import stable_hash
+from rattanpier._internal.utils.record import Record
 
 HASH_RANGE = 2**64
 
 
-@attrs.frozen
-class HeldSession:
+@attrs.frozen(eq=False, repr=False)
+class HeldSession(Record):
     """An active session that is held at the old version.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/model_choice.py
+++ b/src/rattanpier/_internal/relay/model_choice.py
@@ -13,6 +13,7 @@
 
 from rattanpier._internal.models.policy import DEFAULT_POLICY, Policy
 from rattanpier._internal.models.relay_request import RelayRequest
+from rattanpier._internal.utils.record import Record
 
 # Answers with at least this confidence are kept while workers are idle. A
 # higher limit gives better answers under low load, but under faults and bursts
@@ -26,8 +27,8 @@
 FULL_LOAD_WAIT_S = 0.2
 
 
-@attrs.frozen
-class LargerModelEstimate:
+@attrs.frozen(eq=False, repr=False)
+class LargerModelEstimate(Record):
     """Expected durations of an answer by a larger model.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/placement.py
+++ b/src/rattanpier/_internal/relay/placement.py
@@ -21,6 +21,7 @@
 from rattanpier._internal.relay.model_timings import ModelTimings
 from rattanpier._internal.relay.prompt_updates import MIN_PUBLISHED_READ_S
 from rattanpier._internal.utils.hashing import most_preferred
+from rattanpier._internal.utils.record import Record
 
 # Each running request, of any entry, slows each step a little.
 RUNNING_REQUEST_COST_S = 0.008
@@ -42,8 +43,8 @@
 COST_JITTER = 0.02  # Breaks ties, so that entries choose differently.
 
 
-@attrs.frozen
-class Choice:
+@attrs.frozen(eq=False, repr=False)
+class Choice(Record):
     """The selected worker and the figures behind the selection.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/quarantine_rows.py
+++ b/src/rattanpier/_internal/relay/quarantine_rows.py
@@ -38,6 +38,7 @@
 from rattanpier._internal.retries.quarantine import QUARANTINE_S, Quarantine
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.codec import decode, encode
+from rattanpier._internal.utils.record import Record
 
 log = structlog.get_logger(part="quarantine")
 
@@ -46,8 +47,8 @@
 MS_PER_S = 1000.0
 
 
-@attrs.frozen
-class QuarantineRow:
+@attrs.frozen(eq=False, repr=False)
+class QuarantineRow(Record):
     """A quarantined request.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/queue_watch.py
+++ b/src/rattanpier/_internal/relay/queue_watch.py
@@ -26,6 +26,7 @@
 from rattanpier._internal.relay.load import Loads
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.codec import pack, unpack
+from rattanpier._internal.utils.record import Record
 
 log = structlog.get_logger(part="queues")
 
@@ -40,8 +41,8 @@
 PART_TTL_S = 1.5
 
 
-@attrs.frozen
-class QueueUpdate:
+@attrs.frozen(eq=False, repr=False)
+class QueueUpdate(Record):
     """Queue lengths of workers.
 
     Field names are on the wire and can't be changed.
--- a/src/rattanpier/_internal/relay/restoring.py
+++ b/src/rattanpier/_internal/relay/restoring.py
@@ -21,6 +21,7 @@
 from rattanpier._internal.relay.own_table import TABLE, OwnTable
 from rattanpier._internal.relay.store import RelayStore
 from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.record import Record
 
 log = structlog.get_logger(part="store")
 
@@ -33,8 +34,8 @@
 MAX_ROWS_PER_TRANSACTION = 40
 
 
-@attrs.frozen
-class LostRow:
+@attrs.frozen(eq=False, repr=False)
+class LostRow(Record):
     """A row of the system's own table that is to be written or removed.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/rollout_driver.py
+++ b/src/rattanpier/_internal/relay/rollout_driver.py
@@ -53,6 +53,7 @@
 from rattanpier._internal.relay.store import RelayStore, StoreClock, StoreHealth
 from rattanpier._internal.relay.verdict import Judgement, Verdict
 from rattanpier._internal.utils.codec import decode, encode
+from rattanpier._internal.utils.record import Record
 
 log = structlog.get_logger(part="rollout")
 
@@ -84,8 +85,8 @@
 StatusRow = Callable[[str, str, RolloutPhase], RowPut]
 
 
-@attrs.frozen
-class RolloutProgress:
+@attrs.frozen(eq=False, repr=False)
+class RolloutProgress(Record):
     """Inputs of the decision on the next phase of an order.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/rollouts.py
+++ b/src/rattanpier/_internal/relay/rollouts.py
@@ -54,6 +54,7 @@
 )
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.hashing import stable_hash
+from rattanpier._internal.utils.record import Record
 
 log = structlog.get_logger(part="rollout")
 
@@ -65,8 +66,8 @@
 TRIAL_PHASES = (RolloutPhase.TRYING, RolloutPhase.EXTENDING)
 
 
-@attrs.frozen
-class VersionSplit:
+@attrs.frozen(eq=False, repr=False)
+class VersionSplit(Record):
     """Workers for one request, by version.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/snapshots.py
+++ b/src/rattanpier/_internal/relay/snapshots.py
@@ -29,6 +29,7 @@
 from rattanpier._internal.relay.fleet import EntryState, Fleet
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.codec import pack, unpack
+from rattanpier._internal.utils.record import Record
 
 log = structlog.get_logger(part="fleet")
 
@@ -38,8 +39,8 @@
 MAX_PEERS_ASKED = 2  # Asked one after the other, until one answers.
 
 
-@attrs.frozen
-class Snapshot:
+@attrs.frozen(eq=False, repr=False)
+class Snapshot(Record):
     """All state that an entry needs to serve requests.
 
     Field names are on the wire and can't be changed.
--- a/src/rattanpier/_internal/relay/updates.py
+++ b/src/rattanpier/_internal/relay/updates.py
@@ -17,10 +17,11 @@
 from rattanpier._internal.models.worker_crash import QuarantineUpdate
 from rattanpier._internal.relay.fleet import EntryState
 from rattanpier._internal.relay.held_sessions import HeldSession
+from rattanpier._internal.utils.record import Record
 
 
-@attrs.frozen
-class StateUpdate:
+@attrs.frozen(eq=False, repr=False)
+class StateUpdate(Record):
     """State that changed, or that a peer may lack.
 
     Attributes:
@@ -61,8 +62,8 @@
     restored: int = 0
 
 
-@attrs.frozen
-class KnownStates:
+@attrs.frozen(eq=False, repr=False)
+class KnownStates(Record):
     """Versions of the entry states that an entry knows.
 
     Attributes:
@@ -72,8 +73,8 @@
     orders: dict[str, tuple[float, int, bool]]
 
 
-@attrs.frozen
-class StateDiff:
+@attrs.frozen(eq=False, repr=False)
+class StateDiff(Record):
     """Result of comparing the state of two entries.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/verdict.py
+++ b/src/rattanpier/_internal/relay/verdict.py
@@ -26,6 +26,7 @@
     DurationCounts,
     low_quantile,
 )
+from rattanpier._internal.utils.record import Record
 
 # A version is called worse if a version that is no worse would give as many bad
 # answers with less than this probability. It is small because the test is
@@ -61,8 +62,8 @@
 PRIOR_ANSWERS = 5.0
 
 
-@attrs.frozen
-class Tally:
+@attrs.frozen(eq=False, repr=False)
+class Tally(Record):
     """Upstream requests of one version on one route, and their answers.
 
     Attributes:
@@ -109,8 +110,8 @@
 EMPTY_TALLY = Tally()
 
 
-@attrs.frozen
-class Period:
+@attrs.frozen(eq=False, repr=False)
+class Period(Record):
     """Requests of both versions in a period of time.
 
     Attributes:
@@ -141,8 +142,8 @@
     UNKNOWN = "unknown"
 
 
-@attrs.frozen
-class Judgement:
+@attrs.frozen(eq=False, repr=False)
+class Judgement(Record):
     """Verdict on a candidate, and the evidence that it rests on.
 
     Attributes:
@@ -161,8 +162,8 @@
     candidate: Trials = NO_TRIALS
 
 
-@attrs.frozen
-class Cell:
+@attrs.frozen(eq=False, repr=False)
+class Cell(Record):
     """Answers of both versions on one route in one period, by one measure.
 
     Attributes:
--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -41,6 +41,7 @@
 )
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.codec import pack
+from rattanpier._internal.utils.record import Record
 
 log = structlog.get_logger(part="store")
 
@@ -62,8 +63,8 @@
 MIN_SLEEP_S = 0.001  # Rounding may leave a time too short to pass.
 
 
-@attrs.frozen
-class TableUpdate:
+@attrs.frozen(eq=False, repr=False)
+class TableUpdate(Record):
     """An answer of a feed, as watchers publish it.
 
     Attributes:
--- a/tests/relay/test_footprint.py
+++ b/tests/relay/test_footprint.py
@@ -14,8 +14,9 @@
 LIST_MODULES = (
     "import sys, rattanpier._internal.cli.relay; print(*sorted(sys.modules))"
 )
-# Lists mutable attrs classes with generated `__eq__` or `__repr__`: they are
-# compared by identity, so that generating these methods only costs start time.
+# Lists attrs classes with generated `__eq__` or `__repr__`, which cost start
+# time: state is compared by identity, data inherits the methods of `Record`. A
+# class with an order needs its generated `__eq__`.
 LIST_GENERATED_METHODS = """
 import sys, attrs, rattanpier._internal.cli.relay
 for module in [m for n, m in sys.modules.items() if n.startswith("rattanpier")]:
@@ -24,11 +25,25 @@
             continue
         if not attrs.has(made) or issubclass(made, Exception):
             continue
+        methods = vars(made)
+        if "__lt__" in methods:
+            continue
+        if "__eq__" in methods or "__repr__" in methods:
+            print(made.__name__)
+"""
+# Lists data that does not inherit the methods of `Record`.
+LIST_DATA_WITH_IDENTITY = """
+import sys, attrs, rattanpier._internal.cli.relay
+for module in [m for n, m in sys.modules.items() if n.startswith("rattanpier")]:
+    for made in vars(module).values():
+        if not (isinstance(made, type) and attrs.has(made)):
+            continue
         frozen = "frozen" in made.__setattr__.__name__
-        methods = {"__eq__", "__repr__"} & set(vars(made))
-        if not frozen and methods:
-            print(module.__name__, made.__name__)
+        if frozen and made.__eq__ is object.__eq__:
+            print(made.__name__)
 """
+# Two queued requests are never the same, even if all their fields are equal.
+DATA_WITH_IDENTITY = {"QueuedRequest", "Waiter"}
 UNUSED_PACKAGES = (
     "cascade",
     "claims",
@@ -65,11 +80,10 @@
 )
 
 
-@pytest.fixture(scope="module")
-def loaded():
-    """Returns the modules that importing an entry's program loads."""
+def run(program):
+    """Returns the words that a program prints."""
     made = subprocess.run(
-        [sys.executable, "-c", LIST_MODULES],
+        [sys.executable, "-c", program],
         check=True,
         capture_output=True,
         text=True,
@@ -77,6 +91,12 @@
     return made.stdout.split()
 
 
+@pytest.fixture(scope="module")
+def loaded():
+    """Returns the modules that importing an entry's program loads."""
+    return run(LIST_MODULES)
+
+
 @pytest.mark.parametrize("package", UNUSED_PACKAGES)
 def test_unused_packages_are_not_loaded(loaded, package):
     prefix = f"rattanpier._internal.{package}"
@@ -93,14 +113,12 @@
     assert module not in loaded
 
 
-def test_state_classes_have_no_generated_methods():
-    made = subprocess.run(
-        [sys.executable, "-c", LIST_GENERATED_METHODS],
-        check=True,
-        capture_output=True,
-        text=True,
-    )
-    assert made.stdout.split() == []
+def test_attrs_classes_have_no_generated_methods():
+    assert run(LIST_GENERATED_METHODS) == []
+
+
+def test_data_is_compared_by_its_fields():
+    assert set(run(LIST_DATA_WITH_IDENTITY)) <= DATA_WITH_IDENTITY
 
 
 def test_entry_starts_without_site_packages_of_vm():
@@ -115,15 +133,8 @@
         number for number, line in enumerate(lines) if "open_early(" in line
     ]
     assert max(opens) < min(loads)
-    made = subprocess.run(
-        [
-            sys.executable,
-            "-c",
-            "import sys, rattanpier._internal.platform.early_listener;"
-            "print(len([m for m in sys.modules if m.startswith('attr')]))",
-        ],
-        check=True,
-        capture_output=True,
-        text=True,
+    listed = run(
+        "import sys, rattanpier._internal.platform.early_listener;"
+        "print(len([m for m in sys.modules if m.startswith('attr')]))"
     )
-    assert made.stdout.split() == ["0"]
+    assert listed == ["0"]
