Decode the head of a worker's answer once

Cause: the check that an answer belongs to the request decoded the head, and the result was decoded again from the same head.

Change: the head that the check accepted is used.

--- a/src/rattanpier/_internal/relay/exchange.py
+++ b/src/rattanpier/_internal/relay/exchange.py
@@ -213,26 +213,28 @@
           TimeoutError: The deadline passed.
         """
         worker = sending.worker.id
+        head: AnswerHead | None = None
 
         def on_data() -> None:
             self.loads.record_received(worker)
 
-        def answers_request(head: WireHead) -> bool:
-            decoded = self.dialect.decode(head)
+        def answers_request(wire_head: WireHead) -> bool:
+            nonlocal head
+            head = self.dialect.decode(wire_head)
             # A worker may refuse a request before it has read its id.
-            if decoded.request_id is None:
-                return decoded.not_run
-            return decoded.request_id == request.id
+            if head.request_id is None:
+                return head.not_run
+            return head.request_id == request.id
 
         sent_at = self.loads.clock.monotonic()
         try:
             connection.send(self.dialect.encode(request, sending))
             async with asyncio.timeout_at(deadline):
-                wire_head = await connection.read_head(answers_request)
+                await connection.read_head(answers_request)
         except ConnectionBrokenError as error:
             raise SendError(str(error), not_run=not error.sent) from error
+        assert head is not None, "a head was accepted undecoded"
         on_data()
-        head = self.dialect.decode(wire_head)
         self.loads.record_unreadable(worker, head.unreadable_load)
         self.loads.record_report(worker, head.load)
         if not head.misdirected:
--- a/tests/relay/test_path.py
+++ b/tests/relay/test_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from rattanpier._internal.standin.platform_worker import WorkerFault
@@ -240,3 +241,19 @@
     await site.workers["w1"].stop()
     for _ in range(20):
         assert (await site.ask("/unsafe/x")).status == 200
+
+
+async def test_the_head_of_an_answer_is_decoded_once(site):
+    """Decoding it twice took a twentieth of the CPU time of a request."""
+    await site.add_worker("w1")
+    entry = await site.add_entry()
+    sender = entry.edge.dispatcher.sender
+    decode, decoded = sender.dialect.decode, []
+
+    def decode_counting(head):
+        decoded.append(head)
+        return decode(head)
+
+    sender.dialect = attrs.evolve(sender.dialect, decode=decode_counting)
+    assert (await site.ask()).status == 200
+    assert len(decoded) == 1
