--- a/src/rattanpier/_internal/platform/upstream.py
+++ b/src/rattanpier/_internal/platform/upstream.py
@@ -19,6 +19,7 @@
 from rattanpier._internal.platform.registrations import DRAINING
 from rattanpier._internal.relay.connection import WireHead, WireRequest
 from rattanpier._internal.utils.codec import parse_json, structure
+from rattanpier._internal.utils.record import Record
 from rattanpier._internal.utils.strict import strict_converter
 
 log = structlog.get_logger(part="platform")
@@ -35,7 +36,7 @@
 MODEL = "x-model"
 LAST_EVENT_ID = "last-event-id"
 # Workers may send fields that an entry doesn't need.
-converter = strict_converter(forbid_extra_keys=False)
+converter = strict_converter(forbid_extra_keys=False, detailed=False)
 HIGHEST_PRIORITY_VALUE = 9
 BACKOFF_STATUSES = frozenset({429, 503})
 MISDIRECTED = 421  # Also guarantees that nothing was executed.
@@ -159,8 +160,8 @@
     return "" if valid else text
 
 
-@attrs.frozen
-class LoadReport:
+@attrs.frozen(eq=False, repr=False)
+class LoadReport(Record):
     """The fields of a worker's load report that entries use."""
 
     active: int
