--- a/src/rattanpier/_internal/relay/stream_deadlines.py
+++ b/src/rattanpier/_internal/relay/stream_deadlines.py
@@ -13,6 +13,7 @@
 import attrs
 
 from rattanpier._internal.models.relay_request import RelayRequest
+from rattanpier._internal.utils.record import Record
 
 # Share of the request's time that may be set aside for the smallest model. A
 # larger one would end more answers early that the larger model completes.
@@ -22,8 +23,8 @@
 MIN_RESERVE_S = 0.3
 
 
-@attrs.frozen
-class FinishEstimate:
+@attrs.frozen(eq=False, repr=False)
+class FinishEstimate(Record):
     """Expected durations of the rest of an answer at the smallest model.
 
     Attributes:
