Estimate the pace of each worker and choose by it

Cause: workers of a service differ in speed by up to 2.7 and are slowed down by other workloads of their VMs, but were compared as if they were equal.

Change: placement/worker_pace.py estimates the factor of each worker from reported ratios and measured work. Chooser multiplies expected times by it. Measured paces are shared with queue lengths.

--- a/src/rattanpier/_internal/models/policy.py
+++ b/src/rattanpier/_internal/models/policy.py
@@ -28,6 +28,8 @@
       queue_reading: A few entries poll engines for the lengths of their queues.
       prompt_news: Entries send each other updates about long prompts that they
         dispatch.
+      worker_pace: Expected times take into account how fast each worker is, if
+        workers report how long work takes at the moment.
       avoidance: Workers that fail or can't be reached are avoided for a while.
       hold_sessions: Active sessions keep their version when a roll-out order
         arrives.
@@ -43,6 +45,7 @@
     hedges: bool = True
     queue_reading: bool = True
     prompt_news: bool = True
+    worker_pace: bool = True
     avoidance: bool = True
     hold_sessions: bool = True
 
--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -17,6 +17,7 @@
 from rattanpier._internal.placement.rate_limits import RateLimits
 from rattanpier._internal.placement.shared_rates import SharedRates
 from rattanpier._internal.placement.warm_up import WarmUps
+from rattanpier._internal.placement.worker_pace import WorkerPaces
 from rattanpier._internal.platform import upstream
 from rattanpier._internal.relay.budgets import ServiceRetryBudgets
 from rattanpier._internal.relay.dispatch import Dispatcher
@@ -80,6 +81,7 @@
     warm_ups = make_warm_ups(settings, state, shares)
     limits = make_rate_limits(state, shares)
     backoffs = Backoffs(clock, random.Random(settings.name))
+    paces = WorkerPaces(clock, state.directory.workers.get, settings.policy)
     brittle = BrittleWorkers(
         fleet,
         clock,
@@ -92,6 +94,7 @@
         loads.forget(worker)
         pool.forget(worker)
         health.forget(worker)
+        paces.forget(worker)
         limits.forget(worker)
         brittle.reports.forget(worker)
 
@@ -102,6 +105,8 @@
         brittle.reports.record_answer(worker, head.refusals_per_s, asked_at)
         if head.not_run:
             brittle.record_refusal(worker)
+        if head.load is not None:
+            paces.record_report(worker.id, head.load.work_time_ratio)
         if head.leaving:
             state.directory.record_leaving(worker)
         if head.rest_s:
@@ -171,6 +176,7 @@
             timings,
             ModelGroups(clock),
             settings.policy,
+            paces,
         ),
         sender=Sender(
             pool, dialect, loads, record_answer_head, brittle.record_aborted
--- a/src/rattanpier/_internal/programs/relay_workers.py
+++ b/src/rattanpier/_internal/programs/relay_workers.py
@@ -99,6 +99,8 @@
         in_backoff=lambda worker: (
             backoffs.available_in_s(worker.incarnation) > 0.0
         ),
+        paces=entry.edge.dispatcher.chooser.paces,
+        rng=random.Random(entry.settings.name),
     )
     state.deregistered.subscribe(
         lambda worker: queues.reported_starts.pop(worker, None)
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -301,6 +301,8 @@
             left_out=progress.excluded,
             session=request.session,
             report_age_s=round_for_log(choice.report_age_s),
+            pace=round(choice.pace, 2),
+            ratio_age_s=round_for_log(choice.ratio_age_s),
             left_s=round(self.left_s(progress), 3),
         )
         return UpstreamRequest(
--- a/src/rattanpier/_internal/relay/escalation.py
+++ b/src/rattanpier/_internal/relay/escalation.py
@@ -105,5 +105,5 @@
     timings = dispatcher.chooser.timings
     wait_s = max(choice.wait_s, timings.wait_s(model, request.priority))
     stream_s = timings.stream_s(model, request.prompt.expected_output)
-    first_s = choice.read_s + wait_s
+    first_s = choice.pace * choice.read_s + wait_s
     return LargerModelEstimate(choice.wait_s, first_s, first_s + stream_s)
--- a/src/rattanpier/_internal/relay/model_timings.py
+++ b/src/rattanpier/_internal/relay/model_timings.py
@@ -44,6 +44,7 @@
       waits: Seconds to the first event in excess of reading, by priority:
         workers read the prompts of more urgent requests first.
       token: Duration of a stream per token that was expected of it, in seconds.
+      event: Mean time between two events of a stream, in seconds.
     """
 
     read: RecentQuantile = attrs.Factory(lambda: RecentQuantile(IDLE_QUANTILE))
@@ -55,6 +56,7 @@
     token: RecentQuantile = attrs.Factory(
         lambda: RecentQuantile(UPPER_QUANTILE)
     )
+    event: RecentQuantile = attrs.Factory(lambda: RecentQuantile(0.5))
 
 
 @attrs.define(eq=False, repr=False)
@@ -123,6 +125,28 @@
         """
         self.models[model].token.add(seconds / max(1, tokens))
 
+    def record_events(self, model: str, gaps: int, seconds: float) -> None:
+        """Records the time between the first and the last event of a stream.
+
+        Args:
+          model: Model that answered.
+          gaps: Number of events after the first.
+          seconds: The time.
+        """
+        self.models[model].event.add(seconds / gaps)
+
+    def events_s(self, model: str, gaps: int) -> float:
+        """Returns the typical time between the first and the last event.
+
+        Args:
+          model: Model that answers.
+          gaps: Number of events after the first.
+
+        Returns:
+          Seconds; 0.0 while too few streams were measured.
+        """
+        return gaps * self.models[model].event.value(0.0, MIN_SAMPLES)
+
     def read_s(self, model: str, tokens: float) -> float:
         """Returns the seconds in which an idle worker reads some tokens."""
         return tokens * self.token_read_s(model)
--- a/src/rattanpier/_internal/relay/placement.py
+++ b/src/rattanpier/_internal/relay/placement.py
@@ -4,10 +4,18 @@
 engines the cost is the expected seconds to the request's first event. Most of
 it is prompt reading, which is sequential; running requests share each step and
 add little. For plain services the cost is the share of a worker's slots in use.
+
+Where workers report how long work takes, both are multiplied by the worker's
+pace. All entries know the same paces but not each other's latest requests, so
+that all would send to the fastest worker. Faster workers are therefore expected
+to have more requests of peers that are not known yet: as many as make a request
+without cached parts take equally long everywhere. Of such workers, each is
+chosen with a probability in proportion to its speed.
 """
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Sequence
 
@@ -16,6 +24,11 @@
 from rattanpier._internal.models.policy import DEFAULT_POLICY, Policy
 from rattanpier._internal.models.relay_request import Prompt, RelayRequest
 from rattanpier._internal.models.worker import RegisteredWorker
+from rattanpier._internal.placement.worker_pace import (
+    NO_PACES,
+    CurrentPaces,
+    WorkerPaces,
+)
 from rattanpier._internal.relay.load import Loads, part_sizes
 from rattanpier._internal.relay.model_groups import ModelGroups
 from rattanpier._internal.relay.model_timings import ModelTimings
@@ -53,8 +66,11 @@
       to_read: Tokens of the prompt that it has not cached.
       candidates: Number of workers that were compared.
       report_age_s: Age of its last load report in seconds, or None.
-      read_s: Expected seconds to read `to_read` tokens.
+      read_s: Expected seconds in which a typical worker reads `to_read` tokens.
       wait_s: Expected seconds until other prompts there have been read.
+      pace: Expected time on the worker, relative to a typical worker.
+      ratio_age_s: Age of the worker's last report of how long work takes, in
+        seconds, or None.
     """
 
     worker: RegisteredWorker
@@ -64,6 +80,8 @@
     report_age_s: float | None
     read_s: float = 0.0
     wait_s: float = 0.0
+    pace: float = 1.0
+    ratio_age_s: float | None = None
 
 
 @attrs.define(eq=False, repr=False)
@@ -77,6 +95,7 @@
       timings: Durations of each model.
       groups: Division of workers between small and large models.
       policy: Enabled mechanisms.
+      paces: How long work takes on each worker.
     """
 
     loads: Loads
@@ -85,6 +104,11 @@
     timings: ModelTimings
     groups: ModelGroups
     policy: Policy = DEFAULT_POLICY
+    paces: WorkerPaces = attrs.field(
+        default=attrs.Factory(
+            lambda self: WorkerPaces(self.loads.clock), takes_self=True
+        )
+    )
 
     def choose(
         self,
@@ -106,18 +130,68 @@
     def choose_plain(self, workers: Sequence[RegisteredWorker]) -> Choice:
         """Returns the worker with the smallest share of slots in use."""
         now = self.loads.clock.monotonic()
+        paces = self.current_paces(workers, now)
 
         def cost_of(worker: RegisteredWorker) -> float:
             load = self.loads.workers[worker.id]
             running, waiting = load.peer_requests(now)
             used = (len(load.running) + running + waiting) / worker.slots
-            domain_cost = (
-                CROSS_DOMAIN_COST_SLOTS if self.is_cross_domain(worker) else 0.0
-            )
-            return used + domain_cost + COST_JITTER * self.rng.random()
+            cost = CROSS_DOMAIN_COST_SLOTS * self.is_cross_domain(worker)
+            if paces is NO_PACES:
+                return used + cost + COST_JITTER * self.rng.random()
+            own = 1.0 / worker.slots
+            return cost + self.paced(paces, worker.id, used + own, own, 1.0)
 
         cost, worker = self.lowest_cost(workers, cost_of)
-        return self.make_choice(worker, cost, 0.0, len(workers), now)
+        return self.make_choice(worker, cost, 0.0, len(workers), now, paces)
+
+    def current_paces(
+        self, workers: Sequence[RegisteredWorker], now: float
+    ) -> CurrentPaces:
+        """Returns the paces of some workers of one service.
+
+        Args:
+          workers: The workers.
+          now: Monotonic seconds.
+
+        Returns:
+          `NO_PACES` if they do not report how long work takes.
+        """
+        if not self.policy.worker_pace:
+            return NO_PACES
+        return self.paces.current(workers[0].service, now)
+
+    def paced(
+        self,
+        paces: CurrentPaces,
+        worker_id: str,
+        cost: float,
+        own_cost: float,
+        jitter_cost: float,
+    ) -> float:
+        """Returns a cost multiplied by a worker's pace, with jitter.
+
+        The cost of a request without cached parts is the same on all workers
+        that are not slowed down, since the faster ones are expected to have
+        more requests of peers that are not known yet. The jitter is exponential
+        with a mean in proportion to the pace: of workers with equal costs, each
+        is chosen with a probability in proportion to its speed.
+
+        Args:
+          paces: Paces of the workers.
+          worker_id: The worker.
+          cost: Cost on a typical worker with the same load.
+          own_cost: The part of it that the request itself causes on a worker
+            that has none of its parts cached.
+          jitter_cost: Cost of which the jitter is a share of `COST_JITTER`.
+        """
+        pace = paces.intrinsic.get(worker_id, 1.0)
+        jitter = -math.log(1.0 - self.rng.random())
+        return (
+            pace * paces.momentary.get(worker_id, 1.0) * cost
+            + (1.0 - pace) * own_cost
+            + pace * COST_JITTER * jitter_cost * jitter
+        )
 
     def lowest_cost(
         self,
@@ -170,11 +244,14 @@
         if small is not None and self.policy.groups:
             preferred = self.groups.workers_for(workers, small)
         preferred_ids = {worker.id for worker in preferred}
+        paces = self.current_paces(workers, now)
         prompt = request.prompt
         home = home_of(prompt, preferred) if self.policy.homes else ""
         parts = part_sizes(model, prompt)
         token_s = self.timings.token_read_s(model)
         typical_read_s = self.timings.typical_read_s(model)
+        whole_read_s = token_s * prompt.tokens
+        jitter_s = max(whole_read_s, typical_read_s)
         domain_cost_s = (
             CROSS_DOMAIN_COST_S + CROSS_DOMAIN_TOKEN_COST_S * prompt.tokens
         )
@@ -195,22 +272,30 @@
         def cost_of(worker: RegisteredWorker) -> float:
             cost = token_s * to_read(worker)
             cost += self.queue_wait_s(worker, typical_read_s, now)
+            other = 0.0
             if self.is_cross_domain(worker):
-                cost += domain_cost_s
+                other = domain_cost_s
             if worker.id not in preferred_ids:
-                cost += group_cost_s
-            return cost * (1.0 + COST_JITTER * self.rng.random())
+                other += group_cost_s
+            if paces is NO_PACES:
+                cost += other
+                return cost * (1.0 + COST_JITTER * self.rng.random())
+            return other + self.paced(
+                paces, worker.id, cost, whole_read_s, jitter_s
+            )
 
         cost, worker = self.lowest_cost(workers, cost_of)
         tokens = to_read(worker)
+        wait_s = self.queue_wait_s(worker, typical_read_s, now)
         return self.make_choice(
             worker,
             cost,
             tokens,
             len(workers),
             now,
+            paces,
             read_s=token_s * tokens,
-            wait_s=self.queue_wait_s(worker, typical_read_s, now),
+            wait_s=wait_s * paces.factor(worker.id),
         )
 
     def record_upstream_request(
@@ -254,12 +339,22 @@
         to_read: float,
         candidates: int,
         now: float,
+        paces: CurrentPaces,
         **times: float,
     ) -> Choice:
         """Returns a choice with the figures behind it."""
         load = self.loads.workers[worker.id]
         age = None if load.report is None else now - load.report_at
-        return Choice(worker, cost, to_read, candidates, age, **times)
+        return Choice(
+            worker,
+            cost,
+            to_read,
+            candidates,
+            age,
+            pace=paces.factor(worker.id),
+            ratio_age_s=self.paces.report_age_s(worker.id, now),
+            **times,
+        )
 
 
 def is_smallest(request: RelayRequest, model: str) -> bool | None:
--- a/src/rattanpier/_internal/relay/plain_answers.py
+++ b/src/rattanpier/_internal/relay/plain_answers.py
@@ -207,6 +207,11 @@
     dispatcher.metrics.timing("relay.worker_s", seconds)
     if not bad:
         dispatcher.quarantine.record_answer(request.content)
+        if head.load is not None and not head.load.waiting:
+            # A request that had to wait shows the load, not the speed.
+            dispatcher.chooser.paces.record_work(
+                worker.id, worker.service, PLAIN_WORK_S, seconds
+            )
         return worker_answer
     dispatcher.record_worker_failure(progress, worker, worker_answer)
     return None
--- a/src/rattanpier/_internal/relay/queue_watch.py
+++ b/src/rattanpier/_internal/relay/queue_watch.py
@@ -7,12 +7,19 @@
 them merges the results and sends all entries the engines with waiting
 requests; an engine that is not listed has none. The result is a hint: it loses
 its weight within seconds, and without it entries use only their own reports.
+
+The same messages carry the paces of workers, see `placement.worker_pace`. Each
+entry sends its measurements to the publishing entry every now and then, the
+less often the more entries there are. An update lists the paces of some workers
+in turn, so that its size does not depend on their number.
 """
 
 from __future__ import annotations
 
 import asyncio
+import bisect
 import math
+import random
 from collections.abc import Awaitable, Callable, Collection, Sequence
 
 import attrs
@@ -21,6 +28,7 @@
 from rattanpier._internal.models.upstream_request import ReportedLoad
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.peers.proto import peer_pb2
+from rattanpier._internal.placement.worker_pace import WorkerPaces
 from rattanpier._internal.relay.directory import WorkerDirectory
 from rattanpier._internal.relay.fleet import Fleet
 from rattanpier._internal.relay.load import Loads
@@ -38,6 +46,16 @@
 MAX_ENGINES_PER_READER = 16
 # A part that was not updated for this long is ignored.
 PART_TTL_S = 1.5
+# Messages with measured paces from all entries, per round. They amount to
+# 1.6 KB/s at the publishing entry.
+PACE_MESSAGES_PER_ROUND = 2
+MAX_SENT_PACES = 32  # In a message to the publishing entry.
+# Updates with paces amount to 1.3 KB/s at an entry that forwards to 8 others.
+PACE_UPDATE_ROUNDS = 4
+MAX_PUBLISHED_PACES = 24
+# Part of a message that has paces only. Older entries add its result, which is
+# empty, to those of the other parts.
+NO_PART = -1
 
 
 @attrs.frozen
@@ -50,11 +68,14 @@
       asked: Number of workers that answered; if 0, nothing is known.
       waiting: Waiting requests by worker id; workers not listed have none.
       part: Index of the part that was polled.
+      paces: Packed paces by worker id: measured by the sender and not sent
+        before, or in an update to all, of all entries.
     """
 
     asked: int
     waiting: dict[str, int]
     part: int = 0
+    paces: dict[str, list[float]] = attrs.Factory(dict)
 
 
 @attrs.define(eq=False, repr=False)
@@ -78,6 +99,10 @@
       in_backoff: Returns whether a worker asked this entry not to call it now.
       reported_starts: Start that each worker last reported, by worker id.
       parts: Monotonic time in seconds and result of the last poll, by part.
+      paces: How long work takes on each worker.
+      rng: Random source that spreads the messages of entries over time.
+      updates: Number of updates that this entry published.
+      last_published: Id of the worker whose pace was published last.
     """
 
     fleet: Fleet
@@ -95,6 +120,14 @@
     in_backoff: Callable[[RegisteredWorker], bool] = lambda _worker: False
     reported_starts: dict[str, int] = attrs.Factory(dict)
     parts: dict[int, tuple[float, QueueUpdate]] = attrs.Factory(dict)
+    paces: WorkerPaces = attrs.field(
+        default=attrs.Factory(
+            lambda self: WorkerPaces(self.clock), takes_self=True
+        )
+    )
+    rng: random.Random = attrs.Factory(random.Random)
+    updates: int = 0
+    last_published: str = ""
 
     async def run(self) -> None:
         """Runs rounds until cancelled."""
@@ -111,7 +144,8 @@
         engines = self.open_engines()
         readers = self.readers(len(engines))
         me = self.fleet.me.member.name
-        if not engines or me not in readers:
+        self.send_paces(readers[0])
+        if me not in readers or not (engines or self.paces.services):
             self.parts.clear()
             return
         part = readers.index(me)
@@ -120,8 +154,28 @@
             self.record_part(update)
             self.publish()
             return
+        self.send_part(update, readers[0])
+
+    def send_part(self, update: QueueUpdate, publisher: str) -> None:
+        """Sends what this entry found out to the publishing entry."""
         message = peer_pb2.QueueNews(packed=pack(update))
-        self.notify_one(peer_pb2.Spread(queue_part=message), readers[0])
+        self.notify_one(peer_pb2.Spread(queue_part=message), publisher)
+
+    def send_paces(self, publisher: str) -> None:
+        """Sends the paces that this entry measured, if it is its turn.
+
+        Args:
+          publisher: Name of the publishing entry, possibly this one.
+        """
+        if publisher == self.fleet.me.member.name:
+            self.paces.merge(self.paces.take_pending(MAX_SENT_PACES))
+            return
+        share = PACE_MESSAGES_PER_ROUND / len(self.fleet.live())
+        if not self.paces.services or self.rng.random() >= share:
+            return
+        paces = self.paces.take_pending(MAX_SENT_PACES)
+        if paces:
+            self.send_part(QueueUpdate(0, {}, NO_PART, paces), publisher)
 
     def open_engines(self) -> list[RegisteredWorker]:
         """Returns the engines that may be polled, sorted by id."""
@@ -166,7 +220,10 @@
         Raises:
           UnreadableError: The message can't be unpacked.
         """
-        self.record_part(unpack(QueueUpdate, message.packed))
+        update = unpack(QueueUpdate, message.packed)
+        self.paces.merge(update.paces)
+        if update.part != NO_PART:
+            self.record_part(update)
 
     def publish(self) -> None:
         """Merges the recent results of all parts and sends them to peers."""
@@ -177,11 +234,22 @@
             if at >= oldest:
                 asked += update.asked
                 waiting |= update.waiting
-        merged = QueueUpdate(asked, waiting)
-        self.apply_update(merged)
+        merged = QueueUpdate(asked, waiting, paces=self.next_paces())
+        self.apply_waiting(merged)
         message = peer_pb2.QueueNews(packed=pack(merged))
         self.notify_all(peer_pb2.Spread(queue_news=message))
 
+    def next_paces(self) -> dict[str, list[float]]:
+        """Returns the paces for the next update, of some workers in turn."""
+        self.updates += 1
+        if self.updates % PACE_UPDATE_ROUNDS:
+            return {}
+        ids = sorted(self.paces.samples)
+        start = bisect.bisect_right(ids, self.last_published)
+        chosen = (ids[start:] + ids[:start])[:MAX_PUBLISHED_PACES]
+        self.last_published = chosen[-1] if chosen else ""
+        return self.paces.published(chosen)
+
     async def fetch_report(
         self, worker: RegisteredWorker
     ) -> ReportedLoad | None:
@@ -218,6 +286,11 @@
         self.apply_update(unpack(QueueUpdate, message.packed))
 
     def apply_update(self, update: QueueUpdate) -> None:
+        """Applies queue lengths and paces that another entry published."""
+        self.paces.apply_published(update.paces)
+        self.apply_waiting(update)
+
+    def apply_waiting(self, update: QueueUpdate) -> None:
         """Applies queue lengths to the known loads of all engines."""
         if not update.asked:
             return
--- a/src/rattanpier/_internal/relay/stream_answers.py
+++ b/src/rattanpier/_internal/relay/stream_answers.py
@@ -33,6 +33,7 @@
 )
 from rattanpier._internal.relay.placement import Choice
 from rattanpier._internal.relay.request_progress import RequestProgress
+from rattanpier._internal.relay.stream_times import StreamTimes
 
 log = structlog.get_logger(part="dispatch")
 
@@ -118,6 +119,7 @@
         worker, request.route.name, expected_read_s(progress, choice)
     )
     started_at = dispatcher.clock.monotonic()
+    times = StreamTimes()
     try:
         async with dispatcher.sender.send(
             request, sending, progress.loop_deadline
@@ -152,6 +154,7 @@
             ) as events:
                 async for event in events:
                     dispatcher.rollouts.record_event(observation)
+                    times.record_event(dispatcher.clock.monotonic())
                     if not progress.head_delivered:
                         progress.head_delivered = True
                         record_first_event(
@@ -159,6 +162,7 @@
                         )
                         yield AnswerStarted(head.status, copied_headers(head))
                     yield AnswerChunk(event.data)
+                    times.record_delivery(dispatcher.clock.monotonic())
             if not progress.head_delivered:
                 progress.head_delivered = True
                 yield AnswerStarted(head.status, copied_headers(head))
@@ -194,6 +198,35 @@
         dispatcher.rollouts.end(observation)
         ran_s = dispatcher.clock.monotonic() - started_at
         dispatcher.chooser.record_run(request, model, ran_s, worker.slots)
+        record_pace(dispatcher, model, worker, times)
+
+
+def record_pace(
+    dispatcher: Dispatcher,
+    model: str,
+    worker: RegisteredWorker,
+    times: StreamTimes,
+) -> None:
+    """Records how fast a worker generated a stream, if that can be told.
+
+    The time to the first event is not used: most of it may be the wait for
+    prompts of other entries.
+
+    Args:
+      dispatcher: Provides the timings and the paces.
+      model: Model that answered.
+      worker: Worker that answered.
+      times: Times of the stream's events.
+    """
+    if not times.show_pace():
+        return
+    timings = dispatcher.chooser.timings
+    expected_s = timings.events_s(model, times.gaps)
+    timings.record_events(model, times.gaps, times.generation_s)
+    if expected_s:
+        dispatcher.chooser.paces.record_work(
+            worker.id, worker.service, expected_s, times.generation_s
+        )
 
 
 async def read_events(
