Make the choice among many engines cheaper

Change: the pace is applied by a closure with bound look-ups. Weights of absent figures and needless calls of max() are not computed any more.

--- a/src/rattanpier/_internal/placement/worker_pace.py
+++ b/src/rattanpier/_internal/placement/worker_pace.py
@@ -328,7 +328,7 @@
                 factor=round(factor, 2),
                 before=round(before, 2),
                 samples=round(self.samples[worker_id].mean(now)[1], 1),
-                report_age_s=self.report_age_s(worker_id, now),
+                ratio_age_s=round_age(self.report_age_s(worker_id, now)),
             )
 
     # Sharing between entries.
@@ -449,6 +449,11 @@
     return mean, weight
 
 
+def round_age(age_s: float | None) -> float | None:
+    """Returns an age as logged."""
+    return None if age_s is None else round(age_s, 3)
+
+
 def clamp_sample(sample: float, mean: float) -> float:
     """Returns a sample, limited to a range around the mean of all samples."""
     return min(max(sample, mean - MAX_SAMPLE_LOG), mean + MAX_SAMPLE_LOG)
--- a/src/rattanpier/_internal/relay/load.py
+++ b/src/rattanpier/_internal/relay/load.py
@@ -78,6 +78,8 @@
 
     def pending_read_s(self) -> float:
         """Returns the seconds to read the unread prompts of own requests."""
+        if not self.running:
+            return 0.0
         return sum(
             each.read_s
             for each in self.running
@@ -86,7 +88,9 @@
 
     def peer_requests(self, now: float) -> tuple[float, float]:
         """Returns the numbers of running and waiting requests of peers."""
-        waiting = self.waiting * report_weight(now - self.waiting_at)
+        waiting = self.waiting
+        if waiting:
+            waiting *= report_weight(now - self.waiting_at)
         if self.report is None:
             return 0.0, waiting
         running = max(0, self.report.running - self.own_at_report)
--- a/src/rattanpier/_internal/relay/placement.py
+++ b/src/rattanpier/_internal/relay/placement.py
@@ -131,6 +131,7 @@
         """Returns the worker with the smallest share of slots in use."""
         now = self.loads.clock.monotonic()
         paces = self.current_paces(workers, now)
+        paced = self.pacer(paces, 1.0)
 
         def cost_of(worker: RegisteredWorker) -> float:
             load = self.loads.workers[worker.id]
@@ -140,7 +141,7 @@
             if paces is NO_PACES:
                 return used + cost + COST_JITTER * self.rng.random()
             own = 1.0 / worker.slots
-            return cost + self.paced(paces, worker.id, used + own, own, 1.0)
+            return cost + paced(worker.id, used + own, own)
 
         cost, worker = self.lowest_cost(workers, cost_of)
         return self.make_choice(worker, cost, 0.0, len(workers), now, paces)
@@ -161,15 +162,14 @@
             return NO_PACES
         return self.paces.current(workers[0].service, now)
 
-    def paced(
-        self,
-        paces: CurrentPaces,
-        worker_id: str,
-        cost: float,
-        own_cost: float,
-        jitter_cost: float,
-    ) -> float:
-        """Returns a cost multiplied by a worker's pace, with jitter.
+    def pacer(
+        self, paces: CurrentPaces, jitter_cost: float
+    ) -> Callable[[str, float, float], float]:
+        """Returns the function that multiplies costs by the pace of a worker.
+
+        Its arguments are the id of a worker, the cost on a typical worker with
+        the same load, and the part of it that the request itself causes on a
+        worker that has none of its parts cached.
 
         The cost of a request without cached parts is the same on all workers
         that are not slowed down, since the faster ones are expected to have
@@ -179,19 +179,21 @@
 
         Args:
           paces: Paces of the workers.
-          worker_id: The worker.
-          cost: Cost on a typical worker with the same load.
-          own_cost: The part of it that the request itself causes on a worker
-            that has none of its parts cached.
           jitter_cost: Cost of which the jitter is a share of `COST_JITTER`.
         """
-        pace = paces.intrinsic.get(worker_id, 1.0)
-        jitter = -math.log(1.0 - self.rng.random())
-        return (
-            pace * paces.momentary.get(worker_id, 1.0) * cost
-            + (1.0 - pace) * own_cost
-            + pace * COST_JITTER * jitter_cost * jitter
-        )
+        intrinsic, momentary = paces.intrinsic, paces.momentary
+        jitter = COST_JITTER * jitter_cost
+        draw, log = self.rng.random, math.log
+
+        def paced(worker_id: str, cost: float, own_cost: float) -> float:
+            pace = intrinsic.get(worker_id, 1.0)
+            if worker_id in momentary:
+                cost *= momentary[worker_id]
+            return own_cost + pace * (
+                cost - own_cost - jitter * log(1.0 - draw())
+            )
+
+        return paced
 
     def lowest_cost(
         self,
@@ -220,11 +222,10 @@
         """
         load = self.loads.workers[worker.id]
         running, waiting = load.peer_requests(now)
-        published_s = max(0.0, load.peer_prompts_until - now)
         return (
             load.pending_read_s()
             + RUNNING_REQUEST_COST_S * (len(load.running) + running)
-            + max(waiting * typical_read_s, published_s)
+            + max(waiting * typical_read_s, load.peer_prompts_until - now)
         )
 
     def choose_engine(
@@ -251,7 +252,8 @@
         token_s = self.timings.token_read_s(model)
         typical_read_s = self.timings.typical_read_s(model)
         whole_read_s = token_s * prompt.tokens
-        jitter_s = max(whole_read_s, typical_read_s)
+        paced = self.pacer(paces, max(whole_read_s, typical_read_s))
+        own_domain = self.domain if self.policy.domain_cost else None
         domain_cost_s = (
             CROSS_DOMAIN_COST_S + CROSS_DOMAIN_TOKEN_COST_S * prompt.tokens
         )
@@ -267,22 +269,20 @@
                 shared = sum(part.tokens for part in prompt.parts[:-1])
                 probability = self.home_hit_probability(token_s * shared)
                 cached = max(cached, probability * shared)
-            return max(0.0, prompt.tokens - cached)
+            return max(0.0, prompt.tokens - cached) if cached else prompt.tokens
 
         def cost_of(worker: RegisteredWorker) -> float:
             cost = token_s * to_read(worker)
             cost += self.queue_wait_s(worker, typical_read_s, now)
             other = 0.0
-            if self.is_cross_domain(worker):
+            if own_domain is not None and worker.domain != own_domain:
                 other = domain_cost_s
             if worker.id not in preferred_ids:
                 other += group_cost_s
             if paces is NO_PACES:
                 cost += other
                 return cost * (1.0 + COST_JITTER * self.rng.random())
-            return other + self.paced(
-                paces, worker.id, cost, whole_read_s, jitter_s
-            )
+            return other + paced(worker.id, cost, whole_read_s)
 
         cost, worker = self.lowest_cost(workers, cost_of)
         tokens = to_read(worker)
