--- a/src/rattanpier/_internal/placement/worker_pace.py
+++ b/src/rattanpier/_internal/placement/worker_pace.py
@@ -85,27 +85,36 @@
     """Logarithms of the paces that were measured on one worker.
 
     Attributes:
-      own: Samples of this entry.
+      own: Samples of this entry, relative to its expected times.
       pending: Those of them that were not sent to the publishing entry yet.
-      shared: Samples of all entries, as last published.
+      shared: Samples of all entries, as last published. Each entry sends its
+        samples relative to their mean over all workers of the version, since
+        entries expect different times.
     """
 
     own: DecayingSum = attrs.Factory(make_samples)
     pending: DecayingSum = attrs.Factory(make_samples)
     shared: DecayingSum = attrs.Factory(make_samples)
 
-    def mean(self, now: float) -> tuple[float, float]:
+    @property
+    def weight(self) -> float:
+        """Number of samples, as of their last decay."""
+        return self.own.weight + self.shared.weight
+
+    def mean(self, now: float, typical: float) -> tuple[float, float]:
         """Returns the mean of all samples, and their weight.
 
         Args:
           now: Monotonic seconds.
+          typical: Mean of this entry's samples of the version.
         """
         self.own.decay(now)
         self.shared.decay(now)
-        weight = self.own.weight + self.shared.weight
+        weight = self.weight
         if weight < MIN_WEIGHT:
             return 0.0, 0.0
-        return (self.own.total + self.shared.total) / weight, weight
+        own = self.own.total - self.own.weight * typical
+        return (own + self.shared.total) / weight, weight
 
 
 @attrs.define(eq=False, repr=False)
@@ -192,13 +201,18 @@
         typical = self.typical[service, worker.version]
         typical.decay(now)
         if typical.weight >= MIN_WEIGHT:
-            sample = clamp_sample(sample, typical.total / typical.weight)
+            sample = clamp_sample(sample, self.typical_mean(worker))
         typical.add(sample, now)
-        # Entries expect different times; what they compare does not differ.
-        relative = sample - typical.total / typical.weight
         samples = self.samples[worker_id]
-        samples.own.add(relative, now)
-        samples.pending.add(relative, now)
+        samples.own.add(sample, now)
+        samples.pending.add(sample, now)
+
+    def typical_mean(self, worker: RegisteredWorker) -> float:
+        """Returns the mean of this entry's samples of a worker's version."""
+        typical = self.typical.get((worker.service, worker.version))
+        if typical is None or not typical.weight:
+            return 0.0
+        return typical.total / typical.weight
 
     def mean_ratio(self, worker_id: str, start: float, end: float) -> float:
         """Returns the mean of a worker's ratio over a time, as far as known.
@@ -300,10 +314,13 @@
             worker = self.worker_of(worker_id)
             if worker is None or worker.service != service:
                 continue
-            mean, weight = samples.mean(now)
+            mean, weight = samples.mean(now, self.typical_mean(worker))
             if weight:
                 known = versions.setdefault(worker.version, {})
                 known[worker_id] = mean, weight
+        for key in tuple(self.typical):
+            if key[0] == service and key[1] not in versions:
+                del self.typical[key]
         factors = {}
         for known in versions.values():
             middle = median([mean for mean, _ in known.values()])
@@ -327,7 +344,7 @@
                 service=service,
                 factor=round(factor, 2),
                 before=round(before, 2),
-                samples=round(self.samples[worker_id].mean(now)[1], 1),
+                samples=round(self.samples[worker_id].weight, 1),
                 ratio_age_s=round_age(self.report_age_s(worker_id, now)),
             )
 
@@ -352,8 +369,10 @@
         for _, worker_id in sorted(pending, reverse=True)[:limit]:
             sums = self.samples[worker_id].pending
             sums.decay(now)
-            if sums.weight >= MIN_WEIGHT:
-                taken[worker_id] = pack_pace(sums)
+            worker = self.worker_of(worker_id)
+            if sums.weight >= MIN_WEIGHT and worker is not None:
+                mean = sums.total / sums.weight - self.typical_mean(worker)
+                taken[worker_id] = pack_pace(mean, sums.weight)
             sums.weight = sums.total = 0.0
         return taken
 
@@ -379,8 +398,10 @@
             if samples is None:
                 continue
             samples.shared.decay(now)
-            if samples.shared.weight >= MIN_WEIGHT:
-                found[worker_id] = pack_pace(samples.shared)
+            weight = samples.shared.weight
+            if weight >= MIN_WEIGHT:
+                mean = samples.shared.total / weight
+                found[worker_id] = pack_pace(mean, weight)
         return found
 
     def apply_published(self, paces: Mapping[str, list[float]]) -> None:
@@ -420,14 +441,20 @@
             yield worker_id, *pace
 
 
-def pack_pace(sums: DecayingSum) -> list[float]:
+def pack_pace(mean: float, weight: float) -> list[float]:
     """Returns a pace as sent to other entries.
 
+    Args:
+      mean: Mean logarithm of the samples.
+      weight: Number of samples.
+
     Returns:
       The factor in thousandths, and the number of samples in tenths.
+
+    >>> pack_pace(0.0, 2.5)
+    [1000, 25]
     """
-    factor = math.exp(sums.total / sums.weight)
-    return [round(FACTOR_UNIT * factor), round(WEIGHT_UNIT * sums.weight)]
+    return [round(FACTOR_UNIT * math.exp(mean)), round(WEIGHT_UNIT * weight)]
 
 
 def unpack_pace(packed: list[float]) -> tuple[float, float] | None:
