--- a/src/rattanpier/_internal/placement/worker_pace.py
+++ b/src/rattanpier/_internal/placement/worker_pace.py
@@ -135,7 +135,8 @@
       intrinsic: Cached intrinsic factors, by service and worker id.
       refreshed_at: When they were computed, in monotonic seconds, by service.
       logged: Intrinsic factor of each worker that was last logged.
-      invalid: Number of paces in updates that could not be used.
+      on_sample: Called for each recorded sample.
+      on_invalid: Called for each pace in an update that can't be used.
     """
 
     clock: Clock
@@ -153,7 +154,8 @@
     intrinsic: dict[str, dict[str, float]] = attrs.Factory(dict)
     refreshed_at: dict[str, float] = attrs.Factory(dict)
     logged: dict[str, float] = attrs.Factory(dict)
-    invalid: int = 0
+    on_sample: Callable[[], None] = lambda: None
+    on_invalid: Callable[[], None] = lambda: None
 
     # What this entry learns.
 
@@ -206,6 +208,7 @@
         samples = self.samples[worker_id]
         samples.own.add(sample, now)
         samples.pending.add(sample, now)
+        self.on_sample()
 
     def typical_mean(self, worker: RegisteredWorker) -> float:
         """Returns the mean of this entry's samples of a worker's version."""
@@ -331,6 +334,15 @@
                 )
         return factors
 
+    def extremes(self) -> tuple[float, float]:
+        """Returns the lowest and the highest intrinsic factor in use."""
+        factors = [
+            factor
+            for by_worker in self.intrinsic.values()
+            for factor in by_worker.values()
+        ]
+        return min(factors, default=1.0), max(factors, default=1.0)
+
     def log_changes(self, service: str, now: float) -> None:
         """Logs the workers whose intrinsic factor has changed."""
         for worker_id, factor in self.intrinsic[service].items():
@@ -432,7 +444,7 @@
                 continue
             pace = unpack_pace(packed)
             if pace is None:
-                self.invalid += 1
+                self.on_invalid()
                 log.warning(
                     "Invalid pace in an update.", worker=worker_id, pace=packed
                 )
--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -81,7 +81,13 @@
     warm_ups = make_warm_ups(settings, state, shares)
     limits = make_rate_limits(state, shares)
     backoffs = Backoffs(clock, random.Random(settings.name))
-    paces = WorkerPaces(clock, state.directory.workers.get, settings.policy)
+    paces = WorkerPaces(
+        clock,
+        state.directory.workers.get,
+        settings.policy,
+        on_sample=lambda: metrics.count("relay.pace_sample"),
+        on_invalid=lambda: metrics.count("relay.pace_invalid"),
+    )
     brittle = BrittleWorkers(
         fleet,
         clock,
--- a/src/rattanpier/_internal/programs/relay_listen.py
+++ b/src/rattanpier/_internal/programs/relay_listen.py
@@ -190,6 +190,15 @@
     entry.metrics.gauge("relay.peers_without_path", cut_off)
 
 
+def record_paces(entry: RelayEntry) -> None:
+    """Exports how far the paces of workers differ."""
+    paces = entry.edge.dispatcher.chooser.paces
+    fastest, slowest = paces.extremes()
+    entry.metrics.gauge("relay.pace_fastest", fastest)
+    entry.metrics.gauge("relay.pace_slowest", slowest)
+    entry.metrics.gauge("relay.pace_slowed", len(paces.slowed))
+
+
 def metrics_handler(entry: RelayEntry) -> Handler:
     """Returns the handler of the metrics address."""
 
@@ -200,6 +209,7 @@
         entry.metrics.gauge("relay.running", entry.drain.running)
         record_table_age(entry)
         record_reachability(entry)
+        record_paces(entry)
         return Response(body=render(entry.metrics), content_type="text/plain")
 
     return handle
--- a/src/rattanpier/_internal/standin/platform_worker.py
+++ b/src/rattanpier/_internal/standin/platform_worker.py
@@ -78,6 +78,7 @@
       crash_s: Seconds from the start of such a run to the crash.
       ended: Called after such a crash.
       born: Reported start time, in Unix ms; not reported if None.
+      load: Load reported in answers.
       limit: Limit announced in answers; none if empty.
       leaving: Whether answers announce that it is leaving.
       state: State given in reports; omitted if empty.
@@ -108,6 +109,7 @@
     crash_s: float = CRASH_S
     ended: Callable[[], None] = lambda: None
     born: int | None = None
+    load: str = "1,0,8"
     limit: str = ""
     leaving: bool = False
     state: str = ""
@@ -337,7 +339,7 @@
         self, run: WorkerRun, fault: WorkerFault
     ) -> list[tuple[str, str]]:
         """Returns the headers of an answer."""
-        headers = [("X-Attempt-Id", run.id), ("X-Instance-Load", "1,0,8")]
+        headers = [("X-Attempt-Id", run.id), ("X-Instance-Load", self.load)]
         if fault is not WorkerFault.NO_RECEIPT:
             headers.append(("X-Response-Signature", f"{self.id}.{run.id}"))
         if fault is WorkerFault.ENCODED:
--- a/tests/placement/test_worker_pace.py
+++ b/tests/placement/test_worker_pace.py
@@ -160,9 +160,12 @@
 
 
 def test_measured_work_shows_slow_and_fast_workers(clock):
-    paces = make_paces(clock)
+    paces, samples = make_paces(clock), []
+    paces.on_sample = lambda: samples.append(1)
     measure(paces, {"a": 0.6, "b": 1.0, "c": 1.0, "d": 1.6}, rounds=200)
     found = factors_of(paces)
+    assert len(samples) == 800
+    assert paces.extremes() == pytest.approx((0.6, 1.6), abs=0.03)
     assert found == pytest.approx(
         {"a": 0.6, "b": 1.0, "c": 1.0, "d": 1.6}, abs=0.03
     )
@@ -346,11 +349,12 @@
     sent = QueueUpdate(0, {}, paces={"a": packed, "d": [2000, 900]})
     update = unpack(QueueUpdate, pack(sent))
     assert unpack_pace(update.paces["a"]) is None
-    paces = make_paces(clock)
+    paces, invalid = make_paces(clock), []
+    paces.on_invalid = lambda: invalid.append(1)
     paces.apply_published(dict.fromkeys("bc", [1000, 900]))
     paces.apply_published(update.paces)
     paces.merge({"a": packed})
-    assert paces.invalid == 2
+    assert len(invalid) == 2
     assert paces.factor("a", "s") == 1.0
     assert paces.factor("d", "s") > 1.5
 
