Halve the messages with paces

Cause: with 32 workers a message to the publishing entry has 452 B, and 24 paces add 405 B to an update (random ids, 50 draws). At four and half a second of them the publishing entry would have spent 3.4 of its 4 KB/s on paces.

Change: two messages a second from all entries, and paces in every eighth update: at most 0.9 KB/s received and 0.8 KB/s sent to 8 peers.

--- a/src/rattanpier/_internal/relay/queue_watch.py
+++ b/src/rattanpier/_internal/relay/queue_watch.py
@@ -46,12 +46,13 @@
 MAX_ENGINES_PER_READER = 16
 # A part that was not updated for this long is ignored.
 PART_TTL_S = 1.5
-# Messages with measured paces from all entries, per round. They amount to
-# 1.6 KB/s at the publishing entry.
-PACE_MESSAGES_PER_ROUND = 2
+# Messages with measured paces from all entries, per round. With 0.45 KB each,
+# they amount to at most 0.9 KB/s at the publishing entry.
+PACE_MESSAGES_PER_ROUND = 1
 MAX_SENT_PACES = 32  # In a message to the publishing entry.
-# Updates with paces amount to 1.3 KB/s at an entry that forwards to 8 others.
-PACE_UPDATE_ROUNDS = 4
+# Paces add 0.4 KB to an update, or 0.8 KB/s at an entry that sends it to 8
+# others.
+PACE_UPDATE_ROUNDS = 8
 MAX_PUBLISHED_PACES = 24
 # Part of a message that has paces only. Older entries add its result, which is
 # empty, to those of the other parts.
