Account for the bytes held for slow callers

Cause: an entry waited for a caller once 64 KiB were unread, which stopped reading from the worker, and nothing limited what all callers together hold.

Change: relay/slow_readers.py counts write buffers, unread answers, whole answers and request bodies, by connection and in total. A caller is written to without waiting up to 768 KiB, and its worker's connection holds 256 KiB more before it pauses. An eighth of limits.memoryMb is the limit of all callers; beyond it the connection with most byte-seconds unread is reset. Past its deadline, one whose caller has read nothing for a second is reset, too.

--- a/src/rattanpier/_internal/models/relay_settings.py
+++ b/src/rattanpier/_internal/models/relay_settings.py
@@ -106,6 +106,7 @@
       store: The platform's store.
       bounds: Guarantees to callers and workers.
       policy: Enabled mechanisms of the entry's decisions.
+      memory_bytes: Memory of the VM, or None if it is unknown.
     """
 
     name: str
@@ -124,3 +125,4 @@
     bounds: Bounds = attrs.Factory(Bounds)
     regions: Mapping[str, str] = attrs.Factory(dict)
     policy: Policy = DEFAULT_POLICY
+    memory_bytes: int | None = None
--- a/src/rattanpier/_internal/platform/settings.py
+++ b/src/rattanpier/_internal/platform/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import pathlib
 from typing import Any
 
@@ -16,6 +17,9 @@
 from rattanpier._internal.platform.settings_path import PATH_VARIABLE
 
 MS = 1000.0
+MB = 10**6
+# Below this, the limit for all callers would be less than that of one caller.
+MIN_MEMORY_MB = 9.0
 
 
 def load_relay_settings(path: str, metrics_port: int = 0) -> RelaySettings:
@@ -73,6 +77,7 @@
         metrics=Address(host, metrics_port) if metrics_port else None,
         heartbeat_s=read.number(1200, "heartbeatMs") / MS,
         bounds=decode_bounds(read),
+        memory_bytes=decode_memory(read),
     )
 
 
@@ -87,6 +92,19 @@
     )
 
 
+def decode_memory(read: SettingsReader) -> int | None:
+    """Returns the memory of the VM in bytes, or None if it is missing."""
+    if read.find("limits", "memoryMb") is None:
+        return None
+    memory_mb = read.number(0.0, "limits", "memoryMb")
+    if not MIN_MEMORY_MB <= memory_mb < math.inf:
+        raise SettingsError(
+            f"{read.path}: limits.memoryMb is {memory_mb:g}",
+            f"it has to be a number of at least {MIN_MEMORY_MB:g}",
+        )
+    return int(memory_mb * MB)
+
+
 def decode_bounds(read: SettingsReader) -> Bounds:
     """Returns the bounds that an entry guarantees."""
     defaults = Bounds()
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -29,9 +29,17 @@
 )
 from rattanpier._internal.programs.relay_workers import add_worker_updates
 from rattanpier._internal.relay.drain import DrainState
-from rattanpier._internal.relay.edge import CallerDialect, RelayEdge
+from rattanpier._internal.relay.edge import (
+    CallerDialect,
+    RelayEdge,
+    check_readers,
+)
 from rattanpier._internal.relay.shared_state import SharedState
-from rattanpier._internal.utils.clock import SystemClock
+from rattanpier._internal.relay.slow_readers import (
+    SlowReaders,
+    total_limit_bytes,
+)
+from rattanpier._internal.utils.clock import Clock, SystemClock
 from rattanpier._internal.utils.metrics import Metrics
 
 log = structlog.get_logger(part="main")
@@ -70,6 +78,7 @@
         drain,
         clock,
         metrics,
+        make_readers(settings, clock, metrics),
     )
     shared_state = SharedState(
         state.rollouts,
@@ -110,6 +119,16 @@
     return entry
 
 
+def make_readers(
+    settings: RelaySettings, clock: Clock, metrics: Metrics
+) -> SlowReaders:
+    """Returns the accounting of the bytes held for callers."""
+    limit = total_limit_bytes(settings.memory_bytes)
+    readers = SlowReaders(clock, metrics, limit)
+    readers.start_checks = check_readers(readers)
+    return readers
+
+
 def own_state_refresher(entry: RelayEntry) -> Callable[[], bool]:
     """Returns the function that updates the entry's own published state."""
     reachability = entry.edge.dispatcher.reachability
--- a/src/rattanpier/_internal/programs/relay_listen.py
+++ b/src/rattanpier/_internal/programs/relay_listen.py
@@ -200,6 +200,7 @@
         entry.metrics.gauge("relay.running", entry.drain.running)
         record_table_age(entry)
         record_reachability(entry)
+        entry.edge.readers.record_gauges()
         return Response(body=render(entry.metrics), content_type="text/plain")
 
     return handle
--- a/src/rattanpier/_internal/relay/answering.py
+++ b/src/rattanpier/_internal/relay/answering.py
@@ -12,11 +12,12 @@
 from rattanpier._internal.relay.model_choice import first_model
 from rattanpier._internal.relay.plain_answers import plain_answer
 from rattanpier._internal.relay.request_progress import RequestProgress
+from rattanpier._internal.relay.slow_readers import HeldBytes
 from rattanpier._internal.relay.stream_answers import stream_answer
 
 
 async def answer(
-    dispatcher: Dispatcher, request: RelayRequest
+    dispatcher: Dispatcher, request: RelayRequest, held: HeldBytes
 ) -> AsyncIterator[AnswerPart]:
     """Yields the parts of the answer to a request.
 
@@ -26,6 +27,7 @@
     Args:
       dispatcher: Selects workers and sends requests to them.
       request: Request of the caller.
+      held: Bytes held for the caller's connection.
     """
     progress = RequestProgress(
         request,
@@ -34,6 +36,7 @@
         - dispatcher.clock.monotonic(),
         dispatcher.pick_service(request),
         model=first_model(request, dispatcher.policy),
+        held=held,
     )
     progress.first_model = progress.model
     progress.order.last_number = request.after_event
--- a/src/rattanpier/_internal/relay/connection.py
+++ b/src/rattanpier/_internal/relay/connection.py
@@ -14,8 +14,12 @@
 import attrs
 import h11
 
+from rattanpier._internal.relay.slow_readers import MAX_UNREAD_BYTES
+
 MAX_HEAD_BYTES = 65536  # An answer with a longer head is invalid.
-MAX_UNREAD_BYTES = 262144  # Above this, reading from the worker pauses.
+# Receiving resumes at this many unread bytes, not only at none: for a caller
+# that reads slowly, a worker would else be unread for seconds.
+RESUME_BYTES = MAX_UNREAD_BYTES // 2
 MAX_STRAY_ANSWERS = 1  # Late answers to earlier requests that are skipped.
 # A partition causes no reset, so the kernel detects it by these time-outs.
 USER_TIMEOUT_MS = 3000  # As long as the platform considers a VM reachable.
@@ -89,7 +93,9 @@
       request: The request sent last.
       body: Its body.
       waiter: Resolved when data or the end of the connection arrives.
-      unread_bytes: Bytes received since the reader last waited.
+      unread_bytes: Bytes received since the reader last waited, without those
+        of the body that it has read.
+      reading_paused: Whether receiving is paused.
       idle_since: End of the last exchange, in seconds of the loop's clock.
       idle_limit_s: Seconds for which the connection may be idle and be reused.
       closed: Whether nothing more can be sent.
@@ -106,6 +112,7 @@
         self.body = b""
         self.waiter: asyncio.Future[None] | None = None
         self.unread_bytes = 0
+        self.reading_paused = False
         self.idle_since = self.loop.time()
         self.idle_limit_s = 0.0
         self.closed = False
@@ -129,6 +136,7 @@
         self.parser.receive_data(data)
         self.unread_bytes += len(data)
         if self.unread_bytes > MAX_UNREAD_BYTES and self.transport is not None:
+            self.reading_paused = True
             self.transport.pause_reading()
         self.wake_reader()
 
@@ -222,6 +230,9 @@
                 return
             if not isinstance(event, h11.Data):
                 raise ConnectionBrokenError(f"no body but {type(event)}")
+            self.unread_bytes -= len(event.data)
+            if self.reading_paused and self.unread_bytes <= RESUME_BYTES:
+                self.resume_reading()
             yield bytes(event.data)
 
     async def skip_answer(self) -> None:
@@ -265,14 +276,19 @@
     async def wait_for_data(self) -> None:
         """Resumes reading and waits for data or the end of the connection."""
         self.unread_bytes = 0
-        if self.transport is not None and not self.closed:
-            self.transport.resume_reading()
+        self.resume_reading()
         self.waiter = self.loop.create_future()
         try:
             await self.waiter
         finally:
             self.waiter = None
 
+    def resume_reading(self) -> None:
+        """Receives again after a pause."""
+        self.reading_paused = False
+        if self.transport is not None and not self.closed:
+            self.transport.resume_reading()
+
     def finish_exchange(self, idle_limit_s: float) -> bool:
         """Ends an exchange; aborts the connection if it cannot be reused.
 
--- a/src/rattanpier/_internal/relay/edge.py
+++ b/src/rattanpier/_internal/relay/edge.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
+import struct
 from collections.abc import Callable, Mapping
 from contextlib import aclosing
 
 import attrs
 import structlog
+from aiohttp.helpers import must_be_empty_body
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse, json_response
 
@@ -30,6 +34,12 @@
 from rattanpier._internal.relay.dispatch import Dispatcher
 from rattanpier._internal.relay.drain import DrainState
 from rattanpier._internal.relay.request_progress import round_for_log
+from rattanpier._internal.relay.slow_readers import (
+    CHECK_INTERVAL_S,
+    CallerConnection,
+    HeldBytes,
+    SlowReaders,
+)
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.headers import forwarded_headers
 from rattanpier._internal.utils.metrics import Metrics
@@ -82,6 +92,7 @@
       drain: State of a planned stop; decides whether new requests are accepted.
       clock: Monotonic clock.
       metrics: Receives counters and timings.
+      readers: Accounting of the bytes held for callers.
       startup_done: Set once requests can be served, or the start took too long.
         Earlier requests wait for it, since they could only be refused.
     """
@@ -92,11 +103,43 @@
     drain: DrainState
     clock: Clock
     metrics: Metrics
+    readers: SlowReaders
     startup_done: asyncio.Event = attrs.Factory(asyncio.Event)
 
     async def handle(self, request: BaseRequest) -> StreamResponse:
         """Answers one request.
 
+        Raises:
+          asyncio.CancelledError: The caller disconnected.
+          ConnectionError: The caller disconnected.
+        """
+        held = self.begin_request(request)
+        try:
+            response = await self.respond(request, held)
+            if isinstance(response, Response):
+                await self.write_whole(request, response, held)
+            return response
+        finally:
+            self.readers.end_request(held)
+
+    def begin_request(self, request: BaseRequest) -> HeldBytes:
+        """Returns the account of the bytes held for a request's connection."""
+        transport = request.transport
+        if transport is None:  # The caller has disconnected.
+            return HeldBytes()
+        return self.readers.begin_request(
+            transport, lambda: caller_connection(transport)
+        )
+
+    async def respond(
+        self, request: BaseRequest, held: HeldBytes
+    ) -> StreamResponse:
+        """Returns the response to a request; a stream is written already.
+
+        Args:
+          request: Request as received.
+          held: Bytes held for its connection.
+
         Raises:
           asyncio.CancelledError: The caller disconnected.
           ConnectionError: The caller disconnected.
@@ -104,11 +147,12 @@
         self.drain.begin_request()
         arrived = self.clock.monotonic()
         headers = self.dialect.decode(request.headers)
+        held.request = headers.attempt_id
         self.metrics.count("relay.request")
         try:
             try:
                 relay_request = await self.accept_request(
-                    request, headers, arrived
+                    request, headers, arrived, held
                 )
             except RequestRefusedError as error:
                 table = self.table()
@@ -119,8 +163,11 @@
                     arrived,
                     -1 if table is None else table.version,
                 )
-            return await self.answer(request, relay_request)
+            held.deadline = relay_request.deadline
+            return await self.answer(request, relay_request, held)
         except (asyncio.CancelledError, ConnectionError):
+            if held.closed is not None:
+                raise
             self.metrics.count("relay.caller_left")
             log.info(
                 "Caller left.",
@@ -136,6 +183,7 @@
         request: BaseRequest,
         headers: CallerHeaders,
         arrived: float,
+        held: HeldBytes,
     ) -> RelayRequest:
         """Checks a request against the route table and reads its body.
 
@@ -143,6 +191,7 @@
           request: Request as received.
           headers: Its decoded headers.
           arrived: Time of arrival, in monotonic seconds.
+          held: Bytes held for its connection.
 
         Raises:
           RequestRefusedError: The request is refused.
@@ -172,7 +221,8 @@
             )
         if not self.drain.accepts(route.streaming):
             raise leaving_error()
-        body = await self.read_body(request, table.limits.body_bytes)
+        body = await self.read_body(request, table.limits.body_bytes, held)
+        held.limit_buffer()
         timeout_s = route.timeout_s
         if headers.deadline_s is not None:
             timeout_s = min(timeout_s, headers.deadline_s)
@@ -195,9 +245,16 @@
             table_version=table.version,
         )
 
-    async def read_body(self, request: BaseRequest, max_bytes: int) -> bytes:
+    async def read_body(
+        self, request: BaseRequest, max_bytes: int, held: HeldBytes
+    ) -> bytes:
         """Returns the complete body of a request.
 
+        Args:
+          request: Request as received.
+          max_bytes: Maximum length of the body.
+          held: Counts the bytes as held.
+
         Raises:
           RequestRefusedError: The body is longer than `max_bytes`.
         """
@@ -208,6 +265,7 @@
         data = bytearray()
         async for piece in request.content.iter_any():
             data += piece
+            held.add_body(len(piece))
             if len(data) > max_bytes:
                 raise refusal_error(
                     RefusalCode.BODY_TOO_LARGE,
@@ -217,12 +275,26 @@
         return bytes(data)
 
     async def answer(
-        self, request: BaseRequest, relay_request: RelayRequest
+        self,
+        request: BaseRequest,
+        relay_request: RelayRequest,
+        held: HeldBytes,
     ) -> StreamResponse:
-        """Writes the parts of an answer as they become available."""
+        """Writes the parts of a stream as they become available.
+
+        Args:
+          request: Request as received.
+          relay_request: The accepted request.
+          held: Bytes held for its connection.
+
+        Returns:
+          The response; a complete answer is not written yet.
+        """
         response: StreamResponse | None = None
         times = PieceTimes(relay_request.arrived)
-        async with aclosing(answer(self.dispatcher, relay_request)) as parts:
+        async with aclosing(
+            answer(self.dispatcher, relay_request, held)
+        ) as parts:
             async for part in parts:
                 match part:
                     case CompleteAnswer():
@@ -241,7 +313,7 @@
                         await response.prepare(request)
                     case AnswerChunk(data):
                         times.record_piece(self.clock.monotonic())
-                        await response.write(data)  # type: ignore[union-attr]
+                        await self.write(request, held, data)
                     case AnswerCompleted():
                         self.record_end(relay_request, "ended", times)
                         await response.write_eof()  # type: ignore[union-attr]
@@ -253,6 +325,51 @@
         assert response is not None
         return response
 
+    async def write(
+        self, request: BaseRequest, held: HeldBytes, data: bytes
+    ) -> None:
+        """Writes a part of an answer; waits while the caller is at its limit.
+
+        Args:
+          request: Request as received.
+          held: Bytes held for its connection.
+          data: What to write.
+        """
+        await request.writer.write(data, drain=False)  # type: ignore[call-arg]
+        count = len(data)
+        del data  # What the caller has not read is in the write buffer only.
+        if not held.record_write(count):
+            return
+        if held.closed is not None:
+            # Lets the loop report the end of the connection, which cancels the
+            # task and so ends the upstream request.
+            await asyncio.sleep(0)
+        if request.protocol.writing_paused:
+            self.readers.record_pause(held)
+            await request.writer.drain()
+            self.readers.refresh(held)
+
+    async def write_whole(
+        self, request: BaseRequest, response: Response, held: HeldBytes
+    ) -> None:
+        """Writes a complete answer; waits while the caller is at its limit.
+
+        aiohttp keeps the response until the next request on the connection, so
+        that the body is taken out of it.
+
+        Args:
+          request: Request as received.
+          response: The answer.
+          held: Bytes held for the connection.
+        """
+        with contextlib.suppress(ConnectionError):
+            await response.prepare(request)
+            empty = must_be_empty_body(request.method, response.status)
+            held.release_answers()
+            if response.body and not empty:
+                await self.write(request, held, take_body(response))
+            await response.write_eof()
+
     def make_response(self, answer: CompleteAnswer) -> Response:
         """Returns the response for a worker's complete answer."""
         response = Response(status=answer.status, body=answer.body)
@@ -342,6 +459,49 @@
         )
 
 
+def take_body(response: Response) -> bytes:
+    """Removes the body of a response and returns it."""
+    body, response.body = response.body, None
+    assert isinstance(body, bytes)
+    return body
+
+
+def caller_connection(transport: asyncio.Transport) -> CallerConnection:
+    """Returns what the accounting needs of a caller's connection."""
+    return CallerConnection(
+        transport.get_write_buffer_size,
+        transport.set_write_buffer_limits,
+        lambda: reset(transport),
+    )
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """Closes a connection by a TCP reset.
+
+    After an orderly end, the kernel would go on to deliver what it holds, and a
+    caller of HTTP/1.0 would take the answer to be complete.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    transport.abort()
+
+
+def check_readers(readers: SlowReaders) -> Callable[[], None]:
+    """Returns a function that starts the periodic checks of slow readers."""
+    loop = asyncio.get_running_loop()
+
+    def start() -> None:
+        loop.call_later(CHECK_INTERVAL_S, check)
+
+    def check() -> None:
+        if readers.check():
+            start()
+
+    return start
+
+
 @attrs.define(eq=False, repr=False)
 class PieceTimes:
     """Arrival times of the pieces of an answer.
--- a/src/rattanpier/_internal/relay/exchange.py
+++ b/src/rattanpier/_internal/relay/exchange.py
@@ -26,6 +26,7 @@
 )
 from rattanpier._internal.relay.load import Loads
 from rattanpier._internal.relay.pool import ConnectionPool
+from rattanpier._internal.relay.slow_readers import HeldBytes
 from rattanpier._internal.utils.headers import HOP_BY_HOP
 
 MIN_FAILURE_STATUS = 500
@@ -91,6 +92,10 @@
     on_data: Callable[[], None]
     complete: bool = False
 
+    def unread_size(self) -> int:
+        """Returns the number of bytes received that were not read yet."""
+        return max(0, self.connection.unread_bytes)
+
     async def pieces(self) -> AsyncIterator[bytes]:
         """Yields the body in pieces; returns only if it is complete.
 
@@ -112,18 +117,27 @@
         except ConnectionBrokenError as error:
             raise SendError(f"answer is not whole: {error}") from error
 
-    async def read_all(self, max_bytes: int) -> bytes:
+    async def read_all(self, max_bytes: int, held: HeldBytes) -> bytes:
         """Returns the complete body.
 
+        Args:
+          max_bytes: Maximum length.
+          held: Counts the bytes as held, also once they were returned.
+
         Raises:
           SendError: The body is incomplete, or longer than `max_bytes`.
           TimeoutError: The deadline passed.
         """
         data = bytearray()
-        async for piece in self.pieces():
-            data += piece
-            if len(data) > max_bytes:
-                raise SendError("answer is too long")
+        try:
+            async for piece in self.pieces():
+                data += piece
+                held.add_answer(len(piece))
+                if len(data) > max_bytes:
+                    raise SendError("answer is too long")
+        except BaseException:
+            held.add_answer(-len(data))
+            raise
         return bytes(data)
 
 
--- a/src/rattanpier/_internal/relay/plain_answers.py
+++ b/src/rattanpier/_internal/relay/plain_answers.py
@@ -185,7 +185,7 @@
         async with dispatcher.sender.send(
             request, sending, progress.loop_deadline
         ) as answer:
-            body = await answer.read_all(MAX_ANSWER_BYTES)
+            body = await answer.read_all(MAX_ANSWER_BYTES, progress.held)
             head = answer.head
         dispatcher.rollouts.record_head(observation)
     except asyncio.CancelledError:
--- a/src/rattanpier/_internal/relay/request_progress.py
+++ b/src/rattanpier/_internal/relay/request_progress.py
@@ -17,6 +17,7 @@
 )
 from rattanpier._internal.models.relay_request import RelayRequest
 from rattanpier._internal.relay.events import EventOrder
+from rattanpier._internal.relay.slow_readers import HeldBytes
 
 # Workers register again within a second or two.
 NO_WORKER_RETRY_AFTER_S = 0.5
@@ -57,6 +58,7 @@
       peers_tried: Names of the entries that it was forwarded to.
       received_from_peer: Whether another entry forwarded it to this one.
       counted: Whether an entry counted it in its retry budget.
+      held: Bytes held for the caller's connection.
     """
 
     request: RelayRequest
@@ -81,6 +83,7 @@
     peers_tried: set[str] = attrs.Factory(set)
     received_from_peer: bool = False
     counted: bool = False
+    held: HeldBytes = attrs.Factory(HeldBytes)
 
     def arrived_sends(self) -> int:
         """Returns the number of upstream requests that reached a worker."""
--- a/src/rattanpier/_internal/relay/stream_answers.py
+++ b/src/rattanpier/_internal/relay/stream_answers.py
@@ -33,6 +33,7 @@
 )
 from rattanpier._internal.relay.placement import Choice
 from rattanpier._internal.relay.request_progress import RequestProgress
+from rattanpier._internal.relay.slow_readers import no_bytes
 
 log = structlog.get_logger(part="dispatch")
 
@@ -123,6 +124,7 @@
             request, sending, progress.loop_deadline
         ) as answer:
             head = answer.head
+            progress.held.unread_size = answer.unread_size
             if head.status >= 300:
                 error_answer = await read_error_answer(
                     dispatcher, progress, worker, answer
@@ -190,6 +192,7 @@
             )
         dispatcher.record_timeout(progress, worker)
     finally:
+        progress.held.unread_size = no_bytes
         dispatcher.loads.end(worker.id, in_flight)
         dispatcher.rollouts.end(observation)
         ran_s = dispatcher.clock.monotonic() - started_at
@@ -232,7 +235,7 @@
       TimeoutError: The deadline passed.
     """
     head = answer.head
-    body = await answer.read_all(MAX_ANSWER_BYTES)
+    body = await answer.read_all(MAX_ANSWER_BYTES, progress.held)
     error_answer = CompleteAnswer(head.status, copied_headers(head), body)
     if head.status < MIN_FAILURE_STATUS:
         return error_answer
