Test slow callers over sockets; don't blame unread workers

Cause: a worker that gave up on an answer that was not read for a slow caller counted as failed, and might be avoided.

The stand-in worker can reset streams that are not read in time.

--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -435,7 +435,8 @@
     ) -> None:
         """Records a result in worker health and roll-out evidence.
 
-        A failure is not recorded while no worker can be reached from here.
+        A failure is not recorded while no worker can be reached from here, nor
+        after the answer was left unread for a slow caller.
 
         Args:
           progress: The request.
@@ -444,6 +445,8 @@
         """
         if bad and not self.reachability.is_reachable(worker.service):
             return
+        if bad and progress.held.paused:
+            return
         peers = self.directory.accepting_workers(worker.service)
         self.health.record_result(worker, bad, peers)
         if bad and self.quarantine.explains_crash(worker.incarnation):
--- a/src/rattanpier/_internal/standin/platform_worker.py
+++ b/src/rattanpier/_internal/standin/platform_worker.py
@@ -90,6 +90,9 @@
       refused_at: Times of recent refusals for want of room, in seconds of the
         loop's clock.
       falls: Number of crashes after too many refusals.
+      unread_limit_s: Seconds after which it resets a stream that is not read;
+        None for no limit.
+      unread: Number of streams that it reset for this.
       address: IP address and port, once started.
     """
 
@@ -117,6 +120,8 @@
     running: int = 0
     refused_at: list[float] = attrs.Factory(list)
     falls: int = 0
+    unread_limit_s: float | None = None
+    unread: int = 0
     address: str = ""
     server: asyncio.Server | None = None
     connections: dict[asyncio.StreamWriter, asyncio.StreamReader] = (
@@ -268,7 +273,7 @@
         self, run: WorkerRun, writer: asyncio.StreamWriter, fault: WorkerFault
     ) -> bool:
         """Answers a plain request."""
-        body = f"{self.id} ran {run.id}".encode()
+        body = self.make_body(run)
         headers = self.own_headers(run, fault)
         status = 500 if fault is WorkerFault.FAIL else 200
         if fault in (WorkerFault.UNFRAMED, WorkerFault.UNFRAMED_RESET):
@@ -311,7 +316,7 @@
         writer.write(head(200, [*headers, ("Transfer-Encoding", "chunked")]))
         first = int(run.headers.get("last-event-id", "0")) + 1
         async for number in self.numbers(run, writer, first):
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            event = self.make_event(run, number)
             if fault is WorkerFault.CUT and number > self.cut_after:
                 # In the middle of an event, as when a worker crashes.
                 writer.write(chunk(event[:8]))
@@ -319,9 +324,27 @@
                 await asyncio.sleep(0.02)
                 return False
             writer.write(chunk(event))
-            await writer.drain()
+            if not await self.is_read(writer):
+                return False
         writer.write(b"0\r\n\r\n")
-        await writer.drain()
+        return await self.is_read(writer)
+
+    def make_body(self, run: WorkerRun) -> bytes:
+        """Returns the body of a plain answer."""
+        return f"{self.id} ran {run.id}".encode()
+
+    def make_event(self, run: WorkerRun, number: int) -> bytes:
+        """Returns one event of a stream."""
+        return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+    async def is_read(self, writer: asyncio.StreamWriter) -> bool:
+        """Waits until an answer is read; returns whether it is in time."""
+        try:
+            async with asyncio.timeout(self.unread_limit_s):
+                await writer.drain()
+        except TimeoutError:
+            self.unread += 1
+            return False
         return True
 
     async def numbers(
--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -31,6 +31,7 @@
     zones=None,
     region="region-a",
     zone="zone-a",
+    memory_mb=None,
     **bounds,
 ):
     """Returns the content of an entry's settings file."""
@@ -56,6 +57,7 @@
             "ttl_max_s": 5,
             **bounds,
         },
+        "limits": {} if memory_mb is None else {"memoryMb": memory_mb},
         "platform": {"address": store, "rowBytes": 65536},
     }
 
