Wait for slow callers at a planned stop; play them in the soak

Cause: a stream now ends at the entry before a slow caller has read it, so that a planned stop could exit and cut off what was ready.

Change: a planned stop waits for unread bytes as for requests in flight. The soak plays 0 to 3 more callers that read slowly, drawn by seed from generators of their own, so that faults and other callers of a seed stay as they were; the entries there have 12 MB, a total limit of 1.5 MB. Its judge checks that an answer is cut for a slow reader only beyond a limit, and that no other caller is closed.

--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -68,7 +68,12 @@
     state = make_state(kernel, settings)
     fleet = make_fleet(settings, clock)
     dispatcher = make_dispatcher(settings, state, fleet, clock, metrics)
-    drain = DrainState(clock, settings.bounds.grace_s)
+    readers = make_readers(settings, clock, metrics)
+    drain = DrainState(
+        clock,
+        settings.bounds.grace_s,
+        holds_unread=lambda: bool(readers.slow),
+    )
     edge = RelayEdge(
         dispatcher,
         CallerDialect(
@@ -78,7 +83,7 @@
         drain,
         clock,
         metrics,
-        make_readers(settings, clock, metrics),
+        readers,
     )
     shared_state = SharedState(
         state.rollouts,
--- a/src/rattanpier/_internal/relay/drain.py
+++ b/src/rattanpier/_internal/relay/drain.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
 
@@ -32,12 +33,15 @@
       clock: Monotonic clock.
       grace_s: Seconds from SIGTERM to SIGKILL.
       running: Number of requests in flight.
+      holds_unread: Returns whether callers have not yet read all of their
+        answers, which an exit would cut off.
       begun_at: When the shutdown began, in monotonic seconds, None before.
     """
 
     clock: Clock
     grace_s: float
     running: int = 0
+    holds_unread: Callable[[], bool] = lambda: False
     begun_at: float | None = None
 
     @property
@@ -75,7 +79,9 @@
         elapsed_ratio = self.elapsed_ratio()
         if elapsed_ratio >= FORCED_EXIT_RATIO:
             return True
-        return elapsed_ratio >= MIN_EXIT_RATIO and self.running == 0
+        if elapsed_ratio < MIN_EXIT_RATIO or self.running:
+            return False
+        return not self.holds_unread()
 
     async def wait_until_exit(self) -> None:
         """Waits until the process may exit."""
--- a/src/rattanpier/_internal/relay/slow_readers.py
+++ b/src/rattanpier/_internal/relay/slow_readers.py
@@ -252,7 +252,7 @@
             return
         held.paused = True
         log.info(
-            "Caller reached its limit.",
+            "Writing waits for a slow caller.",
             request=held.request,
             held_bytes=held.held,
             limit_bytes=CALLER_LIMIT_BYTES,
--- a/tests/lib/slow_callers.py
+++ b/tests/lib/slow_callers.py
@@ -5,6 +5,7 @@
 
 import attrs
 import h11
+from multidict import CIMultiDict
 
 from rattanpier._internal.relay.slow_readers import (
     CallerConnection,
@@ -12,7 +13,7 @@
 )
 from rattanpier._internal.standin.platform_worker import PlatformWorkerServer
 from rattanpier._internal.utils.metrics import Metrics
-from tests.lib.platform_site import HOST, KEY, PlatformSite
+from tests.lib.platform_site import HOST, KEY
 
 
 @attrs.define(eq=False)
@@ -93,22 +94,24 @@
     """A caller that reads only when told to.
 
     The kernel holds little for its connection: small segments and a small
-    receive buffer keep both ends from growing their buffers.
+    receive buffer keep both ends from growing their buffers. `address` is that
+    of an entry, as IP:PORT.
     """
 
-    site: PlatformSite
+    address: str
+    receive_bytes: int = 4096
     id: str = ""
     sock: object = None
     parser: object = None
     status: int = 0
-    headers: dict = attrs.Factory(dict)
+    headers: CIMultiDict = attrs.Factory(CIMultiDict)
     body: bytearray = attrs.Factory(bytearray)
     complete: bool = False
 
-    async def send(self, path="/chat/x", entry="entry-1", **more):
+    async def send(self, id, path="/chat/x", **more):
         """Sends a request, with `more` as headers (`event_bytes=1000`)."""
-        address = self.site.entries[entry].settings.callers
-        self.id = self.site.new_id()
+        self.id = id
+        self.complete, self.body = False, bytearray()
         headers = {
             "host": HOST,
             "x-attempt-id": self.id,
@@ -125,9 +128,12 @@
         if self.sock is None:
             self.sock = socket.socket()
             self.sock.setblocking(False)
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            self.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_bytes
+            )
             self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1400)
-            await loop.sock_connect(self.sock, (address.host, address.port))
+            host, port = self.address.split(":")
+            await loop.sock_connect(self.sock, (host, int(port)))
         self.parser = h11.Connection(h11.CLIENT)
         self.parser.send(
             h11.Request(method="GET", target=path, headers=[*headers.items()])
@@ -153,6 +159,10 @@
             match event:
                 case h11.Response():
                     self.status = event.status_code
+                    self.headers = CIMultiDict(
+                        (name.decode(), value.decode())
+                        for name, value in event.headers
+                    )
                 case h11.Data():
                     self.body += event.data
                 case h11.EndOfMessage():
@@ -169,7 +179,9 @@
 
     def leave(self):
         """Closes the connection."""
-        self.sock.close()
+        if self.sock is not None:
+            self.sock.close()
+            self.sock = None
 
 
 def buffered_bytes(entry):
--- a/tests/relay/test_slow_readers.py
+++ b/tests/relay/test_slow_readers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from rattanpier._internal.programs.relay import shut_down
 from rattanpier._internal.relay.slow_readers import CALLER_LIMIT_BYTES
 from tests.lib.platform_site import event_numbers, manifest, platform_site
 from tests.lib.platform_site import until as wait_until
@@ -48,23 +49,30 @@
     return site.entries["entry-1"].edge.readers
 
 
+async def begin(site, path="/chat/x", **headers):
+    """Returns a caller that has sent a request and reads nothing yet."""
+    caller = SlowCaller(str(site.entries["entry-1"].settings.callers))
+    await caller.send(site.new_id(), path, **headers)
+    return caller
+
+
 def counts_of(site):
     return site.entries["entry-1"].metrics.counts
 
 
 async def test_slow_caller_below_its_limit_does_not_delay_its_worker(site):
-    """Guards against a worker that gives up on a stream of 1 MB.
+    """Guards against a worker that gives up on a stream that is not read.
 
-    It does so after a second, which is less than the caller waits.
+    It does so after a second, which is less than the caller waits. Of the
+    1.4 MB, the kernel holds a few 100 KB.
     """
     site.workers["e"].unread_limit_s = UNREAD_LIMIT_S
-    caller = SlowCaller(site)
-    await caller.send(events=50, event_bytes=20000)
+    caller = await begin(site, events=70, event_bytes=20000)
     await wait_until(lambda: caller.id in site.workers["e"].finished, 1.0)
     await asyncio.sleep(STALLED_S)
     answer = await caller.read_all()
     assert answer.complete
-    assert event_numbers(answer.body) == list(range(1, 51))
+    assert event_numbers(answer.body) == list(range(1, 71))
     assert site.workers["e"].unread == 0
     assert site.runs() == {caller.id: 1}
     await wait_until(lambda: not readers_of(site).connections)
@@ -73,8 +81,7 @@
 
 async def test_reading_pauses_at_the_limit_and_goes_on_after_it(site):
     """Guards against holding all of a long answer for a slow caller."""
-    caller = SlowCaller(site)
-    await caller.send(events=80, event_bytes=MAX_EVENT)
+    caller = await begin(site, events=80, event_bytes=MAX_EVENT)
     await wait_until(lambda: counts_of(site)["relay.slow_reader_paused"])
     await asyncio.sleep(STALLED_S)
     assert not site.workers["e"].finished
@@ -91,8 +98,7 @@
 async def test_whole_answer_is_held_once_and_delivered_late(site):
     """Guards against a second copy, and against throwing it away."""
     size = 3 * 2**20
-    caller = SlowCaller(site)
-    await caller.send("/safe/x", body_bytes=size)
+    caller = await begin(site, "/safe/x", body_bytes=size)
     await wait_until(lambda: buffered_bytes(site.entries["entry-1"]))
     await asyncio.sleep(STALLED_S)
     readers_of(site).refresh_all()
@@ -106,8 +112,7 @@
 
 async def test_caller_that_disconnects_frees_what_was_held(site):
     """Guards against a sum that only grows."""
-    caller = SlowCaller(site)
-    await caller.send(events=80, event_bytes=MAX_EVENT)
+    caller = await begin(site, events=80, event_bytes=MAX_EVENT)
     await wait_until(lambda: counts_of(site)["relay.slow_reader_paused"])
     assert readers_of(site).total > 0
     caller.leave()
@@ -119,8 +124,7 @@
 
 async def test_caller_that_disconnects_after_its_answer_frees_it(site):
     """Guards against counting a connection without a request for ever."""
-    caller = SlowCaller(site)
-    await caller.send(events=30, event_bytes=20000)
+    caller = await begin(site, events=30, event_bytes=20000)
     await wait_until(lambda: caller.id in site.workers["e"].finished)
     await wait_until(lambda: site.entries["entry-1"].drain.running == 0)
     assert readers_of(site).total > 100_000
@@ -131,9 +135,8 @@
 
 async def test_caller_that_reads_nothing_is_closed_at_its_deadline(site):
     """Guards against holding an answer that nobody reads for ever."""
-    caller = SlowCaller(site)
     began = time.monotonic()
-    await caller.send(events=30, event_bytes=20000, deadline_ms=2000)
+    caller = await begin(site, events=30, event_bytes=20000, deadline_ms=2000)
     await wait_until(
         lambda: counts_of(site)["relay.slow_reader_closed.deadline"]
     )
@@ -144,8 +147,7 @@
 
 async def test_caller_that_goes_on_reading_gets_all_after_its_deadline(site):
     """Guards against throwing away a late answer that is being read."""
-    caller = SlowCaller(site)
-    await caller.send(events=30, event_bytes=20000, deadline_ms=1000)
+    caller = await begin(site, events=30, event_bytes=20000, deadline_ms=1000)
     while len(caller.body) < 500_000 and await caller.read(8192):
         await asyncio.sleep(0.05)
     answer = await caller.read_all()
@@ -153,12 +155,26 @@
     assert event_numbers(answer.body) == list(range(1, 31))
 
 
+async def test_planned_stop_waits_for_a_slow_caller(site):
+    """Guards against a stop that cuts off an answer that is ready."""
+    caller = await begin(site, events=30, event_bytes=20000)
+    await wait_until(lambda: caller.id in site.workers["e"].finished)
+    entry = site.entries["entry-1"]
+    await wait_until(lambda: entry.drain.running == 0)
+    stopping = asyncio.create_task(shut_down(entry))
+    await asyncio.sleep(STALLED_S)
+    answer = await caller.read_all()
+    assert answer.complete
+    assert event_numbers(answer.body) == list(range(1, 31))
+    await stopping
+
+
 async def test_next_request_on_a_connection_that_was_slow(site):
     """Guards against an account that outlives its answer."""
-    caller = SlowCaller(site)
+    caller = await begin(site)
+    assert (await caller.read_all()).complete
     for _ in range(3):
-        caller.complete, caller.body = False, bytearray()
-        await caller.send(events=50, event_bytes=20000)
+        await caller.send(site.new_id(), events=50, event_bytes=20000)
         await wait_until(lambda: caller.id in site.workers["e"].finished)
         assert readers_of(site).total > 100_000
         assert (await caller.read_all()).complete
@@ -170,8 +186,7 @@
     """Guards against avoiding a worker that gave up on an unread answer."""
     worker = site.workers["e"]
     worker.unread_limit_s = 0.3
-    caller = SlowCaller(site)
-    await caller.send(events=80, event_bytes=MAX_EVENT)
+    caller = await begin(site, events=80, event_bytes=MAX_EVENT)
     await wait_until(lambda: worker.unread)
     await caller.read_all()
     assert not caller.complete
@@ -186,16 +201,15 @@
     async with slow_site(memory_mb=64) as site:
         limit = readers_of(site).total_limit
         assert limit == 8_000_000
-        worst = SlowCaller(site)
-        await worst.send(events=15, event_bytes=60000)
+        worst = await begin(site, events=15, event_bytes=60000)
         await wait_until(lambda: worst.id in site.workers["e"].finished)
         await asyncio.sleep(0.5)
         most = [0]
         sampling = asyncio.create_task(sample(site, most))
         others = asyncio.create_task(ask_on(site, 100))
-        callers = [SlowCaller(site) for _ in range(MANY)]
-        for caller in callers:
-            await caller.send(events=5, event_bytes=60000)
+        callers = []
+        for _ in range(MANY):
+            callers.append(await begin(site, events=5, event_bytes=60000))
             await asyncio.sleep(0.01)
         answers = await others
         sampling.cancel()
@@ -241,9 +255,9 @@
     async with slow_site(memory_mb=16) as site:
         worker = site.workers["e"]
         worker.event_gap_s = 0.01
-        callers = [SlowCaller(site) for _ in range(4)]
-        for caller in callers:
-            await caller.send(events=2000, event_bytes=30000)
+        callers = [
+            await begin(site, events=2000, event_bytes=30000) for _ in range(4)
+        ]
         counts = counts_of(site)
         await wait_until(lambda: counts["relay.slow_reader_closed.total"])
         closed = await until_one_is_closed(callers)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,18 +6,31 @@
 
 import aiohttp
 import attrs
+import h11
 
 from tests.lib.platform_site import HOST, KEY
+from tests.lib.slow_callers import SlowCaller
 
 PATHS = ("/safe/x", "/unsafe/x", "/chat/x")
 ADDRESS_TTL_S = 1.0
 DEADLINE_S = 3.0
 PAUSE_S = 0.03
+# Of a slow caller: how long it first reads nothing, and how it reads then. It
+# has read all within its deadline, so that a planned stop can wait for it.
+STALL_S = 1.0
+READ_BYTES = 65536
+RECEIVE_BYTES = 65536
+READ_PAUSE_S = 0.01
+ANSWER_BYTES = (20_000, 300_000, 1_200_000)
 
 
 @attrs.define
 class CallRecord:
-    """One request and its result; status 0 means no answer."""
+    """One request and its result; status 0 means no answer.
+
+    `slow` if its caller reads slowly; `cut` if its connection then ended before
+    the answer, and not because the caller gave up.
+    """
 
     id: str
     path: str
@@ -28,6 +41,8 @@
     headers: dict = attrs.Factory(dict)
     complete: bool = False
     ended: float = 0.0
+    slow: bool = False
+    cut: bool = False
 
 
 @attrs.define
@@ -102,3 +117,38 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             self.addresses = [each for each in self.addresses if each != entry]
         call.ended = time.monotonic()
+
+
+@attrs.define
+class SlowReadingCaller(Caller):
+    """Asks for long answers, and reads nothing of them for a while."""
+
+    async def ask(self, rng):
+        path = rng.choice(PATHS)
+        entry = rng.choice(self.addresses)
+        id = f"{rng.getrandbits(64):016x}"
+        call = CallRecord(id, path, time.monotonic(), entry, slow=True)
+        self.calls.append(call)
+        size = rng.choice(ANSWER_BYTES)
+        stall_s = rng.uniform(0.0, STALL_S)
+        caller = SlowCaller(entry, RECEIVE_BYTES)
+        try:
+            async with asyncio.timeout(DEADLINE_S + 1.0):
+                await caller.send(
+                    id,
+                    path,
+                    deadline_ms=int(DEADLINE_S * 1000),
+                    event_bytes=size // 5,
+                    body_bytes=size,
+                )
+                await asyncio.sleep(stall_s)
+                while await caller.read(READ_BYTES):
+                    await asyncio.sleep(READ_PAUSE_S)
+                call.cut = not caller.complete
+        except (OSError, TimeoutError, h11.RemoteProtocolError):
+            self.addresses = [each for each in self.addresses if each != entry]
+        finally:
+            caller.leave()
+        call.status, call.headers = caller.status, caller.headers
+        call.body, call.complete = bytes(caller.body), caller.complete
+        call.ended = time.monotonic()
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -20,6 +20,8 @@
 # Requests of one entry in flight when a worker first asks for a pause, those
 # that the rule allows during the pause, and as many after its end.
 RESTING_SENDS = 6
+# An answer of the soak in full, beside a piece read from a worker's connection.
+MAX_OVER_LIMIT_BYTES = 1_500_000
 SERVED_SHARE = 0.9  # Of requests sent after recovery from all faults.
 
 
@@ -27,6 +29,7 @@
     """Yields one sentence for each violated guarantee."""
     yield from judge_runs(run)
     yield from judge_answers(run)
+    yield from judge_slow_readers(run)
     yield from judge_drains(run)
     yield from judge_drained_domains(run)
     yield from judge_cold_workers(run)
@@ -72,6 +75,33 @@
             yield f"{each.id} got the receipt {receipt!r}"
 
 
+def judge_slow_readers(run):
+    """A ready answer is cut for its reader only beyond a limit, and logged.
+
+    No caller that reads at once is closed for what others hold.
+    """
+    lines = [
+        line
+        for entry in run.entries
+        for line in entry.logged("readers: Closed a slow reader.")
+    ]
+    closed = {line["request"] for line in lines}
+    calls = {each.id: each for each in run.calls}
+    for line in lines:
+        call = calls.get(line["request"])
+        if call is None or not call.slow:
+            yield f"{line['request']} reads at once and was closed"
+        if line["reason"] == "total":
+            over = line["total_bytes"] - line["limit_bytes"]
+            if not 0 < over <= MAX_OVER_LIMIT_BYTES:
+                yield f"{line['request']} was closed {over} bytes beyond"
+    for each in run.calls:
+        if not each.cut or each.status != 200 or each.id in closed:
+            continue
+        if not run.has_unplanned_fault(each.at, each.ended):
+            yield f"{each.id} read slowly and was cut without a reason"
+
+
 def judge_drains(run):
     for worker, at in run.drained:
         if run.has_unplanned_fault(at, at + DRAIN_S):
@@ -149,7 +179,11 @@
 def judge_end(run):
     for name, code in run.unexpected_ends:
         yield f"{name} ended by itself with {code}"
-    last = [each for each in run.calls if each.at > run.recovered_at]
+    last = [
+        each
+        for each in run.calls
+        if each.at > run.recovered_at and not each.slow
+    ]
     served = sum(each.status == 200 and each.complete for each in last)
     if not last or served < SERVED_SHARE * len(last):
         statuses = sorted({each.status for each in last})
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import signal
 import time
 
@@ -15,7 +16,8 @@
 )
 from tests.lib.platform_site import manifest, manifest_with_route, platform_site
 from tests.lib.relay_process import start_entry
-from tests.soak.callers import Caller
+from tests.lib.slow_callers import pad
+from tests.soak.callers import Caller, SlowReadingCaller
 from tests.soak.faults import (
     FAULTS_S,
     MAX_FAULT_S,
@@ -36,6 +38,10 @@
 ENTRIES = 3
 WORKERS = 6  # Every second one is a model engine.
 CALLERS = 6
+# Beside them, callers that read slowly; how many is drawn by seed. They draw
+# from generators of their own, so that the rest of a seed does not change.
+MAX_SLOW_CALLERS = 3
+MEMORY_MB = 12  # 1.5 MB for all callers: two slow ones may exceed it.
 # After the last fault, entries restart and excluded workers are retried.
 RECOVERY_S = 6.0
 CALM_S = 2.0
@@ -70,6 +76,14 @@
     times: list = attrs.Factory(list)
     leave_announced_at: float | None = None
 
+    def make_event(self, run, number):
+        event = super().make_event(run, number)
+        return pad(event, int(run.headers.get("x-event-bytes", "0")))
+
+    def make_body(self, run):
+        body = super().make_body(run)
+        return body.rjust(int(run.headers.get("x-body-bytes", "0")), b".")
+
     async def answer(self, run, writer):
         before = len(self.runs)
         leaving = self.leaving
@@ -206,6 +220,7 @@
             path.address,
             run.folder,
             f"entry-{number}",
+            memory_mb=MEMORY_MB,
             coldOvershoot=COLD_OVERSHOOT,
             coldTolerance=COLD_TOLERANCE,
         )
@@ -226,14 +241,15 @@
     heal = STARTUP_S + FAULTS_S + MAX_FAULT_S + RECOVERY_S
     run.recovered_at = run.began + heal
     async with aiohttp.ClientSession() as session:
+        directories = [str(entry.settings.directory) for entry in run.entries]
         callers = [
-            Caller(
-                f"{run.seed}/{number}",
-                [str(entry.settings.directory) for entry in run.entries],
-                session,
-            )
+            Caller(f"{run.seed}/{number}", directories, session)
             for number in range(CALLERS)
         ]
+        callers += [
+            SlowReadingCaller(f"{run.seed}/slow/{number}", directories, session)
+            for number in range(draw_slow_callers(run.seed))
+        ]
         injections = [
             asyncio.create_task(inject_fault(run, fault))
             for fault in run.faults
@@ -246,6 +262,11 @@
     run.calls = [each for caller in callers for each in caller.calls]
 
 
+def draw_slow_callers(seed):
+    """Returns the number of callers that read slowly."""
+    return random.Random(f"slow/{seed}").randint(0, MAX_SLOW_CALLERS)
+
+
 async def record_unexpected_ends(run):
     """Records entries that exit without having been stopped."""
     while True:
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -1,5 +1,6 @@
 """The checks of the soak test detect each kind of violation."""
 
+import attrs
 import pytest
 
 from rattanpier._internal.standin.platform_worker import WorkerRun
@@ -116,6 +117,39 @@
     run.calls[0].status = 502
 
 
+@attrs.define
+class LoggedEntry:
+    """An entry that logged that it closed the reader of a request."""
+
+    request: str
+    reason: str = "total"
+    total_bytes: int = 2_000_000
+
+    def logged(self, event):
+        assert event == "readers: Closed a slow reader."
+        return [{**attrs.asdict(self), "limit_bytes": 1_500_000}]
+
+
+def close_one_that_reads_at_once(run):
+    run.entries = [LoggedEntry("1")]
+
+
+def exceed_the_limit_by_far(run):
+    run.calls[0].slow = True
+    run.entries = [LoggedEntry("1", total_bytes=9_000_000)]
+
+
+def close_below_the_limit(run):
+    run.calls[0].slow = True
+    run.entries = [LoggedEntry("1", total_bytes=1_000_000)]
+
+
+def cut_a_slow_reader(run):
+    run.calls[0].slow, run.calls[0].cut = True, True
+    run.calls[0].complete = False
+    run.calls.append(made_run().calls[0])
+
+
 @pytest.mark.parametrize(
     "violate",
     [
@@ -136,6 +170,10 @@
         end_by_itself,
         stay_behind,
         serve_nobody_after,
+        close_one_that_reads_at_once,
+        exceed_the_limit_by_far,
+        close_below_the_limit,
+        cut_a_slow_reader,
     ],
 )
 def test_each_violation_is_detected(violate):
@@ -144,6 +182,13 @@
     assert list(judge(run))
 
 
+def test_slow_reader_that_was_closed_beyond_the_limit_is_no_violation():
+    run = made_run()
+    cut_a_slow_reader(run)
+    run.entries = [LoggedEntry("1")]
+    assert not list(judge(run))
+
+
 def test_drain_during_an_unplanned_fault_is_not_checked():
     fault = Fault(1.0, Kind.KILL, 0, 1.0)
     run = made_run(faults=[fault])
