Disconnect slow callers before the entries of a test site close

Cause: closing an entry waits for its answers, so that a failed test hung.

Measured: tests/relay/test_slow_readers.py passes, 12 tests with -n 2.

--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -135,7 +135,11 @@
 
 @attrs.define
 class PlatformSite:
-    """A running site. Its entries run in the event loop of the test."""
+    """A running site. Its entries run in the event loop of the test.
+
+    `callers` are disconnected before the entries are closed, which would wait
+    for their answers.
+    """
 
     store: PlatformStoreServer
     store_address: str
@@ -143,6 +147,7 @@
     workers: dict = attrs.Factory(dict)
     entries: dict = attrs.Factory(dict)
     door_runners: list = attrs.Factory(list)
+    callers: list = attrs.Factory(list)
     registration_sequences: collections.Counter = attrs.Factory(
         collections.Counter
     )
@@ -255,6 +260,8 @@
         try:
             yield site
         finally:
+            for caller in site.callers:
+                caller.leave()
             for entry in site.entries.values():
                 if isinstance(entry, RelayEntry):
                     await close(entry)
--- a/tests/relay/test_slow_readers.py
+++ b/tests/relay/test_slow_readers.py
@@ -52,6 +52,7 @@
 async def begin(site, path="/chat/x", **headers):
     """Returns a caller that has sent a request and reads nothing yet."""
     caller = SlowCaller(str(site.entries["entry-1"].settings.callers))
+    site.callers.append(caller)
     await caller.send(site.new_id(), path, **headers)
     return caller
 
