Apply the total limit to what workers send to callers at their limit

Cause: what a worker's connection holds unread grows without a write to the caller, and the periodic check did not apply the total limit to it.

Change: the check applies it.

--- a/src/rattanpier/_internal/relay/slow_readers.py
+++ b/src/rattanpier/_internal/relay/slow_readers.py
@@ -2,8 +2,9 @@
 
 Free of I/O. The write buffer of a connection is read after each write. What a
 caller has read since then is noticed at the next write to it, at the periodic
-check, or before a connection is closed. The sum can therefore be too high for
-up to `CHECK_INTERVAL_S`, but never too low.
+check, or before a connection is closed for the total limit. Until then, the sum
+is too high. It can be too low by what connections to workers have received for
+callers at their limit, up to `MAX_UNREAD_BYTES` for each.
 """
 
 from __future__ import annotations
@@ -290,10 +291,14 @@
     def check(self) -> bool:
         """Closes connections past their deadline whose callers read nothing.
 
+        Also applies the total limit to what workers have sent since the last
+        check.
+
         Returns:
           Whether the check is to be repeated.
         """
         self.refresh_all()
+        self.apply_total_limit()
         now = self.clock.monotonic()
         for held in list(self.slow):
             stalled_s = now - held.read_at
