--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -28,12 +28,9 @@
     make_state,
 )
 from rattanpier._internal.programs.relay_workers import add_worker_updates
+from rattanpier._internal.relay.caller_writes import check_readers
 from rattanpier._internal.relay.drain import DrainState
-from rattanpier._internal.relay.edge import (
-    CallerDialect,
-    RelayEdge,
-    check_readers,
-)
+from rattanpier._internal.relay.edge import CallerDialect, RelayEdge
 from rattanpier._internal.relay.shared_state import SharedState
 from rattanpier._internal.relay.slow_readers import (
     SlowReaders,
--- a/src/rattanpier/_internal/relay/edge.py
+++ b/src/rattanpier/_internal/relay/edge.py
@@ -3,15 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import socket
-import struct
 from collections.abc import Callable, Mapping
 from contextlib import aclosing
 
 import attrs
 import structlog
-from aiohttp.helpers import must_be_empty_body
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse, json_response
 
@@ -31,15 +27,15 @@
 )
 from rattanpier._internal.models.route_table import RouteTable
 from rattanpier._internal.relay.answering import answer
+from rattanpier._internal.relay.caller_writes import (
+    caller_connection,
+    write_part,
+    write_whole,
+)
 from rattanpier._internal.relay.dispatch import Dispatcher
 from rattanpier._internal.relay.drain import DrainState
 from rattanpier._internal.relay.request_progress import round_for_log
-from rattanpier._internal.relay.slow_readers import (
-    CHECK_INTERVAL_S,
-    CallerConnection,
-    HeldBytes,
-    SlowReaders,
-)
+from rattanpier._internal.relay.slow_readers import HeldBytes, SlowReaders
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.headers import forwarded_headers
 from rattanpier._internal.utils.metrics import Metrics
@@ -117,7 +113,7 @@
         try:
             response = await self.respond(request, held)
             if isinstance(response, Response):
-                await self.write_whole(request, response, held)
+                await write_whole(request, response, held)
             return response
         finally:
             self.readers.end_request(held)
@@ -313,7 +309,7 @@
                         await response.prepare(request)
                     case AnswerChunk(data):
                         times.record_piece(self.clock.monotonic())
-                        await self.write(request, held, data)
+                        await write_part(request, held, data)
                     case AnswerCompleted():
                         self.record_end(relay_request, "ended", times)
                         await response.write_eof()  # type: ignore[union-attr]
@@ -325,51 +321,6 @@
         assert response is not None
         return response
 
-    async def write(
-        self, request: BaseRequest, held: HeldBytes, data: bytes
-    ) -> None:
-        """Writes a part of an answer; waits while the caller is at its limit.
-
-        Args:
-          request: Request as received.
-          held: Bytes held for its connection.
-          data: What to write.
-        """
-        await request.writer.write(data, drain=False)  # type: ignore[call-arg]
-        count = len(data)
-        del data  # What the caller has not read is in the write buffer only.
-        if not held.record_write(count):
-            return
-        if held.closed is not None:
-            # Lets the loop report the end of the connection, which cancels the
-            # task and so ends the upstream request.
-            await asyncio.sleep(0)
-        if request.protocol.writing_paused:
-            self.readers.record_pause(held)
-            await request.writer.drain()
-            self.readers.refresh(held)
-
-    async def write_whole(
-        self, request: BaseRequest, response: Response, held: HeldBytes
-    ) -> None:
-        """Writes a complete answer; waits while the caller is at its limit.
-
-        aiohttp keeps the response until the next request on the connection, so
-        that the body is taken out of it.
-
-        Args:
-          request: Request as received.
-          response: The answer.
-          held: Bytes held for the connection.
-        """
-        with contextlib.suppress(ConnectionError):
-            await response.prepare(request)
-            empty = must_be_empty_body(request.method, response.status)
-            held.release_answers()
-            if response.body and not empty:
-                await self.write(request, held, take_body(response))
-            await response.write_eof()
-
     def make_response(self, answer: CompleteAnswer) -> Response:
         """Returns the response for a worker's complete answer."""
         response = Response(status=answer.status, body=answer.body)
@@ -459,49 +410,6 @@
         )
 
 
-def take_body(response: Response) -> bytes:
-    """Removes the body of a response and returns it."""
-    body, response.body = response.body, None
-    assert isinstance(body, bytes)
-    return body
-
-
-def caller_connection(transport: asyncio.Transport) -> CallerConnection:
-    """Returns what the accounting needs of a caller's connection."""
-    return CallerConnection(
-        transport.get_write_buffer_size,
-        transport.set_write_buffer_limits,
-        lambda: reset(transport),
-    )
-
-
-def reset(transport: asyncio.Transport) -> None:
-    """Closes a connection by a TCP reset.
-
-    After an orderly end, the kernel would go on to deliver what it holds, and a
-    caller of HTTP/1.0 would take the answer to be complete.
-    """
-    sock = transport.get_extra_info("socket")
-    if sock is not None and not transport.is_closing():
-        linger = struct.pack("ii", 1, 0)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    transport.abort()
-
-
-def check_readers(readers: SlowReaders) -> Callable[[], None]:
-    """Returns a function that starts the periodic checks of slow readers."""
-    loop = asyncio.get_running_loop()
-
-    def start() -> None:
-        loop.call_later(CHECK_INTERVAL_S, check)
-
-    def check() -> None:
-        if readers.check():
-            start()
-
-    return start
-
-
 @attrs.define(eq=False, repr=False)
 class PieceTimes:
     """Arrival times of the pieces of an answer.
--- a/src/rattanpier/_internal/relay/slow_readers.py
+++ b/src/rattanpier/_internal/relay/slow_readers.py
@@ -158,6 +158,16 @@
         self.readers.apply_total_limit()
         return size > 0
 
+    def record_pause(self) -> None:
+        """Records that writing to the caller has to wait."""
+        if self.readers is not None:
+            self.readers.record_pause(self)
+
+    def refresh(self) -> None:
+        """Records what the caller has read since the last record."""
+        if self.readers is not None:
+            self.readers.refresh(self)
+
 
 @attrs.define(eq=False, repr=False)
 class SlowReaders:
