--- a/src/rattanpier/_internal/models/relay_settings.py
+++ b/src/rattanpier/_internal/models/relay_settings.py
@@ -107,6 +107,7 @@
       store: The platform's store.
       bounds: Guarantees to callers and workers.
       policy: Enabled mechanisms of the entry's decisions.
+      memory_bytes: Memory of the VM, or None if it is unknown.
     """
 
     name: str
@@ -125,3 +126,4 @@
     bounds: Bounds = attrs.Factory(Bounds)
     regions: Mapping[str, str] = attrs.Factory(dict)
     policy: Policy = DEFAULT_POLICY
+    memory_bytes: int | None = None
--- a/src/rattanpier/_internal/programs/relay_listen.py
+++ b/src/rattanpier/_internal/programs/relay_listen.py
@@ -210,6 +210,7 @@
         record_table_age(entry)
         record_reachability(entry)
         record_paces(entry)
+        entry.edge.readers.record_gauges()
         return Response(body=render(entry.metrics), content_type="text/plain")
 
     return handle
--- a/src/rattanpier/_internal/relay/edge.py
+++ b/src/rattanpier/_internal/relay/edge.py
@@ -27,9 +27,15 @@
 )
 from rattanpier._internal.models.route_table import RouteTable
 from rattanpier._internal.relay.answering import answer
+from rattanpier._internal.relay.caller_writes import (
+    caller_connection,
+    write_part,
+    write_whole,
+)
 from rattanpier._internal.relay.dispatch import Dispatcher
 from rattanpier._internal.relay.drain import DrainState
 from rattanpier._internal.relay.request_progress import round_for_log
+from rattanpier._internal.relay.slow_readers import HeldBytes, SlowReaders
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.headers import forwarded_headers
 from rattanpier._internal.utils.metrics import Metrics
@@ -83,6 +89,7 @@
       drain: State of a planned stop; decides whether new requests are accepted.
       clock: Monotonic clock.
       metrics: Receives counters and timings.
+      readers: Accounting of the bytes held for callers.
       startup_done: Set once requests can be served, or the start took too long.
         Earlier requests wait for it, since they could only be refused.
     """
@@ -93,11 +100,43 @@
     drain: DrainState
     clock: Clock
     metrics: Metrics
+    readers: SlowReaders
     startup_done: asyncio.Event = attrs.Factory(asyncio.Event)
 
     async def handle(self, request: BaseRequest) -> StreamResponse:
         """Answers one request.
 
+        Raises:
+          asyncio.CancelledError: The caller disconnected.
+          ConnectionError: The caller disconnected.
+        """
+        held = self.begin_request(request)
+        try:
+            response = await self.respond(request, held)
+            if isinstance(response, Response):
+                await write_whole(request, response, held)
+            return response
+        finally:
+            self.readers.end_request(held)
+
+    def begin_request(self, request: BaseRequest) -> HeldBytes:
+        """Returns the account of the bytes held for a request's connection."""
+        transport = request.transport
+        if transport is None:  # The caller has disconnected.
+            return HeldBytes()
+        return self.readers.begin_request(
+            transport, lambda: caller_connection(transport)
+        )
+
+    async def respond(
+        self, request: BaseRequest, held: HeldBytes
+    ) -> StreamResponse:
+        """Returns the response to a request; a stream is written already.
+
+        Args:
+          request: Request as received.
+          held: Bytes held for its connection.
+
         Raises:
           asyncio.CancelledError: The caller disconnected.
           ConnectionError: The caller disconnected.
@@ -105,11 +144,12 @@
         self.drain.begin_request()
         arrived = self.clock.monotonic()
         headers = self.dialect.decode(request.headers)
+        held.request = headers.attempt_id
         self.metrics.count("relay.request")
         try:
             try:
                 relay_request = await self.accept_request(
-                    request, headers, arrived
+                    request, headers, arrived, held
                 )
             except RequestRefusedError as error:
                 table = self.table()
@@ -120,8 +160,11 @@
                     arrived,
                     -1 if table is None else table.version,
                 )
-            return await self.answer(request, relay_request)
+            held.deadline = relay_request.deadline
+            return await self.answer(request, relay_request, held)
         except (asyncio.CancelledError, ConnectionError):
+            if held.closed is not None:
+                raise
             self.metrics.count("relay.caller_left")
             log.info(
                 "Caller left.",
@@ -137,6 +180,7 @@
         request: BaseRequest,
         headers: CallerHeaders,
         arrived: float,
+        held: HeldBytes,
     ) -> RelayRequest:
         """Checks a request against the route table and reads its body.
 
@@ -144,6 +188,7 @@
           request: Request as received.
           headers: Its decoded headers.
           arrived: Time of arrival, in monotonic seconds.
+          held: Bytes held for its connection.
 
         Raises:
           RequestRefusedError: The request is refused.
@@ -173,7 +218,8 @@
             )
         if not self.drain.accepts(route.streaming):
             raise leaving_error()
-        body = await self.read_body(request, table.limits.body_bytes)
+        body = await self.read_body(request, table.limits.body_bytes, held)
+        held.limit_buffer()
         timeout_s = route.timeout_s
         if headers.deadline_s is not None:
             timeout_s = min(timeout_s, headers.deadline_s)
@@ -196,9 +242,16 @@
             table_version=table.version,
         )
 
-    async def read_body(self, request: BaseRequest, max_bytes: int) -> bytes:
+    async def read_body(
+        self, request: BaseRequest, max_bytes: int, held: HeldBytes
+    ) -> bytes:
         """Returns the complete body of a request.
 
+        Args:
+          request: Request as received.
+          max_bytes: Maximum length of the body.
+          held: Counts the bytes as held.
+
         Raises:
           RequestRefusedError: The body is longer than `max_bytes`.
         """
@@ -209,6 +262,7 @@
         data = bytearray()
         async for piece in request.content.iter_any():
             data += piece
+            held.add_body(len(piece))
             if len(data) > max_bytes:
                 raise refusal_error(
                     RefusalCode.BODY_TOO_LARGE,
@@ -218,12 +272,26 @@
         return bytes(data)
 
     async def answer(
-        self, request: BaseRequest, relay_request: RelayRequest
+        self,
+        request: BaseRequest,
+        relay_request: RelayRequest,
+        held: HeldBytes,
     ) -> StreamResponse:
-        """Writes the parts of an answer as they become available."""
+        """Writes the parts of a stream as they become available.
+
+        Args:
+          request: Request as received.
+          relay_request: The accepted request.
+          held: Bytes held for its connection.
+
+        Returns:
+          The response; a complete answer is not written yet.
+        """
         response: StreamResponse | None = None
         times = PieceTimes(relay_request.arrived)
-        async with aclosing(answer(self.dispatcher, relay_request)) as parts:
+        async with aclosing(
+            answer(self.dispatcher, relay_request, held)
+        ) as parts:
             async for part in parts:
                 match part:
                     case CompleteAnswer():
@@ -242,7 +310,7 @@
                         await response.prepare(request)
                     case AnswerChunk(data):
                         times.record_piece(self.clock.monotonic())
-                        await response.write(data)  # type: ignore[union-attr]
+                        await write_part(request, held, data)
                     case AnswerCompleted():
                         self.record_end(relay_request, "ended", times)
                         await response.write_eof()  # type: ignore[union-attr]
--- a/src/rattanpier/_internal/relay/stream_answers.py
+++ b/src/rattanpier/_internal/relay/stream_answers.py
@@ -36,6 +36,7 @@
     MIN_TIME_LEFT_S,
     RequestProgress,
 )
+from rattanpier._internal.relay.slow_readers import no_bytes
 from rattanpier._internal.relay.stream_deadlines import (
     FinishEstimate,
     finish_deadline,
@@ -133,6 +134,7 @@
     try:
         async with dispatcher.sender.send(request, sending, deadline) as answer:
             head = answer.head
+            progress.held.unread_size = answer.unread_size
             if head.status >= 300:
                 error_answer = await read_error_answer(
                     dispatcher, progress, worker, answer
@@ -209,6 +211,7 @@
         if in_time:
             finish_smaller(dispatcher, progress, worker)
     finally:
+        progress.held.unread_size = no_bytes
         dispatcher.loads.end(worker.id, in_flight)
         dispatcher.rollouts.end(observation)
         ran_s = dispatcher.clock.monotonic() - started_at
@@ -325,7 +328,7 @@
       TimeoutError: The deadline passed.
     """
     head = answer.head
-    body = await answer.read_all(MAX_ANSWER_BYTES)
+    body = await answer.read_all(MAX_ANSWER_BYTES, progress.held)
     error_answer = CompleteAnswer(head.status, copied_headers(head), body)
     if head.status < MIN_FAILURE_STATUS:
         return error_answer
