Move the fair queue and the drain rate to placement/

Cause: relay entries need them too, but don't load dispatch/. Change: TokenCounterQueue moves to placement/fair_queue.py, DrainMeter and the rule for what can't be served in time to placement/drain_rate.py. The rule now walks the queue in the order of service instead of adding up the request's own workspace only, and decides both at arrival and when shedding.

--- a/benchmarks/fairness.py
+++ b/benchmarks/fairness.py
@@ -20,7 +20,7 @@
 from rich.table import Table
 
 from benchmarks.queues import DeficitQueue, FifoQueue
-from rattanpier._internal.dispatch.fairness import (
+from rattanpier._internal.placement.fair_queue import (
     QueuedRequest,
     TokenCounterQueue,
     request_cost,
--- a/benchmarks/queues.py
+++ b/benchmarks/queues.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from rattanpier._internal.dispatch.fairness import QueuedRequest
+from rattanpier._internal.placement.fair_queue import QueuedRequest
 
 JOB_QUANTUM = 4  # Jobs per visit, times the share, as in the paper.
 COST_QUANTUM = 500.0  # Cost per visit, times the share.
--- a/src/rattanpier/_internal/dispatch/admission.py
+++ b/src/rattanpier/_internal/dispatch/admission.py
@@ -8,23 +8,24 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import attrs
 
-from rattanpier._internal.dispatch.fairness import (
+from rattanpier._internal.models.refusal import Refusal, RefusalCode
+from rattanpier._internal.placement.drain_rate import (
+    DRAIN_SAMPLE_S,
+    DrainMeter,
+    cost_until_served,
+    find_unservable,
+)
+from rattanpier._internal.placement.fair_queue import (
     QueuedRequest,
     TokenCounterQueue,
 )
-from rattanpier._internal.models.refusal import Refusal, RefusalCode
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.metrics import Metrics
 
-# Weight of the previous value in the moving average of the drain rate.
-DRAIN_SMOOTHING = 0.9
-# Minimum interval over which the drain rate is measured, and the interval of
-# shedding.
-DRAIN_SAMPLE_S = 0.25
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 60.0
 MAX_QUEUED = 1024  # Requests queued for one pool on one entry.
@@ -39,7 +40,7 @@
       share: Weight of the workspace.
       max_queued: Maximum number of requests that the workspace may have in
         the pool's queue.
-      cost: Estimated cost in prompt tokens, see `fairness.request_cost`.
+      cost: Estimated cost in prompt tokens, see `fair_queue.request_cost`.
       deadline: Deadline of the request in monotonic seconds.
     """
 
@@ -50,56 +51,6 @@
     deadline: float
 
 
-@attrs.define
-class DrainMeter:
-    """Measures the rate at which a pool finishes requests.
-
-    Attributes:
-      rate: Moving average of the cost finished per second; 0 until it was
-        measured.
-      finished: Cost finished since `since`.
-      since: Start of the current measurement in monotonic seconds.
-    """
-
-    rate: float = 0.0
-    finished: float = 0.0
-    since: float = 0.0
-
-    def add(self, cost: float, now: float) -> None:
-        """Adds the cost of a finished request.
-
-        The rate is updated once DRAIN_SAMPLE_S have passed.
-
-        Args:
-          cost: Cost of the request; 0 only updates the rate.
-          now: Current time in monotonic seconds.
-        """
-        self.finished += cost
-        elapsed = now - self.since
-        if elapsed < DRAIN_SAMPLE_S:
-            return
-        sample = self.finished / elapsed
-        if self.rate:
-            sample = (
-                DRAIN_SMOOTHING * self.rate + (1 - DRAIN_SMOOTHING) * sample
-            )
-        self.rate = sample
-        self.finished = 0.0
-        self.since = now
-
-    def restart(self, now: float) -> None:
-        """Restarts the measurement so that idle time does not count."""
-        self.finished = 0.0
-        self.since = now
-
-    def wait_s(self, cost: float) -> float:
-        """Returns the seconds that a queue of some cost takes to drain.
-
-        Returns 0 while the rate is unknown.
-        """
-        return cost / self.rate if self.rate else 0.0
-
-
 @attrs.frozen(eq=False)
 class Waiter:
     """A request in the queue of a pool.
@@ -187,7 +138,11 @@
         A request is refused if the queue is full or if its deadline would pass
         while it waits.
         """
-        wait_s = pool.drain.wait_s(self.cost_ahead(pool, demand))
+        cost = cost_until_served(
+            pool.queue,
+            QueuedRequest(None, demand.workspace, demand.cost, demand.share),
+        )
+        wait_s = pool.drain.wait_s(cost)
         if (
             pool.queue.queued(demand.workspace) >= demand.max_queued
             or pool.queue.size >= MAX_QUEUED
@@ -202,27 +157,6 @@
             return deadline_refusal(pool)
         return None
 
-    def cost_ahead(self, pool: PoolState, demand: Demand) -> float:
-        """Returns the cost to be finished until a request would be admitted.
-
-        This is the cost of its own workspace's queue, including the request,
-        and of each other workspace's queue at most the cost that the share of
-        that workspace allows in the same time.
-        """
-        waiting = pool.queue.waiting
-        own_cost = sum(
-            queued.cost for queued in waiting.get(demand.workspace, ())
-        )
-        own_cost += demand.cost
-        ahead = own_cost
-        for name, queue in waiting.items():
-            if name != demand.workspace:
-                other_cost = sum(queued.cost for queued in queue)
-                ahead += min(
-                    other_cost, own_cost * queue[0].share / demand.share
-                )
-        return ahead
-
     async def wait(
         self, name: str, pool: PoolState, demand: Demand
     ) -> Permit | Refusal:
@@ -289,29 +223,15 @@
             return
         now = self.clock.monotonic()
         pool.drain.add(0.0, now)
-        for queued in list(find_unservable(pool, now)):
+        late = find_unservable(
+            pool.queue, pool.drain, lambda item: item.demand.deadline, now
+        )
+        for queued in list(late):
             pool.queue.remove(queued)
             self.metrics.count("admission.shed")
             queued.item.done.set_result(deadline_refusal(pool))
 
 
-def find_unservable(
-    pool: PoolState, now: float
-) -> Iterator[QueuedRequest[Waiter]]:
-    """Yields the queued requests that can't be admitted by their deadlines.
-
-    The cost of a request that is yielded does not count for those behind it.
-    """
-    for queue in pool.queue.waiting.values():
-        ahead = 0.0
-        for queued in queue:
-            ahead += queued.cost
-            wait_s = pool.drain.wait_s(ahead)
-            if now + wait_s > queued.item.demand.deadline:
-                ahead -= queued.cost
-                yield queued
-
-
 def deadline_refusal(pool: PoolState) -> Refusal:
     """Returns the refusal of a request that would miss its deadline."""
     return Refusal(
--- a/src/rattanpier/_internal/dispatch/pool_admission.py
+++ b/src/rattanpier/_internal/dispatch/pool_admission.py
@@ -17,13 +17,13 @@
     AttemptOutcome,
     AttemptResult,
 )
-from rattanpier._internal.dispatch.fairness import request_cost
 from rattanpier._internal.dispatch.limits import PoolLimit
 from rattanpier._internal.dispatch.pools import PoolIndex, index_pools
 from rattanpier._internal.models.configuration import Configuration
 from rattanpier._internal.models.plan import Plan
 from rattanpier._internal.models.refusal import Refusal
 from rattanpier._internal.models.request import RouteRequest
+from rattanpier._internal.placement.fair_queue import request_cost
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.metrics import Metrics
 
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -10,11 +10,11 @@
     Demand,
     Permit,
 )
-from rattanpier._internal.dispatch.fairness import (
+from rattanpier._internal.models.refusal import Refusal, RefusalCode
+from rattanpier._internal.placement.fair_queue import (
     QueuedRequest,
     TokenCounterQueue,
 )
-from rattanpier._internal.models.refusal import Refusal, RefusalCode
 from rattanpier._internal.utils.metrics import Metrics
 from tests.lib.clock import ManualClock
 
