Queue requests at the entry while all their workers are full

Cause: an entry sent every request at once, also to full workers: those that could not be in time failed at their deadline, and one workspace's flood delayed all. Switch admission of the policy.

--- a/src/rattanpier/_internal/models/policy.py
+++ b/src/rattanpier/_internal/models/policy.py
@@ -31,6 +31,8 @@
       avoidance: Workers that fail or can't be reached are avoided for a while.
       hold_sessions: Active sessions keep their version when a roll-out order
         arrives.
+      admission: If all workers that are eligible for a request are full, it is
+        queued at the entry, or refused at once if it can't be in time.
     """
 
     cascade: bool = True
@@ -45,6 +47,7 @@
     prompt_news: bool = True
     avoidance: bool = True
     hold_sessions: bool = True
+    admission: bool = True
 
 
 DEFAULT_POLICY = Policy()
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -60,7 +60,9 @@
     state = make_state(kernel, settings)
     fleet = make_fleet(settings, clock)
     dispatcher = make_dispatcher(settings, state, fleet, clock, metrics)
-    drain = DrainState(clock, settings.bounds.grace_s)
+    drain = DrainState(
+        clock, settings.bounds.grace_s, on_begin=dispatcher.admission.stop
+    )
     edge = RelayEdge(
         dispatcher,
         CallerDialect(
--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -4,9 +4,10 @@
 
 import functools
 import random
+from collections.abc import Callable
 
 from rattanpier._internal.models.relay_settings import RelaySettings
-from rattanpier._internal.models.route_table import RouteTable
+from rattanpier._internal.models.route_table import EngineSpec, RouteTable
 from rattanpier._internal.models.upstream_request import AnswerHead
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.peers.forward_channels import ForwardChannels
@@ -17,7 +18,9 @@
 from rattanpier._internal.placement.rate_limits import RateLimits
 from rattanpier._internal.placement.shared_rates import SharedRates
 from rattanpier._internal.placement.warm_up import WarmUps
+from rattanpier._internal.placement.worker_room import WorkerRooms
 from rattanpier._internal.platform import upstream
+from rattanpier._internal.relay.admission import EntryAdmission
 from rattanpier._internal.relay.budgets import ServiceRetryBudgets
 from rattanpier._internal.relay.dispatch import Dispatcher
 from rattanpier._internal.relay.exchange import Sender, WorkerDialect
@@ -39,6 +42,9 @@
 from rattanpier._internal.utils.clock import SystemClock
 from rattanpier._internal.utils.metrics import Metrics
 
+# Status of a worker that has no room for a request.
+REFUSED_STATUS = 503
+
 
 def make_dispatcher(
     settings: RelaySettings,
@@ -88,8 +94,15 @@
         state.directory.is_registered,
     )
 
+    rooms = WorkerRooms(loads, engine_lookup(state))
+
+    def may_have_room(service: str) -> bool:
+        workers = state.directory.accepting_workers(service)
+        return not workers or any(map(rooms.has_room, workers))
+
     def forget(worker: str) -> None:
         loads.forget(worker)
+        rooms.forget(worker)
         pool.forget(worker)
         health.forget(worker)
         limits.forget(worker)
@@ -102,6 +115,10 @@
         brittle.reports.record_answer(worker, head.refusals_per_s, asked_at)
         if head.not_run:
             brittle.record_refusal(worker)
+        if head.not_run and head.status == REFUSED_STATUS:
+            rooms.record_refusal(worker)
+        else:
+            rooms.record_answer(worker, head.load)
         if head.leaving:
             state.directory.record_leaving(worker)
         if head.rest_s:
@@ -188,9 +205,24 @@
         rollouts=state.rollouts,
         budgets=ServiceRetryBudgets(settings.bounds, fleet.size, clock),
         policy=settings.policy,
+        rooms=rooms,
+        admission=EntryAdmission(
+            clock, random.Random(settings.name), metrics, may_have_room
+        ),
     )
 
 
+def engine_lookup(state: RelayState) -> Callable[[str], EngineSpec | None]:
+    """Returns the function that returns the engines of a service."""
+
+    def engine_of(service: str) -> EngineSpec | None:
+        known = None if state.table is None else state.table.services
+        found = None if known is None else known.get(service)
+        return None if found is None else found.engine
+
+    return engine_of
+
+
 def make_rate_limits(state: RelayState, shares: SharedRates) -> RateLimits:
     """Returns the rate limits of workers that announce one."""
     return RateLimits(shares, shares.clock, state.directory.is_registered)
--- /dev/null
+++ b/src/rattanpier/_internal/relay/admission.py
@@ -0,0 +1,495 @@
+"""Queue of an entry for requests whose eligible workers are all full.
+
+Free of I/O. The order is by priority, then by the workspace with the lowest
+virtual token counter, then by deadline. A request that can't be answered in
+time at the measured drain rate is refused immediately, so that its caller can
+ask again; the same rule sheds queued requests. Nothing is queued while any
+worker that a request may be sent to has room.
+"""
+
+from __future__ import annotations
+
+import collections
+import random
+from collections.abc import Callable, Iterator
+
+import attrs
+import structlog
+
+from rattanpier._internal.models.refusal import Refusal, RefusalCode
+from rattanpier._internal.placement.drain_rate import (
+    DRAIN_SAMPLE_S,
+    DrainMeter,
+    find_unservable,
+)
+from rattanpier._internal.placement.fair_queue import (
+    QueuedRequest,
+    TokenCounterQueue,
+)
+from rattanpier._internal.placement.worker_room import NoRoom
+from rattanpier._internal.relay.load import InFlight
+from rattanpier._internal.relay.placement import Choice
+from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.metrics import Metrics
+from rattanpier._internal.utils.samples import DecayingSum
+
+log = structlog.get_logger(part="admission")
+
+# Requests queued for one service. Each holds its body in memory, and the rule
+# for what can't be in time walks the queue.
+MAX_QUEUED = 256
+COUNTER_HALF_LIFE_S = 10.0
+DURATION_HALF_LIFE_S = 10.0
+# A drain rate is measured over at least this many expected ends of requests:
+# over fewer, it is mostly chance.
+ENDS_PER_SAMPLE = 2.0
+# Queued requests that are passed over because none of their workers has room,
+# before the rest of the queue is left for the next time.
+MAX_PASSED_OVER = 8
+MIN_RETRY_AFTER_S = 0.05
+RETRY_JITTER = 0.5  # Extra time at random, as a share of the wait.
+MAX_RETRY_SHARE = 1 / 3  # Of the time left; callers honor no more.
+LEAVING_RETRY_S = 0.05  # Other entries accept the request immediately.
+
+
+@attrs.frozen
+class Demand:
+    """What the queue needs to know of a request.
+
+    Attributes:
+      request_id: Id of the request.
+      service: Service that it is sent to.
+      workspace: Name of its workspace, or empty.
+      priority: Priority, 0 is the highest.
+      cost: Cost in prompt tokens, see `fair_queue.request_cost`.
+      latest_start: When it has to be sent to be answered in time, in monotonic
+        seconds.
+      deadline: When its caller or route times out, in monotonic seconds.
+    """
+
+    request_id: str
+    service: str
+    workspace: str
+    priority: int
+    cost: float
+    latest_start: float
+    deadline: float
+
+
+@attrs.frozen(eq=False)
+class Waiter:
+    """A request that is queued.
+
+    Attributes:
+      demand: What the queue needs to know of it.
+      no_room: Why it is queued.
+      since: When it was queued, in monotonic seconds.
+      find: Returns the worker that has room for it, why there is none, or None
+        if no worker is eligible any more.
+      resolve: Called once with the worker, the refusal, or None if no worker is
+        eligible any more.
+    """
+
+    demand: Demand
+    no_room: NoRoom
+    since: float
+    find: Callable[[], Choice | NoRoom | None]
+    resolve: Callable[[Choice | Refusal | None], None]
+
+
+@attrs.define(eq=False, repr=False)
+class ServiceQueue:
+    """Queue and usage of one service.
+
+    Attributes:
+      counters: Decaying cost that was sent, by workspace.
+      decayed_at: When the counters last decayed, in monotonic seconds.
+      classes: Queue of each priority.
+      drain: Rate at which this entry's requests end; measured while any are
+        queued.
+      running: Number of this entry's requests in flight.
+      running_cost: Their cost.
+      ended_cost: Cost of requests that ended.
+      ended_cost_s: Their costs, each multiplied by its seconds.
+      ended_s: Seconds of requests that ended.
+    """
+
+    counters: dict[str, float] = attrs.Factory(dict)
+    decayed_at: float = 0.0
+    classes: dict[int, TokenCounterQueue[Waiter]] = attrs.Factory(dict)
+    drain: DrainMeter = attrs.Factory(DrainMeter)
+    running: int = 0
+    running_cost: float = 0.0
+    ended_cost: DecayingSum = attrs.Factory(
+        lambda: DecayingSum(DURATION_HALF_LIFE_S)
+    )
+    ended_cost_s: DecayingSum = attrs.Factory(
+        lambda: DecayingSum(DURATION_HALF_LIFE_S)
+    )
+    ended_s: DecayingSum = attrs.Factory(
+        lambda: DecayingSum(DURATION_HALF_LIFE_S)
+    )
+
+    @property
+    def size(self) -> int:
+        """Number of queued requests."""
+        return sum(queue.size for queue in self.classes.values())
+
+    @property
+    def cost(self) -> float:
+        """Cost of the queued requests."""
+        return sum(queue.cost for queue in self.classes.values())
+
+    def in_order_of_priority(self) -> list[TokenCounterQueue[Waiter]]:
+        """Returns the queues that are not empty, most urgent first."""
+        queues = (self.classes[each] for each in sorted(self.classes))
+        return [queue for queue in queues if queue.size]
+
+    def push(self, waiter: Waiter) -> QueuedRequest[Waiter]:
+        """Adds a request to the queue of its priority."""
+        demand = waiter.demand
+        queue = self.classes.get(demand.priority)
+        if queue is None:
+            queue = TokenCounterQueue(
+                counters=self.counters, limits_credit=False
+            )
+            self.classes[demand.priority] = queue
+        queued = QueuedRequest(
+            waiter, demand.workspace, demand.cost, rank=demand.deadline
+        )
+        queue.push(queued)
+        return queued
+
+    def remove(self, queued: QueuedRequest[Waiter]) -> None:
+        """Removes a request from the queue, if it is queued."""
+        self.classes[queued.item.demand.priority].remove(queued)
+
+    def charge(self, workspace: str, cost: float, now: float) -> None:
+        """Adds a cost to a workspace's counter."""
+        elapsed = now - self.decayed_at
+        if elapsed >= DRAIN_SAMPLE_S:
+            factor = 0.5 ** (elapsed / COUNTER_HALF_LIFE_S)
+            for name in self.counters:
+                self.counters[name] *= factor
+            self.decayed_at = now
+        self.counters[workspace] = self.counters.get(workspace, 0.0) + cost
+
+    def typical_s(self) -> float:
+        """Returns the mean seconds of a request; 0 until one has ended."""
+        ended = self.ended_s
+        return ended.total / ended.weight if ended.weight else 0.0
+
+    def record_ended(self, cost: float, seconds: float, now: float) -> None:
+        """Records the cost and the duration of a request that a worker ran."""
+        self.ended_cost.add(cost, now)
+        self.ended_cost_s.add(cost * seconds, now)
+        self.ended_s.add(seconds, now)
+        if self.size:
+            self.measure(cost, now)
+
+    def start_measuring(self, cost: float, now: float) -> None:
+        """Starts the measurement of the drain rate when a queue forms.
+
+        Before, requests end as fast as they arrive, which is less than workers
+        can do. By Little's law, the rate is the cost in flight divided by the
+        time that it takes; at least one request is assumed to be in flight.
+
+        Args:
+          cost: Cost of the first queued request.
+          now: Monotonic seconds.
+        """
+        total_s = self.ended_cost_s.total
+        rate = 0.0
+        if total_s > 0:
+            rate = (
+                max(cost, self.running_cost) * self.ended_cost.total / total_s
+            )
+        self.drain = DrainMeter(rate=rate, since=now)
+
+    def measure(self, cost: float, now: float) -> None:
+        """Updates the drain rate, once enough requests should have ended."""
+        gap_s = self.typical_s() / max(1, self.running)
+        if now - self.drain.since < ENDS_PER_SAMPLE * gap_s:
+            self.drain.finished += cost
+        else:
+            self.drain.add(cost, now)
+
+
+@attrs.define(eq=False, repr=False)
+class EntryAdmission:
+    """Queues of one entry, by service.
+
+    Attributes:
+      clock: Source of monotonic time.
+      rng: Source of the jitter of `Retry-After`.
+      metrics: Counters, timings and the length of the queues.
+      may_have_room: Returns whether a worker of a service may have room, so
+        that its queue is worth a look.
+      services: Queue and usage of each service.
+      stopping: Whether the entry is stopping, so that nothing is queued.
+      releasing: Whether `release_all` is called periodically.
+      shed_at: When requests were last shed, in monotonic seconds.
+    """
+
+    clock: Clock
+    rng: random.Random
+    metrics: Metrics
+    may_have_room: Callable[[str], bool] = lambda _service: True
+    services: dict[str, ServiceQueue] = attrs.Factory(
+        lambda: collections.defaultdict(ServiceQueue)
+    )
+    stopping: bool = False
+    releasing: bool = False
+    shed_at: float = 0.0
+
+    # Usage.
+
+    def record_sent(self, service: str, flight: InFlight) -> None:
+        """Records that a request is sent, and charges its workspace."""
+        state = self.services[service]
+        flight.began_at = self.clock.monotonic()
+        state.running += 1
+        state.running_cost += flight.cost
+        state.charge(flight.workspace, flight.cost, flight.began_at)
+
+    def record_ended(self, service: str, flight: InFlight) -> None:
+        """Records that a request ended; what did not run is not charged."""
+        state = self.services[service]
+        now = self.clock.monotonic()
+        state.running -= 1
+        state.running_cost -= flight.cost
+        if flight.not_run:
+            before = state.counters.get(flight.workspace, 0.0)
+            state.counters[flight.workspace] = max(0.0, before - flight.cost)
+        else:
+            state.record_ended(flight.cost, now - flight.began_at, now)
+        self.release(service)
+
+    # Queueing.
+
+    def queued(self) -> int:
+        """Returns the number of queued requests of all services."""
+        return sum(state.size for state in self.services.values())
+
+    def is_empty(self, service: str) -> bool:
+        """Returns whether no request is queued for a service."""
+        state = self.services.get(service)
+        return state is None or not state.size
+
+    def enqueue(self, waiter: Waiter) -> QueuedRequest[Waiter] | Refusal:
+        """Queues a request, or returns why it is refused immediately."""
+        demand = waiter.demand
+        state = self.services[demand.service]
+        now = self.clock.monotonic()
+        self.metrics.count(f"relay.full.{waiter.no_room.limit.value}")
+        if self.stopping:
+            return self.refuse(waiter, now, self.leaving_refusal())
+        if state.size >= MAX_QUEUED:
+            return self.refuse(waiter, now, self.full_refusal(state, waiter))
+        if not state.size:
+            state.start_measuring(demand.cost, now)
+        queued = state.push(waiter)
+        late = list(self.find_late(state, now))
+        for each in late:
+            state.remove(each)
+        for each in late:
+            if each is not queued:
+                self.shed_one(state, each, now)
+        self.update_length()
+        if queued in late:
+            return self.refuse(waiter, now, self.full_refusal(state, waiter))
+        self.metrics.count("relay.queued")
+        log.info(
+            "Queued.",
+            request=demand.request_id,
+            service=demand.service,
+            workspace=demand.workspace,
+            priority=demand.priority,
+            limit=waiter.no_room.limit.value,
+            queued=state.size,
+            drain_rate=round(state.drain.rate, 1),
+            report_age_s=rounded(waiter.no_room.report_age_s),
+            left_s=round(demand.deadline - now, 3),
+        )
+        return queued
+
+    def remove(self, queued: QueuedRequest[Waiter]) -> None:
+        """Removes a request whose caller left."""
+        self.services[queued.item.demand.service].remove(queued)
+        self.metrics.count("relay.queue_left")
+        self.update_length()
+
+    def release(self, service: str) -> None:
+        """Sends queued requests for which a worker has room, in order."""
+        state = self.services.get(service)
+        if state is None or not state.size or not self.may_have_room(service):
+            return
+        passed_over: set[QueuedRequest[Waiter]] = set()
+        while len(passed_over) < MAX_PASSED_OVER:
+            queued = next_head(state, passed_over)
+            if queued is None:
+                break
+            found = queued.item.find()
+            if isinstance(found, NoRoom):
+                passed_over.add(queued)
+                continue
+            state.remove(queued)
+            if found is not None:
+                self.record_released(state, queued.item, found)
+            queued.item.resolve(found)
+        self.update_length()
+
+    def release_all(self) -> None:
+        """Releases and sheds requests of all services."""
+        for service in list(self.services):
+            self.release(service)
+        if self.clock.monotonic() - self.shed_at >= DRAIN_SAMPLE_S:
+            self.shed()
+
+    def record_released(
+        self, state: ServiceQueue, waiter: Waiter, choice: Choice
+    ) -> None:
+        """Records that a request leaves the queue for a worker."""
+        waited_s = self.clock.monotonic() - waiter.since
+        self.metrics.count("relay.queue_admitted")
+        self.metrics.timing("relay.queue_wait_s", waited_s)
+        log.info(
+            "Left the queue.",
+            request=waiter.demand.request_id,
+            service=waiter.demand.service,
+            workspace=waiter.demand.workspace,
+            worker=choice.worker.id,
+            queued=state.size,
+            waited_s=round(waited_s, 3),
+        )
+
+    # Refusals.
+
+    def find_late(
+        self, state: ServiceQueue, now: float
+    ) -> Iterator[QueuedRequest[Waiter]]:
+        """Yields the requests that can't be answered in time."""
+        before = 0.0
+        for queue in state.in_order_of_priority():
+            late = list(
+                find_unservable(
+                    queue,
+                    state.drain,
+                    lambda waiter: waiter.demand.latest_start,
+                    now,
+                    before,
+                )
+            )
+            yield from late
+            before += queue.cost - sum(each.cost for each in late)
+
+    def shed(self) -> None:
+        """Refuses queued requests that can't be answered in time any more."""
+        now = self.shed_at = self.clock.monotonic()
+        for state in self.services.values():
+            if not state.size:
+                continue
+            state.measure(0.0, now)
+            late = list(self.find_late(state, now))
+            for queued in late:
+                state.remove(queued)
+            for queued in late:
+                self.shed_one(state, queued, now)
+        self.update_length()
+
+    def shed_one(
+        self, state: ServiceQueue, queued: QueuedRequest[Waiter], now: float
+    ) -> None:
+        """Refuses a request that was queued and has been removed."""
+        self.metrics.count("relay.queue_shed")
+        refusal = self.full_refusal(state, queued.item)
+        queued.item.resolve(self.refuse(queued.item, now, refusal))
+
+    def stop(self) -> None:
+        """Refuses all queued requests, and further ones from now on."""
+        self.stopping = True
+        now = self.clock.monotonic()
+        for state in self.services.values():
+            for queue in state.in_order_of_priority():
+                for queued in [
+                    each for row in queue.waiting.values() for each in row
+                ]:
+                    state.remove(queued)
+                    refusal = self.leaving_refusal()
+                    queued.item.resolve(self.refuse(queued.item, now, refusal))
+        self.update_length()
+
+    def refuse(self, waiter: Waiter, now: float, refusal: Refusal) -> Refusal:
+        """Records a refusal and returns it."""
+        demand = waiter.demand
+        state = self.services[demand.service]
+        self.metrics.count("relay.queue_refused")
+        log.info(
+            "Refused by the queue.",
+            request=demand.request_id,
+            service=demand.service,
+            workspace=demand.workspace,
+            priority=demand.priority,
+            code=refusal.code.value,
+            limit=waiter.no_room.limit.value,
+            queued=state.size,
+            drain_rate=round(state.drain.rate, 1),
+            report_age_s=rounded(waiter.no_room.report_age_s),
+            waited_s=round(now - waiter.since, 3),
+            left_s=round(demand.deadline - now, 3),
+            retry_after_s=rounded(refusal.retry_after_s),
+        )
+        return refusal
+
+    def full_refusal(self, state: ServiceQueue, waiter: Waiter) -> Refusal:
+        """Returns the refusal of a request that can't be in time."""
+        left_s = waiter.demand.deadline - self.clock.monotonic()
+        wait_s = state.drain.wait_s(state.cost + waiter.demand.cost)
+        wait_s *= 1.0 + RETRY_JITTER * self.rng.random()
+        retry_s = min(MAX_RETRY_SHARE * left_s, max(MIN_RETRY_AFTER_S, wait_s))
+        limit = waiter.no_room.limit.value
+        return Refusal(
+            RefusalCode.QUEUE_FULL,
+            f"all workers are full: {limit}, {state.size} queued",
+            True,
+            max(0.0, retry_s),
+        )
+
+    def leaving_refusal(self) -> Refusal:
+        """Returns the refusal of a request at an entry that is stopping."""
+        return Refusal(
+            RefusalCode.DRAINING,
+            "This entry is leaving; ask another.",
+            True,
+            LEAVING_RETRY_S,
+        )
+
+    def update_length(self) -> None:
+        """Exports the number of queued requests."""
+        self.metrics.gauge("relay.queue_length", self.queued())
+
+
+def next_head(
+    state: ServiceQueue, passed_over: set[QueuedRequest[Waiter]]
+) -> QueuedRequest[Waiter] | None:
+    """Returns the request that is served next; None if none is left.
+
+    Args:
+      state: Queue and usage of the service.
+      passed_over: Requests that no worker has room for. Later requests of the
+        same workspace and priority are passed over as well.
+    """
+    for queue in state.in_order_of_priority():
+        for queued in queue.heads():
+            if queued not in passed_over:
+                return queued
+    return None
+
+
+def rounded(value: float | None) -> float | None:
+    """Returns a number of seconds rounded for a log line.
+
+    >>> rounded(0.12345), rounded(None)
+    (0.123, None)
+    """
+    return None if value is None else round(value, 3)
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -33,7 +33,14 @@
     filter_eligible,
     min_wait_s,
 )
+from rattanpier._internal.placement.fair_queue import request_cost
 from rattanpier._internal.placement.rate_limits import RateLimits
+from rattanpier._internal.placement.worker_room import (
+    RoomLimit,
+    WorkerRooms,
+    request_tokens,
+)
+from rattanpier._internal.relay.admission import EntryAdmission
 from rattanpier._internal.relay.budgets import ServiceRetryBudget
 from rattanpier._internal.relay.directory import WorkerDirectory
 from rattanpier._internal.relay.exchange import (
@@ -99,6 +106,8 @@
       quarantine: Requests under which workers crashed.
       rollouts: Roll-outs of versions.
       budgets: Upstream requests beyond the first of each request, by service.
+      rooms: What each worker has room for.
+      admission: Requests whose eligible workers are all full.
       policy: Enabled mechanisms.
       publish_prompt: Called for each prompt that is sent, with the worker's
         id, the model, the prompt and the estimated seconds to read it.
@@ -123,6 +132,8 @@
     quarantine: Quarantine
     rollouts: Rollouts
     budgets: Mapping[str, ServiceRetryBudget]
+    rooms: WorkerRooms
+    admission: EntryAdmission
     policy: Policy = DEFAULT_POLICY
     publish_prompt: Callable[[str, str, Prompt, float], None] = attrs.field(
         default=lambda _worker, _model, _prompt, _read_s: None
@@ -142,8 +153,10 @@
     def choose(self, progress: RequestProgress) -> Choice | None:
         """Returns the worker of the next upstream request, or None.
 
-        The request counts as started.
+        The request counts as started. Queued requests go first.
         """
+        if not self.admission.is_empty(progress.service):
+            self.admission.release(progress.service)
         choice = self.find_worker(progress, progress.model)
         if choice is not None:
             self.on_request_started(choice.worker)
@@ -154,9 +167,41 @@
     ) -> Choice | None:
         """Returns the worker that would run a model now, or None.
 
+        None also if all workers that are eligible are full, see
+        `RequestProgress.no_room`.
+        """
+        progress.no_room = None
+        choice = self.find_in_versions(progress, model, queued=False)
+        if choice is None and progress.no_room is None and progress.turned_away:
+            return self.find_room(progress, model)
+        return choice
+
+    def find_room(self, progress: RequestProgress, model: str) -> Choice | None:
+        """Returns a worker that has room for a request that waits, or None.
+
+        Workers that refused the request as full are eligible again.
+        """
+        progress.no_room = None
+        tried = progress.tried
+        progress.tried = tried - progress.turned_away
+        try:
+            return self.find_in_versions(progress, model, queued=True)
+        finally:
+            progress.tried = tried
+
+    def find_in_versions(
+        self, progress: RequestProgress, model: str, queued: bool
+    ) -> Choice | None:
+        """Returns a worker of the version that a request belongs to, or None.
+
         The version is decided first: if the workers of a version are excluded
         by a condition, this neither widens the exposure of the other version
         nor moves a session.
+
+        Args:
+          progress: The request.
+          model: Model to run.
+          queued: Whether only workers that have room are considered.
         """
         request = progress.request
         workers = self.directory.accepting_workers(progress.service)
@@ -168,7 +213,14 @@
         for group in (split.preferred, split.fallback):
             found = filter_eligible(self.conditions, progress, group)
             self.record_excluded(progress, group, found)
-            choice = self.chooser.choose(request, found.workers, model)
+            if self.lacks_room_at(progress, found.workers):
+                return None
+            workers = found.workers
+            if queued:
+                workers = self.rooms.open_workers(
+                    workers, request_tokens(request)
+                )
+            choice = self.chooser.choose(request, workers, model)
             if choice is not None:
                 return choice
             if request.session and not WORKER_REPORTED.isdisjoint(
@@ -178,6 +230,21 @@
                 return None
         return None
 
+    def lacks_room_at(
+        self, progress: RequestProgress, workers: Sequence[RegisteredWorker]
+    ) -> bool:
+        """Returns whether all of some workers are full, and records why.
+
+        A request that may have run can't be refused any more and is not
+        queued.
+        """
+        if not self.policy.admission or not workers or progress.may_have_run:
+            return False
+        progress.no_room = self.rooms.why_full(
+            workers, request_tokens(progress.request)
+        )
+        return progress.no_room is not None
+
     def record_excluded(
         self,
         progress: RequestProgress,
@@ -221,13 +288,34 @@
     ) -> InFlight:
         """Adds a request to those in flight at a worker.
 
+        Room that was reserved when it left the queue is used.
+
         Args:
           progress: The request.
           worker: Where it is sent.
           read_s: Estimated seconds in which the worker reads its prompt.
         """
-        suspect = self.quarantine.is_suspect(progress.request.content)
-        return self.loads.begin(worker.id, read_s, suspect)
+        if progress.reserved is not None:
+            flight, progress.reserved = progress.reserved, None
+            return flight
+        request = progress.request
+        suspect = self.quarantine.is_suspect(request.content)
+        tokens = request_tokens(request)
+        flight = self.loads.begin(worker.id, read_s, suspect, tokens)
+        flight.cost = cost_of(request)
+        if request.workspace is not None:
+            flight.workspace = request.workspace.name
+        self.rooms.record_sent(worker.service, tokens)
+        self.admission.record_sent(worker.service, flight)
+        return flight
+
+    def end_in_flight(self, worker: RegisteredWorker, flight: InFlight) -> None:
+        """Removes a request from those in flight; further calls do nothing."""
+        if flight.ended:
+            return
+        flight.ended = True
+        self.loads.end(worker.id, flight)
+        self.admission.record_ended(worker.service, flight)
 
     def may_send(self, progress: RequestProgress) -> bool:
         """Returns whether a request may be sent to another worker.
@@ -377,6 +465,8 @@
             # A process restarted at the same address has another id: the
             # requested one no longer exists although it is still registered.
             self.health.record_unreachable(worker)
+        if error.not_run and self.rooms.limit_of(worker) is RoomLimit.REFUSED:
+            progress.turned_away.add(worker.id)
         reason = "not_run" if error.not_run else "may_have_run"
         self.metrics.count(f"relay.send_failed.{reason}")
         log.info(
@@ -478,3 +568,9 @@
         progress.reason = "time ran out at the worker"
         self.record_result(progress, worker, bad=True)
         self.metrics.count("relay.late")
+
+
+def cost_of(request: RelayRequest) -> float:
+    """Returns the cost of a request in prompt tokens; 1 if it has no prompt."""
+    prompt = request.prompt
+    return max(1.0, request_cost(prompt.tokens, prompt.expected_output))
--- a/src/rattanpier/_internal/relay/drain.py
+++ b/src/rattanpier/_internal/relay/drain.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
 
@@ -33,12 +34,14 @@
       grace_s: Seconds from SIGTERM to SIGKILL.
       running: Number of requests in flight.
       begun_at: When the shutdown began, in monotonic seconds, None before.
+      on_begin: Called when the shutdown begins.
     """
 
     clock: Clock
     grace_s: float
     running: int = 0
     begun_at: float | None = None
+    on_begin: Callable[[], None] = lambda: None
 
     @property
     def leaving(self) -> bool:
@@ -57,6 +60,7 @@
         """Begins the shutdown, unless it has begun."""
         if self.begun_at is None:
             self.begun_at = self.clock.monotonic()
+            self.on_begin()
 
     def elapsed_ratio(self) -> float:
         """Returns the ratio of the time to SIGKILL that has passed."""
--- a/src/rattanpier/_internal/relay/load.py
+++ b/src/rattanpier/_internal/relay/load.py
@@ -37,11 +37,23 @@
       first_event_received: Whether its first event has been received, which
         means that the prompt has been read.
       suspect: Whether a worker crashed during the same request before.
+      tokens: Tokens that it occupies in the worker's key-value cache.
+      cost: Cost in prompt tokens, which its workspace is charged.
+      workspace: Name of its workspace, or empty.
+      began_at: When it was sent, in monotonic seconds.
+      not_run: Whether it is certain that the worker did not run it.
+      ended: Whether it has ended.
     """
 
     read_s: float = 0.0
     first_event_received: bool = False
     suspect: bool = False
+    tokens: int = 0
+    cost: float = 0.0
+    workspace: str = ""
+    began_at: float = 0.0
+    not_run: bool = False
+    ended: bool = False
 
 
 @attrs.define(eq=False, repr=False)
@@ -50,6 +62,7 @@
 
     Attributes:
       running: This entry's requests in flight there.
+      tokens: Sum of their tokens.
       report: Its last load report; None before the first.
       report_at: When the report was received, in monotonic seconds.
       own_at_report: Number of this entry's requests there at that time.
@@ -64,6 +77,7 @@
     """
 
     running: set[InFlight] = attrs.Factory(set)
+    tokens: int = 0
     report: ReportedLoad | None = None
     report_at: float = 0.0
     own_at_report: int = 0
@@ -142,21 +156,29 @@
         lambda: collections.defaultdict(WorkerLoad)
     )
 
-    def begin(self, id: str, read_s: float, suspect: bool = False) -> InFlight:
+    def begin(
+        self, id: str, read_s: float, suspect: bool = False, tokens: int = 0
+    ) -> InFlight:
         """Adds a request in flight.
 
         Args:
           id: Of the worker.
           read_s: Expected seconds to read its prompt.
           suspect: Whether a worker crashed during the same request before.
+          tokens: Tokens that it occupies in the worker's key-value cache.
         """
-        flight = InFlight(read_s, suspect=suspect)
-        self.workers[id].running.add(flight)
+        flight = InFlight(read_s, suspect=suspect, tokens=tokens)
+        load = self.workers[id]
+        load.running.add(flight)
+        load.tokens += tokens
         return flight
 
     def end(self, id: str, flight: InFlight) -> None:
         """Removes a request in flight."""
-        self.workers[id].running.discard(flight)
+        load = self.workers[id]
+        if flight in load.running:
+            load.running.remove(flight)
+            load.tokens -= flight.tokens
 
     def suspects(self, id: str) -> int:
         """Returns how many own requests at a worker may crash it."""
--- a/src/rattanpier/_internal/relay/plain_answers.py
+++ b/src/rattanpier/_internal/relay/plain_answers.py
@@ -11,6 +11,7 @@
     AnswerRefused,
     CompleteAnswer,
 )
+from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.relay.dispatch import MAX_ANSWER_BYTES, Dispatcher
 from rattanpier._internal.relay.exchange import (
     MIN_FAILURE_STATUS,
@@ -20,6 +21,7 @@
 from rattanpier._internal.relay.load import InFlight
 from rattanpier._internal.relay.placement import Choice
 from rattanpier._internal.relay.request_progress import RequestProgress
+from rattanpier._internal.relay.room_waits import wait_for_room
 
 # Share of the latency objective after which an idempotent request is hedged. A
 # later hedge could not be answered within the objective.
@@ -45,6 +47,8 @@
             break
         else:
             choice = dispatcher.choose(progress)
+            if choice is None and progress.no_room is not None:
+                choice = await wait_for_room(dispatcher, progress)
             if choice is None:
                 break
             answer = await answer_with_hedge(dispatcher, progress, choice)
@@ -80,7 +84,7 @@
     Returns:
       The answer, or None if all workers asked have failed.
     """
-    flights: list[tuple[str, InFlight]] = []
+    flights: list[tuple[RegisteredWorker, InFlight]] = []
     running = {start_request(dispatcher, progress, choice, flights)}
     try:
         if progress.request.route.idempotent and dispatcher.policy.hedges:
@@ -105,14 +109,14 @@
             task.cancel()
         # A task that was cancelled before its first step ends none itself.
         for worker, flight in flights:
-            dispatcher.loads.end(worker, flight)
+            dispatcher.end_in_flight(worker, flight)
 
 
 def start_request(
     dispatcher: Dispatcher,
     progress: RequestProgress,
     choice: Choice,
-    flights: list[tuple[str, InFlight]],
+    flights: list[tuple[RegisteredWorker, InFlight]],
 ) -> asyncio.Future[CompleteAnswer | None]:
     """Sends a request to a worker, whose load counts it from now on.
 
@@ -120,10 +124,10 @@
       dispatcher: Sends requests to workers.
       progress: Progress of the request.
       choice: Worker to ask.
-      flights: Receives the worker's id and the request in flight.
+      flights: Receives the worker and the request in flight.
     """
     flight = dispatcher.add_in_flight(progress, choice.worker, 0.0)
-    flights.append((choice.worker.id, flight))
+    flights.append((choice.worker, flight))
     return asyncio.ensure_future(
         answer_from_worker(dispatcher, progress, choice, flight)
     )
@@ -132,7 +136,7 @@
 def start_hedge(
     dispatcher: Dispatcher,
     progress: RequestProgress,
-    flights: list[tuple[str, InFlight]],
+    flights: list[tuple[RegisteredWorker, InFlight]],
 ) -> asyncio.Future[CompleteAnswer | None] | None:
     """Sends a request to a second worker, or has a peer do so.
 
@@ -192,13 +196,14 @@
         dispatcher.rollouts.end(observation, abandoned=True)
         raise
     except SendError as error:
+        in_flight.not_run = error.not_run
         await dispatcher.handle_send_error(progress, worker, error)
         return None
     except TimeoutError:
         dispatcher.record_timeout(progress, worker)
         return None
     finally:
-        dispatcher.loads.end(worker.id, in_flight)
+        dispatcher.end_in_flight(worker, in_flight)
         dispatcher.rollouts.end(observation)
     worker_answer = CompleteAnswer(head.status, copied_headers(head), body)
     bad = head.status >= MIN_FAILURE_STATUS
--- a/src/rattanpier/_internal/relay/request_progress.py
+++ b/src/rattanpier/_internal/relay/request_progress.py
@@ -16,7 +16,9 @@
     CompleteAnswer,
 )
 from rattanpier._internal.models.relay_request import RelayRequest
+from rattanpier._internal.placement.worker_room import NoRoom
 from rattanpier._internal.relay.events import EventOrder
+from rattanpier._internal.relay.load import InFlight
 
 # Workers register again within a second or two.
 NO_WORKER_RETRY_AFTER_S = 0.5
@@ -57,6 +59,12 @@
       peers_tried: Names of the entries that it was forwarded to.
       received_from_peer: Whether another entry forwarded it to this one.
       counted: Whether an entry counted it in its retry budget.
+      turned_away: Ids of workers that refused the request as full.
+      no_room: Why all workers eligible for it were full when one was last
+        selected; None if they were not.
+      reserved: Room that was reserved for it at a worker when it left the
+        queue; None if there is none.
+      queue_refusal: Refusal by the queue; None if it did not refuse.
     """
 
     request: RelayRequest
@@ -81,6 +89,10 @@
     peers_tried: set[str] = attrs.Factory(set)
     received_from_peer: bool = False
     counted: bool = False
+    turned_away: set[str] = attrs.Factory(set)
+    no_room: NoRoom | None = None
+    reserved: InFlight | None = None
+    queue_refusal: Refusal | None = None
 
     def arrived_sends(self) -> int:
         """Returns the number of upstream requests that reached a worker."""
@@ -102,6 +114,8 @@
     """
     if progress.failure is not None:
         return progress.failure
+    if progress.queue_refusal is not None and not progress.may_have_run:
+        return AnswerRefused(progress.queue_refusal, 503)
     code, status = final_code(progress, left_s)
     retry_after_s = None
     if not progress.may_have_run:
--- a/src/rattanpier/_internal/relay/stream_answers.py
+++ b/src/rattanpier/_internal/relay/stream_answers.py
@@ -33,6 +33,7 @@
 )
 from rattanpier._internal.relay.placement import Choice
 from rattanpier._internal.relay.request_progress import RequestProgress
+from rattanpier._internal.relay.room_waits import wait_for_room
 
 log = structlog.get_logger(part="dispatch")
 
@@ -65,7 +66,12 @@
     while True:
         source = next_source(dispatcher, progress)
         if source is None:
-            break
+            if progress.no_room is None:
+                break
+            choice = await wait_for_room(dispatcher, progress)
+            if choice is None:
+                break
+            source = stream_from_worker(dispatcher, progress, choice)
         async with aclosing(source) as parts:
             async for part in parts:
                 yield part
@@ -82,6 +88,8 @@
     dispatcher: Dispatcher, progress: RequestProgress
 ) -> AsyncGenerator[AnswerPart, None] | None:
     """Returns further parts of an answer, from a peer or a worker, or None."""
+    # May be set since a larger model was considered.
+    progress.no_room = None
     forwarded = dispatcher.forward_if_needed(progress)
     if forwarded is not None:
         return forwarded
@@ -177,6 +185,7 @@
     except WorkerFailedError:
         return
     except SendError as error:
+        in_flight.not_run = error.not_run
         await dispatcher.handle_send_error(progress, worker, error)
     except EventError as error:
         await dispatcher.handle_send_error(
@@ -190,7 +199,7 @@
             )
         dispatcher.record_timeout(progress, worker)
     finally:
-        dispatcher.loads.end(worker.id, in_flight)
+        dispatcher.end_in_flight(worker, in_flight)
         dispatcher.rollouts.end(observation)
         ran_s = dispatcher.clock.monotonic() - started_at
         dispatcher.chooser.record_run(request, model, ran_s, worker.slots)
