Spread and pace what is sent while workers are almost full

Cause: all entries learn of room at the same time. In virtual time, 100 entries sent 250 to 400 requests to the one worker with the shortest queue (16 to 32 slots) before the next update, so that these timed out there.

--- a/src/rattanpier/_internal/dispatch/admission.py
+++ b/src/rattanpier/_internal/dispatch/admission.py
@@ -224,7 +224,10 @@
         now = self.clock.monotonic()
         pool.drain.add(0.0, now)
         late = find_unservable(
-            pool.queue, pool.drain, lambda item: item.demand.deadline, now
+            pool.queue,
+            lambda _queued, cost: pool.drain.wait_s(cost),
+            lambda item: item.demand.deadline,
+            now,
         )
         for queued in list(late):
             pool.queue.remove(queued)
--- a/src/rattanpier/_internal/placement/drain_rate.py
+++ b/src/rattanpier/_internal/placement/drain_rate.py
@@ -73,7 +73,7 @@
 
 def find_unservable(
     queue: TokenCounterQueue[T],
-    drain: DrainMeter,
+    wait_s: Callable[[QueuedRequest[T], float], float],
     latest_start: Callable[[T], float],
     now: float,
     cost_before: float = 0.0,
@@ -84,7 +84,8 @@
 
     Args:
       queue: The queue, which must not be changed meanwhile.
-      drain: Its drain rate.
+      wait_s: Returns the seconds until a request is started, given the cost up
+        to its end.
       latest_start: Returns when a request has to be started at the latest, in
         monotonic seconds, given its item.
       now: Monotonic seconds.
@@ -92,7 +93,7 @@
     """
 
     def is_late(queued: QueuedRequest[T], cost: float) -> bool:
-        return now + drain.wait_s(cost) > latest_start(queued.item)
+        return now + wait_s(queued, cost) > latest_start(queued.item)
 
     for queued, cost in queue.in_order(is_late, cost_before):
         if is_late(queued, cost):
--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -96,9 +96,8 @@
 
     rooms = WorkerRooms(loads, engine_lookup(state))
 
-    def may_have_room(service: str) -> bool:
-        workers = state.directory.accepting_workers(service)
-        return not workers or any(map(rooms.has_room, workers))
+    def open_share(service: str) -> float:
+        return rooms.open_share(state.directory.accepting_workers(service))
 
     def forget(worker: str) -> None:
         loads.forget(worker)
@@ -207,7 +206,7 @@
         policy=settings.policy,
         rooms=rooms,
         admission=EntryAdmission(
-            clock, random.Random(settings.name), metrics, may_have_room
+            clock, random.Random(settings.name), metrics, open_share
         ),
     )
 
--- a/src/rattanpier/_internal/relay/admission.py
+++ b/src/rattanpier/_internal/relay/admission.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import random
 from collections.abc import Callable, Iterator
 
@@ -40,12 +41,22 @@
 MAX_QUEUED = 256
 COUNTER_HALF_LIFE_S = 10.0
 DURATION_HALF_LIFE_S = 10.0
+ARRIVAL_HALF_LIFE_S = 2.0
+LN_2 = math.log(2.0)
+# A request that is overtaken all the time is still served at this share of the
+# drain rate, so that its wait is finite.
+MIN_RATE_SHARE = 0.05
 # A drain rate is measured over at least this many expected ends of requests:
 # over fewer, it is mostly chance.
 ENDS_PER_SAMPLE = 2.0
 # Queued requests that are passed over because none of their workers has room,
 # before the rest of the queue is left for the next time.
 MAX_PASSED_OVER = 8
+# Rate at which queued requests are sent while all workers have room, as a
+# multiple of the drain rate; less while only some have room. All entries learn
+# of room at the same time; if each sent its whole queue, workers would be far
+# beyond full before the next reports.
+RELEASE_RATIO = 3.0
 MIN_RETRY_AFTER_S = 0.05
 RETRY_JITTER = 0.5  # Extra time at random, as a share of the wait.
 MAX_RETRY_SHARE = 1 / 3  # Of the time left; callers honor no more.
@@ -105,8 +116,11 @@
       counters: Decaying cost that was sent, by workspace.
       decayed_at: When the counters last decayed, in monotonic seconds.
       classes: Queue of each priority.
+      arrivals: Cost that was to be queued, by priority and workspace.
       drain: Rate at which this entry's requests end; measured while any are
         queued.
+      credit: Cost that may be released now; negative after a large request.
+      credit_at: When it was last updated, in monotonic seconds.
       running: Number of this entry's requests in flight.
       running_cost: Their cost.
       ended_cost: Cost of requests that ended.
@@ -117,7 +131,10 @@
     counters: dict[str, float] = attrs.Factory(dict)
     decayed_at: float = 0.0
     classes: dict[int, TokenCounterQueue[Waiter]] = attrs.Factory(dict)
+    arrivals: dict[tuple[int, str], DecayingSum] = attrs.Factory(dict)
     drain: DrainMeter = attrs.Factory(DrainMeter)
+    credit: float = 0.0
+    credit_at: float = 0.0
     running: int = 0
     running_cost: float = 0.0
     ended_cost: DecayingSum = attrs.Factory(
@@ -205,6 +222,64 @@
                 max(cost, self.running_cost) * self.ended_cost.total / total_s
             )
         self.drain = DrainMeter(rate=rate, since=now)
+        self.credit, self.credit_at = 0.0, now
+
+    def record_arrival(self, demand: Demand, now: float) -> None:
+        """Records a request that is to be queued."""
+        key = demand.priority, demand.workspace
+        if key not in self.arrivals:
+            self.arrivals[key] = DecayingSum(ARRIVAL_HALF_LIFE_S)
+        self.arrivals[key].add(demand.cost, now)
+
+    def overtaking_rate(
+        self, queued: QueuedRequest[Waiter], now: float
+    ) -> float:
+        """Returns the cost per second that arrives and overtakes a request.
+
+        That is the cost of more urgent requests, and of workspaces that were
+        served less.
+        """
+        priority, workspace = queued.item.demand.priority, queued.workspace
+        counter = self.counters.get(workspace, 0.0)
+        total = 0.0
+        for (other, name), arrived in self.arrivals.items():
+            if other > priority or (other == priority and name == workspace):
+                continue
+            if other < priority or self.counters.get(name, 0.0) < counter:
+                arrived.decay(now)
+                total += arrived.total
+        return total * LN_2 / ARRIVAL_HALF_LIFE_S
+
+    def wait_s(
+        self, queued: QueuedRequest[Waiter], cost: float, now: float
+    ) -> float:
+        """Returns the seconds until a request is expected to be sent.
+
+        Args:
+          queued: The request.
+          cost: Cost that is served up to its end.
+          now: Monotonic seconds.
+        """
+        if not self.drain.rate:
+            return 0.0
+        left = self.drain.rate - self.overtaking_rate(queued, now)
+        return cost / max(MIN_RATE_SHARE * self.drain.rate, left)
+
+    def add_credit(self, open_share: float, now: float) -> None:
+        """Adds the cost that may be released since the last call.
+
+        While the drain rate is unknown, one request may be released at a time.
+
+        Args:
+          open_share: Share of the workers that have room.
+          now: Monotonic seconds.
+        """
+        rate = RELEASE_RATIO * self.drain.rate * open_share
+        self.credit += rate * (now - self.credit_at)
+        self.credit = min(self.credit, rate * DRAIN_SAMPLE_S)
+        self.credit_at = now
+        if not rate:
+            self.credit = 1.0
 
     def measure(self, cost: float, now: float) -> None:
         """Updates the drain rate, once enough requests should have ended."""
@@ -223,8 +298,8 @@
       clock: Source of monotonic time.
       rng: Source of the jitter of `Retry-After`.
       metrics: Counters, timings and the length of the queues.
-      may_have_room: Returns whether a worker of a service may have room, so
-        that its queue is worth a look.
+      open_share: Returns the share of a service's workers that have room; 1 if
+        it has none.
       services: Queue and usage of each service.
       stopping: Whether the entry is stopping, so that nothing is queued.
       releasing: Whether `release_all` is called periodically.
@@ -234,7 +309,7 @@
     clock: Clock
     rng: random.Random
     metrics: Metrics
-    may_have_room: Callable[[str], bool] = lambda _service: True
+    open_share: Callable[[str], float] = lambda _service: 1.0
     services: dict[str, ServiceQueue] = attrs.Factory(
         lambda: collections.defaultdict(ServiceQueue)
     )
@@ -288,6 +363,7 @@
             return self.refuse(waiter, now, self.full_refusal(state, waiter))
         if not state.size:
             state.start_measuring(demand.cost, now)
+        state.record_arrival(demand, now)
         queued = state.push(waiter)
         late = list(self.find_late(state, now))
         for each in late:
@@ -322,10 +398,14 @@
     def release(self, service: str) -> None:
         """Sends queued requests for which a worker has room, in order."""
         state = self.services.get(service)
-        if state is None or not state.size or not self.may_have_room(service):
+        if state is None or not state.size:
+            return
+        share = self.open_share(service)
+        state.add_credit(share, self.clock.monotonic())
+        if not share:
             return
         passed_over: set[QueuedRequest[Waiter]] = set()
-        while len(passed_over) < MAX_PASSED_OVER:
+        while state.credit > 0 and len(passed_over) < MAX_PASSED_OVER:
             queued = next_head(state, passed_over)
             if queued is None:
                 break
@@ -335,6 +415,7 @@
                 continue
             state.remove(queued)
             if found is not None:
+                state.credit -= queued.cost
                 self.record_released(state, queued.item, found)
             queued.item.resolve(found)
         self.update_length()
@@ -374,7 +455,7 @@
             late = list(
                 find_unservable(
                     queue,
-                    state.drain,
+                    lambda queued, cost: state.wait_s(queued, cost, now),
                     lambda waiter: waiter.demand.latest_start,
                     now,
                     before,
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -36,7 +36,6 @@
 from rattanpier._internal.placement.fair_queue import request_cost
 from rattanpier._internal.placement.rate_limits import RateLimits
 from rattanpier._internal.placement.worker_room import (
-    RoomLimit,
     WorkerRooms,
     request_tokens,
 )
@@ -74,6 +73,8 @@
 # Callers that retry within a second or two are served if the drain was brief.
 DRAINED_RETRY_AFTER_S = 2.0
 MAX_ANSWER_BYTES = 16 * 2**20  # Limit of an answer that is not streamed.
+# Workers with room that are compared while others are full.
+COMPARED_WORKERS = 2
 NO_PATH_REASON = "no worker can be reached, from here or by a peer"
 
 
@@ -170,24 +171,11 @@
         None also if all workers that are eligible are full, see
         `RequestProgress.no_room`.
         """
-        progress.no_room = None
-        choice = self.find_in_versions(progress, model, queued=False)
-        if choice is None and progress.no_room is None and progress.turned_away:
-            return self.find_room(progress, model)
-        return choice
+        return self.find_in_versions(progress, model, queued=False)
 
     def find_room(self, progress: RequestProgress, model: str) -> Choice | None:
-        """Returns a worker that has room for a request that waits, or None.
-
-        Workers that refused the request as full are eligible again.
-        """
-        progress.no_room = None
-        tried = progress.tried
-        progress.tried = tried - progress.turned_away
-        try:
-            return self.find_in_versions(progress, model, queued=True)
-        finally:
-            progress.tried = tried
+        """Returns a worker that has room for a queued request, or None."""
+        return self.find_in_versions(progress, model, queued=True)
 
     def find_in_versions(
         self, progress: RequestProgress, model: str, queued: bool
@@ -201,8 +189,10 @@
         Args:
           progress: The request.
           model: Model to run.
-          queued: Whether only workers that have room are considered.
+          queued: Whether only workers that a queued request may be sent to are
+            considered.
         """
+        progress.no_room = None
         request = progress.request
         workers = self.directory.accepting_workers(progress.service)
         split = self.rollouts.split(request, progress.service, workers)
@@ -213,15 +203,8 @@
         for group in (split.preferred, split.fallback):
             found = filter_eligible(self.conditions, progress, group)
             self.record_excluded(progress, group, found)
-            if self.lacks_room_at(progress, found.workers):
-                return None
-            workers = found.workers
-            if queued:
-                workers = self.rooms.open_workers(
-                    workers, request_tokens(request)
-                )
-            choice = self.chooser.choose(request, workers, model)
-            if choice is not None:
+            choice = self.choose_by_room(progress, found.workers, model, queued)
+            if choice is not None or progress.no_room is not None:
                 return choice
             if request.session and not WORKER_REPORTED.isdisjoint(
                 found.excluded
@@ -230,20 +213,48 @@
                 return None
         return None
 
-    def lacks_room_at(
-        self, progress: RequestProgress, workers: Sequence[RegisteredWorker]
-    ) -> bool:
-        """Returns whether all of some workers are full, and records why.
+    def choose_by_room(
+        self,
+        progress: RequestProgress,
+        workers: Sequence[RegisteredWorker],
+        model: str,
+        queued: bool,
+    ) -> Choice | None:
+        """Returns one of some workers that is not full, or None.
+
+        While no worker of the service is full, it is the best one. Otherwise
+        it is the better of two with room: all entries learn of room at the same
+        time, and would all choose the same worker. Whether all of them are full
+        is recorded in the request's progress. A request that may have run can't
+        be refused any more and is not queued.
 
-        A request that may have run can't be refused any more and is not
-        queued.
+        Args:
+          progress: The request.
+          workers: The workers that are eligible for it.
+          model: Model to run.
+          queued: Whether it is queued.
         """
-        if not self.policy.admission or not workers or progress.may_have_run:
-            return False
-        progress.no_room = self.rooms.why_full(
-            workers, request_tokens(progress.request)
+        request = progress.request
+        tokens = request_tokens(request)
+        if not self.policy.admission or progress.may_have_run:
+            return self.chooser.choose(request, workers, model)
+        contended = self.rooms.is_contended(
+            progress.service,
+            self.directory.accepting_workers(progress.service),
         )
-        return progress.no_room is not None
+        if not queued and not contended:
+            choice = self.chooser.choose(request, workers, model)
+            if choice is None or self.rooms.has_room(choice.worker, tokens):
+                return choice
+        eligible = self.rooms.open_workers(workers, tokens, queued)
+        if workers and not eligible:
+            progress.no_room = self.rooms.why_full(workers, tokens)
+            return None
+        if contended:
+            eligible = workers if not queued else eligible
+            count = min(COMPARED_WORKERS, len(eligible))
+            eligible = self.chooser.rng.sample(eligible, count)
+        return self.chooser.choose(request, eligible, model)
 
     def record_excluded(
         self,
@@ -315,6 +326,8 @@
             return
         flight.ended = True
         self.loads.end(worker.id, flight)
+        if not flight.not_run:
+            self.rooms.record_ended(worker)
         self.admission.record_ended(worker.service, flight)
 
     def may_send(self, progress: RequestProgress) -> bool:
@@ -465,8 +478,6 @@
             # A process restarted at the same address has another id: the
             # requested one no longer exists although it is still registered.
             self.health.record_unreachable(worker)
-        if error.not_run and self.rooms.limit_of(worker) is RoomLimit.REFUSED:
-            progress.turned_away.add(worker.id)
         reason = "not_run" if error.not_run else "may_have_run"
         self.metrics.count(f"relay.send_failed.{reason}")
         log.info(
--- a/src/rattanpier/_internal/relay/load.py
+++ b/src/rattanpier/_internal/relay/load.py
@@ -98,6 +98,10 @@
             if not each.first_event_received
         )
 
+    def count_unread(self) -> int:
+        """Returns the number of own requests without a first event."""
+        return sum(not each.first_event_received for each in self.running)
+
     def peer_requests(self, now: float) -> tuple[float, float]:
         """Returns the numbers of running and waiting requests of peers."""
         waiting = self.waiting * report_weight(now - self.waiting_at)
@@ -113,8 +117,7 @@
           waiting: Number of requests, including those of this entry.
           at: When they were counted, in monotonic seconds.
         """
-        own = sum(not each.first_event_received for each in self.running)
-        self.waiting = max(0.0, waiting - own)
+        self.waiting = max(0.0, waiting - self.count_unread())
         self.waiting_at = at
 
 
--- a/src/rattanpier/_internal/relay/request_progress.py
+++ b/src/rattanpier/_internal/relay/request_progress.py
@@ -59,7 +59,6 @@
       peers_tried: Names of the entries that it was forwarded to.
       received_from_peer: Whether another entry forwarded it to this one.
       counted: Whether an entry counted it in its retry budget.
-      turned_away: Ids of workers that refused the request as full.
       no_room: Why all workers eligible for it were full when one was last
         selected; None if they were not.
       reserved: Room that was reserved for it at a worker when it left the
@@ -89,7 +88,6 @@
     peers_tried: set[str] = attrs.Factory(set)
     received_from_peer: bool = False
     counted: bool = False
-    turned_away: set[str] = attrs.Factory(set)
     no_room: NoRoom | None = None
     reserved: InFlight | None = None
     queue_refusal: Refusal | None = None
--- a/src/rattanpier/_internal/relay/room_waits.py
+++ b/src/rattanpier/_internal/relay/room_waits.py
@@ -119,9 +119,11 @@
     prompt = progress.request.prompt
     if not progress.request.route.streaming:
         return dispatcher.admission.services[progress.service].typical_s()
-    timings = dispatcher.chooser.timings
-    return timings.read_s(progress.model, prompt.tokens) + timings.stream_s(
-        progress.model, prompt.expected_output
+    timings, model = dispatcher.chooser.timings, progress.model
+    return (
+        timings.wait_s(model, progress.request.priority)
+        + timings.read_s(model, prompt.tokens)
+        + timings.stream_s(model, prompt.expected_output)
     )
 
 
@@ -155,7 +157,7 @@
     dispatcher: Dispatcher, progress: RequestProgress, choice: Choice
 ) -> InFlight:
     """Counts a request that leaves the queue as in flight at its worker."""
-    dispatcher.rooms.record_probe(choice.worker)
+    dispatcher.rooms.record_release(choice.worker)
     dispatcher.on_request_started(choice.worker)
     return dispatcher.add_in_flight(progress, choice.worker, choice.read_s)
 
