--- a/src/rattanpier/_internal/relay/admission.py
+++ b/src/rattanpier/_internal/relay/admission.py
@@ -58,7 +58,9 @@
 # beyond full before the next reports.
 RELEASE_RATIO = 3.0
 MIN_RETRY_AFTER_S = 0.05
-RETRY_JITTER = 0.5  # Extra time at random, as a share of the wait.
+# Share of `Retry-After` that is taken off at random, so that callers refused at
+# the same moment do not return together.
+RETRY_JITTER = 0.4
 MAX_RETRY_SHARE = 1 / 3  # Of the time left; callers honor no more.
 LEAVING_RETRY_S = 0.05  # Other entries accept the request immediately.
 
@@ -526,8 +528,8 @@
         """Returns the refusal of a request that can't be in time."""
         left_s = waiter.demand.deadline - self.clock.monotonic()
         wait_s = state.drain.wait_s(state.cost + waiter.demand.cost)
-        wait_s *= 1.0 + RETRY_JITTER * self.rng.random()
         retry_s = min(MAX_RETRY_SHARE * left_s, max(MIN_RETRY_AFTER_S, wait_s))
+        retry_s *= 1.0 - RETRY_JITTER * self.rng.random()
         limit = waiter.no_room.limit.value
         return Refusal(
             RefusalCode.QUEUE_FULL,
