--- a/src/rattanpier/_internal/relay/admission.py
+++ b/src/rattanpier/_internal/relay/admission.py
@@ -41,11 +41,12 @@
 MAX_QUEUED = 256
 COUNTER_HALF_LIFE_S = 10.0
 DURATION_HALF_LIFE_S = 10.0
-ARRIVAL_HALF_LIFE_S = 2.0
+ARRIVAL_HALF_LIFE_S = 1.0
+UNQUEUED = (-1, "")  # Ahead of every priority.
 LN_2 = math.log(2.0)
 # A request that is overtaken all the time is still served at this share of the
 # drain rate, so that its wait is finite.
-MIN_RATE_SHARE = 0.05
+MIN_RATE_SHARE = 0.3
 # A drain rate is measured over at least this many expected ends of requests:
 # over fewer, it is mostly chance.
 ENDS_PER_SAMPLE = 2.0
@@ -118,7 +119,9 @@
       counters: Decaying cost that was sent, by workspace.
       decayed_at: When the counters last decayed, in monotonic seconds.
       classes: Queue of each priority.
-      arrivals: Cost that was to be queued, by priority and workspace.
+      arrivals: Cost that arrived while requests were queued, by priority and
+        workspace; under `UNQUEUED` if it was sent without being queued.
+      formed_at: When the queue formed, in monotonic seconds.
       drain: Rate at which this entry's requests end; measured while any are
         queued.
       credit: Cost that may be released now; negative after a large request.
@@ -134,6 +137,7 @@
     decayed_at: float = 0.0
     classes: dict[int, TokenCounterQueue[Waiter]] = attrs.Factory(dict)
     arrivals: dict[tuple[int, str], DecayingSum] = attrs.Factory(dict)
+    formed_at: float = 0.0
     drain: DrainMeter = attrs.Factory(DrainMeter)
     credit: float = 0.0
     credit_at: float = 0.0
@@ -225,21 +229,25 @@
             )
         self.drain = DrainMeter(rate=rate, since=now)
         self.credit, self.credit_at = 0.0, now
+        self.arrivals.clear()
+        self.formed_at = now
 
-    def record_arrival(self, demand: Demand, now: float) -> None:
-        """Records a request that is to be queued."""
-        key = demand.priority, demand.workspace
+    def record_arrival(
+        self, priority: int, workspace: str, cost: float, now: float
+    ) -> None:
+        """Records a request that arrives while requests are queued."""
+        key = priority, workspace
         if key not in self.arrivals:
             self.arrivals[key] = DecayingSum(ARRIVAL_HALF_LIFE_S)
-        self.arrivals[key].add(demand.cost, now)
+        self.arrivals[key].add(cost, now)
 
     def overtaking_rate(
         self, queued: QueuedRequest[Waiter], now: float
     ) -> float:
         """Returns the cost per second that arrives and overtakes a request.
 
-        That is the cost of more urgent requests, and of workspaces that were
-        served less.
+        That is the cost of more urgent requests, of workspaces that were
+        served less, and of requests that are sent without being queued.
         """
         priority, workspace = queued.item.demand.priority, queued.workspace
         counter = self.counters.get(workspace, 0.0)
@@ -250,7 +258,9 @@
             if other < priority or self.counters.get(name, 0.0) < counter:
                 arrived.decay(now)
                 total += arrived.total
-        return total * LN_2 / ARRIVAL_HALF_LIFE_S
+        age_s = max(DRAIN_SAMPLE_S, now - self.formed_at)
+        seen = 1.0 - 0.5 ** (age_s / ARRIVAL_HALF_LIFE_S)
+        return total * LN_2 / (ARRIVAL_HALF_LIFE_S * seen)
 
     def wait_s(
         self, queued: QueuedRequest[Waiter], cost: float, now: float
@@ -321,10 +331,20 @@
 
     # Usage.
 
-    def record_sent(self, service: str, flight: InFlight) -> None:
-        """Records that a request is sent, and charges its workspace."""
+    def record_sent(
+        self, service: str, flight: InFlight, queued: bool = False
+    ) -> None:
+        """Records that a request is sent, and charges its workspace.
+
+        Args:
+          service: Service that it is sent to.
+          flight: The request.
+          queued: Whether it was queued.
+        """
         state = self.services[service]
         flight.began_at = self.clock.monotonic()
+        if state.size and not queued:
+            state.record_arrival(*UNQUEUED, flight.cost, flight.began_at)
         state.running += 1
         state.running_cost += flight.cost
         state.charge(flight.workspace, flight.cost, flight.began_at)
@@ -365,7 +385,9 @@
             return self.refuse(waiter, now, self.full_refusal(state, waiter))
         if not state.size:
             state.start_measuring(demand.cost, now)
-        state.record_arrival(demand, now)
+        state.record_arrival(
+            demand.priority, demand.workspace, demand.cost, now
+        )
         queued = state.push(waiter)
         late = list(self.find_late(state, now))
         for each in late:
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -295,7 +295,11 @@
         return wait_s * (1.0 + self.chooser.rng.random())
 
     def add_in_flight(
-        self, progress: RequestProgress, worker: RegisteredWorker, read_s: float
+        self,
+        progress: RequestProgress,
+        worker: RegisteredWorker,
+        read_s: float,
+        queued: bool = False,
     ) -> InFlight:
         """Adds a request to those in flight at a worker.
 
@@ -305,6 +309,7 @@
           progress: The request.
           worker: Where it is sent.
           read_s: Estimated seconds in which the worker reads its prompt.
+          queued: Whether the request just left the queue.
         """
         if progress.reserved is not None:
             flight, progress.reserved = progress.reserved, None
@@ -317,7 +322,7 @@
         if request.workspace is not None:
             flight.workspace = request.workspace.name
         self.rooms.record_sent(worker.service, tokens)
-        self.admission.record_sent(worker.service, flight)
+        self.admission.record_sent(worker.service, flight, queued)
         return flight
 
     def end_in_flight(self, worker: RegisteredWorker, flight: InFlight) -> None:
--- a/src/rattanpier/_internal/relay/room_waits.py
+++ b/src/rattanpier/_internal/relay/room_waits.py
@@ -159,7 +159,9 @@
     """Counts a request that leaves the queue as in flight at its worker."""
     dispatcher.rooms.record_release(choice.worker)
     dispatcher.on_request_started(choice.worker)
-    return dispatcher.add_in_flight(progress, choice.worker, choice.read_s)
+    return dispatcher.add_in_flight(
+        progress, choice.worker, choice.read_s, queued=True
+    )
 
 
 def cancel_reservation(
--- a/src/rattanpier/_internal/standin/platform_worker.py
+++ b/src/rattanpier/_internal/standin/platform_worker.py
@@ -337,7 +337,10 @@
         self, run: WorkerRun, fault: WorkerFault
     ) -> list[tuple[str, str]]:
         """Returns the headers of an answer."""
-        headers = [("X-Attempt-Id", run.id), ("X-Instance-Load", "1,0,8")]
+        load = "1,0,8"
+        if self.room is not None:
+            load = f"{self.running},0,{self.room}"
+        headers = [("X-Attempt-Id", run.id), ("X-Instance-Load", load)]
         if fault is not WorkerFault.NO_RECEIPT:
             headers.append(("X-Response-Signature", f"{self.id}.{run.id}"))
         if fault is WorkerFault.ENCODED:
--- a/tests/lib/full_fleet.py
+++ b/tests/lib/full_fleet.py
@@ -175,7 +175,7 @@
     workspace: str
     priority: int
     at: float
-    ended_at: float = 0.0
+    ended_at: float = -1.0
     outcome: str = "cut off"
     refusal: object = None
 
@@ -338,6 +338,12 @@
             request.arrived,
         )
         self.results.append(result)
+        try:
+            await self.read_answer(request, entry, result)
+        finally:
+            result.ended_at = self.clock.monotonic()
+
+    async def read_answer(self, request, entry, result):
         async with contextlib.aclosing(answer(entry, request)) as parts:
             async for part in parts:
                 match part:
@@ -348,7 +354,6 @@
                         result.outcome = "cut off"
                     case CompleteAnswer() | AnswerChunk():
                         result.outcome = "served"
-        result.ended_at = self.clock.monotonic()
 
     # What was seen.
 
