--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -70,6 +70,7 @@
         clock,
         settings.bounds.grace_s,
         holds_unread=lambda: bool(readers.slow),
+        on_begin=dispatcher.admission.stop,
     )
     edge = RelayEdge(
         dispatcher,
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -33,7 +33,13 @@
     filter_eligible,
     min_wait_s,
 )
+from rattanpier._internal.placement.fair_queue import request_cost
 from rattanpier._internal.placement.rate_limits import RateLimits
+from rattanpier._internal.placement.worker_room import (
+    WorkerRooms,
+    request_tokens,
+)
+from rattanpier._internal.relay.admission import EntryAdmission
 from rattanpier._internal.relay.budgets import ServiceRetryBudget
 from rattanpier._internal.relay.directory import WorkerDirectory
 from rattanpier._internal.relay.exchange import (
@@ -70,6 +76,8 @@
 # route. Each may take half a second.
 MAX_UNCONNECTED = 3
 MAX_ANSWER_BYTES = 16 * 2**20  # Limit of an answer that is not streamed.
+# Workers with room that are compared while others are full.
+COMPARED_WORKERS = 2
 NO_PATH_REASON = "no worker can be reached, from here or by a peer"
 
 
@@ -102,6 +110,8 @@
       quarantine: Requests under which workers crashed.
       rollouts: Roll-outs of versions.
       budgets: Upstream requests beyond the first of each request, by service.
+      rooms: What each worker has room for.
+      admission: Requests whose eligible workers are all full.
       policy: Enabled mechanisms.
       publish_prompt: Called for each prompt that is sent, with the worker's
         id, the model, the prompt and the estimated seconds to read it.
@@ -126,6 +136,8 @@
     quarantine: Quarantine
     rollouts: Rollouts
     budgets: Mapping[str, ServiceRetryBudget]
+    rooms: WorkerRooms
+    admission: EntryAdmission
     policy: Policy = DEFAULT_POLICY
     publish_prompt: Callable[[str, str, Prompt, float], None] = attrs.field(
         default=lambda _worker, _model, _prompt, _read_s: None
@@ -145,8 +157,10 @@
     def choose(self, progress: RequestProgress) -> Choice | None:
         """Returns the worker of the next upstream request, or None.
 
-        The request counts as started.
+        The request counts as started. Queued requests go first.
         """
+        if not self.admission.is_empty(progress.service):
+            self.admission.release(progress.service)
         choice = self.find_worker(progress, progress.model)
         if choice is not None:
             self.on_request_started(choice.worker)
@@ -157,10 +171,31 @@
     ) -> Choice | None:
         """Returns the worker that would run a model now, or None.
 
+        None also if all workers that are eligible are full, see
+        `RequestProgress.no_room`.
+        """
+        return self.find_in_versions(progress, model, queued=False)
+
+    def find_room(self, progress: RequestProgress, model: str) -> Choice | None:
+        """Returns a worker that has room for a queued request, or None."""
+        return self.find_in_versions(progress, model, queued=True)
+
+    def find_in_versions(
+        self, progress: RequestProgress, model: str, queued: bool
+    ) -> Choice | None:
+        """Returns a worker of the version that a request belongs to, or None.
+
         The version is decided first: if the workers of a version are excluded
         by a condition, this neither widens the exposure of the other version
         nor moves a session.
+
+        Args:
+          progress: The request.
+          model: Model to run.
+          queued: Whether only workers that a queued request may be sent to are
+            considered.
         """
+        progress.no_room = None
         request = progress.request
         workers = self.directory.accepting_workers(progress.service)
         split = self.rollouts.split(request, progress.service, workers)
@@ -172,8 +207,8 @@
             found = filter_eligible(self.conditions, progress, group)
             self.record_excluded(progress, group, found)
             candidates = prefer_answered(progress, found.workers)
-            choice = self.chooser.choose(request, candidates, model)
-            if choice is not None:
+            choice = self.choose_by_room(progress, candidates, model, queued)
+            if choice is not None or progress.no_room is not None:
                 return choice
             if request.session and not WORKER_REPORTED.isdisjoint(
                 found.excluded
@@ -182,6 +217,49 @@
                 return None
         return None
 
+    def choose_by_room(
+        self,
+        progress: RequestProgress,
+        workers: Sequence[RegisteredWorker],
+        model: str,
+        queued: bool,
+    ) -> Choice | None:
+        """Returns one of some workers that is not full, or None.
+
+        While no worker of the service is full, it is the best one. Otherwise
+        it is the better of two with room: all entries learn of room at the same
+        time, and would all choose the same worker. Whether all of them are full
+        is recorded in the request's progress. A request that may have run can't
+        be refused any more and is not queued.
+
+        Args:
+          progress: The request.
+          workers: The workers that are eligible for it.
+          model: Model to run.
+          queued: Whether it is queued.
+        """
+        request = progress.request
+        tokens = request_tokens(request)
+        if not self.policy.admission or progress.may_have_run:
+            return self.chooser.choose(request, workers, model)
+        contended = self.rooms.is_contended(
+            progress.service,
+            self.directory.accepting_workers(progress.service),
+        )
+        if not queued and not contended:
+            choice = self.chooser.choose(request, workers, model)
+            if choice is None or self.rooms.has_room(choice.worker, tokens):
+                return choice
+        eligible = self.rooms.open_workers(workers, tokens, queued)
+        if workers and not eligible:
+            progress.no_room = self.rooms.why_full(workers, tokens)
+            return None
+        if contended:
+            eligible = workers if not queued else eligible
+            count = min(COMPARED_WORKERS, len(eligible))
+            eligible = self.chooser.rng.sample(eligible, count)
+        return self.chooser.choose(request, eligible, model)
+
     def record_excluded(
         self,
         progress: RequestProgress,
@@ -221,17 +299,45 @@
         return wait_s * (1.0 + self.chooser.rng.random())
 
     def add_in_flight(
-        self, progress: RequestProgress, worker: RegisteredWorker, read_s: float
+        self,
+        progress: RequestProgress,
+        worker: RegisteredWorker,
+        read_s: float,
+        queued: bool = False,
     ) -> InFlight:
         """Adds a request to those in flight at a worker.
 
+        Room that was reserved when it left the queue is used.
+
         Args:
           progress: The request.
           worker: Where it is sent.
           read_s: Estimated seconds in which the worker reads its prompt.
+          queued: Whether the request just left the queue.
         """
-        suspect = self.quarantine.is_suspect(progress.request.content)
-        return self.loads.begin(worker.id, read_s, suspect)
+        if progress.reserved is not None:
+            flight, progress.reserved = progress.reserved, None
+            return flight
+        request = progress.request
+        suspect = self.quarantine.is_suspect(request.content)
+        tokens = request_tokens(request)
+        flight = self.loads.begin(worker.id, read_s, suspect, tokens)
+        flight.cost = cost_of(request)
+        if request.workspace is not None:
+            flight.workspace = request.workspace.name
+        self.rooms.record_sent(worker.service, tokens)
+        self.admission.record_sent(worker.service, flight, queued)
+        return flight
+
+    def end_in_flight(self, worker: RegisteredWorker, flight: InFlight) -> None:
+        """Removes a request from those in flight; further calls do nothing."""
+        if flight.ended:
+            return
+        flight.ended = True
+        self.loads.end(worker.id, flight)
+        if not flight.not_run:
+            self.rooms.record_ended(worker)
+        self.admission.record_ended(worker.service, flight)
 
     def may_send(self, progress: RequestProgress) -> bool:
         """Returns whether a request may be sent to another worker.
@@ -491,6 +597,12 @@
         self.metrics.count("relay.late")
 
 
+def cost_of(request: RelayRequest) -> float:
+    """Returns the cost of a request in prompt tokens; 1 if it has no prompt."""
+    prompt = request.prompt
+    return max(1.0, request_cost(prompt.tokens, prompt.expected_output))
+
+
 def prefer_answered(
     progress: RequestProgress, workers: Sequence[RegisteredWorker]
 ) -> Sequence[RegisteredWorker]:
--- a/src/rattanpier/_internal/relay/drain.py
+++ b/src/rattanpier/_internal/relay/drain.py
@@ -36,6 +36,7 @@
       holds_unread: Returns whether callers have not yet read all of their
         answers, which an exit would cut off.
       begun_at: When the shutdown began, in monotonic seconds, None before.
+      on_begin: Called when the shutdown begins.
     """
 
     clock: Clock
@@ -43,6 +44,7 @@
     running: int = 0
     holds_unread: Callable[[], bool] = lambda: False
     begun_at: float | None = None
+    on_begin: Callable[[], None] = lambda: None
 
     @property
     def leaving(self) -> bool:
@@ -61,6 +63,7 @@
         """Begins the shutdown, unless it has begun."""
         if self.begun_at is None:
             self.begun_at = self.clock.monotonic()
+            self.on_begin()
 
     def elapsed_ratio(self) -> float:
         """Returns the ratio of the time to SIGKILL that has passed."""
--- a/src/rattanpier/_internal/relay/stream_answers.py
+++ b/src/rattanpier/_internal/relay/stream_answers.py
@@ -36,6 +36,7 @@
     MIN_TIME_LEFT_S,
     RequestProgress,
 )
+from rattanpier._internal.relay.room_waits import wait_for_room
 from rattanpier._internal.relay.slow_readers import no_bytes
 from rattanpier._internal.relay.stream_deadlines import (
     FinishEstimate,
@@ -76,7 +77,12 @@
     while True:
         source = next_source(dispatcher, progress)
         if source is None:
-            break
+            if progress.no_room is None:
+                break
+            choice = await wait_for_room(dispatcher, progress)
+            if choice is None:
+                break
+            source = stream_from_worker(dispatcher, progress, choice)
         async with aclosing(source) as parts:
             async for part in parts:
                 yield part
@@ -93,6 +99,8 @@
     dispatcher: Dispatcher, progress: RequestProgress
 ) -> AsyncGenerator[AnswerPart, None] | None:
     """Returns further parts of an answer, from a peer or a worker, or None."""
+    # May be set since a larger model was considered.
+    progress.no_room = None
     forwarded = dispatcher.forward_if_needed(progress)
     if forwarded is not None:
         return forwarded
@@ -191,6 +199,7 @@
     except WorkerFailedError:
         return
     except SendError as error:
+        in_flight.not_run = error.not_run
         await dispatcher.handle_send_error(progress, worker, error)
     except EventError as error:
         await dispatcher.handle_send_error(
@@ -212,7 +221,7 @@
             finish_smaller(dispatcher, progress, worker)
     finally:
         progress.held.unread_size = no_bytes
-        dispatcher.loads.end(worker.id, in_flight)
+        dispatcher.end_in_flight(worker, in_flight)
         dispatcher.rollouts.end(observation)
         ran_s = dispatcher.clock.monotonic() - started_at
         dispatcher.chooser.record_run(request, model, ran_s, worker.slots)
