--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 
 # Prints each benchmark's tables; plots go to out/. Takes some ten minutes.
 BENCHMARKS := fairness claims hints membership configuration sessions \
-  placement_cost rollout cascade overhead
+  placement_cost engine_choice rollout cascade overhead
 
 bench: $(VENV)/.ready
 	for name in $(BENCHMARKS); do \
