--- a/src/rattanpier/_internal/relay/placement.py
+++ b/src/rattanpier/_internal/relay/placement.py
@@ -62,7 +62,8 @@
     Attributes:
       worker: The worker.
       cost: Expected seconds to the first event plus the equivalents of costs
-        for traffic and groups; for plain services, the share of slots in use.
+        for traffic and groups; for plain services, the share of slots in use,
+        with paces including this request.
       to_read: Tokens of the prompt that it has not cached.
       candidates: Number of workers that were compared.
       report_age_s: Age of its last load report in seconds, or None.
