Call a service contended only if many of its workers are

Cause: one worker with as many requests waiting as running made an entry choose among two random workers for the whole service, without cached prompts. A worker that hangs is such a worker.

Change: a quarter of the workers, and two at least.

--- a/src/rattanpier/_internal/placement/worker_room.py
+++ b/src/rattanpier/_internal/placement/worker_room.py
@@ -38,6 +38,7 @@
 FRESH_S = 0.7
 # Requests in flight per slot from which a service counts as contended.
 CONTENDED_PER_SLOT = 2.0
+MIN_CONTENDED_SHARE = 0.25  # Of a service's workers.
 CONTENTION_CHECK_S = 0.25  # Looking at 45 workers takes about 0.1 ms.
 
 
@@ -241,7 +242,9 @@
     def is_contended(
         self, service: str, workers: Sequence[RegisteredWorker]
     ) -> bool:
-        """Returns whether as many requests wait at a worker as it runs.
+        """Returns whether as many requests wait as run at many of the workers.
+
+        A single worker may be that full because it hangs.
 
         Args:
           service: The service.
@@ -251,12 +254,13 @@
         checked_at, contended = self.contended.get(service, (-math.inf, False))
         if now - checked_at >= CONTENTION_CHECK_S:
             loads = self.loads.workers
-            contended = any(
+            count = sum(
                 in_flight_per_slot(worker, loads[worker.id], now)
                 >= CONTENDED_PER_SLOT
                 for worker in workers
                 if worker.id in loads
             )
+            contended = count >= least_contended(len(workers))
             self.contended[service] = now, contended
         return contended
 
@@ -277,6 +281,15 @@
         return None if engine is None else engine.kv_tokens or None
 
 
+def least_contended(workers: int) -> float:
+    """Returns how many of a service's workers make it contended.
+
+    >>> least_contended(1), least_contended(4), least_contended(45)
+    (1.0, 2.0, 11.25)
+    """
+    return max(1.0, min(2.0, workers), MIN_CONTENDED_SHARE * workers)
+
+
 def in_flight_per_slot(
     worker: RegisteredWorker, load: WorkerLoad, now: float
 ) -> float:
--- a/tests/lib/full_fleet.py
+++ b/tests/lib/full_fleet.py
@@ -49,6 +49,7 @@
 from rattanpier._internal.relay.prompt_updates import MIN_PUBLISHED_READ_S
 from rattanpier._internal.relay.reachability import Reachability
 from rattanpier._internal.relay.rollouts import Rollouts
+from rattanpier._internal.relay.slow_readers import HeldBytes
 from rattanpier._internal.relay.termination_checks import TerminationChecks
 from rattanpier._internal.retries.quarantine import Quarantine
 from rattanpier._internal.utils.metrics import Metrics
@@ -120,7 +121,10 @@
     rest_s: float
     deadline: float
 
-    async def read_all(self, _max_bytes):
+    def unread_size(self):
+        return 0
+
+    async def read_all(self, _max_bytes, _held):
         return b"".join([piece async for piece in self.pieces()])
 
     async def pieces(self):
@@ -344,7 +348,9 @@
             result.ended_at = self.clock.monotonic()
 
     async def read_answer(self, request, entry, result):
-        async with contextlib.aclosing(answer(entry, request)) as parts:
+        async with contextlib.aclosing(
+            answer(entry, request, HeldBytes())
+        ) as parts:
             async for part in parts:
                 match part:
                     case AnswerRefused(refusal, status):
