--- a/src/rattanpier/_internal/relay/room_waits.py
+++ b/src/rattanpier/_internal/relay/room_waits.py
@@ -11,14 +11,13 @@
 from rattanpier._internal.placement.worker_room import NoRoom, request_tokens
 from rattanpier._internal.relay.admission import (
     MAX_RETRY_SHARE,
-    Demand,
     EntryAdmission,
-    Waiter,
 )
 from rattanpier._internal.relay.dispatch import Dispatcher, cost_of
 from rattanpier._internal.relay.load import InFlight
 from rattanpier._internal.relay.placement import Choice
 from rattanpier._internal.relay.request_progress import RequestProgress
+from rattanpier._internal.relay.service_queue import Demand, Waiter
 
 log = structlog.get_logger(part="admission")
 
--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -8,14 +8,16 @@
 from rattanpier._internal.models.refusal import Refusal, RefusalCode
 from rattanpier._internal.placement.worker_room import NoRoom, RoomLimit
 from rattanpier._internal.relay.admission import (
-    COUNTER_HALF_LIFE_S,
     MAX_QUEUED,
-    Demand,
     EntryAdmission,
-    Waiter,
 )
 from rattanpier._internal.relay.load import InFlight
 from rattanpier._internal.relay.placement import Choice
+from rattanpier._internal.relay.service_queue import (
+    COUNTER_HALF_LIFE_S,
+    Demand,
+    Waiter,
+)
 from rattanpier._internal.utils.metrics import Metrics
 from tests.lib.clock import ManualClock
 from tests.lib.relay_parts import make_worker
