Refuse queued requests that are too late when room is found

Change: the latest start is checked when a request would be released. The share of the time left holds for streams only, whose expected duration is an upper estimate; a plain request keeps the typical duration.

--- a/src/rattanpier/_internal/relay/admission.py
+++ b/src/rattanpier/_internal/relay/admission.py
@@ -183,6 +183,10 @@
             queued = next_head(state, passed_over)
             if queued is None:
                 break
+            if self.clock.monotonic() > queued.item.demand.latest_start:
+                state.remove(queued)
+                self.shed_one(state, queued, self.clock.monotonic())
+                continue
             found = queued.item.find()
             if isinstance(found, NoRoom):
                 passed_over.add(queued)
--- a/src/rattanpier/_internal/relay/room_waits.py
+++ b/src/rattanpier/_internal/relay/room_waits.py
@@ -24,8 +24,8 @@
 # Interval at which the queue is looked at, besides each end of a request: room
 # also appears as load reports grow old.
 RELEASE_INTERVAL_S = 0.05
-# Estimates of a request's duration may be wrong; at least this share of the
-# time left may be spent in the queue.
+# The estimate of a stream's duration is one that most streams do not exceed; at
+# least this share of the time left may be spent in the queue.
 MIN_WAIT_SHARE = 0.5
 
 
@@ -97,9 +97,9 @@
     request = progress.request
     now = dispatcher.clock.monotonic()
     left_s = dispatcher.left_s(progress)
-    wait_s = max(
-        MIN_WAIT_SHARE * left_s, left_s - expected_s(dispatcher, progress)
-    )
+    wait_s = left_s - expected_s(dispatcher, progress)
+    if request.route.streaming:
+        wait_s = max(wait_s, MIN_WAIT_SHARE * left_s)
     name = "" if request.workspace is None else request.workspace.name
     demand = Demand(
         request_id=request.id,
--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -204,6 +204,18 @@
     assert queue.admission.queued() == 0
 
 
+def test_a_request_that_is_too_late_when_room_is_found_is_refused(queue):
+    """Guards against a run that can't end before the request's deadline."""
+    queue.ask("late", left_s=1.0)
+    queue.ask("in time", left_s=5.0)
+    queue.clock.now += 1.1
+    queue.room = 2
+    queue.admission.release("s")
+    assert queue.served == ["in time"]
+    assert list(queue.refused) == ["late"]
+    assert queue.refused["late"].not_run
+
+
 def test_a_request_whose_caller_left_is_removed(queue):
     queue.ask("a")
     queue.admission.remove(queue.last)
