Log the prompt parts of requests whose worker crashed

The logs of the incident can't tell whether requests that ran at crashed workers share a part: lines name the request and the digest of its content only. The line of a crash lists the parts now, except for the last one, which belongs to the request alone.

--- a/src/rattanpier/_internal/models/relay_request.py
+++ b/src/rattanpier/_internal/models/relay_request.py
@@ -50,6 +50,11 @@
         """
         return min(self.output_hint or self.max_output, self.max_output)
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Ids of the parts that other requests may share."""
+        return tuple(part.id for part in self.parts[:-1])
+
 
 @attrs.frozen(eq=False, repr=False)
 class RelayRequest(Record):
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -537,6 +537,7 @@
             "Worker crashed during a request.",
             request=request.id,
             content=request.content,
+            parts=request.prompt.shared_part_ids,
             worker=worker.id,
         )
         self.quarantine.record_crash(request.content, worker.incarnation)
