Show that a prompt part can crash every worker

The stand-in worker crashes under requests with a given part, and streams may end with their connection, without a length or chunks.

--- a/src/rattanpier/_internal/standin/platform_worker.py
+++ b/src/rattanpier/_internal/standin/platform_worker.py
@@ -49,6 +49,12 @@
         """Id of the attempt."""
         return self.headers.get("x-attempt-id", "")
 
+    @property
+    def shared_parts(self) -> list[str]:
+        """Ids of the parts of the prompt but the last."""
+        parts = self.headers.get("x-prefix-hash", "").split(",")[:-1]
+        return [part.partition(":")[0].strip() for part in parts]
+
 
 REPORT = "/rattanpier/report"
 HEALTH = "/healthz"
@@ -77,7 +83,12 @@
         entry sends none.
       deadly: Body of requests that crash the worker when they run; none if
         empty.
+      deadly_parts: Ids of prompt parts that crash the worker when it runs a
+        request with one of them, unless it is the last part.
       crash_s: Seconds from the start of such a run to the crash.
+      crash_tail: Last bytes of the answer under which the worker crashes.
+      chunked: Whether streams are chunked; otherwise they have no length and
+        end with their connection.
       ended: Called after such a crash.
       born: Reported start time, in Unix ms; not reported if None.
       load: Load reported in answers.
@@ -112,7 +123,10 @@
     work_s: float = 0.0
     confidence: dict[str, float] = attrs.Factory(dict)
     deadly: bytes = b""
+    deadly_parts: frozenset[str] = frozenset()
     crash_s: float = CRASH_S
+    crash_tail: bytes = b""
+    chunked: bool = True
     ended: Callable[[], None] = lambda: None
     born: int | None = None
     load: str = "1,0,8"
@@ -227,7 +241,7 @@
             self.refuse(writer)
             return True
         self.runs.append(run)
-        if self.deadly and run.body == self.deadly:
+        if self.is_deadly(run):
             await self.crash(run, writer)
             return False
         if self.work_s:
@@ -245,19 +259,33 @@
             return await self.stream(run, writer, fault)
         return await self.plain(run, writer, fault)
 
+    def is_deadly(self, run: WorkerRun) -> bool:
+        """Returns whether a request crashes the worker."""
+        if self.deadly and run.body == self.deadly:
+            return True
+        return not self.deadly_parts.isdisjoint(run.shared_parts)
+
     async def crash(self, run: WorkerRun, writer: asyncio.StreamWriter) -> None:
         """Terminates as a process that a request crashes.
 
-        Answers in progress are reset; that of the request itself after its
-        head.
+        Answers in progress break off; that of the request itself after its
+        head. Connections are reset if answers are chunked, otherwise they are
+        closed in order, as by the kernel of a process that is gone.
         """
-        headers = self.own_headers(run, WorkerFault.NONE)
-        writer.write(head(200, [*headers, ("Transfer-Encoding", "chunked")]))
+        writer.write(self.stream_head(self.own_headers(run, WorkerFault.NONE)))
         await writer.drain()
         await asyncio.sleep(self.crash_s)
+        if not self.chunked:
+            writer.write(self.crash_tail)
+            self.close_connections()
         await self.stop()
         self.ended()
 
+    def close_connections(self) -> None:
+        """Closes all connections in order, after the bytes written to them."""
+        for writer in list(self.connections):
+            writer.close()
+
     async def work(
         self,
         run: WorkerRun,
@@ -318,22 +346,35 @@
         confidence = self.confidence.get(run.headers["x-model"])
         if confidence is not None:
             headers.append(("X-Confidence", str(confidence)))
-        writer.write(head(200, [*headers, ("Transfer-Encoding", "chunked")]))
+        writer.write(self.stream_head(headers))
         first = int(run.headers.get("last-event-id", "0")) + 1
         async for number in self.numbers(run, writer, first):
             event = self.make_event(run, number)
             if fault is WorkerFault.CUT and number > self.cut_after:
                 # In the middle of an event, as when a worker crashes.
-                writer.write(chunk(event[:8]))
+                writer.write(self.encode_piece(event[:8]))
                 await writer.drain()
                 await asyncio.sleep(0.02)
                 return False
-            writer.write(chunk(event))
+            writer.write(self.encode_piece(event))
             if not await self.is_read(writer):
                 return False
+        if not self.chunked:
+            writer.close()
+            return False
         writer.write(b"0\r\n\r\n")
         return await self.is_read(writer)
 
+    def stream_head(self, headers: list[tuple[str, str]]) -> bytes:
+        """Returns the head of a stream."""
+        if self.chunked:
+            headers = [*headers, ("Transfer-Encoding", "chunked")]
+        return head(200, headers)
+
+    def encode_piece(self, data: bytes) -> bytes:
+        """Returns a piece of a stream's body as it is sent."""
+        return chunk(data) if self.chunked else data
+
     def make_body(self, run: WorkerRun) -> bytes:
         """Returns the body of a plain answer."""
         return f"{self.id} ran {run.id}".encode()
--- /dev/null
+++ b/tests/relay/test_crashing_parts.py
@@ -0,0 +1,58 @@
+"""A prompt part that crashes workers is kept from them, others are served."""
+
+import random
+
+import pytest
+
+from tests.lib.crashing_parts import (
+    ALLOWED_SENDS,
+    CRASH_S,
+    SERVED_SHARE,
+    Load,
+    RestartingPool,
+    add_entries,
+    late_sends,
+    sound_calls_after,
+)
+from tests.lib.platform_site import platform_site
+
+ENTRIES = 4
+ENGINES = 9
+WARM_S = 1.5  # Of sound requests alone.
+SECONDS = 13.0
+INSIDE_EVENT = {"chunked": False, "crash_tail": b"id: 1\nda"}
+AFTER_EVENT = {"chunked": False, "crash_tail": b"id: 1\ndata: x\n\n"}
+SECOND = [("system", "bad")]
+
+CASES = {
+    "chunked": ({}, SECOND),
+    "ends inside an event": (INSIDE_EVENT, SECOND),
+    "ends after an event": (AFTER_EVENT, SECOND),
+    "first part": ({}, [("bad", "document 1"), ("bad", "document 2")]),
+    "two parts": ({}, [("system", "bad"), ("system", "worse")]),
+}
+
+
+@pytest.mark.parametrize("case", CASES)
+async def test_part_that_crashes_workers_reaches_few_of_them(case):
+    options, crashing = CASES[case]
+    deadly = frozenset({"bad", "worse"})
+    options = {
+        "deadly_parts": deadly,
+        "crash_s": CRASH_S,
+        "event_gap_s": 0.05,
+        **options,
+    }
+    async with platform_site() as site:
+        pool = RestartingPool(site, options)
+        for _ in range(ENGINES):
+            await pool.add()
+        await add_entries(site, ENTRIES)
+        load = Load(site, crashing, random.Random(case))
+        await load.run(SECONDS, WARM_S)
+        late = {part: len(late_sends(pool, part)) for part in deadly}
+        sound = sound_calls_after(load, pool, deadly)
+    assert max(late.values()) <= ALLOWED_SENDS
+    assert len(sound) >= 20
+    served = sum(call.served for call in sound)
+    assert served >= SERVED_SHARE * len(sound)
