Keep prompt parts that crash workers from them

The quarantine counted crashes by the digest of a whole request, so that a shared cause never added up, while 28 sound requests that waited at three crashed workers were held in its place.

Cause: a failure that belongs to what requests share was put down to each request alone.

A crash now counts against the parts of all answers that the worker had just begun (or, if that is known of none, of those that waited there). A part that some worker stood since is cleared; entries that know so tell the others, with a delay that lets the first one suppress the rest. Of the parts left, the one with the most crashes explains them, and a part is held from its fourth unexplained crash on, at all entries, for ten minutes. One that was stood before needs five crashes in three bursts. Crashes that a held part explains count against no content. Both interfaces use the same decision; of a chat, each message but the last is a part. Queued requests are refused when a hold begins. Rows in the store name the parts; older rows are read as before.

An answer without a length that ends with its connection looks whole although its worker crashed. It clears nothing unless the worker is seen to listen, and one without any event is broken off.

--- a/src/rattanpier/_internal/dispatch/quarantining.py
+++ b/src/rattanpier/_internal/dispatch/quarantining.py
@@ -21,7 +21,7 @@
 from rattanpier._internal.models.request import RouteRequest
 from rattanpier._internal.models.worker_crash import QuarantineUpdate
 from rattanpier._internal.peers.proto import peer_pb2
-from rattanpier._internal.retries.quarantine import Quarantine
+from rattanpier._internal.retries.quarantine import STOOD_S, Quarantine
 from rattanpier._internal.routing.placement import Target
 from rattanpier._internal.utils.codec import decode, encode
 from rattanpier._internal.utils.ports import listens
@@ -57,6 +57,46 @@
     )
 
 
+@attrs.define
+class AnswerWatch:
+    """Records whether a worker stands answering a request.
+
+    Attributes:
+      quarantine: Where it is recorded.
+      request: The request.
+      began_at: When the worker began to answer, in monotonic seconds, or None.
+      stood: Whether it went on for a while.
+    """
+
+    quarantine: Quarantine
+    request: RouteRequest
+    began_at: float | None = None
+    stood: bool = False
+
+    def age_s(self) -> float | None:
+        """Returns the seconds since the worker began to answer, or None."""
+        if self.began_at is None:
+            return None
+        return self.quarantine.clock.monotonic() - self.began_at
+
+    def record_chunk(self) -> None:
+        """Records that a piece of the answer was received."""
+        if self.began_at is None:
+            self.began_at = self.quarantine.clock.monotonic()
+        age_s = self.age_s()
+        if not self.stood and age_s is not None and age_s >= STOOD_S:
+            self.stood = True
+            self.quarantine.record_stood(
+                self.request.shared_parts, self.began_at
+            )
+
+    def record_end(self) -> None:
+        """Records that the answer was complete."""
+        self.quarantine.record_answer(
+            content_key(self.request), self.request.shared_parts, self.began_at
+        )
+
+
 @attrs.define
 class QuarantineSharing:
     """Publishes quarantine updates to peers and forwards new ones.
--- a/src/rattanpier/_internal/dispatch/upstream_dispatcher.py
+++ b/src/rattanpier/_internal/dispatch/upstream_dispatcher.py
@@ -36,6 +36,7 @@
     version_withdrawn,
 )
 from rattanpier._internal.dispatch.quarantining import (
+    AnswerWatch,
     content_key,
     has_terminated,
     request_quarantined,
@@ -134,6 +135,7 @@
                 raise upstream_failed(last_error) if last_error else no_worker()
             tried.add(target.name)
             ran_before = attempt.record_dispatch()
+            answer = AnswerWatch(self.quarantine, attempt.request)
             try:
                 source = report_result(
                     self.stream_run(target, attempt, version, may_serve),
@@ -144,13 +146,16 @@
                 )
                 async with aclosing(source):
                     async for chunk in source:
+                        answer.record_chunk()
                         if not is_already_released(chunk, released):
                             released.append(chunk)
                             yield chunk
-                self.quarantine.record_answer(content_key(attempt.request))
+                answer.record_end()
                 return
             except UpstreamError as error:
-                await self.record_failure(attempt, target, error, ran_before)
+                await self.record_failure(
+                    attempt, target, error, ran_before, answer.age_s()
+                )
                 self.check_retry(attempt.request, error, tried)
                 last_error = error
 
@@ -165,7 +170,9 @@
 
     async def check_claim(self, attempt: Attempt) -> None:
         """Raises DispatchError if the attempt may not dispatch any more."""
-        held_s = self.quarantine.remaining_s(content_key(attempt.request))
+        held_s = self.quarantine.remaining_s(
+            content_key(attempt.request), attempt.request.shared_parts
+        )
         if held_s:
             self.metrics.count("dispatch.held")
             raise request_quarantined(held_s)
@@ -182,6 +189,7 @@
         target: Target,
         error: UpstreamError,
         ran_before: bool,
+        answering_s: float | None = None,
     ) -> None:
         """Records a failed upstream request and whether it may have run.
 
@@ -190,6 +198,8 @@
           target: The worker that it was sent to.
           error: The failure.
           ran_before: The value that `attempt.record_dispatch` returned.
+          answering_s: Seconds for which the worker had been answering, None if
+            it had not begun.
         """
         self.on_failure(target.name, error)
         if error.retry_after_s:
@@ -199,7 +209,10 @@
         elif await has_terminated(target):
             self.metrics.count("dispatch.worker_ended")
             self.quarantine.record_crash(
-                content_key(attempt.request), target.name
+                content_key(attempt.request),
+                target.name,
+                attempt.request.shared_parts,
+                answering_s,
             )
 
     def choose(self, targets: list[Target]) -> Target | None:
--- a/src/rattanpier/_internal/models/relay_request.py
+++ b/src/rattanpier/_internal/models/relay_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import itertools
 
 import attrs
 
@@ -12,6 +13,9 @@
 
 Header = tuple[str, str]
 
+MAX_SHARED_PARTS = 16  # Parts of one prompt that are told apart.
+MAX_PART_ID_LENGTH = 64
+
 
 @attrs.frozen(eq=False, repr=False)
 class PromptPart(Record):
@@ -50,10 +54,17 @@
         """
         return min(self.output_hint or self.max_output, self.max_output)
 
-    @property
-    def shared_part_ids(self) -> tuple[str, ...]:
-        """Ids of the parts that other requests may share."""
-        return tuple(part.id for part in self.parts[:-1])
+    @functools.cached_property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the first parts that other requests may share, each once.
+
+        Long ids are replaced by their digests.
+        """
+        ids = dict.fromkeys(part.id for part in self.parts[:-1])
+        return tuple(
+            id if len(id) <= MAX_PART_ID_LENGTH else short_digest(id)
+            for id in itertools.islice(ids, MAX_SHARED_PARTS)
+        )
 
 
 @attrs.frozen(eq=False, repr=False)
--- a/src/rattanpier/_internal/models/request.py
+++ b/src/rattanpier/_internal/models/request.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import functools
+import json
 from typing import Any
 
 import attrs
 
+from rattanpier._internal.utils.hashing import short_digest
+
+MAX_SHARED_PARTS = 16  # Messages of one chat that are told apart.
 CHARACTERS_PER_TOKEN = 4  # Rough estimate until the engine counts tokens.
 
 
@@ -49,6 +54,17 @@
     body: dict[str, Any] = attrs.Factory(dict)
     digest: str = ""
 
+    @functools.cached_property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Digests of the first messages that other chats may share.
+
+        The last message belongs to the request alone.
+        """
+        messages = self.body.get("messages", ())[:-1]
+        texts = (json.dumps(message, sort_keys=True) for message in messages)
+        digests = dict.fromkeys(map(short_digest, texts))
+        return tuple(digests)[:MAX_SHARED_PARTS]
+
 
 def estimate_tokens(text_length: int) -> int:
     """Returns an estimate of the tokens in a text of some characters.
--- a/src/rattanpier/_internal/models/upstream_request.py
+++ b/src/rattanpier/_internal/models/upstream_request.py
@@ -81,6 +81,8 @@
         stands any number.
       rest_s: Backoff: seconds for which it asks for no requests from this
         entry.
+      framed: Whether it states a length or a transfer encoding. Without either,
+        the answer ends with its connection.
     """
 
     status: int
@@ -99,3 +101,4 @@
     leaving: bool = False
     refusals_per_s: float | None = None
     rest_s: float = 0.0
+    framed: bool = True
--- a/src/rattanpier/_internal/models/worker_crash.py
+++ b/src/rattanpier/_internal/models/worker_crash.py
@@ -15,11 +15,29 @@
       content: Digest of what the caller asked, the same for each attempt.
       worker: Incarnation of the worker.
       age_s: Seconds since the crash.
+      parts: Ids of the prompt parts that the crash may be due to; empty if
+        the worker had been answering the request for long.
+      began: Whether the worker had just begun to answer it.
     """
 
     content: str
     worker: str
     age_s: float = 0.0
+    parts: tuple[str, ...] = ()
+    began: bool = False
+
+
+@attrs.frozen(eq=False, repr=False)
+class PartProven(Record):
+    """A worker stood answering a request with a part of a prompt.
+
+    Attributes:
+      part: Id of the part.
+      age_s: Seconds since the worker began to answer.
+    """
+
+    part: str
+    age_s: float = 0.0
 
 
 @attrs.frozen(eq=False, repr=False)
@@ -56,8 +74,11 @@
       ends: Workers that crashed.
       cleared: Contents that got a complete answer after crashes under them.
       alive: Workers that were reported as crashed but found to be alive.
+      proven: Parts of prompts that workers stood, of those under which some
+        crashed.
     """
 
     ends: list[WorkerCrash] = attrs.Factory(list)
     cleared: list[ContentCleared] = attrs.Factory(list)
     alive: list[SeenAlive] = attrs.Factory(list)
+    proven: list[PartProven] = attrs.Factory(list)
--- a/src/rattanpier/_internal/platform/upstream.py
+++ b/src/rattanpier/_internal/platform/upstream.py
@@ -99,6 +99,7 @@
         rest_s=decode_backoff(head),
         refusals_per_s=decode_brittleness(head.get_all(BRITTLE)),
         leaving=any(map(read_leaving, head.get_all(LEAVING))),
+        framed=head.framed,
     )
 
 
--- a/src/rattanpier/_internal/programs/entry.py
+++ b/src/rattanpier/_internal/programs/entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 
 import aiohttp
@@ -35,6 +36,7 @@
 from rattanpier._internal.models.settings import Settings
 from rattanpier._internal.placement.backoffs import Backoffs
 from rattanpier._internal.programs.common import add_base, add_membership
+from rattanpier._internal.retries.crashing_parts import suppressed_delay_s
 from rattanpier._internal.retries.quarantine import Quarantine
 from rattanpier._internal.rollout.collect import Collector
 from rattanpier._internal.rollout.services import add_collector
@@ -253,6 +255,11 @@
         quarantine, neighbour_sender(settings.node.name, entries, links)
     )
     quarantine.on_update = sharing.schedule_publish
+    quarantine.call_later = asyncio.get_running_loop().call_later
+    rng = random.Random(settings.node.name)
+    quarantine.proof_delay_s = lambda: suppressed_delay_s(
+        len(entries()), rng.random()
+    )
     kernel.find("peer_server").on_notice("spread", sharing.receive)
     return quarantine
 
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 import socket
 from collections.abc import Callable
@@ -31,11 +32,15 @@
 from rattanpier._internal.relay.caller_writes import check_readers
 from rattanpier._internal.relay.drain import DrainState
 from rattanpier._internal.relay.edge import CallerDialect, RelayEdge
+from rattanpier._internal.relay.fleet import Fleet
+from rattanpier._internal.relay.gossip import Gossip
 from rattanpier._internal.relay.shared_state import SharedState
 from rattanpier._internal.relay.slow_readers import (
     SlowReaders,
     total_limit_bytes,
 )
+from rattanpier._internal.retries.crashing_parts import suppressed_delay_s
+from rattanpier._internal.retries.quarantine import Quarantine
 from rattanpier._internal.utils.clock import Clock, SystemClock
 from rattanpier._internal.utils.metrics import Metrics
 
@@ -98,7 +103,7 @@
         kernel, settings, fleet, state, shared_state, clock
     )
     add_forwarding(kernel, dispatcher, state, drain)
-    shared_state.quarantine.on_update = gossip.schedule_quarantine_broadcast
+    connect_quarantine(dispatcher.quarantine, gossip, fleet)
     shared_state.limits.publish = gossip.broadcast_limit
     shared_state.brittle.reports.publish = gossip.broadcast_brittle
     shared_state.brittle.publish_full = gossip.broadcast_full
@@ -122,6 +127,18 @@
     return entry
 
 
+def connect_quarantine(
+    quarantine: Quarantine, gossip: Gossip, fleet: Fleet
+) -> None:
+    """Connects the quarantine to the timers of the loop and to the peers."""
+    rng = random.Random(fleet.me.member.name)
+    quarantine.on_update = gossip.schedule_quarantine_broadcast
+    quarantine.call_later = asyncio.get_running_loop().call_later
+    quarantine.proof_delay_s = lambda: suppressed_delay_s(
+        fleet.size(), rng.random()
+    )
+
+
 def make_readers(
     settings: RelaySettings, clock: Clock, metrics: Metrics
 ) -> SlowReaders:
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -19,7 +19,10 @@
     CompleteAnswer,
 )
 from rattanpier._internal.models.relay_request import Prompt, RelayRequest
-from rattanpier._internal.models.upstream_request import UpstreamRequest
+from rattanpier._internal.models.upstream_request import (
+    AnswerHead,
+    UpstreamRequest,
+)
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.placement.backoffs import Backoffs
 from rattanpier._internal.placement.brittle_workers import BrittleWorkers
@@ -346,10 +349,7 @@
         the earlier ones reached no worker.
         """
         request = progress.request
-        progress.quarantined_s = self.quarantine.remaining_s(request.content)
-        if progress.quarantined_s:
-            self.metrics.count("relay.held")
-            progress.reason = "workers ended under this request"
+        if self.is_quarantined(progress):
             return False
         if progress.next_send_allowed:
             progress.next_send_allowed = False
@@ -371,6 +371,21 @@
             return False
         return True
 
+    def is_quarantined(self, progress: RequestProgress) -> bool:
+        """Returns whether a request is quarantined, and records it if so."""
+        request = progress.request
+        quarantine = self.quarantine
+        parts = request.prompt.shared_parts
+        progress.quarantined_s = quarantine.remaining_s(request.content, parts)
+        if not progress.quarantined_s:
+            return False
+        self.metrics.count("relay.held")
+        progress.reason = "workers ended under this request"
+        if quarantine.parts_remaining_s(parts):
+            self.metrics.count("relay.held_for_part")
+            progress.reason = "workers ended under a part of its prompt"
+        return True
+
     def may_use_own_path(self, progress: RequestProgress) -> bool:
         """Returns whether connecting to a worker from here may succeed."""
         if self.reachability.is_reachable(progress.service):
@@ -464,7 +479,9 @@
         return self.lacks_path_or_room(progress.service) and may_forward(
             progress,
             self.left_s(progress),
-            self.quarantine.remaining_s(progress.request.content),
+            self.quarantine.remaining_s(
+                progress.request.content, progress.request.prompt.shared_parts
+            ),
         )
 
     def lacks_path_or_room(self, service: str) -> bool:
@@ -516,31 +533,76 @@
         progress: RequestProgress,
         worker: RegisteredWorker,
         error: SendError,
+        in_flight: InFlight,
     ) -> None:
         """Records a failed upstream request, and whether its worker crashed."""
         if not error.not_run:
             # The crash is recorded even if the caller disconnects meanwhile.
-            await asyncio.shield(self.check_for_crash(progress.request, worker))
+            await asyncio.shield(
+                self.check_for_crash(progress.request, worker, in_flight)
+            )
         elif not error.connected:
             progress.unconnected.append(worker.id)
             await self.reachability.settle(worker.service)
         self.record_send_error(progress, worker, error)
 
     async def check_for_crash(
-        self, request: RelayRequest, worker: RegisteredWorker
-    ) -> None:
-        """Attributes a crash of a worker to a request, if it crashed."""
-        if not await self.terminations.has_terminated(worker):
-            return
+        self,
+        request: RelayRequest,
+        worker: RegisteredWorker,
+        in_flight: InFlight,
+    ) -> bool | None:
+        """Attributes a crash of a worker to a request, if it crashed.
+
+        Returns:
+          Whether the worker is running, None if that is unknown.
+        """
+        broke_at = self.clock.monotonic()
+        running = await self.terminations.is_running(worker)
+        if running is not False:
+            return running
+        began_at = in_flight.answer_began_at
+        answering_s = None if began_at is None else broke_at - began_at
         self.metrics.count("relay.worker_ended")
         log.info(
             "Worker crashed during a request.",
             request=request.id,
             content=request.content,
-            parts=request.prompt.shared_part_ids,
+            parts=request.prompt.shared_parts,
             worker=worker.id,
+            answering_s=round_for_log(answering_s),
+        )
+        self.quarantine.record_crash(
+            request.content,
+            worker.incarnation,
+            request.prompt.shared_parts,
+            answering_s,
+            self.clock.monotonic() - broke_at,
+        )
+        return False
+
+    async def record_answer(
+        self,
+        request: RelayRequest,
+        worker: RegisteredWorker,
+        head: AnswerHead,
+        in_flight: InFlight,
+    ) -> None:
+        """Records that a worker answered a request completely.
+
+        An answer without a length also ends when its worker crashes. Whether
+        it runs is checked if the answer would tell something new.
+        """
+        parts = request.prompt.shared_parts
+        if not head.framed and self.quarantine.is_news(request.content, parts):
+            running = await asyncio.shield(
+                self.check_for_crash(request, worker, in_flight)
+            )
+            if not running:
+                return
+        self.quarantine.record_answer(
+            request.content, parts, in_flight.answer_began_at
         )
-        self.quarantine.record_crash(request.content, worker.incarnation)
 
     def record_result(
         self,
--- a/src/rattanpier/_internal/relay/load.py
+++ b/src/rattanpier/_internal/relay/load.py
@@ -41,6 +41,9 @@
       cost: Cost in prompt tokens, which its workspace is charged.
       workspace: Name of its workspace, or empty.
       began_at: When it was sent, in monotonic seconds.
+      answer_began_at: When the head of its answer was received, in monotonic
+        seconds, or None.
+      stood: Whether the worker has gone on answering it for a while.
       not_run: Whether it is certain that the worker did not run it.
       ended: Whether it has ended.
     """
@@ -52,6 +55,8 @@
     cost: float = 0.0
     workspace: str = ""
     began_at: float = 0.0
+    answer_began_at: float | None = None
+    stood: bool = False
     not_run: bool = False
     ended: bool = False
 
--- a/src/rattanpier/_internal/relay/plain_answers.py
+++ b/src/rattanpier/_internal/relay/plain_answers.py
@@ -197,7 +197,7 @@
         raise
     except SendError as error:
         in_flight.not_run = error.not_run
-        await dispatcher.handle_send_error(progress, worker, error)
+        await dispatcher.handle_send_error(progress, worker, error, in_flight)
         return None
     except TimeoutError:
         dispatcher.record_timeout(progress, worker)
@@ -211,7 +211,7 @@
     dispatcher.record_result(progress, worker, bad)
     dispatcher.metrics.timing("relay.worker_s", seconds)
     if not bad:
-        dispatcher.quarantine.record_answer(request.content)
+        await dispatcher.record_answer(request, worker, head, in_flight)
         if head.load is not None and not head.load.waiting:
             # A request that had to wait shows the load, not the speed.
             dispatcher.chooser.paces.record_work(
--- a/src/rattanpier/_internal/relay/quarantine_rows.py
+++ b/src/rattanpier/_internal/relay/quarantine_rows.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 import structlog
@@ -54,17 +54,21 @@
     Attributes:
       workers: Worker incarnations that crashed while running it.
       ended_ms: When the last of them crashed, by the store's monotonic clock.
+      parts: Ids of the parts of prompts that are held; empty if it is a single
+        request that is quarantined.
     """
 
     workers: list[str]
     ended_ms: float
+    parts: tuple[str, ...] = ()
 
 
 @attrs.define(eq=False, repr=False)
 class QuarantineRows:
     """Writes the rows assigned to this entry, and applies rows that are read.
 
-    A request is identified by its content.
+    A request is identified by its content. Parts of prompts that are held have
+    a row like that of a request, with the key of the hold as its content.
 
     Attributes:
       store: Where the rows are stored.
@@ -105,13 +109,29 @@
 
     def row_value(self, content: str) -> bytes | None:
         """Returns the row of a content, or None if it is not quarantined."""
-        remaining_s = self.quarantine.remaining_s(content)
-        if not remaining_s:
+        hold = self.quarantine.holds.get(content)
+        if hold is not None:
+            return self.encode_row(
+                hold.workers, hold.last_crash, tuple(sorted(hold.parts))
+            )
+        if not self.quarantine.remaining_s(content):
             return None
-        row = QuarantineRow(
-            sorted(self.quarantine.crashes[content]),
-            self.store_clock.now_ms() - MS_PER_S * (QUARANTINE_S - remaining_s),
-        )
+        crashes = self.quarantine.crashes[content]
+        return self.encode_row(crashes, max(crashes.values()))
+
+    def encode_row(
+        self, workers: Iterable[str], ended: float, parts: tuple[str, ...] = ()
+    ) -> bytes:
+        """Returns the value of a row.
+
+        Args:
+          workers: Worker incarnations that crashed.
+          ended: When the last of them crashed, in monotonic seconds.
+          parts: Ids of the parts of prompts that are held.
+        """
+        age_s = self.clock.monotonic() - ended
+        ended_ms = self.store_clock.now_ms() - MS_PER_S * age_s
+        row = QuarantineRow(sorted(workers), ended_ms, parts)
         return encode(row).encode()
 
     def find_lost_rows(self, page: Page) -> Iterator[LostRow]:
@@ -119,7 +139,7 @@
         present = {
             row.key for row in rows_with_prefix(page, QUARANTINED_PREFIX)
         }
-        for content in self.quarantine.crashes:
+        for content in {*self.quarantine.crashes, *self.quarantine.holds}:
             value = self.row_value(content)
             if value is not None and content not in present:
                 yield LostRow(QUARANTINED_PREFIX + content, value)
@@ -163,7 +183,8 @@
             return
         age_s = max(0.0, (now_ms - stored.ended_ms) / MS_PER_S)
         ends = [
-            WorkerCrash(content, worker, age_s) for worker in stored.workers
+            WorkerCrash(content, worker, age_s, stored.parts, began=True)
+            for worker in stored.workers
         ]
         self.quarantine.apply_update(QuarantineUpdate(ends))
         if age_s >= QUARANTINE_S:
--- a/src/rattanpier/_internal/relay/room_waits.py
+++ b/src/rattanpier/_internal/relay/room_waits.py
@@ -66,6 +66,13 @@
     if isinstance(queued, Refusal):
         progress.queue_refusal = queued
         return None
+
+    def refuse_if_quarantined() -> None:
+        if not decided.done() and dispatcher.is_quarantined(progress):
+            admission.remove(queued)
+            decided.set_result(None)
+
+    dispatcher.quarantine.hold_listeners.add(refuse_if_quarantined)
     start_releasing(admission)
     try:
         outcome = await decided
@@ -73,6 +80,8 @@
         admission.remove(queued)
         cancel_reservation(dispatcher, progress, decided)
         raise
+    finally:
+        dispatcher.quarantine.hold_listeners.discard(refuse_if_quarantined)
     if isinstance(outcome, Refusal):
         progress.queue_refusal = outcome
         return None
--- a/src/rattanpier/_internal/relay/stream_answers.py
+++ b/src/rattanpier/_internal/relay/stream_answers.py
@@ -17,6 +17,7 @@
     AnswerTruncated,
     CompleteAnswer,
 )
+from rattanpier._internal.models.relay_request import RelayRequest
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.relay.dispatch import MAX_ANSWER_BYTES, Dispatcher
 from rattanpier._internal.relay.escalation import should_escalate
@@ -31,6 +32,7 @@
     SendError,
     copied_headers,
 )
+from rattanpier._internal.relay.load import InFlight
 from rattanpier._internal.relay.placement import Choice
 from rattanpier._internal.relay.request_progress import (
     MIN_TIME_LEFT_S,
@@ -45,6 +47,7 @@
     may_finish_smaller,
 )
 from rattanpier._internal.relay.stream_times import StreamTimes
+from rattanpier._internal.retries.quarantine import STOOD_S
 
 log = structlog.get_logger(part="dispatch")
 
@@ -153,6 +156,7 @@
             in_flight.first_event_received = True
             dispatcher.rollouts.record_head(observation)
             first_event_at = dispatcher.clock.monotonic()
+            in_flight.answer_began_at = first_event_at
             dispatcher.chooser.timings.record_first_event(
                 model,
                 request.priority,
@@ -173,6 +177,7 @@
                 async for event in events:
                     dispatcher.rollouts.record_event(observation)
                     times.record_event(dispatcher.clock.monotonic())
+                    record_if_stood(dispatcher, request, in_flight)
                     if not progress.head_delivered:
                         progress.head_delivered = True
                         record_first_event(
@@ -186,12 +191,12 @@
                 yield AnswerStarted(head.status, copied_headers(head))
         dispatcher.rollouts.end(observation, complete=True)
         dispatcher.record_result(progress, worker, bad=False)
-        dispatcher.quarantine.record_answer(request.content)
         dispatcher.chooser.timings.record_stream(
             model,
             request.prompt.expected_output,
             dispatcher.clock.monotonic() - first_event_at,
         )
+        await dispatcher.record_answer(request, worker, head, in_flight)
         yield AnswerCompleted()
     except (asyncio.CancelledError, GeneratorExit):
         dispatcher.rollouts.end(observation, abandoned=True)
@@ -200,10 +205,10 @@
         return
     except SendError as error:
         in_flight.not_run = error.not_run
-        await dispatcher.handle_send_error(progress, worker, error)
+        await dispatcher.handle_send_error(progress, worker, error, in_flight)
     except EventError as error:
         await dispatcher.handle_send_error(
-            progress, worker, SendError(str(error))
+            progress, worker, SendError(str(error)), in_flight
         )
     except TimeoutError:
         waited_s = dispatcher.clock.monotonic() - started_at
@@ -228,6 +233,20 @@
         record_pace(dispatcher, model, worker, times)
 
 
+def record_if_stood(
+    dispatcher: Dispatcher, request: RelayRequest, in_flight: InFlight
+) -> None:
+    """Records once if a worker goes on answering a request."""
+    began_at = in_flight.answer_began_at
+    if in_flight.stood or began_at is None:
+        return
+    if dispatcher.clock.monotonic() - began_at >= STOOD_S:
+        in_flight.stood = True
+        dispatcher.quarantine.record_stood(
+            request.prompt.shared_parts, began_at
+        )
+
+
 def record_pace(
     dispatcher: Dispatcher,
     model: str,
@@ -312,13 +331,19 @@
       TimeoutError: The deadline passed.
     """
     splitter = EventSplitter()
+    resumed = progress.order.last_number is not None
+    received = False
     async with aclosing(answer.pieces()) as pieces:
         async for piece in pieces:
             for event in splitter.feed(piece):
+                received = True
                 if progress.order.accept(event):
                     yield event
     if splitter.incomplete_event:
         raise EventError("the stream ends within an event")
+    if not (answer.head.framed or received or resumed):
+        # Its connection may have ended with the worker.
+        raise EventError("the stream ends before its first event")
 
 
 async def read_error_answer(
--- a/src/rattanpier/_internal/relay/termination_checks.py
+++ b/src/rattanpier/_internal/relay/termination_checks.py
@@ -60,20 +60,26 @@
         attrs.field(default=path_works)
     )
     terminated_at: dict[str, float] = attrs.Factory(dict)
-    checks: dict[str, asyncio.Task[bool]] = attrs.Factory(dict)
+    checks: dict[str, asyncio.Task[bool | None]] = attrs.Factory(dict)
 
     async def has_terminated(self, worker: RegisteredWorker) -> bool:
-        """Returns whether a worker's process has certainly terminated.
+        """Returns whether a worker's process has certainly terminated."""
+        return await self.is_running(worker) is False
+
+    async def is_running(self, worker: RegisteredWorker) -> bool | None:
+        """Returns whether a worker's process is running, None if unknown.
 
         Answers of a worker that share a connection break off together; they
         share one check.
         """
         if self.is_terminated(worker.incarnation):
-            return True
+            return False
         # A caller that disconnects must not cancel the check for the others.
         return await asyncio.shield(self.start_check(worker))
 
-    def start_check(self, worker: RegisteredWorker) -> asyncio.Task[bool]:
+    def start_check(
+        self, worker: RegisteredWorker
+    ) -> asyncio.Task[bool | None]:
         """Returns the check of a worker in progress, or a new one.
 
         Each entry checks for itself: to a partitioned entry it looks as if all
@@ -111,20 +117,22 @@
             each for each in workers if not self.is_terminated(each.incarnation)
         ]
 
-    async def check(self, worker: RegisteredWorker) -> bool:
-        """Returns whether no process listens at a worker's address.
+    async def check(self, worker: RegisteredWorker) -> bool | None:
+        """Returns whether a process listens at a worker's address.
 
-        A worker that can't be reached at all may still run: False. So may one
+        A worker that can't be reached at all may still run: None. So may one
         that refuses like all others of its service.
         """
         listening = await self.listens(
             worker.host, worker.port, CHECK_TIMEOUT_S
         )
         confirmed = await self.confirm_failure(worker, listening is True)
-        if listening is not False or not confirmed:
-            return False
+        if listening is not False:
+            return listening
+        if not confirmed:
+            return None
         self.record_terminated(worker.incarnation)
-        return True
+        return False
 
     def record_terminated(self, worker: str) -> None:
         """Records that the process of an incarnation terminated."""
--- a/src/rattanpier/_internal/retries/quarantine.py
+++ b/src/rattanpier/_internal/retries/quarantine.py
@@ -13,6 +13,10 @@
 a crash of a worker that is found alive, since a partitioned entry takes every
 worker that it cannot reach for crashed.
 
+Requests that differ may share a part of their prompts that crashes workers.
+Such parts are found by `crashing_parts`; requests with one are refused like a
+quarantined content, and the crashes that it explains count against no content.
+
 The module does no input or output: crashes and answers go in, a verdict comes
 out.
 """
@@ -21,17 +25,25 @@
 
 import collections
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable, Iterator
 
 import attrs
 import structlog
 
 from rattanpier._internal.models.worker_crash import (
     ContentCleared,
+    PartProven,
     QuarantineUpdate,
     SeenAlive,
     WorkerCrash,
 )
+from rattanpier._internal.retries.crashing_parts import (
+    CrashedRequest,
+    PartCrash,
+    PartHold,
+    find_holds,
+    held_s,
+)
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.hashing import stable_hash
 
@@ -52,6 +64,14 @@
 # run 16 requests each has 416.
 MAX_SUSPECTS = 1024
 MAX_ANSWERED = 512  # An entry answers some ten a second; 0.2 KB each.
+MAX_PROVEN_PARTS = 4096  # 0.2 KB each.
+# Workers that a part crashes end as they begin to answer. One that goes on for
+# this long stands it.
+STOOD_S = 1.0
+# Crashes after which an entry tells the others that workers stood a part.
+CRASHES_TO_PUBLISH_PROOF = 2
+# Requests that ran at a worker are recorded one by one when it crashes.
+REFRESH_DELAY_S = 0.02
 # Two entries' times of one event differ by the latency of the update.
 SAME_EVENT_S = 0.5
 NEVER = float("-inf")
@@ -74,6 +94,22 @@
       alive: Time at which each worker reported as crashed was found alive, by
         incarnation.
       unsent: Update that has not been published yet.
+      parts_of: Parts of the prompts of the contents that had crashes, and the
+        crashes that may be due to them, by content.
+      proven_here: When a worker last began an answer that it stood, in
+        monotonic seconds, by part; of answers at this entry.
+      proven: The same of all entries, for parts that had crashes.
+      last_crash_of: When a worker last crashed under a part, in monotonic
+        seconds, by part.
+      holds: Parts that are held, or will be unless they are proven meanwhile,
+        by key.
+      active: Keys of the holds that were announced to `on_change`.
+      hold_listeners: Called when parts begin to be held.
+      call_later: Calls a function after a number of seconds.
+      proof_delay_s: Returns the seconds for which to wait whether another
+        entry publishes the same proof.
+      refresh_scheduled: Whether `refresh` is scheduled.
+      proofs_scheduled: Whether a publication of proofs is scheduled.
     """
 
     clock: Clock
@@ -91,60 +127,165 @@
         collections.OrderedDict
     )
     unsent: QuarantineUpdate = attrs.Factory(QuarantineUpdate)
+    parts_of: dict[str, CrashedRequest] = attrs.Factory(dict)
+    proven_here: collections.OrderedDict[str, float] = attrs.Factory(
+        collections.OrderedDict
+    )
+    proven: collections.OrderedDict[str, float] = attrs.Factory(
+        collections.OrderedDict
+    )
+    last_crash_of: dict[str, float] = attrs.Factory(dict)
+    holds: dict[str, PartHold] = attrs.Factory(dict)
+    active: set[str] = attrs.Factory(set)
+    hold_listeners: set[Callable[[], None]] = attrs.Factory(set)
+    call_later: Callable[[float, Callable[[], None]], object] = attrs.field(
+        default=lambda _delay_s, call: call()
+    )
+    proof_delay_s: Callable[[], float] = lambda: 0.0
+    refresh_scheduled: bool = False
+    proofs_scheduled: bool = False
 
     # Verdicts.
 
-    def remaining_s(self, content: str) -> float:
-        """Returns the seconds that a quarantine still lasts, 0 without one."""
+    def remaining_s(self, content: str, parts: Collection[str] = ()) -> float:
+        """Returns the seconds that a quarantine still lasts, 0 without one.
+
+        Args:
+          content: Digest of the caller's request.
+          parts: Ids of the parts of its prompt that others may share.
+        """
+        if not self.crashes:
+            return 0.0
+        for_parts_s = self.parts_remaining_s(parts)
+        return for_parts_s or self.content_remaining_s(content)
+
+    def parts_remaining_s(self, parts: Collection[str]) -> float:
+        """Returns the seconds for which parts of prompts are still held."""
+        now = self.clock.monotonic()
+        return held_s(self.holds.values(), parts, now)
+
+    def content_remaining_s(self, content: str) -> float:
+        """Returns the seconds for which a content is still quarantined."""
+        found = self.crashes.get(content)
+        if found is None:
+            return 0.0
         trusted_until = self.answered.get(content, NEVER) + ANSWER_GRACE_S
         crashes = [
             at
-            for at in self.crashes.get(content, {}).values()
-            if at >= trusted_until
+            for worker, at in found.items()
+            if at >= trusted_until and not self.is_explained(worker)
         ]
         if len(crashes) < CRASHES_TO_QUARANTINE:
             return 0.0
         age_s = self.clock.monotonic() - max(crashes)
         return max(0.0, QUARANTINE_S - age_s)
 
+    def is_explained(self, worker: str) -> bool:
+        """Returns whether a worker crashed under a part that is held."""
+        return any(worker in hold.workers for hold in self.holds.values())
+
     def is_suspect(self, content: str) -> bool:
         """Returns whether a worker crashed while it ran a content."""
         return content in self.crashes
 
+    def is_news(self, content: str, parts: Iterable[str]) -> bool:
+        """Returns whether a complete answer would clear anything.
+
+        Args:
+          content: Digest of the caller's request.
+          parts: Ids of the parts of its prompt that others may share.
+        """
+        if content in self.crashes:
+            return True
+        return any(
+            self.proven_here.get(part, NEVER)
+            <= self.last_crash_of.get(part, NEVER)
+            for part in parts
+        )
+
     def explains_crash(self, worker: str) -> bool:
         """Returns whether a worker crashed under a content that crashed others.
 
         Args:
           worker: Incarnation of the worker.
         """
-        return any(
+        return self.is_explained(worker) or any(
             worker in crashes and len(crashes) > 1
             for crashes in self.crashes.values()
         )
 
     # Observations of this entry.
 
-    def record_crash(self, content: str, worker: str) -> None:
+    def record_crash(
+        self,
+        content: str,
+        worker: str,
+        parts: Iterable[str] = (),
+        answering_s: float | None = None,
+        age_s: float = 0.0,
+    ) -> None:
         """Records that a worker crashed while it ran a content.
 
         Args:
           content: Digest of the caller's request.
           worker: Incarnation of the worker.
+          parts: Ids of the parts of its prompt that others may share.
+          answering_s: Seconds for which the worker had been answering it, None
+            if it had not begun.
+          age_s: Seconds since the crash.
         """
-        crash = WorkerCrash(content, worker)
+        if answering_s is not None and answering_s >= STOOD_S:
+            parts = ()
+        crash = WorkerCrash(
+            content,
+            worker,
+            age_s,
+            tuple(parts),
+            began=answering_s is not None,
+        )
         if self.add_crash(crash):
+            self.schedule_refresh()
             self.unsent.ends.append(crash)
             self.on_update()
 
-    def record_answer(self, content: str) -> None:
-        """Records that a content was answered completely."""
+    def record_stood(self, parts: Iterable[str], began_at: float) -> None:
+        """Records that a worker stood answering a request.
+
+        Args:
+          parts: Ids of the parts of its prompt that others may share.
+          began_at: When the worker began to answer, in monotonic seconds.
+        """
+        for part in parts:
+            known = self.proven_here.get(part, NEVER)
+            self.proven_here[part] = max(known, began_at)
+            self.proven_here.move_to_end(part)
+            if known < self.last_crash_of.get(part, NEVER):
+                self.schedule_refresh()
+        while len(self.proven_here) > MAX_PROVEN_PARTS:
+            self.proven_here.popitem(last=False)
+
+    def record_answer(
+        self,
+        content: str,
+        parts: Iterable[str] = (),
+        began_at: float | None = None,
+    ) -> None:
+        """Records that a content was answered completely.
+
+        Args:
+          content: Digest of the caller's request.
+          parts: Ids of the parts of its prompt that others may share.
+          began_at: When the worker began to answer, in monotonic seconds.
+        """
         now = self.clock.monotonic()
+        self.record_stood(parts, now if began_at is None else began_at)
         self.answered[content] = now
         self.answered.move_to_end(content)
         while len(self.answered) > MAX_ANSWERED:
             self.answered.popitem(last=False)
         if content in self.crashes:
             self.clear(content, now)
+            self.schedule_refresh()
             self.unsent.cleared.append(ContentCleared(content))
             self.on_update()
 
@@ -156,6 +297,7 @@
           at: When it was alive, in monotonic seconds.
         """
         if self.refute_crashes(worker, at):
+            self.schedule_refresh()
             age_s = self.clock.monotonic() - at
             self.unsent.alive.append(SeenAlive(worker, age_s))
             self.on_update()
@@ -181,7 +323,7 @@
         now = self.clock.monotonic()
         return QuarantineUpdate(
             [
-                WorkerCrash(content, worker, now - at)
+                self.crash_message(content, worker, now - at)
                 for content, crashes in self.crashes.items()
                 for worker, at in crashes.items()
             ],
@@ -190,8 +332,20 @@
                 for content, at in self.cleared.items()
             ],
             [SeenAlive(worker, now - at) for worker, at in self.alive.items()],
+            [PartProven(part, now - at) for part, at in self.proven.items()],
         )
 
+    def crash_message(
+        self, content: str, worker: str, age_s: float
+    ) -> WorkerCrash:
+        """Returns a stored crash in the form in which it is published."""
+        request = self.parts_of.get(content)
+        crash = None if request is None else request.crashes.get(worker)
+        if request is None or crash is None:
+            return WorkerCrash(content, worker, age_s)
+        parts = tuple(sorted(request.parts))
+        return WorkerCrash(content, worker, age_s, parts, crash.began)
+
     def apply_update(self, update: QuarantineUpdate) -> QuarantineUpdate:
         """Applies an update from a peer; returns the part that was new."""
         new = QuarantineUpdate()
@@ -210,9 +364,16 @@
                 seen.worker, now - seen.age_s
             ):
                 new.alive.append(seen)
+        for proof in update.proven:
+            if 0.0 <= proof.age_s < QUARANTINE_S and self.add_proof(
+                proof.part, now - proof.age_s
+            ):
+                new.proven.append(proof)
         for crash in update.ends:
             if 0.0 <= crash.age_s < QUARANTINE_S and self.add_crash(crash):
                 new.ends.append(crash)
+        if new != QuarantineUpdate():
+            self.schedule_refresh()
         for worker in {crash.worker for crash in new.ends}:
             self.on_peer_crash(worker)
         return new
@@ -224,6 +385,8 @@
         for content, crashes in self.crashes.items():
             for worker in crashes:
                 digest ^= stable_hash(f"{content}/{worker}")
+        for part in self.proven:
+            digest ^= stable_hash(f"proven/{part}")
         return digest
 
     # Stored state.
@@ -240,6 +403,7 @@
             return False
         crashes[crash.worker] = at
         self.crashes[crash.content] = crashes
+        self.add_part_crash(crash, at)
         self.limit_suspects(MAX_SUSPECTS)
         if len(crashes) == CRASHES_TO_QUARANTINE and self.remaining_s(
             crash.content
@@ -253,6 +417,130 @@
             self.on_change(crash.content)
         return True
 
+    def add_part_crash(self, crash: WorkerCrash, at: float) -> None:
+        """Stores that a crash may be due to the parts of a prompt."""
+        if not crash.parts:
+            return
+        request = self.parts_of.get(crash.content)
+        if request is None:
+            request = CrashedRequest(frozenset(crash.parts))
+            self.parts_of[crash.content] = request
+        request.crashes[crash.worker] = PartCrash(at, crash.began)
+        for part in request.parts:
+            last = self.last_crash_of.get(part, NEVER)
+            self.last_crash_of[part] = max(at, last)
+
+    def add_proof(self, part: str, at: float) -> bool:
+        """Stores that a worker stood a part; returns whether that is new."""
+        if at <= self.proven.get(part, NEVER) + SAME_EVENT_S:
+            return False
+        self.proven[part] = at
+        self.proven.move_to_end(part)
+        while len(self.proven) > MAX_SUSPECTS:
+            self.proven.popitem(last=False)
+        return True
+
+    # Parts of prompts.
+
+    def schedule_refresh(self) -> None:
+        """Schedules `refresh` after all changes of this moment."""
+        if not self.refresh_scheduled:
+            self.refresh_scheduled = True
+            self.call_later(REFRESH_DELAY_S, self.refresh)
+
+    def refresh(self) -> None:
+        """Decides anew which parts are held and what peers may lack."""
+        self.refresh_scheduled = False
+        self.schedule_proofs()
+        self.update_holds()
+
+    def schedule_proofs(self) -> None:
+        """Schedules the publication of proofs that other entries may lack."""
+        if self.proofs_scheduled or not any(self.unpublished_proofs()):
+            return
+        self.proofs_scheduled = True
+        self.call_later(self.proof_delay_s(), self.publish_proofs)
+
+    def publish_proofs(self) -> None:
+        """Publishes the proofs that no other entry has published meanwhile."""
+        self.proofs_scheduled = False
+        now = self.clock.monotonic()
+        found = list(self.unpublished_proofs())
+        for part, at in found:
+            self.add_proof(part, at)
+            self.unsent.proven.append(PartProven(part, now - at))
+        if found:
+            self.update_holds()
+            self.on_update()
+
+    def unpublished_proofs(self) -> Iterator[tuple[str, float]]:
+        """Yields the parts that workers stood here despite crashes elsewhere.
+
+        A first proof is published also if it is older than the crashes, since a
+        part that was never proven is held sooner.
+        """
+        crashes = collections.Counter(
+            (part, worker)
+            for request in self.parts_of.values()
+            for part in request.parts & self.proven_here.keys()
+            for worker, crash in request.crashes.items()
+            if part not in self.proven
+            or self.proven[part] < crash.at <= self.proven_here[part]
+        )
+        counts = collections.Counter(part for part, _worker in crashes)
+        oldest = self.clock.monotonic() - QUARANTINE_S
+        for part, count in counts.items():
+            at = self.proven_here[part]
+            if count >= CRASHES_TO_PUBLISH_PROOF and at > oldest:
+                yield part, at
+
+    def update_holds(self) -> None:
+        """Finds the parts that crash workers, and announces changes."""
+        now = self.clock.monotonic()
+        holds = {}
+        if self.parts_of:
+            proven = {
+                part: max(at, self.proven.get(part, NEVER))
+                for part, at in self.proven_here.items()
+            }
+            proven = {**self.proven, **proven}
+            found = find_holds(self.parts_of.values(), proven)
+            holds = {hold.key: hold for hold in found}
+        self.holds = holds
+        for hold in holds.values():
+            if hold.since > now:
+                self.call_later(hold.since - now, self.announce_holds)
+        self.announce_holds()
+
+    def announce_holds(self) -> None:
+        """Logs and reports the holds that began or ended early."""
+        now = self.clock.monotonic()
+        active = {key for key, hold in self.holds.items() if hold.since <= now}
+        began = active - self.active
+        for key in began:
+            hold = self.holds[key]
+            log.warning(
+                "Parts of prompts quarantined.",
+                parts=sorted(hold.parts),
+                key=key,
+                workers=sorted(hold.workers),
+                hold_s=hold.hold_s,
+            )
+        for key in self.active - active:
+            log.info("Parts of prompts released.", key=key)
+        changed, self.active = self.active ^ active, active
+        for key in changed:
+            self.on_change(key)
+        if began:
+            # Those of which the parts explain crashes are released.
+            for content, crashes in self.crashes.items():
+                if len(crashes) >= CRASHES_TO_QUARANTINE:
+                    self.on_change(content)
+            for listener in list(self.hold_listeners):
+                listener()
+
+    # Removal.
+
     def clear(self, content: str, at: float) -> None:
         """Drops the crashes of a content up to just after a complete answer.
 
@@ -273,6 +561,7 @@
         }
         if later:
             self.crashes[content] = later
+        self.keep_part_crashes(content, later)
         log.info(
             "Quarantine record cleared by a complete answer.",
             content=content,
@@ -308,6 +597,7 @@
         del crashes[worker]
         if not crashes:
             del self.crashes[content]
+        self.keep_part_crashes(content, crashes)
         log.info(
             "Crash report refuted.",
             content=content,
@@ -317,6 +607,16 @@
         if was_quarantined and len(crashes) < CRASHES_TO_QUARANTINE:
             self.on_change(content)
 
+    def keep_part_crashes(self, content: str, workers: Collection[str]) -> None:
+        """Drops the crashes of a content's parts but those of some workers."""
+        request = self.parts_of.get(content)
+        if request is None:
+            return
+        for worker in request.crashes.keys() - workers:
+            del request.crashes[worker]
+        if not request.crashes:
+            del self.parts_of[content]
+
     def drop_old(self) -> None:
         """Drops contents whose last crash is too old to count."""
         oldest = self.clock.monotonic() - QUARANTINE_S
@@ -328,19 +628,28 @@
         for content, at in list(self.cleared.items()):
             if at <= oldest:
                 del self.cleared[content]
-        for worker, at in list(self.alive.items()):
-            if at <= oldest:
-                del self.alive[worker]
+        for known in (self.alive, self.proven):
+            for name, at in list(known.items()):
+                if at <= oldest:
+                    del known[name]
 
     def limit_suspects(self, max_count: int) -> None:
-        """Drops the contents with the fewest, then oldest, crashes."""
+        """Drops the contents with the fewest, then oldest, crashes.
+
+        Those that show which parts of prompts are held are kept longest.
+        """
         surplus = len(self.crashes) - max_count
         if surplus <= 0:
             return
+        held = [hold.parts for hold in self.holds.values()]
 
-        def priority(content: str) -> tuple[int, float]:
+        def priority(content: str) -> tuple[bool, int, float]:
             crashes = self.crashes[content]
-            return len(crashes), max(crashes.values())
+            request = self.parts_of.get(content)
+            shows = request is not None and any(
+                parts <= request.parts for parts in held
+            )
+            return shows, len(crashes), max(crashes.values())
 
         self.drop(sorted(self.crashes, key=priority)[:surplus])
 
@@ -348,3 +657,6 @@
         """Drops the crashes of contents."""
         for content in list(contents):
             del self.crashes[content]
+            self.parts_of.pop(content, None)
+        if not self.parts_of:
+            self.last_crash_of.clear()
