Count crashes also while most workers of a service are down

Callers kept losing workers to two parts at once: of some twenty crashes only a third was counted, so that the second part was held 6 s after its fifth one.

Cause: a worker that refuses connections counts as crashed only if another one of its service can be reached, since an interrupted path looks the same. For that, four workers are tried. Workers that crashed stay registered for three heartbeats: 24 were registered where nine ran, so that four tries often met ghosts, the service was taken to be out of reach, and crashes were dropped.

Workers that are known to have terminated are no evidence on the path any more. Answers that broke off at a worker whose end can't be confirmed are kept, and attributed once another worker of its service is reached and it still refuses.

--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -4,7 +4,7 @@
 
 import functools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from rattanpier._internal.models.relay_settings import RelaySettings
 from rattanpier._internal.models.route_table import EngineSpec, RouteTable
@@ -58,9 +58,15 @@
     loads = Loads(clock)
     timings = ModelTimings(clock)
     state.tables.subscribe(lambda table: apply_prices(timings, table))
+
+    def running_workers(service: str) -> Sequence[RegisteredWorker]:
+        # Crashed workers stay registered for seconds and would look like a
+        # path that is interrupted.
+        return terminations.running(state.directory.accepting_workers(service))
+
     reachability = Reachability(
         clock,
-        state.directory.accepting_workers,
+        running_workers,
         state.directory.services,
         random.Random(settings.name),
         entries_without_path=fleet.count_without_path,
@@ -82,6 +88,7 @@
         HEARTBEATS_TO_EXPIRY * settings.heartbeat_s,
         confirm_failure=reachability.confirm_failure,
     )
+    reachability.on_reachable = terminations.check_unconfirmed
     quarantine = Quarantine(clock)
     shares = SharedRates(fleet, clock)
     warm_ups = make_warm_ups(settings, state, shares)
@@ -185,7 +192,7 @@
             ),
         ),
     )
-    return Dispatcher(
+    dispatcher = Dispatcher(
         clock=clock,
         metrics=metrics,
         directory=state.directory,
@@ -221,6 +228,8 @@
             clock, random.Random(settings.name), metrics, open_share
         ),
     )
+    terminations.on_terminated = dispatcher.attribute_crash
+    return dispatcher
 
 
 def engine_lookup(state: RelayState) -> Callable[[str], EngineSpec | None]:
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -69,6 +69,7 @@
 from rattanpier._internal.retries.quarantine import Quarantine
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.metrics import Metrics
+from rattanpier._internal.utils.record import Record
 
 log = structlog.get_logger(part="dispatch")
 
@@ -84,6 +85,24 @@
 NO_PATH_REASON = "no worker can be reached, from here or by a peer"
 
 
+@attrs.frozen(eq=False, repr=False)
+class BrokenAnswer(Record):
+    """An answer that broke off, perhaps because its worker crashed.
+
+    Attributes:
+      request: The request.
+      worker: Id of the worker.
+      broke_at: When it broke off, in monotonic seconds.
+      answering_s: Seconds for which the worker had been answering it, None if
+        it had not begun.
+    """
+
+    request: RelayRequest
+    worker: str
+    broke_at: float
+    answering_s: float | None
+
+
 @attrs.define(eq=False, repr=False)
 class Dispatcher:
     """The components of this entry that answering a request depends on.
@@ -116,6 +135,8 @@
       rooms: What each worker has room for.
       admission: Requests whose eligible workers are all full.
       policy: Enabled mechanisms.
+      broken_answers: Answers that broke off at workers of which it is not
+        known whether they crashed, by incarnation.
       publish_prompt: Called for each prompt that is sent, with the worker's
         id, the model, the prompt and the estimated seconds to read it.
     """
@@ -142,6 +163,7 @@
     rooms: WorkerRooms
     admission: EntryAdmission
     policy: Policy = DEFAULT_POLICY
+    broken_answers: dict[str, list[BrokenAnswer]] = attrs.Factory(dict)
     publish_prompt: Callable[[str, str, Prompt, float], None] = attrs.field(
         default=lambda _worker, _model, _prompt, _read_s: None
     )
@@ -557,29 +579,52 @@
         Returns:
           Whether the worker is running, None if that is unknown.
         """
-        broke_at = self.clock.monotonic()
-        running = await self.terminations.is_running(worker)
-        if running is not False:
-            return running
+        now = self.clock.monotonic()
         began_at = in_flight.answer_began_at
-        answering_s = None if began_at is None else broke_at - began_at
-        self.metrics.count("relay.worker_ended")
-        log.info(
-            "Worker crashed during a request.",
-            request=request.id,
-            content=request.content,
-            parts=request.prompt.shared_parts,
-            worker=worker.id,
-            answering_s=round_for_log(answering_s),
-        )
-        self.quarantine.record_crash(
-            request.content,
-            worker.incarnation,
-            request.prompt.shared_parts,
-            answering_s,
-            self.clock.monotonic() - broke_at,
-        )
-        return False
+        answering_s = None if began_at is None else now - began_at
+        broken = BrokenAnswer(request, worker.id, now, answering_s)
+        self.add_broken_answer(worker.incarnation, broken)
+        running = await self.terminations.is_running(worker)
+        if running is False:
+            # Other checks may have found before that it terminated.
+            self.attribute_crash(worker.incarnation)
+        elif worker.incarnation not in self.terminations.unconfirmed:
+            self.broken_answers.pop(worker.incarnation, None)
+        return running
+
+    def add_broken_answer(self, worker: str, broken: BrokenAnswer) -> None:
+        """Keeps an answer that broke off for as long as crashes are checked."""
+        oldest = broken.broke_at - self.terminations.expiry_s
+        for known, answers in list(self.broken_answers.items()):
+            if answers[-1].broke_at < oldest:
+                del self.broken_answers[known]
+        self.broken_answers.setdefault(worker, []).append(broken)
+
+    def attribute_crash(self, worker: str) -> None:
+        """Attributes a worker's crash to the requests that ran there.
+
+        Args:
+          worker: Incarnation of the worker.
+        """
+        for broken in self.broken_answers.pop(worker, ()):
+            request = broken.request
+            parts = request.prompt.shared_parts
+            self.metrics.count("relay.worker_ended")
+            log.info(
+                "Worker crashed during a request.",
+                request=request.id,
+                content=request.content,
+                parts=parts,
+                worker=broken.worker,
+                answering_s=round_for_log(broken.answering_s),
+            )
+            self.quarantine.record_crash(
+                request.content,
+                worker,
+                parts,
+                broken.answering_s,
+                self.clock.monotonic() - broken.broke_at,
+            )
 
     async def record_answer(
         self,
--- a/src/rattanpier/_internal/relay/reachability.py
+++ b/src/rattanpier/_internal/relay/reachability.py
@@ -59,13 +59,15 @@
 
     Attributes:
       clock: Source of monotonic time.
-      workers_of: Returns the workers of a service that accept requests.
+      workers_of: Returns the workers of a service that accept requests and are
+        not known to have terminated.
       services: Returns the services that have registered workers.
       rng: Random source that selects the workers to probe.
       listens: Returns whether a process listens at a host and port, within a
         timeout in seconds; None if unknown.
       entries_without_path: Returns how many entries can't reach a service.
       on_unreachable: Called with a service that can't be reached any more.
+      on_reachable: Called with a service that can be reached again.
       on_change: Called when a service became reachable or unreachable.
       paths: Results of connecting, by service.
       partitioned_at: When no service could be reached last, in monotonic
@@ -80,6 +82,7 @@
     listens: Callable[[str, int, float], Awaitable[bool | None]] = listens
     entries_without_path: Callable[[str], int] = lambda _service: 1
     on_unreachable: Callable[[str], None] = lambda _service: None
+    on_reachable: Callable[[str], None] = lambda _service: None
     on_change: Callable[[], None] = lambda: None
     paths: dict[str, ServicePath] = attrs.Factory(dict)
     partitioned_at: float = float("-inf")
@@ -242,6 +245,7 @@
             service=service,
             after_s=round(self.clock.monotonic() - since, 3),
         )
+        self.on_reachable(service)
         self.on_change()
 
     # Recovery.
--- a/src/rattanpier/_internal/relay/termination_checks.py
+++ b/src/rattanpier/_internal/relay/termination_checks.py
@@ -51,6 +51,10 @@
       terminated_at: When each worker was found to have terminated, in monotonic
         seconds, by incarnation.
       checks: Checks in progress, by incarnation.
+      unconfirmed: Workers that refused connections while no other worker of
+        their service could be reached, by incarnation.
+      on_terminated: Called with each incarnation that was found to have
+        terminated.
     """
 
     clock: Clock
@@ -61,6 +65,8 @@
     )
     terminated_at: dict[str, float] = attrs.Factory(dict)
     checks: dict[str, asyncio.Task[bool | None]] = attrs.Factory(dict)
+    unconfirmed: dict[str, RegisteredWorker] = attrs.Factory(dict)
+    on_terminated: Callable[[str], None] = lambda _worker: None
 
     async def has_terminated(self, worker: RegisteredWorker) -> bool:
         """Returns whether a worker's process has certainly terminated."""
@@ -127,13 +133,21 @@
             worker.host, worker.port, CHECK_TIMEOUT_S
         )
         confirmed = await self.confirm_failure(worker, listening is True)
+        self.unconfirmed.pop(worker.incarnation, None)
         if listening is not False:
             return listening
         if not confirmed:
+            self.unconfirmed[worker.incarnation] = worker
             return None
         self.record_terminated(worker.incarnation)
         return False
 
+    def check_unconfirmed(self, service: str) -> None:
+        """Checks workers of a service again that can be reached by now."""
+        for worker in list(self.unconfirmed.values()):
+            if worker.service == service:
+                self.start_check(worker)
+
     def record_terminated(self, worker: str) -> None:
         """Records that the process of an incarnation terminated."""
         now = self.clock.monotonic()
@@ -143,6 +157,7 @@
         }
         self.terminated_at[worker] = now
         log.info("Worker terminated.", worker=worker)
+        self.on_terminated(worker)
 
     def record_alive(self, worker: str, at: float) -> None:
         """Records that an incarnation was running.
@@ -151,6 +166,7 @@
           worker: The incarnation.
           at: Monotonic time in seconds at which it was running.
         """
+        self.unconfirmed.pop(worker, None)
         if self.terminated_at.get(worker, at) < at:
             del self.terminated_at[worker]
             log.info("Worker is running.", worker=worker)
--- a/tests/relay/test_termination_checks.py
+++ b/tests/relay/test_termination_checks.py
@@ -106,3 +106,28 @@
     first = make_request(**fields)
     restarted = make_request(**{**fields, **more})
     assert (restarted.content == first.content) is same
+
+
+async def test_crash_is_found_once_another_worker_can_be_reached():
+    reachable = False
+
+    async def confirm(_worker, _listens):
+        return reachable
+
+    async def refuses(host, port, timeout_s):
+        return False
+
+    found = []
+    checks = make_checks(
+        listens=refuses, confirm_failure=confirm, on_terminated=found.append
+    )
+    worker = make_worker("w1")
+    assert await checks.is_running(worker) is None
+    assert found == []
+    reachable = True
+    checks.check_unconfirmed("other")
+    assert not checks.checks
+    checks.check_unconfirmed(worker.service)
+    assert await checks.has_terminated(worker)
+    assert found == [worker.incarnation]
+    assert checks.unconfirmed == {}
