Weigh crashes so that sound prompt parts aren't held

Cause: every crash within a second of the start of an answer counted alike, also three under one request that is retried while workers go down. With several bad parts the opposite happened: each explained the other's crashes, so that one of them was held only after more of its own.

A crash counts fully up to 0.4 s after the start of the answer, half later; of one request two count, unless there are five in all; a part with five crashes is held once one of them has no other cause; a part that a worker stood before needs eight crashes in four bursts.

--- a/src/rattanpier/_internal/models/worker_crash.py
+++ b/src/rattanpier/_internal/models/worker_crash.py
@@ -17,14 +17,15 @@
       age_s: Seconds since the crash.
       parts: Ids of the prompt parts that the crash may be due to; empty if
         the worker had been answering the request for long.
-      began: Whether the worker had just begun to answer it.
+      answering_s: Seconds for which the worker had been answering it, None if
+        it had not begun.
     """
 
     content: str
     worker: str
     age_s: float = 0.0
     parts: tuple[str, ...] = ()
-    began: bool = False
+    answering_s: float | None = None
 
 
 @attrs.frozen(eq=False, repr=False)
--- a/src/rattanpier/_internal/relay/quarantine_rows.py
+++ b/src/rattanpier/_internal/relay/quarantine_rows.py
@@ -183,9 +183,26 @@
             return
         age_s = max(0.0, (now_ms - stored.ended_ms) / MS_PER_S)
         ends = [
-            WorkerCrash(content, worker, age_s, stored.parts, began=True)
+            row_crash(content, worker, age_s, stored.parts)
             for worker in stored.workers
         ]
         self.quarantine.apply_update(QuarantineUpdate(ends))
         if age_s >= QUARANTINE_S:
             self.changed.put_nowait(content)
+
+
+def row_crash(
+    content: str, worker: str, age_s: float, parts: tuple[str, ...]
+) -> WorkerCrash:
+    """Returns a crash that a row tells of.
+
+    Args:
+      content: Content of the request, or key of a hold.
+      worker: Incarnation of the worker.
+      age_s: Seconds since the crash.
+      parts: Ids of the parts of prompts that are held; empty for a request.
+    """
+    if not parts:
+        return WorkerCrash(content, worker, age_s)
+    # Requests under which one worker each crashed as it began to answer.
+    return WorkerCrash(f"{content}/{worker}", worker, age_s, parts, 0.0)
--- a/src/rattanpier/_internal/retries/crashing_parts.py
+++ b/src/rattanpier/_internal/retries/crashing_parts.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 from collections.abc import Collection, Iterable, Iterator, Mapping
 
@@ -23,20 +24,31 @@
 from rattanpier._internal.utils.hashing import short_digest
 from rattanpier._internal.utils.record import Record
 
-# Crashed workers after which a part is held that no worker is known to have
-# stood. Other requests that are beside the cause by chance have fewer.
-CRASHES_TO_HOLD = 4
+# Crashes count fully for parts of answers that had begun at most so long ago.
+# Later ones, and those of requests that had to wait, count half.
+FRESH_S = 0.4
+STALE_WEIGHT = 0.5
+# Crashes after which a part is held that no worker is known to have stood.
+# Other requests that are beside the cause by chance have fewer.
+CRASHES_TO_HOLD = 5
+# The same if no request has more than two of them. A sound one that is retried
+# while workers crash may meet three.
+SPREAD_CRASHES_TO_HOLD = 4
+MAX_SPREAD_CRASHES = 2
 # Entries that know that workers stood the part tell the others meanwhile.
 HOLD_DELAY_S = 0.4
 MAX_PROOF_DELAY_S = 0.25
 # The same for a part that workers stood before, which may have turned bad, as
 # with a new version. Requests that still run may show meanwhile that it hasn't.
-CRASHES_TO_HOLD_PROVEN = 5
+CRASHES_TO_HOLD_PROVEN = 8
 PROVEN_HOLD_DELAY_S = 1.0
+# Unexplained crashes after which a part is held that has enough crashes in all.
+# Two causes often crash a worker together.
+UNEXPLAINED_TO_HOLD = 1
 # Workers that lose power together crash under all that is popular. A cause
 # crashes them one after the other.
 BURST_S = 0.5
-BURSTS_TO_HOLD_PROVEN = 3
+BURSTS_TO_HOLD_PROVEN = 4
 # Since the last crash. Long compared to the pauses between callers' retries;
 # short enough that a fixed worker serves the part within the hour.
 HOLD_S = 600.0
@@ -54,11 +66,23 @@
 
     Attributes:
       at: When it crashed, in monotonic seconds.
-      began: Whether it had just begun to answer the request.
+      answering_s: Seconds for which it had been answering the request, None if
+        it had not begun.
     """
 
     at: float
-    began: bool
+    answering_s: float | None = None
+
+    @property
+    def began(self) -> bool:
+        """Whether the worker had begun to answer the request."""
+        return self.answering_s is not None
+
+    @property
+    def weight(self) -> float:
+        """How much the crash counts for the parts of the request."""
+        fresh = self.answering_s is not None and self.answering_s <= FRESH_S
+        return 1.0 if fresh else STALE_WEIGHT
 
 
 @attrs.frozen(eq=False, repr=False)
@@ -105,6 +129,10 @@
         return max(0.0, self.last_crash + self.hold_s - now)
 
 
+# Crashes by time, each with the index of its request.
+Crashes = list[tuple[PartCrash, int]]
+
+
 @attrs.define(eq=False, repr=False)
 class Candidate:
     """A part that may have caused crashes.
@@ -113,19 +141,31 @@
       part: Id of the part.
       proven: Whether a worker is known to have stood it before.
       requests: Indices of the requests with the part whose worker crashed.
-      crashes: When the workers crashed, in monotonic seconds, by incarnation.
+      crashes: Crash of each worker that counts most, and the index of its
+        request, by incarnation.
     """
 
     part: str
     proven: bool
     requests: set[int] = attrs.Factory(set)
-    crashes: dict[str, float] = attrs.Factory(dict)
-
-    def unexplained(self, explained: Collection[str]) -> list[float]:
-        """Returns the times of the crashes that have no other cause, sorted."""
-        return sorted(
-            at for worker, at in self.crashes.items() if worker not in explained
+    crashes: dict[str, tuple[PartCrash, int]] = attrs.Factory(dict)
+
+    def add(self, worker: str, crash: PartCrash, request: int) -> None:
+        """Adds a crash under a request with the part."""
+        self.requests.add(request)
+        known = self.crashes.get(worker)
+        if known is None or known[0].weight < crash.weight:
+            self.crashes[worker] = crash, request
+
+    def unexplained(self, causes: Iterable[Candidate]) -> Crashes:
+        """Returns the crashes that have no other cause, by time."""
+        explained = {worker for cause in causes for worker in cause.crashes}
+        found = (
+            (crash.at, worker, crash, request)
+            for worker, (crash, request) in self.crashes.items()
+            if worker not in explained
         )
+        return [(crash, request) for _, _, crash, request in sorted(found)]
 
 
 def find_holds(
@@ -139,18 +179,18 @@
         monotonic seconds, by part.
     """
     candidates = list(find_candidates(list(requests), proven_at))
-    explained: set[str] = set()
+    causes: list[Candidate] = []
     while True:
         suspects = [
             each
             for each in candidates
-            if is_enough(each, each.unexplained(explained))
+            if math.isfinite(held_from(each, causes))
         ]
         if not suspects:
             return
-        cause = select_cause(suspects, explained)
-        yield make_hold(cause, candidates, explained)
-        explained.update(cause.crashes)
+        cause = select_cause(suspects, causes)
+        yield make_hold(cause, candidates, causes)
+        causes.append(cause)
 
 
 def find_candidates(
@@ -167,14 +207,6 @@
         for worker, crash in request.crashes.items()
         if crash.began
     }
-    # Crashes that may be due to a part that no worker is known to have stood.
-    unproven = {
-        worker
-        for request in requests
-        if not request.parts <= proven_at.keys()
-        for worker, crash in request.crashes.items()
-        if crash.began or worker not in began
-    }
     found: dict[str, Candidate] = {}
     for index, request in enumerate(requests):
         for worker, crash in request.crashes.items():
@@ -182,27 +214,78 @@
                 continue
             for part in request.parts:
                 proven = proven_at.get(part)
-                if proven is not None and (
-                    crash.at <= proven or worker in unproven
-                ):
+                if proven is not None and crash.at <= proven:
                     continue
-                candidate = found.get(part)
-                if candidate is None:
-                    candidate = Candidate(part, proven is not None)
-                    found[part] = candidate
-                candidate.requests.add(index)
-                candidate.crashes.setdefault(worker, crash.at)
+                if part not in found:
+                    found[part] = Candidate(part, proven is not None)
+                found[part].add(worker, crash, index)
+    excuse_proven(found.values())
     yield from found.values()
 
 
-def is_enough(candidate: Candidate, times: list[float]) -> bool:
-    """Returns whether a part is held for unexplained crashes at some times."""
-    if not candidate.proven:
-        return len(times) >= CRASHES_TO_HOLD
-    return (
-        len(times) >= CRASHES_TO_HOLD_PROVEN
-        and count_bursts(times) >= BURSTS_TO_HOLD_PROVEN
-    )
+def excuse_proven(candidates: Iterable[Candidate]) -> None:
+    """Drops crashes of proven parts that may be due to unproven ones."""
+    explained = {
+        worker
+        for each in candidates
+        if not each.proven
+        for worker in each.crashes
+    }
+    for each in candidates:
+        if each.proven:
+            for worker in each.crashes.keys() & explained:
+                del each.crashes[worker]
+
+
+def held_from(candidate: Candidate, causes: Collection[Candidate]) -> float:
+    """Returns when a part begins to be held.
+
+    Args:
+      candidate: The part.
+      causes: Parts that are held already and explain some of its crashes.
+
+    Returns:
+      Monotonic seconds; infinite if it has too few unexplained crashes.
+    """
+    crashes = candidate.unexplained(causes)
+    if candidate.proven:
+        if bursts_of(crashes) < BURSTS_TO_HOLD_PROVEN:
+            return math.inf
+        enough_at = reached_at(crashes, CRASHES_TO_HOLD_PROVEN)
+        return enough_at + PROVEN_HOLD_DELAY_S
+    enough_at = reached_at(spread(crashes), SPREAD_CRASHES_TO_HOLD)
+    if any(cause.requests <= candidate.requests for cause in causes):
+        # It comes with each request that has the cause.
+        return enough_at + HOLD_DELAY_S
+    few_at = reached_at(crashes, UNEXPLAINED_TO_HOLD)
+    all_at = reached_at(candidate.unexplained(()), CRASHES_TO_HOLD)
+    return min(enough_at + HOLD_DELAY_S, max(few_at, all_at + HOLD_DELAY_S))
+
+
+def reached_at(crashes: Crashes, count: float) -> float:
+    """Returns when crashes counted enough, infinite if they do not."""
+    total = 0.0
+    for crash, _request in crashes:
+        total += crash.weight
+        if total >= count:
+            return crash.at
+    return math.inf
+
+
+def spread(crashes: Crashes) -> Crashes:
+    """Returns the crashes without those of a request beyond its first ones."""
+    counts: collections.Counter[int] = collections.Counter()
+    found = []
+    for crash, request in crashes:
+        counts[request] += 1
+        if counts[request] <= MAX_SPREAD_CRASHES:
+            found.append((crash, request))
+    return found
+
+
+def bursts_of(crashes: Crashes) -> int:
+    """Returns the number of bursts in which workers crashed."""
+    return count_bursts(crash.at for crash, _request in crashes)
 
 
 def count_bursts(times: Iterable[float]) -> int:
@@ -219,7 +302,7 @@
 
 
 def select_cause(
-    suspects: list[Candidate], explained: Collection[str]
+    suspects: list[Candidate], causes: Collection[Candidate]
 ) -> Candidate:
     """Returns the part that explains the most crashes.
 
@@ -227,8 +310,10 @@
     nearly as many.
     """
 
-    def rank(each: Candidate) -> tuple[bool, int, str]:
-        return not each.proven, len(each.unexplained(explained)), each.part
+    def rank(each: Candidate) -> tuple[bool, float, str]:
+        crashes = each.unexplained(causes)
+        count = sum(crash.weight for crash, _request in crashes)
+        return not each.proven, count, each.part
 
     cause = max(suspects, key=rank)
     narrower = [
@@ -243,18 +328,14 @@
 def make_hold(
     cause: Candidate,
     candidates: Iterable[Candidate],
-    explained: Collection[str],
+    causes: Collection[Candidate],
 ) -> PartHold:
     """Returns the hold of a part and of those that can't be told from it."""
-    times = cause.unexplained(explained)
+    crashes = cause.unexplained(causes)
+    hold_s = HOLD_S
     if cause.proven:
-        bursts = count_bursts(times)
-        since = times[CRASHES_TO_HOLD_PROVEN - 1] + PROVEN_HOLD_DELAY_S
-        doublings = bursts - BURSTS_TO_HOLD_PROVEN
+        doublings = bursts_of(crashes) - BURSTS_TO_HOLD_PROVEN
         hold_s = min(HOLD_S, PROVEN_HOLD_S * 2.0**doublings)
-    else:
-        since = times[CRASHES_TO_HOLD - 1] + HOLD_DELAY_S
-        hold_s = HOLD_S
     alike = (
         each.part
         for each in candidates
@@ -263,8 +344,8 @@
     return PartHold(
         frozenset(alike),
         frozenset(cause.crashes),
-        since,
-        max(cause.crashes.values()),
+        held_from(cause, causes),
+        max(crash.at for crash, _request in cause.crashes.values()),
         hold_s,
     )
 
--- a/src/rattanpier/_internal/retries/quarantine.py
+++ b/src/rattanpier/_internal/retries/quarantine.py
@@ -236,13 +236,7 @@
         """
         if answering_s is not None and answering_s >= STOOD_S:
             parts = ()
-        crash = WorkerCrash(
-            content,
-            worker,
-            age_s,
-            tuple(parts),
-            began=answering_s is not None,
-        )
+        crash = WorkerCrash(content, worker, age_s, tuple(parts), answering_s)
         if self.add_crash(crash):
             self.schedule_refresh()
             self.unsent.ends.append(crash)
@@ -344,7 +338,7 @@
         if request is None or crash is None:
             return WorkerCrash(content, worker, age_s)
         parts = tuple(sorted(request.parts))
-        return WorkerCrash(content, worker, age_s, parts, crash.began)
+        return WorkerCrash(content, worker, age_s, parts, crash.answering_s)
 
     def apply_update(self, update: QuarantineUpdate) -> QuarantineUpdate:
         """Applies an update from a peer; returns the part that was new."""
@@ -425,7 +419,7 @@
         if request is None:
             request = CrashedRequest(frozenset(crash.parts))
             self.parts_of[crash.content] = request
-        request.crashes[crash.worker] = PartCrash(at, crash.began)
+        request.crashes[crash.worker] = PartCrash(at, crash.answering_s)
         for part in request.parts:
             last = self.last_crash_of.get(part, NEVER)
             self.last_crash_of[part] = max(at, last)
--- a/tests/relay/test_quarantine_rows.py
+++ b/tests/relay/test_quarantine_rows.py
@@ -126,3 +126,52 @@
     assert rows.quarantine.remaining_s(CONTENT) == 0.0
     await sync_rows(rows)
     assert store.rows == {}
+
+
+PARTS = ("route", "bad")
+
+
+def crash_under_parts(rows, count):
+    for number in range(count):
+        rows.quarantine.record_crash(f"c{number}", f"w{number}", PARTS, 0.1)
+
+
+async def test_row_of_held_parts_outlives_all_entries():
+    store = FakeStore()
+    rows = make_rows(store)
+    crash_under_parts(rows, 4)
+    rows.clock.now = 1.0
+    rows.quarantine.refresh()
+    await sync_rows(rows)
+    ((key, value),) = store.rows.items()
+    row = decode(QuarantineRow, value)
+    assert (row.parts, row.workers) == (
+        tuple(sorted(PARTS)),
+        ["w0", "w1", "w2", "w3"],
+    )
+    started = make_rows(store)
+    name = key.removeprefix(QUARANTINED_PREFIX)
+    started.apply_row(FeedRow(name, value, at(1)), NOW_MS + 100_000.0)
+    assert started.quarantine.remaining_s("x", PARTS) == pytest.approx(
+        QUARANTINE_S - 100.0, abs=2.0
+    )
+    assert started.quarantine.remaining_s("x", PARTS[:1]) == 0.0
+
+
+async def test_row_of_parts_that_a_worker_stood_is_removed():
+    store = FakeStore()
+    rows = make_rows(store)
+    crash_under_parts(rows, 4)
+    rows.clock.now = 1.0
+    rows.quarantine.refresh()
+    await sync_rows(rows)
+    rows.quarantine.record_stood(PARTS, 1.0)
+    await sync_rows(rows)
+    assert store.rows == {}
+
+
+def test_row_written_before_parts_were_known_is_read():
+    old = b'{"workers":["w0","w1","w2"],"ended_ms":4900000.0}'
+    rows = make_rows(FakeStore())
+    rows.apply_row(FeedRow(CONTENT, old, at(1)), NOW_MS)
+    assert rows.quarantine.remaining_s(CONTENT) == QUARANTINE_S - 100.0
