Draw prompt parts that crash workers in the soak

Cause: the soak drew no request that crashes its workers, and its proxies went on accepting connections for a worker that ended, so that no crash would have been told from a broken connection.

Where no other fault hides a crash, at most three of them may reach workers later than 3 s after the fifth.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -15,6 +15,8 @@
 ADDRESS_TTL_S = 1.0
 DEADLINE_S = 3.0
 PAUSE_S = 0.03
+CRASHING_PART = "crashing"
+CRASHING_PAUSE_S = 0.4
 # Of a slow caller: how long it first reads nothing, and how it reads then. It
 # has read all within its deadline, so that a planned stop can wait for it.
 STALL_S = 1.0
@@ -55,6 +57,9 @@
     calls: list = attrs.Factory(list)
     addresses: list = attrs.Factory(list)
     fetched_at: float = float("-inf")
+    paths: tuple = PATHS
+    part: str = "b"  # Second part of prompts.
+    pause_s: float = PAUSE_S
 
     async def run(self, until):
         rng = random.Random(self.seed)
@@ -62,7 +67,7 @@
             await self.refresh_addresses(rng)
             if self.addresses:
                 await self.ask(rng)
-            await asyncio.sleep(PAUSE_S * rng.random())
+            await asyncio.sleep(self.pause_s * rng.random())
 
     async def refresh_addresses(self, rng):
         if time.monotonic() - self.fetched_at < ADDRESS_TTL_S:
@@ -80,8 +85,11 @@
             except (aiohttp.ClientError, TimeoutError, OSError):
                 continue
 
+    def body(self, call):
+        return b"body"
+
     async def ask(self, rng):
-        path = rng.choice(PATHS)
+        path = rng.choice(self.paths)
         entry = rng.choice(self.addresses)
         call = CallRecord(
             f"{rng.getrandbits(64):016x}", path, time.monotonic(), entry
@@ -97,13 +105,13 @@
             headers |= {
                 "X-Model": "*",
                 "X-Token-Usage": "900,50",
-                "X-Prefix-Hash": f"a:400,b:400,{call.id[:4]}:100",
+                "X-Prefix-Hash": f"a:400,{self.part}:400,{call.id[:4]}:100",
                 "Session": f"session-{rng.randrange(40)}",
             }
         try:
             async with self.session.post(
                 f"http://{entry}{path}",
-                data=b"body",
+                data=self.body(call),
                 headers=headers,
                 timeout=aiohttp.ClientTimeout(
                     total=DEADLINE_S, sock_connect=0.5
@@ -119,6 +127,18 @@
         call.ended = time.monotonic()
 
 
+@attrs.define
+class CrashingCaller(Caller):
+    """Sends chats with a part that crashes workers, no two alike."""
+
+    paths: tuple = ("/chat/x",)
+    part: str = CRASHING_PART
+    pause_s: float = CRASHING_PAUSE_S
+
+    def body(self, call):
+        return call.id.encode()
+
+
 @attrs.define
 class SlowReadingCaller(Caller):
     """Asks for long answers, and reads nothing of them for a while."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -35,10 +35,14 @@
     SAY_LEAVE = "say_leave"  # A worker announces in its answers that it leaves.
     REST = "rest"  # A worker rejects all requests, asks for a pause.
     RESTORE = "restore"  # The store is restored from an older copy.
+    CRASHING_PART = "crashing_part"  # A prompt part crashes model engines.
 
 
 RESTORE_SHARE = 0.4  # Fraction of seeds with a restore of the store.
-DRAWN_KINDS = [kind for kind in Kind if kind is not Kind.RESTORE]
+CRASHING_PART_SHARE = 0.35  # Fraction of seeds with a part that crashes.
+CRASHING_PART_S = 6.0
+SEPARATE_KINDS = (Kind.RESTORE, Kind.CRASHING_PART)
+DRAWN_KINDS = [kind for kind in Kind if kind not in SEPARATE_KINDS]
 
 DETAILS = {
     Kind.STORE: [StoreFault.BUSY, StoreFault.SILENT, StoreFault.LOST],
@@ -84,6 +88,7 @@
                 )
             )
     faults += draw_restores(seed)
+    faults += draw_crashing_part(seed)
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -101,3 +106,15 @@
         Fault(at + number * FAULTS_S / 2, Kind.RESTORE, 0, rng.uniform(0.3, 2))
         for number in range(rng.randint(1, 2))
     ]
+
+
+def draw_crashing_part(seed):
+    """Returns up to one period in which a part of prompts crashes workers.
+
+    It uses a separate generator as well.
+    """
+    rng = random.Random(f"crashing parts/{seed}")
+    if rng.random() > CRASHING_PART_SHARE:
+        return []
+    at = STARTUP_S + rng.uniform(0.0, FAULTS_S / 3)
+    return [Fault(at, Kind.CRASHING_PART, 0, CRASHING_PART_S)]
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -1,7 +1,9 @@
 """Checks the guarantees against the records of callers and workers."""
 
+from tests.lib.crashing_parts import ALLOWED_SENDS, CONTACT_S, CRASHES
 from tests.lib.platform_site import KEY, event_numbers
 from tests.lib.warm_fleet import max_within
+from tests.soak.faults import Kind
 
 PROMISES = (408, 421, 429, 503)
 EVENTS = 5
@@ -22,6 +24,14 @@
 RESTING_SENDS = 6
 # An answer of the soak in full, beside a piece read from a worker's connection.
 MAX_OVER_LIMIT_BYTES = 1_500_000
+# With these, entries may not know of crashes, or workers end otherwise.
+DISTURBING_KINDS = {
+    Kind.WORKER_PATH,
+    Kind.WORKER,
+    Kind.FREEZE,
+    Kind.KILL,
+    Kind.STOP,
+}
 SERVED_SHARE = 0.9  # Of requests sent after recovery from all faults.
 
 
@@ -37,11 +47,12 @@
     yield from judge_words_of_leaving(run)
     yield from judge_rests(run)
     yield from judge_stops(run)
+    yield from judge_crashing_part(run)
     yield from judge_end(run)
 
 
 def judge_runs(run):
-    calls = {each.id: each for each in run.calls}
+    calls = {each.id: each for each in (*run.calls, *run.crashing_calls)}
     counts = {}
     for worker in run.workers:
         for each in worker.runs:
@@ -164,6 +175,22 @@
             yield f"{worker} got {shed} requests while it wanted rest"
 
 
+def judge_crashing_part(run):
+    """Few requests with a part reach workers long after its fifth crash."""
+    kinds = {fault.kind for fault in run.faults}
+    if kinds & DISTURBING_KINDS or len(run.crash_times) < CRASHES:
+        return
+    since = sorted(run.crash_times)[CRASHES - 1] + CONTACT_S
+    crashing = {each.id for each in run.crashing_calls}
+    late = sum(
+        at > since and id in crashing
+        for worker in run.workers
+        for id, at in worker.started
+    )
+    if late > ALLOWED_SENDS:
+        yield f"{late} requests with a part that crashes workers ran too late"
+
+
 def judge_stops(run):
     """A planned stop without other faults must not truncate an answer."""
     for entry, at in run.stopped:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -48,6 +48,18 @@
         host, port = self.server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
+    def refuse(self):
+        """Refuses connections, as the VM of a process that ended."""
+        self.server.close()
+        for writer in list(self.open):
+            reset(writer)
+
+    async def listen_again(self, port):
+        """Accepts connections again and forwards them to another port."""
+        self.port = port
+        host, _, own_port = self.address.partition(":")
+        self.server = await asyncio.start_server(self.serve, host, own_port)
+
     def set(self, fault):
         self.fault = fault
         if fault is PathFault.RESET:
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import signal
 import time
@@ -17,7 +18,12 @@
 from tests.lib.platform_site import manifest, manifest_with_route, platform_site
 from tests.lib.relay_process import start_entry
 from tests.lib.slow_callers import pad
-from tests.soak.callers import Caller, SlowReadingCaller
+from tests.soak.callers import (
+    CRASHING_PART,
+    Caller,
+    CrashingCaller,
+    SlowReadingCaller,
+)
 from tests.soak.faults import (
     FAULTS_S,
     MAX_FAULT_S,
@@ -64,16 +70,21 @@
 RESTORE_OUTAGE_S = 0.4  # Store outage during a restore.
 REWRITE_INTERVAL_S = 0.2  # Between two rewritten rows.
 LIMIT_S = 5.0
+RESTART_S = 2.0  # From a crash to the restart.
+EXPIRY_S = 3.6  # From a crash until the registration expires.
 
 
 @attrs.define
 class TimedWorker(PlatformWorkerServer):
     """A worker that records when it ran each request.
 
-    `leave_announced_at` is when an answer first announced that it leaves.
+    `leave_announced_at` is when an answer first announced that it leaves,
+    `former_ids` are those under which it ran before it crashed.
     """
 
     times: list = attrs.Factory(list)
+    former_ids: list = attrs.Factory(list)
+    started: list = attrs.Factory(list)  # Id of each run, and when it came.
     leave_announced_at: float | None = None
 
     def make_event(self, run, number):
@@ -84,6 +95,10 @@
         body = super().make_body(run)
         return body.rjust(int(run.headers.get("x-body-bytes", "0")), b".")
 
+    async def take(self, run, writer):
+        self.started.append((run.id, time.monotonic()))
+        return await super().take(run, writer)
+
     async def answer(self, run, writer):
         before = len(self.runs)
         leaving = self.leaving
@@ -109,11 +124,14 @@
     workers: list = attrs.Factory(list)
     worker_paths: list = attrs.Factory(list)
     calls: list = attrs.Factory(list)
+    crashing_calls: list = attrs.Factory(list)
     drained: list = attrs.Factory(list)
     drained_domains: list = attrs.Factory(list)  # Name, since, until.
     cold: list = attrs.Factory(list)  # Id, since, until.
     limited: list = attrs.Factory(list)  # Id, since, until.
     rested: list = attrs.Factory(list)  # Id, since, until, rejected.
+    crash_times: list = attrs.Factory(list)
+    restarts: set = attrs.Factory(set)  # Tasks that restart workers.
     stopped: list = attrs.Factory(list)
     expected_ends: set = attrs.Factory(set)
     unexpected_ends: list = attrs.Factory(list)
@@ -123,7 +141,11 @@
     recovered_at: float = 0.0
 
     def run_times(self, worker):
-        return next(each for each in self.workers if each.id == worker).times
+        return next(
+            each
+            for each in self.workers
+            if worker in (each.id, *each.former_ids)
+        ).times
 
     def workers_of(self, domain):
         return [
@@ -333,6 +355,46 @@
             await ask_for_rest(run, run.workers[worker], fault)
         case Kind.RESTORE:
             await restore_old_copy(run, fault)
+        case Kind.CRASHING_PART:
+            await crash_under_part(run, fault)
+
+
+async def crash_under_part(run, fault):
+    """Sends requests with a part that crashes each engine."""
+    for number, worker in enumerate(run.workers):
+        if service_of(number) == "engine":
+            worker.deadly_parts = frozenset({CRASHING_PART})
+            worker.ended = functools.partial(record_crash, run, number)
+    directories = [str(entry.settings.directory) for entry in run.entries]
+    async with aiohttp.ClientSession() as session:
+        caller = CrashingCaller(f"{run.seed}/crash", directories, session)
+        await caller.run(time.monotonic() + fault.for_s)
+    run.crashing_calls += caller.calls
+    await asyncio.gather(*run.restarts)
+
+
+def record_crash(run, number):
+    run.crash_times.append(time.monotonic())
+    run.worker_paths[number].refuse()
+    restarting = asyncio.ensure_future(restart_worker(run, number))
+    run.restarts.add(restarting)
+
+
+async def restart_worker(run, number):
+    """Restarts a crashed worker under a new id at its address."""
+    worker = run.workers[number]
+    crashed, count = worker.id, len(worker.former_ids) + 1
+    await asyncio.sleep(RESTART_S)
+    worker.former_ids.append(crashed)
+    worker.id = f"w{number}-{count}"
+    worker.leaving = False
+    await worker.start()
+    port = int(worker.address.partition(":")[2])
+    await run.worker_paths[number].listen_again(port)
+    run.site.workers[worker.id] = run.worker_paths[number]
+    register(run, number)
+    await asyncio.sleep(EXPIRY_S - RESTART_S)
+    run.site.store.remove("servers", crashed)
 
 
 async def restore_old_copy(run, fault):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,7 +13,7 @@
 REGRESSION_SEEDS = {
     950008: "a reload that came while an entry started ended it"
 }
-CI_SEEDS = [1, 2, 3, 6]
+CI_SEEDS = [1, 2, 3, 6, 7]
 
 
 @pytest.mark.parametrize("seed", [*CI_SEEDS, *REGRESSION_SEEDS])
