--- a/tests/relay/test_crashing_parts.py
+++ b/tests/relay/test_crashing_parts.py
@@ -1,5 +1,6 @@
 """A prompt part that crashes workers is kept from them, others are served."""
 
+import asyncio
 import random
 
 import pytest
@@ -20,6 +21,8 @@
 ENGINES = 9
 WARM_S = 1.5  # Of sound requests alone.
 SECONDS = 13.0
+CRASHES_BY_THEMSELVES = 20
+CRASH_INTERVAL_S = 0.5
 INSIDE_EVENT = {"chunked": False, "crash_tail": b"id: 1\nda"}
 AFTER_EVENT = {"chunked": False, "crash_tail": b"id: 1\ndata: x\n\n"}
 SECOND = [("system", "bad")]
@@ -56,3 +59,23 @@
     assert len(sound) >= 20
     served = sum(call.served for call in sound)
     assert served >= SERVED_SHARE * len(sound)
+
+
+async def test_crashes_that_no_request_causes_hold_no_part():
+    async with platform_site() as site:
+        pool = RestartingPool(site, {"event_gap_s": 0.05})
+        for _ in range(ENGINES):
+            await pool.add()
+        entries = await add_entries(site, ENTRIES)
+        load = Load(site, [], random.Random(1))
+        sending = asyncio.ensure_future(load.run(SECONDS, 0.0))
+        rng = random.Random(2)
+        for _ in range(CRASHES_BY_THEMSELVES):
+            await asyncio.sleep(CRASH_INTERVAL_S)
+            await pool.crash_one(rng)
+        await sending
+    held = [entry.metrics.counts["relay.held_for_part"] for entry in entries]
+    assert held == [0] * ENTRIES
+    assert len(pool.crash_times) == CRASHES_BY_THEMSELVES
+    served = sum(call.served for call in load.calls)
+    assert served >= SERVED_SHARE * len(load.calls)
