--- a/tests/relay/test_quarantine_rows.py
+++ b/tests/relay/test_quarantine_rows.py
@@ -131,18 +131,19 @@
 PARTS = ("route", "bad")
 
 
-def crash_under_parts(rows, count):
-    for number in range(count):
+async def hold_parts(rows):
+    """Holds parts of prompts and writes their row."""
+    for number in range(4):
         rows.quarantine.record_crash(f"c{number}", f"w{number}", PARTS, 0.1)
+    rows.clock.now = 1.0
+    rows.quarantine.refresh()
+    await sync_rows(rows)
 
 
 async def test_row_of_held_parts_outlives_all_entries():
     store = FakeStore()
     rows = make_rows(store)
-    crash_under_parts(rows, 4)
-    rows.clock.now = 1.0
-    rows.quarantine.refresh()
-    await sync_rows(rows)
+    await hold_parts(rows)
     ((key, value),) = store.rows.items()
     row = decode(QuarantineRow, value)
     assert (row.parts, row.workers) == (
@@ -161,10 +162,7 @@
 async def test_row_of_parts_that_a_worker_stood_is_removed():
     store = FakeStore()
     rows = make_rows(store)
-    crash_under_parts(rows, 4)
-    rows.clock.now = 1.0
-    rows.quarantine.refresh()
-    await sync_rows(rows)
+    await hold_parts(rows)
     rows.quarantine.record_stood(PARTS, 1.0)
     await sync_rows(rows)
     assert store.rows == {}
