--- a/review/2/case.py
+++ b/review/2/case.py
@@ -32,8 +32,8 @@
 class Requester:
     """Follows the directory as PROTOCOL.md says, on a kept channel."""
 
-    def __init__(self, number, entries, sent):
-        self.entries, self.sent = entries, sent
+    def __init__(self, number, entries, sent, record):
+        self.entries, self.sent, self.record = entries, sent, record
         self.patience = 3 if number % 3 == 0 else 1  # Some keep it longer.
         self.addresses, self.until = [], 0.0
         self.channel = None
@@ -84,6 +84,10 @@
         whole = body is not None
         ended_at = time.monotonic()
         self.sent.append((id, address, sent_at, ended_at, status, whole))
+        outcome = f"answered {status}" if status and whole else "cut"
+        self.record.add(
+            f"{id} sent to {address} {ended_at - sent_at:.3f} s ago, {outcome}"
+        )
 
 
 async def roll(entries, signals, record):
@@ -152,7 +156,9 @@
         await entry.wait_ready()
     await asyncio.sleep(1.0)
     sent, signals = [], []
-    requesters = [Requester(n, entries, sent) for n in range(REQUESTERS)]
+    requesters = [
+        Requester(n, entries, sent, record) for n in range(REQUESTERS)
+    ]
     busy = {}
 
     async def tick():
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -35,6 +35,7 @@
 
     def on_run(worker, id, arrived):
         arrivals.append((worker.id, id, arrived))
+        record.add(f"{worker.id} runs {id}")
 
     async def add_worker(number):
         name = f"i-{number}"
@@ -74,6 +75,7 @@
                 "POST", "/debit/x", id, b"charge one"
             )
             answers[id] = status if body is not None else 0
+            record.add(f"{id} sent to {frozen.name}, answered {answers[id]}")
             if not status:
                 channel = None
             await asyncio.sleep(0.02)
