--- a/review/2/case.py
+++ b/review/2/case.py
@@ -17,6 +17,7 @@
 import sitekit  # noqa: E402
 
 ROLLS = 10
+LAST_ROLL_S = 85.0  # Later, no roll begins: a script has 120 s.
 GAP_S = 1.0  # roll_term: one machine at a time, each gap_s.
 ROLL_S = 7.0
 RESTART_DELAY_S = 0.5
@@ -175,6 +176,8 @@
     found = []
     try:
         for number in range(ROLLS if trouble else 4):
+            if time.monotonic() - record.start > LAST_ROLL_S:
+                break
             await asyncio.sleep(random.uniform(0.5, 1.0))
             began = time.monotonic()
             if trouble:
