Complete a roll-out only while the version is known to be no worse

Cause: the last step asked for no evidence. That was for an entry that takes it in place of the driver and has none. 'Unknown' at the deadline is a price, a bad version that is kept breaks the bound and can't be undone.

The last step now needs the verdict 'no worse' as the others do. Before it, entries report their evidence to the two backups of the driver as well, so that a driver that loses the store still doesn't make the order late.

The backup test completed a roll-out without any evidence, which is the fault; it now has a peer's evidence, and two new cases are as strict: without evidence no entry completes, and a bad version is rolled back instead.

--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -5,7 +5,7 @@
 get lost are repaired pairwise: each entry compares its digest with that of a
 few peers in turn and, if the digests keep differing, exchanges the states that
 either side lacks. Evidence on new versions is sent only to the entry that
-drives roll-outs.
+drives roll-outs, and before the last step to its backups.
 """
 
 from __future__ import annotations
@@ -67,6 +67,9 @@
 MIN_COMPARE_INTERVAL_S = 1.0
 # Evidence that the driver of roll-outs receives in a round, in a large fleet.
 MAX_REPORTS_PER_ROUND = 160
+# Entries beside the driver that receive evidence before the last step of a
+# roll-out, so that they can take it if the driver loses the store.
+BACKUP_RECEIVERS = 2
 # Worker crashes within this time are broadcast together. Much shorter than the
 # time in which a request moves on from one worker to the next.
 QUARANTINE_BATCH_DELAY_S = 0.01
@@ -94,7 +97,7 @@
       digest_mismatches: Consecutive peer digests that differed from this
         entry's digest.
       round_count: Rounds that were started.
-      reported: Evidence that was last sent to the driver of roll-outs.
+      reported: Evidence that was last sent, by the name of its receiver.
       quarantine_timer: Pending broadcast of batched quarantine updates.
     """
 
@@ -111,7 +114,7 @@
     compared_at: float = float("-inf")
     digest_mismatches: int = 0
     round_count: int = 0
-    reported: Evidence | None = None
+    reported: dict[str, Evidence] = attrs.Factory(dict)
     quarantine_timer: asyncio.TimerHandle | None = None
 
     async def run(self) -> None:
@@ -403,24 +406,52 @@
     # Evidence for roll-outs.
 
     async def report_evidence(self) -> None:
-        """Sends evidence on new versions to the driver of roll-outs."""
+        """Sends evidence on new versions to the entries that need it."""
         rounds = report_rounds(len(self.fleet.live()))
         me = self.fleet.me.member
         if (self.round_count + stable_hash(me.name)) % rounds:
             return
         evidence = self.shared_state.rollouts.evidence(me.incarnation)
-        driver = self.fleet.peers.get(self.fleet.driver())
-        if evidence is None or evidence == self.reported or driver is None:
+        receivers = self.evidence_receivers()
+        self.reported = {
+            name: sent
+            for name, sent in self.reported.items()
+            if name in receivers
+        }
+        if evidence is None:
+            return
+        await asyncio.gather(
+            *(
+                self.report_to(name, evidence)
+                for name in receivers
+                if self.reported.get(name) != evidence
+            )
+        )
+
+    def evidence_receivers(self) -> list[str]:
+        """Returns the driver of roll-outs, and its backups if they may act."""
+        backups = BACKUP_RECEIVERS if self.shared_state.rollouts.is_full else 0
+        return self.fleet.drivers()[: 1 + backups]
+
+    async def report_to(self, name: str, evidence: Evidence) -> None:
+        """Sends evidence to a peer; this entry itself is left out.
+
+        Args:
+          name: Name of the peer.
+          evidence: The evidence.
+        """
+        receiver = self.fleet.peers.get(name)
+        if receiver is None:
             return
         call = peer_pb2.Call(
             report=peer_pb2.EvidenceReport(text=pack(evidence))
         )
         try:
-            await self.links.to(driver.member).call(call, CALL_TIMEOUT_S)
+            await self.links.to(receiver.member).call(call, CALL_TIMEOUT_S)
         except PeerUnavailableError as error:
-            log.info("Evidence not reported.", error=str(error))
+            log.info("Evidence not reported.", peer=name, error=str(error))
             return
-        self.reported = evidence
+        self.reported[name] = evidence
 
     async def serve_report(self, call: peer_pb2.Call) -> peer_pb2.Reply:
         """Records the evidence that an entry sent.
--- a/src/rattanpier/_internal/relay/rollout_driver.py
+++ b/src/rattanpier/_internal/relay/rollout_driver.py
@@ -112,10 +112,9 @@
 def next_phase(progress: RolloutProgress, bound: ExposureBound) -> RolloutPhase:
     """Returns the phase that an order should be in.
 
-    A version that is not known to be no worse gets no larger part of the
-    requests, even beyond the deadline: it can be completed later, but the last
-    step, which stops the old version, can't be undone. That step itself needs
-    no evidence, since an entry that has just begun to drive has none.
+    A version that is not known to be no worse advances no further, even beyond
+    the deadline: it can be completed later, but the last step, which stops the
+    old version, can't be undone.
     """
     phase = progress.phase
     if phase.final:
@@ -124,9 +123,10 @@
         return RolloutPhase.ROLLED_BACK
     if phase in TRIAL_PHASES:
         return phase_after_trial(progress, bound)
+    if progress.verdict is not Verdict.NO_WORSE:
+        return phase
     if phase is RolloutPhase.WIDENING:
-        known = progress.verdict is Verdict.NO_WORSE
-        ready = known and progress.phase_age >= WIDENING_DURATION
+        ready = progress.phase_age >= WIDENING_DURATION
         return RolloutPhase.FULL if ready else phase
     settled = (
         progress.phase_age >= MIN_FULL_DURATION and progress.old_running == 0
@@ -157,8 +157,8 @@
 def backup_drivers(phase: RolloutPhase, age: float, deadline_s: float) -> int:
     """Returns how many backup entries may take an order's next step.
 
-    Evidence is reported to the first entry alone, so that backups may only take
-    the last step, which needs none.
+    Before the last step, evidence is reported to the first entry alone, so that
+    backups may only take that step.
 
     Args:
       phase: The order's present phase.
--- a/src/rattanpier/_internal/relay/rollouts.py
+++ b/src/rattanpier/_internal/relay/rollouts.py
@@ -134,6 +134,14 @@
         default=lambda _worker: False
     )
 
+    @property
+    def is_full(self) -> bool:
+        """Whether an order awaits its last step."""
+        return any(
+            self.phase(order) is RolloutPhase.FULL
+            for order in self.orders.values()
+        )
+
     @property
     def orders(self) -> dict[str, RolloutOrder]:
         """The newest order of each service."""
--- a/tests/lib/ring.py
+++ b/tests/lib/ring.py
@@ -103,6 +103,7 @@
             "beat": self.gossip.serve_beat,
             "summary": self.gossip.serve_summary,
             "spread": self.broadcaster.serve,
+            "report": self.gossip.serve_report,
         }
 
     def record_notice(self, message):
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -545,6 +545,22 @@
             ),
             "rolled_back",
         ),
+        # Its last step can't be undone.
+        (
+            RolloutProgress(
+                "full",
+                FORCE_COMPLETION_AGE + 0.005,
+                0.05,
+                LARGE_SAMPLE,
+                UNKNOWN,
+                0,
+            ),
+            "full",
+        ),
+        (
+            RolloutProgress("full", 1.5, 0.6, LARGE_SAMPLE, UNKNOWN, 0),
+            "full",
+        ),
         (
             RolloutProgress("completed", 0.97, 0.05, LARGE_SAMPLE, WORSE, 0),
             "completed",
--- a/tests/relay/test_rollout_driver.py
+++ b/tests/relay/test_rollout_driver.py
@@ -1,7 +1,8 @@
 """Failover of the roll-out driver if the driving entry can't proceed.
 
 Guards against roll-outs that miss their deadline because the driver lost the
-store, was rejected by it, or doesn't know the revisions of the rows.
+store, was rejected by it, or doesn't know the revisions of the rows, and
+against a last step by an entry that doesn't know whether the version is bad.
 """
 
 import pytest
@@ -14,6 +15,7 @@
     RolloutRecord,
 )
 from rattanpier._internal.platform.rollouts import status_row
+from rattanpier._internal.relay.evidence import Evidence, TallyKey
 from rattanpier._internal.relay.exposure import ExposureBound
 from rattanpier._internal.relay.own_table import OwnTable
 from rattanpier._internal.relay.rollout_driver import (
@@ -23,6 +25,7 @@
 )
 from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.relay.store import StoreClock, StoreHealth
+from rattanpier._internal.relay.verdict import Tally
 from tests.lib.clock import ManualClock
 from tests.lib.relay_parts import at
 
@@ -51,7 +54,17 @@
     return ManualClock()
 
 
-def make_driver(clock, rank, phase, age):
+def make_evidence(new_bad=0):
+    """Returns a peer's evidence, with some bad answers of the new version."""
+    counts = {False: Tally(200, 2), True: Tally(60, new_bad)}
+    return Evidence(
+        "peer",
+        [(TallyKey(7, "r", new), tally) for new, tally in counts.items()],
+        [],
+    )
+
+
+def make_driver(clock, rank, phase, age, evidence=None):
     """Returns an entry's driver; rank 0 is the first entry that may drive."""
     rollouts = Rollouts(ExposureBound(0.15), 5.0, clock)
     rollouts.apply_order(ORDER)
@@ -59,6 +72,9 @@
     rollouts.apply_record(
         RolloutRecord(7, "s", "v2", phase, begun_ms, begun_ms)
     )
+    rollouts.answer_counts.apply_evidence(
+        evidence or make_evidence(), clock.now
+    )
     health = StoreHealth(clock)
     health.record_answer()
     store = Store()
@@ -119,3 +135,22 @@
     driver.store.outcomes = [Conflict("s"), WrittenAt(at(9), 0.0)]
     await driver.step()
     assert driver.rollouts.phase(ORDER) is RolloutPhase.COMPLETED
+
+
+@pytest.mark.parametrize("rank", [0, 1])
+async def test_a_driver_without_evidence_does_not_complete_a_roll_out(
+    clock, rank
+):
+    nothing = Evidence("peer", [], [])
+    driver = make_driver(clock, rank, RolloutPhase.FULL, 1.5, nothing)
+    await driver.step()
+    assert driver.store.writes == 0
+
+
+@pytest.mark.parametrize("rank", [0, 1])
+async def test_an_overdue_roll_out_of_a_bad_version_is_rolled_back(clock, rank):
+    driver = make_driver(
+        clock, rank, RolloutPhase.FULL, 1.5, make_evidence(new_bad=30)
+    )
+    await driver.step()
+    assert driver.rollouts.phase(ORDER) is RolloutPhase.ROLLED_BACK
--- a/tests/relay/test_spread.py
+++ b/tests/relay/test_spread.py
@@ -388,3 +388,38 @@
     assert all(
         entry.gossip.shared_state.rollouts.records for entry in ring.live()
     )
+
+
+@pytest.mark.parametrize("size", SIZES)
+@virtual
+async def test_backup_drivers_receive_evidence_before_the_last_step(size):
+    ring = make_ring(size)
+    for entry in ring.entries.values():
+        entry.fleet.update_own_state(store=True)
+    await ring.run_rounds(8)
+    old = make_worker("old", version="v1")
+    names = sorted(ring.entries)
+    for name in names:
+        rollouts = ring.entries[name].gossip.shared_state.rollouts
+        rollouts.apply_order(ORDER)
+        rollouts.record_answer(old, "r", bad=False)
+    await ring.run_rounds(6)
+    assert reports_known(ring, names) == [size - 1, 0, 0, 0]
+    full = RolloutRecord(7, "s", "v2", RolloutPhase.FULL, 0.0, 0.0)
+    for name in names:
+        rollouts = ring.entries[name].gossip.shared_state.rollouts
+        rollouts.apply_record(full)
+    await ring.run_rounds(6)
+    assert reports_known(ring, names) == [size - 1, size - 1, size - 1, 0]
+
+
+def reports_known(ring, names):
+    """Returns how many peers' evidence each of the first entries has."""
+    return [
+        len(
+            ring.entries[
+                name
+            ].gossip.shared_state.rollouts.answer_counts.peer_counts
+        )
+        for name in names[:4]
+    ]
