Count a request that fails at several workers once in the evidence

A good version of a plain service was rolled back, although its workers failed no more than the old ones.

Cause: a request that fails for a reason of its own is repeated, and fails again. Each answer counted as one failure of the version, so that one request on a route with few answers gave two of two: a version that is no worse gives these with a probability below 0.002, by the test's reckoning, and it was stopped.

--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -675,6 +675,11 @@
             # A request that crashes any worker is no evidence against a
             # version.
             return
+        if bad:
+            # Repeats of a request fail alike.
+            if worker.version in progress.failed_versions:
+                return
+            progress.failed_versions.add(worker.version)
         self.rollouts.record_answer(worker, progress.request.route.name, bad)
 
     def record_worker_failure(
--- a/src/rattanpier/_internal/relay/request_progress.py
+++ b/src/rattanpier/_internal/relay/request_progress.py
@@ -41,6 +41,7 @@
       answered_by: Id of the last worker whose answer was dropped in favour of a
         larger model's; empty if there is none.
       may_have_run: Whether a worker may have run the request.
+      failed_versions: Versions of which a worker failed the request.
       failure: Failure that a worker returned; passed on to the caller unless a
         later upstream request succeeds.
       reason: Why the last upstream request failed.
@@ -77,6 +78,7 @@
     tried: set[str] = attrs.Factory(set)
     answered_by: str = ""
     may_have_run: bool = False
+    failed_versions: set[str] = attrs.Factory(set)
     failure: CompleteAnswer | None = None
     reason: str = ""
     retry_after_s: float | None = None
