Compare durations of versions by likelihood, models apart

Callers got a version that took 2 or 3 times as long for half of their requests, or 8 times for 15 in 100: its roll-out was completed, after which there is no way back.

Cause: an answer was slow beyond twice the old version's fastest tenth, up to 0.1 more of them were tolerated, and a version was cleared if one that spoils 0.3 more would have shown it. The pace of a route was one distribution over models whose answers differ, and the test was repeated four times a second at 0.05 each, until it said what was asked.

What was ruled out: too few answers.

Durations are counted by route and model. relay/slowdowns.py computes likelihood ratios of 19 slowdowns, from 1.4 times for all to 8 times for 15 in 100 answers, against the best explanation by a version that is no slower. Such a ratio may be looked at as often as one likes. A version is no worse once all slowdowns that matter are excluded; while all traffic moves to fewer workers with empty caches, a larger one is tolerated. Waits under 20 ms and gaps under 10 ms, in which the network decides, aren't told apart. A version that stays unknown is rolled back 3 s after it may have given 50 bad answers. The log lines give the evidence, the slowdown that is least excluded and the smallest ones that are.

--- a/src/rattanpier/_internal/models/rollout_order.py
+++ b/src/rattanpier/_internal/models/rollout_order.py
@@ -67,6 +67,8 @@
         record read last; 0: the order's id.
       unproven: Versions of earlier orders of the service that were rolled back
         or not finished.
+      extending_share: Share of sessions for the new version in the extending
+        phase, 0 to 1; 0: the least share of that phase.
     """
 
     order: int
@@ -77,3 +79,4 @@
     since_ms: float
     seen: int = 0
     unproven: list[str] = attrs.Factory(list)
+    extending_share: float = 0.0
--- a/src/rattanpier/_internal/relay/evidence.py
+++ b/src/rattanpier/_internal/relay/evidence.py
@@ -23,11 +23,14 @@
       order: The order's id.
       route: Name of the route.
       candidate: Whether they were sent to the new version.
+      model: Model that was asked, by which durations are told apart; empty for
+        counts of answers, and if the caller named a model or there is none.
     """
 
     order: int
     route: str
     candidate: bool
+    model: str = ""
 
 
 @attrs.frozen(eq=False, repr=False)
--- a/src/rattanpier/_internal/relay/exposure.py
+++ b/src/rattanpier/_internal/relay/exposure.py
@@ -21,9 +21,10 @@
 # in progress at old workers. At a ratio of 0.15 and 1,000 requests, this
 # fraction leaves 3 s of 24 s.
 TRYING_FRACTION = 0.25
-# The same in the extending phase, for orders with fewer than
-# `MIN_TRIAL_ANSWERS` answers after half of the time: among so few, a version
-# that fails a third of its requests may show too few failures by chance.
+# The least share in the extending phase, for orders whose version is not known
+# to be no worse after half of the time, or has fewer than `MIN_TRIAL_ANSWERS`
+# answers: among so few, a version that fails a third of its requests may show
+# too few failures by chance.
 EXTENDING_FRACTION = 0.75
 MIN_TRIAL_ANSWERS = 20
 # Share of sessions in the widening phase, the last check before all move.
@@ -31,6 +32,8 @@
 # Fraction of the time until the deadline: two rounds of evidence between
 # entries.
 WIDENING_DURATION = 0.02
+# Age at which a version should widen, so that it completes in time.
+PLANNED_WIDENING_AGE = 0.88
 # Fraction of the bound that may be planned for: counts reach the driver half a
 # second late, and traffic may rise after the decision to widen.
 USABLE_FRACTION = 0.86
@@ -97,6 +100,48 @@
     rate = max(exposure.sent / age, recent_rate)
     expected_total = exposure.sent + rate * max(0.0, 1.0 - age)
     allowed = USABLE_FRACTION * (bound.ratio * expected_total + bound.slack)
+    take_over = take_over_requests(age, rate)
+    return exposure.exposed + take_over <= allowed
+
+
+def take_over_requests(age: float, rate: float) -> float:
+    """Returns the requests to a version that widens, until the deadline.
+
+    Args:
+      age: Time since the order as a fraction of its deadline, when it widens.
+      rate: Requests in the time until the deadline.
+    """
     widening_part = WIDENING_SHARE * WIDENING_DURATION
     full_part = max(0.0, 1.0 - age - WIDENING_DURATION)
-    return exposure.exposed + (widening_part + full_part) * rate <= allowed
+    return (widening_part + full_part) * rate
+
+
+def extended_share(
+    bound: ExposureBound, exposure: Exposure, age: float
+) -> float:
+    """Returns the share of sessions for the new version in an extended trial.
+
+    Few requests are left for the trial of a service with much traffic. With
+    little traffic, the slack allows a larger share, up to that of the widening
+    phase, so that the version gives enough answers before its deadline.
+
+    Args:
+      bound: Limit on the requests of a bad version.
+      exposure: Requests counted so far.
+      age: Time since the order as a fraction of its deadline, above 0.
+
+    >>> bound = ExposureBound(0.15, 30.0)
+    >>> round(extended_share(bound, Exposure(90, 4), 0.5), 2)
+    0.37
+    >>> round(extended_share(bound, Exposure(4000, 150), 0.5), 4)
+    0.1125
+    """
+    least = bound.extending_share
+    rate = exposure.sent / age
+    time_left = PLANNED_WIDENING_AGE - age
+    if time_left <= 0.0 or rate <= 0.0:
+        return least
+    allowed = USABLE_FRACTION * (bound.ratio * rate + bound.slack)
+    planned = take_over_requests(PLANNED_WIDENING_AGE, rate)
+    share = (allowed - exposure.exposed - planned) / (rate * time_left)
+    return max(least, min(share, WIDENING_SHARE))
--- a/src/rattanpier/_internal/relay/known_orders.py
+++ b/src/rattanpier/_internal/relay/known_orders.py
@@ -80,7 +80,12 @@
         (one, other),
         key=lambda record: (record.phase.final, phases.index(record.phase)),
     )
-    return attrs.evolve(found, order=order, seen=seen)
+    return attrs.evolve(
+        found,
+        order=order,
+        seen=seen,
+        extending_share=max(one.extending_share, other.extending_share),
+    )
 
 
 def record_to_write(
--- a/src/rattanpier/_internal/relay/observations.py
+++ b/src/rattanpier/_internal/relay/observations.py
@@ -21,6 +21,9 @@
 # A long stream gives one sample of its pace in this time, so that the samples
 # show the moment at which they were taken.
 PACE_WINDOW_S = 2.0
+# Differences between shorter times are those of the network.
+MIN_WAIT_S = 0.02
+MIN_GAP_S = 0.01
 
 
 @attrs.define(eq=False, repr=False)
@@ -31,7 +34,7 @@
       key: Key by which it counts; None if no order is in progress.
       started_at: When it was sent, in monotonic seconds.
       work_s: Estimated seconds of its work, by which the time to the first
-        event is divided; None if that time is not to be compared.
+        event is divided.
       head_at: When the head of its answer arrived, in monotonic seconds, or
         None.
       window_at: First event of the present sample of the pace, in monotonic
@@ -42,7 +45,7 @@
 
     key: TallyKey | None
     started_at: float
-    work_s: float | None
+    work_s: float
     head_at: float | None = None
     window_at: float | None = None
     window_gaps: int = 0
@@ -61,10 +64,8 @@
     def record_head(self, now: float) -> Tally:
         """Returns the counts that the head of the answer adds."""
         self.head_at = now
-        if self.work_s is None:
-            return Tally()
         waited_s = now - self.started_at
-        return Tally(first=ended_duration(waited_s / self.work_s))
+        return Tally(first=ended_duration(self.relative_wait(waited_s)))
 
     def record_event(self, now: float) -> Tally:
         """Returns the counts that an event adds: a sample of the pace, if due.
@@ -79,7 +80,7 @@
         self.window_gaps += 1
         if now - self.window_at < PACE_WINDOW_S:
             return Tally()
-        sample = ended_duration((now - self.window_at) / self.window_gaps)
+        sample = ended_gap((now - self.window_at) / self.window_gaps)
         self.window_at, self.window_gaps = now, 0
         return Tally(pace=sample)
 
@@ -97,9 +98,13 @@
 
     def unfinished_first(self, now: float) -> DurationCounts:
         """Returns the time waited for the head, if it has not arrived."""
-        if self.head_at is not None or self.work_s is None:
+        if self.head_at is not None:
             return NO_DURATIONS
-        return open_duration((now - self.started_at) / self.work_s)
+        return open_duration(self.relative_wait(now - self.started_at))
+
+    def relative_wait(self, waited_s: float) -> float:
+        """Returns a time to the head in relation to the work."""
+        return max(waited_s, MIN_WAIT_S) / self.work_s
 
     def unfinished_pace(self, now: float, complete: bool) -> DurationCounts:
         """Returns the sample of the pace that is not recorded yet.
@@ -115,4 +120,13 @@
         if not complete and now - self.last_at > mean_s:
             waited_s = now - self.window_at
             return open_duration(waited_s / (self.window_gaps + 1))
-        return ended_duration(mean_s) if self.window_gaps else NO_DURATIONS
+        return ended_gap(mean_s) if self.window_gaps else NO_DURATIONS
+
+
+def ended_gap(gap_s: float) -> DurationCounts:
+    """Returns the counts of one sample of the pace.
+
+    Args:
+      gap_s: Mean time from one event to the next, in seconds.
+    """
+    return ended_duration(max(gap_s, MIN_GAP_S))
--- a/src/rattanpier/_internal/relay/periods.py
+++ b/src/rattanpier/_internal/relay/periods.py
@@ -7,6 +7,7 @@
 import attrs
 
 from rattanpier._internal.relay.evidence import RunningRequests, TallyKey
+from rattanpier._internal.relay.slowdowns import Stratum
 from rattanpier._internal.relay.verdict import EMPTY_TALLY, Period, Tally
 
 # Long against the half second between reports of evidence, short against the
@@ -75,11 +76,12 @@
 
 def make_period(counts: Mapping[TallyKey, Tally]) -> Period:
     """Returns a period from its counts."""
-    stable: dict[str, Tally] = {}
-    candidate: dict[str, Tally] = {}
+    stable: dict[Stratum, Tally] = {}
+    candidate: dict[Stratum, Tally] = {}
     for key, tally in counts.items():
         side = candidate if key.candidate else stable
-        side[key.route] = side.get(key.route, EMPTY_TALLY) + tally
+        stratum = key.route, key.model
+        side[stratum] = side.get(stratum, EMPTY_TALLY) + tally
     return Period(stable, candidate)
 
 
@@ -92,10 +94,10 @@
 
 
 def add_tallies(
-    one: Mapping[str, Tally], other: Mapping[str, Tally]
-) -> dict[str, Tally]:
+    one: Mapping[Stratum, Tally], other: Mapping[Stratum, Tally]
+) -> dict[Stratum, Tally]:
     """Returns the sums of two mappings of tallies."""
     total = dict(one)
-    for route, tally in other.items():
-        total[route] = total.get(route, EMPTY_TALLY) + tally
+    for stratum, tally in other.items():
+        total[stratum] = total.get(stratum, EMPTY_TALLY) + tally
     return total
--- a/src/rattanpier/_internal/relay/rollout_driver.py
+++ b/src/rattanpier/_internal/relay/rollout_driver.py
@@ -51,7 +51,11 @@
 from rattanpier._internal.relay.restoring import LostRow
 from rattanpier._internal.relay.rollouts import TRIAL_PHASES, Rollouts
 from rattanpier._internal.relay.store import RelayStore, StoreClock, StoreHealth
-from rattanpier._internal.relay.verdict import Judgement, Verdict
+from rattanpier._internal.relay.verdict import (
+    Judgement,
+    Verdict,
+    describe_durations,
+)
 from rattanpier._internal.utils.codec import decode, encode
 from rattanpier._internal.utils.record import Record
 
@@ -70,6 +74,11 @@
 MAX_EXTENSION_AGE = 0.8
 # Time over which the recent rate of requests is measured: a few rounds.
 RECENT_AGE = 0.06
+# Bad answers after which operators expect a bad version to be rolled back, and
+# the time after which it is if it is not known to be bad. Operators expect it
+# within 5 s, of which entries need two to learn of it.
+MAX_BAD_ANSWERS = 50
+MAX_SUSPECTED_S = 3.0
 MIN_FULL_DURATION = 0.04  # Two rounds of evidence with all traffic.
 # At this age the old workers may be stopped, as their requests continue
 # elsewhere. The remaining time covers a write whose answer is lost, and a
@@ -98,6 +107,8 @@
       old_running: Requests in progress at old workers, sent by any entry.
       recent_rate: Requests in the time until the deadline, if they came at the
         recent rate.
+      suspected_s: Seconds for which the new version may have given as many bad
+        answers as operators accept, 0 if it has not.
     """
 
     phase: RolloutPhase
@@ -107,6 +118,7 @@
     verdict: Verdict
     old_running: int
     recent_rate: float = 0.0
+    suspected_s: float = 0.0
 
 
 def next_phase(progress: RolloutProgress, bound: ExposureBound) -> RolloutPhase:
@@ -114,13 +126,16 @@
 
     A version that is not known to be no worse advances no further, even beyond
     the deadline: it can be completed later, but the last step, which stops the
-    old version, can't be undone.
+    old version, can't be undone. It is rolled back soon after it may have given
+    as many bad answers as operators accept.
     """
     phase = progress.phase
     if phase.final:
         return phase
     if progress.verdict is Verdict.WORSE:
         return RolloutPhase.ROLLED_BACK
+    if progress.suspected_s >= MAX_SUSPECTED_S:
+        return RolloutPhase.ROLLED_BACK
     if phase in TRIAL_PHASES:
         return phase_after_trial(progress, bound)
     if progress.verdict is not Verdict.NO_WORSE:
@@ -213,6 +228,8 @@
         write made them stale.
       has_read: Whether the table has been read before.
       judged: The last judgement that was logged, by order id.
+      suspected_at: When versions may have given `MAX_BAD_ANSWERS`, in ms by the
+        store's clock, by order id.
       sent_by_age: Requests that had been sent at recent ages, by order id.
     """
 
@@ -228,6 +245,7 @@
     loaded: bool = False
     has_read: bool = False
     judged: dict[int, tuple[Verdict, str]] = attrs.Factory(dict)
+    suspected_at: dict[int, float] = attrs.Factory(dict)
     sent_by_age: dict[int, collections.deque[tuple[float, int]]] = (
         attrs.Factory(dict)
     )
@@ -325,6 +343,7 @@
             verdict=self.verdict(order, judgement),
             old_running=self.old_running(order.id),
             recent_rate=self.recent_rate(order.id, age),
+            suspected_s=self.suspected_s(order, judgement),
         )
         phase = next_phase(progress, self.rollouts.bound)
         if phase is not record.phase:
@@ -337,12 +356,29 @@
                 age=round(progress.age, 2),
                 verdict=progress.verdict.value,
                 reason=judgement.reason,
+                suspected_s=round(progress.suspected_s, 2),
                 old_running=progress.old_running,
+                durations=describe_durations(judgement),
                 new=self.rollouts.summary(order.id, candidate=True),
                 old=self.rollouts.summary(order.id, candidate=False),
             )
             await self.write(order, phase, record.begun_ms, now_ms)
 
+    def suspected_s(self, order: RolloutOrder, judgement: Judgement) -> float:
+        """Returns for how long a version may have given too many bad answers.
+
+        Args:
+          order: The order.
+          judgement: The latest judgement of its version.
+        """
+        exposed = self.rollouts.answer_counts.exposure(order.id).exposed
+        if exposed * judgement.suspected_share < MAX_BAD_ANSWERS:
+            self.suspected_at.pop(order.id, None)
+            return 0.0
+        now_ms = self.clock.now_ms()
+        since_ms = self.suspected_at.setdefault(order.id, now_ms)
+        return (now_ms - since_ms) / 1000
+
     def recent_rate(self, order: int, age: float) -> float:
         """Returns the recent rate of requests, and records their number.
 
@@ -380,6 +416,7 @@
             verdict=judgement.verdict.value,
             reason=judgement.reason,
             route=judgement.route,
+            durations=describe_durations(judgement),
             new=self.rollouts.summary(order.id, candidate=True),
             old=self.rollouts.summary(order.id, candidate=False),
         )
--- a/src/rattanpier/_internal/relay/rollouts.py
+++ b/src/rattanpier/_internal/relay/rollouts.py
@@ -50,6 +50,7 @@
     Judgement,
     Tally,
     Verdict,
+    describe_durations,
     judge,
 )
 from rattanpier._internal.utils.clock import Clock
@@ -417,22 +418,26 @@
         return None if worker.version in self.unproven(service) else False
 
     def observe(
-        self, worker: RegisteredWorker, route: str, work_s: float | None
+        self,
+        worker: RegisteredWorker,
+        route: str,
+        work_s: float,
+        model: str = "",
     ) -> Observation:
         """Starts to observe an upstream request, which counts as sent.
 
         Args:
           worker: The worker that it is sent to.
           route: Name of the route.
-          work_s: Estimated seconds of its work; None if its time is not to be
-            compared.
+          work_s: Estimated seconds of its work.
+          model: Model that is asked, if the system chose it.
         """
         candidate = self.is_candidate(worker.service, worker)
         now = self.clock.monotonic()
         if candidate is None:
-            return Observation(None, now, None)
+            return Observation(None, now, work_s)
         order = self.orders[worker.service]
-        key = TallyKey(order.id, route, candidate)
+        key = TallyKey(order.id, route, candidate, model)
         observation = Observation(key, now, work_s)
         self.running.add(observation)
         self.answer_counts.add(key, Tally(sent=1))
@@ -520,7 +525,7 @@
             self.all_running(order.id),
             self.clock.monotonic(),
         )
-        judgement = judge(periods)
+        judgement = judge(periods, self.phase(order) not in TRIAL_PHASES)
         if judgement.verdict is not Verdict.WORSE:
             return judgement
         if order.id not in self.stopped:
@@ -534,6 +539,7 @@
                 old_total=judgement.stable.total,
                 new_bad=judgement.candidate.bad,
                 new_total=judgement.candidate.total,
+                durations=describe_durations(judgement),
                 new=self.summary(order.id, candidate=True),
                 old=self.summary(order.id, candidate=False),
             )
--- a/src/rattanpier/_internal/relay/stream_answers.py
+++ b/src/rattanpier/_internal/relay/stream_answers.py
@@ -137,7 +137,7 @@
     )
     model = progress.model
     observation = dispatcher.rollouts.observe(
-        worker, request.route.name, expected_read_s(progress, choice)
+        worker, request.route.name, expected_read_s(choice), model
     )
     started_at = dispatcher.clock.monotonic()
     deadline = stream_deadline(dispatcher, progress)
@@ -398,17 +398,13 @@
     )
 
 
-def expected_read_s(progress: RequestProgress, choice: Choice) -> float | None:
+def expected_read_s(choice: Choice) -> float:
     """Returns the estimated seconds until the head of an answer.
 
+    It doesn't depend on the model, since answers of different models are not
+    compared.
+
     Args:
-      progress: Progress of the request.
       choice: Worker that is asked.
-
-    Returns:
-      None for any but the first model asked, since larger models take longer
-      for the same work.
     """
-    if progress.model != progress.first_model:
-        return None
     return MIN_READ_S + choice.to_read / READ_TOKENS_PER_S
--- a/src/rattanpier/_internal/relay/verdict.py
+++ b/src/rattanpier/_internal/relay/verdict.py
@@ -2,8 +2,8 @@
 
 Pure functions of counts, without a clock or a network. They detect versions
 that fail part of their requests, on all routes or on one, at once, later or
-under load, and versions whose answers or whose events come several times
-slower.
+under load, and versions of which a part of the answers or of the events comes
+several times slower, see `slowdowns`.
 
 Both versions are compared within periods of time. A period in which the stable
 version itself is in trouble says little about the candidate, and is left out.
@@ -14,8 +14,9 @@
 from __future__ import annotations
 
 import enum
+import itertools
 import math
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 
 import attrs
 
@@ -26,6 +27,13 @@
     DurationCounts,
     low_quantile,
 )
+from rattanpier._internal.relay.slowdowns import (
+    Comparison,
+    Stratum,
+    Tolerance,
+    compare,
+    make_reference,
+)
 from rattanpier._internal.utils.record import Record
 
 # A version is called worse if a version that is no worse would give as many bad
@@ -45,11 +53,11 @@
 ROUTE_CLEARANCE_MARGIN = 0.4
 # Share of bad answers that operators tolerate in any version.
 TOLERATED_FAILURE_RATE = 0.02
-# New workers have empty caches and another load than old ones, so that more of
-# their answers may be slow.
-TOLERATED_SLOW_RATE = 0.1
 MIN_BAD_ANSWERS = 2  # One bad answer proves nothing.
-MIN_TIMED_ANSWERS = 6  # Of the stable version, before times are compared.
+# The evidence, as natural logarithm, that a version is slow, and that it isn't.
+# The latter is against the best of several explanations, which raises it.
+SLOW_EVIDENCE = -math.log(SIGNIFICANCE_LEVEL)
+SOUND_EVIDENCE = -math.log(0.6 * CLEARANCE_LEVEL)
 # An answer is slow if it takes twice as long as the stable version's fastest
 # tenth, which shows the time without a queue.
 FAST_SHARE = 0.1
@@ -115,12 +123,12 @@
     """Requests of both versions in a period of time.
 
     Attributes:
-      stable: Requests of the stable version, by route.
-      candidate: Requests of the candidate, by route.
+      stable: Requests of the stable version, by route and model.
+      candidate: Requests of the candidate, by route and model.
     """
 
-    stable: Mapping[str, Tally]
-    candidate: Mapping[str, Tally]
+    stable: Mapping[Stratum, Tally]
+    candidate: Mapping[Stratum, Tally]
 
 
 NO_TRIALS = Trials()
@@ -130,10 +138,23 @@
     """In which respect an answer can be bad."""
 
     FAILURES = "fails more often"
-    FIRST = "answers slower"
+    WHOLE = "answers slower"
+    FIRST = "sends first events later"
     PACE = "sends events slower"
 
 
+TOLERANCES = {
+    Measure.WHOLE: Tolerance(share=0.03, max_shift=1, min_excess=0.5),
+    # New workers have to read what is in the prompt caches of old ones.
+    Measure.FIRST: Tolerance(share=0.1, max_shift=2, min_excess=1.5),
+    # An engine whose steps take longer slows all its answers alike.
+    Measure.PACE: Tolerance(share=0.03, max_shift=0, min_excess=0.4),
+}
+# While most traffic moves, fewer workers than the stable version had take all
+# of it, with empty caches.
+LOADED_TOLERANCE = Tolerance(share=0.1, max_shift=3, min_excess=1.5)
+
+
 class Verdict(enum.StrEnum):
     """What the evidence says of a candidate."""
 
@@ -153,6 +174,10 @@
       route: Route that decided, or empty for all routes together.
       stable: Answers of the stable version in the periods that count.
       candidate: Answers of the candidate in these periods.
+      comparisons: Evidence on durations, by measure.
+      suspected_share: Share of bad answers of the candidate, if it is slow in
+        the way that is least excluded; 0 unless the verdict is unknown for its
+        durations.
     """
 
     verdict: Verdict
@@ -160,11 +185,13 @@
     route: str = ""
     stable: Trials = NO_TRIALS
     candidate: Trials = NO_TRIALS
+    comparisons: Mapping[Measure, Comparison] = attrs.Factory(dict)
+    suspected_share: float = 0.0
 
 
 @attrs.frozen(eq=False, repr=False)
 class Cell(Record):
-    """Answers of both versions on one route in one period, by one measure.
+    """Answers of both versions in one stratum and period, by one measure.
 
     Attributes:
       route: Name of the route.
@@ -181,29 +208,103 @@
     informative: bool
 
 
-# Answers of a version on a route, as judged by a measure.
-Judge = Callable[[str, Tally], Trials]
+# Answers of a version in a stratum, as judged by a measure.
+Judge = Callable[[Stratum, Tally], Trials]
+# Returns the durations of a version in a stratum that a measure compares.
+DurationsOf = Callable[[Stratum, Tally], DurationCounts]
+
+
+@attrs.frozen(eq=False, repr=False)
+class Baseline(Record):
+    """State of the stable version in one stratum and period.
+
+    Attributes:
+      bad_rate: Its share of bad answers.
+      calm: Whether it is not in trouble.
+    """
+
+    bad_rate: float
+    calm: bool
 
 
-def judge(periods: Sequence[Period]) -> Judgement:
+def judge(periods: Sequence[Period], loaded: bool = False) -> Judgement:
     """Returns the verdict on a candidate.
 
     Args:
       periods: Requests of both versions, by period.
+      loaded: Whether the candidate takes a larger share of the traffic than on
+        trial.
     """
-    unknown = None
-    for measure in Measure:
-        cells = list(make_cells(periods, measure))
-        found = find_regression(cells, measure)
-        if found is not None and found.verdict is Verdict.WORSE:
-            return found
-        unknown = unknown or found or find_gap(cells, measure)
-    return unknown or Judgement(Verdict.NO_WORSE)
-
-
-def find_regression(
-    cells: Sequence[Cell], measure: Measure
-) -> Judgement | None:
+    found = [judge_failures(periods)]
+    found += filter(
+        None,
+        (
+            judge_durations(
+                periods, measure, LOADED_TOLERANCE if loaded else tolerance
+            )
+            for measure, tolerance in TOLERANCES.items()
+        ),
+    )
+    comparisons = {
+        measure: comparison
+        for judgement in found
+        for measure, comparison in judgement.comparisons.items()
+    }
+    verdicts = [judgement.verdict for judgement in found]
+    decisive = next(
+        found[verdicts.index(verdict)]
+        for verdict in (Verdict.WORSE, Verdict.UNKNOWN, Verdict.NO_WORSE)
+        if verdict in verdicts
+    )
+    return attrs.evolve(
+        decisive,
+        comparisons=comparisons,
+        suspected_share=max(judgement.suspected_share for judgement in found),
+    )
+
+
+def describe_durations(
+    judgement: Judgement,
+) -> dict[str, dict[str, float | None]]:
+    """Returns the evidence on durations for a log line, by measure.
+
+    Evidence is a natural logarithm. `excluded_half` and `excluded_all` are the
+    smallest multiples of the time that the evidence excludes for half and for
+    all of the answers; `least_excluded` and `its_share` are the slowdown that
+    it excludes least.
+    """
+    found = {}
+    for measure, comparison in judgement.comparisons.items():
+        slowdown, evidence = comparison.weakest(TOLERANCES[measure].min_excess)
+        found[measure.value] = {
+            "answers": comparison.answers,
+            "slow": round(comparison.slow, 2),
+            "sound": round(evidence, 2),
+            "least_excluded": slowdown and round(slowdown.factor, 1),
+            "its_share": slowdown and slowdown.share,
+            "excluded_half": comparison.excluded_factor(0.5, SOUND_EVIDENCE),
+            "excluded_all": comparison.excluded_factor(1.0, SOUND_EVIDENCE),
+        }
+    return found
+
+
+# Failures.
+
+
+def judge_failures(periods: Sequence[Period]) -> Judgement:
+    """Returns the verdict on a candidate by its failures."""
+    cells = list(make_cells(periods, failures_of))
+    return (
+        find_regression(cells) or find_gap(cells) or Judgement(Verdict.NO_WORSE)
+    )
+
+
+def failures_of(_stratum: Stratum, tally: Tally) -> Trials:
+    """Returns the answers of a version, and its failures as bad ones."""
+    return Trials(tally.total, tally.bad)
+
+
+def find_regression(cells: Sequence[Cell]) -> Judgement | None:
     """Returns the judgement that the candidate is worse, or may be, or None."""
     doubt = None
     informative = [cell for cell in cells if cell.informative]
@@ -214,7 +315,7 @@
         if candidate.bad < MIN_BAD_ANSWERS:
             continue
         chance = upper_tail(candidate.total, candidate.bad, rate)
-        fields = measure.value, route, stable, candidate
+        fields = Measure.FAILURES.value, route, stable, candidate
         if chance < SIGNIFICANCE_LEVEL:
             return Judgement(Verdict.WORSE, *fields)
         if chance < DOUBT_LEVEL and doubt is None:
@@ -222,19 +323,14 @@
     return doubt
 
 
-def find_gap(cells: Sequence[Cell], measure: Measure) -> Judgement | None:
+def find_gap(cells: Sequence[Cell]) -> Judgement | None:
     """Returns the judgement that evidence is missing, or None.
 
     While the stable version is in trouble, only a candidate that is well by
     itself is known to be no worse. Routes need evidence of their own only
     where the candidate failed more than once.
     """
-    if measure is not Measure.FAILURES and not sum_cells(cells)[0].total:
-        return None
-    routes = [""]
-    if measure is Measure.FAILURES:
-        routes += sorted({cell.route for cell in cells})
-    for route in routes:
+    for route in ["", *sorted({cell.route for cell in cells})]:
         chosen = [cell for cell in cells if route in ("", cell.route)]
         if route and sum_cells(chosen)[1].bad < MIN_BAD_ANSWERS:
             continue
@@ -242,8 +338,13 @@
         if not is_cleared(chosen, margin):
             informative = [cell for cell in chosen if cell.informative]
             stable, candidate, _ = sum_cells(informative)
-            fields = measure.value, route, stable, candidate
-            return Judgement(Verdict.UNKNOWN, *fields)
+            return Judgement(
+                Verdict.UNKNOWN,
+                Measure.FAILURES.value,
+                route,
+                stable,
+                candidate,
+            )
     return None
 
 
@@ -284,28 +385,48 @@
     return stable, candidate, rate
 
 
-def make_cells(periods: Sequence[Period], measure: Measure) -> Iterator[Cell]:
-    """Yields the answers of both versions by period and route."""
-    judged = judge_of(periods, measure)
+def make_cells(periods: Sequence[Period], judged: Judge) -> Iterator[Cell]:
+    """Yields the answers of both versions by period and stratum."""
+    baselines = make_baselines(periods, judged)
+    for period, baseline in zip(periods, baselines, strict=True):
+        for stratum, tally in period.candidate.items():
+            state = baseline(stratum)
+            yield Cell(
+                route=stratum[0],
+                stable=judged(stratum, period.stable.get(stratum, EMPTY_TALLY)),
+                candidate=judged(stratum, tally),
+                expected_rate=max(state.bad_rate, TOLERATED_FAILURE_RATE),
+                informative=state.calm,
+            )
+
+
+def make_baselines(
+    periods: Sequence[Period], judged: Judge
+) -> Iterator[Callable[[Stratum], Baseline]]:
+    """Yields, by period, the state of the stable version by stratum."""
     counted = [
-        {route: judged(route, tally) for route, tally in period.stable.items()}
+        {
+            stratum: judged(stratum, tally)
+            for stratum, tally in period.stable.items()
+        }
         for period in periods
     ]
     sums = [sum(each.values(), NO_TRIALS) for each in counted]
     usual_rate = calm_rate(sums)
     limit = min(TROUBLED_RATE, usual_rate + TROUBLED_MARGIN)
-    for period, stable, all_stable in zip(periods, counted, sums, strict=True):
-        calm = smoothed_rate(all_stable, usual_rate) <= limit
-        for route, tally in period.candidate.items():
-            old = stable.get(route, NO_TRIALS)
-            rate = smoothed_rate(old, usual_rate)
-            yield Cell(
-                route=route,
-                stable=old,
-                candidate=judged(route, tally),
-                expected_rate=tolerated_rate(rate, measure),
-                informative=calm and rate <= limit,
-            )
+    calm = [smoothed_rate(total, usual_rate) <= limit for total in sums]
+
+    def make_baseline(
+        stable: Mapping[Stratum, Trials], is_calm: bool
+    ) -> Callable[[Stratum], Baseline]:
+        def baseline(stratum: Stratum) -> Baseline:
+            trials = stable.get(stratum, NO_TRIALS)
+            rate = smoothed_rate(trials, usual_rate)
+            return Baseline(rate, is_calm and rate <= limit)
+
+        return baseline
+
+    return map(make_baseline, counted, calm)
 
 
 def calm_rate(periods: Sequence[Trials]) -> float:
@@ -334,52 +455,148 @@
     return bad / (trials.total + PRIOR_ANSWERS)
 
 
-def tolerated_rate(rate: float, measure: Measure) -> float:
-    """Returns the share of bad answers that a candidate may have."""
-    if measure is Measure.FAILURES:
-        return max(rate, TOLERATED_FAILURE_RATE)
-    return min(1.0, rate + TOLERATED_SLOW_RATE)
+# Durations.
 
 
-def judge_of(periods: Sequence[Period], measure: Measure) -> Judge:
-    """Returns how answers are judged by a measure."""
-    if measure is Measure.FAILURES:
-        return lambda _route, tally: Trials(tally.total, tally.bad)
-    limits = slow_limits(periods, measure)
+def judge_durations(
+    periods: Sequence[Period], measure: Measure, tolerance: Tolerance
+) -> Judgement | None:
+    """Returns the verdict on a candidate by one measure of its durations.
+
+    None if the stable version has no durations to compare with.
+    """
+    durations_of = make_durations_of(periods, measure)
+    candidate = [period.candidate for period in periods]
+    stable = [period.stable for period in periods]
+    all_stable = sum_durations(stable, durations_of)
+    if not any(counts.total for counts in all_stable.values()):
+        return None
+    slow_trials_of = make_slow_trials(all_stable)
+    baselines = list(
+        make_baselines(
+            periods,
+            lambda stratum, tally: slow_trials_of(
+                stratum, durations_of(stratum, tally)
+            ),
+        )
+    )
+    calm_stable = sum_durations(
+        map(select_calm, stable, baselines), durations_of
+    )
+    calm_candidate = sum_durations(
+        map(select_calm, candidate, baselines), durations_of
+    )
+    comparison = compare(calm_stable, calm_candidate, tolerance)
+    verdict = verdict_of(comparison, tolerance)
+    if verdict is Verdict.UNKNOWN:
+        # The candidate may be well while the stable version is in trouble.
+        by_itself = compare(
+            calm_stable,
+            sum_durations(candidate, durations_of),
+            tolerance,
+        )
+        if verdict_of(by_itself, tolerance) is Verdict.NO_WORSE:
+            verdict, comparison = Verdict.NO_WORSE, by_itself
+    return Judgement(
+        verdict,
+        "" if verdict is Verdict.NO_WORSE else measure.value,
+        "",
+        sum(itertools.starmap(slow_trials_of, calm_stable.items()), NO_TRIALS),
+        sum(
+            itertools.starmap(slow_trials_of, calm_candidate.items()), NO_TRIALS
+        ),
+        {measure: comparison},
+        least_excluded_share(comparison, tolerance)
+        if verdict is Verdict.UNKNOWN
+        else 0.0,
+    )
 
-    def judged(route: str, tally: Tally) -> Trials:
-        limit = limits.get(route, limits.get(""))
-        if limit is None:
-            return NO_TRIALS
-        return slow_trials(durations_of(tally, measure), limit)
 
-    return judged
+def least_excluded_share(comparison: Comparison, tolerance: Tolerance) -> float:
+    """Returns the share of slow answers in the least excluded slowdown."""
+    slowdown, _ = comparison.weakest(tolerance.min_excess)
+    return 0.0 if slowdown is None else slowdown.share
 
 
-def durations_of(tally: Tally, measure: Measure) -> DurationCounts:
-    """Returns the durations that a measure compares."""
-    return tally.first if measure is Measure.FIRST else tally.pace
+def verdict_of(comparison: Comparison, tolerance: Tolerance) -> Verdict:
+    """Returns what a comparison of durations says of a candidate."""
+    if comparison.slow >= SLOW_EVIDENCE:
+        return Verdict.WORSE
+    _, evidence = comparison.weakest(tolerance.min_excess)
+    if evidence >= SOUND_EVIDENCE:
+        return Verdict.NO_WORSE
+    return Verdict.UNKNOWN
 
 
-def slow_limits(periods: Sequence[Period], measure: Measure) -> dict[str, int]:
-    """Returns the last bucket that is not slow, by route.
+def make_durations_of(
+    periods: Sequence[Period], measure: Measure
+) -> DurationsOf:
+    """Returns the function that returns the durations that a measure compares.
 
-    The limit of all routes together, under the empty name, is for routes on
-    which the stable version gave too few answers.
+    Routes whose answers are streamed are told by the pace of the stable
+    version.
     """
-    durations: dict[str, DurationCounts] = {}
-    for period in periods:
-        for route, tally in period.stable.items():
-            added = durations_of(tally, measure)
-            for name in (route, ""):
-                before = durations.get(name, NO_DURATIONS)
-                durations[name] = before + added
-    limits = {}
-    for route, counts in durations.items():
-        fast = low_quantile(counts, FAST_SHARE)
-        if fast is not None and sum(counts.ended.values()) >= MIN_TIMED_ANSWERS:
-            limits[route] = fast + SLOW_BUCKETS
-    return limits
+    streamed = {
+        stratum[0]
+        for period in periods
+        for stratum, tally in period.stable.items()
+        if tally.pace.total
+    }
+
+    def durations_of(stratum: Stratum, tally: Tally) -> DurationCounts:
+        if measure is Measure.PACE:
+            return tally.pace
+        is_measured = (stratum[0] in streamed) == (measure is Measure.FIRST)
+        return tally.first if is_measured else NO_DURATIONS
+
+    return durations_of
+
+
+def sum_durations(
+    tallies: Iterable[Mapping[Stratum, Tally]], durations_of: DurationsOf
+) -> dict[Stratum, DurationCounts]:
+    """Returns the sums over periods of the durations of a version."""
+    total: dict[Stratum, DurationCounts] = {}
+    for period in tallies:
+        for stratum, tally in period.items():
+            added = durations_of(stratum, tally)
+            if added.total:
+                total[stratum] = total.get(stratum, NO_DURATIONS) + added
+    return total
+
+
+def select_calm(
+    tallies: Mapping[Stratum, Tally],
+    baseline: Callable[[Stratum], Baseline],
+) -> dict[Stratum, Tally]:
+    """Returns the tallies of strata in which the stable version is calm."""
+    return {
+        stratum: tally
+        for stratum, tally in tallies.items()
+        if baseline(stratum).calm
+    }
+
+
+def make_slow_trials(
+    stable: Mapping[Stratum, DurationCounts],
+) -> Callable[[Stratum, DurationCounts], Trials]:
+    """Returns a function that counts slow answers as bad ones.
+
+    The function counts none where it is not known which answers are slow.
+
+    Args:
+      stable: Durations of the stable version.
+    """
+    reference = make_reference(stable)
+
+    def count_slow(stratum: Stratum, durations: DurationCounts) -> Trials:
+        found = reference(stratum)
+        fast = None if found is None else low_quantile(found, FAST_SHARE)
+        if fast is None:
+            return NO_TRIALS
+        return slow_trials(durations, fast + SLOW_BUCKETS)
+
+    return count_slow
 
 
 def slow_trials(durations: DurationCounts, limit: int) -> Trials:
--- a/tests/lib/relay_parts.py
+++ b/tests/lib/relay_parts.py
@@ -9,6 +9,7 @@
 from rattanpier._internal.models.route_table import Route, ServiceShare
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.relay.load import part_sizes
+from rattanpier._internal.relay.verdict import Period
 
 MODELS = ("small", "middle", "large")
 
@@ -76,3 +77,11 @@
 def at(version, era=1):
     """Returns a revision of the store."""
     return Revision(era, version)
+
+
+def make_period(stable, candidate):
+    """Returns a period without models; tallies are by route."""
+    return Period(
+        {(route, ""): tally for route, tally in stable.items()},
+        {(route, ""): tally for route, tally in candidate.items()},
+    )
--- a/tests/lib/rollout_trials.py
+++ b/tests/lib/rollout_trials.py
@@ -21,6 +21,7 @@
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.platform.rollouts import status_row
 from rattanpier._internal.relay.exposure import ExposureBound
+from rattanpier._internal.relay.gossip import report_rounds
 from rattanpier._internal.relay.observations import Observation
 from rattanpier._internal.relay.own_table import OwnTable
 from rattanpier._internal.relay.rollout_driver import (
@@ -36,6 +37,7 @@
 BROADCAST_S = 0.1
 MAX_ANSWER_S = 12.0
 BAD_ANSWERS = 50
+BAD_SPEED = 1.5  # Multiple of the time from which on an answer is bad.
 ORDER = RolloutOrder(7, "s", "v2", 24.0)
 
 
@@ -48,6 +50,7 @@
     read_s: float
     events: int
     gap_s: float = 0.02
+    model: str = ""
 
 
 CHATS = (
@@ -55,6 +58,13 @@
     RouteModel("sign", 0.35, 0.15, 8),
     RouteModel("reply", 0.4, 0.1, 78),
 )
+# The small model answers first; some of its answers are escalated.
+CASCADE = (
+    *CHATS,
+    RouteModel("pack", 0.08, 3.0, 17, 0.2, "large"),
+    RouteModel("sign", 0.12, 1.5, 8, 0.2, "large"),
+    RouteModel("reply", 0.12, 1.0, 78, 0.2, "large"),
+)
 PLAIN = (RouteModel("fetch", 0.7, 0.09, 0), RouteModel("look", 0.3, 0.09, 0))
 
 
@@ -146,6 +156,7 @@
         self.clock = ManualClock()
         self.outcome = Outcome()
         self.queue = []
+        self.rounds = 0
         self.numbers = itertools.count()
         self.workers = [
             make_worker(f"{version}-{number}", version=version)
@@ -210,11 +221,24 @@
     def gossip(self):
         """Reports evidence to the driver and shares stops and records."""
         driver, *others = self.entries
+        self.rounds += 1
+        interval = report_rounds(len(self.entries))
         for number, entry in enumerate(others, 1):
+            if (self.rounds + number) % interval:
+                continue
             found = entry.evidence(f"e{number}")
             if found is not None and self.rng.random() >= self.scenario.lost:
                 driver.answer_counts.apply_evidence(found, self.clock.now)
-        for sender, receiver in itertools.permutations(self.entries, 2):
+        telling = [
+            each for each in self.entries if each.records or each.stopped
+        ]
+        pairs = (
+            (sender, receiver)
+            for sender in telling
+            for receiver in self.entries
+            if receiver is not sender and not knows(receiver, sender)
+        )
+        for sender, receiver in pairs:
             if self.rng.random() >= self.scenario.lost:
                 self.after(BROADCAST_S, lambda s=sender, r=receiver: tell(s, r))
         self.after(ROUND_S, self.gossip)
@@ -264,7 +288,7 @@
             route,
             own,
             common,
-            entry.observe(worker, route.name, route.read_s),
+            entry.observe(worker, route.name, route.read_s, route.model),
             self.rng.lognormvariate(0.0, 0.3),
             self.clock.now + leaves_s,
         )
@@ -308,10 +332,18 @@
         run.entry.end(run.observation, abandoned=True)
 
     def note_bad(self, run):
-        if run.own.fails or run.own.speed > 2.0:
+        if run.own.fails or run.own.speed >= BAD_SPEED:
             self.outcome.bad_at.append(self.clock.now)
 
 
+def knows(receiver, sender):
+    """Returns whether one entry has nothing to learn from another."""
+    return (
+        receiver.records == sender.records
+        and receiver.stopped >= sender.stopped
+    )
+
+
 def tell(sender, receiver):
     """Applies what one entry knows at another."""
     for record in sender.records.values():
@@ -336,6 +368,20 @@
     return Faults(speed=8.0 if rng.random() < 0.5 else 1.0)
 
 
+def slower(factor, share=1.0, route_name="", since_s=0.0):
+    """Returns a version that takes a multiple of the time for a share.
+
+    An engine whose steps take longer slows all requests alike: its share is 1.
+    """
+
+    def version(rng, route, age_s):
+        concerned = route_name in ("", route.name) and age_s >= since_s
+        hit = concerned and rng.random() < share
+        return Faults(speed=factor if hit else 1.0)
+
+    return version
+
+
 def failing(rng, _route, _age_s):
     return Faults(fails=rng.random() < 0.5)
 
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -37,6 +37,7 @@
 )
 from rattanpier._internal.relay.model_groups import ModelGroups
 from rattanpier._internal.relay.model_timings import ModelTimings
+from rattanpier._internal.relay.observations import Observation
 from rattanpier._internal.relay.placement import Chooser, home_of
 from rattanpier._internal.relay.rollout_driver import (
     FORCE_COMPLETION_AGE,
@@ -45,7 +46,6 @@
 )
 from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.relay.verdict import (
-    Period,
     Tally,
     Verdict,
     judge,
@@ -54,6 +54,7 @@
 from tests.lib.relay_parts import (
     kept_tokens,
     make_chat,
+    make_period,
     make_prompt,
     make_request,
     make_worker,
@@ -415,7 +416,8 @@
 
 
 def is_worse(stable, candidate):
-    return judge([Period(stable, candidate)]).verdict is Verdict.WORSE
+    period = make_period(stable, candidate)
+    return judge([period]).verdict is Verdict.WORSE
 
 
 @pytest.mark.parametrize(
@@ -545,6 +547,19 @@
             ),
             "rolled_back",
         ),
+        # It may have given too many bad answers for too long.
+        (
+            RolloutProgress(
+                "extending", 0.8, 0.3, LARGE_SAMPLE, UNKNOWN, 5, 0.0, 3.0
+            ),
+            "rolled_back",
+        ),
+        (
+            RolloutProgress(
+                "extending", 0.8, 0.3, LARGE_SAMPLE, UNKNOWN, 5, 0.0, 2.0
+            ),
+            "extending",
+        ),
         # Its last step can't be undone.
         (
             RolloutProgress(
@@ -572,6 +587,18 @@
     assert next_phase(given, BOUND) is RolloutPhase(phase)
 
 
+def test_differences_of_the_network_are_not_compared():
+    fast, faster = (Observation(None, 0.0, 0.5) for _ in range(2))
+    assert fast.record_head(0.001) == faster.record_head(0.015)
+    gaps = []
+    for gap_s in (0.001, 0.008):
+        observation = Observation(None, 0.0, 0.5)
+        for number in range(9):
+            observation.record_event(number * gap_s)
+        gaps.append(observation.unfinished_pace(8 * gap_s, complete=True))
+    assert gaps[0] == gaps[1]
+
+
 # Retry budgets.
 
 
--- a/tests/relay/test_exposure.py
+++ b/tests/relay/test_exposure.py
@@ -24,12 +24,12 @@
 )
 from rattanpier._internal.relay.rollouts import Rollouts
 from rattanpier._internal.relay.verdict import (
-    Period,
     Tally,
     Verdict,
     judge,
 )
 from tests.lib.clock import ManualClock
+from tests.lib.relay_parts import make_period
 
 STEPS = 400
 RECENT_STEPS = int(RECENT_AGE * STEPS)
@@ -171,7 +171,7 @@
                 [each for each in known if each[1]],
             )
         )
-        verdict = judge([Period({"r": old}, {"r": new})]).verdict
+        verdict = judge([make_period({"r": old}, {"r": new})]).verdict
         exposure = Exposure(len(known), new.total)
         progress = RolloutProgress(
             phase, age, age - since, exposure, verdict, 3
--- a/tests/relay/test_restored_rollouts.py
+++ b/tests/relay/test_restored_rollouts.py
@@ -163,7 +163,7 @@
 def test_counts_are_kept_when_an_order_takes_the_id_of_its_record(rollouts):
     rollouts.apply_order(order("v2", at(8, 2)))
     (worker,) = make_workers(1, version="v2")
-    observations = [rollouts.observe(worker, "r", None) for _ in range(3)]
+    observations = [rollouts.observe(worker, "r", 1.0) for _ in range(3)]
     rollouts.apply_record(record("v2", at(9), PHASE.TRYING))
     exposure = rollouts.answer_counts.exposure(rollouts.orders["s"].id)
     assert exposure.exposed == 3
--- a/tests/relay/test_rollout_trials.py
+++ b/tests/relay/test_rollout_trials.py
@@ -17,6 +17,15 @@
     "late": trials.late_failing,
     "one route": trials.failing_on_one_route,
 }
+SLOWER_VERSIONS = {
+    "engine 1.5": trials.slower(1.5),
+    "engine 2": trials.slower(2.0),
+    "engine 4.5": trials.slower(4.5),
+    "8 times, half": trials.slower(8.0, 0.5),
+    "3 times, half": trials.slower(3.0, 0.5),
+    "8 times, 15 in 100": trials.slower(8.0, 0.15),
+}
+ROUTES = {"cascade": trials.CASCADE, "plain": trials.PLAIN}
 TROUBLES = {
     "calm": {},
     "impatient callers": {"impatient": 0.9},
@@ -66,3 +75,36 @@
         for outcome in outcomes
     ]
     assert in_time.count(False) <= 1
+
+
+# Slowdowns below this can't be told from usual variation in plain services.
+PLAIN_VERSIONS = [name for name in SLOWER_VERSIONS if name != "engine 1.5"]
+
+
+@pytest.mark.parametrize(
+    ("version", "routes"),
+    [(name, "cascade") for name in SLOWER_VERSIONS]
+    + [(name, "plain") for name in PLAIN_VERSIONS],
+)
+async def test_a_slower_version_is_rolled_back(version, routes):
+    outcomes = await play(
+        SLOWER_VERSIONS[version],
+        "calm",
+        routes=ROUTES[routes],
+        entries=8,
+    )
+    assert broken_bounds(outcomes, trials.Scenario().bound) == {}
+    kept = [outcome.phase is RolloutPhase.COMPLETED for outcome in outcomes]
+    assert kept.count(True) <= 1
+
+
+@pytest.mark.parametrize("entries", [100, 420])
+@pytest.mark.parametrize("routes", ROUTES)
+async def test_verdicts_on_durations_hold_at_size(entries, routes):
+    more = {"routes": ROUTES[routes], "entries": entries, "seeds": 3}
+    for outcome in await play(trials.slower(3.0, 0.5), "calm", **more):
+        assert outcome.phase is RolloutPhase.ROLLED_BACK
+        assert not outcome.late
+    for outcome in await play(trials.good, "calm", **more):
+        assert outcome.phase is RolloutPhase.COMPLETED
+        assert outcome.completed_at < trials.ORDER.deadline_s
