Compare failures on a route with what is usual there

A good version of a plain service was rolled back, or left unknown at the deadline, after three or four failures on one route, where the old version fails as often.

Cause: the rate that was expected on a route in one period was drawn to that of all routes, so that a route that usually fails looked like one that does not wherever the old version had no answers in the same period. And any route with two failures needed evidence of its own, which a route with few answers can't give.

The expected rate is at least the usual one of the route in calm periods, and evidence of its own is needed where the failures are unlikely at that rate.

Both new tests failed before.

--- a/src/rattanpier/_internal/relay/verdict.py
+++ b/src/rattanpier/_internal/relay/verdict.py
@@ -43,6 +43,9 @@
 # A version that is no worse would give as many bad answers with less than this
 # probability: too likely to stop it, too unlikely to let it take over.
 DOUBT_LEVEL = 0.02
+# As many bad answers are usual if a version that is no worse gives them with
+# at least this probability.
+USUAL_LEVEL = 0.25
 # A version is called no worse if a bad one would give as few bad answers with
 # less than this probability.
 CLEARANCE_LEVEL = 0.05
@@ -219,7 +222,7 @@
     """State of the stable version in one stratum and period.
 
     Attributes:
-      bad_rate: Its share of bad answers.
+      bad_rate: Its share of bad answers, or its usual one if that is larger.
       calm: Whether it is not in trouble.
     """
 
@@ -328,11 +331,11 @@
 
     While the stable version is in trouble, only a candidate that is well by
     itself is known to be no worse. Routes need evidence of their own only
-    where the candidate failed more than once.
+    where the candidate failed more often than is usual there.
     """
     for route in ["", *sorted({cell.route for cell in cells})]:
         chosen = [cell for cell in cells if route in ("", cell.route)]
-        if route and sum_cells(chosen)[1].bad < MIN_BAD_ANSWERS:
+        if route and fails_as_usual(chosen):
             continue
         margin = ROUTE_CLEARANCE_MARGIN if route else CLEARANCE_MARGIN
         if not is_cleared(chosen, margin):
@@ -348,6 +351,15 @@
     return None
 
 
+def fails_as_usual(cells: Sequence[Cell]) -> bool:
+    """Returns whether a candidate's failures are likely at the usual rate."""
+    _, candidate, rate = sum_cells(cells)
+    if candidate.bad < MIN_BAD_ANSWERS:
+        return True
+    chance = upper_tail(candidate.total, candidate.bad, rate)
+    return chance >= USUAL_LEVEL
+
+
 def is_cleared(cells: Sequence[Cell], margin: float) -> bool:
     """Returns whether a bad version would have given more bad answers.
 
@@ -415,6 +427,12 @@
     usual_rate = calm_rate(sums)
     limit = min(TROUBLED_RATE, usual_rate + TROUBLED_MARGIN)
     calm = [smoothed_rate(total, usual_rate) <= limit for total in sums]
+    # Some routes fail more often than others, whatever the version.
+    by_stratum: dict[Stratum, Trials] = {}
+    for stable in itertools.compress(counted, calm):
+        for stratum, trials in stable.items():
+            before = by_stratum.get(stratum, NO_TRIALS)
+            by_stratum[stratum] = before + trials
 
     def make_baseline(
         stable: Mapping[Stratum, Trials], is_calm: bool
@@ -422,7 +440,11 @@
         def baseline(stratum: Stratum) -> Baseline:
             trials = stable.get(stratum, NO_TRIALS)
             rate = smoothed_rate(trials, usual_rate)
-            return Baseline(rate, is_calm and rate <= limit)
+            usual = by_stratum.get(stratum, NO_TRIALS)
+            return Baseline(
+                max(rate, smoothed_rate(usual, usual_rate)),
+                is_calm and rate <= limit,
+            )
 
         return baseline
 
--- a/tests/relay/test_decisions.py
+++ b/tests/relay/test_decisions.py
@@ -443,6 +443,25 @@
     assert is_worse(stable, candidate) == worse
 
 
+def test_a_route_that_usually_fails_is_no_evidence_against_a_version():
+    stable = {"r": Tally(100, 2), "q": Tally(4, 3)}
+    periods = [
+        make_period(stable, {"r": Tally(10, 0)}),
+        make_period({"r": Tally(100, 2)}, {"r": Tally(10), "q": Tally(4, 4)}),
+    ]
+    assert judge(periods).verdict is not Verdict.WORSE
+
+
+def test_a_route_that_fails_as_usual_needs_no_evidence_of_its_own():
+    stable = {"r": Tally(100, 2), "q": Tally(40, 10)}
+    usual = {"r": Tally(30, 0), "q": Tally(6, 2)}
+    assert judge([make_period(stable, usual)]).verdict is Verdict.NO_WORSE
+    unusual = {"r": Tally(30, 0), "q": Tally(6, 4)}
+    assert judge([make_period(stable, unusual)]).verdict is not (
+        Verdict.NO_WORSE
+    )
+
+
 def test_a_good_version_is_rarely_judged_worse():
     rng = random.Random(5)
     wrong = 0
