Extend a trial by what is left of the bound

Good versions of a service with little traffic were late: a new version of the plain service had 13 answers at its deadline.

Cause: an extended trial got three quarters of the bound's ratio, and left the bound's slack unused, which is most of what a service with little traffic may spend: 57 requests of 180, of which 16 were sent and 20 reserved.

The driver computes the share from what is left after the take-over, at least the old one and at most that of the widening phase, and writes it into the record, so that all entries use the same.

Both new tests failed before.

--- a/src/rattanpier/_internal/relay/rollout_driver.py
+++ b/src/rattanpier/_internal/relay/rollout_driver.py
@@ -39,6 +39,7 @@
     WIDENING_DURATION,
     Exposure,
     ExposureBound,
+    extended_share,
     may_widen,
 )
 from rattanpier._internal.relay.known_orders import record_to_write
@@ -362,7 +363,32 @@
                 new=self.rollouts.summary(order.id, candidate=True),
                 old=self.rollouts.summary(order.id, candidate=False),
             )
-            await self.write(order, phase, record.begun_ms, now_ms)
+            await self.write(
+                order,
+                phase,
+                record.begun_ms,
+                now_ms,
+                self.extending_share(record, phase, progress),
+            )
+
+    def extending_share(
+        self,
+        record: RolloutRecord,
+        phase: RolloutPhase,
+        progress: RolloutProgress,
+    ) -> float:
+        """Returns the share of sessions in an extended trial, for a record.
+
+        Args:
+          record: The record so far.
+          phase: The phase that begins.
+          progress: Progress of the order.
+        """
+        if phase is not RolloutPhase.EXTENDING:
+            return record.extending_share
+        return extended_share(
+            self.rollouts.bound, progress.exposure, progress.age
+        )
 
     def suspected_s(self, order: RolloutOrder, judgement: Judgement) -> float:
         """Returns for how long a version may have given too many bad answers.
@@ -433,6 +459,7 @@
         phase: RolloutPhase,
         begun_ms: float,
         since_ms: float,
+        extending_share: float = 0.0,
     ) -> None:
         """Writes a record and the operators' status in one transaction.
 
@@ -441,6 +468,7 @@
           phase: Its new phase.
           begun_ms: Time of the order, by the store's steady clock.
           since_ms: Start of the phase, by the same clock.
+          extending_share: Share of sessions in an extended trial.
         """
         record = RolloutRecord(
             order.id,
@@ -451,6 +479,7 @@
             since_ms,
             order.revision.number,
             sorted(self.rollouts.unproven(order.service)),
+            extending_share,
         )
         key = ROLLOUT_PREFIX + order.service
         revision = self.revisions.get(order.service, Revision())
--- a/src/rattanpier/_internal/relay/rollouts.py
+++ b/src/rattanpier/_internal/relay/rollouts.py
@@ -357,7 +357,7 @@
         requests, and it would switch back and forth.
         """
         point = session_point(order.id, request.session or request.id)
-        if point >= self.share(phase) * HASH_RANGE:
+        if point >= self.session_share(order, phase) * HASH_RANGE:
             return False
         if phase is not RolloutPhase.TRYING or not request.session:
             return True
@@ -371,7 +371,7 @@
         return not self.sessions.is_held(order.id, point)
 
     def share(self, phase: RolloutPhase) -> float:
-        """Returns the share of sessions for the new version, 0 to 1."""
+        """Returns the least share of sessions in a phase, 0 to 1."""
         match phase:
             case RolloutPhase.TRYING:
                 return self.bound.trying_share
@@ -384,6 +384,13 @@
             case _:
                 return 1.0
 
+    def session_share(self, order: RolloutOrder, phase: RolloutPhase) -> float:
+        """Returns the share of sessions for an order's version, 0 to 1."""
+        record = self.records.get(order.service)
+        if phase is RolloutPhase.EXTENDING and record is not None:
+            return max(self.share(phase), record.extending_share)
+        return self.share(phase)
+
     def split_without_order(
         self, service: str, workers: Sequence[RegisteredWorker]
     ) -> VersionSplit:
--- a/tests/relay/test_exposure.py
+++ b/tests/relay/test_exposure.py
@@ -9,12 +9,17 @@
 
 import pytest
 
-from rattanpier._internal.models.rollout_order import RolloutPhase
+from rattanpier._internal.models.rollout_order import (
+    RolloutOrder,
+    RolloutPhase,
+    RolloutRecord,
+)
 from rattanpier._internal.relay.exposure import (
     MIN_TRIAL_ANSWERS,
     WIDENING_SHARE,
     Exposure,
     ExposureBound,
+    extended_share,
     may_widen,
 )
 from rattanpier._internal.relay.rollout_driver import (
@@ -192,3 +197,31 @@
 def test_a_version_with_little_traffic_widens_within_the_slack():
     bound = ExposureBound(0.1, 30.0)
     assert may_widen(bound, Exposure(20, 5), 0.5)
+
+
+@pytest.mark.parametrize("requests", [60, 180, 510, 1031, 4000])
+def test_an_extended_trial_uses_what_is_left_of_the_bound(requests):
+    bound = ExposureBound(0.15, 30)
+    tried = bound.trying_share * requests / 2
+    exposure = Exposure(requests // 2, int(tried))
+    share = extended_share(bound, exposure, 0.5)
+    assert bound.extending_share <= share <= WIDENING_SHARE
+    if requests <= 510:
+        assert share > bound.extending_share
+        answers = tried + share * 0.38 * requests
+        assert answers >= min(25, 0.15 * requests)
+
+
+def test_all_entries_use_the_share_of_the_record():
+    bound = ExposureBound(0.15, 30.0)
+    rollouts = Rollouts(bound, 5.0, ManualClock())
+    order = RolloutOrder(7, "s", "v2", 24.0)
+    rollouts.apply_order(order)
+    extending = RolloutPhase.EXTENDING
+    rollouts.apply_record(RolloutRecord(7, "s", "v2", extending, 0.0, 0.0))
+    assert rollouts.session_share(order, extending) == bound.extending_share
+    rollouts.records["s"] = RolloutRecord(
+        7, "s", "v2", extending, 0.0, 0.0, extending_share=0.3
+    )
+    assert rollouts.session_share(order, extending) == 0.3
+    assert rollouts.session_share(order, RolloutPhase.WIDENING) == 0.4
