--- a/src/rattanpier/_internal/relay/durations.py
+++ b/src/rattanpier/_internal/relay/durations.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import attrs
 
@@ -55,6 +55,22 @@
 NO_DURATIONS = DurationCounts()
 
 
+def sum_counts(counts: Iterable[DurationCounts]) -> DurationCounts:
+    """Returns the sum of many counts.
+
+    >>> one = DurationCounts({1: 2}, {4: 1})
+    >>> sum_counts([one, one]) == DurationCounts({1: 4}, {4: 2})
+    True
+    """
+    ended: dict[int, int] = {}
+    still_open: dict[int, int] = {}
+    for each in counts:
+        for total, part in ((ended, each.ended), (still_open, each.open)):
+            for bucket, count in part.items():
+                total[bucket] = total.get(bucket, 0) + count
+    return DurationCounts(ended, still_open)
+
+
 def combined(
     one: Mapping[int, int], other: Mapping[int, int], factor: int
 ) -> dict[int, int]:
--- a/src/rattanpier/_internal/relay/slowdowns.py
+++ b/src/rattanpier/_internal/relay/slowdowns.py
@@ -25,6 +25,8 @@
     BUCKETS_PER_DOUBLING,
     NO_DURATIONS,
     DurationCounts,
+    low_quantile,
+    sum_counts,
 )
 from rattanpier._internal.utils.record import Record
 
@@ -190,13 +192,10 @@
     ]
     if not pairs:
         return NO_COMPARISON
-    likelihoods = [make_log_likelihood(*pair) for pair in pairs]
+    log_likelihood = make_log_likelihood(pairs)
 
     def best(shifts: Iterable[int], steps: int, share: float) -> float:
-        return max(
-            sum(each(shift, steps, share) for each in likelihoods)
-            for shift in shifts
-        )
+        return max(log_likelihood(shift, steps, share) for shift in shifts)
 
     shifts = (*FASTER_SHIFTS, *range(1, tolerance.max_shift + 1))
     usual = max(best(shifts, steps, tolerance.share) for steps in SLOW_STEPS)
@@ -232,7 +231,7 @@
     by_model: dict[str, DurationCounts] = {}
     for (_, model), counts in stable.items():
         by_model[model] = by_model.get(model, NO_DURATIONS) + counts
-    whole = sum(by_model.values(), NO_DURATIONS)
+    whole = sum_counts(by_model.values())
 
     def reference(stratum: Stratum) -> DurationCounts | None:
         candidates = (
@@ -251,24 +250,43 @@
 
 
 def make_log_likelihood(
-    stable: DurationCounts, candidate: DurationCounts
+    pairs: Sequence[tuple[DurationCounts, DurationCounts]],
 ) -> LogLikelihood:
-    """Returns the log likelihood of a candidate's durations in a stratum.
+    """Returns the log likelihood of a candidate's durations.
+
+    Strata are taken together, each in relation to its median.
 
     Args:
-      stable: Durations of the stable version.
-      candidate: Durations of the candidate.
+      pairs: Durations of the stable version and of the candidate, by stratum.
     """
+    centred = [
+        (centre(stable, middle), centre(candidate, middle))
+        for stable, candidate in pairs
+        for middle in [middle_bucket(stable)]
+    ]
     buckets = {
         bucket
-        for counts in (stable, candidate)
+        for pair in centred
+        for counts in pair
         for part in (counts.ended, counts.open)
         for bucket in part
     }
     lowest = min(buckets) - 1
-    usual = smoothed_shares(stable, range(lowest, max(buckets) + 2))
-    ended = [(at - lowest, count) for at, count in candidate.ended.items()]
-    still_open = [(at - lowest, count) for at, count in candidate.open.items()]
+    span = range(lowest, max(buckets) + 2)
+    weights = [candidate.total for _, candidate in centred]
+    weighted = zip(
+        weights,
+        (smoothed_shares(stable, span) for stable, _ in centred),
+        strict=True,
+    )
+    parts = [
+        [weight * share / sum(weights) for share in shares]
+        for weight, shares in weighted
+    ]
+    usual = [sum(each) for each in zip(*parts, strict=True)]
+    durations = sum_counts(candidate for _, candidate in centred)
+    ended = [(at - lowest, count) for at, count in durations.ended.items()]
+    still_open = [(at - lowest, count) for at, count in durations.open.items()]
 
     @functools.cache
     def shifted(steps: int) -> tuple[list[float], list[float]]:
@@ -300,6 +318,20 @@
     return log_likelihood
 
 
+def middle_bucket(counts: DurationCounts) -> int:
+    """Returns the bucket of the median, or of the longest that ended."""
+    median = low_quantile(counts, 0.5)
+    return max(counts.ended) if median is None else median
+
+
+def centre(counts: DurationCounts, middle: int) -> DurationCounts:
+    """Returns durations with a bucket as the origin."""
+    return DurationCounts(
+        {bucket - middle: count for bucket, count in counts.ended.items()},
+        {bucket - middle: count for bucket, count in counts.open.items()},
+    )
+
+
 def shift(shares: Sequence[float], steps: int) -> list[float]:
     """Returns a histogram moved up by some buckets; it keeps its range.
 
--- a/src/rattanpier/_internal/relay/verdict.py
+++ b/src/rattanpier/_internal/relay/verdict.py
@@ -26,6 +26,7 @@
     NO_DURATIONS,
     DurationCounts,
     low_quantile,
+    sum_counts,
 )
 from rattanpier._internal.relay.slowdowns import (
     Comparison,
@@ -578,13 +579,13 @@
     tallies: Iterable[Mapping[Stratum, Tally]], durations_of: DurationsOf
 ) -> dict[Stratum, DurationCounts]:
     """Returns the sums over periods of the durations of a version."""
-    total: dict[Stratum, DurationCounts] = {}
+    found: dict[Stratum, list[DurationCounts]] = {}
     for period in tallies:
         for stratum, tally in period.items():
             added = durations_of(stratum, tally)
-            if added.total:
-                total[stratum] = total.get(stratum, NO_DURATIONS) + added
-    return total
+            if added.ended or added.open:
+                found.setdefault(stratum, []).append(added)
+    return {stratum: sum_counts(parts) for stratum, parts in found.items()}
 
 
 def select_calm(
