Answer requests that arrive as an entry exits

Cause: shut_down looked once whether requests run. What was read after that look, for 50 ms, had what was left of CLOSE_TIMEOUT_S. Ruled out: a wrong count (no cut request was sent before the look), and the worker or the caller (all delays were those of CLOSE_TIMEOUT_S).

The look and the refusal of further requests are now one step of DrainState.advance, free of I/O and the only place that ends the process. On related paths: a body that arrived after the limit, a peer's request counted only after its acceptance was sent, a second request behind a running one, half a head, an error of the announcement to peers.

--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -30,7 +30,11 @@
 )
 from rattanpier._internal.programs.relay_workers import add_worker_updates
 from rattanpier._internal.relay.caller_writes import check_readers
-from rattanpier._internal.relay.drain import DrainState
+from rattanpier._internal.relay.drain import (
+    DrainState,
+    ExitPhase,
+    OpenConnections,
+)
 from rattanpier._internal.relay.edge import CallerDialect, RelayEdge
 from rattanpier._internal.relay.fleet import Fleet
 from rattanpier._internal.relay.gossip import Gossip
@@ -42,13 +46,14 @@
 from rattanpier._internal.retries.crashing_parts import suppressed_delay_s
 from rattanpier._internal.retries.quarantine import Quarantine
 from rattanpier._internal.utils.clock import Clock, SystemClock
+from rattanpier._internal.utils.http_listener import ConnectionUse
 from rattanpier._internal.utils.metrics import Metrics
 
 log = structlog.get_logger(part="main")
 
 # Interval of the checks for waiting times that have passed.
 DROP_MISSING_INTERVAL_S = 0.1
-CLOSE_DELAY_S = 0.05
+DRAIN_POLL_INTERVAL_S = 0.025
 # Partitioned peers don't answer a close; the timeout lets the process exit
 # before SIGKILL.
 CLOSE_TIMEOUT_S = 0.4
@@ -87,7 +92,9 @@
         clock,
         metrics,
         readers,
+        others_serve=lambda: others_serve(fleet),
     )
+    dispatcher.admission.others_serve = edge.others_serve
     shared_state = SharedState(
         state.rollouts,
         dispatcher.quarantine,
@@ -127,6 +134,12 @@
     return entry
 
 
+def others_serve(fleet: Fleet) -> bool:
+    """Returns whether another entry is offered to callers."""
+    me = fleet.me.member.name
+    return any(member.name != me for member in fleet.entries())
+
+
 def connect_quarantine(
     quarantine: Quarantine, gossip: Gossip, fleet: Fleet
 ) -> None:
@@ -209,8 +222,10 @@
     """Announces the leave, waits for running requests and stops the entry."""
     log.info("Stopping.", running=entry.drain.running)
     entry.drain.begin()
-    await entry.gossip.round()
-    await entry.drain.wait_until_exit()
+    # Not waited for: partitioned peers don't answer, and an error must not end
+    # the process.
+    entry.kernel.spawn(entry.gossip.round())
+    await drain(entry)
     try:
         async with asyncio.timeout(CLOSE_TIMEOUT_S):
             await close(entry)
@@ -219,12 +234,40 @@
     log.info("Stopped.", running=entry.drain.running)
 
 
-async def close(entry: RelayEntry) -> None:
-    """Stops accepting, closes the connections and stops all services."""
+async def drain(entry: RelayEntry) -> None:
+    """Waits until the process may end; see `relay.drain`."""
+    while True:
+        match entry.drain.advance(open_connections(entry)):
+            case ExitPhase.DONE:
+                return
+            case ExitPhase.REFUSING:
+                stop_accepting(entry)
+            case ExitPhase.CLOSING:
+                for listener in entry.listeners:
+                    listener.close_idle()
+        await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+
+
+def open_connections(entry: RelayEntry) -> OpenConnections:
+    """Returns what the open connections of callers are used for."""
+
+    def count(use: ConnectionUse) -> int:
+        return sum(listener.count(use) for listener in entry.listeners)
+
+    return OpenConnections(
+        busy=count(ConnectionUse.BUSY), reading=count(ConnectionUse.READING)
+    )
+
+
+def stop_accepting(entry: RelayEntry) -> None:
+    """Accepts no more connections; open ones continue."""
     for listener in entry.listeners:
         listener.stop_accepting()
-    # Connections that arrived just before are answered or closed unread.
-    await asyncio.sleep(CLOSE_DELAY_S)
+
+
+async def close(entry: RelayEntry) -> None:
+    """Closes all connections and stops all services."""
+    stop_accepting(entry)
     for listener in entry.listeners:
         await listener.close()
     await entry.kernel.stop()
--- a/src/rattanpier/_internal/relay/admission.py
+++ b/src/rattanpier/_internal/relay/admission.py
@@ -25,6 +25,7 @@
     QueuedRequest,
 )
 from rattanpier._internal.placement.worker_room import NoRoom
+from rattanpier._internal.relay.drain import leaving_refusal
 from rattanpier._internal.relay.load import InFlight
 from rattanpier._internal.relay.placement import Choice
 from rattanpier._internal.relay.service_queue import (
@@ -49,7 +50,6 @@
 # the same moment do not return together.
 RETRY_JITTER = 0.4
 MAX_RETRY_SHARE = 1 / 3  # Of the time left; callers honor no more.
-LEAVING_RETRY_S = 0.05  # Other entries accept the request immediately.
 
 
 @attrs.define(eq=False, repr=False)
@@ -64,6 +64,7 @@
         it has none.
       services: Queue and usage of each service.
       stopping: Whether the entry is stopping, so that nothing is queued.
+      others_serve: Returns whether another entry is offered to callers.
       releasing: Whether `release_all` is called periodically.
       shed_at: When requests were last shed, in monotonic seconds.
     """
@@ -76,6 +77,7 @@
         lambda: collections.defaultdict(ServiceQueue)
     )
     stopping: bool = False
+    others_serve: Callable[[], bool] = lambda: True
     releasing: bool = False
     shed_at: float = 0.0
 
@@ -130,7 +132,9 @@
         now = self.clock.monotonic()
         self.metrics.count(f"relay.full.{waiter.no_room.limit.value}")
         if self.stopping:
-            return self.refuse(waiter, now, self.leaving_refusal())
+            return self.refuse(
+                waiter, now, leaving_refusal(self.others_serve())
+            )
         if state.size >= MAX_QUEUED:
             return self.refuse(waiter, now, self.full_refusal(state, waiter))
         if not state.size:
@@ -274,7 +278,7 @@
                     each for row in queue.waiting.values() for each in row
                 ]:
                     state.remove(queued)
-                    refusal = self.leaving_refusal()
+                    refusal = leaving_refusal(self.others_serve())
                     queued.item.resolve(self.refuse(queued.item, now, refusal))
         self.update_length()
 
@@ -314,15 +318,6 @@
             max(0.0, retry_s),
         )
 
-    def leaving_refusal(self) -> Refusal:
-        """Returns the refusal of a request at an entry that is stopping."""
-        return Refusal(
-            RefusalCode.DRAINING,
-            "This entry is leaving; ask another.",
-            True,
-            LEAVING_RETRY_S,
-        )
-
     def update_length(self) -> None:
         """Exports the number of queued requests."""
         self.metrics.gauge("relay.queue_length", self.queued())
--- a/src/rattanpier/_internal/relay/edge.py
+++ b/src/rattanpier/_internal/relay/edge.py
@@ -25,7 +25,7 @@
     Header,
     RelayRequest,
 )
-from rattanpier._internal.models.route_table import RouteTable
+from rattanpier._internal.models.route_table import Route, RouteTable
 from rattanpier._internal.relay.answering import answer
 from rattanpier._internal.relay.caller_writes import (
     caller_connection,
@@ -33,18 +33,18 @@
     write_whole,
 )
 from rattanpier._internal.relay.dispatch import Dispatcher
-from rattanpier._internal.relay.drain import DrainState
+from rattanpier._internal.relay.drain import DrainState, leaving_refusal
 from rattanpier._internal.relay.request_progress import round_for_log
 from rattanpier._internal.relay.slow_readers import HeldBytes, SlowReaders
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.headers import forwarded_headers
+from rattanpier._internal.utils.http_listener import HttpConnection
 from rattanpier._internal.utils.metrics import Metrics
 from rattanpier._internal.utils.record import Record
 
 log = structlog.get_logger(part="edge")
 
 NOT_READY_RETRY_S = 0.5  # An entry takes about a second to start.
-LEAVING_RETRY_S = 0.05  # Other entries accept the request immediately.
 
 
 @attrs.frozen(eq=False, repr=False)
@@ -90,6 +90,7 @@
       clock: Monotonic clock.
       metrics: Receives counters and timings.
       readers: Accounting of the bytes held for callers.
+      others_serve: Returns whether another entry is offered to callers.
       startup_done: Set once requests can be served, or the start took too long.
         Earlier requests wait for it, since they could only be refused.
     """
@@ -101,6 +102,7 @@
     clock: Clock
     metrics: Metrics
     readers: SlowReaders
+    others_serve: Callable[[], bool] = lambda: True
     startup_done: asyncio.Event = attrs.Factory(asyncio.Event)
 
     async def handle(self, request: BaseRequest) -> StreamResponse:
@@ -154,6 +156,7 @@
             except RequestRefusedError as error:
                 table = self.table()
                 return self.refuse(
+                    request,
                     headers.attempt_id,
                     error.refusal,
                     error.status,
@@ -216,9 +219,10 @@
                 f"Version {table.version} does not know the key.",
                 401,
             )
-        if not self.drain.accepts(route.streaming):
-            raise leaving_error()
+        self.check_accepted(route)
         body = await self.read_body(request, table.limits.body_bytes, held)
+        # Reading may have taken long.
+        self.check_accepted(route)
         held.limit_buffer()
         timeout_s = route.timeout_s
         if headers.deadline_s is not None:
@@ -242,6 +246,15 @@
             table_version=table.version,
         )
 
+    def check_accepted(self, route: Route) -> None:
+        """Checks that a request will end before the entry exits.
+
+        Raises:
+          RequestRefusedError: It may not.
+        """
+        if not self.drain.accepts(route.streaming):
+            raise RequestRefusedError(leaving_refusal(self.others_serve()), 503)
+
     async def read_body(
         self, request: BaseRequest, max_bytes: int, held: HeldBytes
     ) -> bytes:
@@ -296,9 +309,10 @@
                 match part:
                     case CompleteAnswer():
                         self.record_end(relay_request, str(part.status), times)
-                        return self.make_response(part)
+                        return self.make_response(request, part)
                     case AnswerRefused(refusal, status):
                         return self.refuse(
+                            request,
                             relay_request.id,
                             refusal,
                             status,
@@ -306,7 +320,9 @@
                             relay_request.table_version,
                         )
                     case AnswerStarted(status, headers):
-                        response = self.make_stream_response(status, headers)
+                        response = self.make_stream_response(
+                            request, status, headers
+                        )
                         await response.prepare(request)
                     case AnswerChunk(data):
                         times.record_piece(self.clock.monotonic())
@@ -322,19 +338,21 @@
         assert response is not None
         return response
 
-    def make_response(self, answer: CompleteAnswer) -> Response:
+    def make_response(
+        self, request: BaseRequest, answer: CompleteAnswer
+    ) -> Response:
         """Returns the response for a worker's complete answer."""
         response = Response(status=answer.status, body=answer.body)
         self.copy_headers(response, answer.headers)
-        return self.close_if_leaving(response)
+        return self.close_if_leaving(request, response)
 
     def make_stream_response(
-        self, status: int, headers: tuple[Header, ...]
+        self, request: BaseRequest, status: int, headers: tuple[Header, ...]
     ) -> StreamResponse:
         """Returns the response for a streamed answer."""
         response = StreamResponse(status=status)
         self.copy_headers(response, headers)
-        return self.close_if_leaving(response)
+        return self.close_if_leaving(request, response)
 
     def copy_headers(
         self, response: StreamResponse, headers: tuple[Header, ...]
@@ -347,6 +365,7 @@
 
     def refuse(
         self,
+        request: BaseRequest,
         request_id: str,
         refusal: Refusal,
         status: int,
@@ -356,7 +375,8 @@
         """Logs a refusal and returns the response for it.
 
         Args:
-          request_id: Id of the request.
+          request: Request as received.
+          request_id: Its id.
           refusal: The refusal.
           status: HTTP status.
           arrived: Arrival of the request, in monotonic seconds.
@@ -382,11 +402,16 @@
             request_id, refusal.retry_after_s
         ):
             response.headers[name] = value
-        return self.close_if_leaving(response)
+        return self.close_if_leaving(request, response)
+
+    def close_if_leaving(
+        self, request: BaseRequest, response: StreamResponse
+    ) -> StreamResponse:
+        """Closes the connection after a response if the entry is leaving.
 
-    def close_if_leaving(self, response: StreamResponse) -> StreamResponse:
-        """Closes the connection after a response if the entry is leaving."""
-        if self.drain.leaving:
+        Requests that were received behind this one are answered before.
+        """
+        if self.drain.leaving and not has_queued_requests(request):
             response.force_close()
         return response
 
@@ -439,6 +464,15 @@
         self.last_at = now
 
 
+def has_queued_requests(request: BaseRequest) -> bool:
+    """Returns whether a request's connection received further ones."""
+    connection = request.protocol
+    return (
+        isinstance(connection, HttpConnection)
+        and connection.has_queued_requests()
+    )
+
+
 def refusal_error(
     code: RefusalCode, message: str, status: int
 ) -> RequestRefusedError:
@@ -457,16 +491,3 @@
         ),
         503,
     )
-
-
-def leaving_error() -> RequestRefusedError:
-    """Returns the error for a request that might outlast a planned stop."""
-    return RequestRefusedError(
-        Refusal(
-            RefusalCode.DRAINING,
-            "This entry is leaving; ask another.",
-            True,
-            LEAVING_RETRY_S,
-        ),
-        503,
-    )
--- a/src/rattanpier/_internal/relay/forwarded_requests.py
+++ b/src/rattanpier/_internal/relay/forwarded_requests.py
@@ -63,11 +63,12 @@
         metrics.count("relay.received_from_peer")
         log_received(forwarded, "accepted")
         progress = make_progress(self.dispatcher, forwarded, message.body)
-        accepted = peer_pb2.ForwardAccepted()
-        await stream.send_message(peer_pb2.ForwardPart(accepted=accepted))
+        # Counted before anything is sent: the process must not end meanwhile.
         self.drain.begin_request()
         self.running += 1
         try:
+            accepted = peer_pb2.ForwardAccepted()
+            await stream.send_message(peer_pb2.ForwardPart(accepted=accepted))
             await self.send_answer(stream, progress)
         finally:
             self.running -= 1
