Don't take an entry's own pause for an outage of the store

Cause: an entry measured "no answer since" over its own stop and took the silence for an outage, so that it kept the worker like one whose registration had lapsed; and that hold, 2.0 s, counted from when the removal was read rather than from the store's return. Shown by its log: away_s=0.09 settling=true 0.1 s after the stop, "Registration expired during an outage." before each late request. Ruled out: a removal that is read late (it was read within 1 ms), requests chosen before (they came for 0.07 s).

RunningTime, free of I/O, tells pauses by gaps of the process's own clock; the silence of the store is measured without them. The hold ends 2.0 s after the first answer. An entry that can't tell whether its pause hid an outage believes watchers that ran. On related paths: a call to the store, a connection to a worker, a probe and a peer's first part that time out over a pause show nothing; after a pause of 1 s or more, requests wait, 0.3 s at most, until the store or a peer confirmed what the entry knows.

--- a/src/rattanpier/_internal/peers/forward_channels.py
+++ b/src/rattanpier/_internal/peers/forward_channels.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import ssl
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing, asynccontextmanager
 
@@ -59,11 +60,14 @@
     Attributes:
       is_live: Returns whether a peer of this name is known not to be down.
       tls: Context for mutual TLS, or None.
+      paused_since: Returns whether this process did not run for a while since
+        a time in monotonic seconds.
       channels: Open connections by peer address.
     """
 
     is_live: Callable[[str], bool]
     tls: ssl.SSLContext | None = None
+    paused_since: Callable[[float], bool] = lambda _at: False
     channels: dict[tuple[str, int], ForwardChannel] = attrs.Factory(dict)
 
     def calls_to(self, member: Member) -> int:
@@ -137,8 +141,12 @@
         timeout_s = FIRST_PART_TIMEOUT_S
         while True:
             reading = asyncio.ensure_future(stream.recv_message())
+            began_at = time.monotonic()
             try:
                 while not (await asyncio.wait({reading}, timeout=timeout_s))[0]:
+                    if self.paused_since(began_at):
+                        began_at = time.monotonic()
+                        continue
                     first = timeout_s == FIRST_PART_TIMEOUT_S
                     if first or not self.is_live(member.name):
                         raise PeerUnavailableError(
--- a/src/rattanpier/_internal/programs/relay.py
+++ b/src/rattanpier/_internal/programs/relay.py
@@ -16,7 +16,11 @@
 from rattanpier._internal.models.relay_settings import RelaySettings
 from rattanpier._internal.platform import caller
 from rattanpier._internal.programs.relay_dispatch import make_dispatcher
-from rattanpier._internal.programs.relay_listen import RelayEntry, listen
+from rattanpier._internal.programs.relay_listen import (
+    RelayEntry,
+    listen,
+    pause_handler,
+)
 from rattanpier._internal.programs.relay_peers import (
     add_forwarding,
     add_peers,
@@ -38,6 +42,7 @@
 from rattanpier._internal.relay.edge import CallerDialect, RelayEdge
 from rattanpier._internal.relay.fleet import Fleet
 from rattanpier._internal.relay.gossip import Gossip
+from rattanpier._internal.relay.running_time import READ_INTERVAL_S
 from rattanpier._internal.relay.shared_state import SharedState
 from rattanpier._internal.relay.slow_readers import (
     SlowReaders,
@@ -93,6 +98,7 @@
         metrics,
         readers,
         others_serve=lambda: others_serve(fleet),
+        running=state.health.running,
     )
     dispatcher.admission.others_serve = edge.others_serve
     shared_state = SharedState(
@@ -109,7 +115,12 @@
     gossip = await add_peers(
         kernel, settings, fleet, state, shared_state, clock
     )
-    add_forwarding(kernel, dispatcher, state, drain)
+    add_forwarding(
+        kernel,
+        dispatcher,
+        lambda: state.ready() and edge.admitting.is_set(),
+        drain,
+    )
     connect_quarantine(dispatcher.quarantine, gossip, fleet)
     shared_state.limits.publish = gossip.broadcast_limit
     shared_state.brittle.reports.publish = gossip.broadcast_brittle
@@ -126,10 +137,17 @@
     add_worker_updates(entry)
     kernel.spawn_restarting(gossip.run, "gossip")
     kernel.spawn_restarting(dispatcher.reachability.run, "path probes")
+    kernel.spawn_restarting(
+        lambda: call_periodically(
+            READ_INTERVAL_S, state.health.running.seconds
+        ),
+        "running time",
+    )
     kernel.spawn_restarting(
         lambda: call_periodically(DROP_MISSING_INTERVAL_S, state.drop_missing),
         "expiry of registrations",
     )
+    state.health.running.on_pause = pause_handler(entry)
     await listen(entry, listener)
     return entry
 
@@ -182,7 +200,7 @@
 
 
 async def call_periodically(
-    interval_s: float, callback: Callable[[], None]
+    interval_s: float, callback: Callable[[], object]
 ) -> None:
     """Calls a function forever, with a pause after each call."""
     while True:
--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -55,6 +55,7 @@
     metrics: Metrics,
 ) -> Dispatcher:
     """Returns the dispatcher with its conditions for choosing workers."""
+    running = state.health.running
     loads = Loads(clock)
     timings = ModelTimings(clock)
     state.tables.subscribe(lambda table: apply_prices(timings, table))
@@ -71,16 +72,20 @@
         random.Random(settings.name),
         entries_without_path=fleet.count_without_path,
         on_unreachable=state.rollouts.abandon_running,
+        paused_since=running.paused_since,
     )
     forwarder = Forwarder(
         fleet,
         reachability,
-        ForwardChannels(fleet.is_live),
+        ForwardChannels(fleet.is_live, paused_since=running.paused_since),
         clock,
         metrics,
         random.Random(settings.name),
     )
-    pool = ConnectionPool(on_connect=reachability.record_connect)
+    pool = ConnectionPool(
+        on_connect=reachability.record_connect,
+        paused_since=running.paused_since,
+    )
     health = Health(clock, settings.policy)
     dialect = WorkerDialect(upstream.encode_request, upstream.decode_answer)
     terminations = TerminationChecks(
--- a/src/rattanpier/_internal/programs/relay_listen.py
+++ b/src/rattanpier/_internal/programs/relay_listen.py
@@ -6,9 +6,10 @@
 import math
 import socket
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
+import structlog
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, json_response
 
@@ -27,6 +28,8 @@
 from rattanpier._internal.utils.http_listener import Handler, HttpListener
 from rattanpier._internal.utils.metrics import Metrics
 
+log = structlog.get_logger(part="pauses")
+
 # TTL of the list of entries that callers cache. A short TTL makes them leave a
 # terminated entry soon; a query costs an entry well under a millisecond.
 LIST_TTL_S = 1.0
@@ -38,6 +41,11 @@
 # manifest arrives over a slow link. Later, requests are refused until they are.
 START_WAIT_S = 1.5
 READY_POLL_S = 0.005
+# A shorter pause leaves what is known as recent as a late update does.
+MIN_STALE_S = 1.0
+# Upper limit of the wait for a confirmation after a pause. An answer takes a
+# few ms unless the store is away, too.
+CONFIRM_WAIT_S = 0.3
 
 
 @attrs.define(eq=False, repr=False)
@@ -91,7 +99,49 @@
     deadline = time.monotonic() + START_WAIT_S
     while not entry.state.ready() and time.monotonic() < deadline:
         await asyncio.sleep(READY_POLL_S)
-    entry.edge.startup_done.set()
+    entry.edge.admitting.set()
+
+
+def pause_handler(entry: RelayEntry) -> Callable[[float], None]:
+    """Returns the function to call after this process did not run for a time.
+
+    What the entry knows is as old as the pause. After a long one, requests wait
+    until the store or a peer has confirmed it.
+    """
+
+    def handle(paused_s: float) -> None:
+        entry.metrics.timing("relay.paused_s", paused_s)
+        if paused_s < MIN_STALE_S or not entry.edge.admitting.is_set():
+            return
+        entry.edge.admitting.clear()
+        entry.kernel.spawn(admit_when_confirmed(entry, time.monotonic()))
+
+    return handle
+
+
+async def admit_when_confirmed(entry: RelayEntry, resumed_at: float) -> None:
+    """Admits requests once the state is confirmed, or `CONFIRM_WAIT_S` passed.
+
+    Args:
+      entry: The entry.
+      resumed_at: End of the pause, in monotonic seconds.
+    """
+    followers = entry.gossip.followers.values()
+
+    def is_confirmed() -> bool:
+        return all(each.confirmed_at >= resumed_at for each in followers)
+
+    deadline = resumed_at + CONFIRM_WAIT_S
+    # At least once, so that closed connections of callers are noticed.
+    await asyncio.sleep(READY_POLL_S)
+    while not is_confirmed() and time.monotonic() < deadline:
+        await asyncio.sleep(READY_POLL_S)
+    log.info(
+        "Requests are admitted after a pause.",
+        confirmed=is_confirmed(),
+        waited_s=round(time.monotonic() - resumed_at, 3),
+    )
+    entry.edge.admitting.set()
 
 
 async def open_address(
--- a/src/rattanpier/_internal/programs/relay_peers.py
+++ b/src/rattanpier/_internal/programs/relay_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 
 from rattanpier._internal.kernel import Kernel
 from rattanpier._internal.membership.records import new_incarnation
@@ -40,12 +41,22 @@
 
 
 def add_forwarding(
-    kernel: Kernel, dispatcher: Dispatcher, state: RelayState, drain: DrainState
+    kernel: Kernel,
+    dispatcher: Dispatcher,
+    ready: Callable[[], bool],
+    drain: DrainState,
 ) -> None:
-    """Adds the requests that peers forward to this entry, and the reverse."""
+    """Adds the requests that peers forward to this entry, and the reverse.
+
+    Args:
+      kernel: Services of the process.
+      dispatcher: Sends requests to workers.
+      ready: Returns whether requests of peers are served.
+      drain: State of a planned stop.
+    """
     channels = dispatcher.forwarder.channels
     kernel.add("forward_channels", channels, stop=channels.close)
-    served = ForwardedRequests(dispatcher, drain, state.ready)
+    served = ForwardedRequests(dispatcher, drain, ready)
     kernel.find("peer_server").forward_handler = served.serve
 
 
--- a/src/rattanpier/_internal/programs/relay_store.py
+++ b/src/rattanpier/_internal/programs/relay_store.py
@@ -32,6 +32,7 @@
 from rattanpier._internal.relay.restoring import RowRestorer
 from rattanpier._internal.relay.rollout_driver import RolloutDriver
 from rattanpier._internal.relay.rollouts import Rollouts
+from rattanpier._internal.relay.running_time import RunningTime
 from rattanpier._internal.relay.state import RelayState
 from rattanpier._internal.relay.store import StoreClock, StoreHealth
 from rattanpier._internal.relay.updates import StateUpdate
@@ -55,7 +56,11 @@
         lambda era: history.record_era(era, "store"),
     )
     kernel.add("store", store)
-    kernel.add("store_health", StoreHealth(clock, settings.heartbeat_s))
+    running = kernel.add("running_time", RunningTime(clock))
+    kernel.add(
+        "store_health",
+        StoreHealth(clock, settings.heartbeat_s, running=running),
+    )
     kernel.add("store_clock", StoreClock(clock))
     kernel.add("own_table", OwnTable(store, clock))
 
--- a/src/rattanpier/_internal/relay/directory.py
+++ b/src/rattanpier/_internal/relay/directory.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -98,6 +99,7 @@
         workers: Iterable[RegisteredWorker],
         after_outage: bool,
         as_of: Revision = Revision(),  # noqa: B008
+        settled_at: float = math.inf,
     ) -> list[str]:
         """Replaces all registrations by those of a full read.
 
@@ -105,6 +107,8 @@
           workers: All registered workers.
           after_outage: Whether the store was unavailable until just now.
           as_of: Revision of the store at the time of the read.
+          settled_at: When registrations that are missing since an outage are
+            gone at the latest, in monotonic seconds.
 
         Returns:
           Ids of the workers whose previous incarnation was removed or replaced.
@@ -123,13 +127,16 @@
         ]
         self.known = True
         self.deregistrations.drop_absent(found)
-        recently_restored = (
-            self.clock.monotonic() - self.new_era_read_at
-            < REREGISTRATION_TIMEOUT_S
-        )
-        may_reregister = after_outage or recently_restored
+        restored_at = self.new_era_read_at + REREGISTRATION_TIMEOUT_S
+        if self.clock.monotonic() < restored_at:
+            if not after_outage:
+                settled_at = restored_at
+            settled_at = max(settled_at, restored_at)
+            after_outage = True
         removed += [
-            id for id in absent if self.remove(id, may_reregister, self.as_of)
+            id
+            for id in absent
+            if self.remove(id, after_outage, self.as_of, settled_at)
         ]
         return removed
 
@@ -280,6 +287,7 @@
         id: str,
         after_outage: bool,
         revision: Revision = Revision(),  # noqa: B008
+        settled_at: float = math.inf,
     ) -> bool:
         """Applies the removal of a registration.
 
@@ -288,6 +296,8 @@
           after_outage: Whether the store was unavailable until just now, so
             that the registration may have expired although the worker runs.
           revision: Revision of the removal, if it is known.
+          settled_at: When registrations that are missing since an outage are
+            gone at the latest, in monotonic seconds.
 
         Returns:
           Whether the worker was removed. False if it is unknown or if its
@@ -299,10 +309,14 @@
             self.deregistrations.record_removal(id, revision)
             return False
         if after_outage and not worker.draining:
-            self.missing.setdefault(
-                id, self.clock.monotonic() + REREGISTRATION_TIMEOUT_S
+            now = self.clock.monotonic()
+            drop_at = min(now + REREGISTRATION_TIMEOUT_S, settled_at)
+            drop_at = self.missing.setdefault(id, drop_at)
+            log.info(
+                "Registration expired during an outage.",
+                worker=id,
+                kept_s=round(drop_at - now, 3),
             )
-            log.info("Registration expired during an outage.", worker=id)
             return False
         self.delete_worker(worker)
         at = max(revision, self.as_of, worker.revision)
--- a/src/rattanpier/_internal/relay/edge.py
+++ b/src/rattanpier/_internal/relay/edge.py
@@ -35,6 +35,7 @@
 from rattanpier._internal.relay.dispatch import Dispatcher
 from rattanpier._internal.relay.drain import DrainState, leaving_refusal
 from rattanpier._internal.relay.request_progress import round_for_log
+from rattanpier._internal.relay.running_time import RunningTime
 from rattanpier._internal.relay.slow_readers import HeldBytes, SlowReaders
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.headers import forwarded_headers
@@ -91,8 +92,10 @@
       metrics: Receives counters and timings.
       readers: Accounting of the bytes held for callers.
       others_serve: Returns whether another entry is offered to callers.
-      startup_done: Set once requests can be served, or the start took too long.
-        Earlier requests wait for it, since they could only be refused.
+      running: Running time of this process.
+      admitting: Set while requests are dispatched. Those that arrive before it
+        is set at the start could only be refused, and those that are read after
+        a long pause would be sent by what was known before it; both wait.
     """
 
     dispatcher: Dispatcher
@@ -103,7 +106,12 @@
     metrics: Metrics
     readers: SlowReaders
     others_serve: Callable[[], bool] = lambda: True
-    startup_done: asyncio.Event = attrs.Factory(asyncio.Event)
+    running: RunningTime = attrs.field(
+        default=attrs.Factory(
+            lambda self: RunningTime(self.clock), takes_self=True
+        )
+    )
+    admitting: asyncio.Event = attrs.Factory(asyncio.Event)
 
     async def handle(self, request: BaseRequest) -> StreamResponse:
         """Answers one request.
@@ -144,6 +152,7 @@
           ConnectionError: The caller disconnected.
         """
         self.drain.begin_request()
+        self.running.seconds()  # Before anything is sent after a pause.
         arrived = self.clock.monotonic()
         headers = self.dialect.decode(request.headers)
         held.request = headers.attempt_id
@@ -196,7 +205,7 @@
         Raises:
           RequestRefusedError: The request is refused.
         """
-        await self.startup_done.wait()
+        await self.admitting.wait()
         table = self.table()
         if table is None:
             raise not_ready_error()
--- a/src/rattanpier/_internal/relay/forwarded_requests.py
+++ b/src/rattanpier/_internal/relay/forwarded_requests.py
@@ -33,7 +33,8 @@
     Attributes:
       dispatcher: Sends requests to workers.
       drain: State of a planned stop, which waits for these requests, too.
-      ready: Returns whether this entry knows routes and workers.
+      ready: Returns whether this entry knows routes and workers, and knew them
+        since its last long pause.
       running: Number of forwarded requests in progress.
     """
 
@@ -77,7 +78,7 @@
     def rejection_reason(self, forwarded: ForwardedRequest) -> str:
         """Returns why a request is not taken; empty if it is."""
         if not self.ready():
-            return "starting"
+            return "starting or resuming"
         if not self.drain.accepts(forwarded.route.streaming):
             return "leaving"
         if not self.dispatcher.reachability.is_reachable(forwarded.service):
--- a/src/rattanpier/_internal/relay/pool.py
+++ b/src/rattanpier/_internal/relay/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -44,6 +45,8 @@
       connect: Opens a connection to a worker.
       on_connect: Called with a worker and whether a connection to it could be
         opened.
+      paused_since: Returns whether this process did not run for a while since
+        a time in monotonic seconds.
       idle: Connections by worker id, the newest last.
       opened: Number of connections opened so far.
     """
@@ -54,6 +57,7 @@
     on_connect: Callable[[RegisteredWorker, bool], None] = attrs.field(
         default=lambda _worker, _connected: None
     )
+    paused_since: Callable[[float], bool] = lambda _at: False
     idle: dict[str, list[WorkerConnection]] = attrs.Factory(dict)
     opened: int = 0
 
@@ -76,11 +80,16 @@
         idle = None if fresh else self.acquire_idle(worker.id)
         if idle is not None:
             return idle
+        began_at = time.monotonic()
         try:
             async with asyncio.timeout(min(CONNECT_TIMEOUT_S, timeout_s)):
                 connection = await self.connect(worker)
         except (OSError, TimeoutError) as error:
             timed_out = isinstance(error, TimeoutError)
+            left_s = timeout_s - (time.monotonic() - began_at)
+            if timed_out and left_s > 0 and self.paused_since(began_at):
+                # The worker was not given the time.
+                return await self.acquire(worker, fresh, left_s)
             # A shorter timeout says more of the request than of the worker.
             if not timed_out or timeout_s >= CONNECT_TIMEOUT_S:
                 self.on_connect(worker, False)
--- a/src/rattanpier/_internal/relay/reachability.py
+++ b/src/rattanpier/_internal/relay/reachability.py
@@ -65,6 +65,8 @@
       rng: Random source that selects the workers to probe.
       listens: Returns whether a process listens at a host and port, within a
         timeout in seconds; None if unknown.
+      paused_since: Returns whether this process did not run for a while since
+        a time in monotonic seconds.
       entries_without_path: Returns how many entries can't reach a service.
       on_unreachable: Called with a service that can't be reached any more.
       on_reachable: Called with a service that can be reached again.
@@ -80,6 +82,7 @@
     services: Callable[[], Collection[str]]
     rng: random.Random
     listens: Callable[[str, int, float], Awaitable[bool | None]] = listens
+    paused_since: Callable[[float], bool] = lambda _at: False
     entries_without_path: Callable[[str], int] = lambda _service: 1
     on_unreachable: Callable[[str], None] = lambda _service: None
     on_reachable: Callable[[str], None] = lambda _service: None
@@ -205,8 +208,13 @@
         self, worker: RegisteredWorker
     ) -> tuple[RegisteredWorker, bool]:
         """Returns a worker and whether it accepts a connection."""
-        found = await self.listens(worker.host, worker.port, PROBE_TIMEOUT_S)
-        return worker, found is True
+        while True:
+            began_at = self.clock.monotonic()
+            found = await self.listens(
+                worker.host, worker.port, PROBE_TIMEOUT_S
+            )
+            if found is True or not self.paused_since(began_at):
+                return worker, found is True
 
     def all_fail(self, service: str, path: ServicePath) -> bool:
         """Returns whether enough registered workers of a service failed."""
--- a/src/rattanpier/_internal/relay/state.py
+++ b/src/rattanpier/_internal/relay/state.py
@@ -161,7 +161,12 @@
                 item for item in items if isinstance(item, RegisteredWorker)
             ]
             self.notify_deregistered(
-                self.directory.replace(workers, after_outage, page.revision)
+                self.directory.replace(
+                    workers,
+                    after_outage,
+                    page.revision,
+                    self.health.settled_at,
+                )
             )
             return
         for item in items:
@@ -169,7 +174,7 @@
                 if self.directory.put(item):
                     self.notify_deregistered([item.id])
             elif isinstance(item, FeedRow) and self.directory.remove(
-                item.key, after_outage, item.revision
+                item.key, after_outage, item.revision, self.health.settled_at
             ):
                 self.notify_deregistered([item.key])
 
--- a/src/rattanpier/_internal/relay/store.py
+++ b/src/rattanpier/_internal/relay/store.py
@@ -17,6 +17,7 @@
 )
 from rattanpier._internal.models.outcomes import Conflict, NotRun, Uncertain
 from rattanpier._internal.models.revision import Revision
+from rattanpier._internal.relay.running_time import RunningTime
 from rattanpier._internal.utils.clock import Clock
 
 log = structlog.get_logger(part="store")
@@ -65,8 +66,13 @@
         monotonic seconds; 0 before the first time.
       answered_at: When the store last answered this entry or a peer that
         reported it, in monotonic seconds; minus infinity before.
+      answered_after_s: The running time of this process then, in seconds.
+      heard_again_at: When the first answer arrived after a time that was long
+        enough for an outage, whether or not this process ran, in monotonic
+        seconds; minus infinity before the first time.
       recovered_at: When the store recovered from an outage for all entries, in
         monotonic seconds; minus infinity before the first time.
+      running: Running time of this process. Its own pauses are no outage.
     """
 
     clock: Clock
@@ -74,7 +80,14 @@
     available: bool = False
     lost_at: float = 0.0
     answered_at: float = float("-inf")
+    answered_after_s: float = float("-inf")
+    heard_again_at: float = float("-inf")
     recovered_at: float = float("-inf")
+    running: RunningTime = attrs.field(
+        default=attrs.Factory(
+            lambda self: RunningTime(self.clock, math.inf), takes_self=True
+        )
+    )
 
     def record_answer(self) -> None:
         """Records that the store answered this entry."""
@@ -98,14 +111,36 @@
         A store that rejects only some VMs still accepts the workers' renewals.
         Registrations can have expired only after an outage for all entries.
         """
-        now = self.clock.monotonic()
+        now, ran_s = self.clock.monotonic(), self.running.seconds()
         min_outage_s = MIN_OUTAGE_HEARTBEATS * self.heartbeat_s
-        if min_outage_s < now - self.answered_at < math.inf:
+        away_s, silent_s = now - self.answered_at, ran_s - self.answered_after_s
+        self.answered_at, self.answered_after_s = now, ran_s
+        if not min_outage_s < away_s < math.inf:
+            return
+        self.heard_again_at = now
+        outage = silent_s > min_outage_s
+        if outage:
             self.recovered_at = now
-        self.answered_at = now
+        log.info(
+            "Store is heard of again.",
+            outage=outage,
+            silent_s=round(silent_s, 3),
+            paused_s=round(away_s - silent_s, 3),
+        )
 
-    def record_failure(self, error: Exception) -> None:
-        """Records that the store did not answer this entry, or refused."""
+    def record_failure(
+        self, error: Exception, called_at: float = math.inf
+    ) -> None:
+        """Records that the store did not answer this entry, or refused.
+
+        Args:
+          error: What the call failed with.
+          called_at: When the store was called, in monotonic seconds. A call
+            that this process did not wait for shows nothing.
+        """
+        if self.running.paused_since(called_at):
+            log.info("Call interrupted by a pause.", error=str(error))
+            return
         if self.available:
             self.available = False
             self.lost_at = self.clock.monotonic()
@@ -115,6 +150,23 @@
         """Returns whether registrations expired in an outage may reappear."""
         return self.clock.monotonic() - self.recovered_at < SETTLING_PERIOD_S
 
+    def may_be_settling(self) -> bool:
+        """Returns whether there may have been an outage just now.
+
+        Unlike `settling`, this also holds after a pause of this process, which
+        may have hidden one. It needs the word of another entry.
+        """
+        return self.clock.monotonic() < self.settled_at
+
+    @property
+    def settled_at(self) -> float:
+        """When registrations that are still missing are gone, in monotonic s.
+
+        This counts from the first answer, not from when a removal is read: a
+        removal that has nothing to do with an outage has to apply in time.
+        """
+        return self.heard_again_at + SETTLING_PERIOD_S
+
 
 @attrs.define(eq=False, repr=False)
 class StoreClock:
--- a/src/rattanpier/_internal/relay/watch.py
+++ b/src/rattanpier/_internal/relay/watch.py
@@ -73,7 +73,7 @@
       revision: Revision up to which the changes are complete.
       now_ms: The store's monotonic clock, in ms.
       rows: The changed rows, or None if they exceed `MAX_UPDATE_BYTES`.
-      settling: Whether the store has just recovered from an outage.
+      settling: Whether the store may just have recovered from an outage.
       whole: Whether the rows are the whole table rather than changes.
       watcher: Name of the entry that read the answer.
     """
@@ -262,7 +262,7 @@
             self.since = None
             return
         except StoreUnavailableError as error:
-            self.health.record_failure(error)
+            self.health.record_failure(error, self.requested_at)
             self.backoff_s = min(
                 RETRY_INTERVAL_S, max(FIRST_BACKOFF_S, 2 * self.backoff_s)
             )
@@ -277,8 +277,7 @@
         if math.isinf(self.first_read_at):
             # A full read is as current as an update of a watcher.
             self.first_read_at = self.received_at = self.clock.monotonic()
-        settling = self.health.settling()
-        if not self.accept(page, settling, self.requested_at):
+        if not self.accept(page, self.health.settling(), self.requested_at):
             if page.whole:
                 # Avoids a busy loop while the store still answers with an
                 # earlier era.
@@ -291,7 +290,13 @@
         if not was_watcher and self.rank() is None:
             return
         await self.publish_update(
-            make_update(self.name, self.table, before, page, settling)
+            make_update(
+                self.name,
+                self.table,
+                before,
+                page,
+                self.health.may_be_settling(),
+            )
         )
         if page.rows and not page.whole:
             await self.clock.sleep(self.timing.batch_delay_s)
@@ -448,7 +453,9 @@
             DataSource.UPDATE,
             update.watcher,
         )
-        self.accept(page, update.settling and self.health.settling())
+        # Both have to take it for an outage: the store may have rejected only
+        # the watcher, or this entry may have been cut off or paused.
+        self.accept(page, update.settling and self.health.may_be_settling())
 
     def confirmed_age_s(self) -> float:
         """Returns the seconds since the store confirmed the applied state."""
