--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,7 +1,9 @@
 """Runs soak seeds: `python -m tests.soak.run FIRST COUNT [--jobs=4]`.
 
 With `--manifests=ENTRIES`, runs that many entries under changes of the manifest
-instead, see `tests.soak.manifests`.
+instead, see `tests.soak.manifests`. With `--exits`, runs entries that are
+stopped, reloaded and frozen in series, see `tests.soak.exits`; `--entries` sets
+their number, 0 draws it.
 
 Prints each violated guarantee with its seed and keeps the logs of that run.
 """
@@ -19,6 +21,7 @@
 
 import fire
 
+from tests.soak.exits import judge_exits, run_exits
 from tests.soak.judge import judge
 from tests.soak.manifests import judge_manifests, run_manifests
 from tests.soak.site import run_seed
@@ -53,6 +56,16 @@
     return seed, broken, len(run.probes)
 
 
+def run_one_exit_seed(seed, entries):
+    """Does the same with entries that are stopped and frozen."""
+    with tempfile.TemporaryDirectory() as folder:
+        run = asyncio.run(run_exits(seed, pathlib.Path(folder), entries))
+    broken = list(judge_exits(run))
+    if broken:
+        keep(run, broken)
+    return seed, broken, len(run.sent)
+
+
 def keep_output(seed, folder):
     """Keeps the output of the processes of a seed that could not be run."""
     OUTPUT_FOLDER.mkdir(parents=True, exist_ok=True)
@@ -75,10 +88,11 @@
             file.write(json.dumps(line) + "\n")
 
 
-def main(first=0, count=10, jobs=4, manifests=0):
+def main(first=0, count=10, jobs=4, manifests=0, exits=False, entries=0):
     """Runs `count` seeds from `first`, or from a random one if it is 0.
 
-    `manifests` is the number of entries of runs under changes of the manifest.
+    `manifests` is the number of entries of runs under changes of the manifest;
+    `exits` runs entries that are stopped and frozen, `entries` of them.
     """
     first = first or random.randrange(10**6, 10**7)
     began = time.monotonic()
@@ -86,6 +100,8 @@
     play = run_one_seed
     if manifests:
         play = functools.partial(run_one_manifest_seed, entries=manifests)
+    if exits:
+        play = functools.partial(run_one_exit_seed, entries=entries)
     with ProcessPoolExecutor(jobs) as pool:
         for seed, broken, calls in pool.map(play, range(first, first + count)):
             failed += bool(broken)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from tests.soak.exits import judge_exits, run_exits
 from tests.soak.judge import judge
 from tests.soak.manifests import judge_manifests, run_manifests
 from tests.soak.site import run_seed
@@ -30,3 +31,13 @@
 async def test_manifests_apply_in_time_under_faults(seed, tmp_path):
     run = await run_manifests(seed, tmp_path)
     assert not list(judge_manifests(run))
+
+
+EXIT_SEEDS = [1, 2, 3, 4]
+
+
+@pytest.mark.parametrize("seed", EXIT_SEEDS)
+async def test_stops_and_freezes_in_series_lose_nothing(seed, tmp_path):
+    run = await run_exits(seed, tmp_path)
+    assert run.sent
+    assert not list(judge_exits(run))
