Forward request bodies as received

Cause: aiohttp's server unpacks bodies unless told not to. Nothing else in the entry touches a body.

--- a/src/rattanpier/_internal/programs/relay_listen.py
+++ b/src/rattanpier/_internal/programs/relay_listen.py
@@ -157,6 +157,7 @@
         BACKLOG,
         listener,
         handler_cancellation=True,
+        auto_decompress=False,  # Bodies are forwarded as received.
         keepalive_timeout=KEEPALIVE_S,
         max_line_size=MAX_LINE_BYTES,
         max_field_size=MAX_LINE_BYTES,
