Forward request headers with bytes beyond ASCII

A request with such a byte in a header was answered 500: h11 takes texts only in ASCII, aiohttp decodes headers as UTF-8 with surrogates. Values are now given to h11 as the bytes that were received, and packed for peers with the same escapes.

Evidence: both cases of test_a_header_beyond_ascii_is_forwarded, the one of a peer and the drawn requests failed before, none now.

--- a/src/rattanpier/_internal/relay/connection.py
+++ b/src/rattanpier/_internal/relay/connection.py
@@ -51,7 +51,8 @@
     Attributes:
       method: HTTP method.
       target: Request target, with its query.
-      headers: Names and values, in order; without Content-Length.
+      headers: Names and values, in order; without Content-Length. Bytes that
+        are no UTF-8 are escaped as surrogates, as aiohttp does.
       body: Complete body.
     """
 
@@ -183,9 +184,13 @@
         """
         if self.closed or self.transport is None:
             raise ConnectionBrokenError("closed before the request", sent=False)
-        headers = [*request.headers]
+        headers = [
+            (name, value.encode("utf-8", "surrogateescape"))
+            for name, value in request.headers
+        ]
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
-            headers.append(("Content-Length", str(len(request.body))))
+            length = str(len(request.body)).encode()
+            headers.append(("Content-Length", length))
         self.request = h11.Request(
             method=request.method, target=request.target, headers=headers
         )
--- a/src/rattanpier/_internal/utils/codec.py
+++ b/src/rattanpier/_internal/utils/codec.py
@@ -24,6 +24,8 @@
 
 # In characters. Messages of type errors contain the value, which may be long.
 MAX_EXPLANATION_LENGTH = 80
+# Texts of callers may hold bytes that are no UTF-8, escaped in this way.
+UNICODE_ERRORS = "surrogateescape"
 
 converter = json_converters.make_converter(detailed_validation=False)
 packer = msgpack_converters.make_converter(detailed_validation=False)
@@ -36,7 +38,7 @@
 
 def pack(value: Any) -> bytes:
     """Returns the compressed bytes of an attrs object."""
-    return zlib.compress(packer.dumps(value))
+    return zlib.compress(packer.dumps(value, unicode_errors=UNICODE_ERRORS))
 
 
 def parse_json(text: str | bytes) -> Any:
@@ -68,7 +70,9 @@
     """
     try:
         raw = zlib.decompress(packed)
-        document = msgpack.unpackb(raw, strict_map_key=False)
+        document = msgpack.unpackb(
+            raw, strict_map_key=False, unicode_errors=UNICODE_ERRORS
+        )
     except (
         zlib.error,
         ValueError,
