Note in the stand-in worker a caller that disconnects as it writes

test_worker_of_a_closed_caller_stops failed now and then: the stand-in noted a stop only while it worked, not where its write failed, so that the run had ended and was not listed. It notes both now.

--- a/src/rattanpier/_internal/standin/platform_worker.py
+++ b/src/rattanpier/_internal/standin/platform_worker.py
@@ -255,9 +255,17 @@
                 return False
             case WorkerFault.HANG:
                 await self.work(run, writer, 3600.0)
-        if "x-model" in run.headers:
-            return await self.stream(run, writer, fault)
-        return await self.plain(run, writer, fault)
+        answer = self.stream if "x-model" in run.headers else self.plain
+        try:
+            return await answer(run, writer, fault)
+        except ConnectionError:
+            self.record_stop(run)
+            raise
+
+    def record_stop(self, run: WorkerRun) -> None:
+        """Records that a run stopped because its caller disconnected."""
+        if run.id not in self.stopped:
+            self.stopped.append(run.id)
 
     def is_deadly(self, run: WorkerRun) -> bool:
         """Returns whether a request crashes the worker."""
@@ -298,7 +306,7 @@
         end = loop.time() + until
         while loop.time() < end:
             if self.connections[writer].at_eof():
-                self.stopped.append(run.id)
+                self.record_stop(run)
                 raise ConnectionResetError
             await asyncio.sleep(min(0.005, max(0.0, end - loop.time())))
 
