Don't count an entry's own pause as time of workers

After a freeze, callers got 504 for answers that had arrived meanwhile (six of six in a freeze of 4 s), and workers counted as slow or failing.

Cause: after a stop, the loop's timers fire before its sockets are read, so that the deadline of an answer passed although the answer lay in the socket; and durations were measured over the pause.

The timer of a worker's connection that fires late waits once for what lies in the socket. A pause is left out of the evidence on versions, gives no sample of a worker's pace and no failure, and sends no hedge. The line and the attribute on the end of a silence are renamed.

--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -218,6 +218,7 @@
         terminations=terminations,
         reachability=reachability,
         forwarder=forwarder,
+        paused_since=running.paused_since,
         conditions=conditions,
         available_in_s=available_in_s,
         on_request_started=record_request_started,
--- a/src/rattanpier/_internal/relay/connection.py
+++ b/src/rattanpier/_internal/relay/connection.py
@@ -22,6 +22,9 @@
 # Receiving resumes at this many unread bytes, not only at none: for a caller
 # that reads slowly, a worker would else be unread for seconds.
 RESUME_BYTES = MAX_UNREAD_BYTES // 2
+# A timer that fires later than this shows that the process did not run.
+MAX_TIMER_DELAY_S = 0.1
+SOCKET_READ_S = 0.02  # Within this time, what lies in the sockets is read.
 MAX_STRAY_ANSWERS = 1  # Late answers to earlier requests that are skipped.
 # A partition causes no reset, so the kernel detects it by these time-outs.
 USER_TIMEOUT_MS = 3000  # As long as the platform considers a VM reachable.
@@ -99,6 +102,8 @@
       deadline: Latest time to wait for data of an answer, in seconds of the
         loop's clock.
       timer: Runs until the deadline; None if no timer was needed yet.
+      extended: Whether the exchange got time beyond its deadline, since this
+        process did not run when it passed.
       unread_bytes: Bytes received since the reader last waited, without those
         of the body that it has read.
       reading_paused: Whether receiving is paused.
@@ -119,6 +124,7 @@
         self.waiter: asyncio.Future[None] | None = None
         self.deadline = math.inf
         self.timer: asyncio.TimerHandle | None = None
+        self.extended = False
         self.unread_bytes = 0
         self.reading_paused = False
         self.idle_since = self.loop.time()
@@ -312,7 +318,9 @@
 
         A timer for each piece of a stream took 7% of the CPU time of a piece.
         """
-        if self.timer is not None and self.timer.when() == self.deadline:
+        if self.timer is not None and (
+            self.extended or self.timer.when() == self.deadline
+        ):
             return
         self.stop_timer()
         if self.deadline < math.inf:
@@ -325,8 +333,17 @@
             self.timer = None
 
     def expire(self) -> None:
-        """Fails the wait in progress, if there is one."""
+        """Fails the wait in progress, if there is one.
+
+        After a time in which this process did not run, timers fire before the
+        sockets are read: the answer may have arrived in time.
+        """
         self.timer = None
+        late_s = self.loop.time() - self.deadline
+        if late_s > MAX_TIMER_DELAY_S and not self.extended:
+            self.extended = True
+            self.timer = self.loop.call_later(SOCKET_READ_S, self.expire)
+            return
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_exception(TimeoutError())
 
@@ -341,6 +358,7 @@
         """
         parser, self.parser = self.parser, None
         self.deadline = math.inf
+        self.extended = False
         self.stop_timer()
         self.answered_requests += 1
         self.idle_since = self.loop.time()
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -137,6 +137,8 @@
       policy: Enabled mechanisms.
       broken_answers: Answers that broke off at workers of which it is not
         known whether they crashed, by incarnation.
+      paused_since: Returns whether this process did not run for a while since
+        a time in monotonic seconds.
       publish_prompt: Called for each prompt that is sent, with the worker's
         id, the model, the prompt and the estimated seconds to read it.
     """
@@ -164,6 +166,7 @@
     admission: EntryAdmission
     policy: Policy = DEFAULT_POLICY
     broken_answers: dict[str, list[BrokenAnswer]] = attrs.Factory(dict)
+    paused_since: Callable[[float], bool] = lambda _at: False
     publish_prompt: Callable[[str, str, Prompt, float], None] = attrs.field(
         default=lambda _worker, _model, _prompt, _read_s: None
     )
@@ -701,12 +704,22 @@
         )
 
     def record_timeout(
-        self, progress: RequestProgress, worker: RegisteredWorker
+        self,
+        progress: RequestProgress,
+        worker: RegisteredWorker,
+        started_at: float,
     ) -> None:
-        """Records that a request timed out at a worker."""
+        """Records that a request timed out at a worker.
+
+        Args:
+          progress: Progress of the request.
+          worker: The worker.
+          started_at: When it was sent there, in monotonic seconds.
+        """
         progress.may_have_run = True
         progress.reason = "time ran out at the worker"
-        self.record_result(progress, worker, bad=True)
+        if not self.paused_since(started_at):
+            self.record_result(progress, worker, bad=True)
         self.metrics.count("relay.late")
 
 
--- a/src/rattanpier/_internal/relay/exchange.py
+++ b/src/rattanpier/_internal/relay/exchange.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
@@ -240,8 +239,10 @@
         sent_at = self.loads.clock.monotonic()
         try:
             connection.send(self.dialect.encode(request, sending))
-            async with asyncio.timeout_at(deadline):
-                await connection.read_head(answers_request)
+            # Unlike a timeout of the task, its timer keeps an answer that
+            # arrived in time while this process did not run.
+            connection.deadline = deadline
+            await connection.read_head(answers_request)
         except ConnectionBrokenError as error:
             raise SendError(str(error), not_run=not error.sent) from error
         assert head is not None, "a head was accepted undecoded"
--- a/src/rattanpier/_internal/relay/observations.py
+++ b/src/rattanpier/_internal/relay/observations.py
@@ -61,6 +61,13 @@
         if self.key is not None and self.key.order == before:
             self.key = attrs.evolve(self.key, order=order)
 
+    def skip_pause(self, seconds: float) -> None:
+        """Leaves out a time in which this process could see no answer."""
+        self.started_at += seconds
+        self.last_at += seconds
+        if self.window_at is not None:
+            self.window_at += seconds
+
     def record_head(self, now: float) -> Tally:
         """Returns the counts that the head of the answer adds."""
         self.head_at = now
--- a/src/rattanpier/_internal/relay/plain_answers.py
+++ b/src/rattanpier/_internal/relay/plain_answers.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
+from typing import Any
 
 from rattanpier._internal.models.relay_answer import (
     AnswerPart,
@@ -89,7 +90,7 @@
     try:
         if progress.request.route.idempotent and dispatcher.policy.hedges:
             hedge_s = HEDGE_DELAY_SHARE * progress.request.route.objective_s
-            done, _ = await asyncio.wait(running, timeout=hedge_s)
+            done = await wait_running(dispatcher, running, hedge_s)
             second = None
             if not done:
                 second = start_hedge(dispatcher, progress, flights)
@@ -112,6 +113,17 @@
             dispatcher.end_in_flight(worker, flight)
 
 
+async def wait_running(
+    dispatcher: Dispatcher, tasks: set[asyncio.Future[Any]], seconds: float
+) -> set[asyncio.Future[Any]]:
+    """Returns the tasks that end within a time in which this process runs."""
+    while True:
+        began_at = dispatcher.clock.monotonic()
+        done, _ = await asyncio.wait(tasks, timeout=seconds)
+        if done or not dispatcher.paused_since(began_at):
+            return done
+
+
 def start_request(
     dispatcher: Dispatcher,
     progress: RequestProgress,
@@ -200,7 +212,7 @@
         await dispatcher.handle_send_error(progress, worker, error, in_flight)
         return None
     except TimeoutError:
-        dispatcher.record_timeout(progress, worker)
+        dispatcher.record_timeout(progress, worker, started_at)
         return None
     finally:
         dispatcher.end_in_flight(worker, in_flight)
@@ -212,7 +224,11 @@
     dispatcher.metrics.timing("relay.worker_s", seconds)
     if not bad:
         await dispatcher.record_answer(request, worker, head, in_flight)
-        if head.load is not None and not head.load.waiting:
+        if (
+            head.load is not None
+            and not head.load.waiting
+            and not dispatcher.paused_since(started_at)
+        ):
             # A request that had to wait shows the load, not the speed.
             dispatcher.chooser.paces.record_work(
                 worker.id, worker.service, PLAIN_WORK_S, seconds
--- a/src/rattanpier/_internal/relay/rollouts.py
+++ b/src/rattanpier/_internal/relay/rollouts.py
@@ -482,6 +482,11 @@
             observation, attrs.evolve(added, abandoned=int(abandoned))
         )
 
+    def skip_pause(self, seconds: float) -> None:
+        """Leaves out a pause of this process in all running observations."""
+        for observation in self.running:
+            observation.skip_pause(seconds)
+
     def abandon_running(self, service: str) -> None:
         """Ends the observations of a service that can't be reached.
 
--- a/src/rattanpier/_internal/relay/store.py
+++ b/src/rattanpier/_internal/relay/store.py
@@ -67,7 +67,7 @@
       answered_at: When the store last answered this entry or a peer that
         reported it, in monotonic seconds; minus infinity before.
       answered_after_s: The running time of this process then, in seconds.
-      heard_again_at: When the first answer arrived after a time that was long
+      silence_ended_at: When the first answer arrived after a time that was long
         enough for an outage, whether or not this process ran, in monotonic
         seconds; minus infinity before the first time.
       recovered_at: When the store recovered from an outage for all entries, in
@@ -81,7 +81,7 @@
     lost_at: float = 0.0
     answered_at: float = float("-inf")
     answered_after_s: float = float("-inf")
-    heard_again_at: float = float("-inf")
+    silence_ended_at: float = float("-inf")
     recovered_at: float = float("-inf")
     running: RunningTime = attrs.field(
         default=attrs.Factory(
@@ -117,12 +117,12 @@
         self.answered_at, self.answered_after_s = now, ran_s
         if not min_outage_s < away_s < math.inf:
             return
-        self.heard_again_at = now
+        self.silence_ended_at = now
         outage = silent_s > min_outage_s
         if outage:
             self.recovered_at = now
         log.info(
-            "Store is heard of again.",
+            "Store answers after a silence.",
             outage=outage,
             silent_s=round(silent_s, 3),
             paused_s=round(away_s - silent_s, 3),
@@ -165,7 +165,7 @@
         This counts from the first answer, not from when a removal is read: a
         removal that has nothing to do with an outage has to apply in time.
         """
-        return self.heard_again_at + SETTLING_PERIOD_S
+        return self.silence_ended_at + SETTLING_PERIOD_S
 
 
 @attrs.define(eq=False, repr=False)
--- a/src/rattanpier/_internal/relay/stream_answers.py
+++ b/src/rattanpier/_internal/relay/stream_answers.py
@@ -221,7 +221,7 @@
             # Its answer is long, which says nothing of the worker.
             dispatcher.rollouts.end(observation, abandoned=True)
         else:
-            dispatcher.record_timeout(progress, worker)
+            dispatcher.record_timeout(progress, worker, started_at)
         if in_time:
             finish_smaller(dispatcher, progress, worker)
     finally:
@@ -230,7 +230,8 @@
         dispatcher.rollouts.end(observation)
         ran_s = dispatcher.clock.monotonic() - started_at
         dispatcher.chooser.record_run(request, model, ran_s, worker.slots)
-        record_pace(dispatcher, model, worker, times)
+        if not dispatcher.paused_since(started_at):
+            record_pace(dispatcher, model, worker, times)
 
 
 def record_if_stood(
--- a/tests/relay/test_freezes.py
+++ b/tests/relay/test_freezes.py
@@ -107,6 +107,31 @@
         await entry.kill()
 
 
+async def test_an_answer_that_came_during_a_freeze_is_delivered(site, tmp_path):
+    # Guards against a ready answer that is dropped as its deadline has passed.
+    worker = await site.add_worker("w1", work_s=0.5)
+    entry = await start_entry(site.store_address, tmp_path)
+    await entry.wait_until_ready(site.session)
+    callers = [
+        await KeptCaller.connect(entry.settings.callers) for _ in range(6)
+    ]
+    try:
+        answers = [
+            asyncio.create_task(caller.ask(request_bytes(site.new_id(), path)))
+            for caller, path in zip(
+                callers, ["/unsafe/x", "/safe/x"] * 3, strict=True
+            )
+        ]
+        await until(lambda: len(worker.runs) == len(callers))
+        await freeze(entry, 4.0)
+        found = await asyncio.gather(*answers)
+        assert [answer[0] for answer in found] == [200] * len(callers)
+        assert len(worker.runs) == len(callers)
+        assert not entry.logged("health: Worker avoided.")
+    finally:
+        await entry.kill()
+
+
 async def test_short_stops_in_series_lose_nothing(site, tmp_path):
     for name in ("w1", "w2", "w3"):
         await site.add_worker(name, work_s=0.03)
--- a/tests/relay/test_running_time.py
+++ b/tests/relay/test_running_time.py
@@ -7,6 +7,8 @@
 import pytest
 
 from rattanpier._internal.relay.directory import WorkerDirectory
+from rattanpier._internal.relay.durations import open_duration
+from rattanpier._internal.relay.observations import Observation
 from rattanpier._internal.relay.running_time import (
     MAX_STEP_S,
     READ_INTERVAL_S,
@@ -156,6 +158,19 @@
     assert not entry.health.available
 
 
+def test_a_pause_is_no_time_of_a_worker(entry):
+    # Guards against evidence that a version is slow from the entry's own pause.
+    observation = Observation(None, entry.clock.now, 1.0)
+    observation.record_event(entry.clock.now)
+    entry.run(0.5)
+    observation.skip_pause(4.0)
+    entry.pause(4.0)
+    waited = open_duration(0.5)
+    now = entry.clock.now
+    assert observation.unfinished_first(now) == waited
+    assert observation.unfinished_pace(now, complete=False) == waited
+
+
 @pytest.mark.parametrize("first", range(0, 400, 100))
 def test_removals_apply_in_time_in_drawn_orders_of_pauses_and_outages(first):
     for seed in range(first, first + 100):
@@ -186,5 +201,5 @@
                 held_s = entry.clock.now - removed_at
                 allowed_s = SETTLING_PERIOD_S + READ_INTERVAL_S
                 assert held_s <= allowed_s + 1e-6, seed
-                heard = entry.health.heard_again_at
+                heard = entry.health.silence_ended_at
                 assert entry.clock.now <= heard + allowed_s + 1e-6, seed
