End endless informational heads, and spare workers in a longer freeze

After the deadline, nothing more is waited for.

A freeze that outlasts a request's time blamed the worker whose connection was being opened: test_a_removed_worker_gets_nothing_late_after_a_freeze[10.0] failed once so. Such a failure now shows nothing of the worker.

--- a/src/rattanpier/_internal/relay/connection.py
+++ b/src/rattanpier/_internal/relay/connection.py
@@ -40,11 +40,16 @@
 
     Attributes:
       sent: False if no byte of the request was sent.
+      interrupted: Whether this process did not run meanwhile, so that the
+        failure shows nothing of the worker.
     """
 
-    def __init__(self, message: str, sent: bool = True) -> None:
+    def __init__(
+        self, message: str, sent: bool = True, interrupted: bool = False
+    ) -> None:
         super().__init__(message)
         self.sent = sent
+        self.interrupted = interrupted
 
 
 @attrs.frozen(eq=False, repr=False)
@@ -104,6 +109,8 @@
       timer: Runs until the deadline; None if no timer was needed yet.
       extended: Whether the exchange got time beyond its deadline, since this
         process did not run when it passed.
+      expired: Whether the time of the exchange is over: what has arrived is
+        parsed, nothing more is waited for.
       unread_bytes: Bytes received since the reader last waited, without those
         of the body that it has read.
       reading_paused: Whether receiving is paused.
@@ -125,6 +132,7 @@
         self.deadline = math.inf
         self.timer: asyncio.TimerHandle | None = None
         self.extended = False
+        self.expired = False
         self.unread_bytes = 0
         self.reading_paused = False
         self.idle_since = self.loop.time()
@@ -298,6 +306,8 @@
         Raises:
           TimeoutError: The deadline passed.
         """
+        if self.expired:
+            raise TimeoutError
         self.unread_bytes = 0
         self.resume_reading()
         self.waiter = self.loop.create_future()
@@ -344,6 +354,7 @@
             self.extended = True
             self.timer = self.loop.call_later(SOCKET_READ_S, self.expire)
             return
+        self.expired = True
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_exception(TimeoutError())
 
@@ -358,7 +369,7 @@
         """
         parser, self.parser = self.parser, None
         self.deadline = math.inf
-        self.extended = False
+        self.extended = self.expired = False
         self.stop_timer()
         self.answered_requests += 1
         self.idle_since = self.loop.time()
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -549,7 +549,7 @@
         self, worker: RegisteredWorker, error: SendError
     ) -> bool:
         """Returns whether a worker, and not the path, refused to connect."""
-        if error.connected:
+        if error.connected or error.interrupted:
             return False
         return self.reachability.is_reachable(worker.service)
 
--- a/src/rattanpier/_internal/relay/exchange.py
+++ b/src/rattanpier/_internal/relay/exchange.py
@@ -43,6 +43,8 @@
       misdirected: Whether another worker answered, or one that does not serve
         what was requested.
       retry_after_s: Seconds after which the worker asked for a retry, or None.
+      interrupted: Whether this process did not run meanwhile, so that the
+        failure shows nothing of the worker.
     """
 
     def __init__(
@@ -52,12 +54,14 @@
         connected: bool = True,
         retry_after_s: float | None = None,
         misdirected: bool = False,
+        interrupted: bool = False,
     ) -> None:
         super().__init__(message)
         self.not_run = not_run
         self.connected = connected
         self.retry_after_s = retry_after_s
         self.misdirected = misdirected
+        self.interrupted = interrupted
 
 
 @attrs.frozen(eq=False, repr=False)
@@ -189,7 +193,12 @@
                 worker, new_connection, sending.left_s
             )
         except ConnectionBrokenError as error:
-            raise SendError(str(error), not_run=True, connected=False) from None
+            raise SendError(
+                str(error),
+                not_run=True,
+                connected=False,
+                interrupted=error.interrupted,
+            ) from None
         answer: OpenAnswer | None = None
         try:
             answer = await self.open(request, sending, connection, deadline)
--- a/src/rattanpier/_internal/relay/pool.py
+++ b/src/rattanpier/_internal/relay/pool.py
@@ -86,10 +86,14 @@
                 connection = await self.connect(worker)
         except (OSError, TimeoutError) as error:
             timed_out = isinstance(error, TimeoutError)
-            left_s = timeout_s - (time.monotonic() - began_at)
-            if timed_out and left_s > 0 and self.paused_since(began_at):
+            if timed_out and self.paused_since(began_at):
                 # The worker was not given the time.
-                return await self.acquire(worker, fresh, left_s)
+                left_s = timeout_s - (time.monotonic() - began_at)
+                if left_s > 0:
+                    return await self.acquire(worker, fresh, left_s)
+                raise ConnectionBrokenError(
+                    "interrupted by a pause", sent=False, interrupted=True
+                ) from error
             # A shorter timeout says more of the request than of the worker.
             if not timed_out or timeout_s >= CONNECT_TIMEOUT_S:
                 self.on_connect(worker, False)
