Deliver what has arrived of a body beyond the deadline

Only the head is bound strictly, as it was by the task's timeout.

Found in reading; the tests of slow readers, endless answers and freezes pass, and none of them tells the two apart.

--- a/src/rattanpier/_internal/relay/connection.py
+++ b/src/rattanpier/_internal/relay/connection.py
@@ -109,8 +109,9 @@
       timer: Runs until the deadline; None if no timer was needed yet.
       extended: Whether the exchange got time beyond its deadline, since this
         process did not run when it passed.
-      expired: Whether the time of the exchange is over: what has arrived is
-        parsed, nothing more is waited for.
+      expired: Whether the time of the exchange is over.
+      reading_head: Whether the head is read. Then nothing more is waited for
+        once the time is over, while a body is delivered as far as it is there.
       unread_bytes: Bytes received since the reader last waited, without those
         of the body that it has read.
       reading_paused: Whether receiving is paused.
@@ -133,6 +134,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.extended = False
         self.expired = False
+        self.reading_head = False
         self.unread_bytes = 0
         self.reading_paused = False
         self.idle_since = self.loop.time()
@@ -231,6 +233,22 @@
 
         Raises:
           ConnectionBrokenError: There is no valid answer to the request.
+          TimeoutError: The deadline passed.
+        """
+        self.reading_head = True
+        try:
+            return await self.find_head(answers_request)
+        finally:
+            self.reading_head = False
+
+    async def find_head(
+        self, answers_request: Callable[[WireHead], bool]
+    ) -> WireHead:
+        """Returns the first head that belongs to the request sent last.
+
+        Raises:
+          ConnectionBrokenError: There is no valid answer to the request.
+          TimeoutError: The deadline passed.
         """
         for _ in range(MAX_STRAY_ANSWERS + 1):
             event = await self.next_event()
@@ -306,7 +324,7 @@
         Raises:
           TimeoutError: The deadline passed.
         """
-        if self.expired:
+        if self.expired and self.reading_head:
             raise TimeoutError
         self.unread_bytes = 0
         self.resume_reading()
