Log each decision on a retry

Logs and metrics did not tell why a retry was allowed: the counter relay.budget_spent counts refusals only.

--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -389,12 +389,27 @@
             return False
         if self.left_s(progress) <= MIN_TIME_LEFT_S:
             return False
+        return not progress.arrived_sends() or self.acquire_retry(progress)
+
+    def acquire_retry(self, progress: RequestProgress) -> bool:
+        """Takes an additional upstream request from the retry budget."""
         budget = self.budgets[progress.service]
-        if progress.arrived_sends() and not budget.try_acquire():
+        allowed = budget.try_acquire()
+        log.info(
+            "Retry decided.",
+            request=progress.request.id,
+            service=progress.service,
+            allowed=allowed,
+            sent=progress.arrived_sends(),
+            requests=len(budget.requests),
+            retries=len(budget.sends),
+            slack=round(budget.slack(), 2),
+        )
+        self.metrics.count(f"relay.retry.{'allowed' if allowed else 'refused'}")
+        if not allowed:
             self.metrics.count("relay.budget_spent")
             progress.reason = progress.reason or "retry budget spent"
-            return False
-        return True
+        return allowed
 
     def is_quarantined(self, progress: RequestProgress) -> bool:
         """Returns whether a request is quarantined, and records it if so."""
