--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -3,7 +3,8 @@
 With `--manifests=ENTRIES`, runs that many entries under changes of the manifest
 instead, see `tests.soak.manifests`. With `--exits`, runs entries that are
 stopped, reloaded and frozen in series, see `tests.soak.exits`; `--entries` sets
-their number, 0 draws it.
+their number, 0 draws it. With `--repeats`, runs entries that are killed before
+workers that fail, see `tests.soak.repeats`; `--entries` as before.
 
 Prints each violated guarantee with its seed and keeps the logs of that run.
 """
@@ -24,6 +25,7 @@
 from tests.soak.exits import judge_exits, run_exits
 from tests.soak.judge import judge
 from tests.soak.manifests import judge_manifests, run_manifests
+from tests.soak.repeats import judge_repeats, run_repeats
 from tests.soak.site import run_seed
 
 OUTPUT_FOLDER = pathlib.Path("out/soak")
@@ -66,6 +68,16 @@
     return seed, broken, len(run.sent)
 
 
+def run_one_repeat_seed(seed, entries):
+    """Does the same with entries that are killed before failing workers."""
+    with tempfile.TemporaryDirectory() as folder:
+        run = asyncio.run(run_repeats(seed, pathlib.Path(folder), entries))
+    broken = list(judge_repeats(run))
+    if broken:
+        keep(run, broken)
+    return seed, broken, len(run.sent)
+
+
 def keep_output(seed, folder):
     """Keeps the output of the processes of a seed that could not be run."""
     OUTPUT_FOLDER.mkdir(parents=True, exist_ok=True)
@@ -88,11 +100,20 @@
             file.write(json.dumps(line) + "\n")
 
 
-def main(first=0, count=10, jobs=4, manifests=0, exits=False, entries=0):
+def main(
+    first=0,
+    count=10,
+    jobs=4,
+    manifests=0,
+    exits=False,
+    repeats=False,
+    entries=0,
+):
     """Runs `count` seeds from `first`, or from a random one if it is 0.
 
     `manifests` is the number of entries of runs under changes of the manifest;
-    `exits` runs entries that are stopped and frozen, `entries` of them.
+    `exits` runs entries that are stopped and frozen, `repeats` those that are
+    killed before failing workers, `entries` of them.
     """
     first = first or random.randrange(10**6, 10**7)
     began = time.monotonic()
@@ -102,6 +123,8 @@
         play = functools.partial(run_one_manifest_seed, entries=manifests)
     if exits:
         play = functools.partial(run_one_exit_seed, entries=entries)
+    if repeats:
+        play = functools.partial(run_one_repeat_seed, entries=entries)
     with ProcessPoolExecutor(jobs) as pool:
         for seed, broken, calls in pool.map(play, range(first, first + count)):
             failed += bool(broken)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,6 +8,7 @@
 from tests.soak.exits import judge_exits, run_exits
 from tests.soak.judge import judge
 from tests.soak.manifests import judge_manifests, run_manifests
+from tests.soak.repeats import judge_repeats, run_repeats
 from tests.soak.site import run_seed
 
 # Cause of the earlier failure by seed.
@@ -41,3 +42,15 @@
     run = await run_exits(seed, tmp_path)
     assert run.sent
     assert not list(judge_exits(run))
+
+
+REPEAT_SEEDS = [1, 8]
+
+
+@pytest.mark.parametrize("seed", REPEAT_SEEDS)
+async def test_killed_and_frozen_entries_keep_the_sum_of_repeats(
+    seed, tmp_path
+):
+    run = await run_repeats(seed, tmp_path)
+    assert run.sent
+    assert not list(judge_repeats(run))
