Count retries so that a killed entry's account is not needed

Cause: the account of a window lay in the process. The next one allowed the whole slack again, and what its requests of the last window earn, beside what the earlier one had sent.

A request now allows its fraction of a retry for a second only, and slack comes back when it was last used a window ago, or as requests pass without a retry. A new process finds its part used up. In any window, each retry is then allowed by a request of that window (or of the 1.25 s before it, for which the ratio is reduced from 0.9 to 0.8; that replaces the margin that was chosen), or by a part of the slack that was used once, whichever process did it.

--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -56,6 +56,7 @@
 ) -> Dispatcher:
     """Returns the dispatcher with its conditions for choosing workers."""
     running = state.health.running
+    started_at = clock.monotonic()
     loads = Loads(clock)
     timings = ModelTimings(clock)
     state.tables.subscribe(lambda table: apply_prices(timings, table))
@@ -227,7 +228,12 @@
         brittle=brittle,
         quarantine=quarantine,
         rollouts=state.rollouts,
-        budgets=ServiceRetryBudgets(settings.bounds, fleet.size, clock),
+        budgets=ServiceRetryBudgets(
+            settings.bounds,
+            fleet.size,
+            clock,
+            joined_at=lambda: started_at,
+        ),
         policy=settings.policy,
         rooms=rooms,
         admission=EntryAdmission(
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -401,9 +401,10 @@
             service=progress.service,
             allowed=allowed,
             sent=progress.arrived_sends(),
-            requests=len(budget.requests),
-            retries=len(budget.sends),
+            earned=round(budget.earned_left(), 2),
+            slack_left=round(budget.slack_left(), 2),
             slack=round(budget.slack(), 2),
+            joined=budget.joined_before is not None,
         )
         self.metrics.count(f"relay.retry.{'allowed' if allowed else 'refused'}")
         if not allowed:
--- a/tests/lib/repeat_fleet.py
+++ b/tests/lib/repeat_fleet.py
@@ -22,7 +22,9 @@
 
 def make_budgets(bounds, entry):
     """Returns the budgets of an entry."""
-    return ServiceRetryBudgets(bounds, entry.fleet.size, entry.clock)
+    return ServiceRetryBudgets(
+        bounds, entry.fleet.size, entry.clock, joined_at=lambda: entry.started
+    )
 
 
 @attrs.define(eq=False)
--- a/tests/relay/test_budgets.py
+++ b/tests/relay/test_budgets.py
@@ -5,7 +5,11 @@
 import pytest
 
 from rattanpier._internal.models.relay_settings import Bounds
-from rattanpier._internal.relay.budgets import ServiceRetryBudgets
+from rattanpier._internal.relay.budgets import (
+    DELIVERY_S,
+    EARNED_FOR_S,
+    ServiceRetryBudgets,
+)
 from tests.lib.clock import ManualClock
 
 BOUNDS = Bounds(retry_ratio=0.9, retry_slack=430, retry_window_s=10.0)
@@ -131,3 +135,63 @@
     for _ in range(10):
         budget.record_request()
     assert budget.try_acquire()
+
+
+def acquire_all(budget):
+    count = 0
+    while budget.try_acquire():
+        count += 1
+    return count
+
+
+def test_a_new_process_has_no_slack_until_a_window_has_passed():
+    clock = ManualClock()
+    budget = ServiceRetryBudgets(BOUNDS, lambda: 10, clock, lambda: 0.0)["s"]
+    assert acquire_all(budget) == 0
+    clock.now = BOUNDS.retry_window_s
+    assert acquire_all(budget) == 0
+    clock.now += DELIVERY_S
+    assert acquire_all(budget) == BOUNDS.retry_slack / 10
+
+
+def test_a_new_process_may_retry_what_its_own_requests_allow():
+    clock = ManualClock()
+    budget = ServiceRetryBudgets(BOUNDS, lambda: 10, clock, lambda: 0.0)["s"]
+    for _ in range(10):
+        budget.record_request()
+    assert acquire_all(budget) == 8
+
+
+def test_requests_without_retries_give_slack_back():
+    clock = ManualClock()
+    budget = ServiceRetryBudgets(BOUNDS, lambda: 10, clock, lambda: 0.0)["s"]
+    for _ in range(10):
+        budget.record_request()
+    clock.now = EARNED_FOR_S
+    assert acquire_all(budget) == 8
+
+
+def test_slack_is_given_back_once():
+    clock = ManualClock()
+    budget = ServiceRetryBudgets(BOUNDS, lambda: 430, clock)["s"]
+    assert acquire_all(budget) == 1
+    clock.now = 1.0
+    for _ in range(10):
+        budget.record_request()
+    clock.now += EARNED_FOR_S
+    assert acquire_all(budget) == 1
+    clock.now = BOUNDS.retry_window_s + DELIVERY_S
+    assert acquire_all(budget) == 0
+
+
+def test_an_entry_that_shares_no_slack_has_none():
+    clock = ManualClock()
+    joined_at = -100.0
+    budget = ServiceRetryBudgets(BOUNDS, lambda: 1, clock, lambda: joined_at)
+    assert acquire_all(budget["s"]) == BOUNDS.retry_slack
+    joined_at = None
+    clock.now = 100.0
+    assert acquire_all(budget["s"]) == 0
+    joined_at = 101.0
+    clock.now = 102.0
+    assert acquire_all(budget["s"]) == 0
