Share the slack of retries by a number of entries that is known

Each entry took the whole slack while it knew of no other: one that found neither the store nor a peer at its start, and both sides of a cut between entries once they had forgotten each other, after 60 s. Cause: the part of the slack is the whole divided by the known entries, which is 1 for an entry that knows nothing.

An entry now shares the slack only since it has read the entries' rows or a peer has answered it, and it has none for a window from then on, in which the others learn of it. One that finds half of all down for 45 s leaves: the others may be about to count without it. It joins again with most of those it knew. Too many known entries only make each part smaller, so rows of entries that are gone are safe.

--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -56,7 +56,6 @@
 ) -> Dispatcher:
     """Returns the dispatcher with its conditions for choosing workers."""
     running = state.health.running
-    started_at = clock.monotonic()
     loads = Loads(clock)
     timings = ModelTimings(clock)
     state.tables.subscribe(lambda table: apply_prices(timings, table))
@@ -232,7 +231,7 @@
             settings.bounds,
             fleet.size,
             clock,
-            joined_at=lambda: started_at,
+            joined_at=lambda: fleet.joined_at,
         ),
         policy=settings.policy,
         rooms=rooms,
--- a/src/rattanpier/_internal/relay/fleet.py
+++ b/src/rattanpier/_internal/relay/fleet.py
@@ -30,6 +30,9 @@
 MAX_EXTRA_PROBE_TARGETS = 8  # Bounds the probes of an entry in a round.
 CLOCK_STEP_S = 0.001  # Any positive step makes the start the newer one.
 FORGET_DOWN_AFTER_S = 60.0  # Entries that were down for this long are dropped.
+# An entry that has been cut off for this long shares nothing with the others,
+# which drop it later. The time between is longer than any window of a bound.
+CUT_OFF_AFTER_S = 45.0
 # Of the ready entries, those that reach workers have to be this share to carry
 # the load of all.
 MIN_LISTED_SHARE = 1 / 3
@@ -99,6 +102,10 @@
         changes. They are read many times a second.
       roster_version: Raised when an entry becomes known or is forgotten.
       unlogged_changes: Names of peers that changed since the last log line.
+      joined_at: Since when this entry has known the others and they it, in
+        monotonic seconds; None if it does not, or is cut off from most.
+      size_before_cut: Number of entries that were known when this entry was cut
+        off from most of them; 0 if it never was.
       positions: Sorted ring positions of the live peers.
       names_by_position: Names of the live peers, by ring position.
     """
@@ -110,6 +117,8 @@
     cache: dict[str, Any] = attrs.Factory(dict)
     roster_version: int = 0
     unlogged_changes: set[str] = attrs.Factory(set)
+    joined_at: float | None = None
+    size_before_cut: int = 0
     positions: list[str] = attrs.Factory(list)
     names_by_position: dict[str, str] = attrs.Factory(dict)
 
@@ -196,6 +205,7 @@
 
     def forget_down(self) -> None:
         """Drops entries that were down for `FORGET_DOWN_AFTER_S`."""
+        self.check_cut_off()
         now = self.clock.monotonic()
         for name, since in list(self.down_since.items()):
             if now - since > FORGET_DOWN_AFTER_S:
@@ -205,6 +215,29 @@
                 self.cache.clear()
                 log.info("Entry forgotten.", entry=name)
 
+    def check_cut_off(self) -> None:
+        """Records if at least half of the entries have been down for long.
+
+        This entry can't tell whether they have ended or it is cut off, in which
+        case they are about to share everything among themselves.
+        """
+        now = self.clock.monotonic()
+        long_down = sum(
+            now - since > CUT_OFF_AFTER_S for since in self.down_since.values()
+        )
+        if self.joined_at is not None and 2 * long_down >= self.size():
+            self.joined_at = None
+            self.size_before_cut = self.size()
+            log.warning("Cut off from the other entries.", known=self.size())
+
+    def record_joined(self) -> None:
+        """Records that this entry and the others know of each other."""
+        if self.joined_at is not None:
+            return
+        if 2 * len(self.live()) > self.size_before_cut:
+            self.joined_at = self.clock.monotonic()
+            log.info("Joined the other entries.", known=self.size())
+
     def live(self) -> list[EntryState]:
         """Returns the entries that are not down, including this one."""
         return self.cached("live", self.find_live)
--- a/src/rattanpier/_internal/relay/gossip.py
+++ b/src/rattanpier/_internal/relay/gossip.py
@@ -175,6 +175,7 @@
         """
         call = peer_pb2.Call(beat=self.build_beat(state.down))
         reply = await self.links.to(state.member).call(call, CALL_TIMEOUT_S)
+        self.fleet.record_joined()
         self.shared_state.history.record_era(reply.beat.store_era, "peer")
         if reply.beat.digest == self.digest():
             self.digest_mismatches = 0
--- a/src/rattanpier/_internal/relay/membership.py
+++ b/src/rattanpier/_internal/relay/membership.py
@@ -138,6 +138,7 @@
             self.apply_held_row(row, page.now_ms)
         for row in filter(own_table.is_entry_row, page.rows):
             await self.apply_row(row)
+        self.fleet.record_joined()
         return True
 
     async def apply_row(self, row: FeedRow) -> None:
--- a/tests/lib/repeat_fleet.py
+++ b/tests/lib/repeat_fleet.py
@@ -23,7 +23,10 @@
 def make_budgets(bounds, entry):
     """Returns the budgets of an entry."""
     return ServiceRetryBudgets(
-        bounds, entry.fleet.size, entry.clock, joined_at=lambda: entry.started
+        bounds,
+        entry.fleet.size,
+        entry.clock,
+        joined_at=lambda: entry.fleet.joined_at,
     )
 
 
@@ -110,6 +113,9 @@
             entry.fleet.apply_state(other.fleet.me)
         for other in reached[:1]:
             entry.fleet.apply_states(other.fleet.all_states())
+            other.fleet.record_joined()
+        if reached:
+            entry.fleet.record_joined()
 
     def reached_by(self, entry):
         return [
@@ -161,6 +167,7 @@
             entry.fleet.set_own_state(refuting)
             for other in self.reached_by(entry):
                 other.fleet.apply_state(refuting)
+                other.fleet.record_joined()
 
     def forget_down(self):
         for entry in self.entries.values():
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -6,6 +6,7 @@
 from rattanpier._internal.models.member import Member, MemberState, Role
 from rattanpier._internal.programs.relay import close
 from rattanpier._internal.relay.fleet import (
+    CUT_OFF_AFTER_S,
     FORGET_DOWN_AFTER_S,
     EntryState,
     Fleet,
@@ -233,3 +234,37 @@
     else:
         fleet.apply_state(attrs.evolve(state, member=member, sequence=2))
     assert first not in fleet.preferred("watch", 2)
+
+
+async def test_an_entry_that_is_cut_off_joins_again_with_most_of_the_others(
+    fleet,
+):
+    names = ("e2", "e3", "e4", "e5")
+    for name in names:
+        fleet.apply_state(make_entry_state(name, sequence=1))
+    fleet.record_joined()
+    assert fleet.joined_at == 0.0
+    for name in names[1:]:
+        fleet.record_down(name, "test")
+    await fleet.clock.advance(CUT_OFF_AFTER_S + 1)
+    fleet.forget_down()
+    fleet.record_joined()
+    assert fleet.joined_at is None
+    await fleet.clock.advance(FORGET_DOWN_AFTER_S)
+    fleet.forget_down()
+    fleet.record_joined()
+    assert (fleet.size(), fleet.joined_at) == (2, None)
+    fleet.apply_state(make_entry_state("e3", sequence=2))
+    fleet.record_joined()
+    assert fleet.joined_at == fleet.clock.now
+
+
+async def test_an_entry_stays_joined_while_fewer_than_half_are_down(fleet):
+    for name in ("e2", "e3", "e4", "e5"):
+        fleet.apply_state(make_entry_state(name, sequence=1))
+    fleet.record_joined()
+    for name in ("e2", "e3"):
+        fleet.record_down(name, "test")
+    await fleet.clock.advance(CUT_OFF_AFTER_S + 1)
+    fleet.forget_down()
+    assert fleet.joined_at == 0.0
