Let requests read after a pause of the entry allow no retries

A request now counts when it was received, and one that is read within a second after a pause allows nothing; the slack remains for it. An entry that did not run for 45 s shares the slack anew, as one that was cut off.

--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -232,6 +232,7 @@
             fleet.size,
             clock,
             joined_at=lambda: fleet.joined_at,
+            paused_since=running.paused_since,
         ),
         policy=settings.policy,
         rooms=rooms,
--- a/src/rattanpier/_internal/programs/relay_listen.py
+++ b/src/rattanpier/_internal/programs/relay_listen.py
@@ -112,6 +112,7 @@
     def handle(paused_s: float) -> None:
         entry.metrics.timing("relay.paused_s", paused_s)
         entry.state.rollouts.skip_pause(paused_s)
+        entry.fleet.record_pause(paused_s)
         if paused_s < MIN_STALE_S or not entry.edge.admitting.is_set():
             return
         entry.edge.admitting.clear()
--- a/src/rattanpier/_internal/relay/answering.py
+++ b/src/rattanpier/_internal/relay/answering.py
@@ -72,7 +72,8 @@
         return
     if not progress.counted:
         progress.counted = True
-        dispatcher.budgets[progress.service].record_request()
+        budget = dispatcher.budgets[progress.service]
+        budget.record_request(progress.request.arrived)
     dispatcher.rollouts.sessions.record_request(
         progress.service, progress.request.session
     )
--- a/src/rattanpier/_internal/relay/budgets.py
+++ b/src/rattanpier/_internal/relay/budgets.py
@@ -75,6 +75,8 @@
         ratio.
       joined_at: Returns since when this entry shares the slack with the others,
         in monotonic seconds; None if it doesn't.
+      paused_since: Returns whether this process did not run for a while since a
+        time in monotonic seconds.
       used: Slack that is not in stock, the oldest first.
       requests: When each of the last requests was received, in monotonic
         seconds, the oldest first.
@@ -87,20 +89,31 @@
     window_s: float
     slack: Callable[[], float]
     joined_at: Callable[[], float | None]
+    paused_since: Callable[[float], bool]
     used: collections.deque[Amount] = attrs.Factory(collections.deque)
     requests: collections.deque[float] = attrs.Factory(collections.deque)
     earned: collections.deque[Amount] = attrs.Factory(collections.deque)
     joined_before: float | None = None
 
-    def record_request(self) -> None:
-        """Counts a request that was received."""
+    def record_request(self, received_at: float | None = None) -> None:
+        """Counts a request.
+
+        One that was read soon after a pause may have been sent long before, in
+        another window than its retries. It adds nothing.
+
+        Args:
+          received_at: When it was received, in monotonic seconds; None for now.
+        """
         now = self.clock.monotonic()
         self.advance(now)
-        bisect.insort(self.requests, now)
+        at = now if received_at is None else received_at
+        if at <= now - EARNED_FOR_S or self.paused_since(at - EARNED_FOR_S):
+            return
+        bisect.insort(self.requests, at)
         left = spend_last(self.used, self.ratio)
         if left > 0.0:
             bisect.insort(
-                self.earned, Amount(now, left), key=lambda each: each.at
+                self.earned, Amount(at, left), key=lambda each: each.at
             )
 
     def try_acquire(self) -> bool:
@@ -188,6 +201,8 @@
       clock: Source of monotonic time.
       joined_at: Returns since when this entry shares the slack with the others,
         in monotonic seconds; None if it doesn't.
+      paused_since: Returns whether this process did not run for a while since a
+        time in monotonic seconds.
     """
 
     def __init__(
@@ -196,12 +211,14 @@
         entries: Callable[[], int],
         clock: Clock,
         joined_at: Callable[[], float | None] = lambda: -math.inf,
+        paused_since: Callable[[float], bool] = lambda _at: False,
     ) -> None:
         super().__init__()
         self.bounds = bounds
         self.entries = entries
         self.clock = clock
         self.joined_at = joined_at
+        self.paused_since = paused_since
 
     def __missing__(self, service: str) -> ServiceRetryBudget:
         """Creates the budget of a service."""
@@ -211,6 +228,7 @@
             window_s=self.bounds.retry_window_s + DELIVERY_S,
             slack=self.slack,
             joined_at=self.joined_at,
+            paused_since=self.paused_since,
         )
         self.data[service] = budget
         return budget
--- a/src/rattanpier/_internal/relay/fleet.py
+++ b/src/rattanpier/_internal/relay/fleet.py
@@ -225,7 +225,17 @@
         long_down = sum(
             now - since > CUT_OFF_AFTER_S for since in self.down_since.values()
         )
-        if self.joined_at is not None and 2 * long_down >= self.size():
+        if 2 * long_down >= self.size():
+            self.record_cut_off()
+
+    def record_pause(self, paused_s: float) -> None:
+        """Records that this entry did not run for some seconds."""
+        if paused_s > CUT_OFF_AFTER_S:
+            self.record_cut_off()
+
+    def record_cut_off(self) -> None:
+        """Records that the others may share everything without this entry."""
+        if self.joined_at is not None:
             self.joined_at = None
             self.size_before_cut = self.size()
             log.warning("Cut off from the other entries.", known=self.size())
--- a/tests/lib/repeat_fleet.py
+++ b/tests/lib/repeat_fleet.py
@@ -27,6 +27,7 @@
         entry.fleet.size,
         entry.clock,
         joined_at=lambda: entry.fleet.joined_at,
+        paused_since=entry.paused_since,
     )
 
 
--- a/tests/relay/test_budgets.py
+++ b/tests/relay/test_budgets.py
@@ -195,3 +195,24 @@
     joined_at = 101.0
     clock.now = 102.0
     assert acquire_all(budget["s"]) == 0
+
+
+@pytest.mark.parametrize(
+    ("received_at", "pause_ended", "allowed"),
+    [(10.0, 5.0, 8), (10.0, 9.5, 0), (9.5, 9.7, 0), (8.9, -100.0, 0)],
+)
+def test_requests_that_may_have_waited_long_allow_no_retries(
+    received_at, pause_ended, allowed
+):
+    clock = ManualClock()
+    budgets = ServiceRetryBudgets(
+        BOUNDS,
+        lambda: 10,
+        clock,
+        lambda: None,
+        paused_since=lambda at: pause_ended > at,
+    )
+    clock.now = 10.0
+    for _ in range(10):
+        budgets["s"].record_request(received_at)
+    assert acquire_all(budgets["s"]) == allowed
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -268,3 +268,15 @@
     await fleet.clock.advance(CUT_OFF_AFTER_S + 1)
     fleet.forget_down()
     assert fleet.joined_at == 0.0
+
+
+async def test_an_entry_that_did_not_run_for_long_joins_again(fleet):
+    fleet.apply_state(make_entry_state("e2", sequence=1))
+    fleet.record_joined()
+    fleet.record_pause(CUT_OFF_AFTER_S)
+    assert fleet.joined_at == 0.0
+    await fleet.clock.advance(CUT_OFF_AFTER_S + 1)
+    fleet.record_pause(CUT_OFF_AFTER_S + 1)
+    assert fleet.joined_at is None
+    fleet.record_joined()
+    assert fleet.joined_at == fleet.clock.now
