Start the entries of test sites as ones that have run for a while

A new entry has no slack for retries until a window has passed. Twelve tests of retries, escalations and resumed streams send their first request to an entry that has just started, and found none. They are about what an entry does with a retry that is allowed: their entries now share the slack from long ago. That a new process has none is tested in test_budgets, test_fleet and test_repeat_budgets, and with real entries in test_repeat_processes.

--- a/tests/lib/platform_site.py
+++ b/tests/lib/platform_site.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 import json
+import math
 import random
 
 import aiohttp
@@ -195,6 +196,8 @@
         document = settings_document(address, name, seeds, **more)
         settings = decode_settings(document, "test")
         entry = await build_relay(settings)
+        # As one that has run for a while; a new one has no slack for retries.
+        entry.fleet.joined_at = -math.inf
         self.entries[name] = entry
         if ready:
             await until(entry.ready)
