Hand workers the time that is left once they are connected

The time of an upstream request was read before its connection was opened; a pause of the entry, or 0.5 s of connecting, made it too long by as much. It is now reduced by the time in which it connected.

Test: a connection that takes 0.3 s; 2,999 ms of 3,000 were handed over before, 2,700 at most now.

--- a/src/rattanpier/_internal/relay/exchange.py
+++ b/src/rattanpier/_internal/relay/exchange.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
@@ -188,6 +189,7 @@
         # The worker may close an idle connection just as a request is written
         # to it; it would be unknown whether the request ran.
         new_connection = not request.route.repeatable
+        began_at = asyncio.get_running_loop().time()
         try:
             connection = await self.pool.acquire(
                 worker, new_connection, sending.left_s
@@ -199,6 +201,8 @@
                 connected=False,
                 interrupted=error.interrupted,
             ) from None
+        connecting_s = asyncio.get_running_loop().time() - began_at
+        sending = attrs.evolve(sending, left_s=sending.left_s - connecting_s)
         answer: OpenAnswer | None = None
         try:
             answer = await self.open(request, sending, connection, deadline)
--- a/tests/relay/test_path.py
+++ b/tests/relay/test_path.py
@@ -299,3 +299,18 @@
     # The timer of the first exchange does not end the next one.
     answer = await site.chat()
     assert event_numbers(answer.body) == [1, 2, 3, 4, 5]
+
+
+async def test_time_to_connect_is_not_handed_to_the_worker(site):
+    worker = await site.add_worker("w1")
+    entry = await site.add_entry()
+    pool = entry.edge.dispatcher.sender.pool
+    connect = pool.connect
+
+    async def connect_slowly(each):
+        await asyncio.sleep(0.3)
+        return await connect(each)
+
+    pool.connect = connect_slowly
+    assert (await site.ask("/unsafe/x")).status == 200
+    assert int(worker.runs[0].headers["x-deadline-ms"]) <= 2700
