Take a retry from the budget as it is sent

The budget allowed a retry before a worker was selected. A retry that waited for room at a worker was counted seconds before it arrived, in another window than its arrival; and each retry or hedge that found no worker, and was never sent, used up the budget of one that could be (log of test_full_workers: a hedge without a second worker took one of three, a refused request another).

The check and the taking are two steps now: a request is refused at once if the budget has none, and the budget counts it when its worker is selected or when it leaves the queue. An escalation takes it when it is decided, since the answer is dropped then.

Test: test_a_retry_that_waits_for_room_counts_when_it_is_sent; with the slack of one retry it was refused before, since the hedge of the first request took it.

--- a/src/rattanpier/_internal/relay/budgets.py
+++ b/src/rattanpier/_internal/relay/budgets.py
@@ -116,18 +116,21 @@
                 self.earned, Amount(at, left), key=lambda each: each.at
             )
 
+    def has_one(self) -> bool:
+        """Returns whether one more upstream request is allowed now."""
+        self.advance(self.clock.monotonic())
+        return self.earned_left() + self.slack_left() >= 1.0 - ROUNDING
+
     def try_acquire(self) -> bool:
         """Returns whether one more upstream request is allowed.
 
         An allowed request is counted.
         """
-        now = self.clock.monotonic()
-        self.advance(now)
-        if self.earned_left() + self.slack_left() < 1.0 - ROUNDING:
+        if not self.has_one():
             return False
         missing = spend_first(self.earned, 1.0)
         if missing > 0.0:
-            self.used.append(Amount(now, missing))
+            self.used.append(Amount(self.clock.monotonic(), missing))
         return True
 
     def earned_left(self) -> float:
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -190,8 +190,9 @@
         if not self.admission.is_empty(progress.service):
             self.admission.release(progress.service)
         choice = self.find_worker(progress, progress.model)
-        if choice is not None:
-            self.on_request_started(choice.worker)
+        if choice is None or not self.acquire_retry(progress):
+            return None
+        self.on_request_started(choice.worker)
         return choice
 
     def find_worker(
@@ -370,14 +371,13 @@
     def may_send(self, progress: RequestProgress) -> bool:
         """Returns whether a request may be sent to another worker.
 
-        An additional upstream request is taken from the retry budget, unless
-        the earlier ones reached no worker.
+        An additional upstream request needs the retry budget, unless the
+        earlier ones reached no worker.
         """
         request = progress.request
         if self.is_quarantined(progress):
             return False
         if progress.next_send_allowed:
-            progress.next_send_allowed = False
             return True
         if not self.may_use_own_path(progress):
             return False
@@ -389,12 +389,32 @@
             return False
         if self.left_s(progress) <= MIN_TIME_LEFT_S:
             return False
-        return not progress.arrived_sends() or self.acquire_retry(progress)
+        if not progress.arrived_sends():
+            return True
+        if self.budgets[progress.service].has_one():
+            return True
+        self.record_retry(progress, allowed=False)
+        return False
 
     def acquire_retry(self, progress: RequestProgress) -> bool:
-        """Takes an additional upstream request from the retry budget."""
+        """Returns whether a request may be sent now, and counts it if so.
+
+        An additional upstream request is taken from the retry budget. This is
+        done as it is sent, so that none is taken while a request waits for
+        room or finds no worker.
+        """
+        if progress.next_send_allowed:
+            progress.next_send_allowed = False
+            return True
+        if not progress.arrived_sends():
+            return True
+        allowed = self.budgets[progress.service].try_acquire()
+        self.record_retry(progress, allowed)
+        return allowed
+
+    def record_retry(self, progress: RequestProgress, allowed: bool) -> None:
+        """Logs and counts the retry budget's decision on a request."""
         budget = self.budgets[progress.service]
-        allowed = budget.try_acquire()
         log.info(
             "Retry decided.",
             request=progress.request.id,
@@ -410,7 +430,6 @@
         if not allowed:
             self.metrics.count("relay.budget_spent")
             progress.reason = progress.reason or "retry budget spent"
-        return allowed
 
     def is_quarantined(self, progress: RequestProgress) -> bool:
         """Returns whether a request is quarantined, and records it if so."""
--- a/src/rattanpier/_internal/relay/escalation.py
+++ b/src/rattanpier/_internal/relay/escalation.py
@@ -61,7 +61,9 @@
         estimate,
         dispatcher.policy,
     )
-    if keep_reason is None and not dispatcher.may_send(progress):
+    if keep_reason is None and not (
+        dispatcher.may_send(progress) and dispatcher.acquire_retry(progress)
+    ):
         keep_reason = KeepReason.BUDGET
     log.info(
         "Answer judged.",
--- a/src/rattanpier/_internal/relay/room_waits.py
+++ b/src/rattanpier/_internal/relay/room_waits.py
@@ -85,6 +85,9 @@
     if isinstance(outcome, Refusal):
         progress.queue_refusal = outcome
         return None
+    if outcome is not None and not dispatcher.acquire_retry(progress):
+        cancel_reservation(dispatcher, progress, decided)
+        return None
     return outcome
 
 
--- a/tests/relay/test_full_workers.py
+++ b/tests/relay/test_full_workers.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import attrs
+import pytest
 
 from rattanpier._internal.models.policy import DEFAULT_POLICY
 from tests.lib.platform_site import platform_site, until
@@ -111,3 +112,30 @@
             assert b"draining" in answer.body
         for answer in await asyncio.gather(*filled):
             assert answer.status == 200
+
+
+@pytest.mark.parametrize(("slack", "status"), [(0, 503), (1, 200)])
+async def test_a_retry_that_waits_for_room_counts_when_it_is_sent(
+    slack, status
+):
+    async with platform_site() as site:
+        worker = await site.add_worker("w2", work_s=0.6, room=1)
+        site.register("w2", slots=1)
+        entry = await site.add_entry(retryBudgetRatio=0, budgetSlack=slack)
+        budget = entry.edge.dispatcher.budgets["plain"]
+        assert (await site.ask(headers=DEADLINE)).status == 200
+        running = asyncio.ensure_future(site.ask())
+        await until(lambda: worker.running == 1)
+        assert (await site.ask(headers={"X-Deadline-Ms": "200"})).status == 503
+        refusing = await site.add_worker("w1", room=0)
+        site.register("w1", slots=8)
+        await until(lambda: entry.state.directory.accepts_requests("w1"))
+        waiting = asyncio.ensure_future(site.ask(headers=DEADLINE))
+        await until(lambda: refusing.shed == 1)
+        if slack:
+            await until(lambda: entry.edge.dispatcher.admission.queued())
+            assert budget.slack_left() == slack
+        assert (await waiting).status == status
+        assert budget.slack_left() == 0
+        assert (await running).status == 200
+        assert len(worker.runs) == 2 + slack
