Let a restarted entry wait before it sends to a worker with a bound

A restarted entry knew of no earlier request and sent at once.

Without a request of its own, an entry now counts the pause from its start.

--- a/src/rattanpier/_internal/placement/shared_rates.py
+++ b/src/rattanpier/_internal/placement/shared_rates.py
@@ -125,7 +125,8 @@
         parts = divide(bound, self.fleet.size())
         if parts is None or not self.may_send(worker, parts):
             return math.inf
-        sent_at = self.sent_at.get(worker.incarnation, -math.inf)
+        # An earlier process of this entry may have sent just before its end.
+        sent_at = self.sent_at.get(worker.incarnation, self.started_at)
         return max(0.0, sent_at + parts.pause_s - self.clock.monotonic())
 
     def may_send(self, worker: RegisteredWorker, parts: SenderShares) -> bool:
--- a/tests/placement/test_rate_limits.py
+++ b/tests/placement/test_rate_limits.py
@@ -11,14 +11,19 @@
     WINDOW_S,
     bound_of,
 )
-from rattanpier._internal.placement.shared_rates import divide
+from rattanpier._internal.placement.shared_rates import SharedRates, divide
 from rattanpier._internal.platform.upstream import (
     UNREADABLE_RATE_PER_S,
     decode_rate_limit,
 )
 from tests.lib.clock import ManualClock
 from tests.lib.relay_parts import make_worker, make_workers
-from tests.lib.warm_fleet import LimitedFleet, make_fleet, make_limits
+from tests.lib.warm_fleet import (
+    LimitedFleet,
+    make_fleet,
+    make_limits,
+    max_within,
+)
 
 
 @pytest.fixture
@@ -261,3 +266,23 @@
         for entry in fleet.entries.values()
     ]
     assert all(0.0 < wait_s <= 1.0 / 2.3 + 0.01 for wait_s in waits)
+
+
+# Restarts.
+
+
+def test_entries_that_are_restarted_keep_the_bound_of_a_worker(clock):
+    bound = bound_of(2.0)
+    fleets = [make_fleet(number, range(8), clock) for number in range(8)]
+    sends = []
+    shares = [SharedRates(fleet, clock, started_at=-100.0) for fleet in fleets]
+    for step in range(80):
+        clock.now = 0.1 * step
+        if step % 10 == 9:
+            shares = [SharedRates(fleet, clock) for fleet in fleets]
+        for each in shares:
+            if not each.available_in_s(WORKER, bound):
+                each.record_send(WORKER.incarnation)
+                sends.append(clock.now)
+    assert sends
+    assert max_within(sends, WINDOW_S) <= bound.cap
