--- a/src/rattanpier/_internal/relay/budgets.py
+++ b/src/rattanpier/_internal/relay/budgets.py
@@ -3,14 +3,15 @@
 Additional upstream requests are those beyond the first of a request: retries,
 hedges and escalations. Operators bound them over all entries together, in any
 window: a ratio of the requests, and a slack. Entries don't count together. Each
-has a stock from which it takes additional requests. A request adds a fraction
-of one to it. The stock holds this entry's part of the slack at most, or what
-the requests of the last second have added and a little slack, if that is more.
-Slack that was used is back after a window at the latest.
-
-So all that is sent in a window was added in it, or was in stock at its start,
-and the sum stays within the bound although the account of a process ends with
-it: the stock of a new process is empty.
+has a token bucket, to which a request adds a fraction of a token, and from
+which each additional request takes one. The bucket holds this entry's part of
+the slack, or what the requests of the last second have added and a little
+slack, if that is more. A token of the slack is back a window after its use at
+the latest.
+
+So all that is sent in a window was added in it, or was in a bucket at its
+start. The sum stays within the bound although the account of a process ends
+with it, since the bucket of a new process is empty.
 """
 
 from __future__ import annotations
@@ -25,12 +26,12 @@
 from rattanpier._internal.models.relay_settings import Bounds
 from rattanpier._internal.utils.clock import Clock
 
-# For how long a request adds to a stock that is full. Most retries and
+# For how long a request adds to a bucket that holds the slack. Most retries and
 # escalations come sooner.
 EARNED_FOR_S = 1.0
 # From the decision on an additional upstream request to its arrival.
 DELIVERY_S = 0.25
-# Slack that a stock may hold beside what the last requests added. Entries of a
+# Slack that a bucket may hold beside what the last requests added. Entries of a
 # large fleet have less; most of their escalations depend on their requests.
 BESIDE_REQUESTS = 4.0
 # Sums of fractions are compared up to this.
@@ -38,9 +39,9 @@
 
 
 def usable_ratio(bounds: Bounds) -> float:
-    """Returns the additional upstream requests that one request allows.
+    """Returns the tokens that a request adds.
 
-    Those that arrive in a window were allowed by requests of a longer time.
+    Those that are used in a window were added in a longer time.
 
     >>> round(usable_ratio(Bounds(retry_ratio=0.9, retry_window_s=10.0)), 3)
     0.8
@@ -52,11 +53,11 @@
 
 @attrs.define(eq=False, repr=False)
 class Amount:
-    """Part of the additional upstream requests that are allowed or were used.
+    """A number of tokens that were added or used at one time.
 
     Attributes:
-      at: When it was allowed or used, in monotonic seconds.
-      left: Additional upstream requests; a fraction is possible.
+      at: That time, in monotonic seconds.
+      left: Number of tokens that still count; a fraction is possible.
     """
 
     at: float
@@ -69,7 +70,7 @@
 
     Attributes:
       clock: Source of monotonic time.
-      ratio: Additional upstream requests that one request allows.
+      ratio: Tokens that a request adds.
       window_s: Seconds after which used slack may be used again.
       slack: Returns this entry's part of the additional requests beyond the
         ratio.
@@ -77,10 +78,10 @@
         in monotonic seconds; None if it doesn't.
       paused_since: Returns whether this process did not run for a while since a
         time in monotonic seconds.
-      used: Slack that is not in stock, the oldest first.
+      used: Slack that is not in the bucket, the oldest first.
       requests: When each of the last requests was received, in monotonic
         seconds, the oldest first.
-      earned: What they allow beyond the slack, the oldest first.
+      earned: What they added beyond the slack, the oldest first.
       joined_before: What `joined_at` returned last.
     """
 
@@ -99,7 +100,7 @@
         """Counts a request.
 
         One that was read soon after a pause may have been sent long before, in
-        another window than its retries. It adds nothing.
+        another window than its retries. It adds no token.
 
         Args:
           received_at: When it was received, in monotonic seconds; None for now.
@@ -134,11 +135,11 @@
         return True
 
     def earned_left(self) -> float:
-        """Returns what the last requests allow beyond the slack."""
+        """Returns what is left of what the last requests added."""
         return total(self.earned)
 
     def slack_left(self) -> float:
-        """Returns the part of the slack that is in stock."""
+        """Returns the part of the slack that is in the bucket."""
         if self.joined_before is None:
             return 0.0
         return max(0.0, self.slack() - total(self.used))
