Share what the soaks' kinds have in common; show the worst window with repeats

The judge named a window without repeats as the worst one where all others are further below the bound; it names one with repeats now, which changes no verdict. The process test and the soak check that repeats were sent at all.

--- a/tests/lib/repeat_judge.py
+++ b/tests/lib/repeat_judge.py
@@ -32,7 +32,7 @@
 
 
 def worst_window(sent, arrived, bound):
-    """Returns the window in which repeats exceed the bound by most.
+    """Returns the window with repeats in which they exceed the bound by most.
 
     Args:
       sent: When callers sent each request for the service, whether it arrived
@@ -52,7 +52,10 @@
         return RepeatWindow(0.0, 0, 0, bound.slack)
     starts = window_starts(requests, repeats, bound.window_s)
     windows = (make_window(at, requests, repeats, bound) for at in starts)
-    return max(windows, key=lambda window: window.excess)
+    return max(
+        (window for window in windows if window.repeats),
+        key=lambda window: window.excess,
+    )
 
 
 def first_times(pairs):
--- a/tests/relay/test_repeat_processes.py
+++ b/tests/relay/test_repeat_processes.py
@@ -8,4 +8,5 @@
         6, tmp_path, entries=3, troubles=["kill all"], per_s=6.0, length_s=24.0
     )
     assert None in run.statuses
+    assert run.worst().repeats
     assert not list(judge_repeats(run))
--- a/tests/soak/exits.py
+++ b/tests/soak/exits.py
@@ -18,11 +18,10 @@
 from tests.lib.kept_callers import KeptCaller, request_bytes
 from tests.lib.platform_site import platform_site
 from tests.lib.relay_process import start_entry
-from tests.soak.manifests import recorded
+from tests.soak.manifests import CONTACT_S, in_touch, recorded
 
 GRACE_S = 4.0
 DRAIN_S = 2.0
-CONTACT_S = 3.0
 DEADLINE_S = 3.0
 FAULTS_S = 14.0
 # A departing worker goes on for this long after the end of its drain time.
@@ -87,15 +86,6 @@
     workers: int = 0
     sparse: bool = False
 
-    def in_touch(self, entry, since, until):
-        """Whether an entry was in touch for a whole interval."""
-        return not any(
-            each in (entry, None)
-            and began - 0.1 < until
-            and ended + CONTACT_S > since
-            for each, began, ended in self.out_of_touch
-        )
-
 
 def judge_exits(run):
     """Yields one sentence for each violated guarantee."""
@@ -140,8 +130,8 @@
         left_at = run.departures.get(name, float("inf"))
         if at < left_at + DRAIN_S:
             continue
-        stable = run.in_touch(None, left_at, left_at)
-        if stable and run.in_touch(sent.entry, sent.sent_at, at):
+        stable = in_touch(run, None, left_at, left_at)
+        if stable and in_touch(run, sent.entry, sent.sent_at, at):
             yield (
                 f"entry-{sent.entry} sent {sent.id} to {name} "
                 f"{at - left_at:.2f} s after it was removed"
--- a/tests/soak/manifests.py
+++ b/tests/soak/manifests.py
@@ -94,15 +94,6 @@
     out_of_touch: list = attrs.Factory(list)
     stopped: set = attrs.Factory(set)
 
-    def in_touch(self, entry, since, until):
-        """Whether an entry was in touch for a whole interval."""
-        return not any(
-            each in (entry, None)
-            and began - 0.1 < until
-            and ended + CONTACT_S > since
-            for each, began, ended in self.out_of_touch
-        )
-
 
 def late_probes(run, bound_s=APPLY_S):
     """Yields the probes that were decided by a version out of date."""
@@ -115,7 +106,7 @@
         allowed = run.versions[max(settled, default=0) :]
         if any(probe.fits(version) for version in allowed):
             continue
-        if run.in_touch(probe.entry, probe.sent_at, probe.ended_at):
+        if in_touch(run, probe.entry, probe.sent_at, probe.ended_at):
             yield probe
 
 
@@ -291,6 +282,16 @@
     return numbers[: run.rng.randint(1, 3)]
 
 
+def in_touch(run, entry, since, until):
+    """Whether an entry was in touch for a whole interval."""
+    return not any(
+        each in (entry, None)
+        and began - 0.1 < until
+        and ended + CONTACT_S > since
+        for each, began, ended in run.out_of_touch
+    )
+
+
 @contextlib.contextmanager
 def recorded(run, number):
     """Records that a fault keeps an entry, or the store, out of touch."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -48,34 +48,23 @@
     return seed, broken, len(run.calls)
 
 
-def run_one_manifest_seed(seed, entries):
-    """Does the same with changes of the manifest; counts probes."""
+def run_one_seed_of(kind, seed, entries):
+    """Does the same with a run of a kind of `KINDS`."""
+    play, judge_kind, records = KINDS[kind]
     with tempfile.TemporaryDirectory() as folder:
-        run = asyncio.run(run_manifests(seed, pathlib.Path(folder), entries))
-    broken = list(judge_manifests(run))
+        run = asyncio.run(play(seed, pathlib.Path(folder), entries))
+    broken = list(judge_kind(run))
     if broken:
         keep(run, broken)
-    return seed, broken, len(run.probes)
+    return seed, broken, len(getattr(run, records))
 
 
-def run_one_exit_seed(seed, entries):
-    """Does the same with entries that are stopped and frozen."""
-    with tempfile.TemporaryDirectory() as folder:
-        run = asyncio.run(run_exits(seed, pathlib.Path(folder), entries))
-    broken = list(judge_exits(run))
-    if broken:
-        keep(run, broken)
-    return seed, broken, len(run.sent)
-
-
-def run_one_repeat_seed(seed, entries):
-    """Does the same with entries that are killed before failing workers."""
-    with tempfile.TemporaryDirectory() as folder:
-        run = asyncio.run(run_repeats(seed, pathlib.Path(folder), entries))
-    broken = list(judge_repeats(run))
-    if broken:
-        keep(run, broken)
-    return seed, broken, len(run.sent)
+# Functions that play and judge a seed, and the records of its requests.
+KINDS = {
+    "manifests": (run_manifests, judge_manifests, "probes"),
+    "exits": (run_exits, judge_exits, "sent"),
+    "repeats": (run_repeats, judge_repeats, "sent"),
+}
 
 
 def keep_output(seed, folder):
@@ -119,12 +108,11 @@
     began = time.monotonic()
     failed = 0
     play = run_one_seed
-    if manifests:
-        play = functools.partial(run_one_manifest_seed, entries=manifests)
-    if exits:
-        play = functools.partial(run_one_exit_seed, entries=entries)
-    if repeats:
-        play = functools.partial(run_one_repeat_seed, entries=entries)
+    chosen = {"manifests": manifests, "exits": exits, "repeats": repeats}
+    for kind in filter(chosen.get, KINDS):
+        play = functools.partial(
+            run_one_seed_of, kind, entries=manifests or entries
+        )
     with ProcessPoolExecutor(jobs) as pool:
         for seed, broken, calls in pool.map(play, range(first, first + count)):
             failed += bool(broken)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -52,5 +52,5 @@
     seed, tmp_path
 ):
     run = await run_repeats(seed, tmp_path)
-    assert run.sent
+    assert run.worst().repeats
     assert not list(judge_repeats(run))
