Log what an entry counted in the windows in which a retry was decided

Cause: a line of "Retry decided." told the tokens of the bucket, not how many retries this entry had sent, for how many requests, in the windows by which operators count. Credit that is used in another window than it was earned in could not be told from credit that was granted twice, nor from a repeat without a decision.

Change: requests and additional upstream requests are counted by slot of a window; the line has them as retries, requests and requests_before. No decision depends on them yet.

--- a/src/rattanpier/_internal/relay/budgets.py
+++ b/src/rattanpier/_internal/relay/budgets.py
@@ -25,6 +25,8 @@
 
 from rattanpier._internal.models.relay_settings import Bounds
 from rattanpier._internal.utils.clock import Clock
+from rattanpier._internal.utils.record import Record
+from rattanpier._internal.utils.slot_counts import SlotCounts
 
 # For how long a request adds to a bucket that holds the slack. Most retries and
 # escalations come sooner.
@@ -34,6 +36,7 @@
 # Slack that a bucket may hold beside what the last requests added. Entries of a
 # large fleet have less; most of their escalations depend on their requests.
 BESIDE_REQUESTS = 4.0
+SLOTS = 40  # Of a window; requests and retries are counted by slot.
 # Sums of fractions are compared up to this.
 ROUNDING = 1e-9
 
@@ -64,6 +67,21 @@
     left: float
 
 
+@attrs.frozen(eq=False, repr=False)
+class WindowCounts(Record):
+    """What an entry counted in the window that ends now.
+
+    Attributes:
+      retries: Additional upstream requests.
+      requests: Requests.
+      requests_before: Requests of the window before.
+    """
+
+    retries: int
+    requests: int
+    requests_before: int
+
+
 @attrs.define(eq=False, repr=False)
 class ServiceRetryBudget:
     """Additional upstream requests for one service.
@@ -83,6 +101,8 @@
         seconds, the oldest first.
       earned: What they added beyond the slack, the oldest first.
       joined_before: What `joined_at` returned last.
+      received: Requests of the last two windows.
+      sent: Additional upstream requests of the last window.
     """
 
     clock: Clock
@@ -95,6 +115,8 @@
     requests: collections.deque[float] = attrs.Factory(collections.deque)
     earned: collections.deque[Amount] = attrs.Factory(collections.deque)
     joined_before: float | None = None
+    received: SlotCounts = attrs.Factory(lambda: SlotCounts(2 * SLOTS))
+    sent: SlotCounts = attrs.Factory(lambda: SlotCounts(SLOTS))
 
     def record_request(self, received_at: float | None = None) -> None:
         """Counts a request.
@@ -108,6 +130,7 @@
         now = self.clock.monotonic()
         self.advance(now)
         at = now if received_at is None else received_at
+        self.received.add(self.slot_at(at))
         if at <= now - EARNED_FOR_S or self.paused_since(at - EARNED_FOR_S):
             return
         bisect.insort(self.requests, at)
@@ -130,10 +153,28 @@
         if not self.has_one():
             return False
         missing = spend(self.earned, 1.0)
+        now = self.clock.monotonic()
         if missing > 0.0:
-            self.used.append(Amount(self.clock.monotonic(), missing))
+            self.used.append(Amount(now, missing))
+        self.sent.add(self.slot_at(now))
         return True
 
+    def slot_at(self, at: float) -> int:
+        """Returns the number of the slot of a time in monotonic seconds."""
+        return int(at * SLOTS // self.window_s)
+
+    def window_counts(self) -> WindowCounts:
+        """Returns what was counted in the windows that end now."""
+        slot = self.slot_at(self.clock.monotonic())
+        self.received.advance(slot)
+        self.sent.advance(slot)
+        requests = self.received.sums()
+        return WindowCounts(
+            self.sent.sums()[SLOTS],
+            requests[SLOTS],
+            requests[2 * SLOTS] - requests[SLOTS],
+        )
+
     def earned_left(self) -> float:
         """Returns what is left of what the last requests added."""
         return total(self.earned)
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -415,6 +415,7 @@
     def record_retry(self, progress: RequestProgress, allowed: bool) -> None:
         """Logs and counts the retry budget's decision on a request."""
         budget = self.budgets[progress.service]
+        counts = budget.window_counts()
         log.info(
             "Retry decided.",
             request=progress.request.id,
@@ -425,6 +426,9 @@
             slack_left=round(budget.slack_left(), 2),
             slack=round(budget.slack(), 2),
             joined=budget.joined_before is not None,
+            retries=counts.retries,
+            requests=counts.requests,
+            requests_before=counts.requests_before,
         )
         if allowed:
             self.metrics.count("relay.retry_allowed")
