--- a/tests/lib/repeat_fleet.py
+++ b/tests/lib/repeat_fleet.py
@@ -63,6 +63,7 @@
       arrived: Requests as they reached workers, for the judge.
       refused: Repeats that no budget allowed.
       split: Whether groups of entries are cut off from each other.
+      run_s: Shortest and longest run at a worker that fails, in seconds.
     """
 
     bounds: Bounds
@@ -75,6 +76,7 @@
     arrived: list = attrs.Factory(list)
     refused: int = 0
     split: bool = False
+    run_s: tuple = (0.005, 0.15)
     events: list = attrs.Factory(list)
     numbers: itertools.count = attrs.Factory(itertools.count)
 
@@ -177,10 +179,17 @@
 
     # Requests.
 
-    def send_request(self):
+    def send_request(self, group=None):
+        """Sends a request to any entry, or to any of a group."""
         id = f"r{len(self.sent)}"
         self.sent.append((id, self.clock.now))
-        entry = self.rng.choice(list(self.entries.values()))
+        entry = self.rng.choice(
+            [
+                each
+                for each in self.entries.values()
+                if group is None or each.group == group
+            ]
+        )
         self.after(self.rng.uniform(0.001, 0.01), self.receive, entry, id)
 
     def receive(self, entry, id):
@@ -199,8 +208,8 @@
             return
         self.arrived.append((id, self.clock.now))
         if self.rng.random() < self.fails:
-            work_s = self.rng.uniform(0.005, 0.15)
-            self.after(work_s, self.fail, entry, id, sends)
+            run_s = self.rng.uniform(*self.run_s)
+            self.after(run_s, self.fail, entry, id, sends)
 
     def fail(self, entry, id, sends):
         if self.deferred(entry, self.fail, entry, id, sends):
@@ -237,6 +246,17 @@
     return EntryState(member, entry.started, ready=True, store=True)
 
 
+def make_idle_fleet(bounds, seed, count):
+    """Returns a fleet that has run for a while without a request."""
+    fleet = RepeatFleet(bounds, random.Random(f"repeats/{seed}"), fails=0.02)
+    fleet.clock.now = STARTED_AT_S
+    for number in range(count):
+        fleet.start(f"entry-{number}", group=number % 2)
+    fleet.forget_down()
+    fleet.run(0.0)
+    return fleet
+
+
 def make_fleet(bounds, seed, count, per_s, fails=0.9, length_s=40.0):
     """Returns a fleet that has run for a while, and its requests to come.
 
@@ -248,13 +268,8 @@
       fails: Share of the runs that fail, from a drawn time on.
       length_s: Length of the run in seconds.
     """
-    fleet = RepeatFleet(bounds, random.Random(f"repeats/{seed}"), fails=0.02)
+    fleet = make_idle_fleet(bounds, seed, count)
     rng = fleet.rng
-    fleet.clock.now = STARTED_AT_S
-    for number in range(count):
-        fleet.start(f"entry-{number}", group=number % 2)
-    fleet.forget_down()
-    fleet.run(0.0)
     fleet.after(rng.uniform(0.0, 15.0), setattr, fleet, "fails", fails)
     for _ in range(int(per_s * length_s)):
         fleet.after(rng.uniform(0.0, length_s), fleet.send_request)
--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -25,6 +25,7 @@
 BOUND = RepeatBound(ratio=0.9, slack=52, window_s=10.0)
 WORKERS = 9
 WORK_S = 0.02
+BURST_WORK_S = 0.3
 LENGTH_S = 32.0
 DEADLINE_S = 3.0
 # The bound has to hold with entries that ran for a window, and with new ones.
@@ -53,6 +54,32 @@
         return await super().answer(run, writer)
 
 
+def random_gaps(run):
+    """Yields the seconds until the next request."""
+    while True:
+        yield run.rng.expovariate(run.per_s)
+
+
+def burst_gaps(size, gap_s):
+    """Returns the gaps of bursts of requests, and nothing between them."""
+
+    def gaps(_run):
+        while True:
+            yield from [0.0] * (size - 1)
+            yield gap_s
+
+    return gaps
+
+
+# Bursts at distances that are shorter and longer than a window.
+LOADS = {
+    "random": random_gaps,
+    "bursts 9.8 s apart": burst_gaps(150, 9.8),
+    "bursts 6 s apart": burst_gaps(100, 6.0),
+    "bursts 11 s apart": burst_gaps(200, 11.0),
+}
+
+
 @attrs.define
 class RepeatRun:
     """Record of a run, for the judge.
@@ -65,6 +92,8 @@
     rng: random.Random
     troubles: tuple
     per_s: float
+    gaps: object = random_gaps
+    work_s: float = WORK_S
     site: object = None
     folder: object = None
     entries: list = attrs.Factory(list)
@@ -92,7 +121,14 @@
 
 
 async def run_repeats(
-    seed, folder, entries=6, troubles=None, per_s=0.0, length_s=LENGTH_S
+    seed,
+    folder,
+    entries=6,
+    troubles=None,
+    per_s=0.0,
+    length_s=LENGTH_S,
+    load="random",
+    work_s=WORK_S,
 ):
     """Runs a seed and returns the record.
 
@@ -103,11 +139,17 @@
       troubles: Names of the troubles to draw from; None for all.
       per_s: Requests a second; 0 draws the rate.
       length_s: Seconds of requests.
+      load: Name of the load.
+      work_s: Seconds for which a worker runs a request.
     """
     rng = random.Random(f"repeats/{seed}")
-    troubles = tuple(TROUBLES[name] for name in troubles or TROUBLES)
+    if troubles is None:
+        troubles = TROUBLES
+    troubles = tuple(TROUBLES[name] for name in troubles)
     run = RepeatRun(seed, rng, troubles, per_s or rng.choice(RATES))
     run.folder = folder
+    run.gaps = LOADS[load]
+    run.work_s = work_s
     entries = entries or rng.randint(2, 6)
     async with platform_site() as site, contextlib.AsyncExitStack() as stack:
         run.site = site
@@ -123,10 +165,23 @@
     return run
 
 
+async def run_loads(seed, folder, entries=6):
+    """Runs a seed with a drawn load, with and without troubles."""
+    rng = random.Random(f"loads/{seed}")
+    return await run_repeats(
+        seed,
+        folder,
+        entries,
+        troubles=rng.choice(([], None)),
+        load=rng.choice(list(LOADS)),
+        work_s=rng.choice((WORK_S, BURST_WORK_S, 1.0)),
+    )
+
+
 async def add_worker(run, name):
     worker = FailingWorker(
         name,
-        work_s=WORK_S,
+        work_s=run.work_s,
         rng=random.Random(f"{run.seed}/{name}"),
         failure=run.rng.choice(FAULTS),
     )
@@ -161,9 +216,11 @@
     async with asyncio.TaskGroup() as tasks:
         tasks.create_task(fail_workers(run, length_s))
         tasks.create_task(make_trouble(run, end))
-        while time.monotonic() < end:
+        for gap_s in run.gaps(run):
             tasks.create_task(ask(run))
-            await asyncio.sleep(run.rng.expovariate(run.per_s))
+            await asyncio.sleep(gap_s)
+            if time.monotonic() >= end:
+                break
 
 
 async def fail_workers(run, length_s):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -4,7 +4,8 @@
 instead, see `tests.soak.manifests`. With `--exits`, runs entries that are
 stopped, reloaded and frozen in series, see `tests.soak.exits`; `--entries` sets
 their number, 0 draws it. With `--repeats`, runs entries that are killed before
-workers that fail, see `tests.soak.repeats`; `--entries` as before.
+workers that fail, see `tests.soak.repeats`; `--entries` as before. `--loads`
+does the same with bursts of requests.
 
 Prints each violated guarantee with its seed and keeps the logs of that run.
 """
@@ -25,7 +26,7 @@
 from tests.soak.exits import judge_exits, run_exits
 from tests.soak.judge import judge
 from tests.soak.manifests import judge_manifests, run_manifests
-from tests.soak.repeats import judge_repeats, run_repeats
+from tests.soak.repeats import judge_repeats, run_loads, run_repeats
 from tests.soak.site import run_seed
 
 OUTPUT_FOLDER = pathlib.Path("out/soak")
@@ -64,6 +65,7 @@
     "manifests": (run_manifests, judge_manifests, "probes"),
     "exits": (run_exits, judge_exits, "sent"),
     "repeats": (run_repeats, judge_repeats, "sent"),
+    "loads": (run_loads, judge_repeats, "sent"),
 }
 
 
@@ -96,19 +98,26 @@
     manifests=0,
     exits=False,
     repeats=False,
+    loads=False,
     entries=0,
 ):
     """Runs `count` seeds from `first`, or from a random one if it is 0.
 
     `manifests` is the number of entries of runs under changes of the manifest;
     `exits` runs entries that are stopped and frozen, `repeats` those that are
-    killed before failing workers, `entries` of them.
+    killed before failing workers, `loads` the same with bursts of requests;
+    `entries` of them.
     """
     first = first or random.randrange(10**6, 10**7)
     began = time.monotonic()
     failed = 0
     play = run_one_seed
-    chosen = {"manifests": manifests, "exits": exits, "repeats": repeats}
+    chosen = {
+        "manifests": manifests,
+        "exits": exits,
+        "repeats": repeats,
+        "loads": loads,
+    }
     for kind in filter(chosen.get, KINDS):
         play = functools.partial(
             run_one_seed_of, kind, entries=manifests or entries
