Have peers tell how often they sent a forwarded request

Callers saw: a request ran on more workers than its route's maxAttempts; and repeats that no budget had allowed.

Cause: the entry that forwarded a request counted one upstream request for a peer that broke off, and none for one that lost its path, whatever they had sent. The next peer began from there: its first one counted as no repeat.

Evidence: a peer that dies after its second of three attempts: 4 arrivals of 3 allowed. Peers that lose their paths while their workers refuse, with no retry allowed at all: 3 arrivals of 1.

Why it works: a peer tells the number and the workers before each upstream request, on the connection that the sender reads, and corrects it if no worker was reached. One that breaks off has sent once at least. Its request counts as counted, so that no other entry counts it once more. Senders of an older version don't ask to be told.

--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -475,6 +475,7 @@
         request = progress.request
         progress.sent += 1
         progress.tried.add(choice.worker.id)
+        progress.on_sent()
         self.metrics.count("relay.sent")
         log.info(
             "Sent.",
--- a/src/rattanpier/_internal/relay/forwarded_requests.py
+++ b/src/rattanpier/_internal/relay/forwarded_requests.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from contextlib import aclosing
 
 import attrs
 import structlog
+from grpclib.exceptions import StreamTerminatedError
 
 from rattanpier._internal.models.forwarded_request import ForwardedRequest
 from rattanpier._internal.models.relay_answer import AnswerPart, AnswerStarted
@@ -70,7 +72,9 @@
         try:
             accepted = peer_pb2.ForwardAccepted()
             await stream.send_message(peer_pb2.ForwardPart(accepted=accepted))
-            await self.send_answer(stream, progress)
+            sent, tells_attempts = forwarded.sent, message.tell_attempts
+            reply = ForwardReply(stream, progress, sent, tells_attempts)
+            await self.send_answer(reply)
         finally:
             self.running -= 1
             self.drain.end_request()
@@ -89,15 +93,76 @@
             return "no room at brittle workers"
         return ""
 
-    async def send_answer(
-        self, stream: ForwardStream, progress: RequestProgress
-    ) -> None:
+    async def send_answer(self, reply: ForwardReply) -> None:
         """Sends the parts of an answer as they become available."""
-        async with aclosing(
-            answer_progress(self.dispatcher, progress)
-        ) as parts:
+        reply.progress.on_sent = reply.start_telling
+        answering = answer_progress(self.dispatcher, reply.progress)
+        async with aclosing(reply), aclosing(answering) as parts:
             async for part in parts:
-                await stream.send_message(make_message(part, progress))
+                await reply.send_part(part)
+
+
+@attrs.define(eq=False, repr=False)
+class ForwardReply:
+    """The messages by which one forwarded request is answered.
+
+    The sender goes on with the request if this entry can't. Before each
+    upstream request it is told how many there are, since this entry may end
+    before it can say so.
+
+    Attributes:
+      stream: Stream of the call.
+      progress: Progress of the request.
+      told: Number of upstream requests that the sender knows of.
+      tells_attempts: Whether the sender understands to be told so; older
+        versions don't.
+      lock: Held while a message is sent; its frames must not mix with others.
+      telling: Tasks that tell the sender.
+    """
+
+    stream: ForwardStream
+    progress: RequestProgress
+    told: int
+    tells_attempts: bool
+    lock: asyncio.Lock = attrs.Factory(asyncio.Lock)
+    telling: set[asyncio.Task[None]] = attrs.Factory(set)
+
+    def start_telling(self) -> None:
+        """Tells the sender of an upstream request without waiting for it."""
+        task = asyncio.get_running_loop().create_task(self.tell())
+        self.telling.add(task)
+        task.add_done_callback(self.telling.discard)
+
+    async def tell(self) -> None:
+        """Tells the sender of upstream requests that it doesn't know of."""
+        async with self.lock:
+            await self.send_attempts()
+
+    async def send_attempts(self) -> None:
+        """Sends the number of upstream requests if it has changed."""
+        sent = self.progress.arrived_sends()
+        if sent == self.told or not self.tells_attempts:
+            return
+        self.told = sent
+        attempts = peer_pb2.ForwardAttempts(
+            sent=sent, workers=sorted(self.progress.reached_workers())
+        )
+        with contextlib.suppress(OSError, StreamTerminatedError):
+            # Whoever sends the next part finds out that the call has ended.
+            await self.stream.send_message(
+                peer_pb2.ForwardPart(attempts=attempts)
+            )
+
+    async def send_part(self, part: AnswerPart) -> None:
+        """Sends a part of the answer."""
+        async with self.lock:
+            await self.send_attempts()
+            await self.stream.send_message(make_message(part, self.progress))
+
+    async def aclose(self) -> None:
+        """Cancels what has not been told."""
+        for task in self.telling:
+            task.cancel()
 
 
 def make_message(
--- a/src/rattanpier/_internal/relay/forwarding.py
+++ b/src/rattanpier/_internal/relay/forwarding.py
@@ -292,13 +292,16 @@
     """
     request = progress.request
     progress.peers_tried.add(peer.name)
+    sent = progress.arrived_sends()
     forwarded = make_forwarded(
         progress,
         forwarder.fleet.me.member.name,
         forwarder.clock.monotonic(),
         left_s(),
     )
-    message = peer_pb2.ForwardRequest(packed=pack(forwarded), body=request.body)
+    message = peer_pb2.ForwardRequest(
+        packed=pack(forwarded), body=request.body, tell_attempts=True
+    )
     log.info(
         "Forwarded.",
         request=request.id,
@@ -319,6 +322,10 @@
         record_failure(forwarder, progress, peer, str(error), not_run=True)
     except (PeerUnavailableError, UnreadableError, EventError) as error:
         forwarder.record_failed(peer.name)
+        # It may have counted the request, and sent it, without telling so.
+        progress.counted = True
+        if progress.arrived_sends() == sent:
+            progress.sent += 1
         record_failure(forwarder, progress, peer, str(error), not_run=False)
 
 
@@ -341,6 +348,10 @@
         if kind == "accepted":
             progress.counted = True
             continue
+        if kind == "attempts":
+            attempts = message.attempts
+            progress.record_sent_by_peer(attempts.sent, attempts.workers)
+            continue
         if kind == "rejected":
             ended = True
             forwarder.record_rejection(peer.name, progress.service)
@@ -401,7 +412,6 @@
     progress.reason = reason
     if not not_run:
         progress.may_have_run = True
-        progress.sent += 1
     kind = "not_run" if not_run else "may_have_run"
     forwarder.metrics.count(f"relay.forward_failed.{kind}")
     log.info(
--- a/src/rattanpier/_internal/relay/request_progress.py
+++ b/src/rattanpier/_internal/relay/request_progress.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -69,6 +70,7 @@
       reserved: Room that was reserved for it at a worker when it left the
         queue; None if there is none.
       queue_refusal: Refusal by the queue; None if it did not refuse.
+      on_sent: Called before each upstream request.
     """
 
     request: RelayRequest
@@ -99,6 +101,7 @@
     no_room: NoRoom | None = None
     reserved: InFlight | None = None
     queue_refusal: Refusal | None = None
+    on_sent: Callable[[], None] = lambda: None
 
     def arrived_sends(self) -> int:
         """Returns the number of upstream requests that reached a worker."""
@@ -108,6 +111,16 @@
         """Returns the ids of the workers that upstream requests reached."""
         return self.tried.difference(self.unconnected)
 
+    def record_sent_by_peer(self, sent: int, workers: Iterable[str]) -> None:
+        """Records the upstream requests to which a peer has brought the total.
+
+        Args:
+          sent: Number of upstream requests that reached a worker, or may have.
+          workers: Ids of those workers.
+        """
+        self.sent = sent + len(self.unconnected)
+        self.tried.update(workers)
+
 
 def final_answer(
     progress: RequestProgress, left_s: float
--- a/tests/lib/cut_site.py
+++ b/tests/lib/cut_site.py
@@ -11,24 +11,24 @@
 
 
 @contextlib.asynccontextmanager
-async def cut_site(plain=4, engines=3, entries=ENTRIES, **worker):
+async def cut_site(plain=4, engines=3, entries=ENTRIES, **bounds):
     """Starts workers and entries, which alternate between the zones."""
     async with platform_site() as site:
         for number in range(plain):
-            await site.add_worker(f"w{number}", **worker)
+            await site.add_worker(f"w{number}")
         for number in range(engines):
-            await site.add_worker(f"e{number}", "engine", **worker)
+            await site.add_worker(f"e{number}", "engine")
         for number, name in enumerate(entries):
-            await add_entry(site, name, number)
+            await add_entry(site, name, number, **bounds)
         await until(lambda: all_know(site, len(entries)))
         yield site
 
 
-async def add_entry(site, name, number):
+async def add_entry(site, name, number, **bounds):
     zone = sorted(ZONES)[number % 2]
     contact_ms = 1000 * CONTACT_S
     return await site.add_entry(
-        name, zones=ZONES, zone=zone, contactMs=contact_ms
+        name, zones=ZONES, zone=zone, contactMs=contact_ms, **bounds
     )
 
 
