Judge the repeats of chats that escalate and are resumed, as processes

The soak's runs with drawn loads play chats as well: workers of engines whose smallest model is unsure, and whose streams break.

--- a/tests/relay/test_repeat_processes.py
+++ b/tests/relay/test_repeat_processes.py
@@ -1,5 +1,6 @@
 """Repeats of all entries, as processes, counted at the workers."""
 
+from tests.lib.platform_site import LARGE
 from tests.soak.repeats import BURST_WORK_S, judge_repeats, run_repeats
 
 
@@ -23,3 +24,22 @@
     )
     assert run.worst().repeats
     assert not list(judge_repeats(run))
+
+
+async def test_escalated_and_resumed_streams_count_as_repeats(tmp_path):
+    run = await run_repeats(
+        5,
+        tmp_path,
+        entries=3,
+        troubles=["kill all"],
+        load="bursts 6 s apart",
+        length_s=24.0,
+        path="/chat/x",
+    )
+    arrived = [
+        run for worker in run.site.workers.values() for run in worker.runs
+    ]
+    assert any("last-event-id" in each.headers for each in arrived)
+    assert any(each.headers["x-model"] == LARGE for each in arrived)
+    assert run.worst().repeats
+    assert not list(judge_repeats(run))
--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -18,7 +18,7 @@
     WorkerFault,
 )
 from tests.lib.kept_callers import KeptCaller, request_bytes
-from tests.lib.platform_site import platform_site
+from tests.lib.platform_site import LARGE, SMALL, platform_site
 from tests.lib.relay_process import start_entry
 from tests.lib.repeat_judge import RepeatBound, worst_window
 
@@ -92,6 +92,7 @@
     rng: random.Random
     troubles: tuple
     per_s: float
+    path: str = "/safe/x"
     gaps: object = random_gaps
     work_s: float = WORK_S
     site: object = None
@@ -129,6 +130,7 @@
     length_s=LENGTH_S,
     load="random",
     work_s=WORK_S,
+    path="/safe/x",
 ):
     """Runs a seed and returns the record.
 
@@ -141,6 +143,7 @@
       length_s: Seconds of requests.
       load: Name of the load.
       work_s: Seconds for which a worker runs a request.
+      path: Of the requests. Chats escalate, and are resumed if they are cut.
     """
     rng = random.Random(f"repeats/{seed}")
     if troubles is None:
@@ -150,6 +153,7 @@
     run.folder = folder
     run.gaps = LOADS[load]
     run.work_s = work_s
+    run.path = path
     entries = entries or rng.randint(2, 6)
     async with platform_site() as site, contextlib.AsyncExitStack() as stack:
         run.site = site
@@ -175,6 +179,7 @@
         troubles=rng.choice(([], None)),
         load=rng.choice(list(LOADS)),
         work_s=rng.choice((WORK_S, BURST_WORK_S, 1.0)),
+        path=rng.choice(("/safe/x", "/chat/x")),
     )
 
 
@@ -184,10 +189,12 @@
         work_s=run.work_s,
         rng=random.Random(f"{run.seed}/{name}"),
         failure=run.rng.choice(FAULTS),
+        confidence={SMALL: 10.0, LARGE: 90.0},
     )
     await worker.start()
     run.site.workers[name] = worker
-    run.site.register(name)
+    service = "engine" if run.path.startswith("/chat/") else "plain"
+    run.site.register(name, service)
 
 
 async def add_entry(run):
@@ -243,7 +250,7 @@
                 caller = idle.pop()
             else:
                 caller = await KeptCaller.connect(entry.settings.callers)
-            answer = await caller.ask(request_bytes(id, "/safe/x"))
+            answer = await caller.ask(request_bytes(id, run.path))
     except (OSError, TimeoutError):
         pass
     run.statuses.append(None if answer is None else answer[0])
