--- a/src/rattanpier/_internal/relay/budgets.py
+++ b/src/rattanpier/_internal/relay/budgets.py
@@ -16,7 +16,7 @@
 
 import collections
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import attrs
 
@@ -30,6 +30,7 @@
 # in a window that begins just after it, and the rest what requests that only
 # begin to come may send.
 EARLIER_WEIGHT = 1 / 3
+LATER_WEIGHT = 1.0 - EARLIER_WEIGHT
 # Between the time at which a caller sends a request and the one at which it is
 # counted. What takes longer is a pause of this process.
 RECEIPT_S = 0.5
@@ -113,41 +114,61 @@
         return True
 
     def remaining(self) -> float:
-        """Returns how many upstream requests more are allowed now."""
-        return min(self.remaining_by_window())
+        """Returns how many upstream requests more are allowed now.
 
-    def remaining_by_window(self) -> Iterator[float]:
-        """Yields what is allowed in each window that may hold the next one.
-
-        A window begins anywhere in its first slot. Retries count in it if they
-        may arrive in it, requests only if callers must have sent them in it.
+        That is what is allowed in each window that has not ended, or that
+        begins before the next upstream request arrives. A window begins
+        anywhere in its first slot.
         """
         newest = self.slot_at(self.clock.monotonic())
-        retries = self.sums(self.retries, newest)
+        spare = self.spare_by_window(newest)
+        # The latest windows come first. Those that began before this process
+        # joined the others have no slack, of which other processes, and an
+        # earlier one of this entry, may have used this entry's part.
+        shared = self.shared_windows(newest)
+        return min(
+            min(spare[:shared], default=math.inf) + self.slack(),
+            min(spare[shared:], default=math.inf),
+        )
+
+    def spare_by_window(self, newest: int) -> list[float]:
+        """Returns what requests allow beyond what was sent, the latest first.
+
+        Upstream requests count in a window if they may arrive in it, requests
+        only if callers must have sent them in it.
+
+        Args:
+          newest: Number of the present slot.
+        """
         requests = self.sums(self.requests, newest)
+        retries = self.sums(self.retries, newest)
         receipt = self.slots_in(RECEIPT_S)
         delivery = self.slots_in(DELIVERY_S)
-        slack, shared_since = self.slack(), self.shared_since()
-        for age in range(-delivery, SLOTS + 1):
-            recent = requests[max(0, age - receipt)]
-            both = requests[age + SLOTS - receipt]
-            counted = EARLIER_WEIGHT * (both - recent)
-            counted += (1.0 - EARLIER_WEIGHT) * recent
-            allowed = self.ratio * counted
-            if newest - age >= shared_since:
-                allowed += slack
-            yield allowed - retries[age + delivery + 1]
-
-    def shared_since(self) -> float:
-        """Returns the first slot in which no process but this has its part.
-
-        Others, and an earlier process of this entry, may have used it before
-        this one joined them.
+        # Of a window and the one before, and of the window alone.
+        of_both = requests[SLOTS - receipt - delivery :][: SLOTS + delivery + 1]
+        of_window = [0] * (receipt + delivery) + requests[: SLOTS - receipt + 1]
+        sent = retries[1 : SLOTS + delivery + 2]
+        return [
+            self.ratio
+            * (EARLIER_WEIGHT * (both - alone) + LATER_WEIGHT * alone)
+            - count
+            for both, alone, count in zip(of_both, of_window, sent, strict=True)
+        ]
+
+    def shared_windows(self, newest: int) -> int:
+        """Returns how many of those windows began after it had joined.
+
+        Args:
+          newest: Number of the present slot.
         """
+        windows = SLOTS + self.slots_in(DELIVERY_S) + 1
         joined_at = self.joined_at()
-        if joined_at is None or math.isinf(joined_at):
-            return math.inf if joined_at is None else joined_at
-        return self.slot_at(joined_at) + 1
+        if joined_at is None:
+            return 0
+        if math.isinf(joined_at):
+            return windows
+        began = newest + self.slots_in(DELIVERY_S) - self.slot_at(joined_at)
+        return min(windows, max(0, began))
 
     def window_counts(self) -> WindowCounts:
         """Returns what was counted in the windows that end now."""
@@ -169,8 +190,8 @@
         return math.floor(at * SLOTS / self.window_s)
 
     def slots_in(self, seconds: float) -> int:
-        """Returns how many slots a time spans, at most those of a window."""
-        return min(SLOTS, math.ceil(seconds * SLOTS / self.window_s))
+        """Returns how many slots a time spans, at most half of a window."""
+        return min(SLOTS // 2, math.ceil(seconds * SLOTS / self.window_s))
 
 
 class ServiceRetryBudgets(collections.UserDict[str, ServiceRetryBudget]):
