--- a/src/rattanpier/_internal/relay/forwarding.py
+++ b/src/rattanpier/_internal/relay/forwarding.py
@@ -292,7 +292,7 @@
     """
     request = progress.request
     progress.peers_tried.add(peer.name)
-    sent = progress.arrived_sends()
+    sent_before = progress.arrived_sends()
     forwarded = make_forwarded(
         progress,
         forwarder.fleet.me.member.name,
@@ -324,7 +324,7 @@
         forwarder.record_failed(peer.name)
         # It may have counted the request, and sent it, without telling so.
         progress.counted = True
-        if progress.arrived_sends() == sent:
+        if progress.arrived_sends() == sent_before:
             progress.sent += 1
         record_failure(forwarder, progress, peer, str(error), not_run=False)
 
