--- a/tests/lib/kept_callers.py
+++ b/tests/lib/kept_callers.py
@@ -54,9 +54,15 @@
 
 
 def request_bytes(
-    request_id, path="/unsafe/x", body=b"", method="POST", deadline_ms=3000
+    request_id,
+    path="/unsafe/x",
+    body=b"",
+    method="POST",
+    deadline_ms=3000,
+    headers=None,
 ):
     """Returns the bytes of a request to the route of a test site."""
+    more = (headers or {}).items()
     lines = [
         f"{method} {path} HTTP/1.1",
         f"Host: {HOST}",
@@ -67,5 +73,6 @@
         "X-Token-Usage: 9,9",
         "X-Prefix-Hash: a:9",
         f"Content-Length: {len(body)}",
+        *(f"{name}: {value}" for name, value in more),
     ]
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
