Let nothing but events and an end follow the head of a stream

A status of 300 to 499 was a final answer at each send, also at one that resumes a stream; the edge then wrote a second head. Its class: a part of an answer that is right by itself and wrong at that moment.

Hypothesis 2 isn't shown: our refusals after a head became cuts before.

Why this works: every answer passes order_parts, on its way to callers and to peers.

--- a/src/rattanpier/_internal/relay/answering.py
+++ b/src/rattanpier/_internal/relay/answering.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable
 from contextlib import aclosing
 
 from rattanpier._internal.models.relay_answer import AnswerPart
 from rattanpier._internal.models.relay_request import RelayRequest
+from rattanpier._internal.relay.answer_order import AnswerPhase, order_parts
 from rattanpier._internal.relay.dispatch import Dispatcher
 from rattanpier._internal.relay.model_choice import first_model
 from rattanpier._internal.relay.plain_answers import plain_answer
@@ -45,22 +46,32 @@
             yield part
 
 
-async def answer_progress(
+def answer_progress(
     dispatcher: Dispatcher, progress: RequestProgress
 ) -> AsyncIterator[AnswerPart]:
-    """Yields the further parts of the answer to a request in progress.
+    """Returns the further parts of the answer to a request in progress.
 
     Args:
       dispatcher: Components of this entry.
       progress: Progress of the request so far.
     """
     record_request(dispatcher, progress)
-    if progress.request.route.streaming:
-        async with aclosing(stream_answer(dispatcher, progress)) as parts:
-            async for part in parts:
-                yield part
+    request = progress.request
+    if request.route.streaming:
+        parts = stream_answer(dispatcher, progress)
     else:
-        yield await plain_answer(dispatcher, progress)
+        parts = only_part(plain_answer(dispatcher, progress))
+    delivered = AnswerPhase.NOTHING
+    if progress.head_delivered:
+        delivered = AnswerPhase.HEAD
+    return order_parts(parts, request.id, dispatcher.metrics, delivered)
+
+
+async def only_part(
+    answering: Awaitable[AnswerPart],
+) -> AsyncGenerator[AnswerPart, None]:
+    """Yields an answer that has a single part."""
+    yield await answering
 
 
 def record_request(dispatcher: Dispatcher, progress: RequestProgress) -> None:
--- a/src/rattanpier/_internal/relay/forwarding.py
+++ b/src/rattanpier/_internal/relay/forwarding.py
@@ -33,6 +33,7 @@
     AnswerRefused,
     AnswerStarted,
     AnswerTruncated,
+    CompleteAnswer,
 )
 from rattanpier._internal.models.relay_request import RelayRequest
 from rattanpier._internal.peers.forward_channels import (
@@ -381,6 +382,13 @@
                     not_run=refusal.not_run,
                 )
                 continue
+            case CompleteAnswer(status) | AnswerRefused(_, status) if (
+                progress.head_delivered
+            ):
+                ended = True
+                reason = f"peer answered {status} to a resumed stream"
+                record_failure(forwarder, progress, peer, reason, not_run=False)
+                continue
             case _:
                 ended = True
         yield part
--- a/src/rattanpier/_internal/relay/request_progress.py
+++ b/src/rattanpier/_internal/relay/request_progress.py
@@ -103,6 +103,11 @@
     queue_refusal: Refusal | None = None
     on_sent: Callable[[], None] = lambda: None
 
+    @property
+    def was_accepted(self) -> bool:
+        """Whether a worker has begun to answer the request with a success."""
+        return self.head_delivered or bool(self.answered_by)
+
     def arrived_sends(self) -> int:
         """Returns the number of upstream requests that reached a worker."""
         return self.sent - len(self.unconnected)
--- a/src/rattanpier/_internal/relay/stream_answers.py
+++ b/src/rattanpier/_internal/relay/stream_answers.py
@@ -67,7 +67,7 @@
 
 async def stream_answer(
     dispatcher: Dispatcher, progress: RequestProgress
-) -> AsyncIterator[AnswerPart]:
+) -> AsyncGenerator[AnswerPart, None]:
     """Yields the parts of an answer that is a stream of events.
 
     A stream that ends early is resumed at another worker if the request allows
@@ -355,7 +355,9 @@
 ) -> CompleteAnswer:
     """Returns a worker's answer that is no stream, if it is final.
 
-    Statuses of 500 and above are recorded as failures of the worker.
+    Statuses of 500 and above are recorded as failures of the worker. So are
+    others if another worker has begun to answer the request, which shows that
+    the request is valid.
 
     Raises:
       WorkerFailedError: The worker failed; another one may succeed.
@@ -365,7 +367,7 @@
     head = answer.head
     body = await answer.read_all(MAX_ANSWER_BYTES, progress.held)
     error_answer = CompleteAnswer(head.status, copied_headers(head), body)
-    if head.status < MIN_FAILURE_STATUS:
+    if head.status < MIN_FAILURE_STATUS and not progress.was_accepted:
         return error_answer
     dispatcher.record_result(progress, worker, bad=True)
     dispatcher.record_worker_failure(progress, worker, error_answer)
