Check a second time whether a worker crashed under an answer

Cause: one look. A worker whose answer broke off was asked for a connection at once; one that still listened was taken for sound, the broken answer was forgotten, and an answer without a length was even taken as a proof for its parts. Its class: a state that is read once, at the moment at which it changes.

Why this works: broken answers are kept until a second look 0.3 s later (relay/crash_checks.py, out of dispatch.py); an answer without a length proves its parts only after it. How long a worker has been answering counts from the first event, not from the head, so that one that sends its head early proves nothing by waiting. Where the route allows a repeat, an answer without a length whose worker is gone at its end is continued or asked for again: its end can't be told from the crash.

--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -23,6 +23,7 @@
 from rattanpier._internal.platform import upstream
 from rattanpier._internal.relay.admission import EntryAdmission
 from rattanpier._internal.relay.budgets import ServiceRetryBudgets
+from rattanpier._internal.relay.crash_checks import CrashChecks
 from rattanpier._internal.relay.dispatch import Dispatcher
 from rattanpier._internal.relay.exchange import Sender, WorkerDialect
 from rattanpier._internal.relay.fleet import Fleet
@@ -216,6 +217,7 @@
             pool, dialect, loads, record_answer_head, brittle.record_aborted
         ),
         terminations=terminations,
+        crashes=CrashChecks(clock, terminations, quarantine, metrics),
         reachability=reachability,
         forwarder=forwarder,
         paused_since=running.paused_since,
@@ -240,7 +242,7 @@
             clock, random.Random(settings.name), metrics, open_share
         ),
     )
-    terminations.on_terminated = dispatcher.attribute_crash
+    terminations.on_terminated = dispatcher.crashes.attribute_crash
     return dispatcher
 
 
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -44,6 +44,7 @@
 )
 from rattanpier._internal.relay.admission import EntryAdmission
 from rattanpier._internal.relay.budgets import ServiceRetryBudget
+from rattanpier._internal.relay.crash_checks import CrashChecks
 from rattanpier._internal.relay.directory import WorkerDirectory
 from rattanpier._internal.relay.exchange import (
     Sender,
@@ -69,7 +70,6 @@
 from rattanpier._internal.retries.quarantine import Quarantine
 from rattanpier._internal.utils.clock import Clock
 from rattanpier._internal.utils.metrics import Metrics
-from rattanpier._internal.utils.record import Record
 
 log = structlog.get_logger(part="dispatch")
 
@@ -85,24 +85,6 @@
 NO_PATH_REASON = "no worker can be reached, from here or by a peer"
 
 
-@attrs.frozen(eq=False, repr=False)
-class BrokenAnswer(Record):
-    """An answer that broke off, perhaps because its worker crashed.
-
-    Attributes:
-      request: The request.
-      worker: Id of the worker.
-      broke_at: When it broke off, in monotonic seconds.
-      answering_s: Seconds for which the worker had been answering it, None if
-        it had not begun.
-    """
-
-    request: RelayRequest
-    worker: str
-    broke_at: float
-    answering_s: float | None
-
-
 @attrs.define(eq=False, repr=False)
 class Dispatcher:
     """The components of this entry that answering a request depends on.
@@ -119,6 +101,7 @@
       chooser: Selects among eligible workers.
       sender: Sends requests to workers.
       terminations: Which worker processes have ended.
+      crashes: Whether answers that broke off show that their worker crashed.
       reachability: Which services this entry can connect to.
       forwarder: Selects peers that answer requests for this entry.
       conditions: Filters of eligible workers, applied in this order.
@@ -135,8 +118,6 @@
       rooms: What each worker has room for.
       admission: Requests whose eligible workers are all full.
       policy: Enabled mechanisms.
-      broken_answers: Answers that broke off at workers of which it is not
-        known whether they crashed, by incarnation.
       paused_since: Returns whether this process did not run for a while since
         a time in monotonic seconds.
       publish_prompt: Called for each prompt that is sent, with the worker's
@@ -151,6 +132,7 @@
     chooser: Chooser
     sender: Sender
     terminations: TerminationChecks
+    crashes: CrashChecks
     reachability: Reachability
     forwarder: Forwarder
     conditions: Sequence[Condition]
@@ -165,7 +147,6 @@
     rooms: WorkerRooms
     admission: EntryAdmission
     policy: Policy = DEFAULT_POLICY
-    broken_answers: dict[str, list[BrokenAnswer]] = attrs.Factory(dict)
     paused_since: Callable[[float], bool] = lambda _at: False
     publish_prompt: Callable[[str, str, Prompt, float], None] = attrs.field(
         default=lambda _worker, _model, _prompt, _read_s: None
@@ -604,93 +585,60 @@
         if not error.not_run:
             # The crash is recorded even if the caller disconnects meanwhile.
             await asyncio.shield(
-                self.check_for_crash(progress.request, worker, in_flight)
+                self.crashes.check(progress.request, worker, in_flight)
             )
         elif not error.connected:
             progress.unconnected.append(worker.id)
             await self.reachability.settle(worker.service)
         self.record_send_error(progress, worker, error)
 
-    async def check_for_crash(
+    async def record_answer(
         self,
         request: RelayRequest,
         worker: RegisteredWorker,
+        head: AnswerHead,
         in_flight: InFlight,
-    ) -> bool | None:
-        """Attributes a crash of a worker to a request, if it crashed.
+    ) -> None:
+        """Records that a worker answered a request completely.
 
-        Returns:
-          Whether the worker is running, None if that is unknown.
+        An answer without a length also ends when its worker crashes. If the
+        answer would tell something new, it is recorded once the worker is found
+        to run some time later.
         """
-        now = self.clock.monotonic()
+        parts = request.prompt.shared_parts
         began_at = in_flight.answer_began_at
-        answering_s = None if began_at is None else now - began_at
-        broken = BrokenAnswer(request, worker.id, now, answering_s)
-        self.add_broken_answer(worker.incarnation, broken)
-        running = await self.terminations.is_running(worker)
-        if running is False:
-            # Other checks may have found before that it terminated.
-            self.attribute_crash(worker.incarnation)
-        elif worker.incarnation not in self.terminations.unconfirmed:
-            self.broken_answers.pop(worker.incarnation, None)
-        return running
-
-    def add_broken_answer(self, worker: str, broken: BrokenAnswer) -> None:
-        """Keeps an answer that broke off for as long as crashes are checked."""
-        oldest = broken.broke_at - self.terminations.expiry_s
-        for known, answers in list(self.broken_answers.items()):
-            if answers[-1].broke_at < oldest:
-                del self.broken_answers[known]
-        self.broken_answers.setdefault(worker, []).append(broken)
-
-    def attribute_crash(self, worker: str) -> None:
-        """Attributes a worker's crash to the requests that ran there.
+        if head.framed:
+            self.quarantine.record_answer(request.content, parts, began_at)
+            return
+        if not self.quarantine.is_news(request.content, parts):
+            return
+        running = await asyncio.shield(
+            self.crashes.check(request, worker, in_flight)
+        )
+        if not running:
+            return
 
-        Args:
-          worker: Incarnation of the worker.
-        """
-        for broken in self.broken_answers.pop(worker, ()):
-            request = broken.request
-            parts = request.prompt.shared_parts
-            self.metrics.count("relay.worker_ended")
-            log.info(
-                "Worker crashed during a request.",
-                request=request.id,
-                content=request.content,
-                parts=parts,
-                worker=broken.worker,
-                answering_s=round_for_log(broken.answering_s),
-            )
-            self.quarantine.record_crash(
-                request.content,
-                worker,
-                parts,
-                broken.answering_s,
-                self.clock.monotonic() - broken.broke_at,
-            )
+        def record(check: asyncio.Task[bool | None]) -> None:
+            if not check.cancelled() and check.result():
+                self.quarantine.record_answer(request.content, parts, began_at)
 
-    async def record_answer(
+        self.crashes.start_second_check(worker).add_done_callback(record)
+
+    async def ended_with_worker(
         self,
-        request: RelayRequest,
+        progress: RequestProgress,
         worker: RegisteredWorker,
         head: AnswerHead,
-        in_flight: InFlight,
-    ) -> None:
-        """Records that a worker answered a request completely.
+    ) -> bool:
+        """Returns whether an answer may lack its end, and can be continued.
 
-        An answer without a length also ends when its worker crashes. Whether
-        it runs is checked if the answer would tell something new.
+        The end of an answer without a length can't be told from a crash of its
+        worker.
         """
-        parts = request.prompt.shared_parts
-        if not head.framed and self.quarantine.is_news(request.content, parts):
-            running = await asyncio.shield(
-                self.check_for_crash(request, worker, in_flight)
-            )
-            if not running:
-                return
-        self.quarantine.record_answer(
-            request.content, parts, in_flight.answer_began_at
-        )
+        if head.framed or not progress.request.route.repeatable:
+            return False
+        running = await self.terminations.is_running(worker)
+        return running is False and self.may_send(progress)
 
     def record_result(
         self,
--- a/src/rattanpier/_internal/relay/load.py
+++ b/src/rattanpier/_internal/relay/load.py
@@ -43,6 +43,8 @@
       began_at: When it was sent, in monotonic seconds.
       answer_began_at: When the head of its answer was received, in monotonic
         seconds, or None.
+      body_began_at: When the first event of its answer was received, in
+        monotonic seconds, or None.
       stood: Whether the worker has gone on answering it for a while.
       not_run: Whether it is certain that the worker did not run it.
       ended: Whether it has ended.
@@ -56,10 +58,24 @@
     workspace: str = ""
     began_at: float = 0.0
     answer_began_at: float | None = None
+    body_began_at: float | None = None
     stood: bool = False
     not_run: bool = False
     ended: bool = False
 
+    def answering_s(self, now: float) -> float | None:
+        """Returns the seconds for which the worker has sent the body.
+
+        Args:
+          now: The time, in monotonic seconds.
+
+        Returns:
+          0 if it has sent the head only, None if it has not begun.
+        """
+        if self.body_began_at is not None:
+            return now - self.body_began_at
+        return None if self.answer_began_at is None else 0.0
+
 
 @attrs.define(eq=False, repr=False)
 class WorkerLoad:
--- a/src/rattanpier/_internal/relay/plain_answers.py
+++ b/src/rattanpier/_internal/relay/plain_answers.py
@@ -203,6 +203,8 @@
         ) as answer:
             body = await answer.read_all(MAX_ANSWER_BYTES, progress.held)
             head = answer.head
+        if await dispatcher.ended_with_worker(progress, worker, head):
+            raise SendError("the answer ended with its worker")
         dispatcher.rollouts.record_head(observation)
     except asyncio.CancelledError:
         dispatcher.rollouts.end(observation, abandoned=True)
--- a/src/rattanpier/_internal/relay/stream_answers.py
+++ b/src/rattanpier/_internal/relay/stream_answers.py
@@ -189,6 +189,8 @@
             if not progress.head_delivered:
                 progress.head_delivered = True
                 yield AnswerStarted(head.status, copied_headers(head))
+        if await dispatcher.ended_with_worker(progress, worker, head):
+            raise EventError("the stream ended with its worker")
         dispatcher.rollouts.end(observation, complete=True)
         dispatcher.record_result(progress, worker, bad=False)
         dispatcher.chooser.timings.record_stream(
@@ -238,13 +240,16 @@
     dispatcher: Dispatcher, request: RelayRequest, in_flight: InFlight
 ) -> None:
     """Records once if a worker goes on answering a request."""
-    began_at = in_flight.answer_began_at
-    if in_flight.stood or began_at is None:
+    if in_flight.stood:
         return
-    if dispatcher.clock.monotonic() - began_at >= STOOD_S:
+    now = dispatcher.clock.monotonic()
+    if in_flight.body_began_at is None:
+        # The head may come long before the worker begins to write.
+        in_flight.body_began_at = now
+    if now - in_flight.body_began_at >= STOOD_S:
         in_flight.stood = True
         dispatcher.quarantine.record_stood(
-            request.prompt.shared_parts, began_at
+            request.prompt.shared_parts, in_flight.answer_began_at
         )
 
 
--- a/src/rattanpier/_internal/standin/platform_worker.py
+++ b/src/rattanpier/_internal/standin/platform_worker.py
@@ -86,7 +86,9 @@
       deadly_parts: Ids of prompt parts that crash the worker when it runs a
         request with one of them, unless it is the last part.
       crash_s: Seconds from the start of such a run to the crash.
+      crash_events: Number of events before the crash.
       crash_tail: Last bytes of the answer under which the worker crashes.
+      crash_linger_s: Seconds for which it listens after its connections ended.
       chunked: Whether streams are chunked; otherwise they have no length and
         end with their connection.
       ended: Called after such a crash.
@@ -125,7 +127,9 @@
     deadly: bytes = b""
     deadly_parts: frozenset[str] = frozenset()
     crash_s: float = CRASH_S
+    crash_events: int = 0
     crash_tail: bytes = b""
+    crash_linger_s: float = 0.0
     chunked: bool = True
     ended: Callable[[], None] = lambda: None
     born: int | None = None
@@ -277,15 +281,23 @@
         """Terminates as a process that a request crashes.
 
         Answers in progress break off; that of the request itself after its
-        head. Connections are reset if answers are chunked, otherwise they are
-        closed in order, as by the kernel of a process that is gone.
+        head or some events. Connections are reset if answers are chunked,
+        otherwise they are closed in order, as by the kernel of a process that
+        is gone.
         """
         writer.write(self.stream_head(self.own_headers(run, WorkerFault.NONE)))
+        for number in range(1, self.crash_events + 1):
+            writer.write(self.encode_piece(self.make_event(run, number)))
         await writer.drain()
         await asyncio.sleep(self.crash_s)
         if not self.chunked:
             writer.write(self.crash_tail)
             self.close_connections()
+        elif self.crash_linger_s:
+            for each in list(self.connections):
+                reset(each)
+        if self.crash_linger_s:
+            await asyncio.sleep(self.crash_linger_s)
         await self.stop()
         self.ended()
 
--- a/tests/lib/full_fleet.py
+++ b/tests/lib/full_fleet.py
@@ -36,6 +36,7 @@
 from rattanpier._internal.relay.admission import EntryAdmission
 from rattanpier._internal.relay.answering import answer
 from rattanpier._internal.relay.budgets import ServiceRetryBudgets
+from rattanpier._internal.relay.crash_checks import CrashChecks
 from rattanpier._internal.relay.directory import WorkerDirectory
 from rattanpier._internal.relay.dispatch import Dispatcher
 from rattanpier._internal.relay.exchange import SendError
@@ -247,6 +248,8 @@
                 if entry.loads is not loads:
                     entry.loads.apply_peer_prompt(id, read_s)
 
+        terminations = TerminationChecks(clock, 3.6)
+        quarantine = Quarantine(clock)
         return Dispatcher(
             clock=clock,
             metrics=metrics,
@@ -259,7 +262,8 @@
             sender=SimulatedSender(
                 self.engines, loads, rooms, self.work_s, self.reports
             ),
-            terminations=TerminationChecks(clock, 3.6),
+            terminations=terminations,
+            crashes=CrashChecks(clock, terminations, quarantine, metrics),
             reachability=reachability,
             forwarder=Forwarder(fleet, reachability, None, clock, metrics, rng),
             conditions=(Condition(TRIED, untried),),
@@ -270,7 +274,7 @@
             brittle=BrittleWorkers(
                 fleet, clock, directory.accepting_workers, lambda _id: 0
             ),
-            quarantine=Quarantine(clock),
+            quarantine=quarantine,
             rollouts=Rollouts(ExposureBound(0.15, 30.0), 5.0, clock),
             budgets=ServiceRetryBudgets(
                 Bounds(retry_ratio=0.9), lambda: count, clock
--- a/tests/relay/test_crashing_parts.py
+++ b/tests/relay/test_crashing_parts.py
@@ -25,12 +25,20 @@
 CRASH_INTERVAL_S = 0.5
 INSIDE_EVENT = {"chunked": False, "crash_tail": b"id: 1\nda"}
 AFTER_EVENT = {"chunked": False, "crash_tail": b"id: 1\ndata: x\n\n"}
+LATE_TAIL = {"crash_events": 2, "crash_tail": b"id: 3\nda"}
+LINGERS = {"crash_linger_s": 0.05}
 SECOND = [("system", "bad")]
 
 CASES = {
     "chunked": ({}, SECOND),
     "ends inside an event": (INSIDE_EVENT, SECOND),
     "ends after an event": (AFTER_EVENT, SECOND),
+    "listens after its connections ended": (
+        {**LATE_TAIL, **LINGERS, "chunked": False},
+        SECOND,
+    ),
+    "listens after an event": ({**AFTER_EVENT, **LINGERS}, SECOND),
+    "listens after chunks": ({"crash_events": 2, **LINGERS}, SECOND),
     "first part": ({}, [("bad", "document 1"), ("bad", "document 2")]),
     "two parts": ({}, [("system", "bad"), ("system", "worse")]),
 }
