Hold a part that turns bad within three seconds

Cause: such a part needed eight crashes in four bursts half a second apart, and each part that was new, however rarely seen, took crashes from it. Nine workers that are down and back again don't crash that often.

Why this works: what tells a part that turned bad from one that is only popular is that its answers have just begun at each crash. A new part excuses a proven one only if new ones explain three quarters of its crashes; of two parts that explain crashes alike the rarer one is held.

--- a/src/rattanpier/_internal/retries/crashing_parts.py
+++ b/src/rattanpier/_internal/retries/crashing_parts.py
@@ -40,22 +40,33 @@
 MAX_PROOF_DELAY_S = 0.25
 # The same for a part that workers stood before, which may have turned bad, as
 # with a new version. Requests that still run may show meanwhile that it hasn't.
-CRASHES_TO_HOLD_PROVEN = 8
-PROVEN_HOLD_DELAY_S = 1.0
+CRASHES_TO_HOLD_PROVEN = 7
+REQUESTS_TO_HOLD_PROVEN = 3
+PROVEN_HOLD_DELAY_S = 1.3
+# Share of all workers that crashed that had just begun an answer with it. Most
+# have begun one with a popular part by chance.
+SHARE_ABOVE_CHANCE = 0.45
+MIN_SHARE_TO_HOLD_PROVEN = 0.65
+MAX_SHARE_TO_HOLD_PROVEN = 0.95
+# Requests with an unproven part that have to crash workers before it excuses
+# proven ones: one that is new is beside the cause by chance.
+REQUESTS_TO_EXCUSE = 2
+# Share of a proven part's crashes that unproven ones have to explain.
+EXCUSED_SHARE = 0.75
 # Unexplained crashes after which a part is held that has enough crashes in all.
 # Two causes often crash a worker together.
 UNEXPLAINED_TO_HOLD = 1
 # Workers that lose power together crash under all that is popular. A cause
 # crashes them one after the other.
-BURST_S = 0.5
-BURSTS_TO_HOLD_PROVEN = 4
+BURST_S = 0.3
+BURSTS_TO_HOLD_PROVEN = 3
 # Since the last crash. Long compared to the pauses between callers' retries;
 # short enough that a fixed worker serves the part within the hour.
 HOLD_S = 600.0
 # For a part that workers stood before, doubled with each further burst.
 PROVEN_HOLD_S = 30.0
-# A part explains crashes better than one that only some of its requests have
-# if it has this many more of them.
+# A part explains crashes better than one of fewer requests if it has this many
+# more of them.
 WIDER_MARGIN = 2
 KEY_PREFIX = "part-"
 
@@ -143,10 +154,15 @@
       requests: Indices of the requests with the part whose worker crashed.
       crashes: Crash of each worker that counts most, and the index of its
         request, by incarnation.
+      all_crashes: Time of each crash, whether or not the part was there, by
+        incarnation.
+      count: Number of all requests whose worker crashed.
     """
 
     part: str
     proven: bool
+    all_crashes: Mapping[str, float]
+    count: int
     requests: set[int] = attrs.Factory(set)
     crashes: dict[str, tuple[PartCrash, int]] = attrs.Factory(dict)
 
@@ -157,6 +173,14 @@
         if known is None or known[0].weight < crash.weight:
             self.crashes[worker] = crash, request
 
+    def fresh(self) -> set[str]:
+        """Returns the workers that crashed as they began to answer."""
+        return {
+            worker
+            for worker, (crash, _request) in self.crashes.items()
+            if crash.weight == 1.0
+        }
+
     def unexplained(self, causes: Iterable[Candidate]) -> Crashes:
         """Returns the crashes that have no other cause, by time."""
         explained = {worker for cause in causes for worker in cause.crashes}
@@ -208,6 +232,11 @@
         if crash.began
     }
     found: dict[str, Candidate] = {}
+    all_crashes = {
+        worker: crash.at
+        for request in requests
+        for worker, crash in request.crashes.items()
+    }
     for index, request in enumerate(requests):
         for worker, crash in request.crashes.items():
             if worker in began and not crash.began:
@@ -217,23 +246,28 @@
                 if proven is not None and crash.at <= proven:
                     continue
                 if part not in found:
-                    found[part] = Candidate(part, proven is not None)
+                    found[part] = Candidate(
+                        part, proven is not None, all_crashes, len(requests)
+                    )
                 found[part].add(worker, crash, index)
     excuse_proven(found.values())
     yield from found.values()
 
 
-def excuse_proven(candidates: Iterable[Candidate]) -> None:
+def excuse_proven(candidates: Collection[Candidate]) -> None:
     """Drops crashes of proven parts that may be due to unproven ones."""
-    explained = {
-        worker
+    unproven = [
+        each
         for each in candidates
-        if not each.proven
-        for worker in each.crashes
-    }
+        if not each.proven and len(each.requests) >= REQUESTS_TO_EXCUSE
+    ]
+    explained = {worker for each in unproven for worker in each.fresh()}
     for each in candidates:
-        if each.proven:
-            for worker in each.crashes.keys() & explained:
+        if not each.proven:
+            continue
+        excused = each.crashes.keys() & explained
+        if len(excused) >= EXCUSED_SHARE * len(each.crashes):
+            for worker in excused:
                 del each.crashes[worker]
 
 
@@ -249,10 +283,7 @@
     """
     crashes = candidate.unexplained(causes)
     if candidate.proven:
-        if bursts_of(crashes) < BURSTS_TO_HOLD_PROVEN:
-            return math.inf
-        enough_at = reached_at(crashes, CRASHES_TO_HOLD_PROVEN)
-        return enough_at + PROVEN_HOLD_DELAY_S
+        return proven_held_from(candidate, crashes, causes)
     enough_at = reached_at(spread(crashes), SPREAD_CRASHES_TO_HOLD)
     if any(cause.requests <= candidate.requests for cause in causes):
         # It comes with each request that has the cause.
@@ -262,6 +293,54 @@
     return min(enough_at + HOLD_DELAY_S, max(few_at, all_at + HOLD_DELAY_S))
 
 
+def proven_held_from(
+    candidate: Candidate, crashes: Crashes, causes: Collection[Candidate]
+) -> float:
+    """Returns when a part that workers stood before begins to be held.
+
+    A part that has turned bad is new at each worker that crashes. One that is
+    only popular is not, and shows sooner that workers still stand it.
+
+    Args:
+      candidate: The part.
+      crashes: Its unexplained crashes.
+      causes: Parts that are held already.
+
+    Returns:
+      Monotonic seconds; infinite if the crashes may have another cause.
+    """
+    if bursts_of(crashes) < BURSTS_TO_HOLD_PROVEN:
+        return math.inf
+    if len({request for _crash, request in crashes}) < REQUESTS_TO_HOLD_PROVEN:
+        return math.inf
+    explained = {worker for cause in causes for worker in cause.crashes}
+    first = crashes[0][0].at
+    total = sum(
+        at >= first
+        for worker, at in candidate.all_crashes.items()
+        if worker not in explained
+    )
+    fresh = sum(crash.weight == 1.0 for crash, _request in crashes)
+    popularity = len(candidate.requests) / candidate.count
+    if fresh < required_share(popularity) * total:
+        return math.inf
+    enough_at = reached_at(crashes, CRASHES_TO_HOLD_PROVEN)
+    return enough_at + PROVEN_HOLD_DELAY_S
+
+
+def required_share(popularity: float) -> float:
+    """Returns the share of crashes under a proven part that shows its guilt.
+
+    Args:
+      popularity: Share of the requests that crashed workers ran which have it.
+
+    >>> required_share(0.1), required_share(0.9)
+    (0.65, 0.95)
+    """
+    share = popularity + SHARE_ABOVE_CHANCE
+    return min(MAX_SHARE_TO_HOLD_PROVEN, max(MIN_SHARE_TO_HOLD_PROVEN, share))
+
+
 def reached_at(crashes: Crashes, count: float) -> float:
     """Returns when crashes counted enough, infinite if they do not."""
     total = 0.0
@@ -306,8 +385,7 @@
 ) -> Candidate:
     """Returns the part that explains the most crashes.
 
-    A part that only some of its requests have is preferred if it explains
-    nearly as many.
+    A part of fewer requests is preferred if it explains nearly as many.
     """
 
     def rank(each: Candidate) -> tuple[bool, float, str]:
@@ -319,7 +397,7 @@
     narrower = [
         each
         for each in suspects
-        if each.requests < cause.requests
+        if len(each.requests) < len(cause.requests)
         and len(cause.crashes.keys() - each.crashes.keys()) < WIDER_MARGIN
     ]
     return max(narrower, key=rank, default=cause)
