Have another entry write the row of a hold whose entry ended

Cause: one entry is assigned the row when the hold begins. If it ends, or loses the store, before it wrote, nobody else looks again.

Evidence: test_row_of_an_entry_that_ended_before_it_wrote_is_written; without the change no row is written.

Why this works: each second, an entry that has holds looks which rows are its own by now, and writes those that it was not assigned before.

--- a/src/rattanpier/_internal/programs/relay_store.py
+++ b/src/rattanpier/_internal/programs/relay_store.py
@@ -111,6 +111,9 @@
     )
     kernel.spawn_restarting(rows.run, "rows of entries")
     kernel.spawn_restarting(quarantine_rows.run, "quarantine rows")
+    kernel.spawn_restarting(
+        quarantine_rows.run_duty_checks, "duties for quarantine rows"
+    )
     driver = make_driver(entry)
     restorer = RowRestorer(
         kernel.find("store"),
--- a/src/rattanpier/_internal/relay/quarantine_rows.py
+++ b/src/rattanpier/_internal/relay/quarantine_rows.py
@@ -44,6 +44,9 @@
 
 # Interval between attempts to write a row; meanwhile entries have it in memory.
 RETRY_INTERVAL_S = 1.0
+# Interval at which entries look whether rows are theirs by now, as those of an
+# entry that ended before it wrote them.
+DUTY_CHECK_INTERVAL_S = 1.0
 MS_PER_S = 1000.0
 
 
@@ -78,6 +81,7 @@
       clock: Monotonic clock.
       available: Returns whether this entry reaches the store.
       changed: Contents whose quarantine began or ended.
+      duties: Contents whose rows were assigned to this entry at the last look.
     """
 
     store: RelayStore
@@ -87,6 +91,7 @@
     clock: Clock
     available: Callable[[], bool]
     changed: asyncio.Queue[str] = attrs.Factory(asyncio.Queue)
+    duties: set[str] = attrs.Factory(set)
 
     async def run(self) -> None:
         """Syncs the row of each changed content, until cancelled."""
@@ -95,10 +100,27 @@
             while not await self.sync_row(content):
                 await self.clock.sleep(RETRY_INTERVAL_S)
 
+    async def run_duty_checks(self) -> None:
+        """Takes over the rows of other entries, until cancelled."""
+        while True:
+            await self.clock.sleep(DUTY_CHECK_INTERVAL_S)
+            self.take_over()
+
+    def take_over(self) -> None:
+        """Queues the rows that were assigned to this entry since the last look.
+
+        Another entry may have ended, or lost the store, before it wrote them.
+        """
+        assigned = set(filter(self.is_assigned, self.quarantine.quarantined()))
+        for content in assigned - self.duties:
+            self.changed.put_nowait(content)
+        self.duties = assigned
+
     async def sync_row(self, content: str) -> bool:
         """Writes or removes a row; returns False if it must be retried."""
         if not self.is_assigned(content):
             return True
+        self.duties.add(content)
         if not self.available():
             return False
         value = self.row_value(content)
--- a/src/rattanpier/_internal/retries/quarantine.py
+++ b/src/rattanpier/_internal/retries/quarantine.py
@@ -180,6 +180,13 @@
         age_s = self.clock.monotonic() - max(crashes)
         return max(0.0, QUARANTINE_S - age_s)
 
+    def quarantined(self) -> Iterator[str]:
+        """Yields the contents and the keys of parts that are quarantined."""
+        yield from self.active
+        for content, crashes in self.crashes.items():
+            if len(crashes) >= CRASHES_TO_QUARANTINE:
+                yield content
+
     def is_explained(self, worker: str) -> bool:
         """Returns whether a worker crashed under a part that is held."""
         return any(worker in hold.workers for hold in self.holds.values())
--- a/tests/relay/test_quarantine_rows.py
+++ b/tests/relay/test_quarantine_rows.py
@@ -73,6 +73,27 @@
         assert await rows.sync_row(rows.changed.get_nowait())
 
 
+async def test_row_of_an_entry_that_ended_before_it_wrote_is_written():
+    store = FakeStore()
+    entries = [make_rows(store, number, of=4) for number in range(4)]
+    for rows in entries:
+        quarantine_request(rows)
+    (first,) = [each for each in entries if each.is_assigned(CONTENT)]
+    others = [each for each in entries if each is not first]
+    for rows in others:
+        await sync_rows(rows)
+        rows.take_over()
+    assert not store.calls
+    for rows in others:
+        rows.fleet.record_down(first.fleet.me.member.name, "lost")
+        rows.take_over()
+        await sync_rows(rows)
+        rows.take_over()
+        await sync_rows(rows)
+    assert store.calls == 1
+    assert QUARANTINED_PREFIX + CONTENT in store.rows
+
+
 async def test_only_one_entry_writes_the_row_of_a_request():
     store = FakeStore()
     for number in range(8):
