Keep crashes under a part in the store before it is held

Cause: only a hold has a row. Crashes below it are known to entries alone; if all end together the count starts anew. Its class: evidence that is kept only once it is enough.

Why this works: from two crashes under a part on, one row holds the last ones of the four parts with most, and when workers stood them. Two entries write it, at most each 0.3 s; an entry that starts reads it with the other rows.

--- a/src/rattanpier/_internal/programs/relay_store.py
+++ b/src/rattanpier/_internal/programs/relay_store.py
@@ -111,6 +111,10 @@
     )
     kernel.spawn_restarting(rows.run, "rows of entries")
     kernel.spawn_restarting(quarantine_rows.run, "quarantine rows")
+    quarantine.on_evidence = quarantine_rows.new_evidence.set
+    kernel.spawn_restarting(
+        quarantine_rows.run_evidence, "evidence on parts of prompts"
+    )
     kernel.spawn_restarting(
         quarantine_rows.run_duty_checks, "duties for quarantine rows"
     )
--- a/src/rattanpier/_internal/relay/quarantine_rows.py
+++ b/src/rattanpier/_internal/relay/quarantine_rows.py
@@ -11,6 +11,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Iterator
+from typing import TypeVar
 
 import attrs
 import structlog
@@ -24,6 +25,7 @@
     WrittenAt,
 )
 from rattanpier._internal.models.worker_crash import (
+    PartProven,
     QuarantineUpdate,
     WorkerCrash,
 )
@@ -42,11 +44,18 @@
 
 log = structlog.get_logger(part="quarantine")
 
+Aged = TypeVar("Aged", WorkerCrash, PartProven)
+
 # Interval between attempts to write a row; meanwhile entries have it in memory.
 RETRY_INTERVAL_S = 1.0
 # Interval at which entries look whether rows are theirs by now, as those of an
 # entry that ended before it wrote them.
 DUTY_CHECK_INTERVAL_S = 1.0
+# Key of the row with the evidence on parts that are not held yet, the number of
+# entries that write it, and the least time between two writes.
+EVIDENCE_KEY = "evidence"
+EVIDENCE_WRITERS = 2
+EVIDENCE_INTERVAL_S = 0.3
 MS_PER_S = 1000.0
 
 
@@ -66,6 +75,20 @@
     parts: tuple[str, ...] = ()
 
 
+@attrs.frozen(eq=False, repr=False)
+class EvidenceRow(Record):
+    """Crashes under parts of prompts that may be held soon.
+
+    Attributes:
+      written_ms: When it was written, by the store's monotonic clock; the ages
+        in the update are as of then.
+      update: The crashes, and when workers stood the parts.
+    """
+
+    written_ms: float
+    update: QuarantineUpdate
+
+
 @attrs.define(eq=False, repr=False)
 class QuarantineRows:
     """Writes the rows assigned to this entry, and applies rows that are read.
@@ -81,6 +104,7 @@
       clock: Monotonic clock.
       available: Returns whether this entry reaches the store.
       changed: Contents whose quarantine began or ended.
+      new_evidence: Set when a part has crashes that the store does not have.
       duties: Contents whose rows were assigned to this entry at the last look.
     """
 
@@ -91,6 +115,7 @@
     clock: Clock
     available: Callable[[], bool]
     changed: asyncio.Queue[str] = attrs.Factory(asyncio.Queue)
+    new_evidence: asyncio.Event = attrs.Factory(asyncio.Event)
     duties: set[str] = attrs.Factory(set)
 
     async def run(self) -> None:
@@ -106,6 +131,45 @@
             await self.clock.sleep(DUTY_CHECK_INTERVAL_S)
             self.take_over()
 
+    async def run_evidence(self) -> None:
+        """Writes the evidence on parts that are not held, until cancelled."""
+        while True:
+            await self.new_evidence.wait()
+            self.new_evidence.clear()
+            await self.write_evidence()
+            await self.clock.sleep(EVIDENCE_INTERVAL_S)
+
+    async def write_evidence(self) -> None:
+        """Writes the row of the evidence, if that is assigned to this entry.
+
+        A failed write is not repeated: the next crash writes the row anew.
+        """
+        me = self.fleet.me.member.name
+        duty = QUARANTINED_PREFIX + EVIDENCE_KEY
+        writers = self.fleet.preferred(duty, EVIDENCE_WRITERS)
+        if me not in writers or not self.available():
+            return
+        row = EvidenceRow(self.store_clock.now_ms(), self.quarantine.evidence())
+        await self.store.transact(
+            [], [RowPut(TABLE, duty, encode(row).encode())]
+        )
+
+    def apply_evidence(self, row: FeedRow, now_ms: float) -> None:
+        """Applies the row of the evidence.
+
+        Raises:
+          UnreadableError: The row can't be decoded.
+        """
+        stored = decode(EvidenceRow, row.value)
+        age_s = max(0.0, (now_ms - stored.written_ms) / MS_PER_S)
+        update = stored.update
+        self.quarantine.apply_update(
+            QuarantineUpdate(
+                ends=[older(each, age_s) for each in update.ends],
+                proven=[older(each, age_s) for each in update.proven],
+            )
+        )
+
     def take_over(self) -> None:
         """Queues the rows that were assigned to this entry since the last look.
 
@@ -194,6 +258,9 @@
         """
         content = row.key
         try:
+            if content == EVIDENCE_KEY:
+                self.apply_evidence(row, now_ms)
+                return
             stored = decode(QuarantineRow, row.value)
         except UnreadableError as error:
             log.warning(
@@ -213,6 +280,11 @@
             self.changed.put_nowait(content)
 
 
+def older(message: Aged, age_s: float) -> Aged:
+    """Returns a message with a greater age, in seconds."""
+    return attrs.evolve(message, age_s=message.age_s + age_s)
+
+
 def row_crash(
     content: str, worker: str, age_s: float, parts: tuple[str, ...]
 ) -> WorkerCrash:
--- a/src/rattanpier/_internal/retries/quarantine.py
+++ b/src/rattanpier/_internal/retries/quarantine.py
@@ -72,6 +72,11 @@
 CRASHES_TO_PUBLISH_PROOF = 2
 # Requests that ran at a worker are recorded one by one when it crashes.
 REFRESH_DELAY_S = 0.02
+# Of the parts with most crashes, the evidence is kept in the store. One crash
+# may be under a request of many parts.
+MAX_EVIDENCE_PARTS = 4
+MIN_EVIDENCE_CRASHES = 2
+MAX_EVIDENCE_WORKERS = 16
 # Two entries' times of one event differ by the latency of the update.
 SAME_EVENT_S = 0.5
 NEVER = float("-inf")
@@ -104,6 +109,7 @@
       holds: Parts that are held, or will be unless they are proven meanwhile,
         by key.
       active: Keys of the holds that were announced to `on_change`.
+      on_evidence: Called when a part that is not held has new crashes.
       hold_listeners: Called when parts begin to be held.
       call_later: Calls a function after a number of seconds.
       proof_delay_s: Returns the seconds for which to wait whether another
@@ -137,6 +143,7 @@
     last_crash_of: dict[str, float] = attrs.Factory(dict)
     holds: dict[str, PartHold] = attrs.Factory(dict)
     active: set[str] = attrs.Factory(set)
+    on_evidence: Callable[[], None] = lambda: None
     hold_listeners: set[Callable[[], None]] = attrs.Factory(set)
     call_later: Callable[[float, Callable[[], None]], object] = attrs.field(
         default=lambda _delay_s, call: call()
@@ -336,6 +343,48 @@
             [PartProven(part, now - at) for part, at in self.proven.items()],
         )
 
+    def evidence(self) -> QuarantineUpdate:
+        """Returns the crashes under the parts that may be held soon.
+
+        It is bounded, and holds the last crashes of the parts with most.
+        """
+        now = self.clock.monotonic()
+        workers = self.crashes_by_part()
+        parts = sorted(
+            (each for each in workers if self.is_evidence(workers[each])),
+            key=lambda each: (-len(workers[each]), each),
+        )[:MAX_EVIDENCE_PARTS]
+        update = QuarantineUpdate()
+        for part in parts:
+            last = sorted(workers[part].items(), key=lambda item: -item[1][0])
+            for worker, (at, content) in last[:MAX_EVIDENCE_WORKERS]:
+                update.ends.append(
+                    self.crash_message(content, worker, now - at)
+                )
+            proven = max(
+                self.proven.get(part, NEVER), self.proven_here.get(part, NEVER)
+            )
+            if proven > NEVER:
+                update.proven.append(PartProven(part, now - proven))
+        return update
+
+    def crashes_by_part(self) -> dict[str, dict[str, tuple[float, str]]]:
+        """Returns the time and content of crashes, by part and incarnation."""
+        found: dict[str, dict[str, tuple[float, str]]] = {}
+        for content, request in self.parts_of.items():
+            for worker, crash in request.crashes.items():
+                if not crash.began:
+                    continue
+                for part in request.parts:
+                    found.setdefault(part, {})[worker] = crash.at, content
+        return found
+
+    def is_evidence(self, workers: Collection[str]) -> bool:
+        """Returns whether crashes under a part are worth to be kept."""
+        return len(workers) >= MIN_EVIDENCE_CRASHES and not all(
+            map(self.is_explained, workers)
+        )
+
     def crash_message(
         self, content: str, worker: str, age_s: float
     ) -> WorkerCrash:
@@ -454,6 +503,8 @@
         self.refresh_scheduled = False
         self.schedule_proofs()
         self.update_holds()
+        if any(map(self.is_evidence, self.crashes_by_part().values())):
+            self.on_evidence()
 
     def schedule_proofs(self) -> None:
         """Schedules the publication of proofs that other entries may lack."""
--- a/tests/relay/test_quarantine_rows.py
+++ b/tests/relay/test_quarantine_rows.py
@@ -8,6 +8,7 @@
 from rattanpier._internal.relay.fleet import EntryState, Fleet
 from rattanpier._internal.relay.own_table import QUARANTINED_PREFIX
 from rattanpier._internal.relay.quarantine_rows import (
+    EVIDENCE_KEY,
     QuarantineRow,
     QuarantineRows,
 )
@@ -94,6 +95,37 @@
     assert QUARANTINED_PREFIX + CONTENT in store.rows
 
 
+async def test_crashes_before_a_hold_survive_the_loss_of_all_entries():
+    store = FakeStore()
+    before = make_rows(store)
+    for number in range(3):
+        before.quarantine.record_crash(
+            f"c{number}", f"w{number}", ["route", "bad"], 0.1
+        )
+    before.quarantine.record_stood(["route"], 1.0)
+    await before.write_evidence()
+    after = make_rows(store)
+    value = store.rows[QUARANTINED_PREFIX + EVIDENCE_KEY]
+    after.apply_row(FeedRow(EVIDENCE_KEY, value, at(1)), NOW_MS + 1000.0)
+    assert not after.quarantine.parts_remaining_s(["route", "bad"])
+    after.quarantine.record_crash("c3", "w3", ["route", "bad"], 0.1)
+    after.clock.now += 1.0
+    assert after.quarantine.parts_remaining_s(["other", "bad"])
+    assert not after.quarantine.parts_remaining_s(["route", "other"])
+
+
+async def test_row_of_evidence_is_bounded():
+    store = FakeStore()
+    rows = make_rows(store)
+    for number in range(1000):
+        rows.quarantine.record_crash(
+            f"c{number}", f"w{number}", [f"p{part}" for part in range(20)], 0.1
+        )
+    await rows.write_evidence()
+    (value,) = store.rows.values()
+    assert len(value) < 65536
+
+
 async def test_only_one_entry_writes_the_row_of_a_request():
     store = FakeStore()
     for number in range(8):
--- a/tests/retries/test_crashing_parts.py
+++ b/tests/retries/test_crashing_parts.py
@@ -39,6 +39,14 @@
     "workers crash by themselves": {"crash_per_s": 2.0},
     "failure domain is lost": {"domain_loss_s": 5.0},
     "version crashes": {"bad_version_share": 0.25},
+    "entries are cut off": {"bad": [BAD], "cuts_per_s": 1.0},
+    "entries are killed": {"bad": [BAD], "kills_per_s": 0.7},
+    "few requests, cuts and kills": {
+        **{"bad": [BAD], "bad_per_s": 1.0},
+        **{"cuts_per_s": 0.7, "kills_per_s": 0.5},
+    },
+    "all entries are killed": {"bad": [BAD], "all_killed_s": 4.0},
+    "all entries are killed early": {"bad": [BAD], "all_killed_s": 3.6},
     "calm": {},
 }
 TURNED = {
