Use no connection again that may carry a second answer

Cause: a kept connection is taken for clean after its answer. A late second answer of one request may come within the next one: between its head and its body it is taken for the body, if that has a length; elsewhere it breaks the answer, and so does the next attempt on another kept connection.

Why this works: an answer of a kept connection behind which bytes are left is no answer, since such bytes are what its own body left over; a worker that sent bytes of no request gets new connections only, for ten seconds; repeats use new ones always.

--- a/src/rattanpier/_internal/models/upstream_request.py
+++ b/src/rattanpier/_internal/models/upstream_request.py
@@ -21,6 +21,7 @@
         not sent.
       after_event: Number of the last event of the answer that was received
         already, or None.
+      repeat: Whether an earlier upstream request of it reached a worker.
     """
 
     worker: RegisteredWorker
@@ -28,6 +29,7 @@
     model: str = ""
     urgency: int | None = None
     after_event: int | None = None
+    repeat: bool = False
 
 
 @attrs.frozen(eq=False, repr=False)
--- a/src/rattanpier/_internal/relay/connection.py
+++ b/src/rattanpier/_internal/relay/connection.py
@@ -121,6 +121,8 @@
       eof_fed: Whether the parser received the orderly end.
       reset_error: Error by which the connection was lost, or None.
       answered_requests: Number of exchanges finished on the connection.
+      on_stray: Called when bytes arrived that belong to no request in progress,
+        as those of a late second answer.
     """
 
     def __init__(self) -> None:
@@ -143,6 +145,7 @@
         self.eof_fed = False
         self.reset_error: Exception | None = None
         self.answered_requests = 0
+        self.on_stray: Callable[[], None] = lambda: None
 
     # Called by asyncio.
 
@@ -155,6 +158,7 @@
     def data_received(self, data: bytes) -> None:
         """Feeds bytes to the parser; aborts if no request is in progress."""
         if self.parser is None:
+            self.on_stray()
             self.abort()
             return
         self.parser.receive_data(data)
@@ -257,6 +261,7 @@
             head = make_head(event)
             if answers_request(head):
                 return head
+            self.on_stray()
             if self.answered_requests == 0 or not head.framed:
                 break
             await self.skip_answer()
@@ -280,6 +285,17 @@
                 self.resume_reading()
             yield bytes(event.data)
 
+    def may_be_mixed(self) -> bool:
+        """Returns whether a complete body may hold bytes of an earlier answer.
+
+        Such bytes take the place of its own, which are left over then.
+        """
+        return (
+            self.answered_requests > 0
+            and self.parser is not None
+            and bool(self.parser.trailing_data[0])
+        )
+
     async def skip_answer(self) -> None:
         """Discards a late answer and starts to parse the next one.
 
@@ -307,6 +323,8 @@
             try:
                 event = self.parser.next_event()  # type: ignore[union-attr]
             except h11.RemoteProtocolError as error:
+                if self.answered_requests and not self.closed:
+                    self.on_stray()
                 raise ConnectionBrokenError(str(error)) from error
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -402,6 +420,8 @@
             and self.transport.get_write_buffer_size() == 0
         )
         if not reusable:
+            if parser is not None and parser.trailing_data[0]:
+                self.on_stray()
             self.abort()
         return reusable
 
--- a/src/rattanpier/_internal/relay/dispatch.py
+++ b/src/rattanpier/_internal/relay/dispatch.py
@@ -484,6 +484,7 @@
             model=progress.model,
             urgency=request.priority if request.route.streaming else None,
             after_event=progress.order.last_number,
+            repeat=progress.arrived_sends() > 1,
         )
 
     def refuse(
--- a/src/rattanpier/_internal/relay/exchange.py
+++ b/src/rattanpier/_internal/relay/exchange.py
@@ -137,6 +137,8 @@
                 held.add_answer(len(piece))
                 if len(data) > max_bytes:
                     raise SendError("answer is too long")
+            if self.connection.may_be_mixed():
+                raise SendError("bytes of two answers are mixed")
         except BaseException:
             held.add_answer(-len(data))
             raise
@@ -188,7 +190,8 @@
         worker = sending.worker
         # The worker may close an idle connection just as a request is written
         # to it; it would be unknown whether the request ran.
-        new_connection = not request.route.repeatable
+        # Late bytes of an earlier answer may have spoiled the first attempt.
+        new_connection = not request.route.repeatable or sending.repeat
         began_at = asyncio.get_running_loop().time()
         try:
             connection = await self.pool.acquire(
--- a/src/rattanpier/_internal/relay/pool.py
+++ b/src/rattanpier/_internal/relay/pool.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 import attrs
+import structlog
 
 from rattanpier._internal.models.worker import RegisteredWorker
 from rattanpier._internal.relay.connection import (
@@ -14,6 +15,8 @@
     WorkerConnection,
 )
 
+log = structlog.get_logger(part="pool")
+
 # A worker answers a SYN at once, or not at all if its VM is down or
 # partitioned. A lost packet is retransmitted after a second, by which time
 # another worker is the better choice.
@@ -22,6 +25,9 @@
 # Share of the worker's keep-alive time-out after which a connection is not
 # reused.
 IDLE_TIMEOUT_SHARE = 0.5
+# For which no connection to a worker is used again that sent stray bytes. One
+# that answers twice does so for some of its requests.
+STRAY_PAUSE_S = 10.0
 DEFAULT_IDLE_S = 2.0  # Upper limit, also if the worker states no time-out.
 
 
@@ -48,6 +54,9 @@
       paused_since: Returns whether this process did not run for a while since
         a time in monotonic seconds.
       idle: Connections by worker id, the newest last.
+      stray_until: Until when connections to a worker are not used again, since
+        bytes arrived that belong to no request, in seconds of the loop's clock,
+        by worker id.
       opened: Number of connections opened so far.
     """
 
@@ -59,6 +68,7 @@
     )
     paused_since: Callable[[float], bool] = lambda _at: False
     idle: dict[str, list[WorkerConnection]] = attrs.Factory(dict)
+    stray_until: dict[str, float] = attrs.Factory(dict)
     opened: int = 0
 
     async def acquire(
@@ -102,8 +112,25 @@
             ) from error
         self.on_connect(worker, True)
         self.opened += 1
+        connection.on_stray = lambda: self.record_stray(worker.id)
         return connection
 
+    def record_stray(self, worker: str) -> None:
+        """Records that a worker sent bytes that belong to no request.
+
+        Others may follow on its connections, also within later answers.
+        """
+        now = asyncio.get_running_loop().time()
+        if self.stray_until.get(worker, 0.0) <= now:
+            log.info("Connections are not used again.", worker=worker)
+        self.stray_until = {
+            known: until
+            for known, until in self.stray_until.items()
+            if until > now
+        }
+        self.stray_until[worker] = now + STRAY_PAUSE_S
+        self.forget(worker)
+
     def acquire_idle(self, worker: str) -> WorkerConnection | None:
         """Returns an idle connection that is still usable, or None.
 
@@ -138,6 +165,9 @@
             limit = min(limit, IDLE_TIMEOUT_SHARE * keep_alive_s)
         if not connection.finish_exchange(limit):
             return
+        if self.stray_until.get(worker, 0.0) > connection.idle_since:
+            connection.abort()
+            return
         idle = self.idle.setdefault(worker, [])
         idle.append(connection)
         if len(idle) > MAX_IDLE_PER_WORKER:
