--- a/src/rattanpier/_internal/relay/exchange.py
+++ b/src/rattanpier/_internal/relay/exchange.py
@@ -189,8 +189,8 @@
         """
         worker = sending.worker
         # The worker may close an idle connection just as a request is written
-        # to it; it would be unknown whether the request ran.
-        # Late bytes of an earlier answer may have spoiled the first attempt.
+        # to it; it would be unknown whether the request ran. Late bytes of an
+        # earlier answer may have spoiled the attempt that a repeat follows.
         new_connection = not request.route.repeatable or sending.repeat
         began_at = asyncio.get_running_loop().time()
         try:
--- a/src/rattanpier/_internal/relay/quarantine_rows.py
+++ b/src/rattanpier/_internal/relay/quarantine_rows.py
@@ -105,6 +105,7 @@
       available: Returns whether this entry reaches the store.
       changed: Contents whose quarantine began or ended.
       new_evidence: Set when a part has crashes that the store does not have.
+      written_evidence: Contents and workers of the crashes written last.
       duties: Contents whose rows were assigned to this entry at the last look.
     """
 
@@ -116,6 +117,7 @@
     available: Callable[[], bool]
     changed: asyncio.Queue[str] = attrs.Factory(asyncio.Queue)
     new_evidence: asyncio.Event = attrs.Factory(asyncio.Event)
+    written_evidence: frozenset[tuple[str, str]] = frozenset()
     duties: set[str] = attrs.Factory(set)
 
     async def run(self) -> None:
@@ -149,7 +151,12 @@
         writers = self.fleet.preferred(duty, EVIDENCE_WRITERS)
         if me not in writers or not self.available():
             return
-        row = EvidenceRow(self.store_clock.now_ms(), self.quarantine.evidence())
+        update = self.quarantine.evidence()
+        crashes = frozenset((each.content, each.worker) for each in update.ends)
+        if crashes <= self.written_evidence:
+            return
+        self.written_evidence = crashes
+        row = EvidenceRow(self.store_clock.now_ms(), update)
         await self.store.transact(
             [], [RowPut(TABLE, duty, encode(row).encode())]
         )
--- a/tests/relay/test_quarantine_rows.py
+++ b/tests/relay/test_quarantine_rows.py
@@ -124,6 +124,8 @@
     await rows.write_evidence()
     (value,) = store.rows.values()
     assert len(value) < 65536
+    await rows.write_evidence()
+    assert store.calls == 1
 
 
 async def test_only_one_entry_writes_the_row_of_a_request():
