--- a/src/rattanpier/_internal/relay/stream_answers.py
+++ b/src/rattanpier/_internal/relay/stream_answers.py
@@ -239,7 +239,7 @@
 def record_if_stood(
     dispatcher: Dispatcher, request: RelayRequest, in_flight: InFlight
 ) -> None:
-    """Records once if a worker goes on answering a request."""
+    """Records an event, and once that a worker goes on answering a request."""
     if in_flight.stood:
         return
     now = dispatcher.clock.monotonic()
