Judge parts that crash workers by one function in the soak, too

tests/soak/judge.py named what moved to tests/lib/part_judge.py and could not be imported, so that no soak ran since (found by starting it by hand).

--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -1,6 +1,6 @@
 """Checks the guarantees against the records of callers and workers."""
 
-from tests.lib.crashing_parts import ALLOWED_SENDS, CONTACT_S, CRASHES
+from tests.lib.part_judge import ALLOWED_SENDS, late_sends
 from tests.lib.platform_site import KEY, event_numbers
 from tests.lib.warm_fleet import max_within
 from tests.soak.faults import Kind
@@ -178,15 +178,16 @@
 def judge_crashing_part(run):
     """Few requests with a part reach workers long after its fifth crash."""
     kinds = {fault.kind for fault in run.faults}
-    if kinds & DISTURBING_KINDS or len(run.crash_times) < CRASHES:
+    if kinds & DISTURBING_KINDS:
         return
-    since = sorted(run.crash_times)[CRASHES - 1] + CONTACT_S
     crashing = {each.id for each in run.crashing_calls}
-    late = sum(
-        at > since and id in crashing
+    sends = [
+        at
         for worker in run.workers
         for id, at in worker.started
-    )
+        if id in crashing
+    ]
+    late = len(late_sends(run.crash_times, sends))
     if late > ALLOWED_SENDS:
         yield f"{late} requests with a part that crashes workers ran too late"
 
