--- a/src/rattanpier/_internal/retries/crashing_parts.py
+++ b/src/rattanpier/_internal/retries/crashing_parts.py
@@ -329,7 +329,7 @@
 
 
 def required_share(popularity: float) -> float:
-    """Returns the share of crashes under a proven part that shows its guilt.
+    """Returns the share of crashes from which on a proven part is held.
 
     Args:
       popularity: Share of the requests that crashed workers ran which have it.
