--- a/tests/lib/relay_process.py
+++ b/tests/lib/relay_process.py
@@ -13,6 +13,17 @@
 from tests.lib.platform_site import settings_document
 
 
+RELAY = ROOT / "deploy" / "relay.py"
+
+
+@attrs.frozen
+class Program:
+    """What runs an entry: a script, and variables of its environment."""
+
+    script: object = RELAY
+    variables: dict = attrs.Factory(dict)
+
+
 @attrs.define
 class RelayProcess:
     """A started entry. Its log lines are collected unless `ignore_output`."""
@@ -20,6 +31,7 @@
     process: asyncio.subprocess.Process
     settings: RelaySettings
     path: object
+    program: Program = Program()
     lines: list = attrs.Factory(list)
     log_reader: asyncio.Task | None = None
 
@@ -47,7 +59,9 @@
 
         Its log lines are added to those of the earlier process.
         """
-        entry = await start_process(self.settings, self.path)
+        entry = await start_process(
+            self.settings, self.path, program=self.program
+        )
         entry.lines = self.lines
         return entry
 
@@ -60,7 +74,12 @@
 
 
 async def start_entry(
-    store, folder, name="entry-1", ignore_output=False, **more
+    store,
+    folder,
+    name="entry-1",
+    ignore_output=False,
+    program=None,
+    **more,
 ):
     """Writes a settings file for an entry and starts it.
 
@@ -70,19 +89,22 @@
     path = folder / f"{name}.json"
     path.write_text(json.dumps(document))
     settings = decode_settings(document, "test")
-    return await start_process(settings, path, ignore_output)
+    program = program or Program()
+    return await start_process(settings, path, ignore_output, program)
 
 
-async def start_process(settings, path, ignore_output=False):
+async def start_process(settings, path, ignore_output=False, program=None):
+    program = program or Program()
+    variables = {"RATTANPIER_BOOT": str(path), **program.variables}
     process = await asyncio.create_subprocess_exec(
         sys.executable,
-        str(ROOT / "deploy" / "relay.py"),
+        str(program.script),
         "0",
         stdout=asyncio.subprocess.PIPE,
-        env={**os.environ, "RATTANPIER_BOOT": str(path)},
+        env={**os.environ, **variables},
         cwd=ROOT,
     )
-    entry = RelayProcess(process, settings, path)
+    entry = RelayProcess(process, settings, path, program)
     if not ignore_output:
         entry.log_reader = asyncio.create_task(entry.read_log_lines())
     return entry
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -5,7 +5,8 @@
 stopped, reloaded and frozen in series, see `tests.soak.exits`; `--entries` sets
 their number, 0 draws it. With `--repeats`, runs entries that are killed before
 workers that fail, see `tests.soak.repeats`; `--entries` as before. `--loads`
-does the same with bursts of requests.
+does the same with bursts of requests. `--budgets` puts all troubles together
+and judges every sentence on repeats, see `tests.soak.budgets`.
 
 Prints each violated guarantee with its seed and keeps the logs of that run.
 """
@@ -23,6 +24,7 @@
 
 import fire
 
+from tests.soak.budgets import judge_budgets, run_budgets
 from tests.soak.exits import judge_exits, run_exits
 from tests.soak.judge import judge
 from tests.soak.manifests import judge_manifests, run_manifests
@@ -66,6 +68,7 @@
     "exits": (run_exits, judge_exits, "sent"),
     "repeats": (run_repeats, judge_repeats, "sent"),
     "loads": (run_loads, judge_repeats, "sent"),
+    "budgets": (run_budgets, judge_budgets, "sent"),
 }
 
 
@@ -99,14 +102,15 @@
     exits=False,
     repeats=False,
     loads=False,
+    budgets=False,
     entries=0,
 ):
     """Runs `count` seeds from `first`, or from a random one if it is 0.
 
     `manifests` is the number of entries of runs under changes of the manifest;
     `exits` runs entries that are stopped and frozen, `repeats` those that are
-    killed before failing workers, `loads` the same with bursts of requests;
-    `entries` of them.
+    killed before failing workers, `loads` the same with bursts of requests,
+    `budgets` those with all troubles together; `entries` of them.
     """
     first = first or random.randrange(10**6, 10**7)
     began = time.monotonic()
@@ -117,6 +121,7 @@
         "exits": exits,
         "repeats": repeats,
         "loads": loads,
+        "budgets": budgets,
     }
     for kind in filter(chosen.get, KINDS):
         play = functools.partial(
