--- a/tests/lib/budget_judge.py
+++ b/tests/lib/budget_judge.py
@@ -99,7 +99,7 @@
       arrivals: Requests as they reached workers.
       crashes: Ends of workers.
       rests: Pauses that workers asked for.
-      cuts: When an entry was cut off from a worker: entry, worker, since, until.
+      cuts: When an entry was cut off: entry, worker, since, until.
       disturbed: When an entry did not run or did not reach the store: entry,
         since, until.
       bad_parts: When each part that crashes workers began to.
--- a/tests/lib/relay_process.py
+++ b/tests/lib/relay_process.py
@@ -12,7 +12,6 @@
 from tests.lib.counters import ROOT
 from tests.lib.platform_site import settings_document
 
-
 RELAY = ROOT / "deploy" / "relay.py"
 
 
--- a/tests/retries/test_budget_judge.py
+++ b/tests/retries/test_budget_judge.py
@@ -72,9 +72,7 @@
 
 def long_deadlines(count, left_s=3.6, **more):
     sent = [Sent(str(n), n * 1.0, **more) for n in range(count)]
-    arrivals = [
-        Arrival(each.id, each.at, "w0", left_s=left_s) for each in sent
-    ]
+    arrivals = [Arrival(each.id, each.at, "w0", left_s=left_s) for each in sent]
     return make_record(sent=sent, arrivals=arrivals)
 
 
@@ -129,7 +127,10 @@
 
 
 def crashing_part(late, bad_from=0.0):
-    times = [*(n * 0.5 for n in range(5)), *(5.1 + n * 0.1 for n in range(late))]
+    times = [
+        *(n * 0.5 for n in range(5)),
+        *(5.1 + n * 0.1 for n in range(late)),
+    ]
     sent = [Sent(str(n), at, parts=("p",)) for n, at in enumerate(times)]
     return make_record(
         sent=sent,
@@ -164,7 +165,5 @@
     assert broken(rested(3, at=0.4)) == []
     assert broken(rested(3, at=2.1)) == []
     assert broken(with_disturbance(rested(3), 1.0)) == []
-    other = [
-        attrs.evolve(each, entry="entry-1") for each in rested(3).arrivals
-    ]
+    other = [attrs.evolve(each, entry="entry-1") for each in rested(3).arrivals]
     assert broken(attrs.evolve(rested(3), arrivals=other)) == []
--- a/tests/soak/budgets.py
+++ b/tests/soak/budgets.py
@@ -419,7 +419,14 @@
     own = "the same" if body else id
     content = "crashing" if body else ""
     sent = Sent(
-        id, 0.0, "", "engine", CHAT_DEADLINE_S, True, parts=parts, content=content
+        id,
+        0.0,
+        "",
+        "engine",
+        CHAT_DEADLINE_S,
+        True,
+        parts=parts,
+        content=content,
     )
     headers = {
         "X-Model": "*",
@@ -442,9 +449,7 @@
 async def ask(run, sent, path, headers, body):
     """Sends a request to any entry, on a kept connection if there is one."""
     entry = run.rng.choice(run.entries)
-    sent = attrs.evolve(
-        sent, at=time.monotonic(), entry=entry.settings.name
-    )
+    sent = attrs.evolve(sent, at=time.monotonic(), entry=entry.settings.name)
     run.record.sent.append(sent)
     headers |= {
         "Host": HOST,
