--- a/tests/soak/budgets.py
+++ b/tests/soak/budgets.py
@@ -311,13 +311,13 @@
 
 
 def schedule_restart(run, worker, crash):
-    if not run.over:
+    if not run.over and not any(worker is each for each in run.ended_workers):
+        run.ended_workers.append(worker)
         run.start_task(restart_worker(run, worker, crash))
 
 
 async def restart_worker(run, worker, crash):
     """Starts the next incarnation, often at the same address."""
-    run.ended_workers.append(worker)
     run.start_task(expire(run, worker.id))
     await asyncio.sleep(run.rng.uniform(*RESTART_S))
     port = 0
@@ -365,7 +365,8 @@
 
 
 def collect_arrivals(run):
-    for worker in (*run.workers, *run.ended_workers):
+    workers = {worker.id: worker for worker in run.workers + run.ended_workers}
+    for worker in workers.values():
         ran = {each.id for each in worker.runs}
         run.record.arrivals += [
             attrs.evolve(each, ran=each.id in ran) for each in worker.arrived
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from tests.soak.budgets import judge_budgets, run_budgets
 from tests.soak.exits import judge_exits, run_exits
 from tests.soak.judge import judge
 from tests.soak.manifests import judge_manifests, run_manifests
@@ -54,3 +55,14 @@
     run = await run_repeats(seed, tmp_path)
     assert run.worst().repeats
     assert not list(judge_repeats(run))
+
+
+# Earlier failures: a part that had turned bad was released while it was bad.
+BUDGET_SEEDS = [3, 9, 10]
+
+
+@pytest.mark.parametrize("seed", BUDGET_SEEDS)
+async def test_troubles_together_keep_all_bounds_on_repeats(seed, tmp_path):
+    run = await run_budgets(seed, tmp_path)
+    assert run.record.arrivals
+    assert not list(judge_budgets(run)), run.faults
