Tell by a sequential test whether a part that was stood crashes workers

Cause: the hold was found anew with each crash, as the share of all crashes at which the part was new. A held part is new at none, so crashes that happen by themselves diluted the share, and the hold ended while its cause went on. The share also needs other crashes to tell parts apart, and took the part whose share was reached first, not the one that explains the crashes best.

Change: crash_evidence.py compares the likelihoods of two statements (all crashes happen by themselves; the part causes them from some crash on) at each crash, as a CUSUM test. A decision stands, and causes are compared by what was known as the first hold began. Shares, bursts and counts for proven parts are gone. Workers prove a part after 0.5 s, not 1 s, unless the entry paused meanwhile, and each crash makes entries that know better publish it.

--- a/src/rattanpier/_internal/programs/relay_dispatch.py
+++ b/src/rattanpier/_internal/programs/relay_dispatch.py
@@ -95,7 +95,9 @@
         confirm_failure=reachability.confirm_failure,
     )
     reachability.on_reachable = terminations.check_unconfirmed
-    quarantine = Quarantine(clock)
+    quarantine = Quarantine(
+        clock, count_workers=lambda: count_engine_workers(state)
+    )
     shares = SharedRates(fleet, clock)
     warm_ups = make_warm_ups(settings, state, shares)
     limits = make_rate_limits(state, shares)
@@ -257,6 +259,16 @@
     return engine_of
 
 
+def count_engine_workers(state: RelayState) -> int:
+    """Returns the number of workers whose requests have prompts."""
+    engine_of = engine_lookup(state)
+    return sum(
+        len(state.directory.accepting_workers(service))
+        for service in state.directory.services()
+        if engine_of(service) is not None
+    )
+
+
 def make_rate_limits(state: RelayState, shares: SharedRates) -> RateLimits:
     """Returns the rate limits of workers that announce one."""
     return RateLimits(shares, shares.clock, state.directory.is_registered)
--- a/src/rattanpier/_internal/relay/stream_answers.py
+++ b/src/rattanpier/_internal/relay/stream_answers.py
@@ -246,7 +246,10 @@
     if in_flight.body_began_at is None:
         # The head may come long before the worker begins to write.
         in_flight.body_began_at = now
-    if now - in_flight.body_began_at >= STOOD_S:
+    # Events that came before a pause are read after it, at a stroke.
+    if now - in_flight.body_began_at >= STOOD_S and not (
+        dispatcher.paused_since(now - STOOD_S)
+    ):
         in_flight.stood = True
         dispatcher.quarantine.record_stood(
             request.prompt.shared_parts, in_flight.answer_began_at
--- a/src/rattanpier/_internal/retries/crashing_parts.py
+++ b/src/rattanpier/_internal/retries/crashing_parts.py
@@ -21,6 +21,11 @@
 
 import attrs
 
+from rattanpier._internal.retries.crash_evidence import (
+    DECISION,
+    SuspectCrash,
+    evidence,
+)
 from rattanpier._internal.utils.hashing import short_digest
 from rattanpier._internal.utils.record import Record
 
@@ -39,15 +44,11 @@
 HOLD_DELAY_S = 0.4
 MAX_PROOF_DELAY_S = 0.25
 # The same for a part that workers stood before, which may have turned bad, as
-# with a new version. Requests that still run may show meanwhile that it hasn't.
-CRASHES_TO_HOLD_PROVEN = 7
-REQUESTS_TO_HOLD_PROVEN = 3
-PROVEN_HOLD_DELAY_S = 1.3
-# Share of all workers that crashed that had just begun an answer with it. Most
-# have begun one with a popular part by chance.
-SHARE_ABOVE_CHANCE = 0.45
-MIN_SHARE_TO_HOLD_PROVEN = 0.65
-MAX_SHARE_TO_HOLD_PROVEN = 0.95
+# with a new version. Requests that still run show meanwhile that it hasn't.
+PROVEN_HOLD_DELAY_S = 1.2
+# Evidence that a proven part may have less than another one, and is still held
+# in its place if fewer requests have it.
+NARROWER_MARGIN = 2.0
 # Requests with an unproven part that have to crash workers before it excuses
 # proven ones: one that is new is beside the cause by chance.
 REQUESTS_TO_EXCUSE = 2
@@ -56,10 +57,9 @@
 # Unexplained crashes after which a part is held that has enough crashes in all.
 # Two causes often crash a worker together.
 UNEXPLAINED_TO_HOLD = 1
-# Workers that lose power together crash under all that is popular. A cause
-# crashes them one after the other.
+# Crashes this close to each other are one burst.
 BURST_S = 0.3
-BURSTS_TO_HOLD_PROVEN = 3
+BURSTS_OF_FIRST_HOLD = 3
 # Since the last crash. Long compared to the pauses between callers' retries;
 # short enough that a fixed worker serves the part within the hour.
 HOLD_S = 600.0
@@ -154,21 +154,27 @@
       requests: Indices of the requests with the part whose worker crashed.
       crashes: Crash of each worker that counts most, and the index of its
         request, by incarnation.
-      all_crashes: Time of each crash, whether or not the part was there, by
-        incarnation.
-      count: Number of all requests whose worker crashed.
+      all_crashes: First report of each crash, whether or not the part was
+        there, by incarnation.
+      workers: Number of workers; 0 if it is not known.
+      stood_since: When answers with the part began that the worker had stood
+        for a while as it crashed, by incarnation.
     """
 
     part: str
     proven: bool
     all_crashes: Mapping[str, float]
-    count: int
+    workers: int
+    stood_since: dict[str, list[float]] = attrs.Factory(dict)
     requests: set[int] = attrs.Factory(set)
     crashes: dict[str, tuple[PartCrash, int]] = attrs.Factory(dict)
 
     def add(self, worker: str, crash: PartCrash, request: int) -> None:
         """Adds a crash under a request with the part."""
         self.requests.add(request)
+        if crash.answering_s is not None and crash.answering_s > FRESH_S:
+            began_at = crash.at - crash.answering_s
+            self.stood_since.setdefault(worker, []).append(began_at)
         known = self.crashes.get(worker)
         if known is None or known[0].weight < crash.weight:
             self.crashes[worker] = crash, request
@@ -191,9 +197,41 @@
         )
         return [(crash, request) for _, _, crash, request in sorted(found)]
 
+    def evidence(
+        self, causes: Iterable[Candidate]
+    ) -> list[tuple[float, float]]:
+        """Returns the evidence that the part is a cause, as crashes came in.
+
+        Args:
+          causes: Parts that explain some of the crashes.
+
+        Returns:
+          Pairs of a time in monotonic seconds and the evidence up to it.
+        """
+        explained = {worker for cause in causes for worker in cause.crashes}
+        found = (
+            SuspectCrash(
+                self.all_crashes[worker],
+                request,
+                crash.began and crash.weight == 1.0,
+                tuple(self.stood_since.get(worker, ())),
+            )
+            for worker, (crash, request) in self.crashes.items()
+            if worker not in explained
+        )
+        times = [
+            at
+            for worker, at in self.all_crashes.items()
+            if worker not in explained
+        ]
+        by_time = sorted(found, key=lambda crash: crash.at)
+        return list(evidence(by_time, times, self.workers))
+
 
 def find_holds(
-    requests: Iterable[CrashedRequest], proven_at: Mapping[str, float]
+    requests: Iterable[CrashedRequest],
+    proven_at: Mapping[str, float],
+    workers: int = 0,
 ) -> Iterator[PartHold]:
     """Yields the parts that crash workers, the one with most crashes first.
 
@@ -201,8 +239,9 @@
       requests: The requests under which workers crashed.
       proven_at: Last time at which a worker began an answer that it stood, in
         monotonic seconds, by part.
+      workers: Number of workers; 0 if it is not known.
     """
-    candidates = list(find_candidates(list(requests), proven_at))
+    candidates = list(find_candidates(list(requests), proven_at, workers))
     causes: list[Candidate] = []
     while True:
         suspects = [
@@ -218,7 +257,9 @@
 
 
 def find_candidates(
-    requests: list[CrashedRequest], proven_at: Mapping[str, float]
+    requests: list[CrashedRequest],
+    proven_at: Mapping[str, float],
+    workers: int,
 ) -> Iterator[Candidate]:
     """Yields the parts with the crashes that may be due to them.
 
@@ -232,11 +273,11 @@
         if crash.began
     }
     found: dict[str, Candidate] = {}
-    all_crashes = {
-        worker: crash.at
-        for request in requests
-        for worker, crash in request.crashes.items()
-    }
+    all_crashes: dict[str, float] = {}
+    for request in requests:
+        for worker, crash in request.crashes.items():
+            known = all_crashes.get(worker, crash.at)
+            all_crashes[worker] = min(known, crash.at)
     for index, request in enumerate(requests):
         for worker, crash in request.crashes.items():
             if worker in began and not crash.began:
@@ -247,7 +288,7 @@
                     continue
                 if part not in found:
                     found[part] = Candidate(
-                        part, proven is not None, all_crashes, len(requests)
+                        part, proven is not None, all_crashes, workers
                     )
                 found[part].add(worker, crash, index)
     excuse_proven(found.values())
@@ -283,7 +324,7 @@
     """
     crashes = candidate.unexplained(causes)
     if candidate.proven:
-        return proven_held_from(candidate, crashes, causes)
+        return proven_held_from(candidate, causes)
     enough_at = reached_at(spread(crashes), SPREAD_CRASHES_TO_HOLD)
     if any(cause.requests <= candidate.requests for cause in causes):
         # It comes with each request that has the cause.
@@ -294,51 +335,21 @@
 
 
 def proven_held_from(
-    candidate: Candidate, crashes: Crashes, causes: Collection[Candidate]
+    candidate: Candidate, causes: Iterable[Candidate]
 ) -> float:
     """Returns when a part that workers stood before begins to be held.
 
-    A part that has turned bad is new at each worker that crashes. One that is
-    only popular is not, and shows sooner that workers still stand it.
-
     Args:
       candidate: The part.
-      crashes: Its unexplained crashes.
       causes: Parts that are held already.
 
     Returns:
       Monotonic seconds; infinite if the crashes may have another cause.
     """
-    if bursts_of(crashes) < BURSTS_TO_HOLD_PROVEN:
-        return math.inf
-    if len({request for _crash, request in crashes}) < REQUESTS_TO_HOLD_PROVEN:
-        return math.inf
-    explained = {worker for cause in causes for worker in cause.crashes}
-    first = crashes[0][0].at
-    total = sum(
-        at >= first
-        for worker, at in candidate.all_crashes.items()
-        if worker not in explained
-    )
-    fresh = sum(crash.weight == 1.0 for crash, _request in crashes)
-    popularity = len(candidate.requests) / candidate.count
-    if fresh < required_share(popularity) * total:
-        return math.inf
-    enough_at = reached_at(crashes, CRASHES_TO_HOLD_PROVEN)
-    return enough_at + PROVEN_HOLD_DELAY_S
-
-
-def required_share(popularity: float) -> float:
-    """Returns the share of crashes from which on a proven part is held.
-
-    Args:
-      popularity: Share of the requests that crashed workers ran which have it.
-
-    >>> required_share(0.1), required_share(0.9)
-    (0.65, 0.95)
-    """
-    share = popularity + SHARE_ABOVE_CHANCE
-    return min(MAX_SHARE_TO_HOLD_PROVEN, max(MIN_SHARE_TO_HOLD_PROVEN, share))
+    for at, found in candidate.evidence(causes):
+        if found >= DECISION:
+            return at + PROVEN_HOLD_DELAY_S
+    return math.inf
 
 
 def reached_at(crashes: Crashes, count: float) -> float:
@@ -383,15 +394,39 @@
 def select_cause(
     suspects: list[Candidate], causes: Collection[Candidate]
 ) -> Candidate:
-    """Returns the part that explains the most crashes.
+    """Returns the part that explains the crashes best.
 
-    A part of fewer requests is preferred if it explains nearly as many.
+    A part that no worker stood is preferred to those that were stood, and one
+    of fewer requests if it explains nearly as much.
     """
+    unproven = [each for each in suspects if not each.proven]
+    if unproven:
+        return select_unproven(unproven, causes)
+    # Crashes after the first hold began say nothing of the part that is held.
+    until = min(proven_held_from(each, causes) for each in suspects)
+    found = {
+        each.part: max(
+            (value for at, value in each.evidence(causes) if at <= until),
+            default=-math.inf,
+        )
+        for each in suspects
+    }
+    least = max(DECISION, max(found.values()) - NARROWER_MARGIN)
+    return min(
+        (each for each in suspects if found[each.part] >= least),
+        key=lambda each: (len(each.requests), -found[each.part], each.part),
+    )
+
+
+def select_unproven(
+    suspects: list[Candidate], causes: Collection[Candidate]
+) -> Candidate:
+    """Returns the part with the most crashes, or a narrower one."""
 
-    def rank(each: Candidate) -> tuple[bool, float, str]:
+    def rank(each: Candidate) -> tuple[float, str]:
         crashes = each.unexplained(causes)
         count = sum(crash.weight for crash, _request in crashes)
-        return not each.proven, count, each.part
+        return count, each.part
 
     cause = max(suspects, key=rank)
     narrower = [
@@ -412,7 +447,7 @@
     crashes = cause.unexplained(causes)
     hold_s = HOLD_S
     if cause.proven:
-        doublings = bursts_of(crashes) - BURSTS_TO_HOLD_PROVEN
+        doublings = max(0, bursts_of(crashes) - BURSTS_OF_FIRST_HOLD)
         hold_s = min(HOLD_S, PROVEN_HOLD_S * 2.0**doublings)
     alike = (
         each.part
--- a/src/rattanpier/_internal/retries/quarantine.py
+++ b/src/rattanpier/_internal/retries/quarantine.py
@@ -67,9 +67,9 @@
 MAX_PROVEN_PARTS = 4096  # 0.2 KB each.
 # Workers that a part crashes end as they begin to answer. One that goes on for
 # this long stands it.
-STOOD_S = 1.0
+STOOD_S = 0.5
 # Crashes after which an entry tells the others that workers stood a part.
-CRASHES_TO_PUBLISH_PROOF = 2
+CRASHES_TO_PUBLISH_PROOF = 1
 # Requests that ran at a worker are recorded one by one when it crashes.
 REFRESH_DELAY_S = 0.02
 # Of the parts with most crashes, the evidence is kept in the store. One crash
@@ -109,6 +109,8 @@
       holds: Parts that are held, or will be unless they are proven meanwhile,
         by key.
       active: Keys of the holds that were announced to `on_change`.
+      count_workers: Returns the number of workers that may crash, 0 if it is
+        not known.
       on_evidence: Called when a part that is not held has new crashes.
       hold_listeners: Called when parts begin to be held.
       call_later: Calls a function after a number of seconds.
@@ -143,6 +145,7 @@
     last_crash_of: dict[str, float] = attrs.Factory(dict)
     holds: dict[str, PartHold] = attrs.Factory(dict)
     active: set[str] = attrs.Factory(set)
+    count_workers: Callable[[], int] = lambda: 0
     on_evidence: Callable[[], None] = lambda: None
     hold_listeners: set[Callable[[], None]] = attrs.Factory(set)
     call_later: Callable[[float, Callable[[], None]], object] = attrs.field(
@@ -556,7 +559,9 @@
                 for part, at in self.proven_here.items()
             }
             proven = {**self.proven, **proven}
-            found = find_holds(self.parts_of.values(), proven)
+            found = find_holds(
+                self.parts_of.values(), proven, self.count_workers()
+            )
             holds = {hold.key: hold for hold in found}
         self.holds = holds
         for hold in holds.values():
--- a/tests/lib/part_fleet.py
+++ b/tests/lib/part_fleet.py
@@ -132,6 +132,7 @@
         quarantine = Quarantine(
             self.clock,
             call_later=self.clock.call_later,
+            count_workers=lambda: self.workers,
             proof_delay_s=lambda: suppressed_delay_s(
                 self.entries, self.rng.random()
             ),
--- a/tests/retries/test_crashing_parts.py
+++ b/tests/retries/test_crashing_parts.py
@@ -123,6 +123,37 @@
     assert fleet.late_sends() <= MAX_SENDS
 
 
+def test_crashes_without_a_part_do_not_release_it():
+    turned = series(["a"], 8)
+    later = [
+        crashed([f"b{number}"], 4.0 + number, first=100 + number)
+        for number in range(20)
+    ]
+    (hold,) = find_holds(turned, {"a": -1.0}, workers=9)
+    assert [
+        each.key for each in find_holds(turned + later, {"a": -1.0}, 9)
+    ] == [hold.key]
+
+
+def test_crashes_under_its_neighbour_do_not_release_a_held_part():
+    both = series(["route", "a"], 8)
+    later = [
+        crashed(["route", f"b{number}"], 4.0 + number, first=100 + number)
+        for number in range(20)
+    ]
+    proven = {"route": -1.0, "a": -1.0, **{f"b{n}": -1.0 for n in range(20)}}
+    assert {"a"} in [
+        set(h.parts) - {"route"} for h in find_holds(both, proven, 9)
+    ]
+    held = [set(h.parts) for h in find_holds(both + later, proven, 9)]
+    assert {"a"} in held
+
+
+def test_workers_that_lose_power_together_hold_no_part():
+    lost = series(["a"], 9, step_s=0.005)
+    assert not list(find_holds(lost, {"a": -1.0}, workers=9))
+
+
 def test_part_is_not_held_for_crashes_that_it_was_not_new_at():
     popular = [
         crashed(["a"], number * 0.2, first=number, answering_s=0.8)
@@ -203,7 +234,8 @@
 
 def test_part_that_turned_bad_is_held_for_a_short_time():
     turned = series(["a"], 12)
-    assert held_parts(turned[:6], {"a": -1.0}) == []
+    assert held_parts(turned[:4]) == [{"a"}]
+    assert held_parts(turned[:4], {"a": -1.0}) == []
     (hold,) = find_holds(turned, {"a": -1.0})
     assert PROVEN_HOLD_S <= hold.hold_s < HOLD_S
     assert held_parts(turned, {"a": 5.0}) == []
