Don't take the row of a hold for one more request with its part

Cause: an entry that starts reads the row of a hold as a crashed request that has just the held part. That made the part look wider by one request than its neighbour, which every real request has as well, so that the entry held the neighbour, a route's first part.

Change: a hold's row is marked as such. It counts as no request, and a part that another entry held goes before its neighbours.

The class, evidence that comes back from the store and is counted as new: the rows of evidence hold crashes by content, and are united by content.

--- a/src/rattanpier/_internal/retries/crash_evidence.py
+++ b/src/rattanpier/_internal/retries/crash_evidence.py
@@ -161,4 +161,3 @@
         # An answer that had begun before the part turned bad shows nothing.
         counts.stood += any(at > crashes[0].at for at in crash.stood_since)
         yield number, counts
-
--- a/src/rattanpier/_internal/retries/crashing_parts.py
+++ b/src/rattanpier/_internal/retries/crashing_parts.py
@@ -103,10 +103,13 @@
     Attributes:
       parts: Ids of the parts of its prompt that others may share.
       crashes: The crashes that they may have caused, by incarnation.
+      is_hold: Whether it stands for parts that another entry held, and is no
+        request.
     """
 
     parts: frozenset[str]
     crashes: dict[str, PartCrash] = attrs.Factory(dict)
+    is_hold: bool = False
 
 
 @attrs.frozen(eq=False, repr=False)
@@ -152,6 +155,7 @@
       part: Id of the part.
       proven: Whether a worker is known to have stood it before.
       requests: Indices of the requests with the part whose worker crashed.
+      held_elsewhere: Whether another entry held it.
       crashes: Crash of each worker that counts most, and the index of its
         request, by incarnation.
       all_crashes: First report of each crash, whether or not the part was
@@ -167,11 +171,17 @@
     workers: int
     stood_since: dict[str, list[float]] = attrs.Factory(dict)
     requests: set[int] = attrs.Factory(set)
+    held_elsewhere: bool = False
     crashes: dict[str, tuple[PartCrash, int]] = attrs.Factory(dict)
 
-    def add(self, worker: str, crash: PartCrash, request: int) -> None:
+    def add(
+        self, worker: str, crash: PartCrash, request: int, is_hold: bool
+    ) -> None:
         """Adds a crash under a request with the part."""
-        self.requests.add(request)
+        if is_hold:
+            self.held_elsewhere = True
+        else:
+            self.requests.add(request)
         if crash.answering_s is not None and crash.answering_s > FRESH_S:
             began_at = crash.at - crash.answering_s
             self.stood_since.setdefault(worker, []).append(began_at)
@@ -290,7 +300,7 @@
                     found[part] = Candidate(
                         part, proven is not None, all_crashes, workers
                     )
-                found[part].add(worker, crash, index)
+                found[part].add(worker, crash, index, request.is_hold)
     excuse_proven(found.values())
     yield from found.values()
 
@@ -300,7 +310,8 @@
     unproven = [
         each
         for each in candidates
-        if not each.proven and len(each.requests) >= REQUESTS_TO_EXCUSE
+        if not each.proven
+        and (each.held_elsewhere or len(each.requests) >= REQUESTS_TO_EXCUSE)
     ]
     explained = {worker for each in unproven for worker in each.fresh()}
     for each in candidates:
@@ -326,7 +337,10 @@
     if candidate.proven:
         return proven_held_from(candidate, causes)
     enough_at = reached_at(spread(crashes), SPREAD_CRASHES_TO_HOLD)
-    if any(cause.requests <= candidate.requests for cause in causes):
+    if any(
+        cause.requests and cause.requests <= candidate.requests
+        for cause in causes
+    ):
         # It comes with each request that has the cause.
         return enough_at + HOLD_DELAY_S
     few_at = reached_at(crashes, UNEXPLAINED_TO_HOLD)
@@ -432,12 +446,22 @@
     narrower = [
         each
         for each in suspects
-        if len(each.requests) < len(cause.requests)
+        if is_narrower(each, cause)
         and len(cause.crashes.keys() - each.crashes.keys()) < WIDER_MARGIN
     ]
     return max(narrower, key=rank, default=cause)
 
 
+def is_narrower(candidate: Candidate, other: Candidate) -> bool:
+    """Returns whether fewer requests have a part than another one.
+
+    One that another entry held was told from its neighbours there.
+    """
+    if candidate.held_elsewhere != other.held_elsewhere:
+        return candidate.held_elsewhere
+    return len(candidate.requests) < len(other.requests)
+
+
 def make_hold(
     cause: Candidate,
     candidates: Iterable[Candidate],
@@ -452,7 +476,9 @@
     alike = (
         each.part
         for each in candidates
-        if each.requests == cause.requests and each.proven == cause.proven
+        if each.requests == cause.requests
+        and each.proven == cause.proven
+        and each.held_elsewhere == cause.held_elsewhere
     )
     return PartHold(
         frozenset(alike),
--- a/src/rattanpier/_internal/retries/quarantine.py
+++ b/src/rattanpier/_internal/retries/quarantine.py
@@ -38,6 +38,7 @@
     WorkerCrash,
 )
 from rattanpier._internal.retries.crashing_parts import (
+    KEY_PREFIX,
     CrashedRequest,
     PartCrash,
     PartHold,
@@ -476,7 +477,10 @@
             return
         request = self.parts_of.get(crash.content)
         if request is None:
-            request = CrashedRequest(frozenset(crash.parts))
+            request = CrashedRequest(
+                frozenset(crash.parts),
+                is_hold=crash.content.startswith(KEY_PREFIX),
+            )
             self.parts_of[crash.content] = request
         request.crashes[crash.worker] = PartCrash(at, crash.answering_s)
         for part in request.parts:
--- a/tests/retries/test_crashing_parts.py
+++ b/tests/retries/test_crashing_parts.py
@@ -149,6 +149,13 @@
     assert {"a"} in held
 
 
+def test_hold_of_another_entry_tells_a_part_from_its_neighbour():
+    found = series(BAD, 6)
+    crashes = {w: c for each in found for w, c in each.crashes.items()}
+    hold = CrashedRequest(frozenset({"bad"}), crashes, is_hold=True)
+    assert held_parts([*found, hold]) == [{"bad"}]
+
+
 def test_workers_that_lose_power_together_hold_no_part():
     lost = series(["a"], 9, step_s=0.005)
     assert not list(find_holds(lost, {"a": -1.0}, workers=9))
