Look for a crash for 0.9 s after an answer broke off

Cause: the second look at the worker, 0.3 s after the answer, was the last one. A worker that still listened then was taken for sound, its broken answers were forgotten, and an answer without a length cleared the part.

Change: the worker is asked each 0.3 s until 0.9 s after its last broken answer, and broken answers are kept for as long. A worker that listens for longer still hides its crash. Cost: two more connections to a sound worker at which an answer broke off.

--- a/src/rattanpier/_internal/relay/crash_checks.py
+++ b/src/rattanpier/_internal/relay/crash_checks.py
@@ -2,8 +2,8 @@
 
 A worker is asked for a connection as soon as an answer broke off there. One
 that still listens may be about to terminate: its connections may be closed
-before its listening socket. So it is asked once more a little later, and the
-broken answers are kept until then.
+before its listening socket. So it is asked again some times, and the broken
+answers are kept until then.
 """
 
 from __future__ import annotations
@@ -25,8 +25,10 @@
 
 log = structlog.get_logger(part="dispatch")
 
-# From the end of an answer to the second check of its worker.
-SECOND_CHECK_S = 0.3
+# Between two checks of a worker.
+CHECK_INTERVAL_S = 0.3
+# From the end of an answer to the last check of its worker.
+WATCH_S = 0.9
 
 
 @attrs.frozen(eq=False, repr=False)
@@ -58,7 +60,7 @@
       metrics: Counters.
       broken: Answers that broke off at workers of which it is not known whether
         they crashed, by incarnation.
-      second_checks: Second checks in progress, by incarnation.
+      second_checks: Further checks in progress, by incarnation.
     """
 
     clock: Clock
@@ -94,7 +96,7 @@
     def start_second_check(
         self, worker: RegisteredWorker
     ) -> asyncio.Task[bool | None]:
-        """Returns the second check of a worker in progress, or a new one."""
+        """Returns the further checks of a worker, started if there are none."""
         incarnation = worker.incarnation
         check = self.second_checks.get(incarnation)
         if check is None:
@@ -106,14 +108,14 @@
         return check
 
     async def check_again(self, worker: RegisteredWorker) -> bool | None:
-        """Checks a worker until no answer has broken off there just before.
+        """Checks a worker until no answer has broken off there for a while.
 
         Returns:
           Whether the worker is running, None if that is unknown.
         """
         incarnation = worker.incarnation
         while True:
-            await self.clock.sleep(SECOND_CHECK_S)
+            await self.clock.sleep(CHECK_INTERVAL_S)
             checked_at = self.clock.monotonic()
             running = await self.terminations.is_running(worker)
             if running is False:
@@ -124,7 +126,7 @@
             recent = [
                 each
                 for each in self.broken.pop(incarnation, ())
-                if checked_at - each.broke_at < SECOND_CHECK_S
+                if checked_at - each.broke_at < WATCH_S
             ]
             if not recent:
                 return running
--- a/tests/relay/test_crashing_parts.py
+++ b/tests/relay/test_crashing_parts.py
@@ -27,6 +27,7 @@
 AFTER_EVENT = {"chunked": False, "crash_tail": b"id: 1\ndata: x\n\n"}
 LATE_TAIL = {"crash_events": 2, "crash_tail": b"id: 3\nda"}
 LINGERS = {"crash_linger_s": 0.05}
+LINGERS_LONG = {"crash_linger_s": 0.5}
 SECOND = [("system", "bad")]
 
 CASES = {
@@ -39,6 +40,8 @@
     ),
     "listens after an event": ({**AFTER_EVENT, **LINGERS}, SECOND),
     "listens after chunks": ({"crash_events": 2, **LINGERS}, SECOND),
+    "listens long after chunks": ({"crash_events": 2, **LINGERS_LONG}, SECOND),
+    "listens long after an event": ({**AFTER_EVENT, **LINGERS_LONG}, SECOND),
     "first part": ({}, [("bad", "document 1"), ("bad", "document 2")]),
     "two parts": ({}, [("system", "bad"), ("system", "worse")]),
 }
