--- a/src/rattanpier/_internal/retries/crashing_parts.py
+++ b/src/rattanpier/_internal/retries/crashing_parts.py
@@ -7,8 +7,10 @@
 
 - A part that a worker stood since does not cause crashes. So parts that many
   requests share are soon cleared, however often one is beside the cause.
-- A crash has one cause. The part with the most crashes explains them, and what
-  is left of the other parts' crashes counts for them.
+- A crash has one cause. The part that can be told first explains its crashes,
+  and what is left of the other parts' crashes counts for them.
+- A part that workers stood before may have turned bad. It needs more evidence,
+  see `crash_evidence`.
 
 The module does no input or output and keeps no state.
 """
@@ -43,7 +45,7 @@
 # Entries that know that workers stood the part tell the others meanwhile.
 HOLD_DELAY_S = 0.4
 MAX_PROOF_DELAY_S = 0.25
-# The same for a part that workers stood before, which may have turned bad, as
+# The delay for a part that workers stood before, which may have turned bad, as
 # with a new version. Requests that still run show meanwhile that it hasn't.
 PROVEN_HOLD_DELAY_S = 1.2
 # Evidence that a proven part may have less than another one, and is still held
