--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -57,8 +57,8 @@
     assert not list(judge_repeats(run))
 
 
-# Earlier failures: a part that had turned bad was released while it was bad.
-BUDGET_SEEDS = [3, 9, 10]
+# Earlier failures: parts that had turned bad were held late or released.
+BUDGET_SEEDS = [3, 9, 10, 44]
 
 
 @pytest.mark.parametrize("seed", BUDGET_SEEDS)
